Parse the operators' text and a node's settings; render problems

Cause: the node and the commands need validated configuration, settings, client keys and one form of error. Change: INI sections through configparser without interpolation and pydantic models; cross-section checks (names, cycles, layer pins); secrets read from files; typed errors as problem+json.

--- /dev/null
+++ b/src/almondshift/adapters/fleet_checks.py
@@ -0,0 +1,166 @@
+"""Checks of a fleet that go over more than one section."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from almondshift import errors
+from almondshift.adapters import ini_sections
+from almondshift.model import fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+
+def check(described: fleet.Fleet) -> None:
+    """Refuses names without a section, cycles, layer gaps, equal keys.
+
+    Raises:
+        errors.ConfigInvalid: For the first fault found.
+    """
+    for service in described.services.values():
+        _check_service(service, described)
+    _check_cycles(described.services)
+    _check_accounts(described)
+    _check_pins(described)
+
+
+def _check_service(service: fleet.Service, described: fleet.Fleet) -> None:
+    section = f"service {service.name}"
+    for name in service.depends_on:
+        _check_name(section, "depends_on", name, described.services)
+    if service.kind is fleet.ServiceKind.PLAIN:
+        _check_plain(section, service)
+        return
+    if not service.model:
+        raise errors.ConfigInvalid(
+            "is missing.",
+            section=section,
+            key="model",
+            remedy="Name a [model NAME] section, or write kind = plain.",
+        )
+    _check_name(section, "model", service.model, described.models)
+    adapters = described.models[service.model].adapters
+    if service.adapter:
+        _check_name(section, "adapter", service.adapter, adapters)
+
+
+def _check_plain(section: str, service: fleet.Service) -> None:
+    for key, value in (("model", service.model), ("adapter", service.adapter)):
+        if value:
+            raise errors.ConfigInvalid(
+                "does not go with kind = plain.",
+                section=section,
+                key=key,
+                remedy="Remove the line, or write kind = model.",
+            )
+
+
+def _check_name(
+    section: str, key: str, name: str, known: Iterable[str]
+) -> None:
+    names = list(known)
+    if name not in names:
+        raise errors.ConfigInvalid(
+            f"{ini_sections.shorten(name)} is not defined.",
+            section=section,
+            key=key,
+            remedy=ini_sections.nearest(name, names),
+        )
+
+
+def _check_cycles(services: Mapping[str, fleet.Service]) -> None:
+    done: set[str] = set()
+    for name in services:
+        cycle = _find_cycle(name, services, done)
+        if cycle:
+            raise errors.ConfigInvalid(
+                f"the services wait for each other: {' -> '.join(cycle)}.",
+                section=f"service {cycle[0]}",
+                key="depends_on",
+                remedy="Remove one of these dependencies.",
+            )
+
+
+def _find_cycle(
+    start: str, services: Mapping[str, fleet.Service], done: set[str]
+) -> list[str]:
+    # Without recursion: a text may hold a chain longer than Python's stack.
+    path: list[str] = []
+    on_path: set[str] = set()
+    todo: list[tuple[str, bool]] = [(start, False)]
+    while todo:
+        name, leave = todo.pop()
+        if leave:
+            on_path.discard(path.pop())
+            done.add(name)
+        elif name in on_path:
+            return [*path[path.index(name) :], name]
+        elif name not in done:
+            path.append(name)
+            on_path.add(name)
+            todo.append((name, True))
+            todo.extend((n, False) for n in services[name].depends_on)
+    return []
+
+
+def _check_accounts(described: fleet.Fleet) -> None:
+    owners: dict[str, str] = {}
+    for account in described.accounts.values():
+        section = f"account {account.name}"
+        for name in account.services:
+            _check_name(section, "services", name, described.services)
+        owner = owners.setdefault(account.key_hash, account.name)
+        if owner != account.name:
+            raise errors.ConfigInvalid(
+                f"is the key of account {owner} too.",
+                section=section,
+                key="key_hash",
+                remedy="Give each account a key of its own.",
+            )
+
+
+def _check_pins(described: fleet.Fleet) -> None:
+    by_model: dict[str, list[fleet.Pin]] = {}
+    for pin in described.pins:
+        section = f"pin {pin.pattern}"
+        _check_name(section, "model", pin.model, described.models)
+        _check_range(section, pin, described.models[pin.model].layers)
+        by_model.setdefault(pin.model, []).append(pin)
+    for model, pins in by_model.items():
+        _check_gaps(pins, described.models[model].layers)
+
+
+def _check_range(section: str, pin: fleet.Pin, layers: int) -> None:
+    if not 0 <= pin.layers.start < pin.layers.end <= layers:
+        raise errors.ConfigInvalid(
+            f"{pin.layers.start}-{pin.layers.end} is not within 0-{layers}.",
+            section=section,
+            key="layers",
+            remedy="Write START-END with START below END.",
+        )
+
+
+def _check_gaps(pins: list[fleet.Pin], layers: int) -> None:
+    """Refuses pins from which no chain over all layers can be built."""
+    reached = {0}
+    for pin in sorted(pins, key=lambda p: p.layers):
+        if pin.layers.start not in reached:
+            raise errors.ConfigInvalid(
+                f"no pin of model {pin.model} ends at layer "
+                f"{pin.layers.start}; the pins before reach {max(reached)}.",
+                section=f"pin {pin.pattern}",
+                key="layers",
+                remedy=f"Start it at {max(reached)}, or add the pin between.",
+            )
+        reached.add(pin.layers.end)
+    if layers not in reached:
+        last = max(pins, key=lambda p: p.layers.end)
+        raise errors.ConfigInvalid(
+            f"the pins of model {last.model} end at {max(reached)} "
+            f"of {layers} layers.",
+            section=f"pin {last.pattern}",
+            key="layers",
+            remedy=f"Add a pin for {max(reached)}-{layers}.",
+        )
--- /dev/null
+++ b/src/almondshift/adapters/fleet_text.py
@@ -0,0 +1,209 @@
+"""Parses the operators' text into a fleet."""
+
+from __future__ import annotations
+
+import expression
+
+from almondshift import errors
+from almondshift.adapters import fleet_checks
+from almondshift.adapters import fleet_sections
+from almondshift.adapters import ini_sections
+from almondshift.model import fleet
+from almondshift.model import layers
+
+MS_PER_S = 1000.0
+BYTES_PER_MEGABYTE = 1e6
+MAX_ARGUMENT_LENGTH = 200
+
+Built = list[tuple[ini_sections.Section, ini_sections.SectionModel]]
+
+
+def parse(
+    text: str, version: int
+) -> expression.Result[fleet.Fleet, errors.ConfigInvalid]:
+    """Validates a text whole; never raises, whatever the text.
+
+    Args:
+        text: INI, at most ``ini_sections.MAX_TEXT_BYTES``.
+        version: The version that the text was accepted as; 0 for a draft.
+
+    Returns:
+        The fleet, or the first fault with its section, key and remedy.
+    """
+    try:
+        return expression.Ok(_parse(text, version))
+    except errors.ConfigInvalid as error:
+        return expression.Error(error)
+
+
+def _parse(text: str, version: int) -> fleet.Fleet:
+    built = [_build(section) for section in ini_sections.read(text)]
+    head = _head(built)
+    described = fleet.Fleet(
+        version=version,
+        name=head.name,
+        models=_models(built),
+        services=_services(built),
+        endpoint_rules=_endpoint_rules(built),
+        links=_links(built),
+        accounts=_accounts(built),
+        body_limit_bytes=head.body_limit_bytes,
+        pins=_pins(built),
+    )
+    fleet_checks.check(described)
+    return described
+
+
+def _build(
+    section: ini_sections.Section,
+) -> tuple[ini_sections.Section, ini_sections.SectionModel]:
+    model = fleet_sections.KINDS.get(section.kind)
+    if model is None:
+        raise errors.ConfigInvalid(
+            "is not a known kind of section.",
+            section=ini_sections.shorten(section.title),
+            key=None,
+            remedy=ini_sections.nearest(
+                section.kind, list(fleet_sections.KINDS)
+            ),
+        )
+    _check_arguments(section)
+    return section, ini_sections.build(section, model)
+
+
+def _check_arguments(section: ini_sections.Section) -> None:
+    wanted = fleet_sections.ARGUMENTS[section.kind]
+    form = " ".join((section.kind, *wanted))
+    fits = len(section.arguments) == len(wanted)
+    if fits and "NAME" in wanted:
+        fits = ini_sections.is_name(section.arguments[0])
+    if fits and len(section.title) <= MAX_ARGUMENT_LENGTH:
+        return
+    raise errors.ConfigInvalid(
+        f"a section of this kind is written [{form}].",
+        section=ini_sections.shorten(section.title),
+        key=None,
+        remedy=(
+            "Use names of letters, digits, '.', '_' and '-', at most "
+            f"{ini_sections.MAX_NAME_LENGTH} long."
+        ),
+    )
+
+
+def _head(built: Built) -> fleet_sections.FleetSection:
+    for _, model in built:
+        if isinstance(model, fleet_sections.FleetSection):
+            return model
+    raise errors.ConfigInvalid(
+        "the section is missing.",
+        section="fleet",
+        key=None,
+        remedy="Add a section [fleet] with a line 'name = ...'.",
+    )
+
+
+def _models(built: Built) -> dict[str, fleet.Model]:
+    return {
+        section.arguments[0]: fleet.Model(
+            name=section.arguments[0],
+            layers=model.layers,
+            version=model.version,
+            adapters=model.adapters,
+            layer_bytes=model.layer_bytes,
+        )
+        for section, model in built
+        if isinstance(model, fleet_sections.ModelSection)
+    }
+
+
+def _services(built: Built) -> dict[str, fleet.Service]:
+    return {
+        section.arguments[0]: _service(section.arguments[0], model)
+        for section, model in built
+        if isinstance(model, fleet_sections.ServiceSection)
+    }
+
+
+def _service(
+    name: str, section: fleet_sections.ServiceSection
+) -> fleet.Service:
+    kind = fleet.ServiceKind(section.kind)
+    idempotent = section.idempotent
+    if idempotent is None:
+        # Repeating a call that may not be repeated cannot be undone, so
+        # a plain service is repeated only where the operators say so.
+        idempotent = kind is fleet.ServiceKind.MODEL
+    return fleet.Service(
+        name=name,
+        kind=kind,
+        depends_on=section.depends_on,
+        model=section.model or "",
+        adapter=section.adapter or "",
+        priority=fleet.Priority[section.priority.upper()],
+        idempotent=idempotent,
+        replicas=section.replicas,
+        max_prompt_tokens=section.max_prompt_tokens,
+        max_output_tokens=section.max_output_tokens,
+        objectives=fleet.Objectives(
+            whole_share=section.objective_whole_share,
+            first_token_s=section.objective_first_token_ms / MS_PER_S,
+            between_tokens_s=section.objective_between_tokens_ms / MS_PER_S,
+        ),
+    )
+
+
+def _endpoint_rules(built: Built) -> tuple[fleet.EndpointRule, ...]:
+    return tuple(
+        fleet.EndpointRule(section.arguments[0], model.checks_fencing)
+        for section, model in built
+        if isinstance(model, fleet_sections.EndpointSection)
+    )
+
+
+def _pins(built: Built) -> tuple[fleet.Pin, ...]:
+    return tuple(
+        fleet.Pin(section.arguments[0], model.model, _range(model.layers))
+        for section, model in built
+        if isinstance(model, fleet_sections.PinSection)
+    )
+
+
+def _range(written: str) -> layers.LayerRange:
+    start, _, end = written.partition("-")
+    return layers.LayerRange(int(start), int(end))
+
+
+def _links(built: Built) -> tuple[fleet.Link, ...]:
+    links: dict[frozenset[str], fleet.Link] = {}
+    for section, model in built:
+        if not isinstance(model, fleet_sections.LinkSection):
+            continue
+        zone_a, zone_b = section.arguments
+        link = fleet.Link(
+            zone_a,
+            zone_b,
+            model.latency_ms / MS_PER_S,
+            model.megabytes_per_s * BYTES_PER_MEGABYTE,
+        )
+        if links.setdefault(frozenset((zone_a, zone_b)), link) is not link:
+            raise errors.ConfigInvalid(
+                "this link is written twice.",
+                section=section.title,
+                key=None,
+                remedy="Keep one; a link counts in both directions.",
+            )
+    return tuple(links.values())
+
+
+def _accounts(built: Built) -> dict[str, fleet.Account]:
+    return {
+        section.arguments[0]: fleet.Account(
+            name=section.arguments[0],
+            key_hash=model.key_hash,
+            weight=model.weight,
+            tokens_per_s=model.tokens_per_s,
+            services=model.services,
+        )
+        for section, model in built
+        if isinstance(model, fleet_sections.AccountSection)
+    }
--- /dev/null
+++ b/src/almondshift/adapters/ini_sections.py
@@ -0,0 +1,236 @@
+"""Reads INI text into sections, and sections into validated models.
+
+The functions raise ``errors.ConfigInvalid``; the public parsers that use
+them return it in a Result.
+"""
+
+from __future__ import annotations
+
+import configparser
+import dataclasses
+import difflib
+import re
+from typing import Annotated
+from typing import Any
+from typing import TypeVar
+
+import pydantic
+
+from almondshift import errors
+
+MAX_TEXT_BYTES = 1_000_000
+"""Some 5,000 accounts; fits a row of the table service."""
+
+TEXT = "text"
+"""Named as the section when the fault is not inside one."""
+
+BYTE_ORDER_MARK = "\ufeff"
+SHOWN_CHARACTERS = 60
+CUTOFF = 0.5
+MAX_NAME_LENGTH = 63
+NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
+
+# A section name is one line, so no text can open this default section,
+# whose keys configparser would copy into all others.
+_NO_DEFAULT_SECTION = "\n"
+
+
+def _yes_or_no(value: object) -> object:
+    if isinstance(value, bool):
+        return value
+    if value in ("yes", "no"):
+        return value == "yes"
+    raise ValueError("is neither 'yes' nor 'no'")
+
+
+def _comma_list(value: object) -> object:
+    if not isinstance(value, str):
+        return value
+    return tuple(item.strip() for item in value.split(",") if item.strip())
+
+
+YesNo = Annotated[bool, pydantic.BeforeValidator(_yes_or_no)]
+Name = Annotated[str, pydantic.StringConstraints(pattern=NAME_PATTERN)]
+Names = Annotated[tuple[Name, ...], pydantic.BeforeValidator(_comma_list)]
+Texts = Annotated[tuple[str, ...], pydantic.BeforeValidator(_comma_list)]
+OneLine = Annotated[str, pydantic.StringConstraints(pattern=r"^[^\r\n]*$")]
+PositiveInt = Annotated[int, pydantic.Field(ge=1, le=10**15)]
+NonNegative = Annotated[
+    float, pydantic.Field(ge=0, le=1e15, allow_inf_nan=False)
+]
+Positive = Annotated[float, pydantic.Field(gt=0, le=1e15, allow_inf_nan=False)]
+
+
+class SectionModel(pydantic.BaseModel):
+    """The base of section models: unknown keys are refused."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+ModelT = TypeVar("ModelT", bound=SectionModel)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Section:
+    """One section as written: ``[kind argument ...]`` and its keys."""
+
+    kind: str
+    arguments: tuple[str, ...]
+    values: dict[str, str]
+
+    @property
+    def title(self) -> str:
+        """The text between the brackets, with single spaces."""
+        return " ".join((self.kind, *self.arguments))
+
+
+def nearest(word: str, known: list[str]) -> str:
+    """Returns ``did you mean ...`` or the list of known words."""
+    close = difflib.get_close_matches(word[:64], known, n=1, cutoff=CUTOFF)
+    if close:
+        return f"Did you mean '{close[0]}'?"
+    if not known:
+        return "None is defined."
+    return f"Known: {', '.join(sorted(known)[:20])}."
+
+
+def is_name(word: str) -> bool:
+    """Returns whether a word may name a model, service or account."""
+    return len(word) <= MAX_NAME_LENGTH and bool(re.match(NAME_PATTERN, word))
+
+
+def shorten(value: object) -> str:
+    """Returns a printable form of a value, cut at 60 characters."""
+    text = str(value)
+    cut = text[:SHOWN_CHARACTERS]
+    return repr(cut) + ("..." if len(text) > SHOWN_CHARACTERS else "")
+
+
+def read(text: str) -> list[Section]:
+    """Splits a text into sections in the order written.
+
+    Raises:
+        errors.ConfigInvalid: The text is too long, is not INI, or has a
+            section or key twice.
+    """
+    _check_text(text)
+    parser = configparser.RawConfigParser(
+        delimiters=("=",),
+        comment_prefixes=("#", ";"),
+        strict=True,
+        empty_lines_in_values=False,
+        default_section=_NO_DEFAULT_SECTION,
+        interpolation=None,
+    )
+    parser.optionxform = str  # type: ignore[assignment, method-assign]
+    try:
+        parser.read_string(text.removeprefix(BYTE_ORDER_MARK))
+    except configparser.Error as error:
+        raise _syntax_error(error) from error
+    sections = [_section(title, parser) for title in parser.sections()]
+    _refuse_twice(sections)
+    return sections
+
+
+def build(section: Section, model: type[ModelT]) -> ModelT:
+    """Validates a section's keys.
+
+    Raises:
+        errors.ConfigInvalid: For the first key at fault.
+    """
+    try:
+        return model.model_validate(section.values)
+    except pydantic.ValidationError as error:
+        raise _invalid(section.title, model, error) from error
+
+
+def _check_text(text: str) -> None:
+    try:
+        size = len(text.encode())
+    except UnicodeEncodeError as error:
+        raise errors.ConfigInvalid(
+            "the text is not Unicode that UTF-8 can carry.",
+            section=TEXT,
+            key=None,
+            remedy="Save the file as UTF-8.",
+        ) from error
+    if size > MAX_TEXT_BYTES:
+        raise errors.ConfigInvalid(
+            f"the text has {size} bytes, over the limit of {MAX_TEXT_BYTES}.",
+            section=TEXT,
+            key=None,
+            remedy="Shorten it, or remove accounts no longer in use.",
+        )
+
+
+def _section(title: str, parser: configparser.RawConfigParser) -> Section:
+    words = title.split()
+    if not words:
+        raise errors.ConfigInvalid(
+            "a section has no name.",
+            section=TEXT,
+            key=None,
+            remedy="Write a kind between the brackets, e.g. [fleet].",
+        )
+    return Section(words[0], tuple(words[1:]), dict(parser.items(title)))
+
+
+def _refuse_twice(sections: list[Section]) -> None:
+    seen: set[str] = set()
+    for section in sections:
+        if section.title in seen:
+            raise _twice(section.title, None)
+        seen.add(section.title)
+
+
+def _twice(section: str, key: str | None) -> errors.ConfigInvalid:
+    return errors.ConfigInvalid(
+        "is written twice.",
+        section=section,
+        key=key,
+        remedy="Keep one of the two.",
+    )
+
+
+def _syntax_error(error: configparser.Error) -> errors.ConfigInvalid:
+    if isinstance(error, configparser.DuplicateSectionError):
+        return _twice(" ".join(error.section.split()), None)
+    if isinstance(error, configparser.DuplicateOptionError):
+        return _twice(" ".join(error.section.split()), error.option)
+    if isinstance(error, configparser.MissingSectionHeaderError):
+        detail = f"line {error.lineno} comes before any section."
+        remedy = "Start the text with a section line, e.g. [fleet]."
+    elif isinstance(error, configparser.ParsingError) and error.errors:
+        line, source = error.errors[0]
+        detail = f"line {line} is not 'key = value': {shorten(source)}."
+        remedy = "Write 'key = value', or start a comment line with '#'."
+    else:
+        detail = shorten(error) + "."
+        remedy = "Write sections in brackets and lines 'key = value'."
+    return errors.ConfigInvalid(detail, section=TEXT, key=None, remedy=remedy)
+
+
+def _invalid(
+    title: str, model: type[SectionModel], error: pydantic.ValidationError
+) -> errors.ConfigInvalid:
+    fault: Any = error.errors(include_url=False, include_context=False)[0]
+    key = str(fault["loc"][0]) if fault["loc"] else None
+    known = list(model.model_fields)
+    if fault["type"] == "extra_forbidden":
+        detail = "is not a key of this section."
+        remedy = nearest(key or "", known)
+    elif fault["type"] == "missing":
+        detail = "is missing."
+        remedy = f"Add a line '{key} = ...'."
+    else:
+        reason = fault["msg"].removeprefix("Value error, ")
+        detail = f"{shorten(fault['input'])}: {reason}."
+        remedy = _describe(model, key)
+    return errors.ConfigInvalid(detail, section=title, key=key, remedy=remedy)
+
+
+def _describe(model: type[SectionModel], key: str | None) -> str:
+    field = model.model_fields.get(key or "")
+    if field is None or not field.description:
+        return "Correct the value; see the settings reference in the docs."
+    return f"Give: {field.description}."
--- /dev/null
+++ b/src/almondshift/adapters/keys.py
@@ -0,0 +1,104 @@
+"""Secrets, and the bearer keys of client accounts."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import pathlib
+from typing import TYPE_CHECKING
+
+import expression
+
+from almondshift import errors
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from almondshift.model import fleet
+
+HASH_PREFIX = "sha256:"
+MAX_SECRET_BYTES = 4096
+
+
+class Secret:
+    """A secret text that does not show itself in logs or tracebacks."""
+
+    __slots__ = ("text",)
+
+    def __init__(self, text: str) -> None:
+        self.text = text
+
+    def __repr__(self) -> str:
+        return "Secret(hidden)"
+
+    def matches(self, other: str) -> bool:
+        """Compares in a time that does not depend on where they differ."""
+        return hmac.compare_digest(self.text.encode(), other.encode())
+
+
+def read_secret(
+    path: str, section: str, key: str
+) -> expression.Result[Secret, errors.ConfigInvalid]:
+    """Reads a secret from the first line of a file.
+
+    Args:
+        path: The file.
+        section: Section of the settings that names it, for the error.
+        key: Key of the settings that names it, for the error.
+    """
+    try:
+        content = pathlib.Path(path).read_bytes()[:MAX_SECRET_BYTES]
+        text = content.decode().partition("\n")[0].strip()
+    except (OSError, ValueError) as error:
+        return expression.Error(
+            errors.ConfigInvalid(
+                f"the file {path!r} cannot be read ({type(error).__name__}).",
+                section=section,
+                key=key,
+                remedy="Create it as UTF-8, readable by this process only.",
+            )
+        )
+    if not text:
+        return expression.Error(
+            errors.ConfigInvalid(
+                f"the first line of {path!r} is empty.",
+                section=section,
+                key=key,
+                remedy="Write the secret into the file's first line.",
+            )
+        )
+    return expression.Ok(Secret(text))
+
+
+def hash_key(key: str) -> str:
+    """Returns ``sha256:`` and the hex digest, as in ``key_hash``."""
+    digest = hashlib.sha256(key.encode(errors="surrogateescape"))
+    return HASH_PREFIX + digest.hexdigest()
+
+
+class KeyTable:
+    """Finds the client account of a bearer key."""
+
+    def __init__(self, accounts: Mapping[str, fleet.Account]) -> None:
+        self.by_hash = {a.key_hash: a for a in accounts.values()}
+
+    def find(self, key: str) -> fleet.Account | None:
+        """Returns the account, or None if the key belongs to none.
+
+        A comparison that stops at the first difference would let a caller
+        guess a key byte by byte from answer times. The table is searched by
+        the key's digest, which a caller cannot steer towards a stored one,
+        and the match is confirmed in constant time.
+        """
+        digest = hash_key(key)
+        account = self.by_hash.get(digest)
+        if account is None:
+            return None
+        if not hmac.compare_digest(account.key_hash, digest):
+            return None
+        return account
+
+
+def create_key_table(accounts: Mapping[str, fleet.Account]) -> KeyTable:
+    """Returns a table over a configuration's accounts."""
+    return KeyTable(accounts)
--- /dev/null
+++ b/src/almondshift/adapters/problems.py
@@ -0,0 +1,81 @@
+"""Renders typed errors as ``application/problem+json``."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import math
+from typing import Any
+
+from almondshift import errors
+
+CONTENT_TYPE = "application/problem+json"
+TYPE_PREFIX = "urn:almondshift:problem:"
+REQUEST_ID_HEADER = "X-Request-Id"
+INTERNAL_DETAIL = "The node failed while it handled the request."
+UNAUTHORIZED = 401
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """An answer to send: status, headers and a JSON body."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+def render(error: BaseException, request_id: str) -> Problem:
+    """Renders an error; one that is not typed shows nothing of itself.
+
+    Of an error that is not typed it is unknown whether the request ran.
+    """
+    if not isinstance(error, errors.AlmondshiftError):
+        error = errors.AlmondshiftError(
+            INTERNAL_DETAIL, execution=errors.Execution.UNKNOWN
+        )
+    body = json.dumps(describe(error, request_id)).encode()
+    return Problem(error.status, _headers(error, request_id), body)
+
+
+def describe(error: errors.AlmondshiftError, request_id: str) -> dict[str, Any]:
+    """Returns the members of the JSON object, also for an SSE event.
+
+    Keys: type, title, status, detail, kind, execution, remedy, request_id;
+    retry_after_s (whole seconds) where asking again makes sense; section and
+    key for an invalid configuration.
+    """
+    described: dict[str, Any] = {
+        "type": TYPE_PREFIX + error.kind,
+        "title": error.kind.replace("_", " ").capitalize(),
+        "status": error.status,
+        "detail": error.detail,
+        "kind": error.kind,
+        "execution": error.execution.value,
+        "remedy": error.remedy,
+        "request_id": request_id,
+    }
+    if error.retry_after_s is not None:
+        described["retry_after_s"] = whole_seconds(error.retry_after_s)
+    if isinstance(error, errors.ConfigInvalid):
+        described["section"] = error.section
+        described["key"] = error.key
+    return described
+
+
+def whole_seconds(seconds: float) -> int:
+    """Rounds up, to at least one: a caller must not come back early."""
+    return max(1, math.ceil(seconds))
+
+
+def _headers(error: errors.AlmondshiftError, request_id: str) -> dict[str, str]:
+    headers = {
+        "Content-Type": CONTENT_TYPE,
+        "Cache-Control": "no-store",
+        REQUEST_ID_HEADER: request_id,
+    }
+    if error.retry_after_s is not None:
+        headers["Retry-After"] = str(whole_seconds(error.retry_after_s))
+    if error.status == UNAUTHORIZED:
+        headers["WWW-Authenticate"] = "Bearer"
+    return headers
--- /dev/null
+++ b/src/almondshift/adapters/settings.py
@@ -0,0 +1,155 @@
+"""A node's settings, read from an INI file."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+
+import expression
+
+from almondshift import errors
+from almondshift.adapters import ini_sections
+from almondshift.adapters import settings_sections
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """What a node is told at its start.
+
+    Attributes:
+        entry_port: Port for callers and operators; 0 lets the OS choose.
+        entry_advertise: ``host:port`` for callers; empty for as bound.
+        peer_advertise: ``host:port`` for peers; empty for as bound.
+        peer_seeds: ``host:port`` of nodes to ask first.
+        port_file: Where the bound addresses are written; empty for nowhere.
+        log_file: Where the log goes; empty for standard error.
+        drain_hold_s: Seconds in which callers may still come on stopping.
+        drain_grace_s: Seconds after that for requests in flight.
+        poll_s: Seconds between reads of the configuration's version.
+        lease_s: Seconds that a lease holds.
+        body_bytes: Largest request body.
+        kept_inputs_bytes: Bound of inputs kept for recovery.
+    """
+
+    name: str
+    zone: str
+    entry_host: str
+    entry_port: int
+    entry_advertise: str
+    peer_host: str
+    peer_port: int
+    peer_advertise: str
+    peer_seeds: tuple[str, ...]
+    peer_secret_file: str
+    platform_address: str
+    operator_secret_file: str
+    port_file: str
+    log_level: str
+    log_file: str
+    drain_hold_s: float
+    drain_grace_s: float
+    poll_s: float
+    lease_s: float
+    body_bytes: int
+    kept_inputs_bytes: int
+
+
+def load(
+    path: str,
+) -> expression.Result[NodeSettings, errors.ConfigInvalid]:
+    """Reads and validates a settings file; paths in it are as written."""
+    try:
+        text = pathlib.Path(path).read_bytes().decode()
+    except (OSError, ValueError) as error:
+        return expression.Error(
+            errors.ConfigInvalid(
+                f"the file {path!r} cannot be read ({type(error).__name__}).",
+                section=ini_sections.TEXT,
+                key=None,
+                remedy="Check the path, its rights and that it is UTF-8.",
+            )
+        )
+    return parse(text)
+
+
+def parse(
+    text: str,
+) -> expression.Result[NodeSettings, errors.ConfigInvalid]:
+    """Validates the text of a settings file; never raises."""
+    try:
+        return expression.Ok(_parse(text))
+    except errors.ConfigInvalid as error:
+        return expression.Error(error)
+
+
+def write_port_file(path: str, entry: str, peer: str) -> None:
+    """Writes the bound addresses whole: a reader never sees half a file.
+
+    Args:
+        path: The file.
+        entry: ``host:port`` as bound for callers.
+        peer: ``host:port`` as bound for peers.
+    """
+    target = pathlib.Path(path)
+    draft = target.with_name(target.name + ".new")
+    draft.write_text(f"entry={entry}\npeer={peer}\n")
+    draft.replace(target)
+
+
+def _parse(text: str) -> NodeSettings:
+    written = {s.title: s for s in ini_sections.read(text)}
+    for title in written:
+        _check_title(title)
+    node = _section(written, "node", settings_sections.NodeSection)
+    entry = _section(written, "entry", settings_sections.EntrySection)
+    peers = _section(written, "peers", settings_sections.PeersSection)
+    platform = _section(written, "platform", settings_sections.PlatformSection)
+    operators = _section(
+        written, "operators", settings_sections.OperatorsSection
+    )
+    drain = _section(written, "drain", settings_sections.DrainSection)
+    control = _section(written, "control", settings_sections.ControlSection)
+    limits = _section(written, "limits", settings_sections.LimitsSection)
+    return NodeSettings(
+        name=node.name,
+        zone=node.zone,
+        entry_host=entry.host,
+        entry_port=entry.port,
+        entry_advertise=entry.advertise,
+        peer_host=peers.host,
+        peer_port=peers.port,
+        peer_advertise=peers.advertise,
+        peer_seeds=peers.seeds,
+        peer_secret_file=peers.secret_file,
+        platform_address=platform.address,
+        operator_secret_file=operators.secret_file,
+        port_file=node.port_file,
+        log_level=node.log_level,
+        log_file=node.log_file,
+        drain_hold_s=drain.hold_s,
+        drain_grace_s=drain.grace_s,
+        poll_s=control.poll_s,
+        lease_s=control.lease_s,
+        body_bytes=limits.body_bytes,
+        kept_inputs_bytes=limits.kept_inputs_bytes,
+    )
+
+
+def _check_title(title: str) -> None:
+    known = list(settings_sections.SECTIONS)
+    if title not in known:
+        raise errors.ConfigInvalid(
+            "is not a section of a node's settings.",
+            section=ini_sections.shorten(title),
+            key=None,
+            remedy=ini_sections.nearest(title, known),
+        )
+
+
+def _section(
+    written: dict[str, ini_sections.Section],
+    title: str,
+    model: type[ini_sections.ModelT],
+) -> ini_sections.ModelT:
+    empty = ini_sections.Section(title, (), {})
+    return ini_sections.build(written.get(title, empty), model)
--- /dev/null
+++ b/src/almondshift/data/__init__.py
@@ -0,0 +1,1 @@
+"""Files that come with the package."""
--- a/src/almondshift/model/fleet.py
+++ b/src/almondshift/model/fleet.py
@@ -5,6 +5,10 @@
 import dataclasses
 import enum
 import fnmatch
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from almondshift.model import layers
 
 
 class ServiceKind(enum.StrEnum):
@@ -89,6 +93,15 @@
     checks_fencing: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pin:
+    """Layers that operators fixed on endpoints whose name matches."""
+
+    pattern: str
+    model: str
+    layers: layers.LayerRange
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Link:
     """A link between two availability zones.
@@ -134,6 +147,7 @@
     links: tuple[Link, ...]
     accounts: dict[str, Account]
     body_limit_bytes: int = 1_000_000
+    pins: tuple[Pin, ...] = ()
 
     def checks_fencing(self, endpoint: str) -> bool:
         """Returns whether an endpoint is known to check fencing numbers.
