--- /dev/null
+++ b/src/almondshift/policy/baseline.py
@@ -0,0 +1,192 @@
+"""The named baseline: first come, first served over whole chains.
+
+Load pattern: none in particular; this is what the other modules are
+measured against. Chains are taken in turn without regard to load, requests
+are sent at once, nothing is limited and nothing is budgeted. Grounds: it is
+what a plain round-robin balancer does, so a module that is not better than
+this one in the load that it answers has no place in the router.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from almondshift.model import chains
+from almondshift.model import fleet as fleets
+from almondshift.model import layers
+from almondshift.policy import actions
+from almondshift.policy import events
+from almondshift.policy import routers
+from almondshift.policy import topology
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+NOT_READY_RETRY_S = 1.0
+"""Seconds after which to ask again; engines load layers in seconds."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Turn:
+    """Takes names in turn."""
+
+    next: int = 0
+
+    def take(self, names: list[str]) -> str:
+        name = names[self.next % len(names)]
+        self.next += 1
+        return name
+
+
+class BaselineRouter(routers.Router):
+    """Round robin over whole chains, with no limit of any kind."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.topology = topology.create_topology()
+        self._turns: dict[tuple[object, ...], _Turn] = {}
+        self._handlers: dict[
+            type, Callable[..., list[actions.Action] | None]
+        ] = {
+            events.Arrival: self._arrive,
+            events.StageFailed: self._replace,
+            events.EndpointSeen: self._see,
+            events.EndpointGone: self._forget,
+            events.EndpointLeaving: self._leave,
+            events.LoadReported: self._report,
+            events.FleetChanged: self._configure,
+        }
+
+    def handle(self, event: events.Event) -> list[actions.Action]:
+        """Takes one event; see the base class."""
+        handler = self._handlers.get(type(event))
+        if handler is None:
+            return []
+        return handler(event) or []
+
+    def service_ready(self, service: str) -> bool:
+        """Returns whether a service and all it depends on can be served."""
+        return self.topology.service_ready(service)
+
+    def _see(self, event: events.EndpointSeen) -> None:
+        self.topology.see(event.vm, event.description)
+
+    def _forget(self, event: events.EndpointGone) -> None:
+        self.topology.remove(event.endpoint)
+
+    def _leave(self, event: events.EndpointLeaving) -> None:
+        self.topology.leave(event.endpoint)
+
+    def _report(self, event: events.LoadReported) -> None:
+        self.topology.report(event.report, event.at)
+
+    def _configure(self, event: events.FleetChanged) -> None:
+        self.topology.configure(event.fleet)
+
+    def _arrive(self, event: events.Arrival) -> list[actions.Action]:
+        service = self._service(event.service)
+        if service is None:
+            return [
+                actions.Refuse(
+                    event.request_id,
+                    actions.RefusalReason.UNKNOWN_SERVICE,
+                    None,
+                )
+            ]
+        if not self.topology.service_ready(event.service):
+            return [self._not_ready(event.request_id)]
+        if service.kind is fleets.ServiceKind.PLAIN:
+            return [self._dispatch_plain(event, service)]
+        return [self._dispatch(event, service)]
+
+    def _service(self, name: str) -> fleets.Service | None:
+        fleet = self.topology.fleet
+        return fleet.services.get(name) if fleet else None
+
+    def _not_ready(self, request_id: str) -> actions.Refuse:
+        return actions.Refuse(
+            request_id,
+            actions.RefusalReason.SERVICE_NOT_READY,
+            NOT_READY_RETRY_S * self.rng.uniform(0.5, 1.5),
+        )
+
+    def _dispatch_plain(
+        self, event: events.Arrival, service: fleets.Service
+    ) -> actions.Action:
+        names = list(self.topology.plain[service.name])
+        turn = self._turn(("plain", service.name))
+        return actions.DispatchPlain(event.request_id, turn.take(names))
+
+    def _dispatch(
+        self, event: events.Arrival, service: fleets.Service
+    ) -> actions.Action:
+        target = self.topology.target_of(service)
+        if target is None:
+            return self._not_ready(event.request_id)
+        whole = layers.LayerRange(0, self.topology.layer_count(target.model))
+        stages = self._stages(target, whole, avoid="")
+        if not stages:
+            return self._not_ready(event.request_id)
+        chain = chains.Chain(
+            target.model, target.version, target.adapter, stages
+        )
+        return actions.Dispatch(event.request_id, chain)
+
+    def _replace(self, event: events.StageFailed) -> list[actions.Action]:
+        failed = event.chain.stages[event.index]
+        target = topology.Target(
+            event.chain.model, event.chain.version, event.chain.adapter
+        )
+        stages = self._stages(target, failed.layers, avoid=failed.endpoint)
+        if not stages:
+            return [
+                actions.Refuse(
+                    event.request_id, actions.RefusalReason.NO_REPLACEMENT, None
+                )
+            ]
+        return [actions.Replace(event.request_id, event.index, stages)]
+
+    def _stages(
+        self,
+        target: topology.Target,
+        needed: layers.LayerRange,
+        avoid: str,
+    ) -> tuple[chains.Stage, ...]:
+        """Covers ``needed`` greedily; empty if that can't be done."""
+        stages: list[chains.Stage] = []
+        position = needed.start
+        while position < needed.end:
+            end, names = self._reaching(target, position, avoid)
+            if not names:
+                return ()
+            end = min(end, needed.end)
+            name = self._turn((target, position, end)).take(names)
+            span = layers.LayerRange(position, end)
+            stages.append(chains.Stage(name, span))
+            position = end
+        return tuple(stages)
+
+    def _reaching(
+        self, target: topology.Target, position: int, avoid: str
+    ) -> tuple[int, list[str]]:
+        """Returns the farthest end from a layer, and who reaches it."""
+        farthest, names = position, list[str]()
+        for span, holders in self.topology.ranges.get(target, {}).items():
+            if not span.start <= position < span.end:
+                continue
+            usable = [name for name in holders if name != avoid]
+            if not usable or span.end < farthest:
+                continue
+            names = usable if span.end > farthest else names + usable
+            farthest = span.end
+        return farthest, names
+
+    def _turn(self, key: tuple[object, ...]) -> _Turn:
+        return self._turns.setdefault(key, _Turn())
+
+
+def create_baseline_router(rng: random.Random) -> routers.Router:
+    """Returns the baseline router; ``rng`` only jitters Retry-After."""
+    return BaselineRouter(rng)
