--- /dev/null
+++ b/src/almondshift/adapters/peer_codec.py
@@ -0,0 +1,182 @@
+"""Peer messages as packed Cap'n Proto structs.
+
+The schema ``peer.capnp`` is read when this module is imported, so nothing
+has to be generated. An origin that equals its key, as in every fact about a
+node, is left empty on the wire.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+from typing import Any
+
+import capnp
+import expression
+
+from almondshift.ports import peers
+
+MAX_ITEMS = 20_000
+"""Most facts, digests or wants that one message may name."""
+
+WORD_BYTES = 8
+UNPACKED_GROWTH = 8
+"""Packing removes zero bytes; honest messages unpack to less than this."""
+
+KINDS = tuple(peers.FactKind)
+"""Kinds by their number on the wire; new ones go to the end."""
+
+NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
+
+capnp.remove_import_hook()
+schema: Any = capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MalformedFrame(Exception):
+    """Bytes that are no peer message; the remedy is to close."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Frame:
+    """A message and the number of the call that it belongs to."""
+
+    call_number: int
+    message: peers.PeerMessage
+
+
+def encode(frame: Frame) -> bytes:
+    """Returns the bytes of a frame, without the length before it."""
+    envelope = schema.Envelope.new_message()
+    envelope.callNumber = frame.call_number
+    match frame.message:
+        case peers.Exchange() as exchange:
+            write_exchange(envelope.init("exchange"), exchange)
+        case peers.Question() as question:
+            builder = envelope.init("question")
+            builder.sender = question.sender
+            builder.secret = question.secret
+            builder.topic = question.topic
+            builder.body = question.body
+        case peers.Answer() as answer:
+            builder = envelope.init("answer")
+            builder.known = answer.known
+            builder.body = answer.body
+    packed: bytes = envelope.to_bytes_packed()
+    return packed
+
+
+def decode(
+    content: bytes, max_bytes: int
+) -> expression.Result[Frame, MalformedFrame]:
+    """Reads a frame.
+
+    Args:
+        content: The bytes, which may come from anyone.
+        max_bytes: Limit on the frame; bounds what it may unpack to.
+
+    Returns:
+        The frame, or why it is none.
+    """
+    words = max_bytes * UNPACKED_GROWTH // WORD_BYTES
+    try:
+        envelope = schema.Envelope.from_bytes_packed(
+            content, traversal_limit_in_words=words
+        )
+        message = read_message(envelope)
+        return expression.Ok(Frame(envelope.callNumber, message))
+    except (capnp.KjException, ValueError, IndexError) as error:
+        return expression.Error(MalformedFrame(str(error)))
+
+
+def read_message(envelope: Any) -> peers.PeerMessage:
+    """Copies the message out of an envelope."""
+    which = str(envelope.which())
+    if which == "exchange":
+        return read_exchange(envelope.exchange)
+    if which == "question":
+        question = envelope.question
+        return peers.Question(
+            sender=question.sender,
+            secret=question.secret,
+            topic=question.topic,
+            body=bytes(question.body),
+        )
+    answer = envelope.answer
+    return peers.Answer(known=answer.known, body=bytes(answer.body))
+
+
+def write_exchange(builder: Any, exchange: peers.Exchange) -> None:
+    """Copies an exchange into a builder."""
+    builder.sender = exchange.sender
+    builder.secret = exchange.secret
+    write_digests(builder, "digests", exchange.digests)
+    write_digests(builder, "wants", exchange.wants)
+    facts = builder.init("facts", len(exchange.facts))
+    for item, fact in zip(facts, exchange.facts, strict=True):
+        item.kind = NUMBERS[fact.kind]
+        item.key = fact.key
+        item.version = fact.version
+        if fact.origin != fact.key:
+            item.origin = fact.origin
+        item.ttlSeconds = fact.ttl_s
+        item.value = fact.value
+
+
+def write_digests(
+    builder: Any, field: str, digests: tuple[peers.FactDigest, ...]
+) -> None:
+    """Copies digests into a list of a builder."""
+    items = builder.init(field, len(digests))
+    for item, digest in zip(items, digests, strict=True):
+        item.kind = NUMBERS[digest.kind]
+        item.version = digest.version
+        item.key = digest.key
+        if digest.origin != digest.key:
+            item.origin = digest.origin
+
+
+def read_exchange(reader: Any) -> peers.Exchange:
+    """Copies an exchange out of a reader."""
+    return peers.Exchange(
+        sender=reader.sender,
+        secret=reader.secret,
+        digests=read_digests(reader.digests),
+        facts=tuple(read_fact(item) for item in bounded(reader.facts)),
+        wants=read_digests(reader.wants),
+    )
+
+
+def read_fact(item: Any) -> peers.Fact:
+    """Copies one fact out of a reader."""
+    key = item.key
+    return peers.Fact(
+        kind=KINDS[item.kind],
+        key=key,
+        version=item.version,
+        origin=item.origin or key,
+        ttl_s=item.ttlSeconds,
+        value=bytes(item.value),
+    )
+
+
+def read_digests(items: Any) -> tuple[peers.FactDigest, ...]:
+    """Copies digests out of a list."""
+    return tuple(
+        peers.FactDigest(
+            kind=KINDS[item.kind],
+            key=item.key,
+            version=item.version,
+            origin=item.origin or item.key,
+        )
+        for item in bounded(items)
+    )
+
+
+def bounded(items: Any) -> Any:
+    """Returns the list, or raises ``ValueError`` if it is too long."""
+    if len(items) > MAX_ITEMS:
+        raise ValueError(f"a list of {len(items)} items")
+    return items
--- a/src/almondshift/ports/peers.py
+++ b/src/almondshift/ports/peers.py
@@ -99,7 +99,13 @@
 
 
 class PeerLink(abc.ABC):
-    """Calls between nodes over TCP, one answer for each message."""
+    """Calls between nodes over TCP, one answer for each message.
+
+    Attributes:
+        address: ``host:port`` that peers reach it by, known after ``start``.
+    """
+
+    address: str
 
     @abc.abstractmethod
     async def start(
