--- /dev/null
+++ b/src/almondshift/adapters/http_caller.py
@@ -0,0 +1,308 @@
+"""A caller of the system: for the demo, tests, benches and as an example.
+
+It asks the system which addresses to use, keeps that answer for the time
+given, and tells a whole stream from a cut one by the token count at the end.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+from tornado import curl_httpclient
+from tornado import httpclient
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+CONNECT_TIMEOUT_S = 1.0
+SPARE_S = 5.0
+NO_ANSWER = 599
+MAX_CLIENTS = 2000
+
+
+@dataclasses.dataclass(slots=True)
+class CallerAnswer:
+    """What a caller got for one request.
+
+    Attributes:
+        status: HTTP status; 599 if no whole answer came.
+        tokens: Tokens received, in order.
+        whole: Whether the end of the answer was seen, with the right count.
+        problem: The problem object of a refusal or failure.
+        details: What the node says of stages and recoveries.
+        arrivals: Monotonic times at which tokens came, when streamed.
+        seconds: Time from sending to the end.
+    """
+
+    status: int = NO_ANSWER
+    tokens: list[int] = dataclasses.field(default_factory=list)
+    text: str = ""
+    whole: bool = False
+    problem: dict[str, Any] | None = None
+    details: dict[str, Any] = dataclasses.field(default_factory=dict)
+    arrivals: list[float] = dataclasses.field(default_factory=list)
+    seconds: float = 0.0
+
+    @property
+    def kind(self) -> str:
+        """The problem's kind, or an empty string."""
+        return str(self.problem["kind"]) if self.problem else ""
+
+    @property
+    def execution(self) -> str:
+        """What the problem says of execution, or an empty string."""
+        return str(self.problem["execution"]) if self.problem else ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reply:
+    code: int
+    content_type: str
+    body: bytes
+
+
+class _EventReader:
+    """Takes server-sent events apart as bytes arrive."""
+
+    def __init__(
+        self, answer: CallerAnswer, on_token: Callable[[int], None]
+    ) -> None:
+        self.answer = answer
+        self.on_token = on_token
+        self._rest = b""
+
+    def feed(self, content: bytes) -> None:
+        self._rest += content
+        *whole, self._rest = self._rest.split(b"\n\n")
+        for event in whole:
+            self._take(event)
+
+    def _take(self, event: bytes) -> None:
+        if event.startswith(b"event: error"):
+            self.answer.problem = json.loads(event.partition(b"data: ")[2])
+            return
+        data = event.removeprefix(b"data: ")
+        if data == b"[DONE]":
+            return
+        self._take_chunk(json.loads(data))
+
+    def _take_chunk(self, chunk: dict[str, Any]) -> None:
+        choice = chunk["choices"][0]
+        self.answer.text += choice["text"]
+        for token in choice["tokens"]:
+            self.answer.tokens.append(token)
+            self.answer.arrivals.append(time.monotonic())
+            self.on_token(token)
+        if "usage" in chunk:
+            count = chunk["usage"]["completion_tokens"]
+            self.answer.whole = count == len(self.answer.tokens)
+            self.answer.details = chunk["almondshift"]
+
+
+class Caller:
+    """Calls the system with one account's key.
+
+    Attributes:
+        addresses: Entry addresses, the best first.
+    """
+
+    def __init__(self, key: str, first_addresses: list[str]) -> None:
+        self.key = key
+        self.first_addresses = first_addresses
+        self.addresses = list(first_addresses)
+        self._hold_until = 0.0
+        self._client: httpclient.AsyncHTTPClient | None = None
+
+    async def start(self) -> None:
+        """Makes calls possible."""
+        self._client = curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CLIENTS
+        )
+
+    async def close(self) -> None:
+        """Closes connections."""
+        if self._client is not None:
+            self._client.close()
+
+    async def entries(self) -> list[str]:
+        """Returns addresses; asks again when the kept answer is too old."""
+        if time.monotonic() < self._hold_until:
+            return self.addresses
+        for address in [*self.addresses, *self.first_addresses]:
+            response = await self._fetch(
+                address, "/v1/entries", "GET", None, {}, 2.0
+            )
+            if response.code != 200:
+                continue
+            answer = json.loads(response.body)
+            found = [entry["address"] for entry in answer["entries"]]
+            if found:
+                self.addresses = found
+                hold = float(answer["hold_seconds"])
+                self._hold_until = time.monotonic() + hold
+                break
+        return self.addresses
+
+    def forget_entries(self) -> None:
+        """Asks for addresses again before the next call."""
+        self._hold_until = 0.0
+
+    async def complete(
+        self,
+        service: str,
+        prompt: str | list[int],
+        max_tokens: int,
+        *,
+        stream: bool = True,
+        deadline_ms: int = 30_000,
+        idempotency_key: str = "",
+        address: str | None = None,
+        on_token: Callable[[int], None] = lambda _: None,
+    ) -> CallerAnswer:
+        """Sends one completion, once, to one address."""
+        body = {
+            "model": service,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": stream,
+        }
+        headers = self._headers(deadline_ms, idempotency_key)
+        target = address or (await self.entries())[0]
+        answer = CallerAnswer()
+        reader = _EventReader(answer, on_token) if stream else None
+        started = time.monotonic()
+        response = await self._fetch(
+            target,
+            "/v1/completions",
+            "POST",
+            json.dumps(body).encode(),
+            headers,
+            deadline_ms / 1000 + SPARE_S,
+            reader.feed if reader else None,
+        )
+        answer.seconds = time.monotonic() - started
+        answer.status = response.code
+        self._take_response(answer, response, reader)
+        return answer
+
+    async def call(
+        self,
+        service: str,
+        path: str,
+        body: bytes,
+        *,
+        method: str = "POST",
+        deadline_ms: int = 10_000,
+        idempotency_key: str = "",
+        address: str | None = None,
+    ) -> CallerAnswer:
+        """Calls a plain service, once, at one address.
+
+        Returns:
+            The answer; its body is in ``text``.
+        """
+        headers = self._headers(deadline_ms, idempotency_key)
+        target = address or (await self.entries())[0]
+        started = time.monotonic()
+        response = await self._fetch(
+            target,
+            f"/v1/services/{service}{path}",
+            method,
+            None if method == "GET" else body,
+            headers,
+            deadline_ms / 1000 + SPARE_S,
+        )
+        answer = CallerAnswer(status=response.code)
+        answer.seconds = time.monotonic() - started
+        answer.text = response.body.decode(errors="replace")
+        answer.whole = response.code != NO_ANSWER
+        answer.problem = _problem(response)
+        return answer
+
+    def _headers(
+        self, deadline_ms: int, idempotency_key: str
+    ) -> dict[str, str]:
+        headers = {"Request-Deadline": str(deadline_ms)}
+        if idempotency_key:
+            headers["Idempotency-Key"] = idempotency_key
+        return headers
+
+    def _take_response(
+        self,
+        answer: CallerAnswer,
+        response: _Reply,
+        reader: _EventReader | None,
+    ) -> None:
+        answer.problem = answer.problem or _problem(response)
+        if response.code != 200:
+            answer.whole = False
+        elif reader is None:
+            _take_whole(answer, response.body)
+
+    async def _fetch(
+        self,
+        address: str,
+        path: str,
+        method: str,
+        body: bytes | None,
+        headers: dict[str, str],
+        timeout_s: float,
+        on_chunk: Callable[[bytes], None] | None = None,
+    ) -> _Reply:
+        assert self._client is not None, "start the caller first"
+        buffered: list[bytes] = []
+        request = httpclient.HTTPRequest(
+            f"http://{address}{path}",
+            method=method,
+            body=body,
+            headers={"Authorization": f"Bearer {self.key}", **headers},
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=timeout_s,
+            follow_redirects=False,
+            streaming_callback=_tee(buffered, on_chunk),
+        )
+        response = await self._client.fetch(request, raise_error=False)
+        kind = response.headers.get("Content-Type", "")
+        return _Reply(response.code, kind, b"".join(buffered))
+
+
+def _tee(
+    buffered: list[bytes], on_chunk: Callable[[bytes], None] | None
+) -> Callable[[bytes], None]:
+    def take(content: bytes) -> None:
+        buffered.append(content)
+        if on_chunk is not None and content:
+            on_chunk(content)
+
+    return take
+
+
+def _problem(response: _Reply) -> dict[str, Any] | None:
+    if "problem+json" not in response.content_type:
+        return None
+    found: dict[str, Any] = json.loads(response.body)
+    return found
+
+
+def _take_whole(answer: CallerAnswer, body: bytes) -> None:
+    content = json.loads(body)
+    choice = content["choices"][0]
+    answer.text = choice["text"]
+    answer.tokens = choice["tokens"]
+    answer.details = content["almondshift"]
+    count = content["usage"]["completion_tokens"]
+    answer.whole = count == len(answer.tokens)
+
+
+def create_caller(key: str, first_addresses: list[str]) -> Caller:
+    """Builds a caller; not started yet.
+
+    Args:
+        key: Bearer key of a client account.
+        first_addresses: ``host:port`` of some nodes, to ask for entries.
+    """
+    return Caller(key, first_addresses)
--- /dev/null
+++ b/src/almondshift/adapters/http_front/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP server towards callers."""
--- /dev/null
+++ b/src/almondshift/adapters/http_front/base.py
@@ -0,0 +1,193 @@
+"""What all handlers share: bodies, keys, deadlines and problem answers."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+from typing import Any
+import uuid
+
+import tornado.iostream
+import tornado.web
+
+from almondshift import errors
+from almondshift.adapters import problems
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from almondshift.adapters.http_front import contexts
+    from almondshift.model import fleet
+
+DEFAULT_BODY_LIMIT = 1_000_000
+DEFAULT_DEADLINE_MS = 60_000
+MAX_DEADLINE_MS = 3_600_000
+BEARER = "Bearer "
+MAX_KEY_LENGTH = 200
+
+logger = logging.getLogger(__name__)
+
+
+class BaseHandler(tornado.web.RequestHandler):
+    """Answers every failure with a typed problem, never a traceback."""
+
+    def initialize(self, context: contexts.FrontContext) -> None:
+        """Takes what all handlers share."""
+        self.context = context
+        self.node = context.node
+        self.clock = context.clock
+        self.request_id = uuid.uuid4().hex
+        self.arrived = self.clock.monotonic()
+
+    def set_default_headers(self) -> None:
+        """Names no server software."""
+        self.clear_header("Server")
+
+    def prepare(self) -> Awaitable[None] | None:
+        """Gives every answer the request id."""
+        self.set_header(problems.REQUEST_ID_HEADER, self.request_id)
+        return None
+
+    def known_fleet(self) -> fleet.Fleet:
+        """Returns the configuration in force."""
+        found = self.node.current_fleet()
+        if found is None:
+            raise errors.ServiceNotReady(
+                "No configuration is known here yet.", retry_after_s=1.0
+            )
+        return found
+
+    def account(self) -> fleet.Account:
+        """Returns the client account whose key was sent."""
+        header = self.request.headers.get("Authorization", "")
+        if not header.startswith(BEARER) or len(header) == len(BEARER):
+            raise errors.MissingKey("The request has no bearer key.")
+        self.known_fleet()
+        found = self.node.account_of(header[len(BEARER) :].strip())
+        if found is None:
+            raise errors.WrongKey("The bearer key belongs to no account.")
+        return found
+
+    def deadline(self) -> float:
+        """Returns the monotonic time by which the caller wants an answer."""
+        header = self.request.headers.get("Request-Deadline")
+        if header is None:
+            return self.arrived + DEFAULT_DEADLINE_MS / 1000
+        try:
+            allowed = int(header)
+        except ValueError:
+            raise errors.MalformedRequest(
+                "Request-Deadline is not a whole number of milliseconds."
+            ) from None
+        if allowed <= 0:
+            raise errors.DeadlinePast("Request-Deadline is already past.")
+        return self.arrived + min(allowed, MAX_DEADLINE_MS) / 1000
+
+    def idempotency_key(self) -> str:
+        """Returns the caller's key, or an empty string."""
+        key = self.request.headers.get("Idempotency-Key", "")
+        if len(key) > MAX_KEY_LENGTH:
+            raise errors.MalformedRequest(
+                f"Idempotency-Key is over {MAX_KEY_LENGTH} characters."
+            )
+        return key
+
+    def check_admission(self) -> None:
+        """Refuses new work while the node is leaving."""
+        refusal = self.node.refusal()
+        if refusal is not None:
+            raise refusal
+
+    def write_problem(self, error: BaseException) -> None:
+        """Answers with a problem in place of whatever was prepared."""
+        problem = problems.render(error, self.request_id)
+        self.clear()
+        self.set_status(problem.status)
+        for name, value in problem.headers.items():
+            self.set_header(name, value)
+        self.finish(problem.body)
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Renders what a handler raised."""
+        error = kwargs["exc_info"][1] if "exc_info" in kwargs else None
+        if isinstance(error, tornado.web.HTTPError):
+            error = _from_http(status_code)
+        if error is None:
+            error = _from_http(status_code)
+        if self._headers_written:
+            self.finish()
+            return
+        self.write_problem(error)
+
+    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
+        """Logs only what is not an expected refusal."""
+        expected = (
+            errors.AlmondshiftError,
+            tornado.web.HTTPError,
+            tornado.iostream.StreamClosedError,
+        )
+        if isinstance(value, expected):
+            return
+        logger.error("request %s failed", self.request_id, exc_info=value)
+
+
+@tornado.web.stream_request_body
+class BodyHandler(BaseHandler):
+    """A handler that takes a body of bounded size.
+
+    The limit is enforced here, since the server's own would answer with an
+    empty 400 and close, from which a caller can't tell what to mend.
+    """
+
+    def prepare(self) -> Awaitable[None] | None:
+        """Refuses a body whose announced length is over the limit."""
+        super().prepare()
+        self.chunks: list[bytes] = []
+        self.received = 0
+        found = self.node.current_fleet()
+        self.limit = found.body_limit_bytes if found else DEFAULT_BODY_LIMIT
+        length = self.request.headers.get("Content-Length", "0")
+        if length.isascii() and length.isdigit() and int(length) > self.limit:
+            self.set_header("Connection", "close")
+            raise self._too_large()
+        return None
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Keeps a part of the body, up to the limit."""
+        self.received += len(chunk)
+        if self.received <= self.limit:
+            self.chunks.append(chunk)
+        return None
+
+    def body(self) -> bytes:
+        """Returns the whole body."""
+        if self.received > self.limit:
+            raise self._too_large()
+        return b"".join(self.chunks)
+
+    def _too_large(self) -> errors.BodyTooLarge:
+        return errors.BodyTooLarge(
+            f"The body is over the limit of {self.limit} bytes."
+        )
+
+
+class NotFoundHandler(BaseHandler):
+    """Answers for paths that are not served."""
+
+    def prepare(self) -> Awaitable[None] | None:
+        """Refuses."""
+        raise tornado.web.HTTPError(404)
+
+
+def _from_http(status: int) -> errors.AlmondshiftError:
+    if status >= 500:
+        return errors.AlmondshiftError(
+            "The node failed while it handled the request.",
+            execution=errors.Execution.UNKNOWN,
+        )
+    error = errors.MalformedRequest(
+        "The path or method is not served here.",
+        remedy="See the callers' page for the paths and methods.",
+    )
+    error.status = status  # type: ignore[misc]
+    return error
--- /dev/null
+++ b/src/almondshift/adapters/http_front/completions.py
@@ -0,0 +1,239 @@
+"""``POST /v1/completions``: whole and streamed answers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+import expression
+import tornado.iostream
+
+from almondshift import errors
+from almondshift.adapters import completion_body
+from almondshift.adapters import problems
+from almondshift.adapters.http_front import base
+from almondshift.model import completions
+from almondshift.model import fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from almondshift.ports import gateway
+
+DONE = b"data: [DONE]\n\n"
+
+
+class CompletionsHandler(base.BodyHandler):
+    """Runs completions."""
+
+    stream: gateway.CompletionStream | None = None
+    work: asyncio.Task[None] | None = None
+
+    async def post(self) -> None:
+        """Answers whole, or as server-sent events with ``stream: true``."""
+        request = self._request()
+        self.check_admission()
+        self.work = asyncio.ensure_future(self._serve(request))
+        try:
+            await self.work
+        except asyncio.CancelledError:
+            self._cancel_stream()
+
+    def on_connection_close(self) -> None:
+        """Cancels the work when the caller goes away."""
+        if self.work is not None:
+            self.work.cancel()
+
+    async def _serve(self, request: completions.CompletionRequest) -> None:
+        match await self.node.complete(request):
+            case expression.Result(tag="ok", ok=stream):
+                self.stream = stream
+            case expression.Result(error=error):
+                raise error
+        if request.stream:
+            await self._answer_stream(request, stream)
+        else:
+            await self._answer_whole(request, stream)
+
+    def _cancel_stream(self) -> None:
+        if self.stream is not None:
+            self.stream.close()
+
+    def _request(self) -> completions.CompletionRequest:
+        account = self.account()
+        deadline = self.deadline()
+        match completion_body.parse(self.body()):
+            case expression.Result(tag="ok", ok=body):
+                pass
+            case expression.Result(error=error):
+                raise error
+        service = self._service(body.model, account)
+        prompt = self._prompt(body, service)
+        return completions.CompletionRequest(
+            request_id=self.request_id,
+            account=account.name,
+            service=service.name,
+            prompt=prompt,
+            max_tokens=body.max_tokens,
+            priority=service.priority,
+            deadline=deadline,
+            idempotent=service.idempotent,
+            idempotency_key=self._key_for(service),
+            stream=body.stream,
+        )
+
+    def _service(self, name: str, account: fleet.Account) -> fleet.Service:
+        found = self.known_fleet().services.get(name)
+        allowed = not account.services or name in account.services
+        if found is None or not allowed:
+            raise errors.UnknownService(f"There is no service {name!r}.")
+        if found.kind is not fleet.ServiceKind.MODEL:
+            raise errors.UnknownService(
+                f"Service {name!r} takes no completions.",
+                remedy=f"Call it below /v1/services/{name}/.",
+            )
+        return found
+
+    def _prompt(
+        self, body: completion_body.CompletionBody, service: fleet.Service
+    ) -> tuple[int, ...]:
+        if isinstance(body.prompt, str):
+            prompt = self.context.tokenizer.encode(body.prompt)
+        else:
+            prompt = tuple(body.prompt)
+        if len(prompt) > service.max_prompt_tokens:
+            raise errors.PromptTooLong(
+                f"The prompt has {len(prompt)} tokens; "
+                f"{service.max_prompt_tokens} are allowed."
+            )
+        if body.max_tokens > service.max_output_tokens:
+            raise errors.MalformedRequest(
+                f"Field max_tokens: at most {service.max_output_tokens} "
+                "are allowed."
+            )
+        return prompt
+
+    def _key_for(self, service: fleet.Service) -> str:
+        key = self.idempotency_key()
+        if not service.idempotent and not key:
+            raise errors.IdempotencyKeyRequired(
+                f"Service {service.name!r} is not idempotent."
+            )
+        return key
+
+    async def _answer_whole(
+        self,
+        request: completions.CompletionRequest,
+        stream: gateway.CompletionStream,
+    ) -> None:
+        async with contextlib.aclosing(stream.tokens()) as source:
+            tokens = [token async for token in source]
+        answer = self._chunk(request, tuple(tokens), "length")
+        answer["usage"] = _usage(request, len(tokens))
+        answer["almondshift"] = _details(stream)
+        await self.finish(answer)
+
+    async def _answer_stream(
+        self,
+        request: completions.CompletionRequest,
+        stream: gateway.CompletionStream,
+    ) -> None:
+        count = 0
+        try:
+            async with contextlib.aclosing(stream.tokens()) as source:
+                async for token in source:
+                    if count == 0:
+                        self._begin_events()
+                    count += 1
+                    event = self._chunk(request, (token,), None)
+                    await self._send(request, event)
+        except errors.AlmondshiftError as error:
+            if count == 0:
+                raise
+            self._write_error_event(error)
+            return
+        last = self._chunk(request, (), "length")
+        last["usage"] = _usage(request, count)
+        last["almondshift"] = _details(stream)
+        await self._send(request, last)
+        await self.finish(DONE)
+
+    def _begin_events(self) -> None:
+        self.set_header("Content-Type", "text/event-stream")
+        self.set_header("Cache-Control", "no-store")
+
+    async def _send(
+        self, request: completions.CompletionRequest, event: Mapping[str, Any]
+    ) -> None:
+        """Writes an event and waits until the socket has taken it.
+
+        A reader that stops reading would else fill the node's memory with
+        tokens. Waiting here stops the pipeline, and the deadline ends it.
+        """
+        self.write(b"data: " + json.dumps(event).encode() + b"\n\n")
+        left = request.deadline - self.clock.monotonic()
+        try:
+            await asyncio.wait_for(self.flush(), max(left, 0.001))
+        except TimeoutError:
+            self._drop_connection()
+            raise asyncio.CancelledError from None
+        except tornado.iostream.StreamClosedError:
+            raise asyncio.CancelledError from None
+
+    def _drop_connection(self) -> None:
+        """Closes without an end: the reader sees a cut stream, not a whole."""
+        connection = self.request.connection
+        stream = getattr(connection, "stream", None)
+        if stream is not None:
+            stream.close()
+
+    def _write_error_event(self, error: errors.AlmondshiftError) -> None:
+        error.execution = errors.Execution.RAN
+        problem = problems.describe(error, self.request_id)
+        self.write(
+            b"event: error\ndata: " + json.dumps(problem).encode() + b"\n\n"
+        )
+        self.finish()
+
+    def _chunk(
+        self,
+        request: completions.CompletionRequest,
+        tokens: tuple[int, ...],
+        finish_reason: str | None,
+    ) -> dict[str, Any]:
+        choice = {
+            "index": 0,
+            "text": self.context.tokenizer.decode(tokens),
+            "tokens": list(tokens),
+            "finish_reason": finish_reason,
+        }
+        return {
+            "id": request.request_id,
+            "object": "text_completion",
+            "model": request.service,
+            "choices": [choice],
+        }
+
+
+def _usage(
+    request: completions.CompletionRequest, count: int
+) -> dict[str, int]:
+    return {
+        "prompt_tokens": len(request.prompt),
+        "completion_tokens": count,
+        "total_tokens": len(request.prompt) + count,
+    }
+
+
+def _details(stream: gateway.CompletionStream) -> dict[str, Any]:
+    summary = stream.summary()
+    chain = stream.chain()
+    return {
+        "version": chain.version if chain else None,
+        "stages": [dataclasses.asdict(t) for t in summary.timings],
+        "recoveries": [dataclasses.asdict(r) for r in summary.recoveries],
+    }
--- /dev/null
+++ b/src/almondshift/adapters/http_front/plain.py
@@ -0,0 +1,82 @@
+"""``/v1/services/NAME/...``: calls to plain services."""
+
+from __future__ import annotations
+
+import expression
+
+from almondshift import errors
+from almondshift.adapters.http_front import base
+from almondshift.model import fleet
+from almondshift.ports import gateway
+
+SAFE_METHODS = frozenset({"GET", "HEAD"})
+
+
+class PlainHandler(base.BodyHandler):
+    """Passes a call on to a plain service."""
+
+    async def get(self, name: str, path: str) -> None:
+        """Passes on a GET."""
+        await self._pass_on(name, path)
+
+    async def post(self, name: str, path: str) -> None:
+        """Passes on a POST."""
+        await self._pass_on(name, path)
+
+    async def put(self, name: str, path: str) -> None:
+        """Passes on a PUT."""
+        await self._pass_on(name, path)
+
+    async def delete(self, name: str, path: str) -> None:
+        """Passes on a DELETE."""
+        await self._pass_on(name, path)
+
+    async def _pass_on(self, name: str, path: str) -> None:
+        request = self._request(name, path)
+        self.check_admission()
+        match await self.node.call_plain(request):
+            case expression.Result(tag="ok", ok=answer):
+                self.set_status(answer.status)
+                self.set_header("Content-Type", answer.content_type)
+                await self.finish(answer.body)
+            case expression.Result(error=error):
+                raise error
+
+    def _request(self, name: str, path: str) -> gateway.PlainRequest:
+        account = self.account()
+        service = self._service(name, account)
+        query = f"?{self.request.query}" if self.request.query else ""
+        return gateway.PlainRequest(
+            request_id=self.request_id,
+            account=account.name,
+            service=service.name,
+            method=self.request.method or "GET",
+            path=f"/{path}{query}",
+            content_type=self.request.headers.get(
+                "Content-Type", "application/octet-stream"
+            ),
+            body=self.body(),
+            deadline=self.deadline(),
+            idempotency_key=self._key_for(service),
+        )
+
+    def _service(self, name: str, account: fleet.Account) -> fleet.Service:
+        found = self.known_fleet().services.get(name)
+        allowed = not account.services or name in account.services
+        if found is None or not allowed:
+            raise errors.UnknownService(f"There is no service {name!r}.")
+        if found.kind is not fleet.ServiceKind.PLAIN:
+            raise errors.UnknownService(
+                f"Service {name!r} is not a plain service.",
+                remedy="Call it by POST /v1/completions.",
+            )
+        return found
+
+    def _key_for(self, service: fleet.Service) -> str:
+        key = self.idempotency_key()
+        repeatable = service.idempotent or self.request.method in SAFE_METHODS
+        if not repeatable and not key:
+            raise errors.IdempotencyKeyRequired(
+                f"Service {service.name!r} is not idempotent."
+            )
+        return key
--- /dev/null
+++ b/src/almondshift/adapters/http_front/server.py
@@ -0,0 +1,96 @@
+"""Builds the HTTP server towards callers and operators."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+from typing import Any
+
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+
+from almondshift.adapters import byte_tokenizer
+from almondshift.adapters.http_front import base
+from almondshift.adapters.http_front import completions
+from almondshift.adapters.http_front import contexts
+from almondshift.adapters.http_front import entries
+from almondshift.adapters.http_front import health
+from almondshift.adapters.http_front import plain
+
+if TYPE_CHECKING:
+    import prometheus_client
+
+    from almondshift.ports import clocks
+    from almondshift.ports import gateway
+
+SERVER_BODY_LIMIT = 1 << 40
+"""The handlers enforce the configured limit, and explain it."""
+
+IDLE_S = 3600.0
+
+
+@dataclasses.dataclass(slots=True)
+class HttpFront:
+    """A listening server.
+
+    Attributes:
+        address: ``host:port`` after ``start``.
+    """
+
+    application: tornado.web.Application
+    host: str
+    port: int
+    address: str = ""
+    _server: tornado.httpserver.HTTPServer | None = None
+
+    async def start(self) -> None:
+        """Listens; port 0 lets the OS choose."""
+        sockets = tornado.netutil.bind_sockets(self.port, self.host)
+        self._server = tornado.httpserver.HTTPServer(
+            self.application,
+            max_body_size=SERVER_BODY_LIMIT,
+            idle_connection_timeout=IDLE_S,
+        )
+        self._server.add_sockets(sockets)
+        self.address = f"{self.host}:{sockets[0].getsockname()[1]}"
+
+    async def close(self) -> None:
+        """Stops listening and closes the connections that are idle."""
+        if self._server is None:
+            return
+        self._server.stop()
+        await self._server.close_all_connections()
+        self._server = None
+
+
+def create_http_front(
+    node: gateway.Gateway,
+    clock: clocks.Clock,
+    registry: prometheus_client.CollectorRegistry,
+    host: str,
+    port: int,
+    extra: list[Any] | None = None,
+) -> HttpFront:
+    """Builds the server; ``extra`` holds the operators' handlers."""
+    common = {
+        "context": contexts.FrontContext(
+            node, clock, byte_tokenizer.create_tokenizer(), registry
+        )
+    }
+    handlers = [
+        ("/v1/entries", entries.EntriesHandler, common),
+        ("/v1/completions", completions.CompletionsHandler, common),
+        ("/v1/services/([^/]+)/(.*)", plain.PlainHandler, common),
+        ("/healthz", health.HealthHandler, common),
+        ("/readyz", health.ReadyHandler, common),
+        ("/metrics", health.MetricsHandler, common),
+        *(extra or []),
+    ]
+    application = tornado.web.Application(
+        handlers,
+        default_handler_class=base.NotFoundHandler,
+        default_handler_args=common,
+        log_function=lambda handler: None,
+    )
+    return HttpFront(application, host, port)
--- /dev/null
+++ b/src/almondshift/node/completions.py
@@ -0,0 +1,175 @@
+"""Takes completions from arrival to their end."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+import expression
+
+from almondshift import errors
+from almondshift.node import pipeline
+from almondshift.node import refusals
+from almondshift.policy import actions
+from almondshift.policy import events
+from almondshift.ports import gateway
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    from almondshift.model import chains
+    from almondshift.model import completions
+    from almondshift.node import kept_inputs
+    from almondshift.node import router_driver
+    from almondshift.ports import clocks
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CompletionSettings:
+    """Switches of the pipeline.
+
+    Attributes:
+        keep_inputs: Whether stage inputs are kept for replay; without them
+            every recovery starts again from the tokens.
+    """
+
+    keep_inputs: bool = True
+
+
+class RunningCompletion(gateway.CompletionStream):
+    """A completion that was given a chain.
+
+    Attributes:
+        pipeline: The work itself, with the tokens so far.
+    """
+
+    def __init__(
+        self,
+        work: pipeline.Pipeline,
+        driver: router_driver.RouterDriver,
+        clock: clocks.Clock,
+    ) -> None:
+        self.pipeline = work
+        self.driver = driver
+        self.clock = clock
+        self._ended = False
+
+    async def tokens(self) -> AsyncGenerator[int]:
+        """Yields the tokens; closing it early cancels the work.
+
+        Raises:
+            errors.AlmondshiftError: The completion can't go on.
+        """
+        request_id = self.pipeline.request.request_id
+        source = self.pipeline.generate()
+        try:
+            async for token in source:
+                now = self.clock.monotonic()
+                self.driver.tell(events.Progress(now, request_id, 1))
+                yield token
+            self._end(events.Completed(self.clock.monotonic(), request_id))
+        finally:
+            await source.aclose()
+            self.close()
+
+    def close(self) -> None:
+        """Drops the work and tells the router; safe to call again."""
+        self.pipeline.close()
+        self._end(
+            events.Abandoned(
+                self.clock.monotonic(), self.pipeline.request.request_id
+            )
+        )
+
+    def chain(self) -> chains.Chain:
+        """Returns the chain in use."""
+        return self.pipeline.chain
+
+    def summary(self) -> completions.CompletionSummary:
+        """Returns where the time went."""
+        return self.pipeline.summary()
+
+    def _end(self, event: events.Completed | events.Abandoned) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        self.driver.tell(event)
+
+
+class CompletionService:
+    """Starts completions."""
+
+    def __init__(
+        self,
+        calls: pipeline.StageCalls,
+        driver: router_driver.RouterDriver,
+        budget: kept_inputs.KeptInputs,
+        clock: clocks.Clock,
+        settings: CompletionSettings,
+    ) -> None:
+        self.calls = calls
+        self.driver = driver
+        self.budget = budget
+        self.clock = clock
+        self.settings = settings
+
+    async def start(
+        self, request: completions.CompletionRequest, prefixes: tuple[int, ...]
+    ) -> expression.Result[RunningCompletion, errors.AlmondshiftError]:
+        """Waits until the router gives a chain or refuses."""
+        now = self.clock.monotonic()
+        if request.deadline <= now:
+            return expression.Error(
+                errors.DeadlinePast("The deadline had passed on arrival.")
+            )
+        arrival = _arrival(request, prefixes, now)
+        try:
+            decision = await asyncio.wait_for(
+                self.driver.decide(arrival), request.deadline - now
+            )
+        except TimeoutError:
+            return expression.Error(
+                errors.DeadlinePast("The deadline passed in the queue.")
+            )
+        return self._begin(request, decision)
+
+    def _begin(
+        self,
+        request: completions.CompletionRequest,
+        decision: router_driver.Decision,
+    ) -> expression.Result[RunningCompletion, errors.AlmondshiftError]:
+        if isinstance(decision, actions.Refuse):
+            return expression.Error(refusals.to_error(decision))
+        if not isinstance(decision, actions.Dispatch):
+            return expression.Error(
+                errors.UnknownService("This service takes no completions.")
+            )
+        work = pipeline.Pipeline(
+            request,
+            decision.chain,
+            self.calls,
+            self.budget,
+            self.clock,
+            keep_inputs=self.settings.keep_inputs,
+        )
+        return expression.Ok(RunningCompletion(work, self.driver, self.clock))
+
+
+def _arrival(
+    request: completions.CompletionRequest,
+    prefixes: tuple[int, ...],
+    now: float,
+) -> events.Arrival:
+    return events.Arrival(
+        at=now,
+        request_id=request.request_id,
+        account=request.account,
+        service=request.service,
+        priority=request.priority,
+        prompt_tokens=len(request.prompt),
+        max_tokens=request.max_tokens,
+        deadline=request.deadline,
+        idempotent=request.idempotent,
+        prefixes=prefixes,
+    )
--- /dev/null
+++ b/src/almondshift/node/directory.py
@@ -0,0 +1,332 @@
+"""The endpoints that a node knows, and its connections to them.
+
+Watches the platform's list of VMs and the engines' own reports, keeps one
+engine client and one coalescer for each engine, and tells the router.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+from typing import TYPE_CHECKING
+
+import expression
+
+from almondshift import errors
+from almondshift.model import endpoints
+from almondshift.node import coalescer
+from almondshift.policy import events
+
+if TYPE_CHECKING:
+    import random
+
+    from almondshift.node import router_driver
+    from almondshift.policy import step_timeouts
+    from almondshift.ports import clocks
+    from almondshift.ports import engines
+    from almondshift.ports import vm_lists
+
+logger = logging.getLogger(__name__)
+
+JITTER = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DirectorySettings:
+    """How often endpoints are asked.
+
+    Attributes:
+        list_s: Seconds between reads of the VM list.
+        load_s: Seconds between load reports of one engine.
+        forget_after: Reads of the list in a row without a VM after which
+            its endpoint is dropped.
+        coalesce: Whether steps of many requests share a call.
+    """
+
+    list_s: float = 0.5
+    load_s: float = 0.25
+    forget_after: int = 2
+    coalesce: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class Endpoint:
+    """An endpoint as this node knows it.
+
+    Attributes:
+        engine: Client, for engines.
+        calls: Coalescer, for engines that described themselves.
+        report: The newest load report seen here.
+        leaving: Whether any source said that it is leaving.
+        missing: Reads of the VM list in a row without it.
+    """
+
+    vm: endpoints.Vm
+    engine: engines.Engine | None = None
+    calls: coalescer.Coalescer | None = None
+    description: endpoints.EndpointDescription | None = None
+    report: endpoints.LoadReport | None = None
+    leaving: bool = False
+    missing: int = 0
+    cache_sequence: int = 0
+    watcher: asyncio.Task[None] | None = None
+
+
+class Directory:
+    """Endpoints by name.
+
+    Attributes:
+        endpoints: What is known now.
+        list_known: Whether the VM list was read at least once.
+    """
+
+    def __init__(
+        self,
+        vm_list: vm_lists.VmList,
+        factory: engines.EngineFactory,
+        driver: router_driver.RouterDriver,
+        timeouts: step_timeouts.StepTimeouts,
+        clock: clocks.Clock,
+        rng: random.Random,
+        settings: DirectorySettings,
+    ) -> None:
+        self.vm_list = vm_list
+        self.factory = factory
+        self.driver = driver
+        self.timeouts = timeouts
+        self.clock = clock
+        self.rng = rng
+        self.settings = settings
+        self.endpoints: dict[str, Endpoint] = {}
+        self.list_known = False
+        self._lister: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Starts watching."""
+        self.driver.on_probe = self._probe
+        self._lister = asyncio.create_task(self._watch_list())
+
+    async def close(self) -> None:
+        """Stops watching and closes all connections."""
+        if self._lister is not None:
+            self._lister.cancel()
+        for name in list(self.endpoints):
+            await self._drop(name)
+
+    def coalescer(self, endpoint: str) -> coalescer.Coalescer | None:
+        """Returns the way to an engine, or None if it is not known."""
+        known = self.endpoints.get(endpoint)
+        return known.calls if known else None
+
+    def engine(self, endpoint: str) -> engines.Engine | None:
+        """Returns the client of an engine, or None if it is not known."""
+        known = self.endpoints.get(endpoint)
+        return known.engine if known else None
+
+    def address(self, endpoint: str) -> str | None:
+        """Returns the address of an endpoint, or None."""
+        known = self.endpoints.get(endpoint)
+        return known.vm.address if known else None
+
+    def is_leaving(self, endpoint: str) -> bool:
+        """Returns whether an endpoint is leaving or gone."""
+        known = self.endpoints.get(endpoint)
+        return known is None or known.leaving
+
+    def mark_leaving(self, endpoint: str) -> None:
+        """Takes any source's word that an endpoint is leaving."""
+        known = self.endpoints.get(endpoint)
+        if known is None or known.leaving:
+            return
+        known.leaving = True
+        self.driver.tell(
+            events.EndpointLeaving(self.clock.monotonic(), endpoint)
+        )
+
+    async def _watch_list(self) -> None:
+        while True:
+            try:
+                await self.refresh()
+            except Exception:
+                logger.exception("reading the VM list failed")
+            await self._pause(self.settings.list_s)
+
+    async def refresh(self) -> None:
+        """Reads the VM list once; while it is down, all stays as known."""
+        match await self.vm_list.list():
+            case expression.Result(tag="ok", ok=vms):
+                await self._merge(vms)
+                self.list_known = True
+            case _:
+                return
+
+    async def _merge(self, vms: list[endpoints.Vm]) -> None:
+        seen = {vm.name for vm in vms}
+        for vm in vms:
+            await self._see(vm)
+        for name in list(self.endpoints):
+            if name in seen:
+                self.endpoints[name].missing = 0
+                continue
+            self.endpoints[name].missing += 1
+            if self.endpoints[name].missing >= self.settings.forget_after:
+                await self._drop(name)
+
+    async def _see(self, vm: endpoints.Vm) -> None:
+        known = self.endpoints.get(vm.name)
+        if known is not None and known.vm.address != vm.address:
+            await self._drop(vm.name)
+            known = None
+        if known is None:
+            await self._add(vm)
+        elif known.vm != vm:
+            known.vm = vm
+        if vm.state is endpoints.VmState.LEAVING:
+            self.mark_leaving(vm.name)
+
+    async def _add(self, vm: endpoints.Vm) -> None:
+        known = Endpoint(vm)
+        self.endpoints[vm.name] = known
+        self._tell_seen(known)
+        if vm.kind is not endpoints.EndpointKind.ENGINE:
+            return
+        known.engine = self.factory.build(vm.name, vm.address)
+        await known.engine.start()
+        known.watcher = asyncio.create_task(self._watch_engine(known))
+
+    async def _drop(self, name: str) -> None:
+        known = self.endpoints.pop(name)
+        if known.watcher is not None:
+            known.watcher.cancel()
+        if known.calls is not None:
+            await known.calls.close()
+        if known.engine is not None:
+            await known.engine.close()
+        self.timeouts.forget(name)
+        self.driver.tell(events.EndpointGone(self.clock.monotonic(), name))
+
+    def _tell_seen(self, known: Endpoint) -> None:
+        self.driver.tell(
+            events.EndpointSeen(
+                self.clock.monotonic(), known.vm, known.description
+            )
+        )
+
+    async def _watch_engine(self, known: Endpoint) -> None:
+        while True:
+            try:
+                await self._ask_engine(known)
+            except Exception:
+                logger.exception("watching %s failed", known.vm.name)
+            await self._pause(self.settings.load_s)
+
+    async def _ask_engine(self, known: Endpoint) -> None:
+        engine = known.engine
+        if engine is None:
+            return
+        if known.description is None:
+            await self._describe(known, engine)
+        match await engine.load():
+            case expression.Result(tag="ok", ok=report):
+                await self._take_report(known, engine, report)
+            case _:
+                return
+        await self._read_cache_events(known, engine)
+
+    async def _describe(self, known: Endpoint, engine: engines.Engine) -> None:
+        match await engine.describe():
+            case expression.Result(tag="ok", ok=description):
+                known.description = description
+                if known.calls is None:
+                    known.calls = await self._start_coalescer(known, engine)
+                self._tell_seen(known)
+            case _:
+                return
+
+    async def _start_coalescer(
+        self, known: Endpoint, engine: engines.Engine
+    ) -> coalescer.Coalescer:
+        limit = known.description.max_batch if known.description else 1
+        calls = coalescer.create_coalescer(
+            engine,
+            self.clock,
+            coalescer.CoalescerSettings(
+                max_items=limit, coalesce=self.settings.coalesce
+            ),
+            lambda timing: self._take_timing(known, timing),
+        )
+        await calls.start()
+        return calls
+
+    def _take_timing(
+        self, known: Endpoint, timing: coalescer.CallTiming
+    ) -> None:
+        self.timeouts.observe(known.vm.name, timing.seconds)
+        self.driver.tell(
+            events.CallTimed(
+                at=self.clock.monotonic(),
+                endpoint=known.vm.name,
+                seconds=timing.seconds,
+                items=timing.items,
+                tokens=timing.tokens,
+                layers=timing.layers,
+            )
+        )
+
+    async def _take_report(
+        self,
+        known: Endpoint,
+        engine: engines.Engine,
+        report: endpoints.LoadReport,
+    ) -> None:
+        described = known.description
+        if described is not None and described.instance != report.instance:
+            known.description = None
+            known.leaving = False
+            known.cache_sequence = 0
+            await self._describe(known, engine)
+        known.report = report
+        self.driver.tell(events.LoadReported(self.clock.monotonic(), report))
+        if report.leaving:
+            self.mark_leaving(known.vm.name)
+
+    async def _read_cache_events(
+        self, known: Endpoint, engine: engines.Engine
+    ) -> None:
+        match await engine.cache_events(known.cache_sequence):
+            case expression.Result(tag="ok", ok=fresh) if fresh:
+                known.cache_sequence = fresh[-1].sequence
+                self.driver.tell(
+                    events.CacheChanged(
+                        self.clock.monotonic(), known.vm.name, tuple(fresh)
+                    )
+                )
+            case _:
+                return
+
+    def _probe(self, endpoint: str) -> None:
+        known = self.endpoints.get(endpoint)
+        if known is None or known.engine is None:
+            return
+        task = asyncio.create_task(self._run_probe(known, known.engine))
+        task.add_done_callback(lambda _: None)
+
+    async def _run_probe(self, known: Endpoint, engine: engines.Engine) -> None:
+        started = self.clock.monotonic()
+        answer = await engine.describe()
+        now = self.clock.monotonic()
+        self.driver.tell(
+            events.ProbeAnswered(
+                now, known.vm.name, answer.is_ok(), now - started
+            )
+        )
+
+    async def _pause(self, seconds: float) -> None:
+        spread = self.rng.uniform(1 - JITTER, 1 + JITTER)
+        await self.clock.sleep(seconds * spread)
+
+
+def unreachable(endpoint: str) -> errors.EndpointUnreachable:
+    """Builds the error for an endpoint that this node doesn't know."""
+    return errors.EndpointUnreachable(f"Endpoint {endpoint} is not known.")
--- /dev/null
+++ b/src/almondshift/node/plain_calls.py
@@ -0,0 +1,172 @@
+"""Sends calls to plain services, and again only where that is safe."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+import uuid
+
+import expression
+
+from almondshift import errors
+from almondshift.node import refusals
+from almondshift.policy import actions
+from almondshift.policy import events
+from almondshift.ports import plain_services
+
+if TYPE_CHECKING:
+    from almondshift.model import fleet
+    from almondshift.node import directory
+    from almondshift.node import router_driver
+    from almondshift.ports import clocks
+    from almondshift.ports import gateway
+
+MAX_TRIES = 3
+CALL_TIMEOUT_S = 10.0
+
+PlainResult = expression.Result[
+    plain_services.PlainAnswer, errors.AlmondshiftError
+]
+
+
+class PlainCalls:
+    """Dispatches calls to the endpoints of plain services."""
+
+    def __init__(
+        self,
+        service: plain_services.PlainService,
+        known: directory.Directory,
+        driver: router_driver.RouterDriver,
+        clock: clocks.Clock,
+    ) -> None:
+        self.service = service
+        self.directory = known
+        self.driver = driver
+        self.clock = clock
+
+    async def call(
+        self,
+        request: gateway.PlainRequest,
+        priority: fleet.Priority,
+        idempotent: bool,
+    ) -> PlainResult:
+        """Calls until there is an answer, or no safe try is left.
+
+        A call whose outcome is unknown is repeated only if idempotent: a
+        pause notice sent twice would otherwise be carried out twice.
+        """
+        error: errors.AlmondshiftError | None = None
+        for _ in range(MAX_TRIES):
+            match await self._try_once(request, priority, idempotent):
+                case expression.Result(tag="ok", ok=answer):
+                    return expression.Ok(answer)
+                case expression.Result(error=error):
+                    if not _may_repeat(error, idempotent):
+                        break
+        assert error is not None
+        return expression.Error(_final(error, idempotent))
+
+    async def _try_once(
+        self,
+        request: gateway.PlainRequest,
+        priority: fleet.Priority,
+        idempotent: bool,
+    ) -> PlainResult:
+        match await self._choose(request, priority, idempotent):
+            case expression.Result(tag="ok", ok=endpoint):
+                return await self._send(request, endpoint, idempotent)
+            case expression.Result(error=error):
+                return expression.Error(error)
+
+    async def _choose(
+        self,
+        request: gateway.PlainRequest,
+        priority: fleet.Priority,
+        idempotent: bool,
+    ) -> expression.Result[str, errors.AlmondshiftError]:
+        now = self.clock.monotonic()
+        if request.deadline <= now:
+            return expression.Error(
+                errors.DeadlinePast("The deadline had passed on arrival.")
+            )
+        arrival = events.Arrival(
+            at=now,
+            request_id=request.request_id,
+            account=request.account,
+            service=request.service,
+            priority=priority,
+            prompt_tokens=1,
+            max_tokens=0,
+            deadline=request.deadline,
+            idempotent=idempotent,
+        )
+        try:
+            decision = await asyncio.wait_for(
+                self.driver.decide(arrival), request.deadline - now
+            )
+        except TimeoutError:
+            return expression.Error(
+                errors.DeadlinePast("The deadline passed in the queue.")
+            )
+        if isinstance(decision, actions.DispatchPlain):
+            return expression.Ok(decision.endpoint)
+        if isinstance(decision, actions.Refuse):
+            return expression.Error(refusals.to_error(decision))
+        return expression.Error(
+            errors.UnknownService("This service takes only completions.")
+        )
+
+    async def _send(
+        self, request: gateway.PlainRequest, endpoint: str, idempotent: bool
+    ) -> PlainResult:
+        address = self.directory.address(endpoint)
+        if address is None:
+            self._ended(request, whole=False)
+            return expression.Error(
+                errors.EndpointUnreachable(f"Endpoint {endpoint} is gone.")
+            )
+        left = request.deadline - self.clock.monotonic()
+        call = plain_services.PlainCall(
+            request_id=request.request_id,
+            attempt=uuid.uuid4().hex,
+            method=request.method,
+            path=request.path,
+            content_type=request.content_type,
+            body=request.body,
+            timeout_s=max(min(left, CALL_TIMEOUT_S), 0.001),
+            repeatable=idempotent,
+        )
+        answer = await self.service.call(address, call)
+        self._ended(request, whole=answer.is_ok())
+        match answer:
+            case expression.Result(tag="ok", ok=whole):
+                return expression.Ok(whole)
+            case expression.Result(error=error):
+                return expression.Error(error)
+
+    def _ended(self, request: gateway.PlainRequest, *, whole: bool) -> None:
+        now = self.clock.monotonic()
+        if whole:
+            self.driver.tell(events.Completed(now, request.request_id))
+        else:
+            self.driver.tell(events.Abandoned(now, request.request_id))
+
+
+def _may_repeat(error: errors.AlmondshiftError, idempotent: bool) -> bool:
+    if isinstance(error, errors.EndpointOutcomeUnknown):
+        return idempotent
+    return isinstance(
+        error, errors.EndpointUnreachable | errors.EndpointRefused
+    )
+
+
+def _final(
+    error: errors.AlmondshiftError, idempotent: bool
+) -> errors.AlmondshiftError:
+    if not isinstance(error, errors.EndpointOutcomeUnknown):
+        return error
+    if idempotent:
+        return errors.UpstreamFailed("No endpoint gave a whole answer.")
+    return errors.OutcomeUnknown(
+        "The call was sent and no whole answer came back."
+    )
--- /dev/null
+++ b/src/almondshift/node/reconciler.py
@@ -0,0 +1,173 @@
+"""Gives engines their orders, while this node holds the control lease."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import dataclasses
+import logging
+from typing import TYPE_CHECKING
+
+import expression
+
+from almondshift.model import orders
+from almondshift.policy import placements
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from almondshift.model import fleet
+    from almondshift.node import directory
+    from almondshift.ports import clocks
+    from almondshift.ports import engines
+
+logger = logging.getLogger(__name__)
+
+
+class OrderGuard(abc.ABC):
+    """Says whether this node may give orders right now."""
+
+    @abc.abstractmethod
+    def fencing(self) -> int | None:
+        """Returns the fencing number of a lease held now, else None."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReconcilerSettings:
+    """How often orders are given.
+
+    Attributes:
+        plan_s: Seconds between plans.
+        resend_s: Seconds after which an order is given again to an engine
+            that doesn't report what it was ordered.
+    """
+
+    plan_s: float = 0.3
+    resend_s: float = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Sent:
+    order: placements.PlannedOrder
+    at: float
+
+
+class Reconciler:
+    """Compares what engines hold with the plan, and orders the difference.
+
+    Attributes:
+        sent: Orders given since the start.
+        stale: Orders that an engine refused for an old fencing number.
+    """
+
+    def __init__(
+        self,
+        guard: OrderGuard,
+        known: directory.Directory,
+        current_fleet: Callable[[], fleet.Fleet | None],
+        planner: placements.Planner,
+        clock: clocks.Clock,
+        rng: random.Random,
+        settings: ReconcilerSettings,
+    ) -> None:
+        self.guard = guard
+        self.directory = known
+        self.current_fleet = current_fleet
+        self.planner = planner
+        self.clock = clock
+        self.rng = rng
+        self.settings = settings
+        self.sent = 0
+        self.stale = 0
+        self._last: dict[str, _Sent] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Starts planning."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stops planning."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self.reconcile()
+            except Exception:
+                logger.exception("reconciling failed")
+            spread = self.rng.uniform(0.8, 1.2)
+            await self.clock.sleep(self.settings.plan_s * spread)
+
+    async def reconcile(self) -> None:
+        """Plans once and gives the orders that are due."""
+        wanted = self.current_fleet()
+        if self.guard.fencing() is None or wanted is None:
+            self._last.clear()
+            return
+        for order in self.planner.plan(wanted, self._views()):
+            if self._is_due(order):
+                await self._give(order)
+
+    def _views(self) -> list[placements.EngineView]:
+        return [
+            placements.EngineView(
+                name=name,
+                zone=known.vm.zone,
+                description=known.description,
+                report=known.report,
+                leaving=known.leaving,
+            )
+            for name, known in self.directory.endpoints.items()
+            if known.description is not None
+        ]
+
+    def _is_due(self, order: placements.PlannedOrder) -> bool:
+        last = self._last.get(order.endpoint)
+        if last is None or last.order != order:
+            return True
+        return self.clock.monotonic() - last.at >= self.settings.resend_s
+
+    async def _give(self, order: placements.PlannedOrder) -> None:
+        """Gives one order if the lease is still held right now.
+
+        A holder that was paused between plan and order may have lost its
+        lease; its order would undo what the new holder decided. The check
+        stands directly before the call, and the fencing number stops what
+        slips through at engines that check it; others are brought back by
+        the new holder's next plan, since routing follows their reports.
+        """
+        engine = self.directory.engine(order.endpoint)
+        fencing = self.guard.fencing()
+        if engine is None or fencing is None:
+            return
+        self._last[order.endpoint] = _Sent(order, self.clock.monotonic())
+        self.sent += 1
+        answer = await engine.order(_to_order(order, fencing))
+        self._take_answer(order, answer)
+
+    def _take_answer(
+        self,
+        order: placements.PlannedOrder,
+        answer: expression.Result[orders.OrderAnswer, engines.EngineError],
+    ) -> None:
+        match answer:
+            case expression.Result(tag="ok", ok=given):
+                if given.status is orders.OrderStatus.STALE:
+                    self.stale += 1
+                    logger.warning("stale order for %s", order.endpoint)
+            case _:
+                self._last.pop(order.endpoint, None)
+
+
+def _to_order(order: placements.PlannedOrder, fencing: int) -> orders.Order:
+    return orders.Order(
+        fencing=fencing,
+        role=order.role,
+        model=order.model,
+        version=order.version,
+        adapter=order.adapter,
+        layers=order.layers,
+    )
--- /dev/null
+++ b/src/almondshift/node/stage_calls.py
@@ -0,0 +1,103 @@
+"""Joins a pipeline to the directory and the router."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+import expression
+
+from almondshift import errors
+from almondshift.node import directory
+from almondshift.node import pipeline
+from almondshift.node import refusals
+from almondshift.policy import actions
+from almondshift.policy import events
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from typing import Any
+
+    from almondshift.model import chains
+    from almondshift.model import steps
+    from almondshift.node import router_driver
+    from almondshift.policy import step_timeouts
+    from almondshift.ports import engines
+
+
+class NodeStageCalls(pipeline.StageCalls):
+    """Reaches endpoints through the node's directory."""
+
+    def __init__(
+        self,
+        known: directory.Directory,
+        driver: router_driver.RouterDriver,
+        timeouts: step_timeouts.StepTimeouts,
+    ) -> None:
+        self.directory = known
+        self.driver = driver
+        self.timeouts = timeouts
+        self._background: set[asyncio.Task[Any]] = set()
+
+    async def step(
+        self, endpoint: str, item: steps.StepItem, timeout_s: float
+    ) -> expression.Result[steps.StepResult, engines.EngineError]:
+        """Runs one item through the endpoint's coalescer."""
+        calls = self.directory.coalescer(endpoint)
+        if calls is None:
+            return expression.Error(directory.unreachable(endpoint))
+        return await calls.submit(item, timeout_s)
+
+    def step_timeout_s(self, endpoint: str, positions: int) -> float:
+        """Returns the learned limit."""
+        return self.timeouts.limit_s(endpoint, positions)
+
+    async def replace(
+        self, failure: events.StageFailed
+    ) -> expression.Result[tuple[chains.Stage, ...], errors.AlmondshiftError]:
+        """Asks the router which stages take over."""
+        endpoint = failure.chain.stages[failure.index].endpoint
+        if failure.reason is events.FailureReason.LEAVING:
+            self.directory.mark_leaving(endpoint)
+        decision = await self.driver.decide(failure)
+        if isinstance(decision, actions.Replace):
+            return expression.Ok(decision.replacement)
+        if isinstance(decision, actions.Refuse):
+            error = refusals.to_error(decision)
+            error.execution = errors.Execution.UNKNOWN
+            return expression.Error(error)
+        return expression.Error(
+            errors.UpstreamFailed("No stage could take over.")
+        )
+
+    def abandon(self, endpoint: str, session: str) -> None:
+        """Cancels a session in the background."""
+        engine = self.directory.engine(endpoint)
+        if engine is not None:
+            self._spawn(engine.cancel([session]))
+
+    async def move_kv(
+        self, source: str, session: str, target: str, new_session: str
+    ) -> int:
+        """Exports from one engine and imports into another."""
+        origin = self.directory.engine(source)
+        destination = self.directory.engine(target)
+        if origin is None or destination is None:
+            return 0
+        match await origin.export_kv(session):
+            case expression.Result(tag="ok", ok=snapshot):
+                moved = dataclasses.replace(snapshot, session=new_session)
+            case _:
+                return 0
+        answer = await destination.import_kv(moved)
+        return moved.length if answer.is_ok() else 0
+
+    def is_leaving(self, endpoint: str) -> bool:
+        """Returns what the directory knows."""
+        return self.directory.is_leaving(endpoint)
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
--- /dev/null
+++ b/src/almondshift/ports/gateway.py
@@ -0,0 +1,118 @@
+"""What the HTTP front asks of the node on behalf of callers."""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    import expression
+
+    from almondshift import errors
+    from almondshift.model import chains
+    from almondshift.model import completions
+    from almondshift.model import fleet
+    from almondshift.ports import plain_services
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryAddress:
+    """An address that callers may use."""
+
+    address: str
+    zone: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entries:
+    """Addresses, the best first.
+
+    Attributes:
+        hold_seconds: How long a caller should keep this answer.
+    """
+
+    addresses: tuple[EntryAddress, ...]
+    hold_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlainRequest:
+    """A caller's call to a plain service.
+
+    Attributes:
+        path: Path and query below the service, with a leading slash.
+        deadline: Monotonic time.
+    """
+
+    request_id: str
+    account: str
+    service: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    deadline: float
+    idempotency_key: str
+
+
+class CompletionStream(abc.ABC):
+    """The tokens of one completion."""
+
+    @abc.abstractmethod
+    def tokens(self) -> AsyncGenerator[int]:
+        """Yields each token once, in order; closing it cancels the work.
+
+        Raises:
+            errors.AlmondshiftError: The completion can't go on.
+        """
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Drops the work; safe to call again."""
+
+    @abc.abstractmethod
+    def chain(self) -> chains.Chain | None:
+        """Returns the chain in use; None for a kept answer."""
+
+    @abc.abstractmethod
+    def summary(self) -> completions.CompletionSummary:
+        """Returns where the time went."""
+
+
+class Gateway(abc.ABC):
+    """The node, as callers see it."""
+
+    @abc.abstractmethod
+    def current_fleet(self) -> fleet.Fleet | None:
+        """Returns the configuration in force; None before the first."""
+
+    @abc.abstractmethod
+    def account_of(self, key: str) -> fleet.Account | None:
+        """Returns the client account of a bearer key."""
+
+    @abc.abstractmethod
+    def ready(self) -> bool:
+        """Returns whether callers should be sent here."""
+
+    @abc.abstractmethod
+    def refusal(self) -> errors.NodeLeaving | None:
+        """Returns why no new request is taken, if so."""
+
+    @abc.abstractmethod
+    def entries(self, account: str) -> Entries:
+        """Returns the addresses for an account (``""`` if not known)."""
+
+    @abc.abstractmethod
+    async def complete(
+        self, request: completions.CompletionRequest
+    ) -> expression.Result[CompletionStream, errors.AlmondshiftError]:
+        """Starts a completion, or finds its kept answer."""
+
+    @abc.abstractmethod
+    async def call_plain(
+        self, request: PlainRequest
+    ) -> expression.Result[plain_services.PlainAnswer, errors.AlmondshiftError]:
+        """Calls a plain service, or finds the kept answer."""
--- /dev/null
+++ b/tests/node/fake_stages.py
@@ -0,0 +1,170 @@
+"""Engines in memory that can be told to lose sessions at chosen steps."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import hashlib
+from typing import TYPE_CHECKING
+
+import expression
+
+from almondshift import errors
+from almondshift.model import chains
+from almondshift.model import layers
+from almondshift.model import steps
+from almondshift.node import pipeline
+
+if TYPE_CHECKING:
+    from almondshift.policy import events
+    from almondshift.ports import engines
+
+
+def fold(*parts: object) -> int:
+    content = "/".join(str(part) for part in parts).encode()
+    return int.from_bytes(hashlib.blake2b(content, digest_size=8).digest())
+
+
+def reference(
+    layer_count: int, prompt: tuple[int, ...], count: int
+) -> list[int]:
+    """Computes the right tokens directly."""
+    memory = [0] * layer_count
+    tokens: list[int] = []
+    pending = list(prompt)
+    position = 0
+    while len(tokens) < count:
+        value = 0
+        for value in pending:
+            for layer in range(layer_count):
+                memory[layer] = fold(memory[layer], layer, position, value)
+                value = memory[layer]
+            position += 1
+        tokens.append(value % 1000)
+        pending = [tokens[-1]]
+    return tokens
+
+
+@dataclasses.dataclass
+class Session:
+    length: int = 0
+    memory: dict[int, int] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(int)
+    )
+
+
+class FakeStages(pipeline.StageCalls):
+    """Spare endpoints ``s0``, ``s1``... take over from those that fail.
+
+    Attributes:
+        failures: Numbers of the steps, counted from 0, that fail, with the
+            way they fail: ``unknown`` (ran, answer lost), ``unreachable``,
+            ``leaving``, ``wrong`` (session unknown) or ``split`` (as unknown,
+            and two endpoints take over).
+        ran: Steps that ran, by session and position.
+    """
+
+    def __init__(self, layer_count: int, failures: dict[int, str]) -> None:
+        self.layer_count = layer_count
+        self.failures = failures
+        self.sessions: dict[tuple[str, str], Session] = {}
+        self.ran: collections.Counter[tuple[str, int]] = collections.Counter()
+        self.cancelled: list[str] = []
+        self.step_count = 0
+        self.spares = 0
+        self.move_ok = True
+        self.leaving: set[str] = set()
+        self._split = False
+
+    async def step(
+        self, endpoint: str, item: steps.StepItem, timeout_s: float
+    ) -> expression.Result[steps.StepResult, engines.EngineError]:
+        failure = self.failures.get(self.step_count, "")
+        self.step_count += 1
+        if failure == "unreachable":
+            return expression.Error(errors.EndpointUnreachable("gone"))
+        if failure in ("leaving", "wrong"):
+            status = {
+                "leaving": steps.StepStatus.LEAVING,
+                "wrong": steps.StepStatus.UNKNOWN_SESSION,
+            }[failure]
+            return expression.Ok(self._answer(item, status, ()))
+        outputs = self._run(endpoint, item)
+        if failure in ("unknown", "split"):
+            self._split = failure == "split"
+            return expression.Error(errors.EndpointOutcomeUnknown("lost"))
+        return expression.Ok(self._answer(item, steps.StepStatus.OK, outputs))
+
+    def _run(self, endpoint: str, item: steps.StepItem) -> tuple[int, ...]:
+        session = self.sessions.setdefault((endpoint, item.session), Session())
+        assert session.length == item.position, "a step out of order"
+        outputs = []
+        for offset, value in enumerate(item.inputs):
+            position = item.position + offset
+            self.ran[item.session, position] += 1
+            for layer in range(item.layers.start, item.layers.end):
+                before = session.memory[layer]
+                value = fold(before, layer, position, value)
+                session.memory[layer] = value
+            last = item.layers.end == self.layer_count
+            outputs.append(value % 1000 if last else value)
+        session.length += len(item.inputs)
+        return tuple(outputs)
+
+    def _answer(
+        self,
+        item: steps.StepItem,
+        status: steps.StepStatus,
+        outputs: tuple[int, ...],
+    ) -> steps.StepResult:
+        return steps.StepResult(
+            item.request_id,
+            item.session,
+            item.epoch,
+            item.position,
+            item.layers,
+            item.model,
+            item.version,
+            item.adapter,
+            status,
+            outputs,
+        )
+
+    def step_timeout_s(self, endpoint: str, positions: int) -> float:
+        return 1.0
+
+    async def replace(
+        self, failure: events.StageFailed
+    ) -> expression.Result[tuple[chains.Stage, ...], errors.AlmondshiftError]:
+        lost = failure.chain.stages[failure.index]
+        middle = (lost.layers.start + lost.layers.end) // 2
+        if self._split and middle > lost.layers.start:
+            self._split = False
+            return expression.Ok(
+                (
+                    self._spare(lost.layers.start, middle),
+                    self._spare(middle, lost.layers.end),
+                )
+            )
+        return expression.Ok((self._spare(lost.layers.start, lost.layers.end),))
+
+    def _spare(self, start: int, end: int) -> chains.Stage:
+        self.spares += 1
+        return chains.Stage(f"s{self.spares}", layers.LayerRange(start, end))
+
+    def abandon(self, endpoint: str, session: str) -> None:
+        self.cancelled.append(session)
+
+    async def move_kv(
+        self, source: str, session: str, target: str, new_session: str
+    ) -> int:
+        if not self.move_ok:
+            return 0
+        held = self.sessions[source, session]
+        self.sessions[target, new_session] = Session(
+            held.length, held.memory.copy()
+        )
+        return held.length
+
+    def is_leaving(self, endpoint: str) -> bool:
+        return endpoint in self.leaving
--- /dev/null
+++ b/tests/node/test_pipeline.py
@@ -0,0 +1,180 @@
+from __future__ import annotations
+
+import asyncio
+import time
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from almondshift import errors
+from almondshift.model import chains
+from almondshift.model import completions
+from almondshift.model import fleet
+from almondshift.model import layers
+from almondshift.node import kept_inputs
+from almondshift.node import pipeline
+from almondshift.ports import clocks
+from tests.node import fake_stages
+
+LAYERS = 8
+BOUNDS = ((0, 3), (3, 4), (4, 8))
+PROMPT = tuple(range(20, 25))
+TOKENS = 12
+
+
+class RealClock(clocks.Clock):
+    def monotonic(self) -> float:
+        return time.monotonic()
+
+    def wall(self) -> float:
+        return time.time()
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(0)
+
+
+def _request(deadline_s: float = 60.0) -> completions.CompletionRequest:
+    return completions.CompletionRequest(
+        request_id="r",
+        account="a",
+        service="s",
+        prompt=PROMPT,
+        max_tokens=TOKENS,
+        priority=fleet.Priority.NORMAL,
+        deadline=time.monotonic() + deadline_s,
+        idempotent=True,
+        idempotency_key="",
+        stream=False,
+    )
+
+
+def _pipeline(
+    stages: fake_stages.FakeStages, *, limit: int = 10**6, keep: bool = True
+) -> pipeline.Pipeline:
+    chain = chains.Chain(
+        "m",
+        1,
+        "",
+        tuple(
+            chains.Stage(f"e{i}", layers.LayerRange(*bounds))
+            for i, bounds in enumerate(BOUNDS)
+        ),
+    )
+    return pipeline.Pipeline(
+        _request(),
+        chain,
+        stages,
+        kept_inputs.create_kept_inputs(limit),
+        RealClock(),
+        keep_inputs=keep,
+    )
+
+
+def _collect(work: pipeline.Pipeline) -> list[int]:
+    async def collect() -> list[int]:
+        return [token async for token in work.generate()]
+
+    return asyncio.run(collect())
+
+
+def _expected() -> list[int]:
+    return fake_stages.reference(LAYERS, PROMPT, TOKENS)
+
+
+KINDS = ("unknown", "unreachable", "wrong", "split", "leaving")
+
+
+@pytest.mark.parametrize("keep", [True, False])
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("step", [0, 1, 2, 3, 7, 20, 35])
+def test_one_stage_lost(step: int, kind: str, keep: bool) -> None:
+    # The caller sees the right tokens, each once, though one step of one
+    # stage fails: in prefill or decode, run or not run. A session that
+    # failed is never stepped again, since it may have run the step.
+    stages = fake_stages.FakeStages(LAYERS, {step: kind})
+    work = _pipeline(stages, keep=keep)
+    assert _collect(work) == _expected()
+    assert len(work.recoveries) == 1
+    assert max(stages.ran.values()) == 1
+    assert work.budget.used_bytes == 0
+
+
+def test_replay_touches_only_the_replaced_stage() -> None:
+    # The last stage is lost in decode. Its inputs were kept, so that only
+    # its own session is new; the other stages run each position once.
+    stages = fake_stages.FakeStages(LAYERS, {20: "unknown"})
+    work = _pipeline(stages)
+    assert _collect(work) == _expected()
+    sessions = {session for session, _ in stages.ran}
+    assert sessions == {"r.0.0", "r.0.3", "r.0.4", "r.1.4"}
+    assert not work.recoveries[0].restarted
+
+
+def test_bounded_memory_restarts_from_the_tokens() -> None:
+    # No room for kept inputs: the lost stage can't be replayed by itself,
+    # so all stages before it run again from the tokens. The answer is the
+    # same; only the time differs.
+    stages = fake_stages.FakeStages(LAYERS, {20: "unknown"})
+    work = _pipeline(stages, limit=0)
+    assert _collect(work) == _expected()
+    assert work.recoveries[0].restarted
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
+@hypothesis.given(
+    failures=strategies.dictionaries(
+        strategies.integers(0, 80), strategies.sampled_from(KINDS), max_size=8
+    ),
+    limit=strategies.sampled_from([0, 100, 10**6]),
+    keep=strategies.booleans(),
+    leaving=strategies.sets(
+        strategies.sampled_from(["e0", "e1", "e2", "s1", "s2"])
+    ),
+    move_ok=strategies.booleans(),
+)
+def test_any_losses_give_the_reference(
+    failures: dict[int, str],
+    limit: int,
+    keep: bool,
+    leaving: set[str],
+    move_ok: bool,
+) -> None:
+    # Stages are lost any number of times, also while one is being replayed,
+    # endpoints leave with and without a KV copy, and memory is short. The
+    # caller sees the reference's tokens, whatever the order of events.
+    stages = fake_stages.FakeStages(LAYERS, failures)
+    stages.leaving = leaving
+    stages.move_ok = move_ok
+    work = _pipeline(stages, limit=limit, keep=keep)
+    assert _collect(work) == _expected()
+    assert max(stages.ran.values()) == 1
+    assert work.budget.used_bytes == 0
+
+
+def test_all_sessions_are_dropped_when_the_caller_goes() -> None:
+    # The caller closes its connection after two tokens: every engine session
+    # is cancelled, else it would hold KV memory until evicted.
+    stages = fake_stages.FakeStages(LAYERS, {})
+    work = _pipeline(stages)
+
+    async def take_two() -> None:
+        source = work.generate()
+        await anext(source)
+        await anext(source)
+        await source.aclose()
+
+    asyncio.run(take_two())
+    assert sorted(stages.cancelled) == ["r.0.0", "r.0.3", "r.0.4"]
+    assert work.budget.used_bytes == 0
+
+
+def test_deadline_ends_the_work() -> None:
+    # The deadline passes between tokens; the caller is told so, and nothing
+    # more is sent to the engines.
+    stages = fake_stages.FakeStages(LAYERS, {})
+    work = _pipeline(stages)
+    work.request = _request(deadline_s=-1.0)
+    with pytest.raises(errors.DeadlineExceeded):
+        _collect(work)
+    assert stages.step_count == 0
