--- /dev/null
+++ b/src/almondshift/adapters/curl_calls.py
@@ -0,0 +1,260 @@
+"""HTTP calls over libcurl that say truly whether anything was sent.
+
+libcurl sends a request again by itself when a kept connection turns out to
+be dead. An engine would then append twice to a KV cache, and a plain service
+would run a call twice. Here a body can be read only once: libcurl can't
+rewind it, so its second attempt fails before it sends anything. A call that
+may not be repeated and has no body needs a fresh connection instead, since
+libcurl sends again only after a kept one failed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import io
+from typing import TYPE_CHECKING
+
+import expression
+import pycurl
+from tornado import curl_httpclient
+from tornado import httpclient
+
+from almondshift import errors
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+SHORTEST_TIMEOUT_S = 0.001
+"""libcurl counts whole milliseconds and takes 0 for no limit."""
+
+MAX_REPLY_BYTES = 64 * 1024 * 1024
+
+CallError = errors.EndpointUnreachable | errors.EndpointOutcomeUnknown
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One HTTP call.
+
+    Attributes:
+        endpoint: Name or address, for error messages.
+        body: None for a call without a body.
+        timeout_s: Time for all of it, from the call to the whole answer.
+        fresh: Whether it needs a connection of its own.
+    """
+
+    endpoint: str
+    method: str
+    url: str
+    headers: Mapping[str, str]
+    body: bytes | None
+    timeout_s: float
+    fresh: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole HTTP answer."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+CallResult = expression.Result[Reply, CallError]
+
+
+class Transfer:
+    """Sets up one transfer in libcurl and watches what it sends.
+
+    Attributes:
+        sent: Whether bytes of the request may have left. For a call with a
+            body this turns true when libcurl takes the body to send it; the
+            endpoint runs nothing before it has the body.
+    """
+
+    def __init__(self, call: Call) -> None:
+        self.call = call
+        self.sent = False
+        self.source = io.BytesIO(call.body or b"")
+
+    def prepare(self, curl: pycurl.Curl) -> None:
+        """Sets the options; the last step before the transfer."""
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        if self.call.body is not None:
+            curl.setopt(pycurl.READFUNCTION, self.read)
+            curl.setopt(pycurl.SEEKFUNCTION, refuse_seek)
+        if not self.call.body:
+            curl.setopt(pycurl.VERBOSE, 1)
+            curl.setopt(pycurl.DEBUGFUNCTION, self.watch)
+        if self.call.fresh:
+            curl.setopt(pycurl.FRESH_CONNECT, 1)
+            curl.setopt(pycurl.FORBID_REUSE, 1)
+
+    def read(self, size: int) -> bytes:
+        """Gives libcurl the next part of the body."""
+        self.sent = True
+        return self.source.read(size)
+
+    def watch(self, kind: int, _: bytes) -> None:
+        """Sees what libcurl has sent."""
+        if kind in (pycurl.INFOTYPE_HEADER_OUT, pycurl.INFOTYPE_DATA_OUT):
+            self.sent = True
+
+
+def refuse_seek(_offset: int, _origin: int) -> int:
+    """Keeps libcurl from sending a body a second time."""
+    return pycurl.SEEKFUNC_FAIL
+
+
+class CurlClient:
+    """Kept connections to many endpoints, with a bound on calls at once.
+
+    A call over the bound waits here and not in the hidden queue of tornado's
+    client, which has a timeout of its own and counts from another time.
+    """
+
+    def __init__(self, max_connections: int, connect_timeout_s: float) -> None:
+        self.max_connections = max_connections
+        self.connect_timeout_s = connect_timeout_s
+        self.slots = asyncio.Semaphore(max_connections)
+        self.client: curl_httpclient.CurlAsyncHTTPClient | None = None
+        self.waiting: set[asyncio.Future[CallResult]] = set()
+
+    def start(self) -> None:
+        """Makes calls possible; needs a running loop. Idempotent."""
+        if self.client is None:
+            self.client = curl_httpclient.CurlAsyncHTTPClient(
+                force_instance=True,
+                max_clients=self.max_connections,
+                max_body_size=MAX_REPLY_BYTES,
+            )
+
+    def close(self) -> None:
+        """Closes connections; calls in flight fail as unknown."""
+        fail_waiting(self.waiting)
+        if self.client is not None:
+            self.client.close()
+            self.client = None
+
+    async def send(
+        self, call: Call, group: set[asyncio.Future[CallResult]]
+    ) -> CallResult:
+        """Sends a call and waits for the whole answer.
+
+        Args:
+            call: What to send.
+            group: Holds the call while it is in flight, for
+                ``fail_waiting``.
+
+        Returns:
+            The answer; or ``EndpointUnreachable`` if nothing was sent, else
+            ``EndpointOutcomeUnknown``.
+        """
+        begun_at = asyncio.get_running_loop().time()
+        if not await self._take_slot(call.timeout_s):
+            return unreachable(call, "no connection was free in time")
+        if self.client is None:
+            self.slots.release()
+            return unreachable(call, "the client is closed")
+        waited_s = asyncio.get_running_loop().time() - begun_at
+        done = self._begin(call, call.timeout_s - waited_s)
+        self.waiting.add(done)
+        group.add(done)
+        try:
+            return await done
+        finally:
+            self.waiting.discard(done)
+            group.discard(done)
+
+    async def _take_slot(self, timeout_s: float) -> bool:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.slots.acquire()
+        except TimeoutError:
+            return False
+        return True
+
+    def _begin(
+        self, call: Call, timeout_s: float
+    ) -> asyncio.Future[CallResult]:
+        """Starts a transfer.
+
+        The slot is given back when the transfer ends and not when the caller
+        stops to wait, because until then its curl handle is in use.
+        """
+        transfer = Transfer(call)
+        done: asyncio.Future[CallResult] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        def finish(
+            fetched: asyncio.Future[httpclient.HTTPResponse],
+        ) -> None:
+            self.slots.release()
+            result = read_response(transfer, fetched)
+            if not done.done():
+                done.set_result(result)
+
+        assert self.client is not None
+        request = self._build_request(transfer, timeout_s)
+        fetching = self.client.fetch(request, raise_error=False)
+        asyncio.ensure_future(fetching).add_done_callback(finish)
+        return done
+
+    def _build_request(
+        self, transfer: Transfer, timeout_s: float
+    ) -> httpclient.HTTPRequest:
+        call = transfer.call
+        timeout_s = max(timeout_s, SHORTEST_TIMEOUT_S)
+        return httpclient.HTTPRequest(
+            call.url,
+            method=call.method,
+            headers=dict(call.headers),
+            body=call.body,
+            connect_timeout=min(self.connect_timeout_s, timeout_s),
+            request_timeout=timeout_s,
+            follow_redirects=False,
+            decompress_response=False,
+            allow_nonstandard_methods=True,
+            prepare_curl_callback=transfer.prepare,
+        )
+
+
+def fail_waiting(group: set[asyncio.Future[CallResult]]) -> None:
+    """Fails the calls of a group; their late answers are dropped."""
+    for done in list(group):
+        if not done.done():
+            error = errors.EndpointOutcomeUnknown(
+                "The connection was closed while the call was in flight."
+            )
+            done.set_result(expression.Error(error))
+
+
+def read_response(
+    transfer: Transfer, fetched: asyncio.Future[httpclient.HTTPResponse]
+) -> CallResult:
+    """Converts what the client gave for a transfer."""
+    failure = fetched.exception()
+    if failure is None:
+        response = fetched.result()
+        failure = response.error
+        if not isinstance(failure, curl_httpclient.CurlError):
+            reply = Reply(response.code, response.headers, response.body)
+            return expression.Ok(reply)
+    if transfer.sent:
+        return unknown(transfer.call, str(failure))
+    return unreachable(transfer.call, str(failure))
+
+
+def unreachable(call: Call, reason: str) -> CallResult:
+    """Returns the error of a call of which nothing was sent."""
+    detail = f"{call.endpoint} could not be reached: {reason}."
+    return expression.Error(errors.EndpointUnreachable(detail))
+
+
+def unknown(call: Call, reason: str) -> CallResult:
+    """Returns the error of a call that may have run."""
+    detail = f"{call.endpoint} gave no whole answer: {reason}."
+    return expression.Error(errors.EndpointOutcomeUnknown(detail))
--- /dev/null
+++ b/src/almondshift/standins/engine/__main__.py
@@ -0,0 +1,154 @@
+"""Runs the engine stand-in as a process."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+
+from almondshift.model import endpoints
+from almondshift.standins import processes
+from almondshift.standins import registrations
+from almondshift.standins.engine import server
+from almondshift.standins.engine import settings as engine_settings
+
+MS = 1e-3
+US = 1e-6
+POLL_S = 0.05
+
+
+def create_parser() -> argparse.ArgumentParser:
+    """Creates the parser of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--zone", required=True)
+    parser.add_argument("--accelerator", default="fast")
+    parser.add_argument(
+        "--model",
+        action="append",
+        default=[],
+        metavar="NAME=LAYERS",
+        help="a model that can be loaded and its number of layers; repeatable",
+    )
+    parser.add_argument("--layer-capacity", type=int, default=8)
+    parser.add_argument("--fixed-ms", type=float, default=5.0)
+    parser.add_argument("--per-layer-token-us", type=float, default=200.0)
+    parser.add_argument("--max-batch", type=int, default=32)
+    parser.add_argument("--max-sessions", type=int, default=64)
+    parser.add_argument("--session-idle-s", type=float, default=30.0)
+    parser.add_argument("--load-lag-s", type=float, default=0.0)
+    parser.add_argument("--load-layer-ms", type=float, default=0.0)
+    parser.add_argument("--drain-s", type=float, default=30.0)
+    parser.add_argument("--grace-s", type=float, default=10.0)
+    parser.add_argument("--prefix-blocks", type=int, default=4096)
+    parser.add_argument("--cache-event-delay-s", type=float, default=0.0)
+    parser.add_argument("--cache-event-loss", type=float, default=0.0)
+    parser.add_argument("--link-latency-ms", type=float, default=0.0)
+    parser.add_argument("--link-bytes-per-s", type=float, default=0.0)
+    parser.add_argument("--activation-bytes", type=int, default=8192)
+    parser.add_argument("--ledger-limit", type=int, default=100_000)
+    parser.add_argument("--ignore-fencing", action="store_true")
+    parser.add_argument("--seed", type=int, default=0)
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--port-file", default="")
+    parser.add_argument("--platform", default="", metavar="HOST:PORT")
+    return parser
+
+
+def read_models(arguments: list[str]) -> dict[str, int]:
+    """Reads ``NAME=LAYERS`` arguments."""
+    models = {}
+    for argument in arguments:
+        name, _, count = argument.partition("=")
+        if not name or not count.isdecimal():
+            raise SystemExit(f"--model {argument}: write it as NAME=LAYERS")
+        models[name] = int(count)
+    return models
+
+
+def read_settings(
+    options: argparse.Namespace,
+) -> engine_settings.EngineSettings:
+    """Converts the command line to settings."""
+    return engine_settings.EngineSettings(
+        name=options.name,
+        zone=options.zone,
+        accelerator=options.accelerator,
+        port=options.port,
+        platform=options.platform,
+        models=read_models(options.model),
+        layer_capacity=options.layer_capacity,
+        fixed_s=options.fixed_ms * MS,
+        per_layer_token_s=options.per_layer_token_us * US,
+        max_batch=options.max_batch,
+        max_sessions=options.max_sessions,
+        session_idle_s=options.session_idle_s,
+        load_lag_s=options.load_lag_s,
+        load_layer_s=options.load_layer_ms * MS,
+        drain_s=options.drain_s,
+        checks_fencing=not options.ignore_fencing,
+        prefix_blocks=options.prefix_blocks,
+        cache_event_delay_s=options.cache_event_delay_s,
+        cache_event_loss=options.cache_event_loss,
+        link_latency_s=options.link_latency_ms * MS,
+        link_bytes_per_s=options.link_bytes_per_s,
+        activation_bytes=options.activation_bytes,
+        ledger_limit=options.ledger_limit,
+        grace_s=options.grace_s,
+        seed=options.seed,
+    )
+
+
+def describe_vm(
+    engine: server.EngineServer, state: endpoints.VmState
+) -> endpoints.Vm:
+    """Returns the engine's row in the list of VMs."""
+    return endpoints.Vm(
+        engine.settings.name,
+        engine.address,
+        engine.settings.zone,
+        endpoints.EndpointKind.ENGINE,
+        "",
+        state,
+    )
+
+
+async def finish_sessions(engine: server.EngineServer) -> None:
+    """Waits until no session is left or the grace time is over."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + engine.settings.grace_s
+    while len(engine.table) and loop.time() < deadline:
+        await asyncio.sleep(POLL_S)
+
+
+async def leave(
+    engine: server.EngineServer, registration: registrations.Registration
+) -> None:
+    """Opens no more sessions, says so, and serves the running ones."""
+    engine.faults.leaving = True
+    leaving = describe_vm(engine, endpoints.VmState.LEAVING)
+    telling = asyncio.create_task(registration.put(leaving))
+    await finish_sessions(engine)
+    telling.cancel()
+    await asyncio.gather(telling, return_exceptions=True)
+    await registration.remove(leaving)
+
+
+async def run(options: argparse.Namespace) -> None:
+    """Serves until a signal comes, then leaves."""
+    engine = server.create_engine(read_settings(options))
+    registration = registrations.Registration(options.platform)
+    await engine.start()
+    if options.port_file:
+        processes.write_port_file(options.port_file, engine.address)
+    live = describe_vm(engine, endpoints.VmState.LIVE)
+    registering = asyncio.create_task(registration.put(live))
+    await processes.wait_for_signal()
+    registering.cancel()
+    await asyncio.gather(registering, return_exceptions=True)
+    await leave(engine, registration)
+    await engine.close()
+    registration.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(run(create_parser().parse_args()))
--- /dev/null
+++ b/src/almondshift/standins/engine/settings.py
@@ -0,0 +1,65 @@
+"""Settings of the engine stand-in."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+@dataclasses.dataclass(slots=True)
+class EngineSettings:
+    """How the stand-in behaves; times in seconds.
+
+    Attributes:
+        models: Number of layers of each model that can be loaded. The last
+            layer of a model samples tokens.
+        platform: ``host:port`` of the platform, ``""`` for none.
+        load_lag_s: Age of the load report that is given out.
+        load_layer_s: Time to load one layer beside fetching its weights.
+        drain_s: How long an order that needs room waits for the sessions
+            of the old holding before it drops them.
+        session_idle_s: A session unused for this long may be evicted.
+        checks_fencing: Whether an order with an old number is refused.
+        prefix_blocks: Blocks that the prefix cache holds.
+        cache_event_delay_s: Age at which cache events are published.
+        cache_event_loss: Share of cache events that are lost.
+        link_latency_s: One-way latency added to each step call.
+        link_bytes_per_s: Bandwidth of the link; 0 for no bound.
+        activation_bytes: Size of one activation on the link.
+        ledger_limit: Rows kept; the oldest go first.
+        grace_s: How long running sessions are served after SIGTERM.
+        exit_process: Ends the process when a crash is emulated.
+    """
+
+    name: str = "engine"
+    zone: str = "zone"
+    accelerator: str = "fast"
+    host: str = "127.0.0.1"
+    port: int = 0
+    platform: str = ""
+    models: dict[str, int] = dataclasses.field(default_factory=dict)
+    layer_capacity: int = 8
+    fixed_s: float = 0.005
+    per_layer_token_s: float = 0.0002
+    max_batch: int = 32
+    max_sessions: int = 64
+    session_idle_s: float = 30.0
+    load_lag_s: float = 0.0
+    load_layer_s: float = 0.0
+    adapter_load_s: float = 0.0
+    drain_s: float = 30.0
+    checks_fencing: bool = True
+    prefix_blocks: int = 4096
+    cache_event_delay_s: float = 0.0
+    cache_event_loss: float = 0.0
+    link_latency_s: float = 0.0
+    link_bytes_per_s: float = 0.0
+    activation_bytes: int = 8192
+    ledger_limit: int = 100_000
+    grace_s: float = 10.0
+    seed: int = 0
+    exit_process: Callable[[int], None] = os._exit
--- /dev/null
+++ b/tests/node/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of almondshift.node."""
