Add the platform stand-in, its adapter and the versioned configuration

Cause: everything that must be agreed or kept goes through the platform's service; the path needs a stand-in for it, an adapter that says exactly what is known after a failure, and the configuration read through it.

Ruled out: keeping connections and reading back after ConditionFailed, since a blind caller can't tell its own write. "Nothing left" is taken from libcurl's callback before the request, not from error numbers, since a timeout has the same number before and after sending; a bare 503 counts as unknown unless the platform says that nothing was applied.

Versioned config has no test of its own yet.

--- /dev/null
+++ b/src/almondshift/adapters/platform_client.py
@@ -0,0 +1,246 @@
+"""HTTP calls to the platform, with what is known after a failure."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import math
+
+import expression
+import msgspec
+import pycurl
+from tornado import curl_httpclient
+from tornado import httpclient
+
+from almondshift import errors
+from almondshift.adapters import platform_messages
+
+CONCURRENT_REQUESTS = 16
+DEFAULT_RETRY_AFTER_S = 1.0
+REFUSED_STATUSES = (429, 503)
+NOT_FOUND = 404
+CONDITION_FAILED = 409
+
+ClientError = (
+    errors.StoreUnavailable
+    | errors.StoreOutcomeUnknown
+    | errors.ConditionFailed
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformAnswer:
+    """A whole answer; ``status`` is 2xx or 404."""
+
+    status: int
+    body: bytes
+
+
+class _Transfer:
+    """One transfer, and whether a byte of its request may have left.
+
+    libcurl calls ``_before_request`` once it is connected and before it
+    sends anything. A timeout in the connect phase looks to the caller like
+    one after sending; only this mark tells them apart.
+    """
+
+    def __init__(self, is_write: bool) -> None:
+        self.is_write = is_write
+        self.may_have_left = False
+
+    def prepare(self, curl: pycurl.Curl) -> None:
+        """Sets what tornado leaves at libcurl's defaults.
+
+        libcurl silently sends a request again when a kept connection turns
+        out dead. A conditional write that took effect would then meet its
+        own result and be reported as ``ConditionFailed``, "nothing was
+        written". It only does so on a reused connection, so that a new one
+        for each write, over HTTP/1.1, is enough.
+        """
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        curl.setopt(pycurl.PREREQFUNCTION, self._before_request)
+        if self.is_write:
+            curl.setopt(pycurl.FRESH_CONNECT, 1)
+            curl.setopt(pycurl.FORBID_REUSE, 1)
+
+    def _before_request(self, *addresses: object) -> int:
+        self.may_have_left = True
+        return pycurl.PREREQFUNC_OK
+
+
+class PlatformClient:
+    """Bounded concurrent calls to the platform at one address."""
+
+    def __init__(
+        self, address: str, timeout_s: float, concurrent_requests: int
+    ) -> None:
+        self.address = address
+        self.timeout_s = timeout_s
+        self.concurrent_requests = concurrent_requests
+        self.slots = asyncio.Semaphore(concurrent_requests)
+        self.http: curl_httpclient.CurlAsyncHTTPClient | None = None
+        self.in_flight: set[asyncio.Future[httpclient.HTTPResponse]] = set()
+
+    async def start(self) -> None:
+        """Creates the HTTP client on the running loop."""
+        self.http = curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=self.concurrent_requests
+        )
+
+    async def close(self) -> None:
+        """Refuses new calls and waits for those in flight to end.
+
+        Takes at most ``timeout_s``, since each call is limited to that.
+        """
+        http = self.http
+        self.http = None
+        if http is None:
+            return
+        if self.in_flight:
+            await asyncio.wait(self.in_flight)
+        http.close()
+
+    async def read(
+        self, path: str
+    ) -> expression.Result[PlatformAnswer, ClientError]:
+        """Sends a GET; every failure is ``StoreUnavailable``."""
+        answer = await self._call("GET", path, None)
+        if answer.is_error() and isinstance(
+            answer.error, errors.StoreOutcomeUnknown
+        ):
+            return expression.Error(
+                errors.StoreUnavailable(
+                    answer.error.detail, retry_after_s=DEFAULT_RETRY_AFTER_S
+                )
+            )
+        return answer
+
+    async def write(
+        self, method: str, path: str, body: bytes | None
+    ) -> expression.Result[PlatformAnswer, ClientError]:
+        """Sends a write once, over a connection of its own."""
+        return await self._call(method, path, body)
+
+    async def _call(
+        self, method: str, path: str, body: bytes | None
+    ) -> expression.Result[PlatformAnswer, ClientError]:
+        if not await self._take_slot():
+            return expression.Error(self._unavailable("is busy"))
+        try:
+            if self.http is None:
+                return expression.Error(self._unavailable("is not in use"))
+            return await self._send(self.http, method, path, body)
+        finally:
+            self.slots.release()
+
+    async def _take_slot(self) -> bool:
+        try:
+            await asyncio.wait_for(self.slots.acquire(), self.timeout_s)
+        except TimeoutError:
+            return False
+        return True
+
+    async def _send(
+        self,
+        http: curl_httpclient.CurlAsyncHTTPClient,
+        method: str,
+        path: str,
+        body: bytes | None,
+    ) -> expression.Result[PlatformAnswer, ClientError]:
+        transfer = _Transfer(is_write=method != "GET")
+        request = httpclient.HTTPRequest(
+            f"http://{self.address}{path}",
+            method=method,
+            body=body,
+            connect_timeout=self.timeout_s,
+            request_timeout=self.timeout_s,
+            follow_redirects=False,
+            decompress_response=False,
+            prepare_curl_callback=transfer.prepare,
+        )
+        future = http.fetch(request, raise_error=False)
+        self.in_flight.add(future)
+        future.add_done_callback(self.in_flight.discard)
+        try:
+            response = await future
+        except httpclient.HTTPError as error:
+            return expression.Error(self._broken(error, transfer))
+        return self._interpret(response)
+
+    def _broken(
+        self, error: httpclient.HTTPError, transfer: _Transfer
+    ) -> ClientError:
+        detail = f"failed: {error.message}."
+        if transfer.may_have_left:
+            return self._unknown(detail)
+        return self._unavailable(detail)
+
+    def _interpret(
+        self, response: httpclient.HTTPResponse
+    ) -> expression.Result[PlatformAnswer, ClientError]:
+        if response.code < 300 or response.code == NOT_FOUND:
+            return expression.Ok(PlatformAnswer(response.code, response.body))
+        if response.code == CONDITION_FAILED:
+            return expression.Error(
+                errors.ConditionFailed("The row has another revision.")
+            )
+        return expression.Error(self._refused(response))
+
+    def _refused(self, response: httpclient.HTTPResponse) -> ClientError:
+        detail = f"answered {response.code}."
+        if response.code not in REFUSED_STATUSES:
+            return self._unknown(detail)
+        if not _says_nothing_applied(response.body):
+            return self._unknown(detail)
+        return self._unavailable(detail, _retry_after(response))
+
+    def _unavailable(
+        self, detail: str, retry_after_s: float = DEFAULT_RETRY_AFTER_S
+    ) -> errors.StoreUnavailable:
+        return errors.StoreUnavailable(
+            f"The platform at {self.address} {detail}",
+            retry_after_s=retry_after_s,
+        )
+
+    def _unknown(self, detail: str) -> errors.StoreOutcomeUnknown:
+        return errors.StoreOutcomeUnknown(
+            f"The platform at {self.address} {detail}"
+        )
+
+
+def _says_nothing_applied(body: bytes) -> bool:
+    """Returns whether the platform itself states that nothing took effect.
+
+    A bare 503 may come from something in between that had already passed
+    the write on, so that only the platform's own word counts.
+    """
+    try:
+        problem = msgspec.json.decode(body, type=platform_messages.ProblemBody)
+    except msgspec.MsgspecError:
+        return False
+    return not problem.applied
+
+
+def _retry_after(response: httpclient.HTTPResponse) -> float:
+    try:
+        seconds = float(response.headers.get("Retry-After", "1"))
+    except ValueError:
+        return DEFAULT_RETRY_AFTER_S
+    return seconds if math.isfinite(seconds) else DEFAULT_RETRY_AFTER_S
+
+
+def create_platform_client(
+    address: str,
+    timeout_s: float,
+    concurrent_requests: int = CONCURRENT_REQUESTS,
+) -> PlatformClient:
+    """Creates a client of the platform.
+
+    Args:
+        address: ``host:port``.
+        timeout_s: Limit of one call, and of the wait for a free slot.
+        concurrent_requests: Calls in flight at once; more wait.
+    """
+    return PlatformClient(address, timeout_s, concurrent_requests)
--- /dev/null
+++ b/src/almondshift/adapters/platform_store.py
@@ -0,0 +1,215 @@
+"""The platform's table, object store and VM list over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeVar
+from urllib import parse
+
+import expression
+import msgspec
+
+from almondshift import errors
+from almondshift.adapters import platform_client
+from almondshift.adapters import platform_messages
+from almondshift.model import endpoints
+from almondshift.ports import stores
+from almondshift.ports import vm_lists
+
+if TYPE_CHECKING:
+    import builtins
+
+Body = TypeVar("Body")
+
+
+def _row_path(table: str, key: str) -> str:
+    return f"/v1/tables/{_quote(table)}/rows/{_quote(key)}"
+
+
+def _quote(text: str) -> str:
+    return parse.quote(text, safe="")
+
+
+def _decode(content: bytes, body_type: type[Body]) -> Body | None:
+    try:
+        return msgspec.json.decode(content, type=body_type)
+    except msgspec.MsgspecError:
+        return None
+
+
+def _unreadable() -> errors.StoreUnavailable:
+    return errors.StoreUnavailable(
+        "The platform's answer could not be decoded.",
+        remedy="Check that the platform address is that of the platform.",
+    )
+
+
+class PlatformTableStore(stores.TableStore):
+    """The transactional table; never sends a write twice by itself."""
+
+    def __init__(self, client: platform_client.PlatformClient) -> None:
+        self.client = client
+
+    async def start(self) -> None:
+        """Makes calls possible."""
+        await self.client.start()
+
+    async def close(self) -> None:
+        """Waits for calls in flight, then closes connections."""
+        await self.client.close()
+
+    async def read(
+        self, table: str, key: str
+    ) -> expression.Result[stores.Row | None, stores.StoreError]:
+        """Reads one row; None if it does not exist."""
+        answer = await self.client.read(_row_path(table, key))
+        if answer.is_error():
+            return expression.Error(answer.error)
+        if answer.ok.status == platform_client.NOT_FOUND:
+            return expression.Ok(None)
+        row = _decode(answer.ok.body, platform_messages.RowBody)
+        if row is None:
+            return expression.Error(_unreadable())
+        return expression.Ok(
+            stores.Row(table, row.key, row.value, row.revision)
+        )
+
+    async def scan(
+        self, table: str, prefix: str, limit: int
+    ) -> expression.Result[list[stores.Row], stores.StoreError]:
+        """Reads up to ``limit`` rows by key order below a prefix."""
+        query = parse.urlencode({"prefix": prefix, "limit": limit})
+        path = f"/v1/tables/{_quote(table)}/rows?{query}"
+        answer = await self.client.read(path)
+        if answer.is_error():
+            return expression.Error(answer.error)
+        found = _decode(answer.ok.body, platform_messages.RowsBody)
+        if found is None:
+            return expression.Error(_unreadable())
+        rows = [
+            stores.Row(table, row.key, row.value, row.revision)
+            for row in found.rows
+        ]
+        return expression.Ok(rows)
+
+    async def transact(
+        self, writes: list[stores.Write]
+    ) -> expression.Result[list[int], stores.StoreError]:
+        """Applies all writes or none; see the port for the errors."""
+        bodies = [
+            platform_messages.WriteBody(
+                write.table, write.key, write.value, write.if_revision
+            )
+            for write in writes
+        ]
+        content = msgspec.json.encode(platform_messages.TransactionBody(bodies))
+        answer = await self.client.write("POST", "/v1/transactions", content)
+        if answer.is_error():
+            return expression.Error(answer.error)
+        done = _decode(answer.ok.body, platform_messages.RevisionsBody)
+        if done is None or len(done.revisions) != len(writes):
+            return expression.Error(
+                errors.StoreOutcomeUnknown(
+                    "The platform's answer to a write could not be decoded."
+                )
+            )
+        return expression.Ok(done.revisions)
+
+
+class PlatformObjectStore(stores.ObjectStore):
+    """The object store."""
+
+    def __init__(self, client: platform_client.PlatformClient) -> None:
+        self.client = client
+
+    async def start(self) -> None:
+        """Makes calls possible."""
+        await self.client.start()
+
+    async def close(self) -> None:
+        """Waits for calls in flight, then closes connections."""
+        await self.client.close()
+
+    async def get(
+        self, key: str
+    ) -> expression.Result[bytes | None, stores.StoreError]:
+        """Reads an object; None if it does not exist."""
+        answer = await self.client.read(f"/v1/objects/{_quote(key)}")
+        if answer.is_error():
+            return expression.Error(answer.error)
+        if answer.ok.status == platform_client.NOT_FOUND:
+            return expression.Ok(None)
+        return expression.Ok(answer.ok.body)
+
+    async def put(
+        self, key: str, content: bytes
+    ) -> expression.Result[None, stores.StoreError]:
+        """Writes an object whole."""
+        path = f"/v1/objects/{_quote(key)}"
+        answer = await self.client.write("PUT", path, content)
+        if answer.is_error():
+            return expression.Error(answer.error)
+        return expression.Ok(None)
+
+
+class PlatformVmList(vm_lists.VmList):
+    """The list of VMs."""
+
+    def __init__(self, client: platform_client.PlatformClient) -> None:
+        self.client = client
+
+    async def start(self) -> None:
+        """Makes calls possible."""
+        await self.client.start()
+
+    async def close(self) -> None:
+        """Waits for calls in flight, then closes connections."""
+        await self.client.close()
+
+    async def list(
+        self,
+    ) -> expression.Result[
+        builtins.list[endpoints.Vm], errors.StoreUnavailable
+    ]:
+        """Returns the endpoint VMs as the platform last saw them."""
+        answer = await self.client.read("/v1/vms")
+        if answer.is_error():
+            return expression.Error(
+                errors.StoreUnavailable(
+                    answer.error.detail,
+                    retry_after_s=answer.error.retry_after_s,
+                )
+            )
+        found = _decode(answer.ok.body, platform_messages.VmsBody)
+        if found is None:
+            return expression.Error(_unreadable())
+        return expression.Ok([_vm(body) for body in found.vms])
+
+
+def _vm(body: platform_messages.VmBody) -> endpoints.Vm:
+    return endpoints.Vm(
+        name=body.name,
+        address=body.address,
+        zone=body.zone,
+        kind=body.kind,
+        service=body.service,
+        state=body.state,
+    )
+
+
+def create_table_store(address: str, timeout_s: float) -> PlatformTableStore:
+    """Creates the table store of the platform at ``host:port``."""
+    client = platform_client.create_platform_client(address, timeout_s)
+    return PlatformTableStore(client)
+
+
+def create_object_store(address: str, timeout_s: float) -> PlatformObjectStore:
+    """Creates the object store of the platform at ``host:port``."""
+    client = platform_client.create_platform_client(address, timeout_s)
+    return PlatformObjectStore(client)
+
+
+def create_vm_list(address: str, timeout_s: float) -> PlatformVmList:
+    """Creates the VM list of the platform at ``host:port``."""
+    client = platform_client.create_platform_client(address, timeout_s)
+    return PlatformVmList(client)
--- /dev/null
+++ b/src/almondshift/coordination/versioned_config.py
@@ -0,0 +1,419 @@
+"""One configuration text with versions, in force on every node.
+
+Versions are accepted by a compare-and-set on one head row. Nodes read the
+head about once a second and also hear of versions from peers; each applies
+only higher versions, whole or not at all.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+from typing import TYPE_CHECKING
+from typing import Generic
+from typing import TypeVar
+
+import expression
+
+from almondshift import errors
+from almondshift.coordination import config_rows
+from almondshift.ports import operations
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    import random
+
+    from almondshift.ports import clocks
+    from almondshift.ports import stores
+
+T = TypeVar("T")
+
+VersionResult = expression.Result[
+    operations.ConfigVersion, errors.AlmondshiftError
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigSettings:
+    """How often the head is read and how lost answers are settled.
+
+    Attributes:
+        interval_s: Mean seconds between reads of the head.
+        jitter: Share of the interval drawn at random, 0 to 1, so that nodes
+            that started together don't read together.
+        longest_interval_s: Longest interval while the store is away. It
+            counts against the time in which a version must be in force.
+        settle_attempts: Times that a write of unknown outcome is settled.
+        settle_wait_s: Seconds before settling again; doubles each time.
+    """
+
+    interval_s: float = 1.0
+    jitter: float = 0.2
+    longest_interval_s: float = 5.0
+    settle_attempts: int = 4
+    settle_wait_s: float = 0.05
+
+
+class VersionedConfig(Generic[T]):
+    """The newest known version of the text, and what it parses to.
+
+    Attributes:
+        current: The version in force here, None before the first.
+        value: What ``current`` parses to.
+        rejected: The last version that the store accepted but that this
+            node can't parse, e.g. written by newer software; else None.
+    """
+
+    def __init__(
+        self,
+        store: stores.TableStore,
+        clock: clocks.Clock,
+        rng: random.Random,
+        validate: Callable[
+            [str, int], expression.Result[T, errors.ConfigInvalid]
+        ],
+        settings: ConfigSettings,
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.rng = rng
+        self.validate = validate
+        self.settings = settings
+        self.current: operations.ConfigVersion | None = None
+        self.value: T | None = None
+        self.rejected: operations.ConfigVersion | None = None
+        self.subscribers: list[
+            Callable[[operations.ConfigVersion, T], None]
+        ] = []
+        self.reader: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Starts to read the head; does not wait for the first answer."""
+        self.reader = asyncio.create_task(self._read_loop())
+
+    async def close(self) -> None:
+        """Stops reading."""
+        if self.reader is None:
+            return
+        self.reader.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.reader
+        self.reader = None
+
+    def subscribe(
+        self, callback: Callable[[operations.ConfigVersion, T], None]
+    ) -> Callable[[], None]:
+        """Calls back with each version that comes into force.
+
+        Returns:
+            A function that ends the subscription.
+        """
+        self.subscribers.append(callback)
+        return lambda: self.subscribers.remove(callback)
+
+    async def apply(
+        self, text: str, base: int, change_id: str, author: str
+    ) -> VersionResult:
+        """Proposes a text based on version ``base``, 0 for the first.
+
+        Repeating a change id that was accepted gives the accepted version.
+
+        Returns:
+            The accepted version, or ``ConfigInvalid``, ``ConfigConflict`` or
+            ``StoreUnavailable`` if nothing changed, ``StoreOutcomeUnknown``
+            if it can't be known.
+        """
+        parsed = self.validate(text, base + 1)
+        if parsed.is_error():
+            return expression.Error(parsed.error)
+        proposal = operations.ConfigVersion(
+            version=base + 1,
+            text=text,
+            change_id=change_id,
+            author=author,
+            accepted_at=self.clock.wall(),
+            verified=True,
+        )
+        result = await self._accept(proposal)
+        if result.is_ok():
+            self._adopt(result.ok)
+        return result
+
+    async def poll(self) -> expression.Result[None, errors.AlmondshiftError]:
+        """Reads the head once and applies a higher version."""
+        head = await self._head()
+        if head.is_error():
+            return expression.Error(head.error)
+        newest = config_rows.head_version(head.ok)
+        if newest < 1 or not self._needs(newest):
+            return expression.Ok(None)
+        version = await self._read_version(newest)
+        if version.is_error():
+            return expression.Error(version.error)
+        self._adopt(version.ok)
+        return expression.Ok(None)
+
+    def offer(self, version: operations.ConfigVersion) -> bool:
+        """Takes a higher version from a peer, as unverified.
+
+        Returns:
+            Whether it is in force here now.
+        """
+        return self._adopt(dataclasses.replace(version, verified=False))
+
+    async def show(self, version: int | None) -> VersionResult:
+        """Returns a version, or with None the one in force here."""
+        if version is None or self._is_current(version):
+            return self._show_current()
+        return await self._read_version(version)
+
+    async def find_change(
+        self, change_id: str
+    ) -> expression.Result[
+        operations.ConfigVersion | None, errors.AlmondshiftError
+    ]:
+        """Returns the version that a change id became, None if none yet."""
+        key = config_rows.change_key(change_id)
+        row = await self.store.read(config_rows.TABLE, key)
+        if row.is_error():
+            return expression.Error(row.error)
+        if row.ok is None:
+            return expression.Ok(None)
+        found = await self._read_version(int(row.ok.value["version"]))
+        if found.is_error():
+            return expression.Error(found.error)
+        return expression.Ok(found.ok)
+
+    async def history(
+        self, limit: int
+    ) -> expression.Result[
+        list[operations.ConfigVersion], errors.AlmondshiftError
+    ]:
+        """Returns up to ``limit`` accepted versions, newest first."""
+        rows = await self.store.scan(
+            config_rows.TABLE, config_rows.VERSION_PREFIX, limit
+        )
+        if rows.is_error():
+            return expression.Error(rows.error)
+        return expression.Ok([config_rows.read_version(row) for row in rows.ok])
+
+    async def _accept(
+        self, proposal: operations.ConfigVersion
+    ) -> VersionResult:
+        head = await self._head()
+        if head.is_error():
+            return expression.Error(head.error)
+        if config_rows.head_version(head.ok) != proposal.version - 1:
+            return await self._conflict(proposal, head.ok)
+        revision = config_rows.head_revision(head.ok)
+        return await self._write(proposal, revision)
+
+    async def _write(
+        self, proposal: operations.ConfigVersion, revision: int
+    ) -> VersionResult:
+        """Writes until the outcome is known or the attempts are used up.
+
+        An answer may be lost after the write took effect; the operator would
+        then hear of a failure although the text is in force. Writing again
+        from the same revision of the head can't do harm: of all these writes
+        at most one takes effect, and ``ConditionFailed`` leads to the row of
+        the change id, which tells whose it was.
+        """
+        wait_s = self.settings.settle_wait_s
+        writes = config_rows.change_writes(proposal, revision)
+        may_have_left = False
+        for _ in range(self.settings.settle_attempts):
+            written = await self.store.transact(writes)
+            if written.is_ok():
+                return expression.Ok(proposal)
+            if isinstance(written.error, errors.ConditionFailed):
+                return await self._settle(proposal, may_have_left)
+            if isinstance(written.error, errors.StoreOutcomeUnknown):
+                may_have_left = True
+            elif not may_have_left:
+                return expression.Error(written.error)
+            await self.clock.sleep(wait_s)
+            wait_s *= 2
+        return expression.Error(_unknown(proposal.change_id))
+
+    async def _settle(
+        self, proposal: operations.ConfigVersion, may_have_left: bool
+    ) -> VersionResult:
+        head = await self._head()
+        if head.is_ok():
+            return await self._conflict(proposal, head.ok, may_have_left)
+        if may_have_left:
+            return expression.Error(_unknown(proposal.change_id))
+        return expression.Error(_conflict(proposal.version - 1, None))
+
+    async def _conflict(
+        self,
+        proposal: operations.ConfigVersion,
+        head: stores.Row | None,
+        may_have_left: bool = False,
+    ) -> VersionResult:
+        """Finds out whether the head moved on by this very change."""
+        found = await self.find_change(proposal.change_id)
+        if found.is_error():
+            if may_have_left:
+                return expression.Error(_unknown(proposal.change_id))
+            return expression.Error(found.error)
+        if found.ok is None:
+            newest = config_rows.head_version(head)
+            return expression.Error(_conflict(proposal.version - 1, newest))
+        if found.ok.text != proposal.text:
+            return expression.Error(_change_id_used(found.ok))
+        return expression.Ok(found.ok)
+
+    async def _head(
+        self,
+    ) -> expression.Result[stores.Row | None, errors.AlmondshiftError]:
+        row = await self.store.read(config_rows.TABLE, config_rows.HEAD)
+        if row.is_error():
+            return expression.Error(row.error)
+        return expression.Ok(row.ok)
+
+    async def _read_version(self, version: int) -> VersionResult:
+        key = config_rows.version_key(version)
+        row = await self.store.read(config_rows.TABLE, key)
+        if row.is_error():
+            return expression.Error(row.error)
+        if row.ok is None:
+            return expression.Error(_no_such_version(version))
+        return expression.Ok(config_rows.read_version(row.ok))
+
+    def _needs(self, newest: int) -> bool:
+        if self.current is None or newest > self.current.version:
+            return True
+        return newest == self.current.version and not self.current.verified
+
+    def _adopt(self, version: operations.ConfigVersion) -> bool:
+        """Puts a version in force if it is higher, whole or not at all.
+
+        A slow read or a late peer may bring an older version after a newer
+        one was in force; going back would undo an operator's change. The
+        comparison with the present version is enough, since this runs
+        without a pause between the test and the change.
+        """
+        if self._confirms(version):
+            self.current = version
+            return True
+        if not self._is_higher(version):
+            return False
+        parsed = self.validate(version.text, version.version)
+        if parsed.is_error():
+            self.rejected = version
+            return False
+        self.current = version
+        self.value = parsed.ok
+        self.rejected = None
+        for callback in list(self.subscribers):
+            callback(version, parsed.ok)
+        return True
+
+    def _confirms(self, version: operations.ConfigVersion) -> bool:
+        return (
+            self.current is not None
+            and version.verified
+            and version.version == self.current.version
+            and version.text == self.current.text
+        )
+
+    def _is_higher(self, version: operations.ConfigVersion) -> bool:
+        if self.current is None or version.version > self.current.version:
+            return True
+        corrects = version.verified and not self.current.verified
+        return corrects and version.version == self.current.version
+
+    def _is_current(self, version: int) -> bool:
+        return (
+            self.current is not None
+            and self.current.verified
+            and self.current.version == version
+        )
+
+    def _show_current(self) -> VersionResult:
+        if self.current is None:
+            return expression.Error(_no_version_yet())
+        return expression.Ok(self.current)
+
+    async def _read_loop(self) -> None:
+        interval_s = self.settings.interval_s
+        while True:
+            done = await self.poll()
+            interval_s = self._next_interval(interval_s, done.is_ok())
+            spread = self.settings.jitter * self.rng.uniform(-1.0, 1.0)
+            await self.clock.sleep(interval_s * (1.0 + spread))
+
+    def _next_interval(self, interval_s: float, store_answers: bool) -> float:
+        if store_answers:
+            return self.settings.interval_s
+        return min(2 * interval_s, self.settings.longest_interval_s)
+
+
+def _unknown(change_id: str) -> errors.StoreOutcomeUnknown:
+    return errors.StoreOutcomeUnknown(
+        f"Whether change {change_id} was accepted is not known.",
+        remedy=(
+            f"Apply the same text again with change id {change_id}; "
+            "it can't be accepted twice."
+        ),
+    )
+
+
+def _conflict(base: int, newest: int | None) -> errors.ConfigConflict:
+    if newest is None:
+        return errors.ConfigConflict(f"Version {base} is not the newest.")
+    return errors.ConfigConflict(
+        f"The change is based on version {base}, the newest is {newest}.",
+        remedy=(
+            "Run 'almondshift config show', merge your change into version "
+            f"{newest} and apply again with --base {newest}."
+        ),
+    )
+
+
+def _change_id_used(
+    version: operations.ConfigVersion,
+) -> errors.ConfigConflict:
+    return errors.ConfigConflict(
+        f"Change id {version.change_id} was used for another text, "
+        f"accepted as version {version.version}.",
+        remedy="Apply again with a new change id.",
+    )
+
+
+def _no_such_version(version: int) -> errors.AlmondshiftError:
+    return errors.MalformedRequest(
+        f"There is no version {version}.",
+        remedy="Run 'almondshift config history' for the versions kept.",
+    )
+
+
+def _no_version_yet() -> errors.AlmondshiftError:
+    return errors.ServiceNotReady(
+        "No configuration is in force here yet.",
+        remedy="Run 'almondshift config apply' with a first text.",
+    )
+
+
+def create_versioned_config(
+    store: stores.TableStore,
+    clock: clocks.Clock,
+    rng: random.Random,
+    validate: Callable[[str, int], expression.Result[T, errors.ConfigInvalid]],
+    settings: ConfigSettings | None = None,
+) -> VersionedConfig[T]:
+    """Creates a configuration without a version; ``start`` reads the store.
+
+    Args:
+        store: Where versions are accepted.
+        clock: Time for the read loop.
+        rng: Spreads the reads of many nodes.
+        validate: Parses a text as a version; must not change anything.
+        settings: None for the defaults.
+    """
+    return VersionedConfig(
+        store, clock, rng, validate, settings or ConfigSettings()
+    )
--- /dev/null
+++ b/src/almondshift/standins/platform/tables.py
@@ -0,0 +1,76 @@
+"""A table in memory with conditional writes of several rows."""
+
+from __future__ import annotations
+
+import bisect
+import copy
+from typing import TYPE_CHECKING
+
+import expression
+
+from almondshift import errors
+from almondshift.ports import stores
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+class MemoryTables:
+    """Tables by name; revisions grow over all tables, also past deletes."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], stores.Row] = {}
+        self.keys: dict[str, list[str]] = {}
+        self.last_revision = 0
+
+    def read(self, table: str, key: str) -> stores.Row | None:
+        """Returns a row, or None."""
+        return copy.deepcopy(self.rows.get((table, key)))
+
+    def scan(self, table: str, prefix: str, limit: int) -> list[stores.Row]:
+        """Returns up to ``limit`` rows below a prefix, in key order."""
+        keys = self.keys.get(table, [])
+        found: list[stores.Row] = []
+        for key in keys[bisect.bisect_left(keys, prefix) :]:
+            if not key.startswith(prefix) or len(found) >= limit:
+                break
+            found.append(copy.deepcopy(self.rows[table, key]))
+        return found
+
+    def transact(
+        self, writes: Sequence[stores.Write]
+    ) -> expression.Result[list[int], errors.ConditionFailed]:
+        """Applies all writes, or none and ``ConditionFailed``."""
+        for write in writes:
+            if not self._condition_holds(write):
+                return expression.Error(
+                    errors.ConditionFailed(
+                        f"Row {write.table}/{write.key} is not at revision "
+                        f"{write.if_revision}."
+                    )
+                )
+        return expression.Ok([self._apply(write) for write in writes])
+
+    def _condition_holds(self, write: stores.Write) -> bool:
+        if write.if_revision is None:
+            return True
+        row = self.rows.get((write.table, write.key))
+        revision = stores.ABSENT if row is None else row.revision
+        return revision == write.if_revision
+
+    def _apply(self, write: stores.Write) -> int:
+        place = (write.table, write.key)
+        if write.value is None:
+            if self.rows.pop(place, None) is not None:
+                self.keys[write.table].remove(write.key)
+            return 0
+        self.last_revision += 1
+        if place not in self.rows:
+            bisect.insort(self.keys.setdefault(write.table, []), write.key)
+        self.rows[place] = stores.Row(
+            table=write.table,
+            key=write.key,
+            value=copy.deepcopy(write.value),
+            revision=self.last_revision,
+        )
+        return self.last_revision
--- /dev/null
+++ b/tests/fakes/clocks.py
@@ -0,0 +1,49 @@
+"""A clock that tests drive."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+
+from almondshift.ports import clocks
+
+
+async def settle(turns: int = 50) -> None:
+    """Lets every task run until it waits for something outside."""
+    for _ in range(turns):
+        await asyncio.sleep(0)
+
+
+class VirtualClock(clocks.Clock):
+    """Time that moves only when told; sleeps end as it passes them."""
+
+    def __init__(self, start: float = 1000.0) -> None:
+        self.now = start
+        self.order = itertools.count()
+        self.sleepers: list[tuple[float, int, asyncio.Future[None]]] = []
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return 1_700_000_000.0 + self.now
+
+    async def sleep(self, seconds: float) -> None:
+        future: asyncio.Future[None]
+        future = asyncio.get_running_loop().create_future()
+        sleeper = (self.now + seconds, next(self.order), future)
+        heapq.heappush(self.sleepers, sleeper)
+        await future
+
+    async def advance(self, seconds: float) -> None:
+        """Moves time on, waking sleepers in order as it passes them."""
+        until = self.now + seconds
+        while self.sleepers and self.sleepers[0][0] <= until:
+            at, _, future = heapq.heappop(self.sleepers)
+            self.now = max(self.now, at)
+            if not future.done():
+                future.set_result(None)
+            await settle()
+        self.now = until
+        await settle()
--- /dev/null
+++ b/tests/fakes/tables.py
@@ -0,0 +1,156 @@
+"""An in-memory table whose calls a test can lose, refuse and hold."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import enum
+
+import expression
+
+from almondshift import errors
+from almondshift.ports import stores
+from almondshift.standins.platform import tables
+
+
+class Outcome(enum.Enum):
+    """What happens to one call."""
+
+    OK = enum.auto()
+    REFUSED = enum.auto()
+    """Nothing happens and the caller knows it."""
+    LOST = enum.auto()
+    """A write takes effect; its answer is lost."""
+    DROPPED = enum.auto()
+    """A write does not take effect; the caller can't know."""
+    LATE = enum.auto()
+    """The caller can't know; takes effect at ``land_late``."""
+
+
+@dataclasses.dataclass(slots=True)
+class HeldAnswer:
+    """An answer that waits to be delivered to a paused caller."""
+
+    delivered: asyncio.Future[None]
+
+
+class FakeTableStore(stores.TableStore):
+    """One caller's view of shared tables.
+
+    Attributes:
+        outcomes: Outcomes of the next calls; ``OK`` once used up.
+        down: Refuses all calls while set.
+        paused: Holds the answers to all calls while set, as a frozen
+            process sees them; calls still take effect when made.
+        writes: Number of transactions made.
+    """
+
+    def __init__(self, shared: tables.MemoryTables | None = None) -> None:
+        self.shared = shared or tables.MemoryTables()
+        self.outcomes: collections.deque[Outcome] = collections.deque()
+        self.down = False
+        self.paused = False
+        self.reads = 0
+        self.writes = 0
+        self.late: list[list[stores.Write]] = []
+        self.held: list[HeldAnswer] = []
+
+    async def read(
+        self, table: str, key: str
+    ) -> expression.Result[stores.Row | None, stores.StoreError]:
+        self.reads += 1
+        if self._next_outcome() is not Outcome.OK:
+            return expression.Error(_unavailable())
+        row = self.shared.read(table, key)
+        await self._answer()
+        return expression.Ok(row)
+
+    async def scan(
+        self, table: str, prefix: str, limit: int
+    ) -> expression.Result[list[stores.Row], stores.StoreError]:
+        self.reads += 1
+        if self._next_outcome() is not Outcome.OK:
+            return expression.Error(_unavailable())
+        rows = self.shared.scan(table, prefix, limit)
+        await self._answer()
+        return expression.Ok(rows)
+
+    async def transact(
+        self, writes: list[stores.Write]
+    ) -> expression.Result[list[int], stores.StoreError]:
+        self.writes += 1
+        outcome = self._next_outcome()
+        if outcome is Outcome.REFUSED:
+            return expression.Error(_unavailable())
+        if outcome is Outcome.LATE:
+            self.late.append(writes)
+        if outcome in (Outcome.LATE, Outcome.DROPPED):
+            await self._answer()
+            return expression.Error(_unknown())
+        result = self.shared.transact(writes)
+        await self._answer()
+        if outcome is Outcome.LOST:
+            return expression.Error(_unknown())
+        if result.is_error():
+            return expression.Error(result.error)
+        return expression.Ok(result.ok)
+
+    def land_late(self) -> None:
+        """Lets late writes take effect, if their conditions hold."""
+        for writes in self.late:
+            self.shared.transact(writes)
+        self.late.clear()
+
+    def resume(self) -> None:
+        """Ends a pause and delivers the held answers."""
+        self.paused = False
+        for held in self.held:
+            if not held.delivered.done():
+                held.delivered.set_result(None)
+        self.held.clear()
+
+    def _next_outcome(self) -> Outcome:
+        if self.down:
+            return Outcome.REFUSED
+        return self.outcomes.popleft() if self.outcomes else Outcome.OK
+
+    async def _answer(self) -> None:
+        """Answers after one turn of the loop, or when resumed."""
+        await asyncio.sleep(0)
+        if not self.paused:
+            return
+        future = asyncio.get_running_loop().create_future()
+        self.held.append(HeldAnswer(future))
+        await future
+
+
+class FakeObjectStore(stores.ObjectStore):
+    """Objects in memory."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, bytes] = {}
+        self.down = False
+
+    async def get(
+        self, key: str
+    ) -> expression.Result[bytes | None, stores.StoreError]:
+        if self.down:
+            return expression.Error(_unavailable())
+        return expression.Ok(self.objects.get(key))
+
+    async def put(
+        self, key: str, content: bytes
+    ) -> expression.Result[None, stores.StoreError]:
+        if self.down:
+            return expression.Error(_unavailable())
+        self.objects[key] = content
+        return expression.Ok(None)
+
+
+def _unavailable() -> errors.StoreUnavailable:
+    return errors.StoreUnavailable("The store is down.", retry_after_s=1.0)
+
+
+def _unknown() -> errors.StoreOutcomeUnknown:
+    return errors.StoreOutcomeUnknown("The answer was lost.")
