--- /dev/null
+++ b/tests/faults/proxy.py
@@ -0,0 +1,186 @@
+"""A TCP proxy that injects faults between two processes under test."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+import socket
+import struct
+
+CHUNK_BYTES = 65_536
+POLL_S = 0.005
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Direction(enum.StrEnum):
+    """Which way bytes go; the caller's requests go up."""
+
+    UP = "up"
+    DOWN = "down"
+
+
+class FaultProxy:
+    """Forwards connections to one upstream; its attributes are switches.
+
+    Attributes:
+        upstream: ``host:port`` that connections are forwarded to.
+        address: ``host:port`` to connect to, after ``start``.
+        delay_s: Delay of each chunk, in each direction.
+        silent: Directions in which bytes are held back; they go on when
+            the direction is taken out, as TCP would retransmit them.
+        swallow_answers: Whether what the upstream sends is dropped.
+        request_limit: Bytes forwarded upstream on each connection; what
+            follows is dropped. None for all.
+        trickle_bytes_s: Rate in each direction; 0 for no limit.
+        connections: Connections taken so far.
+        delivered: Bytes delivered so far, by direction.
+    """
+
+    def __init__(self, upstream: str) -> None:
+        self.upstream = upstream
+        self.address = ""
+        self.delay_s = 0.0
+        self.silent: set[Direction] = set()
+        self.swallow_answers = False
+        self.request_limit: int | None = None
+        self.trickle_bytes_s = 0
+        self.connections = 0
+        self.delivered = dict.fromkeys(Direction, 0)
+        self.port = 0
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listens on loopback, on a port chosen by the OS."""
+        await self.accept()
+
+    async def close(self) -> None:
+        """Stops listening and ends all connections."""
+        await self.refuse()
+        self.cut()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def accept(self) -> None:
+        """Takes new connections, again on the same port."""
+        if self.server is not None:
+            return
+        self.server = await asyncio.start_server(
+            self.serve, "127.0.0.1", self.port
+        )
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
+
+    async def refuse(self) -> None:
+        """Refuses new connections; present ones stay."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+    def cut(self) -> None:
+        """Resets (RST) all present connections on both sides."""
+        for writer in list(self.writers):
+            reset(writer)
+
+    def heal(self) -> None:
+        """Turns off every switch but ``refuse``."""
+        self.delay_s = 0.0
+        self.silent.clear()
+        self.swallow_answers = False
+        self.request_limit = None
+        self.trickle_bytes_s = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Forwards one connection until both directions ended."""
+        self.connections += 1
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
+        self.writers.add(writer)
+        try:
+            await self.forward(reader, writer)
+        except OSError:
+            reset(writer)
+        finally:
+            self.writers.discard(writer)
+            self.tasks.discard(task)
+            writer.close()
+
+    async def forward(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Connects upstream and pumps both directions."""
+        host, _, port = self.upstream.rpartition(":")
+        up_reader, up_writer = await asyncio.open_connection(host, int(port))
+        self.writers.add(up_writer)
+        try:
+            await asyncio.gather(
+                self.pump(reader, up_writer, Direction.UP),
+                self.pump(up_reader, writer, Direction.DOWN),
+            )
+        finally:
+            self.writers.discard(up_writer)
+            up_writer.close()
+
+    async def pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: Direction,
+    ) -> None:
+        """Forwards one direction until its end, then passes the end on."""
+        forwarded = 0
+        while chunk := await reader.read(self.chunk_bytes()):
+            await self.hold(direction, len(chunk))
+            kept = self.kept(chunk, direction, forwarded)
+            forwarded += len(kept)
+            self.delivered[direction] += len(kept)
+            writer.write(kept)
+            await writer.drain()
+        await self.hold(direction, 0)
+        if writer.can_write_eof() and not writer.is_closing():
+            with contextlib.suppress(OSError):
+                writer.write_eof()
+
+    def chunk_bytes(self) -> int:
+        """Returns how many bytes to forward at once."""
+        if not self.trickle_bytes_s:
+            return CHUNK_BYTES
+        return max(1, self.trickle_bytes_s // 20)
+
+    async def hold(self, direction: Direction, size: int) -> None:
+        """Waits as delay, trickle and silence demand."""
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        if self.trickle_bytes_s:
+            await asyncio.sleep(size / self.trickle_bytes_s)
+        while direction in self.silent:
+            await asyncio.sleep(POLL_S)
+
+    def kept(self, chunk: bytes, direction: Direction, before: int) -> bytes:
+        """Returns what of a chunk is delivered."""
+        if direction is Direction.DOWN:
+            return b"" if self.swallow_answers else chunk
+        if self.request_limit is None:
+            return chunk
+        return chunk[: max(0, self.request_limit - before)]
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection with RST in place of FIN."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
+async def create_fault_proxy(upstream: str) -> FaultProxy:
+    """Creates and starts a proxy before ``host:port``."""
+    proxy = FaultProxy(upstream)
+    await proxy.start()
+    return proxy
--- /dev/null
+++ b/tests/faults/test_proxy.py
@@ -0,0 +1,133 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.faults import echo
+from tests.faults import proxy as fault_proxy
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+
+REQUEST = b"0123456789"
+
+
+@contextlib.asynccontextmanager
+async def proxied_echo() -> AsyncIterator[fault_proxy.FaultProxy]:
+    server = await asyncio.start_server(echo.echo, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    proxy = await fault_proxy.create_fault_proxy(f"127.0.0.1:{port}")
+    try:
+        yield proxy
+    finally:
+        await proxy.close()
+        server.close()
+
+
+async def connect(
+    proxy: fault_proxy.FaultProxy,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = proxy.address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def exchanged(
+    proxy: fault_proxy.FaultProxy, wait_s: float = 0.3
+) -> bytes:
+    reader, writer = await connect(proxy)
+    writer.write(REQUEST)
+    answer = b""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(wait_s):
+            while len(answer) < len(REQUEST):
+                answer += await reader.read(len(REQUEST))
+    writer.close()
+    return answer
+
+
+def swallow(proxy: fault_proxy.FaultProxy) -> None:
+    proxy.swallow_answers = True
+
+
+def swallow_late(proxy: fault_proxy.FaultProxy) -> None:
+    proxy.swallow_answers = True
+    proxy.request_limit = 4
+
+
+def silence_up(proxy: fault_proxy.FaultProxy) -> None:
+    proxy.silent.add(fault_proxy.Direction.UP)
+
+
+def silence_down(proxy: fault_proxy.FaultProxy) -> None:
+    proxy.silent.add(fault_proxy.Direction.DOWN)
+
+
+@pytest.mark.parametrize(
+    ("switch", "answer", "delivered_up"),
+    [
+        (lambda proxy: None, REQUEST, 10),
+        (swallow, b"", 10),
+        (swallow_late, b"", 4),
+        (silence_up, b"", 0),
+        (silence_down, b"", 10),
+    ],
+)
+def test_switch(
+    switch: Callable[[fault_proxy.FaultProxy], None],
+    answer: bytes,
+    delivered_up: int,
+) -> None:
+    async def scenario() -> None:
+        async with proxied_echo() as proxy:
+            switch(proxy)
+            assert await exchanged(proxy) == answer
+            up = proxy.delivered[fault_proxy.Direction.UP]
+            assert up == delivered_up
+            proxy.heal()
+            assert await exchanged(proxy) == REQUEST
+
+    asyncio.run(scenario())
+
+
+def test_cut_resets_and_new_connections_work() -> None:
+    async def scenario() -> None:
+        async with proxied_echo() as proxy:
+            reader, writer = await connect(proxy)
+            writer.write(REQUEST)
+            assert await reader.readexactly(len(REQUEST)) == REQUEST
+            proxy.cut()
+            with pytest.raises(ConnectionResetError):
+                await reader.read(1)
+            assert await exchanged(proxy) == REQUEST
+
+    asyncio.run(scenario())
+
+
+def test_refused_connections_until_accepted_again() -> None:
+    async def scenario() -> None:
+        async with proxied_echo() as proxy:
+            await proxy.refuse()
+            with pytest.raises(ConnectionRefusedError):
+                await connect(proxy)
+            await proxy.accept()
+            assert await exchanged(proxy) == REQUEST
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("delay_s", "trickle"), [(0.05, 0), (0.0, 100)])
+def test_slow_links_deliver_late(delay_s: float, trickle: int) -> None:
+    async def scenario() -> None:
+        async with proxied_echo() as proxy:
+            proxy.delay_s = delay_s
+            proxy.trickle_bytes_s = trickle
+            started = time.monotonic()
+            assert await exchanged(proxy, wait_s=5.0) == REQUEST
+            assert time.monotonic() - started >= 0.1
+
+    asyncio.run(scenario())
