--- /dev/null
+++ b/src/almondshift/console/commands/keys.py
@@ -0,0 +1,45 @@
+"""``almondshift keys``: helps with the keys of client accounts."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+from almondshift.adapters import keys
+from almondshift.console import exit_codes
+from almondshift.console import nodes
+
+EPILOG = """\
+The key is read from standard input, so that it stays out of the shell's
+history and out of the list of processes.
+
+example:
+  head -c 32 /dev/urandom | base64 | tee members.key | almondshift keys hash
+"""
+
+
+def add_parser(
+    subparsers: argparse._SubParsersAction[argparse.ArgumentParser],
+) -> None:
+    """Adds the command."""
+    parser = subparsers.add_parser("keys", help="work with account keys")
+    actions = parser.add_subparsers(dest="action", required=True)
+    hashing = actions.add_parser(
+        "hash",
+        help="print the key_hash of a key on standard input",
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    hashing.set_defaults(run=run)
+
+
+def run(args: argparse.Namespace) -> int:
+    """Prints the hash of the first line of standard input."""
+    key = sys.stdin.readline().strip()
+    if not key:
+        raise nodes.Usage(
+            "There is no key on standard input.",
+            remedy="Send it there, e.g. 'almondshift keys hash < members.key'.",
+        )
+    print(keys.hash_key(key))
+    return exit_codes.ExitCode.OK
--- /dev/null
+++ b/src/almondshift/log_events.py
@@ -0,0 +1,502 @@
+"""Numbered events for the log; docs/events.md tells what to do at each.
+
+The number's first digit names the subject: 1 node, 2 configuration, 3 lease
+and orders, 4 endpoints, 5 requests, 6 store, 7 peers, 8 quarantine,
+9 claims. A number is never used again for another event.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+from typing import ClassVar
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """The base of events; fields become members of the JSON line."""
+
+    number: ClassVar[int]
+    level: ClassVar[int] = logging.INFO
+    message: ClassVar[str]
+
+    @classmethod
+    def code(cls) -> str:
+        """Returns the number as written in the log, e.g. ``AS1001``."""
+        return f"AS{cls.number}"
+
+
+def emit(logger: logging.Logger, event: Event) -> None:
+    """Writes an event to the log, if its level is enabled."""
+    if not logger.isEnabledFor(event.level):
+        return
+    extra = {f.name: getattr(event, f.name) for f in dataclasses.fields(event)}
+    logger.log(
+        event.level, event.message, extra={"event": event.code(), **extra}
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeStarted(Event):
+    """The node listens for callers and peers."""
+
+    number = 1001
+    message = "node started"
+
+    zone: str
+    entry: str
+    peer: str
+    release: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeReady(Event):
+    """The node has a configuration and answers callers."""
+
+    number = 1002
+    message = "node ready"
+
+    config_version: int
+    verified: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeDraining(Event):
+    """The node takes leave; requests in flight go on."""
+
+    number = 1003
+    message = "node draining"
+
+    hold_s: float
+    grace_s: float
+    in_flight: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeStopped(Event):
+    """The node has closed; ``cut`` requests got no whole answer."""
+
+    number = 1004
+    message = "node stopped"
+
+    seconds: float
+    cut: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigAccepted(Event):
+    """The platform keeps a new version that came through this node."""
+
+    number = 2001
+    message = "configuration accepted"
+
+    version: int
+    change_id: str
+    author: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigApplied(Event):
+    """This node acts on a newer version."""
+
+    number = 2002
+    message = "configuration applied"
+
+    version: int
+    previous: int
+    verified: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigRejected(Event):
+    """A proposed text is invalid, or a race was lost."""
+
+    number = 2003
+    level = logging.WARNING
+    message = "configuration rejected"
+
+    change_id: str
+    author: str
+    kind: str
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigUnverified(Event):
+    """The version in force is known through peers only."""
+
+    number = 2004
+    level = logging.WARNING
+    message = "configuration unverified"
+
+    version: int
+    origin: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigUnreadable(Event):
+    """An accepted version cannot be parsed by this release."""
+
+    number = 2005
+    level = logging.ERROR
+    message = "configuration unreadable"
+
+    version: int
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseGained(Event):
+    """This node may give orders."""
+
+    number = 3001
+    message = "lease gained"
+
+    holder: str
+    fencing: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseLost(Event):
+    """This node gives no more orders."""
+
+    number = 3002
+    level = logging.WARNING
+    message = "lease lost"
+
+    holder: str
+    fencing: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderSent(Event):
+    """An endpoint took an order."""
+
+    number = 3003
+    message = "order sent"
+
+    endpoint: str
+    order: str
+    fencing: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderRefused(Event):
+    """An endpoint refused an order, or its outcome is unknown."""
+
+    number = 3004
+    level = logging.WARNING
+    message = "order refused"
+
+    endpoint: str
+    order: str
+    fencing: int
+    kind: str
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointSeen(Event):
+    """An endpoint is new, or came back as a new instance."""
+
+    number = 4001
+    message = "endpoint seen"
+
+    endpoint: str
+    zone: str
+    kind: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointLeaving(Event):
+    """An endpoint gets no new work."""
+
+    number = 4002
+    message = "endpoint leaving"
+
+    endpoint: str
+    source: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointGone(Event):
+    """An endpoint left the list, or does not answer any more."""
+
+    number = 4003
+    level = logging.WARNING
+    message = "endpoint gone"
+
+    endpoint: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointEjected(Event):
+    """An endpoint gets no work for a time, for errors or slowness."""
+
+    number = 4004
+    level = logging.WARNING
+    message = "endpoint ejected"
+
+    endpoint: str
+    reason: str
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointRestored(Event):
+    """An ejected endpoint answered trials and gets work again."""
+
+    number = 4005
+    message = "endpoint restored"
+
+    endpoint: str
+    ejected_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestReceived(Event):
+    """A request passed authentication."""
+
+    number = 5001
+    level = logging.DEBUG
+    message = "request received"
+
+    request_id: str
+    account: str
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestAnswered(Event):
+    """A request got its whole answer."""
+
+    number = 5002
+    message = "request answered"
+
+    request_id: str
+    account: str
+    service: str
+    tokens: int
+    seconds: float
+    recoveries: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestRefused(Event):
+    """A request got a final answer without being run whole."""
+
+    number = 5003
+    message = "request refused"
+
+    request_id: str
+    account: str
+    service: str
+    kind: str
+    execution: str
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestRecovered(Event):
+    """A running request went on with other endpoints."""
+
+    number = 5004
+    message = "request recovered"
+
+    request_id: str
+    endpoint: str
+    replacement: str
+    seconds: float
+    replayed_positions: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestAbandoned(Event):
+    """The caller went away, or the node gave up after tokens were sent."""
+
+    number = 5005
+    message = "request abandoned"
+
+    request_id: str
+    account: str
+    service: str
+    kind: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EchoMismatch(Event):
+    """An answer named another step than the one asked; it was dropped."""
+
+    number = 5006
+    level = logging.ERROR
+    message = "echo mismatch"
+
+    request_id: str
+    endpoint: str
+    expected: str
+    received: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestFault(Event):
+    """A fault in this program ended a request."""
+
+    number = 5007
+    level = logging.ERROR
+    message = "request fault"
+
+    request_id: str
+    error: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreOutageBegan(Event):
+    """The platform's store does not answer."""
+
+    number = 6001
+    level = logging.WARNING
+    message = "store outage began"
+
+    operation: str
+    kind: str
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreOutageEnded(Event):
+    """The platform's store answers again."""
+
+    number = 6002
+    message = "store outage ended"
+
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerJoined(Event):
+    """A node was heard of for the first time."""
+
+    number = 7001
+    message = "peer joined"
+
+    peer: str
+    zone: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerSuspect(Event):
+    """A node has not been heard of for a time."""
+
+    number = 7002
+    level = logging.WARNING
+    message = "peer suspect"
+
+    peer: str
+    silent_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerGone(Event):
+    """A node left, or is taken for gone."""
+
+    number = 7003
+    level = logging.WARNING
+    message = "peer gone"
+
+    peer: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineSuspect(Event):
+    """A request was in flight where an endpoint crashed."""
+
+    number = 8001
+    level = logging.WARNING
+    message = "quarantine suspect"
+
+    request_id: str
+    fingerprint: str
+    endpoint: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineConvicted(Event):
+    """A request crashed a second endpoint and is refused for a time."""
+
+    number = 8002
+    level = logging.ERROR
+    message = "quarantine convicted"
+
+    request_id: str
+    fingerprint: str
+    endpoint: str
+    expires_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineExpired(Event):
+    """A fingerprint is no longer refused."""
+
+    number = 8003
+    message = "quarantine expired"
+
+    fingerprint: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimTaken(Event):
+    """A non-idempotent request may be dispatched by this node, once."""
+
+    number = 9001
+    level = logging.DEBUG
+    message = "claim taken"
+
+    request_id: str
+    account: str
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimRepeated(Event):
+    """A non-idempotent request came again and was not run again."""
+
+    number = 9002
+    message = "claim repeated"
+
+    request_id: str
+    account: str
+    service: str
+    claimant: str
+    state: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimUnknown(Event):
+    """Whether a non-idempotent request ran cannot be known."""
+
+    number = 9003
+    level = logging.WARNING
+    message = "claim unknown"
+
+    request_id: str
+    account: str
+    service: str
+    claimant: str
+    reason: str
+
+
+def catalogue() -> list[type[Event]]:
+    """Returns all events by number."""
+    events = [
+        value
+        for value in globals().values()
+        if isinstance(value, type)
+        and issubclass(value, Event)
+        and value is not Event
+    ]
+    return sorted(events, key=lambda event: event.number)
