--- a/src/almondshift/adapters/peer_link.py
+++ b/src/almondshift/adapters/peer_link.py
@@ -234,9 +234,15 @@
     async def read_frame(
         self, stream: iostream.IOStream
     ) -> expression.Result[peer_codec.Frame, peer_codec.MalformedFrame]:
-        """Reads one frame; a begun frame must be whole within a limit."""
-        header = await stream.read_bytes(HEADER.size)
-        (size,) = HEADER.unpack(header)
+        """Reads one frame; a begun frame must be whole within a limit.
+
+        A sender that begins frames and never ends them would otherwise
+        hold all connections that this node takes, one for each.
+        """
+        first = await stream.read_bytes(1)
+        async with asyncio.timeout(self.settings.frame_s):
+            rest = await stream.read_bytes(HEADER.size - 1)
+        (size,) = HEADER.unpack(first + rest)
         if size > self.settings.max_frame_bytes:
             detail = f"a frame of {size} bytes"
             return expression.Error(peer_codec.MalformedFrame(detail))
