--- a/src/almondshift/adapters/peer_link.py
+++ b/src/almondshift/adapters/peer_link.py
@@ -217,26 +217,30 @@
         """Returns header and content, with this link's secret.
 
         Raises:
-            ValueError: If the message is over the frame limit; the sender
-                has to split it.
+            ValueError: If the message is over the frame limit.
         """
         message = frame.message
         if not isinstance(message, peers.Answer):
             message = dataclasses.replace(message, secret=self.secret)
         content = peer_codec.encode(
-            peer_codec.Frame(frame.call_number, message)
+            peer_codec.Frame(frame.call_number, message),
+            self.settings.max_frame_bytes,
         )
-        if len(content) > self.settings.max_frame_bytes:
-            raise ValueError(f"a peer message of {len(content)} bytes")
         self.counts.bytes_sent += HEADER.size + len(content)
         return HEADER.pack(len(content)) + content
 
     async def read_frame(
         self, stream: iostream.IOStream
     ) -> expression.Result[peer_codec.Frame, peer_codec.MalformedFrame]:
-        """Reads one frame; a begun frame must be whole within a limit."""
-        header = await stream.read_bytes(HEADER.size)
-        (size,) = HEADER.unpack(header)
+        """Reads one frame; a begun frame must be whole within a limit.
+
+        A sender that begins frames and never ends them would otherwise
+        hold all connections that this node takes, one for each.
+        """
+        first = await stream.read_bytes(1)
+        async with asyncio.timeout(self.settings.frame_s):
+            rest = await stream.read_bytes(HEADER.size - 1)
+        (size,) = HEADER.unpack(first + rest)
         if size > self.settings.max_frame_bytes:
             detail = f"a frame of {size} bytes"
             return expression.Error(peer_codec.MalformedFrame(detail))
