--- a/src/almondshift/console/application.py
+++ b/src/almondshift/console/application.py
@@ -12,14 +12,16 @@
 from almondshift.console import output
 from almondshift.console.commands import burn
 from almondshift.console.commands import config
+from almondshift.console.commands import demo
 from almondshift.console.commands import keys
+from almondshift.console.commands import node
 from almondshift.console.commands import status
 from almondshift.console.commands import version
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-COMMANDS = (config, status, burn, keys, version)
+COMMANDS = (config, status, burn, node, demo, keys, version)
 """Modules with ``add_parser(subparsers)`` and ``run(args) -> int``."""
 
 EPILOG = """\
--- /dev/null
+++ b/src/almondshift/daemons/demo.py
@@ -0,0 +1,245 @@
+"""The main job on embedded stand-ins, told as it happens."""
+
+from __future__ import annotations
+
+import asyncio
+import importlib.resources
+import itertools
+import signal
+
+from almondshift.adapters import byte_tokenizer
+from almondshift.adapters import http_caller
+from almondshift.daemons import embedded
+from almondshift.standins import reference
+from almondshift.standins.engine import settings as engine_settings
+
+MODEL = "adviser"
+VERSION = 1
+LAYERS = 12
+MEMBERS_KEY = "demo-members-key"
+CAMPAIGN_KEY = "demo-campaign-key"
+PROMPTS = (
+    (MEMBERS_KEY, "advice", "May I take magnesium with iron?", False),
+    (CAMPAIGN_KEY, "advice", "How much water does a garden need?", True),
+    (MEMBERS_KEY, "advice", "What does the label mean by daily value?", True),
+)
+LONG_PROMPT = "Write a summary of the waste sorting campaign."
+LONG_TOKENS = 120
+KILL_AFTER = 40
+
+ENGINES = (
+    ("fast-1", "zone-a", "fast", 8, 2.0, 60.0),
+    ("fast-2", "zone-b", "fast", 8, 2.0, 60.0),
+    ("slow-1", "zone-a", "slow", 4, 3.0, 150.0),
+    ("slow-2", "zone-b", "slow", 4, 3.0, 150.0),
+    ("spare-1", "zone-a", "slow", 6, 3.0, 150.0),
+    ("spare-2", "zone-b", "slow", 6, 3.0, 150.0),
+)
+
+
+def engines() -> tuple[engine_settings.EngineSettings, ...]:
+    """Returns the demo's engines: two kinds of accelerators, mixed sizes."""
+    return tuple(
+        engine_settings.EngineSettings(
+            name=name,
+            zone=zone,
+            models={MODEL: LAYERS},
+            accelerator=kind,
+            layer_capacity=capacity,
+            fixed_s=fixed_ms / 1000,
+            per_layer_token_s=token_us / 1e6,
+        )
+        for name, zone, kind, capacity, fixed_ms, token_us in ENGINES
+    )
+
+
+def sample_text() -> str:
+    """Returns the sample of an operators' text."""
+    return (
+        importlib.resources.files("almondshift.data")
+        .joinpath("sample.ini")
+        .read_text()
+    )
+
+
+class Demo:
+    """Runs the steps and remembers whether all answers were right."""
+
+    def __init__(self, system: embedded.EmbeddedSystem) -> None:
+        self.system = system
+        self.tokenizer = byte_tokenizer.create_tokenizer()
+        self.all_right = True
+        self.callers: dict[str, http_caller.Caller] = {}
+
+    async def start(self) -> None:
+        """Starts the system and a caller for each account."""
+        await self.system.start()
+        for key in (MEMBERS_KEY, CAMPAIGN_KEY):
+            caller = http_caller.create_caller(
+                key, self.system.entry_addresses()
+            )
+            await caller.start()
+            self.callers[key] = caller
+
+    async def close(self) -> None:
+        """Closes all."""
+        for caller in self.callers.values():
+            await caller.close()
+        await self.system.close()
+
+    async def run(self) -> None:
+        """Runs the main job."""
+        print("Applied the sample configuration as version 1.")
+        await self.system.wait_ready("advice", "portal")
+        await self.system.wait_peers()
+        self._show_entries(await self.callers[MEMBERS_KEY].entries())
+        for key, service, prompt, stream in PROMPTS:
+            await self._ask(key, service, prompt, stream)
+        await self._call_portal()
+        await self._lose_an_engine()
+
+    def _show_entries(self, addresses: list[str]) -> None:
+        print(f"GET /v1/entries names {len(addresses)} nodes: {addresses}")
+
+    async def _ask(
+        self, key: str, service: str, prompt: str, stream: bool
+    ) -> None:
+        answer = await self.callers[key].complete(
+            service, prompt, 24, stream=stream
+        )
+        way = "streamed" if stream else "whole"
+        print(f"\n{service} ({way}): {prompt}")
+        self._check(prompt, 24, answer)
+        self._show_stages(answer)
+
+    async def _call_portal(self) -> None:
+        caller = self.callers[MEMBERS_KEY]
+        body = b'{"pause": "order 17"}'
+        first = await caller.call(
+            "portal", "/notices", body, idempotency_key="notice-17"
+        )
+        again = await caller.call(
+            "portal", "/notices", body, idempotency_key="notice-17"
+        )
+        runs = sum(
+            len(server.record.rows) for server in self.system.plain.values()
+        )
+        print(f"\nportal: status {first.status}, repeat {again.status}")
+        print(f"  the pause notice ran {runs} time(s) in all")
+        self._note(first.status == 200 and first.text == again.text)
+        self._note(runs == 1)
+
+    async def _lose_an_engine(self) -> None:
+        print(f"\nadvice (streamed), an engine is lost: {LONG_PROMPT}")
+        tokens_seen: list[int] = []
+        kill: list[asyncio.Task[None]] = []
+
+        def on_token(token: int) -> None:
+            tokens_seen.append(token)
+            if len(tokens_seen) == KILL_AFTER:
+                kill.append(asyncio.ensure_future(self._kill_busiest()))
+
+        answer = await self.callers[MEMBERS_KEY].complete(
+            "advice", LONG_PROMPT, LONG_TOKENS, on_token=on_token
+        )
+        await asyncio.gather(*kill)
+        self._check(LONG_PROMPT, LONG_TOKENS, answer)
+        self._show_stages(answer)
+        for recovery in answer.details.get("recoveries", []):
+            way = "all stages" if recovery["restarted"] else "one stage"
+            print(
+                f"  {recovery['endpoint']} was replaced by "
+                f"{', '.join(recovery['replacement'])}: {way} replayed, "
+                f"{recovery['replayed_positions']} positions, "
+                f"{recovery['seconds'] * 1000:.0f} ms from loss seen to token"
+            )
+        self._note(bool(answer.details.get("recoveries")))
+        times = answer.arrivals
+        gap = max(b - a for a, b in itertools.pairwise(times))
+        print(f"  recovery as the caller saw it: {gap:.3f} s without a token")
+
+    async def _kill_busiest(self) -> None:
+        name = max(
+            self.system.engines,
+            key=lambda n: len(self.system.engines[n].table),
+        )
+        print(f"  after {KILL_AFTER} tokens: {name} is taken away")
+        await self.system.kill_engine(name)
+
+    def _check(
+        self, prompt: str, count: int, answer: http_caller.CallerAnswer
+    ) -> None:
+        expected = reference.complete(
+            MODEL, VERSION, "", LAYERS, self.tokenizer.encode(prompt), count
+        )
+        right = answer.whole and tuple(answer.tokens) == expected
+        self._note(right)
+        if answer.problem:
+            print(f"  problem: {answer.problem}")
+        verdict = "equal to the reference" if right else "WRONG"
+        print(f"  answer: {answer.text!r}")
+        print(f"  {len(answer.tokens)} tokens in {answer.seconds:.3f} s,", verdict)
+
+    def _show_stages(self, answer: http_caller.CallerAnswer) -> None:
+        for stage in answer.details.get("stages", []):
+            print(
+                f"  epoch {stage['epoch']}: {stage['endpoint']:8} layers "
+                f"{stage['start']}-{stage['end']}, {stage['calls']} calls, "
+                f"{stage['seconds'] * 1000:.0f} ms"
+            )
+
+    def _note(self, right: bool) -> None:
+        self.all_right = self.all_right and right
+
+
+def run(*, keep: bool) -> int:
+    """Runs the demo; returns 0 only if every answer was right."""
+    return asyncio.run(_run(keep))
+
+
+async def _run(keep: bool) -> int:
+    system = embedded.create_embedded_system(
+        embedded.EmbeddedSettings(
+            text=sample_text(),
+            nodes=3,
+            engines=engines(),
+            plain=("portal", "confirmations"),
+        )
+    )
+    demo = Demo(system)
+    await demo.start()
+    try:
+        await demo.run()
+        verdict = "right" if demo.all_right else "NOT right"
+        print(f"\nAll answers were {verdict}.")
+        if keep:
+            await _stay(system)
+    finally:
+        await demo.close()
+    return 0 if demo.all_right else 1
+
+
+async def _stay(system: embedded.EmbeddedSystem) -> None:
+    address = system.entry_addresses()[0]
+    print("\nThe system stays up until Ctrl-C. Try:")
+    print(f"  curl http://{address}/v1/entries")
+    print(
+        f"  curl -N http://{address}/v1/completions "
+        f"-H 'Authorization: Bearer {MEMBERS_KEY}' "
+        '-d \'{"model": "advice", "prompt": "Hello", '
+        '"max_tokens": 20, "stream": true}\''
+    )
+    print(
+        f"  curl http://{address}/v1/services/portal/notices "
+        f"-H 'Authorization: Bearer {MEMBERS_KEY}' "
+        "-H 'Idempotency-Key: try-1' -d '{}'"
+    )
+    print(
+        f"  curl http://{address}/v1/admin/status "
+        f"-H 'Authorization: Bearer {embedded.OPERATOR_SECRET}'"
+    )
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
--- /dev/null
+++ b/src/almondshift/node/at_most_once.py
@@ -0,0 +1,140 @@
+"""Runs non-idempotent work under a claim, and keeps its answer for repeats."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import expression
+
+from almondshift import errors
+from almondshift.adapters import problems
+from almondshift.coordination import claim_attempts
+from almondshift.coordination import claim_rows
+from almondshift.coordination import claims as claim_parts
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from almondshift.coordination import membership as memberships
+
+    Kept = expression.Result[claim_rows.StoredResult, errors.AlmondshiftError]
+    Work = Callable[[], Awaitable[Kept]]
+
+TOPIC = "claim"
+ASK_TIMEOUT_S = 1.0
+NO_REQUEST_ID = ""
+
+
+class AtMostOnce:
+    """Joins claims, and the questions that peers ask about them.
+
+    Attributes:
+        running: Dispatches that have not ended; a caller that goes away
+            does not end them, since a repeat wants their answer.
+    """
+
+    def __init__(self, claims: claim_parts.Claims) -> None:
+        self.claims = claims
+        self.running: set[asyncio.Task[Kept]] = set()
+
+    async def run(
+        self,
+        account: str,
+        service: str,
+        key: str,
+        body: bytes,
+        deadline: float,
+        work: Work,
+    ) -> Kept:
+        """Runs ``work`` if this attempt gets the claim, else waits for it.
+
+        Args:
+            account: Client account.
+            service: Service name.
+            key: The caller's idempotency key.
+            body: What a repeat must have in common.
+            deadline: Monotonic seconds.
+            work: Runs the request once; its error says whether it ran.
+        """
+        taken = await self.claims.claim(account, service, key, body, deadline)
+        match taken:
+            case expression.Result(tag="ok", ok=claim_parts.Finished() as old):
+                return expression.Ok(old.result)
+            case expression.Result(tag="ok", ok=claim_parts.Claimed() as mine):
+                return await self._dispatch_shielded(mine, work)
+            case expression.Result(error=error):
+                return expression.Error(error)
+        raise AssertionError(taken)
+
+    async def _dispatch_shielded(
+        self, claimed: claim_parts.Claimed, work: Work
+    ) -> Kept:
+        task = asyncio.create_task(self._dispatch(claimed, work))
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+        return await asyncio.shield(task)
+
+    async def _dispatch(
+        self, claimed: claim_parts.Claimed, work: Work
+    ) -> Kept:
+        if not self.claims.may_dispatch(claimed):
+            await self.claims.release_not_run(claimed)
+            return expression.Error(
+                errors.DeadlinePast("The deadline passed before dispatch.")
+            )
+        outcome = await work()
+        await self._settle(claimed, outcome)
+        return outcome
+
+    async def _settle(
+        self, claimed: claim_parts.Claimed, outcome: Kept
+    ) -> None:
+        match outcome:
+            case expression.Result(tag="ok", ok=result):
+                await self.claims.finish(claimed, result)
+            case expression.Result(error=error):
+                if error.execution is errors.Execution.NOT_RUN:
+                    await self.claims.release_not_run(claimed)
+                else:
+                    await self.claims.finish(claimed, _as_result(error))
+
+
+def _as_result(error: errors.AlmondshiftError) -> claim_rows.StoredResult:
+    """Keeps a failure as the answer: a repeat must hear the same, not run."""
+    problem = problems.render(error, NO_REQUEST_ID)
+    return claim_rows.StoredResult(
+        problem.status, problems.CONTENT_TYPE, problem.body
+    )
+
+
+class ClaimQuestions:
+    """Asks peers about attempts, and answers their questions."""
+
+    def __init__(self, membership: memberships.Membership) -> None:
+        self.membership = membership
+        self.claims: claim_parts.Claims | None = None
+
+    def use(self, claims: claim_parts.Claims) -> None:
+        """Starts to answer from these claims."""
+        self.claims = claims
+        self.membership.answer(TOPIC, self._answer)
+
+    async def ask(
+        self, node: str, attempt: str
+    ) -> claim_attempts.ClaimantAnswer:
+        """Asks a node; silence is ``UNKNOWN``."""
+        answer = await self.membership.ask(
+            node, TOPIC, attempt.encode(), ASK_TIMEOUT_S
+        )
+        match answer:
+            case expression.Result(tag="ok", ok=body):
+                return claim_attempts.ClaimantAnswer(body.decode())
+            case _:
+                return claim_attempts.ClaimantAnswer.UNKNOWN
+
+    async def _answer(self, sender: str, body: bytes) -> bytes:
+        if self.claims is None:
+            return claim_attempts.ClaimantAnswer.UNKNOWN.value.encode()
+        return self.claims.answer_claimant(body.decode()).value.encode()
--- a/src/almondshift/node/directory.py
+++ b/src/almondshift/node/directory.py
@@ -16,6 +16,7 @@
 from almondshift import errors
 from almondshift.model import endpoints
 from almondshift.node import coalescer
+from almondshift.node import step_queue
 from almondshift.policy import events
 
 if TYPE_CHECKING:
@@ -252,7 +253,8 @@
             engine,
             self.clock,
             coalescer.CoalescerSettings(
-                max_items=limit, coalesce=self.settings.coalesce
+                limits=step_queue.CallLimits(items=limit),
+                coalesce=self.settings.coalesce,
             ),
             lambda timing: self._take_timing(known, timing),
         )
@@ -262,6 +264,8 @@
     def _take_timing(
         self, known: Endpoint, timing: coalescer.CallTiming
     ) -> None:
+        if timing.error:
+            return
         self.timeouts.observe(known.vm.name, timing.seconds)
         self.driver.tell(
             events.CallTimed(
@@ -270,7 +274,7 @@
                 seconds=timing.seconds,
                 items=timing.items,
                 tokens=timing.tokens,
-                layers=timing.layers,
+                layers=0,
             )
         )
 
--- a/src/almondshift/node/gateway.py
+++ b/src/almondshift/node/gateway.py
@@ -8,17 +8,20 @@
 
 from almondshift import errors
 from almondshift.model import fleet as fleets
+from almondshift.coordination import claim_rows
 from almondshift.model import prefixes
+from almondshift.node import kept_answers
 from almondshift.ports import gateway
+from almondshift.ports import plain_services
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from almondshift.adapters import keys
     from almondshift.model import completions as requests
+    from almondshift.node import at_most_once
     from almondshift.node import completions
     from almondshift.node import plain_calls
-    from almondshift.ports import plain_services
 
 SAFE_METHODS = frozenset({"GET", "HEAD"})
 
@@ -37,11 +40,13 @@
         self,
         completion_service: completions.CompletionService,
         plain_service: plain_calls.PlainCalls,
+        once: at_most_once.AtMostOnce,
         list_entries: Callable[[str], gateway.Entries],
         is_ready: Callable[[], bool],
     ) -> None:
         self.completion_service = completion_service
         self.plain_service = plain_service
+        self.at_most_once = once
         self.list_entries = list_entries
         self.is_ready = is_ready
         self.current: fleets.Fleet | None = None
@@ -71,7 +76,28 @@
     async def complete(
         self, request: requests.CompletionRequest
     ) -> expression.Result[gateway.CompletionStream, errors.AlmondshiftError]:
-        """Starts a completion."""
+        """Starts a completion, or finds its kept answer."""
+        if request.idempotent:
+            return await self._start(request)
+        kept = await self.at_most_once.run(
+            request.account,
+            request.service,
+            request.idempotency_key,
+            kept_answers.fingerprint_body(request),
+            request.deadline,
+            lambda: self._run_whole(request),
+        )
+        match kept:
+            case expression.Result(tag="ok", ok=result):
+                return kept_answers.read(request.request_id, result)
+            case expression.Result(error=error):
+                return expression.Error(error)
+
+    async def _start(
+        self, request: requests.CompletionRequest
+    ) -> expression.Result[
+        gateway.CompletionStream, errors.AlmondshiftError
+    ]:
         hints = self._prefixes(request)
         match await self.completion_service.start(request, hints):
             case expression.Result(tag="ok", ok=running):
@@ -79,6 +105,11 @@
             case expression.Result(error=error):
                 return expression.Error(error)
 
+    async def _run_whole(
+        self, request: requests.CompletionRequest
+    ) -> expression.Result[claim_rows.StoredResult, errors.AlmondshiftError]:
+        return await kept_answers.collect(await self._start(request))
+
     async def call_plain(
         self, request: gateway.PlainRequest
     ) -> expression.Result[plain_services.PlainAnswer, errors.AlmondshiftError]:
@@ -88,10 +119,39 @@
             return expression.Error(
                 errors.UnknownService(f"There is no {request.service!r}.")
             )
-        repeatable = service.idempotent or request.method in SAFE_METHODS
-        return await self.plain_service.call(
-            request, service.priority, repeatable
+        if service.idempotent or request.method in SAFE_METHODS:
+            return await self.plain_service.call(
+                request, service.priority, idempotent=True
+            )
+        kept = await self.at_most_once.run(
+            request.account,
+            request.service,
+            request.idempotency_key,
+            _fingerprint_body(request),
+            request.deadline,
+            lambda: self._call_once(request, service),
+        )
+        match kept:
+            case expression.Result(tag="ok", ok=result):
+                return expression.Ok(_answer(result))
+            case expression.Result(error=error):
+                return expression.Error(error)
+
+    async def _call_once(
+        self, request: gateway.PlainRequest, service: fleets.Service
+    ) -> expression.Result[claim_rows.StoredResult, errors.AlmondshiftError]:
+        answer = await self.plain_service.call(
+            request, service.priority, idempotent=False
         )
+        match answer:
+            case expression.Result(tag="ok", ok=whole):
+                return expression.Ok(
+                    claim_rows.StoredResult(
+                        whole.status, whole.content_type, whole.body
+                    )
+                )
+            case expression.Result(error=error):
+                return expression.Error(error)
 
     def _service(self, name: str) -> fleets.Service | None:
         return self.current.services.get(name) if self.current else None
@@ -103,3 +163,15 @@
         model = self.current.models[service.model]
         found = prefixes.digests(model.name, model.version, request.prompt)
         return tuple(reversed(found))
+
+
+def _fingerprint_body(request: gateway.PlainRequest) -> bytes:
+    return b"\n".join(
+        [request.method.encode(), request.path.encode(), request.body]
+    )
+
+
+def _answer(kept: claim_rows.StoredResult) -> plain_services.PlainAnswer:
+    return plain_services.PlainAnswer(
+        kept.status, kept.content_type, kept.body
+    )
--- /dev/null
+++ b/src/almondshift/node/kept_answers.py
@@ -0,0 +1,89 @@
+"""Completions of non-idempotent services: run once, kept, then sent."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+from typing import TYPE_CHECKING
+
+import expression
+
+from almondshift import errors
+from almondshift.coordination import claim_rows
+from almondshift.model import completions
+from almondshift.ports import gateway
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    from almondshift.model import chains
+
+OK = 200
+CONTENT_TYPE = "application/json"
+
+
+class KeptStream(gateway.CompletionStream):
+    """The tokens of an answer that is whole already."""
+
+    def __init__(self, request_id: str, tokens: list[int]) -> None:
+        self.request_id = request_id
+        self.kept = tokens
+
+    async def tokens(self) -> AsyncGenerator[int]:
+        """Yields the kept tokens."""
+        for token in self.kept:
+            yield token
+
+    def close(self) -> None:
+        """Does nothing: there is no work to drop."""
+
+    def chain(self) -> chains.Chain | None:
+        """Returns None: the chain is not kept."""
+        return None
+
+    def summary(self) -> completions.CompletionSummary:
+        """Returns the count of tokens, without timings."""
+        return completions.CompletionSummary(
+            self.request_id, len(self.kept), (), ()
+        )
+
+
+def fingerprint_body(request: completions.CompletionRequest) -> bytes:
+    """Returns what a repeat must have in common; not how it is sent."""
+    parts = [request.service, list(request.prompt), request.max_tokens]
+    return json.dumps(parts).encode()
+
+
+async def collect(
+    started: expression.Result[
+        gateway.CompletionStream, errors.AlmondshiftError
+    ],
+) -> expression.Result[claim_rows.StoredResult, errors.AlmondshiftError]:
+    """Runs a started completion to its end and returns it for keeping."""
+    match started:
+        case expression.Result(tag="ok", ok=stream):
+            pass
+        case expression.Result(error=error):
+            return expression.Error(error)
+    try:
+        async with contextlib.aclosing(stream.tokens()) as source:
+            tokens = [token async for token in source]
+    except errors.AlmondshiftError as error:
+        return expression.Error(error)
+    body = json.dumps({"tokens": tokens}).encode()
+    return expression.Ok(claim_rows.StoredResult(OK, CONTENT_TYPE, body))
+
+
+def read(
+    request_id: str, kept: claim_rows.StoredResult
+) -> expression.Result[gateway.CompletionStream, errors.AlmondshiftError]:
+    """Returns a kept answer as a stream, or the failure that was kept."""
+    content = json.loads(kept.body)
+    if kept.status == OK:
+        return expression.Ok(KeptStream(request_id, content["tokens"]))
+    return expression.Error(
+        errors.OutcomeUnknown(
+            f"An earlier request with this key failed: {content['detail']}",
+            execution=errors.Execution(content["execution"]),
+        )
+    )
--- a/tests/faults/processes.py
+++ b/tests/faults/processes.py
@@ -119,7 +119,8 @@
             raise RuntimeError(f"{process.name} ended:\n{process.log()}")
         if not process.port_file.exists():
             return False
-        process.address = process.port_file.read_text().strip()
+        first = process.port_file.read_text().splitlines()[0]
+        process.address = first.removeprefix("entry=").strip()
         return True
 
     async def start(
