--- a/src/almondshift/adapters/curl_calls.py
+++ b/src/almondshift/adapters/curl_calls.py
@@ -169,6 +169,8 @@
             group.discard(done)
 
     async def _take_slot(self, timeout_s: float) -> bool:
+        if not self.slots.locked():
+            return await self.slots.acquire()
         try:
             async with asyncio.timeout(timeout_s):
                 await self.slots.acquire()
@@ -240,7 +242,7 @@
     if failure is None:
         response = fetched.result()
         failure = response.error
-        if not isinstance(failure, curl_httpclient.CurlError):
+        if failure is None or is_status(failure):
             reply = Reply(response.code, response.headers, response.body)
             return expression.Ok(reply)
     if transfer.sent:
@@ -248,6 +250,13 @@
     return unreachable(transfer.call, str(failure))
 
 
+def is_status(failure: BaseException) -> bool:
+    """Returns whether an error only repeats the status of a whole answer."""
+    if isinstance(failure, curl_httpclient.CurlError):
+        return False
+    return isinstance(failure, httpclient.HTTPError)
+
+
 def unreachable(call: Call, reason: str) -> CallResult:
     """Returns the error of a call of which nothing was sent."""
     detail = f"{call.endpoint} could not be reached: {reason}."
--- a/src/almondshift/standins/engine/__main__.py
+++ b/src/almondshift/standins/engine/__main__.py
@@ -5,15 +5,12 @@
 import argparse
 import asyncio
 
-from almondshift.model import endpoints
 from almondshift.standins import processes
-from almondshift.standins import registrations
 from almondshift.standins.engine import server
 from almondshift.standins.engine import settings as engine_settings
 
 MS = 1e-3
 US = 1e-6
-POLL_S = 0.05
 
 
 def create_parser() -> argparse.ArgumentParser:
@@ -98,56 +95,13 @@
     )
 
 
-def describe_vm(
-    engine: server.EngineServer, state: endpoints.VmState
-) -> endpoints.Vm:
-    """Returns the engine's row in the list of VMs."""
-    return endpoints.Vm(
-        engine.settings.name,
-        engine.address,
-        engine.settings.zone,
-        endpoints.EndpointKind.ENGINE,
-        "",
-        state,
-    )
-
-
-async def finish_sessions(engine: server.EngineServer) -> None:
-    """Waits until no session is left or the grace time is over."""
-    loop = asyncio.get_running_loop()
-    deadline = loop.time() + engine.settings.grace_s
-    while len(engine.table) and loop.time() < deadline:
-        await asyncio.sleep(POLL_S)
-
-
-async def leave(
-    engine: server.EngineServer, registration: registrations.Registration
-) -> None:
-    """Opens no more sessions, says so, and serves the running ones."""
-    engine.faults.leaving = True
-    leaving = describe_vm(engine, endpoints.VmState.LEAVING)
-    telling = asyncio.create_task(registration.put(leaving))
-    await finish_sessions(engine)
-    telling.cancel()
-    await asyncio.gather(telling, return_exceptions=True)
-    await registration.remove(leaving)
-
-
 async def run(options: argparse.Namespace) -> None:
     """Serves until a signal comes, then leaves."""
-    engine = server.create_engine(read_settings(options))
-    registration = registrations.Registration(options.platform)
-    await engine.start()
-    if options.port_file:
-        processes.write_port_file(options.port_file, engine.address)
-    live = describe_vm(engine, endpoints.VmState.LIVE)
-    registering = asyncio.create_task(registration.put(live))
-    await processes.wait_for_signal()
-    registering.cancel()
-    await asyncio.gather(registering, return_exceptions=True)
-    await leave(engine, registration)
-    await engine.close()
-    registration.close()
+    settings = read_settings(options)
+    engine = server.create_engine(settings)
+    await processes.serve(
+        engine, options.platform, options.port_file, settings.grace_s
+    )
 
 
 if __name__ == "__main__":
--- a/src/almondshift/standins/engine/server.py
+++ b/src/almondshift/standins/engine/server.py
@@ -11,6 +11,7 @@
 from tornado import web
 
 from almondshift.model import endpoints
+from almondshift.standins import processes
 from almondshift.standins.engine import batcher
 from almondshift.standins.engine import cache_events
 from almondshift.standins.engine import handlers
@@ -36,7 +37,7 @@
 INSTANCE_BITS = 64
 
 
-class EngineServer:
+class EngineServer(processes.StandIn):
     """A model engine.
 
     Attributes:
@@ -131,6 +132,25 @@
             settings.max_sessions,
         )
 
+    def describe_vm(self, state: endpoints.VmState) -> endpoints.Vm:
+        """Returns the engine's row in the list of VMs."""
+        return endpoints.Vm(
+            self.settings.name,
+            self.address,
+            self.settings.zone,
+            endpoints.EndpointKind.ENGINE,
+            "",
+            state,
+        )
+
+    def begin_leaving(self) -> None:
+        """Opens no more sessions from now on."""
+        self.faults.leaving = True
+
+    def has_work(self) -> bool:
+        """Returns whether sessions are left."""
+        return len(self.table) > 0
+
     def measure_load(self) -> endpoints.LoadReport:
         """Returns the present load."""
         return endpoints.LoadReport(
