--- a/src/almondshift/adapters/fleet_checks.py
+++ b/src/almondshift/adapters/fleet_checks.py
@@ -143,24 +143,34 @@
 
 
 def _check_gaps(pins: list[fleet.Pin], layers: int) -> None:
-    """Refuses pins from which no chain over all layers can be built."""
+    """Refuses pins that are no part of a chain over all layers."""
     reached = {0}
     for pin in sorted(pins, key=lambda p: p.layers):
         if pin.layers.start not in reached:
-            raise errors.ConfigInvalid(
-                f"no pin of model {pin.model} ends at layer "
-                f"{pin.layers.start}; the pins before reach {max(reached)}.",
-                section=f"pin {pin.pattern}",
-                key="layers",
-                remedy=f"Start it at {max(reached)}, or add the pin between.",
+            end = max(reached)
+            raise _gap(
+                pin,
+                f"ends at layer {pin.layers.start}; those before reach {end}.",
+                f"Start it at {end}, or add the pin between.",
             )
         reached.add(pin.layers.end)
-    if layers not in reached:
-        last = max(pins, key=lambda p: p.layers.end)
-        raise errors.ConfigInvalid(
-            f"the pins of model {last.model} end at {max(reached)} "
-            f"of {layers} layers.",
-            section=f"pin {last.pattern}",
-            key="layers",
-            remedy=f"Add a pin for {max(reached)}-{layers}.",
-        )
+    continued = {layers}
+    for pin in sorted(pins, key=lambda p: p.layers.end, reverse=True):
+        end = pin.layers.end
+        if end not in continued:
+            following = min(layer for layer in continued if layer > end)
+            raise _gap(
+                pin,
+                f"starts at layer {end}.",
+                f"Add a pin for {end}-{following}.",
+            )
+        continued.add(pin.layers.start)
+
+
+def _gap(pin: fleet.Pin, detail: str, remedy: str) -> errors.ConfigInvalid:
+    return errors.ConfigInvalid(
+        f"no pin of model {pin.model} {detail}",
+        section=f"pin {pin.pattern}",
+        key="layers",
+        remedy=remedy,
+    )
--- a/src/almondshift/adapters/fleet_render.py
+++ b/src/almondshift/adapters/fleet_render.py
@@ -34,7 +34,7 @@
 def render(described: fleet.Fleet) -> str:
     """Returns text with every key, sorted; parsing it gives the same."""
     blocks = [
-        "\n".join([f"[{title}]", *(f"{k} = {v}" for k, v in keys.items())])
+        "\n".join([f"[{title}]", *_lines(keys)])
         for title, keys in describe(described).items()
     ]
     return "\n\n".join(blocks) + "\n"
@@ -78,6 +78,10 @@
     return sections
 
 
+def _lines(keys: dict[str, str]) -> list[str]:
+    return [f"{key} = {value}".rstrip() for key, value in keys.items()]
+
+
 def _model(model: fleet.Model) -> dict[str, str]:
     return {
         "layers": str(model.layers),
--- a/src/almondshift/adapters/http_operations.py
+++ b/src/almondshift/adapters/http_operations.py
@@ -118,7 +118,7 @@
                 f"The request was refused with status {status_code}.",
                 remedy="See the operators' page for the calls there are.",
             )
-        return raised or errors.AlmondshiftError(problems.INTERNAL_DETAIL)
+        return raised or RuntimeError(problems.INTERNAL_DETAIL)
 
 
 class ConfigHandler(OperatorHandler):
--- a/src/almondshift/adapters/ini_sections.py
+++ b/src/almondshift/adapters/ini_sections.py
@@ -213,7 +213,11 @@
 def _invalid(
     title: str, model: type[SectionModel], error: pydantic.ValidationError
 ) -> errors.ConfigInvalid:
-    fault: Any = error.errors(include_url=False, include_context=False)[0]
+    faults: list[Any] = error.errors(include_url=False, include_context=False)
+    # A mistyped key is unknown and, if required, missing too; the first
+    # tells the operator more.
+    unknown = (f for f in faults if f["type"] == "extra_forbidden")
+    fault = next(unknown, faults[0])
     key = str(fault["loc"][0]) if fault["loc"] else None
     known = list(model.model_fields)
     if fault["type"] == "extra_forbidden":
--- a/src/almondshift/adapters/keys.py
+++ b/src/almondshift/adapters/keys.py
@@ -33,7 +33,7 @@
 
     def matches(self, other: str) -> bool:
         """Compares in a time that does not depend on where they differ."""
-        return hmac.compare_digest(self.text.encode(), other.encode())
+        return hmac.compare_digest(_bytes(self.text), _bytes(other))
 
 
 def read_secret(
@@ -48,14 +48,14 @@
     """
     try:
         content = pathlib.Path(path).read_bytes()[:MAX_SECRET_BYTES]
-        text = content.decode().partition("\n")[0].strip()
+        text = content.decode("ascii").partition("\n")[0].strip()
     except (OSError, ValueError) as error:
         return expression.Error(
             errors.ConfigInvalid(
                 f"the file {path!r} cannot be read ({type(error).__name__}).",
                 section=section,
                 key=key,
-                remedy="Create it as UTF-8, readable by this process only.",
+                remedy="Create it as ASCII, readable by this process only.",
             )
         )
     if not text:
@@ -72,8 +72,7 @@
 
 def hash_key(key: str) -> str:
     """Returns ``sha256:`` and the hex digest, as in ``key_hash``."""
-    digest = hashlib.sha256(key.encode(errors="surrogateescape"))
-    return HASH_PREFIX + digest.hexdigest()
+    return HASH_PREFIX + hashlib.sha256(_bytes(key)).hexdigest()
 
 
 class KeyTable:
@@ -99,6 +98,11 @@
         return account
 
 
+def _bytes(text: str) -> bytes:
+    # Headers come from anyone, and must not raise here.
+    return text.encode(errors="surrogatepass")
+
+
 def create_key_table(accounts: Mapping[str, fleet.Account]) -> KeyTable:
     """Returns a table over a configuration's accounts."""
     return KeyTable(accounts)
--- a/src/almondshift/console/commands/config.py
+++ b/src/almondshift/console/commands/config.py
@@ -7,10 +7,12 @@
 import dataclasses
 import datetime
 import getpass
+import importlib.resources
 import json
 import pathlib
 from typing import TYPE_CHECKING
 
+from almondshift import data
 from almondshift import errors
 from almondshift.adapters import fleet_render
 from almondshift.adapters import fleet_text
@@ -28,6 +30,7 @@
 
 EPILOG = """\
 examples:
+  almondshift config sample > fleet.ini
   almondshift config check fleet.ini
   almondshift config apply fleet.ini --node 10.0.0.1:8080 --base 41
   almondshift config show --node 10.0.0.1:8080 > fleet.ini
@@ -37,6 +40,7 @@
 HISTORY_HEADS = ("version", "accepted", "author", "change id")
 DIFF_HEADS = ("section", "key", "old", "new")
 DEFAULT_LIMIT = 20
+SAMPLE = "sample.ini"
 
 
 def add_parser(subparsers: Subparsers) -> None:
@@ -48,6 +52,8 @@
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     actions = parser.add_subparsers(dest="action", required=True)
+    sample = actions.add_parser("sample", help="print a sample to start from")
+    sample.set_defaults(run=run_sample)
     _add_check(actions)
     _add_apply(actions)
     _add_show(actions)
@@ -108,6 +114,13 @@
     parser.set_defaults(run=run_diff)
 
 
+def run_sample(args: argparse.Namespace) -> int:
+    """Prints the sample fleet that the demo uses."""
+    sample = importlib.resources.files(data).joinpath(SAMPLE)
+    print(sample.read_text(encoding="utf-8"), end="")
+    return exit_codes.ExitCode.OK
+
+
 def run_check(args: argparse.Namespace) -> int:
     """Validates a file without a running system."""
     checked = _parse(read_file(args.file), 0)
--- a/src/almondshift/console/commands/keys.py
+++ b/src/almondshift/console/commands/keys.py
@@ -41,5 +41,10 @@
             "There is no key on standard input.",
             remedy="Send it there, e.g. 'almondshift keys hash < members.key'.",
         )
+    if not key.isascii():
+        raise nodes.Usage(
+            "The key is not ASCII.",
+            remedy="Use letters and digits: headers carry nothing else well.",
+        )
     print(keys.hash_key(key))
     return exit_codes.ExitCode.OK
--- a/src/almondshift/policy/burn.py
+++ b/src/almondshift/policy/burn.py
@@ -291,7 +291,7 @@
     bad = {
         (account, cause): count
         for (name, kind, account, cause), count in counts.items()
-        if (name, kind) == (service, objective) and cause
+        if (name, kind) == (service, objective) and cause and count
     }
     total = sum(bad.values())
     ranked = sorted(bad.items(), key=lambda item: (-item[1], item[0]))
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,134 @@
+from __future__ import annotations
+
+import pathlib
+import re
+import shlex
+import subprocess
+import sys
+
+import pydantic_core
+import pytest
+
+from almondshift import errors
+from almondshift.adapters import fleet_sections
+from almondshift.adapters import problems
+from almondshift.adapters import settings
+from almondshift.adapters import settings_sections
+from almondshift.console import application
+from almondshift.console import exit_codes
+
+ROOT = pathlib.Path(__file__).parents[1]
+DOCS = ROOT / "docs"
+PAGES = sorted(DOCS.rglob("*.md"))
+LINK = re.compile(r"\]\(([^)#:]+)\)")
+BLOCK = re.compile(r"```(\w+)\n(.*?)```", re.S)
+NEEDS_A_SYSTEM = "--node "
+
+
+def _rows(page: str, width: int) -> list[list[str]]:
+    lines = (DOCS / page).read_text().splitlines()
+    rows = [[c.strip() for c in line.strip("|").split(" | ")]
+            for line in lines if line.startswith("| ")]  # fmt: skip
+    return [row for row in rows if len(row) == width]
+
+
+def _errors() -> dict[str, type[errors.AlmondshiftError]]:
+    found = [v for v in vars(errors).values() if isinstance(v, type)]
+    return {e.kind: e for e in found if issubclass(e, errors.AlmondshiftError)}
+
+
+def test_callers_page_has_every_kind_and_no_other() -> None:
+    rows = {row[0].strip("`"): row[1:] for row in _rows("callers.md", 5)}
+    del rows["kind"], rows["---"]
+    assert set(rows) == set(_errors())
+    for kind, error in _errors().items():
+        status, execution, again, remedy = rows[kind]
+        assert status == str(error.status)
+        if kind != "internal":
+            assert execution == f"`{error.default_execution.value}`"
+        assert again
+        if kind != "config_invalid":
+            assert remedy == error.default_remedy
+    fault = problems.render(ValueError(), "").body
+    assert f'"execution": "{rows["internal"][1].strip("`")}"'.encode() in fault
+
+
+def _default(value: object) -> str:
+    if value is pydantic_core.PydanticUndefined:
+        return "required"
+    if value in (None, "", ()):
+        return "none"
+    if isinstance(value, bool):
+        return "`yes`" if value else "`no`"
+    return f"`{value:.15g}`" if isinstance(value, float) else f"`{value}`"
+
+
+@pytest.mark.parametrize(
+    ("kinds", "arguments"),
+    [
+        (fleet_sections.KINDS, fleet_sections.ARGUMENTS),
+        (settings_sections.SECTIONS, {}),
+    ],
+)
+def test_settings_page_has_every_key(
+    kinds: dict[str, type], arguments: dict[str, tuple[str, ...]]
+) -> None:
+    page = (DOCS / "settings.md").read_text()
+    for kind, model in kinds.items():
+        title = " ".join((kind, *arguments.get(kind, ())))
+        part = page.partition(f"### `[{title}]`\n")[2]
+        part = re.split(r"^##", part, flags=re.M)[0]
+        fields = model.model_fields  # type: ignore[attr-defined]
+        wanted = [f"| `{name}` | {_default(field.default)} | "
+                  f"{field.description} |"
+                  for name, field in fields.items()]  # fmt: skip
+        assert re.findall(r"^\| `.*$", part, re.M) == wanted
+
+
+def test_exit_codes_page() -> None:
+    rows = [tuple(row[:2]) for row in _rows("exit-codes.md", 3)[2:]]
+    assert rows == [(str(c.value), c.name) for c in exit_codes.ExitCode]
+
+
+@pytest.mark.parametrize("page", PAGES, ids=str)
+def test_links_lead_somewhere(page: pathlib.Path) -> None:
+    for target in LINK.findall(page.read_text()):
+        assert (page.parent / target).exists(), target
+
+
+def test_index_leads_to_every_page() -> None:
+    index = (DOCS / "index.md").read_text()
+    named = {DOCS / target for target in LINK.findall(index)}
+    pages = {page for page in DOCS.glob("*.md") if page.name != "index.md"}
+    assert pages - named == set()
+
+
+def _blocks(language: str) -> list[tuple[str, str]]:
+    return [
+        (page.name, text)
+        for page in PAGES
+        for found, text in BLOCK.findall(page.read_text())
+        if found == language
+    ]
+
+
+@pytest.mark.parametrize(("page", "text"), _blocks("ini"))
+def test_settings_in_docs_are_valid(page: str, text: str) -> None:
+    assert settings.parse(text).is_ok()
+
+
+@pytest.mark.parametrize(("page", "text"), _blocks("sh"))
+def test_commands_in_docs(page: str, text: str, tmp_path: pathlib.Path) -> None:
+    """Runs the lines that need no system, and parses the others."""
+    command = f"{sys.executable} -m almondshift.console.application"
+    lines = ["almondshift config sample > fleet.ini", *text.splitlines()]
+    for line in lines:
+        if NEEDS_A_SYSTEM in line:
+            words = shlex.split(line.partition(">")[0])
+            assert application.create_parser().parse_args(words[1:]).run
+            continue
+        called = line.replace("almondshift", command, 1)
+        ran = subprocess.run(
+            called, shell=True, cwd=tmp_path, capture_output=True, text=True
+        )
+        assert ran.returncode == 0, f"{line}: {ran.stderr}"
