--- /dev/null
+++ b/bench/throughput.py
@@ -0,0 +1,202 @@
+"""Tokens a second of a whole system against the bound of its hardware."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import pathlib
+import tempfile
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+from almondshift.model import endpoints
+from almondshift.model import layers
+from almondshift.policy import flow
+from tests.faults import processes
+from tests.faults import systems
+
+if TYPE_CHECKING:
+    from almondshift.adapters import http_caller
+
+PROMPT = list(range(32, 48))
+TOKENS = 48
+WARM_UP_S = 2.0
+MEASURE_S = 6.0
+NODES = 3
+CONCURRENCY = 160
+
+MIXED = (
+    systems.EngineShape("a1", 12, "za", "large", 8.0, 60.0),
+    systems.EngineShape("b1", 6, "za", "middle", 8.0, 90.0),
+    systems.EngineShape("b2", 6, "zb", "middle", 8.0, 90.0),
+    systems.EngineShape("c1", 4, "za", "small", 10.0, 160.0),
+    systems.EngineShape("c2", 4, "zb", "small", 10.0, 160.0),
+    systems.EngineShape("c3", 4, "za", "small", 10.0, 160.0),
+)
+MAX_BATCH = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ThroughputResult:
+    """What one run gave.
+
+    Attributes:
+        tokens_per_s: Generated tokens of right answers, prompt not counted.
+        positions_per_s: Prompt and generated positions together.
+        bound: Positions a second that the engines allow by max-flow.
+        node_cpu: Processor seconds of all nodes for each second.
+    """
+
+    coalesce: bool
+    tokens_per_s: float
+    positions_per_s: float
+    bound: float
+    node_cpu: float
+    wrong: int
+
+    @property
+    def share(self) -> float:
+        """Share of the bound that was reached."""
+        return self.positions_per_s / self.bound if self.bound else 0.0
+
+
+async def measure(*, coalesce: bool) -> ThroughputResult:
+    """Runs a saturating load for a bounded time."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        with processes.running(folder) as runner:
+            system = systems.RealSystem(runner, folder, coalesce=coalesce)
+            try:
+                await system.start(nodes=NODES, engines=MIXED)
+                return await _load(system, coalesce)
+            finally:
+                await system.close()
+
+
+async def _load(
+    system: systems.RealSystem, coalesce: bool
+) -> ThroughputResult:
+    bound = await _bound(system)
+    expected = systems.expected(PROMPT, TOKENS)
+    caller = await system.caller()
+    addresses = [node.address for node in system.nodes.values()]
+    counter = _Counter(expected)
+    end = time.monotonic() + WARM_UP_S + MEASURE_S
+    workers = [
+        asyncio.create_task(
+            _work(caller, addresses[i % len(addresses)], counter, end)
+        )
+        for i in range(CONCURRENCY)
+    ]
+    await asyncio.sleep(WARM_UP_S)
+    counter.reset()
+    cpu_before = _cpu_s(system)
+    started = time.monotonic()
+    await asyncio.sleep(MEASURE_S)
+    seconds = time.monotonic() - started
+    tokens, prompts = counter.tokens, counter.prompts
+    cpu = (_cpu_s(system) - cpu_before) / seconds
+    await asyncio.gather(*workers)
+    return ThroughputResult(
+        coalesce=coalesce,
+        tokens_per_s=tokens / seconds,
+        positions_per_s=(tokens + prompts) / seconds,
+        bound=bound,
+        node_cpu=cpu,
+        wrong=counter.wrong,
+    )
+
+
+class _Counter:
+    def __init__(self, expected: tuple[int, ...]) -> None:
+        self.expected = expected
+        self.tokens = 0
+        self.prompts = 0
+        self.wrong = 0
+
+    def reset(self) -> None:
+        self.tokens = 0
+        self.prompts = 0
+
+    def take(self, answer: http_caller.CallerAnswer) -> None:
+        if not answer.whole or tuple(answer.tokens) != self.expected:
+            self.wrong += 1
+
+    def on_token(self, _: int) -> None:
+        self.tokens += 1
+
+
+async def _work(
+    caller: http_caller.Caller, address: str, counter: _Counter, end: float
+) -> None:
+    while time.monotonic() < end:
+        answer = await caller.complete(
+            "chat",
+            PROMPT,
+            TOKENS,
+            address=address,
+            on_token=counter.on_token,
+            deadline_ms=60_000,
+        )
+        counter.take(answer)
+        if answer.whole:
+            counter.prompts += len(PROMPT)
+
+
+async def _bound(system: systems.RealSystem) -> float:
+    status = await system.status("n1")
+    shapes = {shape.name: shape for shape in MIXED}
+    held = []
+    for row in status["endpoints"]:
+        for holding in row["holdings"]:
+            start, end = holding["layers"].split("-")
+            held.append(
+                flow.FlowEngine(
+                    _description(shapes[row["name"]]),
+                    layers.LayerRange(int(start), int(end)),
+                )
+            )
+    return flow.bound_tokens_per_s(held, systems.LAYERS)
+
+
+def _description(shape: systems.EngineShape) -> endpoints.EndpointDescription:
+    return endpoints.EndpointDescription(
+        name=shape.name,
+        instance="",
+        accelerator=shape.accelerator,
+        layer_capacity=shape.capacity,
+        fixed_s=shape.fixed_ms / 1000,
+        per_layer_token_s=shape.token_us / 1e6,
+        max_batch=MAX_BATCH,
+        max_sessions=64,
+    )
+
+
+def _cpu_s(system: systems.RealSystem) -> float:
+    return sum(_process_cpu_s(n.pid) for n in system.nodes.values())
+
+
+def _process_cpu_s(pid: int) -> float:
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().split()
+    ticks = int(fields[13]) + int(fields[14])
+    return ticks / 100
+
+
+def main() -> list[dict[str, Any]]:
+    """Measures with coalescing off and on; prints and returns rows."""
+    rows = []
+    print("coalescing  tokens/s  positions/s  bound  share  node cores  wrong")
+    for coalesce in (False, True):
+        result = asyncio.run(measure(coalesce=coalesce))
+        print(
+            f"{'on' if coalesce else 'off':10}  {result.tokens_per_s:8.0f}  "
+            f"{result.positions_per_s:11.0f}  {result.bound:5.0f}  "
+            f"{result.share:5.2f}  {result.node_cpu:10.2f}  {result.wrong}"
+        )
+        rows.append({**dataclasses.asdict(result), "share": result.share})
+    return rows
+
+
+if __name__ == "__main__":
+    main()
--- a/src/almondshift/adapters/http_front/base.py
+++ b/src/almondshift/adapters/http_front/base.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
+    from almondshift.adapters import request_observer
     from almondshift.adapters.http_front import contexts
     from almondshift.model import fleet
 
@@ -24,6 +25,7 @@
 MAX_DEADLINE_MS = 3_600_000
 BEARER = "Bearer "
 MAX_KEY_LENGTH = 200
+INTERNAL = 500
 
 logger = logging.getLogger(__name__)
 
@@ -38,6 +40,7 @@
         self.clock = context.clock
         self.request_id = uuid.uuid4().hex
         self.arrived = self.clock.monotonic()
+        self.record: request_observer.RequestRecord | None = None
 
     def set_default_headers(self) -> None:
         """Names no server software."""
@@ -92,6 +95,12 @@
             )
         return key
 
+    def begin_record(self, account: str, service: str) -> None:
+        """Opens the record of this request."""
+        self.record = self.context.observer.begin(
+            self.request_id, account, service, self.arrived
+        )
+
     def check_admission(self) -> None:
         """Refuses new work while the node is leaving."""
         refusal = self.node.refusal()
@@ -100,6 +109,8 @@
 
     def write_problem(self, error: BaseException) -> None:
         """Answers with a problem in place of whatever was prepared."""
+        if self.record is not None:
+            self.record.failed(_typed(error))
         problem = problems.render(error, self.request_id)
         self.clear()
         self.set_status(problem.status)
@@ -179,8 +190,14 @@
         raise tornado.web.HTTPError(404)
 
 
+def _typed(error: BaseException) -> errors.AlmondshiftError:
+    if isinstance(error, errors.AlmondshiftError):
+        return error
+    return _from_http(INTERNAL)
+
+
 def _from_http(status: int) -> errors.AlmondshiftError:
-    if status >= 500:
+    if status >= INTERNAL:
         return errors.AlmondshiftError(
             "The node failed while it handled the request.",
             execution=errors.Execution.UNKNOWN,
--- a/src/almondshift/adapters/http_front/completions.py
+++ b/src/almondshift/adapters/http_front/completions.py
@@ -41,7 +41,7 @@
         try:
             await self.work
         except asyncio.CancelledError:
-            self._cancel_stream()
+            self._abandon()
 
     def on_connection_close(self) -> None:
         """Cancels the work when the caller goes away."""
@@ -59,9 +59,11 @@
         else:
             await self._answer_whole(request, stream)
 
-    def _cancel_stream(self) -> None:
+    def _abandon(self) -> None:
         if self.stream is not None:
             self.stream.close()
+        if self.record is not None:
+            self.record.abandoned()
 
     def _request(self) -> completions.CompletionRequest:
         account = self.account()
@@ -71,6 +73,7 @@
                 pass
             case expression.Result(error=error):
                 raise error
+        self.begin_record(account.name, body.model)
         service = self._service(body.model, account)
         prompt = self._prompt(body, service)
         return completions.CompletionRequest(
@@ -131,7 +134,8 @@
         stream: gateway.CompletionStream,
     ) -> None:
         async with contextlib.aclosing(stream.tokens()) as source:
-            tokens = [token async for token in source]
+            tokens = [self._recorded(token) async for token in source]
+        self._record_end(stream)
         answer = self._chunk(request, tuple(tokens), "length")
         answer["usage"] = _usage(request, len(tokens))
         answer["almondshift"] = _details(stream)
@@ -149,6 +153,7 @@
                     if count == 0:
                         self._begin_events()
                     count += 1
+                    self._recorded(token)
                     event = self._chunk(request, (token,), None)
                     await self._send(request, event)
         except errors.AlmondshiftError as error:
@@ -156,12 +161,22 @@
                 raise
             self._write_error_event(error)
             return
+        self._record_end(stream)
         last = self._chunk(request, (), "length")
         last["usage"] = _usage(request, count)
         last["almondshift"] = _details(stream)
         await self._send(request, last)
         await self.finish(DONE)
 
+    def _recorded(self, token: int) -> int:
+        if self.record is not None:
+            self.record.token()
+        return token
+
+    def _record_end(self, stream: gateway.CompletionStream) -> None:
+        if self.record is not None:
+            self.record.answered(stream.summary().recoveries)
+
     def _begin_events(self) -> None:
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("Cache-Control", "no-store")
@@ -193,6 +208,8 @@
 
     def _write_error_event(self, error: errors.AlmondshiftError) -> None:
         error.execution = errors.Execution.RAN
+        if self.record is not None:
+            self.record.failed(error)
         problem = problems.describe(error, self.request_id)
         self.write(
             b"event: error\ndata: " + json.dumps(problem).encode() + b"\n\n"
--- a/src/almondshift/adapters/http_front/contexts.py
+++ b/src/almondshift/adapters/http_front/contexts.py
@@ -6,8 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    import prometheus_client
-
+    from almondshift.adapters import request_observer
     from almondshift.ports import clocks
     from almondshift.ports import gateway
     from almondshift.ports import tokenizers
@@ -20,4 +19,4 @@
     node: gateway.Gateway
     clock: clocks.Clock
     tokenizer: tokenizers.Tokenizer
-    registry: prometheus_client.CollectorRegistry
+    observer: request_observer.RequestObserver
--- a/src/almondshift/adapters/http_front/health.py
+++ b/src/almondshift/adapters/http_front/health.py
@@ -34,4 +34,4 @@
     def get(self) -> None:
         """Answers with all metrics."""
         self.set_header("Content-Type", prometheus_client.CONTENT_TYPE_LATEST)
-        self.finish(prometheus_client.generate_latest(self.context.registry))
+        self.finish(self.context.observer.metrics.expose())
--- a/src/almondshift/adapters/http_front/plain.py
+++ b/src/almondshift/adapters/http_front/plain.py
@@ -38,12 +38,15 @@
             case expression.Result(tag="ok", ok=answer):
                 self.set_status(answer.status)
                 self.set_header("Content-Type", answer.content_type)
+                if self.record is not None:
+                    self.record.answered()
                 await self.finish(answer.body)
             case expression.Result(error=error):
                 raise error
 
     def _request(self, name: str, path: str) -> gateway.PlainRequest:
         account = self.account()
+        self.begin_record(account.name, name)
         service = self._service(name, account)
         query = f"?{self.request.query}" if self.request.query else ""
         return gateway.PlainRequest(
--- a/src/almondshift/adapters/http_front/server.py
+++ b/src/almondshift/adapters/http_front/server.py
@@ -19,8 +19,7 @@
 from almondshift.adapters.http_front import plain
 
 if TYPE_CHECKING:
-    import prometheus_client
-
+    from almondshift.adapters import request_observer
     from almondshift.ports import clocks
     from almondshift.ports import gateway
 
@@ -67,7 +66,7 @@
 def create_http_front(
     node: gateway.Gateway,
     clock: clocks.Clock,
-    registry: prometheus_client.CollectorRegistry,
+    observer: request_observer.RequestObserver,
     host: str,
     port: int,
     extra: list[Any] | None = None,
@@ -75,7 +74,7 @@
     """Builds the server; ``extra`` holds the operators' handlers."""
     common = {
         "context": contexts.FrontContext(
-            node, clock, byte_tokenizer.create_tokenizer(), registry
+            node, clock, byte_tokenizer.create_tokenizer(), observer
         )
     }
     handlers = [
--- a/src/almondshift/daemons/demo.py
+++ b/src/almondshift/daemons/demo.py
@@ -178,7 +178,9 @@
             print(f"  problem: {answer.problem}")
         verdict = "equal to the reference" if right else "WRONG"
         print(f"  answer: {answer.text!r}")
-        print(f"  {len(answer.tokens)} tokens in {answer.seconds:.3f} s,", verdict)
+        print(
+            f"  {len(answer.tokens)} tokens in {answer.seconds:.3f} s,", verdict
+        )
 
     def _show_stages(self, answer: http_caller.CallerAnswer) -> None:
         for stage in answer.details.get("stages", []):
--- a/src/almondshift/daemons/embedded.py
+++ b/src/almondshift/daemons/embedded.py
@@ -205,8 +205,7 @@
 
     def _all_configured(self) -> bool:
         return all(
-            node.node.config.current is not None
-            for node in self.nodes.values()
+            node.node.config.current is not None for node in self.nodes.values()
         )
 
     async def _add_plain(self, service: str, name: str, zone: str) -> None:
--- a/src/almondshift/daemons/node.py
+++ b/src/almondshift/daemons/node.py
@@ -17,8 +17,10 @@
 from almondshift.adapters import http_plain_service
 from almondshift.adapters import keys
 from almondshift.adapters import logs
+from almondshift.adapters import metrics
 from almondshift.adapters import peer_link
 from almondshift.adapters import platform_store
+from almondshift.adapters import request_observer
 from almondshift.adapters import settings as node_settings
 from almondshift.adapters import system_clock
 from almondshift.adapters.http_front import server
@@ -54,9 +56,7 @@
         self.settings = settings
         clock = system_clock.create_system_clock()
         address = settings.platform_address
-        self.table = platform_store.create_table_store(
-            address, STORE_TIMEOUT_S
-        )
+        self.table = platform_store.create_table_store(address, STORE_TIMEOUT_S)
         self.objects = platform_store.create_object_store(
             address, STORE_TIMEOUT_S
         )
@@ -75,11 +75,18 @@
             ),
         )
         self.node = application.create_node(settings, ports, choices, rng)
-        registry = prometheus_client.CollectorRegistry()
+        self.observer = request_observer.create_request_observer(
+            metrics.create_metrics(prometheus_client.CollectorRegistry()),
+            self.node.counts,
+            clock,
+        )
+        self.node.config.subscribe(
+            lambda _, value: self.observer.metrics.use(value)
+        )
         self.front = server.create_http_front(
             self.node.gateway,
             clock,
-            registry,
+            self.observer,
             settings.entry_host,
             settings.entry_port,
             http_operations.create_routes(
--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -164,9 +164,7 @@
             rng,
             reconciler.ReconcilerSettings(),
         )
-        self.budget = kept_inputs.create_kept_inputs(
-            settings.kept_inputs_bytes
-        )
+        self.budget = kept_inputs.create_kept_inputs(settings.kept_inputs_bytes)
         self.counts = objectives.create_objective_counts(clock)
         self.entries = entries.EntryList(
             self.membership, lambda: self.entry_address, settings.zone
--- a/src/almondshift/node/at_most_once.py
+++ b/src/almondshift/node/at_most_once.py
@@ -76,9 +76,7 @@
         task.add_done_callback(self.running.discard)
         return await asyncio.shield(task)
 
-    async def _dispatch(
-        self, claimed: claim_parts.Claimed, work: Work
-    ) -> Kept:
+    async def _dispatch(self, claimed: claim_parts.Claimed, work: Work) -> Kept:
         if not self.claims.may_dispatch(claimed):
             await self.claims.release_not_run(claimed)
             return expression.Error(
--- a/src/almondshift/node/config_spread.py
+++ b/src/almondshift/node/config_spread.py
@@ -101,8 +101,11 @@
         return current is not None and current.version >= _version_of(fact)
 
     async def _ask_peer(self, fact: peers.Fact) -> None:
-        """Takes the text from a peer, so that an outage of the store does
-        not leave this node on an older version than its peers."""
+        """Takes the text from a peer.
+
+        Without it, an outage of the store would leave this node on an older
+        version than its peers.
+        """
         names = [str(json.loads(fact.value)["at"])]
         others = [peer.name for peer in self.membership.peers()]
         self.rng.shuffle(others)
--- a/src/almondshift/node/directory.py
+++ b/src/almondshift/node/directory.py
@@ -115,7 +115,7 @@
         for name in list(self.endpoints):
             await self._drop(name)
 
-    def coalescer(self, endpoint: str) -> coalescer.Coalescer | None:
+    def calls_to(self, endpoint: str) -> coalescer.Coalescer | None:
         """Returns the way to an engine, or None if it is not known."""
         known = self.endpoints.get(endpoint)
         return known.calls if known else None
--- a/src/almondshift/node/gateway.py
+++ b/src/almondshift/node/gateway.py
@@ -7,8 +7,8 @@
 import expression
 
 from almondshift import errors
-from almondshift.model import fleet as fleets
 from almondshift.coordination import claim_rows
+from almondshift.model import fleet as fleets
 from almondshift.model import prefixes
 from almondshift.node import kept_answers
 from almondshift.ports import gateway
@@ -95,9 +95,7 @@
 
     async def _start(
         self, request: requests.CompletionRequest
-    ) -> expression.Result[
-        gateway.CompletionStream, errors.AlmondshiftError
-    ]:
+    ) -> expression.Result[gateway.CompletionStream, errors.AlmondshiftError]:
         hints = self._prefixes(request)
         match await self.completion_service.start(request, hints):
             case expression.Result(tag="ok", ok=running):
@@ -172,6 +170,4 @@
 
 
 def _answer(kept: claim_rows.StoredResult) -> plain_services.PlainAnswer:
-    return plain_services.PlainAnswer(
-        kept.status, kept.content_type, kept.body
-    )
+    return plain_services.PlainAnswer(kept.status, kept.content_type, kept.body)
--- a/src/almondshift/node/stage_calls.py
+++ b/src/almondshift/node/stage_calls.py
@@ -44,7 +44,7 @@
         self, endpoint: str, item: steps.StepItem, timeout_s: float
     ) -> expression.Result[steps.StepResult, engines.EngineError]:
         """Runs one item through the endpoint's coalescer."""
-        calls = self.directory.coalescer(endpoint)
+        calls = self.directory.calls_to(endpoint)
         if calls is None:
             return expression.Error(directory.unreachable(endpoint))
         return await calls.submit(item, timeout_s)
--- a/tests/faults/systems.py
+++ b/tests/faults/systems.py
@@ -86,6 +86,10 @@
 [control]
 poll_s = 0.3
 lease_s = {lease_s}
+
+[experiment]
+coalesce = {coalesce}
+keep_inputs = {keep_inputs}
 """
 
 
@@ -101,9 +105,7 @@
     prompt: list[int], count: int, version: int = 1
 ) -> tuple[int, ...]:
     """Returns the right tokens, computed directly."""
-    return reference.complete(
-        MODEL, version, "", LAYERS, tuple(prompt), count
-    )
+    return reference.complete(MODEL, version, "", LAYERS, tuple(prompt), count)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -143,12 +145,16 @@
         hold_s: float = 1.0,
         grace_s: float = 10.0,
         lease_s: float = 2.0,
+        coalesce: bool = True,
+        keep_inputs: bool = True,
     ) -> None:
         self.runner = runner
         self.folder = folder
         self.hold_s = hold_s
         self.grace_s = grace_s
         self.lease_s = lease_s
+        self.coalesce = coalesce
+        self.keep_inputs = keep_inputs
         self.platform: processes.ChildProcess | None = None
         self.platform_route = ""
         self.nodes: dict[str, processes.ChildProcess] = {}
@@ -216,6 +222,8 @@
                 hold_s=self.hold_s,
                 grace_s=self.grace_s,
                 lease_s=self.lease_s,
+                coalesce="yes" if self.coalesce else "no",
+                keep_inputs="yes" if self.keep_inputs else "no",
             )
         )
         self.nodes[name] = await self.runner.start_node(name, path)
@@ -244,16 +252,16 @@
 
     async def apply(self, text: str, base: int, node: str = "n1") -> Any:
         """Applies a configuration through a node; returns the result."""
-        client = http_operations_client.create_operations_client(
-            self.nodes[node].address, keys.Secret(OPERATOR)
+        client = http_operations_client.create_node_client(
+            keys.Secret(OPERATOR)
         )
-        await client.start()
+        address = self.nodes[node].address
         try:
-            return await client.apply_config(
-                text, base, f"c{base}-{node}", "tester"
+            return await client.apply(
+                address, text, base, f"c{base}-{node}", "tester"
             )
         finally:
-            await client.close()
+            client.close()
 
     async def status(self, node: str) -> dict[str, Any]:
         """Returns a node's status, or an empty object."""
@@ -279,7 +287,7 @@
         elif endpoint in self.engines:
             address, path = self.engines[endpoint].address, "/v1/control"
         else:
-            address, path = self.plain[endpoint].address, "/control"
+            address, path = self.plain[endpoint].address, "/control/switches"
         response = await self.http.fetch(
             f"http://{address}{path}",
             method="POST",
