--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -40,9 +40,7 @@
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         with processes.running(folder) as runner:
-            system = systems.RealSystem(
-                runner, folder, keep_inputs=keep_inputs
-            )
+            system = systems.RealSystem(runner, folder, keep_inputs=keep_inputs)
             try:
                 await system.start(nodes=2, engines=ENGINES)
                 for index in range(ROUNDS):
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -10,11 +10,12 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from tests.faults import processes
+from tests.faults import systems
+
 from almondshift.model import endpoints
 from almondshift.model import layers
 from almondshift.policy import flow
-from tests.faults import processes
-from tests.faults import systems
 
 if TYPE_CHECKING:
     from almondshift.adapters import http_caller
@@ -74,9 +75,7 @@
                 await system.close()
 
 
-async def _load(
-    system: systems.RealSystem, coalesce: bool
-) -> ThroughputResult:
+async def _load(system: systems.RealSystem, coalesce: bool) -> ThroughputResult:
     bound = await _bound(system)
     expected = systems.expected(PROMPT, TOKENS)
     caller = await system.caller()
--- a/src/almondshift/adapters/settings.py
+++ b/src/almondshift/adapters/settings.py
@@ -29,6 +29,9 @@
         lease_s: Seconds that a lease holds.
         body_bytes: Largest request body.
         kept_inputs_bytes: Bound of inputs kept for recovery.
+        router: ``full``, or ``baseline`` to measure against it.
+        coalesce: Whether steps of many requests share a call.
+        keep_inputs: Whether stage inputs are kept for recovery.
     """
 
     name: str
@@ -52,6 +55,9 @@
     lease_s: float
     body_bytes: int
     kept_inputs_bytes: int
+    router: str
+    coalesce: bool
+    keep_inputs: bool
 
 
 def load(
@@ -110,6 +116,9 @@
     drain = _section(written, "drain", settings_sections.DrainSection)
     control = _section(written, "control", settings_sections.ControlSection)
     limits = _section(written, "limits", settings_sections.LimitsSection)
+    experiment = _section(
+        written, "experiment", settings_sections.ExperimentSection
+    )
     return NodeSettings(
         name=node.name,
         zone=node.zone,
@@ -132,6 +141,9 @@
         lease_s=control.lease_s,
         body_bytes=limits.body_bytes,
         kept_inputs_bytes=limits.kept_inputs_bytes,
+        router=experiment.router,
+        coalesce=experiment.coalesce,
+        keep_inputs=experiment.keep_inputs,
     )
 
 
--- a/src/almondshift/adapters/settings_sections.py
+++ b/src/almondshift/adapters/settings_sections.py
@@ -156,6 +156,22 @@
     )
 
 
+class ExperimentSection(ini_sections.SectionModel):
+    """``[experiment]``: switches a mechanism off, to measure its worth."""
+
+    router: Literal["full", "baseline"] = pydantic.Field(
+        default="full", description="'full' or 'baseline'"
+    )
+    coalesce: ini_sections.YesNo = pydantic.Field(
+        default=True,
+        description="'yes' or 'no': steps of many requests share a call",
+    )
+    keep_inputs: ini_sections.YesNo = pydantic.Field(
+        default=True,
+        description="'yes' or 'no': keep stage inputs for recovery",
+    )
+
+
 SECTIONS: dict[str, type[ini_sections.SectionModel]] = {
     "node": NodeSection,
     "entry": EntrySection,
@@ -165,4 +181,5 @@
     "drain": DrainSection,
     "control": ControlSection,
     "limits": LimitsSection,
+    "experiment": ExperimentSection,
 }
--- a/src/almondshift/daemons/embedded.py
+++ b/src/almondshift/daemons/embedded.py
@@ -77,9 +77,9 @@
     nodes: int
     engines: tuple[engine_settings.EngineSettings, ...]
     plain: tuple[str, ...] = ()
-    choices: Callable[[random.Random], application.NodeChoices] = (
-        node_daemon.create_choices
-    )
+    choices: Callable[
+        [node_settings.NodeSettings, random.Random], application.NodeChoices
+    ] = node_daemon.create_choices
     platform: platform_settings.PlatformSettings = dataclasses.field(
         default_factory=platform_settings.PlatformSettings
     )
@@ -142,8 +142,9 @@
     async def add_node(self, name: str, zone: str) -> node_daemon.NodeProcess:
         """Starts a node that knows the others as seeds."""
         rng = random.Random(f"{self.settings.seed}/{name}")
+        settings = self._node_settings(name, zone)
         process = node_daemon.create_node_process(
-            self._node_settings(name, zone), self.settings.choices(rng), rng
+            settings, self.settings.choices(settings, rng), rng
         )
         await process.start()
         self.nodes[name] = process
--- a/src/almondshift/daemons/node.py
+++ b/src/almondshift/daemons/node.py
@@ -25,6 +25,8 @@
 from almondshift.adapters import system_clock
 from almondshift.adapters.http_front import server
 from almondshift.node import application
+from almondshift.node import completions
+from almondshift.node import directory
 from almondshift.policy import baseline
 from almondshift.policy import greedy_placement
 
@@ -141,11 +143,17 @@
     return NodeProcess(settings, peer_secret, operator_secret, choices, rng)
 
 
-def create_choices(rng: random.Random) -> application.NodeChoices:
+def create_choices(
+    settings: node_settings.NodeSettings, rng: random.Random
+) -> application.NodeChoices:
     """Returns the decisions that a node runs with."""
     return application.NodeChoices(
         router=baseline.create_baseline_router(rng),
         planner=greedy_placement.create_greedy_planner(),
+        completions=completions.CompletionSettings(
+            keep_inputs=settings.keep_inputs
+        ),
+        directory=directory.DirectorySettings(coalesce=settings.coalesce),
     )
 
 
@@ -173,7 +181,7 @@
 
 async def _serve(settings: node_settings.NodeSettings) -> None:
     rng = random.Random()
-    process = create_node_process(settings, create_choices(rng), rng)
+    process = create_node_process(settings, create_choices(settings, rng), rng)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
