--- a/src/almondshift/errors.py
+++ b/src/almondshift/errors.py
@@ -31,7 +31,7 @@
     kind: ClassVar[str] = "internal"
     status: ClassVar[int] = 500
     default_remedy: ClassVar[str] = "Report this with the request id."
-    default_execution: ClassVar[Execution] = Execution.NOT_RUN
+    default_execution: ClassVar[Execution] = Execution.UNKNOWN
 
     def __init__(
         self,
@@ -48,7 +48,13 @@
         super().__init__(f"{detail} {self.remedy}")
 
 
-class MalformedRequest(AlmondshiftError):
+class Refusal(AlmondshiftError):
+    """The base of errors that mean that nothing ran."""
+
+    default_execution = Execution.NOT_RUN
+
+
+class MalformedRequest(Refusal):
     """The body or a header of a request cannot be understood."""
 
     kind = "malformed_request"
@@ -56,7 +62,7 @@
     default_remedy = "Correct the named field and send the request again."
 
 
-class IdempotencyKeyRequired(AlmondshiftError):
+class IdempotencyKeyRequired(Refusal):
     """A non-idempotent service was called without an Idempotency-Key."""
 
     kind = "idempotency_key_required"
@@ -64,7 +70,7 @@
     default_remedy = "Send an Idempotency-Key header unique to this request."
 
 
-class IdempotencyKeyReused(AlmondshiftError):
+class IdempotencyKeyReused(Refusal):
     """An Idempotency-Key came again with another body."""
 
     kind = "idempotency_key_reused"
@@ -72,7 +78,7 @@
     default_remedy = "Use a new Idempotency-Key for a different request."
 
 
-class MissingKey(AlmondshiftError):
+class MissingKey(Refusal):
     """No bearer key was sent."""
 
     kind = "missing_key"
@@ -80,7 +86,7 @@
     default_remedy = "Send 'Authorization: Bearer KEY' of a client account."
 
 
-class WrongKey(AlmondshiftError):
+class WrongKey(Refusal):
     """The bearer key belongs to no client account."""
 
     kind = "wrong_key"
@@ -88,7 +94,7 @@
     default_remedy = "Check the key with the operators."
 
 
-class UnknownService(AlmondshiftError):
+class UnknownService(Refusal):
     """The named service is not in the configuration."""
 
     kind = "unknown_service"
@@ -96,7 +102,7 @@
     default_remedy = "Use a service name from the operators' configuration."
 
 
-class BodyTooLarge(AlmondshiftError):
+class BodyTooLarge(Refusal):
     """The request body is over the limit in bytes."""
 
     kind = "body_too_large"
@@ -104,7 +110,7 @@
     default_remedy = "Shorten the request."
 
 
-class PromptTooLong(AlmondshiftError):
+class PromptTooLong(Refusal):
     """The prompt is over the service's limit in tokens."""
 
     kind = "prompt_too_long"
@@ -112,7 +118,7 @@
     default_remedy = "Shorten the prompt."
 
 
-class DeadlinePast(AlmondshiftError):
+class DeadlinePast(Refusal):
     """The deadline had passed before any work was sent."""
 
     kind = "deadline_past"
@@ -129,7 +135,7 @@
     default_remedy = "Allow more time, or ask for fewer tokens."
 
 
-class Overloaded(AlmondshiftError):
+class Overloaded(Refusal):
     """The predicted wait is past the deadline, or the queue is full."""
 
     kind = "overloaded"
@@ -137,7 +143,7 @@
     default_remedy = "Ask again after the time in Retry-After."
 
 
-class AccountLimited(AlmondshiftError):
+class AccountLimited(Refusal):
     """The client account is over its own limit."""
 
     kind = "account_limited"
@@ -145,7 +151,7 @@
     default_remedy = "Ask again after the time in Retry-After."
 
 
-class ServiceNotReady(AlmondshiftError):
+class ServiceNotReady(Refusal):
     """The service, or one that it depends on, has no complete chain."""
 
     kind = "service_not_ready"
@@ -153,7 +159,7 @@
     default_remedy = "Ask again after the time in Retry-After."
 
 
-class NodeLeaving(AlmondshiftError):
+class NodeLeaving(Refusal):
     """This node is shutting down and takes no new work."""
 
     kind = "node_leaving"
@@ -161,7 +167,7 @@
     default_remedy = "Ask GET /v1/entries for another address."
 
 
-class Quarantined(AlmondshiftError):
+class Quarantined(Refusal):
     """The request crashed endpoints before and is not run for now."""
 
     kind = "quarantined"
@@ -187,7 +193,7 @@
     default_remedy = "Ask again; the request is idempotent."
 
 
-class ConfigInvalid(AlmondshiftError):
+class ConfigInvalid(Refusal):
     """A configuration text is wrong; names the section and the key."""
 
     kind = "config_invalid"
@@ -202,7 +208,7 @@
         super().__init__(f"{place}: {detail}", remedy=remedy)
 
 
-class ConfigConflict(AlmondshiftError):
+class ConfigConflict(Refusal):
     """Another operator's change was accepted first."""
 
     kind = "config_conflict"
@@ -213,7 +219,7 @@
     )
 
 
-class StoreUnavailable(AlmondshiftError):
+class StoreUnavailable(Refusal):
     """The platform's store refused or could not be reached; nothing ran."""
 
     kind = "store_unavailable"
@@ -230,7 +236,7 @@
     default_remedy = "Read the row back before writing again."
 
 
-class ConditionFailed(AlmondshiftError):
+class ConditionFailed(Refusal):
     """A conditional write found another revision; nothing was written."""
 
     kind = "condition_failed"
@@ -238,7 +244,7 @@
     default_remedy = "Read the row and decide again."
 
 
-class LeaseLost(AlmondshiftError):
+class LeaseLost(Refusal):
     """This process does not hold the lease, or can't prove that it does."""
 
     kind = "lease_lost"
@@ -246,7 +252,7 @@
     default_remedy = "Leave the action to the present holder."
 
 
-class EndpointUnreachable(AlmondshiftError):
+class EndpointUnreachable(Refusal):
     """No connection to the endpoint was made; no byte was sent."""
 
     kind = "endpoint_unreachable"
@@ -254,7 +260,7 @@
     default_remedy = "Choose another endpoint."
 
 
-class EndpointRefused(AlmondshiftError):
+class EndpointRefused(Refusal):
     """The endpoint said, before running anything, that it won't."""
 
     kind = "endpoint_refused"
