--- a/src/almondshift/adapters/http_operations_client.py
+++ b/src/almondshift/adapters/http_operations_client.py
@@ -33,7 +33,7 @@
 _SNAPSHOT = pydantic.TypeAdapter(burn.Snapshot)
 
 
-class NodeUnreachable(errors.AlmondshiftError):
+class NodeUnreachable(errors.Refusal):
     """No call was sent to the node, or a read was not answered."""
 
     kind = "node_unreachable"
--- a/src/almondshift/console/nodes.py
+++ b/src/almondshift/console/nodes.py
@@ -30,7 +30,7 @@
 ValueT = TypeVar("ValueT")
 
 
-class Usage(errors.AlmondshiftError):
+class Usage(errors.Refusal):
     """An option is missing."""
 
     kind = "usage"
--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -235,7 +235,7 @@
                 "verified": current.verified if current else False,
             },
             "lease": {
-                "held": grant is not None,
+                "holder": self.settings.name if grant else None,
                 "fencing": grant.fencing if grant else None,
             },
             "nodes": [self._own_row(), *self._peer_rows()],
@@ -247,7 +247,7 @@
     def _own_row(self) -> dict[str, Any]:
         return {
             "name": self.settings.name,
-            "address": self.entry_address,
+            "entry": self.entry_address,
             "zone": self.settings.zone,
             "state": "alive",
         }
@@ -256,7 +256,7 @@
         return [
             {
                 "name": peer.name,
-                "address": peer.entry_address,
+                "entry": peer.entry_address,
                 "zone": peer.zone,
                 "state": peer.state.value,
             }
--- a/src/almondshift/node/operations.py
+++ b/src/almondshift/node/operations.py
@@ -5,18 +5,22 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import expression
+
 from almondshift.ports import operations
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    import expression
-
     from almondshift import errors
     from almondshift.coordination import versioned_config
     from almondshift.model import fleet
 
 
+NOTHING_YET = operations.ConfigVersion(0, "", "", "", 0.0, verified=False)
+"""What stands before the first change; the base of that change."""
+
+
 class NodeOperations(operations.Operations):
     """Operators' calls on one node."""
 
@@ -40,6 +44,8 @@
         self, version: int | None
     ) -> expression.Result[operations.ConfigVersion, errors.AlmondshiftError]:
         """Returns a version, or the one in force here."""
+        if version is None and self.config.current is None:
+            return expression.Ok(NOTHING_YET)
         return await self.config.show(version)
 
     async def config_history(
--- a/tests/standins/rigs.py
+++ b/tests/standins/rigs.py
@@ -16,7 +16,8 @@
 from almondshift.model import layers
 from almondshift.model import orders
 from almondshift.model import steps
-from almondshift.standins import engine as engine_package
+from almondshift.standins.engine import server as engine_server
+from almondshift.standins.engine import settings as engine_settings
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -28,7 +29,7 @@
 class EngineRig:
     """A started engine with ``client`` connected to it."""
 
-    engine: engine_package.EngineServer
+    engine: engine_server.EngineServer
     client: http_engine.HttpEngine
 
     async def order(
@@ -88,10 +89,10 @@
 @contextlib.asynccontextmanager
 async def run_engine(**changes: Any) -> AsyncIterator[EngineRig]:
     """Starts an engine that takes no time for a model of four layers."""
-    settings = engine_package.EngineSettings(
+    settings = engine_settings.EngineSettings(
         name="e1", models={"m": 4}, fixed_s=0.0, per_layer_token_s=0.0
     )
-    engine = engine_package.create_engine(
+    engine = engine_server.create_engine(
         dataclasses.replace(settings, **changes)
     )
     await engine.start()
--- a/tests/standins/test_plain.py
+++ b/tests/standins/test_plain.py
@@ -11,13 +11,14 @@
 from almondshift import errors
 from almondshift.adapters import http_plain_service
 from almondshift.ports import plain_services
-from almondshift.standins import plain
+from almondshift.standins.plain import server as plain_server
+from almondshift.standins.plain import settings as plain_settings
 from tests import asynchronous
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-Rig = tuple[plain.PlainServer, http_plain_service.HttpPlainService]
+Rig = tuple[plain_server.PlainServer, http_plain_service.HttpPlainService]
 
 
 def make_call(
@@ -31,7 +32,7 @@
 
 @contextlib.asynccontextmanager
 async def run_plain(**settings: Any) -> AsyncIterator[Rig]:
-    server = plain.create_plain(plain.PlainSettings(**settings))
+    server = plain_server.create_plain(plain_settings.PlainSettings(**settings))
     await server.start()
     service = http_plain_service.create_plain_service()
     await service.start()
@@ -42,7 +43,7 @@
         await server.close()
 
 
-async def control(server: plain.PlainServer, **switches: Any) -> None:
+async def control(server: plain_server.PlainServer, **switches: Any) -> None:
     url = f"http://{server.address}/control/switches"
     body = json.dumps(switches)
     await httpclient.AsyncHTTPClient().fetch(url, method="POST", body=body)
--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -12,7 +12,8 @@
 from tornado import web
 
 from almondshift.adapters import http_engine
-from almondshift.standins import engine as engine_package
+from almondshift.standins.engine import server as engine_server
+from almondshift.standins.engine import settings as engine_settings
 from tests import asynchronous
 from tests.standins import rigs
 
@@ -110,8 +111,8 @@
     ):
         client = factory.build("e1", address)
         await client.start()
-        settings = engine_package.EngineSettings()
-        rig = rigs.EngineRig(engine_package.create_engine(settings), client)
+        settings = engine_settings.EngineSettings()
+        rig = rigs.EngineRig(engine_server.create_engine(settings), client)
         await rig.serve()
         await rig.step(rigs.make_item((1,)))
         await asynchronous.wait_until(lambda: len(platform.rows) == 1)
