Judge engine answers strictly, and bound a call's time by the engine

Only statuses that come before any work, or an answer marked X-Not-Run, are taken as refusals; any other failure is unknown. limits_for derives the tokens of a call from the engine's own figures, so that a call ends within 50 ms, below the 63 ms wanted between tokens.

--- a/src/almondshift/adapters/curl_calls.py
+++ b/src/almondshift/adapters/curl_calls.py
@@ -152,6 +152,8 @@
             The answer; or ``EndpointUnreachable`` if nothing was sent, else
             ``EndpointOutcomeUnknown``.
         """
+        if self.client is None:
+            return unreachable(call, "the client is closed")
         begun_at = asyncio.get_running_loop().time()
         if not await self._take_slot(call.timeout_s):
             return unreachable(call, "no connection was free in time")
--- a/src/almondshift/adapters/http_engine.py
+++ b/src/almondshift/adapters/http_engine.py
@@ -26,7 +26,8 @@
 CONTROL_TIMEOUT_S = 2.0
 KV_TIMEOUT_S = 10.0
 OK = 200
-CLIENT_ERRORS = range(400, 500)
+NOT_RUN_STATUSES = frozenset({400, 404, 405, 413, 429})
+"""Statuses that are given before a request is looked into any further."""
 
 Answer = TypeVar("Answer")
 
@@ -177,11 +178,10 @@
 
 def is_refusal(reply: curl_calls.Reply) -> bool:
     """Returns whether the endpoint says that it ran nothing."""
-    if reply.status in CLIENT_ERRORS:
+    if reply.status in NOT_RUN_STATUSES:
         return True
-    return (
-        reply.status != OK and engine_messages.NOT_RUN_HEADER in reply.headers
-    )
+    is_marked = engine_messages.NOT_RUN_HEADER in reply.headers
+    return reply.status != OK and is_marked
 
 
 def decode_nothing(_: bytes) -> None:
--- a/src/almondshift/node/step_queue.py
+++ b/src/almondshift/node/step_queue.py
@@ -31,6 +31,8 @@
 """Longest time of a call: below the 63 ms that callers may wait between
 tokens, less what the way takes."""
 
+SHORTEST_TOKEN_S = 1e-9
+
 StepOutcome = expression.Result[steps.StepResult, engines.EngineError]
 
 
@@ -56,8 +58,8 @@
         engine: What the engine says of itself.
         layer_count: Layers that it runs for each token.
     """
-    token_s = max(engine.per_layer_token_s * layer_count, 1e-9)
-    tokens = int((CALL_TARGET_S - engine.fixed_s) / token_s)
+    token_s = max(engine.per_layer_token_s * layer_count, SHORTEST_TOKEN_S)
+    tokens = round((CALL_TARGET_S - engine.fixed_s) / token_s)
     return CallLimits(engine.max_batch, max(tokens, SMALLEST_PORTION))
 
 
--- a/src/almondshift/standins/engine/handlers.py
+++ b/src/almondshift/standins/engine/handlers.py
@@ -35,6 +35,9 @@
         """Takes the engine that it serves."""
         self.engine = engine
 
+    def compute_etag(self) -> None:
+        """Saves the digest of each body; no answer here is cached."""
+
     def refuse(self, status: int, reason: str) -> None:
         """Answers that nothing was run, and why."""
         self.set_status(status)
--- a/tests/node/test_coalescer.py
+++ b/tests/node/test_coalescer.py
@@ -12,6 +12,7 @@
 import pytest
 
 from almondshift import errors
+from almondshift.model import endpoints
 from almondshift.model import layers
 from almondshift.model import steps
 from almondshift.node import coalescer
@@ -134,6 +135,23 @@
     await rig.coalescer.close()
 
 
+@pytest.mark.parametrize(
+    ("token_s", "layer_count", "tokens"),
+    [(0.0001, 5, 80), (0.0001, 20, 20), (0.001, 20, 16), (0.0, 5, 4 * 10**7)],
+    ids=["fast", "many layers", "slow", "in no time"],
+)
+def test_call_limits_follow_the_engine(
+    token_s: float, layer_count: int, tokens: int
+) -> None:
+    engine = endpoints.EndpointDescription(
+        "e1", "i1", "fast", 20, 0.01, token_s, 48, 64
+    )
+    limits = step_queue.limits_for(engine, layer_count)
+
+    assert limits.items == 48
+    assert limits.tokens == tokens
+
+
 @pytest.mark.parametrize(
     ("coalesce", "items", "sizes"),
     [(True, 4, [4, 4, 2]), (True, 64, [10]), (False, 4, [1] * 10)],
