Watch signals before the port file is written

A stand-in that was stopped right after it wrote its address died without taking its row from the list of VMs, since the handler came later.

--- a/src/almondshift/standins/processes.py
+++ b/src/almondshift/standins/processes.py
@@ -52,13 +52,13 @@
     partial.replace(target)
 
 
-async def wait_for_signal() -> None:
-    """Returns at the first SIGTERM or SIGINT."""
+def watch_signals() -> asyncio.Event:
+    """Returns an event that the first SIGTERM or SIGINT sets."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
+    return stopped
 
 
 async def serve(
@@ -72,13 +72,14 @@
         port_file: Where to write the address, ``""`` for nowhere.
         grace_s: Longest time to finish work that was begun.
     """
+    stopped = watch_signals()
     registration = registrations.Registration(platform)
     await endpoint.start()
     if port_file:
         write_port_file(port_file, endpoint.address)
     live = endpoint.describe_vm(endpoints.VmState.LIVE)
     registering = asyncio.create_task(registration.put(live))
-    await wait_for_signal()
+    await stopped.wait()
     await stop(registering)
     await leave(endpoint, registration, grace_s)
     await endpoint.close()
