--- a/tests/adapters/test_curl_calls.py
+++ b/tests/adapters/test_curl_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from typing import TYPE_CHECKING
 
 import pytest
@@ -114,42 +115,35 @@
 
 @METHODS
 @pytest.mark.parametrize("fresh", [False, True])
+@pytest.mark.parametrize(
+    ("fault", "error"),
+    [
+        ("refused", errors.EndpointUnreachable),
+        ("silent", errors.EndpointOutcomeUnknown),
+        ("bad header", errors.EndpointUnreachable),
+    ],
+)
 @asynchronous.run
-async def test_refused_connection_means_that_nothing_was_sent(
-    method: str, fresh: bool
+async def test_error_says_whether_anything_was_sent(
+    method: str,
+    fresh: bool,
+    fault: str,
+    error: type[errors.AlmondshiftError],
 ) -> None:
-    server = dying_servers.DyingServer()
-    await server.start()
-    await server.close()
-    with run_client() as client:
-        call = make_call(server.address, method=method, fresh=fresh)
-        error = (await client.send(call, set())).error
-
-    assert isinstance(error, errors.EndpointUnreachable)
-    assert error.execution is errors.Execution.NOT_RUN
-
-
-@METHODS
-@asynchronous.run
-async def test_timeout_after_sending_is_unknown(method: str) -> None:
-    async with run_silent_server() as address:
-        with run_client() as client:
-            call = make_call(address, method=method, timeout_s=0.3)
-            error = (await client.send(call, set())).error
-
-    assert isinstance(error, errors.EndpointOutcomeUnknown)
-
-
-@asynchronous.run
-async def test_header_that_cannot_be_sent_was_not_sent() -> None:
     async with run_silent_server() as address:
+        call = make_call(address, method=method, fresh=fresh, timeout_s=0.3)
+        if fault == "refused":
+            closed = dying_servers.DyingServer()
+            await closed.start()
+            await closed.close()
+            url = f"http://{closed.address}/"
+            call = dataclasses.replace(call, url=url)
+        if fault == "bad header":
+            call = dataclasses.replace(call, headers={"X": "a\r\nb"})
         with run_client() as client:
-            url = f"http://{address}/"
-            headers = {"X-Request-Id": "a\r\nb"}
-            call = curl_calls.Call("e1", "POST", url, headers, b"one", 1.0)
-            error = (await client.send(call, set())).error
+            outcome = await client.send(call, set())
 
-    assert isinstance(error, errors.EndpointUnreachable)
+    assert isinstance(outcome.error, error)
 
 
 @asynchronous.run
--- a/tests/node/test_coalescer.py
+++ b/tests/node/test_coalescer.py
@@ -19,42 +19,27 @@
 from almondshift.node import step_queue
 from almondshift.ports import clocks
 from almondshift.ports import engines
+from almondshift.standins.engine import runner
 from tests import asynchronous
+from tests.standins import rigs
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from collections.abc import Sequence
 
 TIMEOUT_S = 10.0
+Status = steps.StepStatus
 
 
-def make_item(
-    session: str, size: int = 1, position: int = 0, priority: int = 1
-) -> steps.StepItem:
-    wanted = layers.LayerRange(0, 4)
-    inputs = tuple(range(position, position + size))
-    return steps.StepItem(
-        "r", session, 1, position, wanted, "m", 1, "", priority, inputs
-    )
+def make_item(session: str, size: int = 1, **fields: int) -> steps.StepItem:
+    return rigs.make_item(tuple(range(size)), session=session, **fields)
 
 
-def answer(
-    item: steps.StepItem, status: steps.StepStatus = steps.StepStatus.OK
-) -> steps.StepResult:
+def answer(item: steps.StepItem, status: Status = Status.OK) -> Any:
     """Answers an item; each output is its input plus 1,000."""
     outputs = tuple(value + 1000 for value in item.inputs)
-    return steps.StepResult(
-        item.request_id,
-        item.session,
-        item.epoch,
-        item.position,
-        item.layers,
-        item.model,
-        item.version,
-        item.adapter,
-        status,
-        outputs if status is steps.StepStatus.OK else (),
-    )
+    is_ok = status is Status.OK
+    return runner.answer(item, status, outputs if is_ok else ())
 
 
 class Rig:
@@ -238,13 +223,13 @@
         (errors.EndpointRefused("No."), "endpoint_refused"),
         (errors.EndpointUnreachable("Away."), "endpoint_unreachable"),
         (errors.EndpointOutcomeUnknown("Cut."), "endpoint_outcome_unknown"),
-        (steps.StepStatus.BUSY, "busy"),
+        (Status.BUSY, "busy"),
     ],
 )
 @pytest.mark.parametrize("ran_before", [False, True])
 @asynchronous.run
 async def test_failed_call_fails_its_items(
-    failure: engines.EngineError | steps.StepStatus,
+    failure: engines.EngineError | Status,
     kind: str,
     ran_before: bool,
 ) -> None:
@@ -260,7 +245,7 @@
             rig.finish(0)
             await rig.wait_for(2)
         result: expression.Result[Any, Any] = expression.Error(failure)
-        if isinstance(failure, steps.StepStatus):
+        if isinstance(failure, Status):
             result = expression.Ok([answer(rig.calls[-1][0], failure)])
         rig.gates[-1].set_result(result)
         outcome = await task
@@ -276,50 +261,37 @@
 @pytest.mark.parametrize(
     "changes",
     [
-        {"session": "b"},
-        {"request_id": "x"},
-        {"epoch": 2},
-        {"position": 1},
-        {"layers": layers.LayerRange(0, 5)},
-        {"model": "n"},
-        {"version": 2},
-        {"adapter": "x"},
-        {"outputs": ()},
-        {"outputs": (1, 2)},
+        None,
+        *({"session": "b"}, {"request_id": "x"}, {"epoch": 2}),
+        *({"position": 1}, {"layers": layers.LayerRange(0, 5)}),
+        *({"model": "n"}, {"version": 2}, {"adapter": "x"}),
+        *({"outputs": ()}, {"outputs": (1, 2)}),
     ],
     ids=str,
 )
 @asynchronous.run
 async def test_result_of_another_item_is_dropped(
-    changes: dict[str, Any],
+    changes: dict[str, Any] | None,
 ) -> None:
     """No caller gets what answers another step.
 
     The engine crosses an answer. Its caller sees an unknown outcome, the
     other caller in the call gets its own answer, and the drop is counted.
+    If a result is missing, it can't be told whose, and all are dropped.
     """
     async with run_rig() as rig:
-        first = rig.submit(make_item("a"))
-        second = rig.submit(make_item("c"))
+        tasks = [rig.submit(make_item(name)) for name in "ac"]
         await rig.wait_for(1)
-        results = [answer(item) for item in rig.calls[0]]
-        results[0] = dataclasses.replace(results[0], **changes)
+        first, second = (answer(item) for item in rig.calls[0])
+        results = [second]
+        if changes:
+            results = [dataclasses.replace(first, **changes), second]
         rig.gates[0].set_result(expression.Ok(results))
+        outcomes = await asyncio.gather(*tasks)
 
-        assert isinstance((await first).error, errors.EndpointOutcomeUnknown)
-        assert (await second).is_ok()
-        assert rig.coalescer.mismatched_echoes == 1
-
-
-@asynchronous.run
-async def test_wrong_number_of_results_is_unknown_for_all() -> None:
-    async with run_rig() as rig:
-        tasks = [rig.submit(make_item(name)) for name in "ab"]
-        await rig.wait_for(1)
-        rig.gates[0].set_result(expression.Ok([answer(rig.calls[0][0])]))
-        for task in tasks:
-            error = (await task).error
-            assert isinstance(error, errors.EndpointOutcomeUnknown)
+        assert outcomes[1].is_ok() == bool(changes)
+        assert isinstance(outcomes[0].error, errors.EndpointOutcomeUnknown)
+        assert rig.coalescer.mismatched_echoes == (1 if changes else 2)
 
 
 @pytest.mark.parametrize(
--- a/tests/standins/test_plain.py
+++ b/tests/standins/test_plain.py
@@ -71,10 +71,11 @@
     ("switches", "error", "runs"),
     [
         ({"refuse": True}, errors.EndpointRefused, 0),
+        ({}, errors.EndpointRefused, 0),
         ({"swallow_answers": 1}, errors.EndpointOutcomeUnknown, 1),
         ({"slow_s": 60.0}, errors.EndpointOutcomeUnknown, 1),
     ],
-    ids=["refused before running", "answer lost", "too slow"],
+    ids=["refused before running", "leaving", "answer lost", "too slow"],
 )
 @pytest.mark.parametrize("repeatable", [False, True])
 @asynchronous.run
@@ -94,6 +95,7 @@
         warm = make_call("GET", repeatable=True)
         assert (await service.call(server.address, warm)).is_ok()
         await control(server, **switches)
+        server.leaving = not switches
         call = make_call(repeatable=repeatable, timeout_s=0.5)
         outcome = await service.call(server.address, call)
 
@@ -101,17 +103,6 @@
         assert server.record.total == 1 + runs
 
 
-@asynchronous.run
-async def test_leaving_service_refuses_before_running() -> None:
-    async with run_plain() as (server, service):
-        server.begin_leaving()
-        error = (await service.call(server.address, make_call())).error
-
-        assert isinstance(error, errors.EndpointRefused)
-        assert error.execution is errors.Execution.NOT_RUN
-        assert server.record.total == 0
-
-
 @pytest.mark.parametrize(("switch", "runs"), [("crash", 0), ("crash_after", 1)])
 @asynchronous.run
 async def test_crash_before_and_after_running(switch: str, runs: int) -> None:
