--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios over real processes."""
--- /dev/null
+++ b/tests/scenarios/features/lost_stage.feature
@@ -0,0 +1,14 @@
+Feature: A stage is lost in the middle of a request
+  The caller sees the right tokens, each once, whatever happens to a stage.
+
+  Scenario Outline: one engine is <what> in decode
+    Given a system of 2 nodes
+    When ann asks n1 for 80 tokens
+    And ann has received 20 tokens
+    And e1 is <what>
+    Then ann has the right answer
+
+    Examples:
+      | what   |
+      | killed |
+      | frozen |
