--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -21,6 +21,7 @@
 from almondshift.node import entries
 from almondshift.node import gateway
 from almondshift.node import kept_inputs
+from almondshift.node import load_exchange
 from almondshift.node import objectives
 from almondshift.node import operations
 from almondshift.node import plain_calls
@@ -147,6 +148,15 @@
             ),
             self.seeds.addresses,
         )
+        self.load_exchange = load_exchange.create_load_exchange(
+            self.membership,
+            self.directory,
+            self.driver,
+            self.driver.usage,
+            clock,
+            rng,
+        )
+        self.directory.watches = self.load_exchange.watches
         questions = at_most_once.ClaimQuestions(self.membership)
         self.claims = claims.create_claims(
             ports.table, ports.objects, clock, rng, settings.name, questions.ask
@@ -207,6 +217,7 @@
         await self.spread.start()
         await self.config.start()
         await self.directory.start()
+        await self.load_exchange.start()
         await self.lease.start()
         await self.claims.start()
         await self.reconciler.start()
@@ -214,6 +225,7 @@
     async def close(self) -> None:
         """Closes all parts, those that others rely on last."""
         await self.reconciler.close()
+        await self.load_exchange.close()
         await self.lease.close()
         await self.claims.close()
         await self.spread.close()
--- a/src/almondshift/node/directory.py
+++ b/src/almondshift/node/directory.py
@@ -20,6 +20,7 @@
 from almondshift.policy import events
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     import random
 
     from almondshift.node import router_driver
@@ -39,7 +40,9 @@
 
     Attributes:
         list_s: Seconds between reads of the VM list.
-        load_s: Seconds between load reports of one engine.
+        load_s: Least seconds between load reports of one engine.
+        ask_s: Least seconds between two questions to engines; with many
+            engines each is asked less often, so that the cost is bounded.
         forget_after: Reads of the list in a row without a VM after which
             its endpoint is dropped.
         coalesce: Whether steps of many requests share a call.
@@ -47,6 +50,7 @@
 
     list_s: float = 0.5
     load_s: float = 0.25
+    ask_s: float = 0.02
     forget_after: int = 2
     coalesce: bool = True
 
@@ -61,6 +65,7 @@
         report: The newest load report seen here.
         leaving: Whether any source said that it is leaving.
         missing: Reads of the VM list in a row without it.
+        watched: Whether this node asks the engine itself for its load.
     """
 
     vm: endpoints.Vm
@@ -70,6 +75,7 @@
     report: endpoints.LoadReport | None = None
     leaving: bool = False
     missing: int = 0
+    watched: bool = True
     cache_sequence: int = 0
     watcher: asyncio.Task[None] | None = None
 
@@ -80,6 +86,8 @@
     Attributes:
         endpoints: What is known now.
         list_known: Whether the VM list was read at least once.
+        watches: Says which engines this node asks for their load; peers
+            tell of the others.
     """
 
     def __init__(
@@ -101,6 +109,7 @@
         self.settings = settings
         self.endpoints: dict[str, Endpoint] = {}
         self.list_known = False
+        self.watches: Callable[[str], bool] = lambda _: True
         self._lister: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -220,7 +229,7 @@
                 await self._ask_engine(known)
             except Exception:
                 logger.exception("watching %s failed", known.vm.name)
-            await self._pause(self.settings.load_s)
+            await self._pause(self._load_pause_s())
 
     async def _ask_engine(self, known: Endpoint) -> None:
         engine = known.engine
@@ -228,6 +237,9 @@
             return
         if known.description is None:
             await self._describe(known, engine)
+        known.watched = self.watches(known.vm.name)
+        if not known.watched and known.report is not None:
+            return
         match await engine.load():
             case expression.Result(tag="ok", ok=report):
                 await self._take_report(known, engine, report)
@@ -295,6 +307,21 @@
         if report.leaving:
             self.mark_leaving(known.vm.name)
 
+    def take_peer_report(self, report: endpoints.LoadReport) -> None:
+        """Takes a report that a peer read."""
+        known = self.endpoints.get(report.endpoint)
+        if known is None or known.watched:
+            return
+        described = known.description
+        if described is not None and described.instance != report.instance:
+            known.description = None
+            known.report = None
+            return
+        known.report = report
+        self.driver.tell(events.LoadReported(self.clock.monotonic(), report))
+        if report.leaving:
+            self.mark_leaving(report.endpoint)
+
     async def _read_cache_events(
         self, known: Endpoint, engine: engines.Engine
     ) -> None:
@@ -309,6 +336,10 @@
             case _:
                 return
 
+    def _load_pause_s(self) -> float:
+        watched = sum(1 for e in self.endpoints.values() if e.watched)
+        return max(self.settings.load_s, watched * self.settings.ask_s)
+
     def _probe(self, endpoint: str) -> None:
         known = self.endpoints.get(endpoint)
         if known is None or known.engine is None:
--- a/src/almondshift/node/router_driver.py
+++ b/src/almondshift/node/router_driver.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from almondshift.node import usage
 from almondshift.policy import actions
 from almondshift.policy import events
 
@@ -29,12 +30,14 @@
 
     Attributes:
         router: The state machine.
+        usage: What is in flight and used, by the router's decisions.
         on_probe: Called with the endpoint of each probe asked for.
     """
 
     def __init__(self, router: routers.Router, clock: clocks.Clock) -> None:
         self.router = router
         self.clock = clock
+        self.usage = usage.create_usage()
         self.on_probe: Callable[[str], None] = lambda _: None
         self._waiting: dict[str, asyncio.Future[Decision]] = {}
         self._ticker: asyncio.Task[None] | None = None
@@ -58,7 +61,9 @@
 
     def tell(self, event: events.Event) -> None:
         """Gives the router an event and carries out what it decides."""
+        self.usage.observe(event)
         for action in self.router.handle(event):
+            self.usage.decided(action, event.at)
             self._carry_out(action)
 
     async def decide(
--- /dev/null
+++ b/src/almondshift/node/usage.py
@@ -0,0 +1,104 @@
+"""What this node has in flight and what accounts use through it."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+from almondshift.policy import actions
+from almondshift.policy import events
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from almondshift.model import chains
+
+MEMORY_S = 2.0
+SMALLEST_RATE = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class _Rate:
+    at: float
+    tokens: float
+
+    def add(self, now: float, tokens: float) -> None:
+        self.tokens = self.per_s(now) * MEMORY_S + tokens
+        self.at = now
+
+    def per_s(self, now: float) -> float:
+        elapsed = max(0.0, now - self.at)
+        return self.tokens * math.exp(-elapsed / MEMORY_S) / MEMORY_S
+
+
+class Usage:
+    """Follows the events and actions of the router.
+
+    Attributes:
+        in_flight: Requests by endpoint.
+    """
+
+    def __init__(self) -> None:
+        self.in_flight: collections.Counter[str] = collections.Counter()
+        self._accounts: dict[str, str] = {}
+        self._endpoints: dict[str, list[str]] = {}
+        self._rates: dict[str, _Rate] = {}
+
+    def observe(self, event: events.Event) -> None:
+        """Takes an event that the router is given."""
+        if isinstance(event, events.Arrival):
+            self._accounts[event.request_id] = event.account
+        elif isinstance(event, events.Progress):
+            self._count(event.at, event.request_id, event.tokens)
+        elif isinstance(event, events.Completed | events.Abandoned):
+            self._end(event.request_id)
+
+    def decided(self, action: actions.Action, at: float) -> None:
+        """Takes an action that the router decided."""
+        if isinstance(action, actions.Dispatch):
+            self._occupy(action.request_id, _names(action.chain.stages))
+        elif isinstance(action, actions.DispatchPlain):
+            self._occupy(action.request_id, [action.endpoint])
+            self._count(at, action.request_id, 1)
+        elif isinstance(action, actions.Replace):
+            self._occupy(action.request_id, _names(action.replacement))
+        elif isinstance(action, actions.Refuse):
+            self._end(action.request_id)
+
+    def rates(self, now: float) -> dict[str, float]:
+        """Returns recent tokens a second by account; forgets idle ones."""
+        found = {a: r.per_s(now) for a, r in self._rates.items()}
+        for account, rate in found.items():
+            if rate < SMALLEST_RATE:
+                del self._rates[account]
+        return {a: r for a, r in found.items() if r >= SMALLEST_RATE}
+
+    def _count(self, at: float, request_id: str, tokens: int) -> None:
+        account = self._accounts.get(request_id)
+        if account is None:
+            return
+        self._rates.setdefault(account, _Rate(at, 0.0)).add(at, tokens)
+
+    def _occupy(self, request_id: str, names: Iterable[str]) -> None:
+        held = self._endpoints.setdefault(request_id, [])
+        for name in names:
+            held.append(name)
+            self.in_flight[name] += 1
+
+    def _end(self, request_id: str) -> None:
+        self._accounts.pop(request_id, None)
+        for name in self._endpoints.pop(request_id, ()):
+            self.in_flight[name] -= 1
+            if not self.in_flight[name]:
+                del self.in_flight[name]
+
+
+def _names(stages: Iterable[chains.Stage]) -> list[str]:
+    return [stage.endpoint for stage in stages]
+
+
+def create_usage() -> Usage:
+    """Builds an empty meter."""
+    return Usage()
