Digest prompt prefixes in one place, as engines publish them

The node digested blocks of 64 tokens and the engines blocks of 16, chained, so that no hint could ever match. The function now stands in model/prefixes and the stand-in uses it too. Runs: pytest tests/standins tests/model, passed.

--- a/src/almondshift/model/prefixes.py
+++ b/src/almondshift/model/prefixes.py
@@ -3,26 +3,45 @@
 from __future__ import annotations
 
 import struct
+from typing import TYPE_CHECKING
 
 import xxhash
 
-BLOCK = 64
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+BLOCK_TOKENS = 16
 """Positions between prefixes that are told apart."""
 
 MAX_BLOCKS = 64
+"""Blocks of a prompt that are digested for hints; the rest adds little."""
+
+_BLOCK = struct.Struct(f"<{BLOCK_TOKENS}Q")
+
 
+def seed(model: str, version: int, adapter: str) -> int:
+    """Returns the digest of the empty prefix of a model's version."""
+    return xxhash.xxh64_intdigest(f"{model}\0{version}\0{adapter}".encode())
 
-def digests(model: str, version: int, tokens: tuple[int, ...]) -> list[int]:
-    """Returns the xxh64 digest of each whole block's prefix, shortest first.
 
-    The digest of block n covers all tokens up to its end, as token ids in
-    eight little-endian bytes each, seeded with model and version.
+def extend(digest: int, block: Sequence[int]) -> int:
+    """Returns the digest of a prefix that is one block longer.
+
+    Args:
+        digest: Digest of the blocks before; for the first, the seed.
+        block: ``BLOCK_TOKENS`` inputs.
     """
-    state = xxhash.xxh64(f"{model}:{version}".encode())
+    return xxhash.xxh64_intdigest(_BLOCK.pack(*block), digest)
+
+
+def digests(
+    model: str, version: int, adapter: str, tokens: Sequence[int]
+) -> list[int]:
+    """Returns the digest of each whole block's prefix, shortest first."""
+    digest = seed(model, version, adapter)
     found = []
-    whole = min(len(tokens) // BLOCK, MAX_BLOCKS)
-    for block in range(whole):
-        part = tokens[block * BLOCK : (block + 1) * BLOCK]
-        state.update(struct.pack(f"<{BLOCK}Q", *part))
-        found.append(state.intdigest())
+    for block in range(min(len(tokens) // BLOCK_TOKENS, MAX_BLOCKS)):
+        start = block * BLOCK_TOKENS
+        digest = extend(digest, tokens[start : start + BLOCK_TOKENS])
+        found.append(digest)
     return found
--- a/src/almondshift/node/gateway.py
+++ b/src/almondshift/node/gateway.py
@@ -159,7 +159,9 @@
         if service is None or self.current is None:
             return ()
         model = self.current.models[service.model]
-        found = prefixes.digests(model.name, model.version, request.prompt)
+        found = prefixes.digests(
+            model.name, model.version, service.adapter, request.prompt
+        )
         return tuple(reversed(found))
 
 
--- a/src/almondshift/standins/engine/prefixes.py
+++ b/src/almondshift/standins/engine/prefixes.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import collections
-import struct
 from typing import TYPE_CHECKING
 
-import xxhash
+from almondshift.model import prefixes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -14,21 +13,6 @@
 
     from almondshift.standins.engine import sessions
 
-BLOCK_TOKENS = 16
-
-_BLOCK = struct.Struct(f"<{BLOCK_TOKENS}Q")
-
-
-def extend_digest(digest: int, block: Sequence[int]) -> int:
-    """Returns the digest of a prefix that is one block longer.
-
-    Args:
-        digest: Digest of the blocks before; for the first block, the seed
-            of the model from ``reference.model_seed``.
-        block: ``BLOCK_TOKENS`` inputs.
-    """
-    return xxhash.xxh64_intdigest(_BLOCK.pack(*block), digest)
-
 
 class PrefixCache:
     """Digests of whole blocks, least recently used first.
@@ -58,7 +42,7 @@
         for value in inputs:
             rest.append(value)
             fresh += 1
-            if len(rest) < BLOCK_TOKENS:
+            if len(rest) < prefixes.BLOCK_TOKENS:
                 continue
             if self._close_block(session):
                 cached += fresh
@@ -67,7 +51,7 @@
 
     def _close_block(self, session: sessions.Session) -> bool:
         before = session.prefix_digest or session.seed
-        digest = extend_digest(before, session.prefix_rest)
+        digest = prefixes.extend(before, session.prefix_rest)
         session.prefix_digest = digest
         session.prefix_rest.clear()
         key = (digest, session.layers.start, session.layers.end)
--- a/src/almondshift/standins/reference.py
+++ b/src/almondshift/standins/reference.py
@@ -14,6 +14,8 @@
 
 import xxhash
 
+from almondshift.model import prefixes
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -26,8 +28,7 @@
 
 def model_seed(model: str, version: int, adapter: str) -> int:
     """Returns the seed that stands for the weights of a model."""
-    name = f"{model}\0{version}\0{adapter}".encode()
-    return xxhash.xxh64_intdigest(name)
+    return prefixes.seed(model, version, adapter)
 
 
 def activation(
--- a/tests/standins/test_engine_batches.py
+++ b/tests/standins/test_engine_batches.py
@@ -5,10 +5,10 @@
 
 import pytest
 
+from almondshift.model import prefixes
 from almondshift.standins import reference
 from almondshift.standins.engine import cache_events
 from almondshift.standins.engine import links
-from almondshift.standins.engine import prefixes
 from tests import asynchronous
 from tests.standins import rigs
 
@@ -82,8 +82,8 @@
 @asynchronous.run
 async def test_cache_event_names_the_prefix_by_its_digest() -> None:
     seed = reference.model_seed("m", 1, "")
-    first = prefixes.extend_digest(seed, range(BLOCK))
-    second = prefixes.extend_digest(first, range(BLOCK, 2 * BLOCK))
+    first = prefixes.extend(seed, range(BLOCK))
+    second = prefixes.extend(first, range(BLOCK, 2 * BLOCK))
     async with rigs.run_engine(prefix_blocks=1) as rig:
         await rig.serve()
         await rig.step(rigs.make_item(tuple(range(2 * BLOCK))))
