Limit calls, not steps; one deadline timer for each request

The limit now holds for one call to an engine, and all that waits behind a call without an answer is given back as not sent. Profile of a saturated node: 39,622 timers for 17,900 steps. The deadline is now one timer for each request around queue, engines and reader; events are encoded by msgspec.

--- a/bench/pipeline_calls.py
+++ b/bench/pipeline_calls.py
@@ -151,7 +151,7 @@
         mode.max_calls, limits, mode.coalesce
     )
     steps_of = coalescer.create_coalescer(
-        engine, LoopClock(), settings, timings.append
+        engine, LoopClock(), settings, timings.append, lambda: TIMEOUT_S
     )
     await steps_of.start()
     await run_sessions(steps_of, prefix, 0, WARM_STEPS)
@@ -179,7 +179,7 @@
     async def run(session: str) -> None:
         for at in range(position, position + count):
             item = make_item(session, at, (at,))
-            outcome = await steps_of.submit(item, TIMEOUT_S)
+            outcome = await steps_of.submit(item)
             if outcome.is_error() or not outcome.ok.outputs:
                 raise RuntimeError(f"a step failed: {outcome}")
 
--- a/src/almondshift/adapters/http_front/completions.py
+++ b/src/almondshift/adapters/http_front/completions.py
@@ -5,11 +5,11 @@
 import asyncio
 import contextlib
 import dataclasses
-import json
 from typing import TYPE_CHECKING
 from typing import Any
 
 import expression
+import msgspec
 import tornado.iostream
 
 from almondshift import errors
@@ -37,7 +37,7 @@
         """Answers whole, or as server-sent events with ``stream: true``."""
         request = self._request()
         self.check_admission()
-        self.work = asyncio.ensure_future(self._serve(request))
+        self.work = asyncio.ensure_future(self._serve_in_time(request))
         try:
             await self.work
         except asyncio.CancelledError:
@@ -48,6 +48,44 @@
         if self.work is not None:
             self.work.cancel()
 
+    async def _serve_in_time(
+        self, request: completions.CompletionRequest
+    ) -> None:
+        """Ends the work at the deadline, wherever it waits.
+
+        One timer for each request covers queue, engines and a slow reader;
+        timers at each step cost more than the steps themselves.
+        """
+        left = request.deadline - self.clock.monotonic()
+        try:
+            async with asyncio.timeout(left):
+                await self._serve(request)
+        except TimeoutError:
+            self._end_late()
+
+    def _end_late(self) -> None:
+        """Answers at the deadline.
+
+        A reader that does not take what was sent gets a closed connection:
+        the stream has no end, so that it can't be taken for whole.
+        """
+        ran = self.stream is not None
+        if self.stream is not None:
+            self.stream.close()
+        error = _late(ran)
+        if not self._headers_written:
+            raise error
+        if self._unsent():
+            if self.record is not None:
+                self.record.failed(error)
+            self._drop_connection()
+            return
+        self._write_error_event(error)
+
+    def _unsent(self) -> bool:
+        stream = getattr(self.request.connection, "stream", None)
+        return stream is not None and stream.writing()
+
     async def _serve(self, request: completions.CompletionRequest) -> None:
         match await self.node.complete(request):
             case expression.Result(tag="ok", ok=stream):
@@ -189,13 +227,9 @@
         A reader that stops reading would else fill the node's memory with
         tokens. Waiting here stops the pipeline, and the deadline ends it.
         """
-        self.write(b"data: " + json.dumps(event).encode() + b"\n\n")
-        left = request.deadline - self.clock.monotonic()
+        self.write(b"data: " + msgspec.json.encode(event) + b"\n\n")
         try:
-            await asyncio.wait_for(self.flush(), max(left, 0.001))
-        except TimeoutError:
-            self._drop_connection()
-            raise asyncio.CancelledError from None
+            await self.flush()
         except tornado.iostream.StreamClosedError:
             raise asyncio.CancelledError from None
 
@@ -212,7 +246,7 @@
             self.record.failed(error)
         problem = problems.describe(error, self.request_id)
         self.write(
-            b"event: error\ndata: " + json.dumps(problem).encode() + b"\n\n"
+            b"event: error\ndata: " + msgspec.json.encode(problem) + b"\n\n"
         )
         self.finish()
 
@@ -236,6 +270,12 @@
         }
 
 
+def _late(ran: bool) -> errors.AlmondshiftError:
+    if ran:
+        return errors.DeadlineExceeded("The deadline passed.")
+    return errors.DeadlinePast("The deadline passed in the queue.")
+
+
 def _usage(
     request: completions.CompletionRequest, count: int
 ) -> dict[str, int]:
--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -181,9 +181,7 @@
         )
         self.gateway = gateway.NodeGateway(
             completions.CompletionService(
-                stage_calls.NodeStageCalls(
-                    self.directory, self.driver, timeouts
-                ),
+                stage_calls.NodeStageCalls(self.directory, self.driver),
                 self.driver,
                 self.budget,
                 clock,
--- a/src/almondshift/node/coalescer.py
+++ b/src/almondshift/node/coalescer.py
@@ -73,11 +73,13 @@
         clock: clocks.Clock,
         settings: CoalescerSettings,
         on_call: Callable[[CallTiming], None],
+        call_limit_s: Callable[[], float],
     ) -> None:
         self.engine = engine
         self.clock = clock
         self.settings = settings
         self.on_call = on_call
+        self.call_limit_s = call_limit_s
         self.mismatched_echoes = 0
         limits = settings.limits
         if not settings.coalesce:
@@ -102,40 +104,33 @@
         for waiter in self.queue.drain():
             resolve(waiter, give_up(waiter, "the connection was closed"))
 
-    async def submit(
-        self, item: steps.StepItem, timeout_s: float
-    ) -> step_queue.StepOutcome:
-        """Runs one item.
+    async def submit(self, item: steps.StepItem) -> step_queue.StepOutcome:
+        """Runs one item; ends when its call ends, which is limited.
+
+        Time in the queue doesn't count against the limit: under a burst a
+        healthy engine's queue is long, and taking that for a dead engine
+        would replay the work elsewhere when all are busiest. When a call
+        gets no answer, all that waits is given back as not sent.
 
         Args:
             item: The item; a long one may travel in portions.
-            timeout_s: Seconds to wait for its result.
 
         Returns:
             The result, whose status may say that it was not run; or
             ``EndpointUnreachable`` and ``EndpointRefused`` if it was not
             run, ``EndpointOutcomeUnknown`` if it, or a part, may have run.
         """
-        waiter = self._enqueue(item, timeout_s)
+        waiter = self._enqueue(item)
         if not self.is_open:
             return give_up(waiter, "the connection is closed")
-        loop = asyncio.get_running_loop()
-        expiry = loop.call_later(timeout_s, expire, waiter)
-        try:
-            return await waiter.done
-        finally:
-            expiry.cancel()
+        return await waiter.done
 
-    def _enqueue(
-        self, item: steps.StepItem, timeout_s: float
-    ) -> step_queue.Waiter:
+    def _enqueue(self, item: steps.StepItem) -> step_queue.Waiter:
         self.sequence += 1
-        now = self.clock.monotonic()
         waiter = step_queue.Waiter(
             item,
             self.sequence,
-            now,
-            now + timeout_s,
+            self.clock.monotonic(),
             asyncio.get_running_loop().create_future(),
         )
         if self.is_open:
@@ -167,9 +162,7 @@
     async def _call(self, portions: list[step_queue.Portion]) -> None:
         begun_at = self.clock.monotonic()
         try:
-            outcome = await self.engine.step(
-                [portion.item for portion in portions], self._timeout(portions)
-            )
+            outcome = await self._step([portion.item for portion in portions])
         except asyncio.CancelledError:
             for portion in portions:
                 resolve(
@@ -180,17 +173,31 @@
         self._report(portions, begun_at, outcome)
         if outcome.is_error():
             self._fail(portions, outcome.error)
+            self._give_back_waiting(outcome.error)
             return
         self._answer(portions, outcome.ok)
 
-    def _timeout(self, portions: list[step_queue.Portion]) -> float:
-        """Returns the longest time that a waiter of the call has left.
+    async def _step(
+        self, items: list[steps.StepItem]
+    ) -> expression.Result[list[steps.StepResult], engines.EngineError]:
+        limit_s = self.call_limit_s()
+        try:
+            async with asyncio.timeout(limit_s):
+                return await self.engine.step(items, limit_s)
+        except TimeoutError:
+            detail = f"No answer came to a call within {limit_s:.2f} s."
+            return expression.Error(errors.EndpointOutcomeUnknown(detail))
 
-        With the shortest, one hurried item would make the outcome of all
-        others unknown; each waiter ends by its own time anyway.
+    def _give_back_waiting(self, error: engines.EngineError) -> None:
+        """Ends what waits behind a call that got no answer.
+
+        Behind a frozen engine each waiting step would else wait for one
+        more call to time out, and recovery would take several limits.
         """
-        latest = max(portion.waiter.deadline for portion in portions)
-        return latest - self.clock.monotonic()
+        if isinstance(error, errors.EndpointRefused):
+            return
+        for waiter in self.queue.drain():
+            resolve(waiter, give_up(waiter, "a call got no answer"))
 
     def _report(
         self,
@@ -321,6 +328,7 @@
     clock: clocks.Clock,
     settings: CoalescerSettings,
     on_call: Callable[[CallTiming], None],
+    call_limit_s: Callable[[], float],
 ) -> Coalescer:
     """Creates a coalescer; it is not started yet.
 
@@ -329,5 +337,6 @@
         clock: Measures calls.
         settings: ``step_queue.limits_for`` gives limits that fit an engine.
         on_call: Called after each call, also a failed one.
+        call_limit_s: Gives the seconds that the next call may take.
     """
-    return Coalescer(engine, clock, settings, on_call)
+    return Coalescer(engine, clock, settings, on_call, call_limit_s)
--- a/src/almondshift/node/directory.py
+++ b/src/almondshift/node/directory.py
@@ -260,19 +260,26 @@
     async def _start_coalescer(
         self, known: Endpoint, engine: engines.Engine
     ) -> coalescer.Coalescer:
-        limit = known.description.max_batch if known.description else 1
         calls = coalescer.create_coalescer(
             engine,
             self.clock,
             coalescer.CoalescerSettings(
-                limits=step_queue.CallLimits(items=limit),
+                limits=self._limits(known),
                 coalesce=self.settings.coalesce,
             ),
             lambda timing: self._take_timing(known, timing),
+            lambda: self.timeouts.limit_s(known.vm.name),
         )
         await calls.start()
         return calls
 
+    def _limits(self, known: Endpoint) -> step_queue.CallLimits:
+        if known.description is None:
+            return step_queue.CallLimits()
+        return step_queue.limits_for(
+            known.description, known.description.layer_capacity
+        )
+
     def _take_timing(
         self, known: Endpoint, timing: coalescer.CallTiming
     ) -> None:
--- a/src/almondshift/node/pipeline.py
+++ b/src/almondshift/node/pipeline.py
@@ -57,13 +57,9 @@
 
     @abc.abstractmethod
     async def step(
-        self, endpoint: str, item: steps.StepItem, timeout_s: float
+        self, endpoint: str, item: steps.StepItem
     ) -> expression.Result[steps.StepResult, engines.EngineError]:
-        """Runs one item on an endpoint."""
-
-    @abc.abstractmethod
-    def step_timeout_s(self, endpoint: str, positions: int) -> float:
-        """Returns how long a step may take before it counts as lost."""
+        """Runs one item on an endpoint, within a limit of its own."""
 
     @abc.abstractmethod
     async def replace(
@@ -236,13 +232,9 @@
         self, run: stage_run.StageRun, item: steps.StepItem
     ) -> steps.StepResult:
         started = self.clock.monotonic()
-        left = self.request.deadline - started
-        if left <= 0:
+        if started >= self.request.deadline:
             raise errors.DeadlineExceeded("The deadline passed.")
-        limit = self.calls.step_timeout_s(run.stage.endpoint, len(item.inputs))
-        answer = await self.calls.step(
-            run.stage.endpoint, item, min(left, limit)
-        )
+        answer = await self.calls.step(run.stage.endpoint, item)
         run.calls += 1
         run.seconds += self.clock.monotonic() - started
         match answer:
--- a/src/almondshift/node/stage_calls.py
+++ b/src/almondshift/node/stage_calls.py
@@ -22,7 +22,6 @@
     from almondshift.model import chains
     from almondshift.model import steps
     from almondshift.node import router_driver
-    from almondshift.policy import step_timeouts
     from almondshift.ports import engines
 
 
@@ -33,25 +32,19 @@
         self,
         known: directory.Directory,
         driver: router_driver.RouterDriver,
-        timeouts: step_timeouts.StepTimeouts,
     ) -> None:
         self.directory = known
         self.driver = driver
-        self.timeouts = timeouts
         self._background: set[asyncio.Task[Any]] = set()
 
     async def step(
-        self, endpoint: str, item: steps.StepItem, timeout_s: float
+        self, endpoint: str, item: steps.StepItem
     ) -> expression.Result[steps.StepResult, engines.EngineError]:
         """Runs one item through the endpoint's coalescer."""
         calls = self.directory.calls_to(endpoint)
         if calls is None:
             return expression.Error(directory.unreachable(endpoint))
-        return await calls.submit(item, timeout_s)
-
-    def step_timeout_s(self, endpoint: str, positions: int) -> float:
-        """Returns the learned limit."""
-        return self.timeouts.limit_s(endpoint, positions)
+        return await calls.submit(item)
 
     async def replace(
         self, failure: events.StageFailed
--- a/src/almondshift/node/step_queue.py
+++ b/src/almondshift/node/step_queue.py
@@ -70,7 +70,6 @@
     Attributes:
         sequence: Grows with each item submitted.
         submitted_at: Monotonic time.
-        deadline: Monotonic time after which it waits no longer.
         done: Resolved with the outcome of the whole item.
         outputs: Outputs of the portions that ran.
         is_sent: Whether a portion was given to the engine.
@@ -79,7 +78,6 @@
     item: steps.StepItem
     sequence: int
     submitted_at: float
-    deadline: float
     done: asyncio.Future[StepOutcome]
     outputs: list[int] = dataclasses.field(default_factory=list)
     is_sent: bool = False
--- a/src/almondshift/policy/step_timeouts.py
+++ b/src/almondshift/policy/step_timeouts.py
@@ -1,4 +1,4 @@
-"""How long a step may take before its endpoint counts as lost.
+"""How long a call may take before its endpoint counts as lost.
 
 Load pattern: an endpoint freezes (its process is stopped, or packets vanish)
 while others answer in milliseconds. With one fixed limit either every freeze
@@ -20,7 +20,6 @@
 FLOOR_S = 0.4
 CEILING_S = 5.0
 FIRST_S = 2.0
-PER_POSITION_S = 0.005
 QUEUE_FACTOR = 2.0
 
 
@@ -50,19 +49,18 @@
         """Drops what was learned of an endpoint that is gone."""
         self._estimates.pop(endpoint, None)
 
-    def limit_s(self, endpoint: str, positions: int) -> float:
-        """Returns seconds for a step of so many positions.
+    def limit_s(self, endpoint: str) -> float:
+        """Returns seconds for one call.
 
-        The allowance for positions covers prefill, whose time grows with
-        them; the factor covers a call that waits behind another.
+        Calls carry a bounded number of tokens, so their times are alike; the
+        factor covers a call that waits behind those of other nodes.
         """
         known = self._estimates.get(endpoint)
-        extra = PER_POSITION_S * positions
         if known is None:
-            return FIRST_S + extra
+            return FIRST_S
         limit = known.smoothed_s * QUEUE_FACTOR
         limit += DEVIATIONS * known.deviation_s
-        return min(max(limit, FLOOR_S), CEILING_S) + extra
+        return min(max(limit, FLOOR_S), CEILING_S)
 
 
 def create_step_timeouts() -> StepTimeouts:
--- a/tests/node/fake_stages.py
+++ b/tests/node/fake_stages.py
@@ -77,7 +77,7 @@
         self._split = False
 
     async def step(
-        self, endpoint: str, item: steps.StepItem, timeout_s: float
+        self, endpoint: str, item: steps.StepItem
     ) -> expression.Result[steps.StepResult, engines.EngineError]:
         failure = self.failures.get(self.step_count, "")
         self.step_count += 1
@@ -130,9 +130,6 @@
             outputs,
         )
 
-    def step_timeout_s(self, endpoint: str, positions: int) -> float:
-        return 1.0
-
     async def replace(
         self, failure: events.StageFailed
     ) -> expression.Result[tuple[chains.Stage, ...], errors.AlmondshiftError]:
--- a/tests/node/test_coalescer.py
+++ b/tests/node/test_coalescer.py
@@ -49,6 +49,7 @@
         calls: Items of each call, in order.
         gates: One for each call; its result is what the call returns.
         is_open: Whether calls are answered at once.
+        call_limit_s: Seconds that a call may take.
     """
 
     def __init__(self, settings: coalescer.CoalescerSettings) -> None:
@@ -59,11 +60,16 @@
         self.calls: list[list[steps.StepItem]] = []
         self.gates: list[asyncio.Future[Any]] = []
         self.is_open = False
+        self.call_limit_s = TIMEOUT_S
         self.running = 0
         self.most_running = 0
         self.timings: list[coalescer.CallTiming] = []
         self.coalescer = coalescer.create_coalescer(
-            engine, clock, settings, self.timings.append
+            engine,
+            clock,
+            settings,
+            self.timings.append,
+            lambda: self.call_limit_s,
         )
 
     async def step(
@@ -82,9 +88,9 @@
             self.running -= 1
 
     def submit(
-        self, item: steps.StepItem, timeout_s: float = TIMEOUT_S
+        self, item: steps.StepItem
     ) -> asyncio.Task[step_queue.StepOutcome]:
-        return asyncio.create_task(self.coalescer.submit(item, timeout_s))
+        return asyncio.create_task(self.coalescer.submit(item))
 
     async def wait_for(self, count: int) -> None:
         await asynchronous.wait_until(lambda: len(self.calls) >= count)
@@ -330,13 +336,14 @@
     is_sent: bool, error: type[errors.AlmondshiftError], ending: str
 ) -> None:
     async with run_rig() as rig:
+        if ending == "timeout":
+            rig.call_limit_s = 0.1
         if not is_sent:
             await rig.fill()
         if ending == "closed before":
             await rig.coalescer.close()
             error = errors.EndpointUnreachable
-        timeout_s = 0.1 if ending == "timeout" else TIMEOUT_S
-        task = rig.submit(make_item("a"), timeout_s)
+        task = rig.submit(make_item("a"))
         for _ in range(10):
             await asyncio.sleep(0)
         if ending == "close":
