Add the router facade, its decision modules and virtual time

Cause: the baseline sends everything at once and refuses nothing; at twice the load it answers 36 in 100 requests in time. Change: admission, fair queue, concurrency, chain choice, ejection, account limits, retry budget, long jobs, entries and hints as modules behind policy/router.py; a small event-queue model in bench/virtual to judge them; flow.py for the bound. Not done yet: unit tests of the modules, placement, the load table.

--- /dev/null
+++ b/bench/virtual/clusters.py
@@ -0,0 +1,356 @@
+"""Engines, nodes and callers put together."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from typing import TYPE_CHECKING
+
+from almondshift.model import endpoints
+from almondshift.model import fleet as fleets
+from almondshift.model import layers
+from almondshift.policy import baseline
+from almondshift.policy import events
+from almondshift.policy import flow
+from almondshift.policy import router
+from bench.virtual import engines as engines_module
+from bench.virtual import nodes as nodes_module
+from bench.virtual import results as results_module
+from bench.virtual import simulation
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from almondshift.policy import actions
+    from almondshift.policy import routers
+
+MODEL = "m"
+LAYERS = 12
+ZONES = ("z1", "z2", "z3")
+SAME_ZONE_S = 0.0002
+OTHER_ZONE_S = 0.0008
+REPORT_EVERY_S = 0.5
+REPORT_LAG_S = 0.3
+PEER_EVERY_S = 1.0
+PEER_LAG_S = 0.7
+CACHE_EVERY_S = 0.5
+CACHE_LOSS = 0.1
+MAX_ATTEMPTS = 4
+WARM_UP_S = 1.5
+"""Reports arrive in this time, before the first request."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineSpec:
+    """One engine of a cluster."""
+
+    accelerator: str
+    span: tuple[int, int]
+    zone: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accelerator:
+    """Times and sizes of a kind of accelerator."""
+
+    fixed_s: float
+    per_layer_token_s: float
+    max_batch: int
+    max_sessions: int
+    layer_capacity: int
+
+
+ACCELERATORS = {
+    "fast": Accelerator(0.004, 0.00008, 8, 96, 12),
+    "medium": Accelerator(0.006, 0.00016, 8, 64, 8),
+    "small": Accelerator(0.008, 0.0003, 8, 48, 4),
+}
+
+MIXED = (
+    EngineSpec("fast", (0, 6), "z1"),
+    EngineSpec("fast", (6, 12), "z2"),
+    EngineSpec("fast", (0, 6), "z3"),
+    EngineSpec("fast", (6, 12), "z1"),
+    EngineSpec("medium", (0, 6), "z2"),
+    EngineSpec("medium", (6, 12), "z3"),
+    EngineSpec("medium", (0, 6), "z1"),
+    EngineSpec("medium", (6, 12), "z2"),
+    EngineSpec("medium", (0, 6), "z3"),
+    EngineSpec("medium", (6, 12), "z1"),
+    EngineSpec("small", (0, 4), "z2"),
+    EngineSpec("small", (4, 8), "z3"),
+    EngineSpec("small", (8, 12), "z1"),
+)
+"""Mixed accelerators, with ranges that do not all meet."""
+
+
+def create_baseline(rng: random.Random, node: str, zone: str) -> routers.Router:
+    """Returns the named baseline."""
+    del node, zone
+    return baseline.create_baseline_router(rng)
+
+
+def create_router(rng: random.Random, node: str, zone: str) -> routers.Router:
+    """Returns the router that nodes run."""
+    return router.create_router(rng, node, router.RouterSettings(zone=zone))
+
+
+def make_fleet(accounts: dict[str, fleets.Account]) -> fleets.Fleet:
+    """Returns a configuration with one model and a service on it."""
+    service = fleets.Service("chat", fleets.ServiceKind.MODEL, model=MODEL)
+    return fleets.Fleet(
+        version=1,
+        name="bench",
+        models={MODEL: fleets.Model(MODEL, LAYERS, 1)},
+        services={"chat": service},
+        endpoint_rules=(),
+        links=tuple(
+            fleets.Link(a, b, OTHER_ZONE_S, 1e9)
+            for a in ZONES
+            for b in ZONES
+            if a < b
+        ),
+        accounts=accounts,
+    )
+
+
+class Cluster:
+    """Engines behind nodes, each with its own router.
+
+    Attributes:
+        results: What callers received.
+        zone_extra_s: Latency added on links to a zone.
+    """
+
+    def __init__(
+        self,
+        factory: Callable[[random.Random, str, str], routers.Router],
+        *,
+        seed: int = 1,
+        specs: tuple[EngineSpec, ...] = MIXED,
+        node_count: int = 4,
+        accounts: dict[str, fleets.Account] | None = None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.sim = simulation.Simulation()
+        self.results = results_module.Results()
+        self.zone_extra_s: dict[str, float] = {}
+        self.engines = {
+            engine.description.name: engine
+            for engine in (
+                _make_engine(self.sim, index, spec)
+                for index, spec in enumerate(specs)
+            )
+        }
+        self.nodes = [
+            self._make_node(factory, index) for index in range(node_count)
+        ]
+        self._attempts = 0
+        self._start(make_fleet(accounts or {}))
+
+    def bound(self, prompt_tokens: int = 32, max_tokens: int = 32) -> float:
+        """Returns the hardware bound in generated tokens a second.
+
+        Each generated token carries its part of the prompt: the prompt's
+        tokens cost their work, and each chunk of it a place in a batch.
+        """
+        chunks = -(-prompt_tokens // nodes_module.CHUNK)
+        return flow.bound_tokens_per_s(
+            (
+                flow.FlowEngine(
+                    _with_prompts(
+                        e.description,
+                        chunks / max_tokens,
+                        prompt_tokens / max_tokens,
+                    ),
+                    e.layers_held(),
+                    e.zone,
+                )
+                for e in self.engines.values()
+                if not e.dead
+            ),
+            LAYERS,
+        )
+
+    def send(self, at: float, arrival: events.Arrival) -> None:
+        """Lets a caller send a request at a time after the warm-up."""
+        self.sim.after(WARM_UP_S + at, self._send, arrival)
+
+    def at(self, at: float, change: Callable[[], None]) -> None:
+        """Makes a change at a time after the warm-up."""
+        self.sim.after(WARM_UP_S + at, change)
+
+    def run(self, seconds: float) -> results_module.Results:
+        """Runs for a time after the warm-up; times start at 0 then."""
+        self.sim.run(WARM_UP_S + seconds)
+        for outcome in self.results.outcomes:
+            outcome.sent_at -= WARM_UP_S
+            outcome.deadline -= WARM_UP_S
+            if outcome.done_at is not None:
+                outcome.done_at -= WARM_UP_S
+            if outcome.first_at is not None:
+                outcome.first_at -= WARM_UP_S
+        return self.results
+
+    def lose_zone(self, zone: str) -> None:
+        """Kills every engine of an availability zone."""
+        for engine in self.engines.values():
+            if engine.zone == zone:
+                engine.kill()
+
+    def _make_node(
+        self,
+        factory: Callable[[random.Random, str, str], routers.Router],
+        index: int,
+    ) -> nodes_module.VirtualNode:
+        name = f"n{index}"
+        zone = ZONES[index % len(ZONES)]
+        rng = random.Random(self.rng.random())
+        return nodes_module.VirtualNode(
+            self.sim,
+            name,
+            zone,
+            factory(rng, name, zone),
+            self.engines,
+            self._link_s,
+        )
+
+    def _link_s(self, zone_a: str, zone_b: str) -> float:
+        extra = self.zone_extra_s.get(zone_b, 0.0)
+        return extra + (SAME_ZONE_S if zone_a == zone_b else OTHER_ZONE_S)
+
+    def _start(self, fleet: fleets.Fleet) -> None:
+        for node in self.nodes:
+            node.tell(events.FleetChanged(0.0, fleet))
+            for engine in self.engines.values():
+                node.tell(
+                    events.EndpointSeen(0.0, engine.vm, engine.description)
+                )
+        self.sim.every(REPORT_EVERY_S, self._report)
+        self.sim.every(PEER_EVERY_S, self._exchange)
+        self.sim.every(CACHE_EVERY_S, self._publish_caches)
+
+    def _report(self) -> None:
+        for engine in self.engines.values():
+            if engine.dead:
+                continue
+            for node in self.nodes:
+                lag = REPORT_LAG_S * self.rng.uniform(0.5, 1.5)
+                event = engine.report(lag)
+                self.sim.after(lag, self._deliver_report, node, event)
+
+    def _deliver_report(
+        self, node: nodes_module.VirtualNode, report: endpoints.LoadReport
+    ) -> None:
+        node.tell(events.LoadReported(self.sim.now, report))
+
+    def _exchange(self) -> None:
+        for node in self.nodes:
+            in_flight = node.in_flight()
+            used = {
+                name: cost / PEER_EVERY_S
+                for name, cost in node.account_use.items()
+            }
+            node.account_use.clear()
+            for peer in self.nodes:
+                if peer is node:
+                    continue
+                lag = PEER_LAG_S * self.rng.uniform(0.5, 1.5)
+                self.sim.after(
+                    lag, self._deliver_load, peer, node.name, in_flight, used
+                )
+
+    def _deliver_load(
+        self,
+        node: nodes_module.VirtualNode,
+        name: str,
+        in_flight: dict[str, int],
+        used: dict[str, float],
+    ) -> None:
+        node.tell(events.PeerLoad(self.sim.now, name, in_flight, used))
+
+    def _publish_caches(self) -> None:
+        for name, engine in self.engines.items():
+            changes = engine.take_cache_events()
+            if not changes:
+                continue
+            for node in self.nodes:
+                kept = tuple(
+                    c for c in changes if self.rng.random() > CACHE_LOSS / 10
+                )
+                node.tell(events.CacheChanged(self.sim.now, name, kept))
+
+    def _send(self, arrival: events.Arrival) -> None:
+        now = self.sim.now
+        patience = arrival.deadline - arrival.at
+        outcome = results_module.Outcome(arrival, now, now + patience)
+        self.results.outcomes.append(outcome)
+        self._attempt(outcome)
+
+    def _attempt(self, outcome: results_module.Outcome) -> None:
+        self._attempts += 1
+        outcome.attempts += 1
+        now = self.sim.now
+        patience = outcome.arrival.deadline - outcome.arrival.at
+        # A caller who was refused asks with the time it has left; one who
+        # got nothing in time starts over.
+        deadline = (
+            outcome.deadline if now < outcome.deadline else now + patience
+        )
+        arrival = dataclasses.replace(
+            outcome.arrival,
+            at=now,
+            request_id=f"r{self._attempts}",
+            deadline=deadline,
+        )
+        node = self.rng.choice(self.nodes)
+        node.ask(outcome, arrival, self._ended)
+
+    def _ended(
+        self,
+        outcome: results_module.Outcome,
+        refusal: actions.Refuse | None,
+    ) -> None:
+        if outcome.done_at is not None or outcome.attempts >= MAX_ATTEMPTS:
+            return
+        if refusal is None:
+            # The caller gave up waiting and asks once more.
+            if outcome.attempts < 2:
+                self.sim.after(self.rng.random(), self._attempt, outcome)
+            return
+        if refusal.retry_after_s is None:
+            return
+        if self.sim.now + refusal.retry_after_s < outcome.deadline:
+            self.sim.after(refusal.retry_after_s, self._attempt, outcome)
+
+
+def _with_prompts(
+    description: endpoints.EndpointDescription, chunks: float, tokens: float
+) -> endpoints.EndpointDescription:
+    """Spreads the cost of prompts over generated tokens."""
+    return dataclasses.replace(
+        description,
+        fixed_s=description.fixed_s * (1.0 + chunks),
+        per_layer_token_s=description.per_layer_token_s * (1.0 + tokens),
+    )
+
+
+def _make_engine(
+    sim: simulation.Simulation, index: int, spec: EngineSpec
+) -> engines_module.VirtualEngine:
+    name = f"e{index}-{spec.accelerator}"
+    kind = ACCELERATORS[spec.accelerator]
+    description = endpoints.EndpointDescription(
+        name,
+        f"{name}-1",
+        spec.accelerator,
+        kind.layer_capacity,
+        kind.fixed_s,
+        kind.per_layer_token_s,
+        kind.max_batch,
+        kind.max_sessions,
+    )
+    holding = endpoints.Holding(
+        MODEL, 1, "", layers.LayerRange(*spec.span), True
+    )
+    return engines_module.VirtualEngine(sim, description, spec.zone, (holding,))
--- /dev/null
+++ b/bench/virtual/results.py
@@ -0,0 +1,140 @@
+"""What callers received, and figures from it."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from hdrh import histogram
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from almondshift.policy import actions
+    from almondshift.policy import events
+
+_MICROS = 1_000_000
+_LONGEST_S = 3600
+PROMPT_REFUSAL_S = 0.05
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """One caller's request over all of its attempts.
+
+    Attributes:
+        sent_at: When it was first sent.
+        deadline: When its caller no longer wants the answer.
+        refusals: Seconds from each sending to its refusal.
+    """
+
+    arrival: events.Arrival
+    sent_at: float
+    deadline: float
+    attempts: int = 0
+    first_at: float | None = None
+    done_at: float | None = None
+    gaps: list[float] = dataclasses.field(default_factory=list)
+    refusals: list[float] = dataclasses.field(default_factory=list)
+    reasons: list[actions.RefusalReason] = dataclasses.field(
+        default_factory=list
+    )
+    replaced: int = 0
+
+    @property
+    def good(self) -> bool:
+        """Whether the whole answer came within the deadline."""
+        return self.done_at is not None and self.done_at <= self.deadline
+
+    @property
+    def cost(self) -> int:
+        """Prompt and generated tokens."""
+        return self.arrival.prompt_tokens + self.arrival.max_tokens
+
+    @property
+    def late_refusals(self) -> list[float]:
+        """Refusals that came later than 50 ms after the sending."""
+        return [s for s in self.refusals if s > PROMPT_REFUSAL_S]
+
+
+@dataclasses.dataclass(slots=True)
+class Results:
+    """All outcomes of a run."""
+
+    outcomes: list[Outcome] = dataclasses.field(default_factory=list)
+
+    def where(self, keep: Callable[[Outcome], bool]) -> Results:
+        """Returns a part of the results."""
+        return Results([o for o in self.outcomes if keep(o)])
+
+    def between(self, start: float, end: float) -> Results:
+        """Returns the requests first sent in a time."""
+        return self.where(lambda o: start <= o.sent_at < end)
+
+    def goodput(self, start: float, end: float) -> float:
+        """Returns generated tokens a second of good answers ended in it."""
+        tokens = sum(
+            o.arrival.max_tokens
+            for o in self.outcomes
+            if o.good and o.done_at is not None and start <= o.done_at < end
+        )
+        return tokens / (end - start)
+
+    def good_share(self) -> float:
+        """Returns the share of requests answered in time."""
+        if not self.outcomes:
+            return 0.0
+        return sum(o.good for o in self.outcomes) / len(self.outcomes)
+
+    def first_token_s(self) -> list[float]:
+        """Returns the times to the first token of good answers."""
+        return [
+            o.first_at - o.sent_at
+            for o in self.outcomes
+            if o.good and o.first_at is not None
+        ]
+
+    def whole_s(self) -> list[float]:
+        """Returns the times to the whole answer, of good ones."""
+        return [
+            o.done_at - o.sent_at
+            for o in self.outcomes
+            if o.good and o.done_at is not None
+        ]
+
+    def gaps(self) -> list[float]:
+        """Returns the times between tokens of good answers."""
+        return [gap for o in self.outcomes if o.good for gap in o.gaps]
+
+    def refusals(self) -> list[float]:
+        """Returns the times from sending to refusal."""
+        return [s for o in self.outcomes for s in o.refusals]
+
+    def retries(self) -> float:
+        """Returns attempts beyond the first for each request."""
+        if not self.outcomes:
+            return 0.0
+        extra = sum(max(0, o.attempts - 1) for o in self.outcomes)
+        return extra / len(self.outcomes)
+
+    def account_shares(self) -> dict[str, float]:
+        """Returns the share of requests answered in time, by account."""
+        parts: dict[str, Results] = {}
+        for o in self.outcomes:
+            parts.setdefault(o.arrival.account, Results()).outcomes.append(o)
+        return {name: part.good_share() for name, part in parts.items()}
+
+
+def percentiles(
+    seconds: Iterable[float], points: tuple[float, ...] = (50, 95, 99)
+) -> list[float]:
+    """Returns percentiles in seconds, 0.0 where nothing was measured."""
+    recorded = histogram.HdrHistogram(1, _LONGEST_S * _MICROS, 3)
+    for value in seconds:
+        recorded.record_value(max(1, round(value * _MICROS)))
+    if recorded.total_count == 0:
+        return [0.0 for _ in points]
+    return [
+        recorded.get_value_at_percentile(point) / _MICROS for point in points
+    ]
--- a/src/almondshift/policy/topology.py
+++ b/src/almondshift/policy/topology.py
@@ -66,6 +66,7 @@
         generation: Grows when any index changes; caches compare it.
         ranges: Engines by target and range, each in order of arrival.
         plain: Endpoints of plain services by service.
+        changed: Names whose index entries changed; readers clear it.
     """
 
     def __init__(self) -> None:
@@ -74,6 +75,7 @@
         self.generation = 0
         self.ranges: dict[Target, dict[layers.LayerRange, dict[str, None]]] = {}
         self.plain: dict[str, dict[str, None]] = {}
+        self.changed: set[str] = set()
         self._chosen: dict[tuple[str, str], Target | None] = {}
         self._chosen_generation = -1
 
@@ -237,6 +239,7 @@
             spans = self.ranges.setdefault(target, {})
             spans.setdefault(span, {})[known.name] = None
         known.served = served
+        self.changed.add(known.name)
         self.generation += 1
 
     def _drop(self, target: Target, span: layers.LayerRange, name: str) -> None:
