Test membership by a state machine and mend what it found

The machine drops messages, parts, freezes, kills and restarts nodes, moves wall clocks back and suspends time. It found two faults: - a node killed, dropped and restarted with its wall clock 15 minutes back stayed unseen for as long as peers remembered its former version, since ended facts were not told (cluster of five, not within 15 rounds); - with a clock behind, a fact of another node on the same key was held by some and refused by others. Peers now answer an older version with a notice that a newer one has ended; its origin states its fact again over that version, others end it. The same notice ends facts held by a node whose monotonic clock stood still.

--- a/src/almondshift/coordination/facts.py
+++ b/src/almondshift/coordination/facts.py
@@ -40,6 +40,8 @@
 BEAT_BITS = 20
 """Low bits of a version that count heartbeats of the same value."""
 
+MAX_GENERATION = (MAX_VERSION >> BEAT_BITS) - 1
+
 FactId = tuple[peers.FactKind, str]
 
 
@@ -211,6 +213,16 @@
             self.beats.pop((entry.kind, entry.key), None)
         return ended
 
+    def end(self, entry: Entry, version: int, origin: str, now: float) -> None:
+        """Ends a fact because a newer version of it has ended."""
+        entry.version = version
+        entry.origin = origin
+        entry.value = b""
+        entry.expires_at = now
+        entry.forget_at = now + TOMBSTONE_S
+        self.hot.pop((entry.kind, entry.key), None)
+        self.beats.pop((entry.kind, entry.key), None)
+
     def forget(self, identity: FactId) -> None:
         """Drops an entry and its tombstone."""
         del self.entries[identity]
--- a/src/almondshift/coordination/membership.py
+++ b/src/almondshift/coordination/membership.py
@@ -335,8 +335,11 @@
     async def refresh_seeds(self) -> None:
         """Asks for seeds; on failure the former ones stay."""
         found = await self.seeds()
-        if found:
-            self.outside = found
+        if not found:
+            return
+        self.outside = found
+        if self.size() == 1:
+            self.wake.set()
 
     # Facts.
 
@@ -615,21 +618,32 @@
     ) -> None:
         """Takes facts and heartbeats; drafts what the sender lacks."""
         for fact in message.facts:
-            draft.named.add((fact.kind, fact.key))
-            if self.take(fact, now):
-                self.defend(fact)
+            self.take_fact(fact, now, draft)
         for want in message.wants:
             self.draft_fact((want.kind, want.key), draft, now)
         for digest in message.digests:
             self.take_digest(digest, now, draft)
 
+    def take_fact(self, fact: peer_port.Fact, now: float, draft: Draft) -> None:
+        """Takes a fact or notice; drafts what is newer here."""
+        if self.take(fact, now):
+            draft.named.add((fact.kind, fact.key))
+            self.defend(fact)
+            return
+        if fact.ttl_s <= 0:
+            self.take_notice(fact, now)
+            return
+        entry = self.store.get(fact.kind, fact.key)
+        if entry is not None and knows_more(entry, digest_of(fact), now):
+            self.draft_newer(entry, digest_of(fact), draft, now)
+
     def take_digest(
         self, digest: peer_port.FactDigest, now: float, draft: Draft
     ) -> None:
         """Compares one digest with what is held."""
         identity = (digest.kind, digest.key)
         entry = self.store.entries.get(identity)
-        if entry is not None and entry.order > (digest.version, digest.origin):
+        if entry is not None and knows_more(entry, digest, now):
             self.draft_newer(entry, digest, draft, now)
             return
         if digest.kind is peer_port.FactKind.NODE and self.store.beat(
@@ -646,13 +660,23 @@
         draft: Draft,
         now: float,
     ) -> None:
-        """Drafts a fact that the sender has in an older version."""
+        """Drafts a fact that the sender has in an older version.
+
+        Of one that has ended a notice goes out: a fact without value or
+        time. A sender with its clock behind learns from it why nobody takes
+        its fact: others remember a newer version, of its former life or of
+        another node. One whose clock stood still learns what has ended.
+        """
+        if now >= entry.expires_at:
+            notice = dataclasses.replace(entry.fact(now), ttl_s=0.0, value=b"")
+            draft.add_fact(notice)
+            return
         is_beat = (
             entry.kind is peer_port.FactKind.NODE
             and fact_store.generation(entry.version)
             == fact_store.generation(digest.version)
         )
-        if is_beat and entry.value and now < entry.expires_at:
+        if is_beat and entry.value:
             draft.add_digest(entry.digest())
             return
         self.draft_fact((entry.kind, entry.key), draft, now)
@@ -676,6 +700,36 @@
         if is_own and fact.key == self.node.name:
             self.join()
 
+    def take_notice(self, notice: peer_port.Fact, now: float) -> None:
+        """Takes the news that this or a newer version of a fact has ended.
+
+        An own fact is stated again over a newer version; another one ends,
+        so that all nodes agree until its origin states it again.
+        """
+        entry = self.store.get(notice.kind, notice.key)
+        if entry is None or entry.order > (notice.version, notice.origin):
+            return
+        is_live = bool(entry.value) and now < entry.expires_at
+        is_older = entry.order < (notice.version, notice.origin)
+        if is_live and is_older and entry.origin == self.node.name:
+            self.restate(entry, notice.version, now)
+            return
+        self.store.end(entry, notice.version, notice.origin, now)
+        if is_live:
+            self.tell(notice.kind, notice.key, None)
+
+    def restate(
+        self, entry: fact_store.Entry, version: int, now: float
+    ) -> None:
+        """States an own fact again, over a version of a former life."""
+        number = fact_store.generation(version) + 1
+        if number > fact_store.MAX_GENERATION:
+            return
+        fact = dataclasses.replace(
+            entry.fact(now), version=fact_store.version_of(number)
+        )
+        self.take(fact, now)
+
     def beat_sends(self) -> int:
         """Returns how often each node tells a heartbeat on."""
         return min(4, self.sends(peer_port.FactKind.NODE))
@@ -791,8 +845,8 @@
         """Returns the addresses to exchange with in this round."""
         known = [peer.peer_address for peer in self.peers()]
         chosen = self.rng.sample(known, min(self.settings.fan_out, len(known)))
-        is_due = not urgent and (not known or now >= self.seeds_at)
-        if is_due:
+        is_due = not urgent and now >= self.seeds_at
+        if is_due or not known:
             self.seeds_at = now + self.settings.seeds_s
             chosen += self.outside_target(known)
         return chosen
@@ -824,9 +878,9 @@
     def take_facts(self, message: peer_port.Exchange) -> None:
         """Takes the facts of an answer and nothing else."""
         now = self.clock.monotonic()
+        nothing = Draft(left=0)
         for fact in message.facts:
-            if self.take(fact, now):
-                self.defend(fact)
+            self.take_fact(fact, now, nothing)
 
     async def call(
         self, address: str, message: peer_port.Exchange
@@ -872,6 +926,20 @@
     return DIGEST_BYTES + len(digest.key) + len(origin)
 
 
+def knows_more(
+    entry: fact_store.Entry, digest: peer_port.FactDigest, now: float
+) -> bool:
+    """Returns whether a held version is newer than a digest's, or ended."""
+    order = (digest.version, digest.origin)
+    has_ended = now >= entry.expires_at
+    return entry.order > order or (has_ended and entry.order == order)
+
+
+def digest_of(fact: peer_port.Fact) -> peer_port.FactDigest:
+    """Returns the digest of a fact."""
+    return peer_port.FactDigest(fact.kind, fact.key, fact.version, fact.origin)
+
+
 def not_asked(detail: str) -> errors.PeerUnreachable:
     """Returns the error of a question that nobody took."""
     return errors.PeerUnreachable(detail, execution=errors.Execution.NOT_RUN)
--- /dev/null
+++ b/tests/coordination/network.py
@@ -0,0 +1,242 @@
+"""An in-memory network of nodes with faults, on a clock of its own."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from typing import TYPE_CHECKING
+
+import expression
+
+from almondshift import errors
+from almondshift.adapters import peer_codec
+from almondshift.coordination import membership
+from almondshift.ports import clocks
+from almondshift.ports import peers
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    Handler = Callable[[peers.PeerMessage], Awaitable[peers.PeerMessage]]
+
+HEADER_BYTES = 4
+MAX_FRAME_BYTES = 65_536
+WALL_START = 1_700_000_000.0
+
+
+class ManualClock(clocks.Clock):
+    """A clock that stands still until it is moved.
+
+    Attributes:
+        now: Monotonic seconds.
+        wall_offset: Wall clock less the monotonic one.
+    """
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.wall_offset = WALL_START
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now + self.wall_offset
+
+    async def sleep(self, seconds: float) -> None:
+        self.now += seconds
+
+
+@dataclasses.dataclass(slots=True)
+class Switchboard:
+    """Delivers calls between links, or does not.
+
+    Attributes:
+        drop_share: Share of messages lost, each way.
+        groups: Group of each address; only equal ones reach each other.
+        frozen: Addresses whose processes don't run.
+        waiting: Messages that wait for frozen processes.
+        sent_bytes: Bytes sent by address; None to measure none.
+    """
+
+    rng: random.Random
+    drop_share: float = 0.0
+    handlers: dict[str, Handler] = dataclasses.field(default_factory=dict)
+    groups: dict[str, int] = dataclasses.field(default_factory=dict)
+    frozen: set[str] = dataclasses.field(default_factory=set)
+    sent_bytes: dict[str, int] | None = None
+    waiting: list[tuple[str, peers.PeerMessage]] = dataclasses.field(
+        default_factory=list
+    )
+
+    def reaches(self, sender: str, receiver: str) -> bool:
+        if receiver not in self.handlers:
+            return False
+        return self.groups.get(sender, 0) == self.groups.get(receiver, 0)
+
+    def loses(self) -> bool:
+        return self.rng.random() < self.drop_share
+
+    async def deliver(
+        self, sender: str, receiver: str, message: peers.PeerMessage
+    ) -> peers.PeerMessage | None:
+        if not self.reaches(sender, receiver) or self.loses():
+            return None
+        self.measure(sender, message)
+        if receiver in self.frozen:
+            self.waiting.append((receiver, message))
+            return None
+        answer = await self.handlers[receiver](message)
+        self.measure(receiver, answer)
+        return None if self.loses() else answer
+
+    def measure(self, sender: str, message: peers.PeerMessage) -> None:
+        """Counts the bytes that a message takes on the wire."""
+        if self.sent_bytes is None:
+            return
+        frame = peer_codec.Frame(1, message)
+        size = len(peer_codec.encode(frame, MAX_FRAME_BYTES))
+        total = self.sent_bytes.get(sender, 0)
+        self.sent_bytes[sender] = total + HEADER_BYTES + size
+
+    async def thaw(self, address: str) -> None:
+        """Lets a process go on; it meets what waited before its timers."""
+        self.frozen.discard(address)
+        waited = [m for receiver, m in self.waiting if receiver == address]
+        self.waiting = [w for w in self.waiting if w[0] != address]
+        for message in waited:
+            await self.handlers[address](message)
+
+
+class MemoryLink(peers.PeerLink):
+    """A link over a switchboard."""
+
+    def __init__(self, switchboard: Switchboard, address: str) -> None:
+        self.switchboard = switchboard
+        self.address = address
+
+    async def start(
+        self,
+        handler: Handler,
+    ) -> None:
+        self.switchboard.handlers[self.address] = handler
+
+    async def close(self) -> None:
+        self.switchboard.handlers.pop(self.address, None)
+
+    async def call(
+        self, address: str, message: peers.PeerMessage, timeout_s: float
+    ) -> expression.Result[peers.PeerMessage, errors.PeerUnreachable]:
+        del timeout_s
+        answer = await self.switchboard.deliver(self.address, address, message)
+        if answer is None:
+            return expression.Error(errors.PeerUnreachable("lost"))
+        return expression.Ok(answer)
+
+
+class Cluster:
+    """Running nodes on one switchboard and one clock.
+
+    Attributes:
+        nodes: Running nodes by name, frozen ones too.
+        seeds: Addresses that new nodes are given.
+    """
+
+    def __init__(
+        self, seed: int, settings: membership.MembershipSettings | None = None
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.switchboard = Switchboard(self.rng)
+        self.clock = ManualClock()
+        self.settings = settings
+        self.nodes: dict[str, membership.Membership] = {}
+        self.seeds: list[str] = []
+        self.rounds = 0
+
+    def frozen(self, name: str) -> bool:
+        return address_of(name) in self.switchboard.frozen
+
+    def running(self) -> list[membership.Membership]:
+        return [n for name, n in self.nodes.items() if not self.frozen(name)]
+
+    async def seed_addresses(self) -> list[str]:
+        return list(self.seeds)
+
+    async def add(self, name: str, zone: str = "a") -> membership.Membership:
+        """Starts a node, or starts it anew; its rounds are driven here."""
+        address = address_of(name)
+        node = membership.create_membership(
+            MemoryLink(self.switchboard, address),
+            self.clock,
+            random.Random(self.rng.random()),
+            membership.NodeIdentity(name, address, f"{name}:80", zone),
+            self.seed_addresses,
+            self.settings,
+        )
+        self.nodes[name] = node
+        self.switchboard.frozen.discard(address)
+        await node.link.start(node.handle)
+        node.join()
+        await node.refresh_seeds()
+        return node
+
+    def kill(self, name: str) -> None:
+        del self.nodes[name]
+        address = address_of(name)
+        self.switchboard.handlers.pop(address, None)
+        self.switchboard.frozen.discard(address)
+
+    def freeze(self, name: str) -> None:
+        self.switchboard.frozen.add(address_of(name))
+
+    async def thaw(self, name: str) -> None:
+        await self.switchboard.thaw(address_of(name))
+
+    async def run(self, rounds: int) -> None:
+        """Does rounds of one second on each running node."""
+        for _ in range(rounds):
+            for node in self.running():
+                await node.refresh_seeds()
+                await node.run_round()
+            self.clock.now += 1.0
+            self.rounds += 1
+
+    async def run_until(self, condition: Callable[[], bool], most: int) -> int:
+        """Does rounds until a condition holds; returns how many."""
+        for done in range(most + 1):
+            if condition():
+                return done
+            await self.run(1)
+        raise AssertionError(f"not within {most} rounds")
+
+    def views(self) -> dict[str, set[str]]:
+        """Returns the names of the peers that each running node sees."""
+        return {
+            node.node.name: {peer.name for peer in node.peers()}
+            for node in self.running()
+        }
+
+    def is_joined(self) -> bool:
+        """Returns whether each running node sees just the other ones."""
+        names = {node.node.name for node in self.running()}
+        return all(
+            seen == names - {name} for name, seen in self.views().items()
+        )
+
+
+def address_of(name: str) -> str:
+    return f"{name}:1"
+
+
+async def create_cluster(
+    size: int,
+    seed: int = 1,
+    settings: membership.MembershipSettings | None = None,
+) -> Cluster:
+    """Creates a cluster whose nodes know each other."""
+    cluster = Cluster(seed, settings)
+    cluster.seeds = [address_of("node-0"), address_of("node-1")]
+    for number in range(size):
+        await cluster.add(f"node-{number}", f"zone-{number % 3}")
+    await cluster.run_until(cluster.is_joined, 40)
+    return cluster
