Run with the full router; mend load reports between nodes

Cause: load reports told by peers could not be decoded (a field named like the module of its type), and the exception ended the whole exchange that brought them. Tests passed, since only the log showed it; scenarios now fail on a traceback in any log. Ruled out: the exchange itself (its own tests pass).

--- a/src/almondshift/coordination/membership.py
+++ b/src/almondshift/coordination/membership.py
@@ -15,6 +15,7 @@
 import asyncio
 import dataclasses
 import enum
+import logging
 import math
 from typing import TYPE_CHECKING
 from typing import Any
@@ -39,6 +40,8 @@
     Callback = Callable[[str, peer_port.Fact | None], None]
     Handler = Callable[[str, bytes], Awaitable[bytes]]
 
+logger = logging.getLogger(__name__)
+
 DIGEST_BYTES = 16
 FACT_BYTES = 30
 MESSAGE_BYTES = 64
@@ -411,9 +414,17 @@
     def tell(
         self, kind: peer_port.FactKind, key: str, fact: peer_port.Fact | None
     ) -> None:
-        """Tells the subscribers of a change."""
+        """Tells the subscribers of a change.
+
+        A subscriber that fails on one fact must not end the exchange that
+        brought it: with it would end all news from that peer, leaving and
+        configuration included.
+        """
         for callback in self.callbacks.get(kind, ()):
-            callback(key, fact)
+            try:
+                callback(key, fact)
+            except Exception:
+                logger.exception("a subscriber failed on %s %s", kind, key)
 
     def take(self, fact: peer_port.Fact, now: float) -> bool:
         """Takes a fact if it is news; returns whether it was."""
--- a/src/almondshift/daemons/node.py
+++ b/src/almondshift/daemons/node.py
@@ -29,11 +29,13 @@
 from almondshift.node import directory
 from almondshift.policy import baseline
 from almondshift.policy import greedy_placement
+from almondshift.policy import router
 
 if TYPE_CHECKING:
     import expression
 
     from almondshift import errors
+    from almondshift.policy import routers
 
 STORE_TIMEOUT_S = 1.0
 ENGINE_CONNECTIONS = 256
@@ -148,7 +150,7 @@
 ) -> application.NodeChoices:
     """Returns the decisions that a node runs with."""
     return application.NodeChoices(
-        router=baseline.create_baseline_router(rng),
+        router=_create_router(settings, rng),
         planner=greedy_placement.create_greedy_planner(),
         completions=completions.CompletionSettings(
             keep_inputs=settings.keep_inputs
@@ -157,6 +159,16 @@
     )
 
 
+def _create_router(
+    settings: node_settings.NodeSettings, rng: random.Random
+) -> routers.Router:
+    if settings.router == "baseline":
+        return baseline.create_baseline_router(rng)
+    return router.create_router(
+        rng, settings.name, router.RouterSettings(zone=settings.zone)
+    )
+
+
 def run(path: str, port_file: str = "") -> int:
     """Runs a node until SIGTERM or SIGINT; returns the exit code.
 
--- a/src/almondshift/node/load_exchange.py
+++ b/src/almondshift/node/load_exchange.py
@@ -8,21 +8,22 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import logging
 from typing import TYPE_CHECKING
 
-import msgspec
 import xxhash
 
+from almondshift.adapters import engine_messages
 from almondshift.coordination import membership as memberships
-from almondshift.model import endpoints
 from almondshift.policy import events
 from almondshift.ports import peers
 
 if TYPE_CHECKING:
     import random
 
+    from almondshift.model import endpoints
     from almondshift.node import directory
     from almondshift.node import router_driver
     from almondshift.node import usage
@@ -124,7 +125,7 @@
                 self.membership.publish(
                     peers.FactKind.ENGINE_LOAD,
                     name,
-                    msgspec.json.encode(report),
+                    engine_messages.encode_load(report),
                     REPORT_TTL_S,
                 )
 
@@ -143,8 +144,10 @@
     def _heard_report(self, key: str, fact: peers.Fact | None) -> None:
         if fact is None or fact.origin == self.membership.node.name:
             return
-        report = msgspec.json.decode(fact.value, type=endpoints.LoadReport)
-        self.directory.take_peer_report(report)
+        report = engine_messages.decode_load(fact.value)
+        on_the_way_s = REPORT_TTL_S - fact.ttl_s
+        aged = dataclasses.replace(report, age_s=report.age_s + on_the_way_s)
+        self.directory.take_peer_report(aged)
 
     def _heard_use(self, key: str, fact: peers.Fact | None) -> None:
         now = self.clock.monotonic()
--- a/tests/faults/systems.py
+++ b/tests/faults/systems.py
@@ -90,6 +90,7 @@
 [experiment]
 coalesce = {coalesce}
 keep_inputs = {keep_inputs}
+router = {router}
 """
 
 
@@ -147,6 +148,7 @@
         lease_s: float = 2.0,
         coalesce: bool = True,
         keep_inputs: bool = True,
+        router: str = "full",
     ) -> None:
         self.runner = runner
         self.folder = folder
@@ -155,6 +157,7 @@
         self.lease_s = lease_s
         self.coalesce = coalesce
         self.keep_inputs = keep_inputs
+        self.router = router
         self.platform: processes.ChildProcess | None = None
         self.platform_route = ""
         self.nodes: dict[str, processes.ChildProcess] = {}
@@ -224,6 +227,7 @@
                 lease_s=self.lease_s,
                 coalesce="yes" if self.coalesce else "no",
                 keep_inputs="yes" if self.keep_inputs else "no",
+                router=self.router,
             )
         )
         self.nodes[name] = await self.runner.start_node(name, path)
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -27,10 +27,17 @@
         system = loop.run_until_complete(_create(runner, tmp_path))
         try:
             yield worlds.World(system, loop)
+            check_logs(runner)
         finally:
             _end(loop, system)
 
 
+def check_logs(runner: processes.ProcessRunner) -> None:
+    """Fails if a process logged a fault that no caller has seen."""
+    for process in runner.processes.values():
+        assert "Traceback" not in process.log_file.read_text(), process.log()
+
+
 async def _create(
     runner: processes.ProcessRunner, folder: pathlib.Path
 ) -> systems.RealSystem:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -30,6 +30,8 @@
 
     with processes.running(tmp_path) as runner:
         asyncio.run(_with(systems.RealSystem(runner, tmp_path), run))
+        for process in runner.processes.values():
+            assert "Traceback" not in process.log(), process.log()
 
 
 async def _with(system, run) -> None:  # type: ignore[no-untyped-def]
