Answer entries by account, zone and load of the nodes

The list named this node first and its peers in any order. It now comes from policy/entries: a shard of nodes for each account over all zones, nodes that refuse last, leaving and suspect ones left out while others remain.

--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -177,7 +177,12 @@
         self.budget = kept_inputs.create_kept_inputs(settings.kept_inputs_bytes)
         self.counts = objectives.create_objective_counts(clock)
         self.entries = entries.EntryList(
-            self.membership, lambda: self.entry_address, settings.zone
+            self.membership,
+            self.load_exchange,
+            lambda: self.config.value,
+            lambda: self.entry_address,
+            clock,
+            rng,
         )
         self.gateway = gateway.NodeGateway(
             completions.CompletionService(
@@ -191,7 +196,7 @@
                 ports.plain, self.directory, self.driver, clock
             ),
             at_most_once.AtMostOnce(self.claims),
-            self.entries.list,
+            self.entries.answer,
             lambda: self.config.value is not None,
         )
         self.operations = operations.NodeOperations(
--- a/src/almondshift/node/entries.py
+++ b/src/almondshift/node/entries.py
@@ -5,40 +5,95 @@
 from typing import TYPE_CHECKING
 
 from almondshift.coordination import membership as memberships
+from almondshift.policy import entries
 from almondshift.ports import gateway
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    import random
 
-HOLD_S = 10.0
+    from almondshift.model import fleet
+    from almondshift.node import load_exchange
+    from almondshift.ports import clocks
 
 
 class EntryList:
-    """Lists this node and its live peers.
+    """Lists this node and its peers for a client account.
 
     Attributes:
-        leaving: Whether this node is leaving, and is left out.
-        address: Where callers reach this node.
+        leaving: Whether this node is leaving.
     """
 
     def __init__(
         self,
         membership: memberships.Membership,
+        loads: load_exchange.LoadExchange,
+        current_fleet: Callable[[], fleet.Fleet | None],
         address: Callable[[], str],
-        zone: str,
+        clock: clocks.Clock,
+        rng: random.Random,
     ) -> None:
         self.membership = membership
+        self.loads = loads
+        self.current_fleet = current_fleet
         self.address = address
-        self.zone = zone
+        self.clock = clock
+        self.rng = rng
         self.leaving = False
 
-    def list(self, account: str) -> gateway.Entries:
+    def answer(self, account: str) -> gateway.Entries:
         """Returns the addresses, for an account (``""`` if not known)."""
-        found = [
-            gateway.EntryAddress(peer.entry_address, peer.zone)
+        nodes = [self._own(), *self._peers()]
+        zones = {node.address: node.zone for node in nodes}
+        chosen = entries.entries_for(
+            nodes, account, self._share(account), self.rng
+        )
+        return gateway.Entries(
+            tuple(
+                gateway.EntryAddress(address, zones[address])
+                for address in chosen.addresses
+            ),
+            chosen.hold_seconds,
+        )
+
+    def _own(self) -> entries.EntryNode:
+        return entries.EntryNode(
+            name=self.membership.node.name,
+            address=self.address(),
+            zone=self.membership.node.zone,
+            leaving=self.leaving,
+            age_s=0.0,
+            load=self.loads.meter.load(self.clock.monotonic()),
+        )
+
+    def _peers(self) -> list[entries.EntryNode]:
+        return [
+            entries.EntryNode(
+                name=peer.name,
+                address=peer.entry_address,
+                zone=peer.zone,
+                leaving=peer.state is memberships.PeerState.LEAVING,
+                age_s=_age_s(peer),
+                load=self.loads.peer_loads.get(peer.name, 0.0),
+            )
             for peer in self.membership.peers()
-            if peer.state is memberships.PeerState.ALIVE
+            if peer.entry_address
         ]
-        if not self.leaving:
-            found.insert(0, gateway.EntryAddress(self.address(), self.zone))
-        return gateway.Entries(tuple(found), HOLD_S)
+
+    def _share(self, account: str) -> float:
+        described = self.current_fleet()
+        if described is None or account not in described.accounts:
+            return 0.0
+        total = sum(a.weight for a in described.accounts.values())
+        return described.accounts[account].weight / total
+
+
+def _age_s(peer: memberships.PeerInfo) -> float:
+    """Returns an age past the bound for suspects only.
+
+    How often a node is heard of grows with their number, so that the
+    membership's own judgement counts, not the seconds.
+    """
+    if peer.state is memberships.PeerState.SUSPECT:
+        return 2 * entries.STALE_S
+    return 0.0
--- a/src/almondshift/node/load_exchange.py
+++ b/src/almondshift/node/load_exchange.py
@@ -42,7 +42,11 @@
 
 
 class LoadExchange:
-    """Publishes what this node watches and uses; takes what peers tell."""
+    """Publishes what this node watches and uses; takes what peers tell.
+
+    Attributes:
+        peer_loads: How full each peer says it is, 1.0 when it refuses.
+    """
 
     def __init__(
         self,
@@ -59,6 +63,7 @@
         self.meter = meter
         self.clock = clock
         self.rng = rng
+        self.peer_loads: dict[str, float] = {}
         self._told: dict[str, tuple[float, endpoints.LoadReport]] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -105,6 +110,7 @@
         rates = sorted(self.meter.rates(now).items(), key=lambda row: -row[1])
         value = {
             "in_flight": in_flight,
+            "load": self.meter.load(now),
             "use": {name: round(rate, 1) for name, rate in rates[:MAX_ROWS]},
         }
         self.membership.publish(
@@ -154,9 +160,11 @@
         if key == self.membership.node.name:
             return
         if fact is None:
+            self.peer_loads.pop(key, None)
             self.driver.tell(events.PeerGone(now, key))
             return
         value = json.loads(fact.value)
+        self.peer_loads[key] = float(value["load"])
         self.driver.tell(
             events.PeerLoad(now, key, value["in_flight"], value["use"])
         )
--- a/src/almondshift/node/usage.py
+++ b/src/almondshift/node/usage.py
@@ -38,10 +38,12 @@
 
     Attributes:
         in_flight: Requests by endpoint.
+        refused_at: Monotonic time of the last refusal for overload.
     """
 
     def __init__(self) -> None:
         self.in_flight: collections.Counter[str] = collections.Counter()
+        self.refused_at = float("-inf")
         self._accounts: dict[str, str] = {}
         self._endpoints: dict[str, list[str]] = {}
         self._rates: dict[str, _Rate] = {}
@@ -65,8 +67,14 @@
         elif isinstance(action, actions.Replace):
             self._occupy(action.request_id, _names(action.replacement))
         elif isinstance(action, actions.Refuse):
+            if action.reason is actions.RefusalReason.OVERLOADED:
+                self.refused_at = at
             self._end(action.request_id)
 
+    def load(self, now: float) -> float:
+        """Returns 1.0 if the node refused work just now, else 0.0."""
+        return 1.0 if now - self.refused_at < MEMORY_S else 0.0
+
     def rates(self, now: float) -> dict[str, float]:
         """Returns recent tokens a second by account; forgets idle ones."""
         found = {a: r.per_s(now) for a, r in self._rates.items()}
