--- /dev/null
+++ b/bench/virtual/patterns.py
@@ -0,0 +1,207 @@
+"""Load patterns, each played against a router in virtual time."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from typing import TYPE_CHECKING
+
+from almondshift.model import fleet
+from bench.virtual import clusters
+from bench.virtual import loads
+from bench.virtual import results
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from almondshift.policy import routers
+
+    Factory = Callable[[random.Random, str, str], routers.Router]
+
+NORMAL_LOAD = 0.8
+"""Part of the hardware bound that counts as 1x."""
+LIGHT_LOAD = 0.4
+PREFIX_LOAD = 1.6
+"""More than the bound, which counts every prompt as computed."""
+LONG_TAIL_S = 25.0
+SETTLED_S = 3.0
+END_S = 10.0
+TAIL_S = 4.0
+"""Time after the last request in which answers still come."""
+HOT_ACCOUNT = "hot"
+SLOW_ENGINE = "e5-medium"
+SLOW_FACTOR = 10.0
+DEGRADED_ZONE = "z2"
+DEGRADED_S = 0.03
+LOST_ZONE = "z3"
+FAULT_AT_S = 4.0
+OVERLOAD_END_S = 6.0
+
+
+@dataclasses.dataclass(slots=True)
+class Played:
+    """A pattern that was played.
+
+    Attributes:
+        bound: Hardware bound in generated tokens a second, before faults.
+        bound_after: The bound once the pattern's fault is in force.
+        start: From when figures count, in virtual seconds.
+        end: Until when.
+    """
+
+    name: str
+    results: results.Results
+    bound: float
+    bound_after: float
+    start: float = SETTLED_S
+    end: float = END_S
+
+    @property
+    def goodput(self) -> float:
+        """Generated tokens a second of good answers."""
+        return self.results.goodput(self.start, self.end)
+
+
+def _play(
+    name: str,
+    cluster: clusters.Cluster,
+    bound: float,
+    start: float = SETTLED_S,
+    tail: float = TAIL_S,
+) -> Played:
+    share = bound / cluster.bound()
+    played = cluster.run(END_S + tail)
+    return Played(name, played, bound, cluster.bound() * share, start)
+
+
+def steady(factory: Factory, seed: int, times: float) -> Played:
+    """Plays a steady load of so many times the normal one."""
+    cluster = clusters.Cluster(factory, seed=seed)
+    bound = cluster.bound()
+    rate = bound * NORMAL_LOAD * times
+    loads.steady(cluster, random.Random(seed), rate, 0.0, END_S)
+    return _play(f"steady {times:g}x", cluster, bound)
+
+
+def burst(factory: Factory, seed: int) -> Played:
+    """Plays a light load with one second's work all at once."""
+    cluster = clusters.Cluster(factory, seed=seed)
+    bound = cluster.bound()
+    rng = random.Random(seed)
+    loads.steady(cluster, rng, bound * LIGHT_LOAD, 0.0, END_S)
+    count = int(1.5 * bound / loads.SHORT.max_tokens)
+    loads.burst(cluster, rng, count, FAULT_AT_S)
+    return _play("burst", cluster, bound)
+
+
+def hot_account(factory: Factory, seed: int, times: float) -> Played:
+    """Plays ten accounts, one of which sends ``times`` its share."""
+    cluster = clusters.Cluster(factory, seed=seed)
+    bound = cluster.bound()
+    share = bound * NORMAL_LOAD / len(loads.ACCOUNTS)
+    others = loads.ACCOUNTS[1:]
+    rng = random.Random(seed)
+    loads.steady(cluster, rng, share * len(others), 0.0, END_S, accounts=others)
+    if times > 0.0:
+        rng = random.Random(seed + 1)
+        loads.steady(
+            cluster, rng, share * times, 0.0, END_S, accounts=(HOT_ACCOUNT,)
+        )
+    return _play(f"hot account {times:g}x", cluster, bound)
+
+
+def hot_prefix(factory: Factory, seed: int) -> Played:
+    """Plays a load in which most prompts begin alike."""
+    cluster = clusters.Cluster(factory, seed=seed)
+    shape = loads.Shape(prompt_tokens=128, prefix=7)
+    bound = cluster.bound(shape.prompt_tokens, shape.max_tokens)
+    rng = random.Random(seed)
+    rate = bound * PREFIX_LOAD
+    loads.steady(cluster, rng, rate * 0.7, 0.0, END_S, shape=shape)
+    other = dataclasses.replace(shape, prefix=0)
+    loads.steady(
+        cluster, rng, rate * 0.3, 0.0, END_S, shape=other, prefixes=200
+    )
+    return _play("hot prefix", cluster, bound)
+
+
+def slow_endpoint(
+    factory: Factory, seed: int, factor: float = SLOW_FACTOR
+) -> Played:
+    """Plays the normal load with one engine that becomes slow."""
+    cluster = clusters.Cluster(factory, seed=seed)
+    bound = cluster.bound()
+    loads.steady(cluster, random.Random(seed), bound * NORMAL_LOAD, 0.0, END_S)
+    engine = cluster.engines[SLOW_ENGINE]
+
+    def slow_down() -> None:
+        engine.slow = factor
+
+    cluster.at(FAULT_AT_S, slow_down)
+    return _play("slow endpoint", cluster, bound, FAULT_AT_S + 2.0)
+
+
+def degraded_link(factory: Factory, seed: int) -> Played:
+    """Plays a light load with one zone's links becoming slow."""
+    cluster = clusters.Cluster(factory, seed=seed)
+    bound = cluster.bound()
+    loads.steady(cluster, random.Random(seed), bound * LIGHT_LOAD, 0.0, END_S)
+
+    def degrade() -> None:
+        cluster.zone_extra_s[DEGRADED_ZONE] = DEGRADED_S
+
+    cluster.at(FAULT_AT_S, degrade)
+    return _play("degraded link", cluster, bound, FAULT_AT_S + 2.0)
+
+
+def long_among_short(factory: Factory, seed: int, long_load: float) -> Played:
+    """Plays short requests with so much of long ones beside them."""
+    cluster = clusters.Cluster(factory, seed=seed)
+    bound = cluster.bound()
+    rng = random.Random(seed)
+    loads.steady(cluster, rng, bound * 0.3, 0.0, END_S)
+    if long_load > 0.0:
+        loads.steady(
+            cluster,
+            random.Random(seed + 1),
+            bound * long_load,
+            0.0,
+            END_S,
+            shape=loads.LONG,
+            accounts=("drafts",),
+        )
+    return _play("long among short", cluster, bound, tail=LONG_TAIL_S)
+
+
+def critical_among_bulk(factory: Factory, seed: int) -> Played:
+    """Plays a few critical requests among drafts at twice the load."""
+    cluster = clusters.Cluster(factory, seed=seed)
+    bound = cluster.bound()
+    rng = random.Random(seed)
+    bulk = loads.Shape(priority=fleet.Priority.BULK)
+    critical = loads.Shape(16, 16, priority=fleet.Priority.CRITICAL)
+    loads.steady(
+        cluster, rng, bound * NORMAL_LOAD * 2.0, 0.0, END_S, shape=bulk
+    )
+    loads.steady(cluster, rng, bound * 0.05, 0.0, END_S, shape=critical)
+    return _play("critical among bulk", cluster, bound)
+
+
+def overload_ends(factory: Factory, seed: int) -> Played:
+    """Plays four times the load, then a light one."""
+    cluster = clusters.Cluster(factory, seed=seed)
+    bound = cluster.bound()
+    rng = random.Random(seed)
+    rate = bound * NORMAL_LOAD * 4.0
+    loads.steady(cluster, rng, rate, 2.0, OVERLOAD_END_S)
+    loads.steady(cluster, rng, bound * LIGHT_LOAD, OVERLOAD_END_S, END_S)
+    return _play("overload ends", cluster, bound, OVERLOAD_END_S + 2.0)
+
+
+def lost_zone(factory: Factory, seed: int) -> Played:
+    """Plays a light load in which an availability zone is lost."""
+    cluster = clusters.Cluster(factory, seed=seed)
+    bound = cluster.bound()
+    loads.steady(cluster, random.Random(seed), bound * LIGHT_LOAD, 0.0, END_S)
+    cluster.at(FAULT_AT_S, lambda: cluster.lose_zone(LOST_ZONE))
+    return _play("lost zone", cluster, bound, FAULT_AT_S)
--- a/src/almondshift/policy/fair_queue.py
+++ b/src/almondshift/policy/fair_queue.py
@@ -58,6 +58,10 @@
     waiting: bool = True
 
 
+COUNTED_FLOWS = 64
+"""Accounts up to which a wait is predicted from each one's own queue."""
+
+
 class _Flow(Generic[T]):
     """The requests of one account at one priority."""
 
@@ -73,6 +77,17 @@
         }
         self.in_heap = {False: False, True: False}
 
+    def cost_before(self, start: float, each: float) -> float:
+        """Returns about how much of this flow is served before a time.
+
+        Args:
+            start: A virtual time.
+            each: Cost of one request.
+        """
+        if self.waiting == 0 or self.finish > start:
+            return 0.0
+        return min(self.cost, (start - self.finish) * self.weight + each)
+
     def head(self, long: bool) -> Entry[T] | None:
         line = self.lines[long]
         while line and not line[0].waiting:
@@ -235,11 +250,12 @@
     def cost_ahead(
         self, account: str, priority: fleet.Priority, weight: float
     ) -> float:
-        """Returns at most how much is served before a new request.
+        """Returns about how much is served before a new request.
 
         The account's own waiting work counts, with as much of the others'
         as their weights allow meanwhile, and one request of each other
-        account, which is the delay bound of start-time fair queueing.
+        account, which is the delay bound of start-time fair queueing. With
+        many accounts the others are taken to have work without end.
         """
         level = self.levels[priority]
         flow = level.flows.get(account)
@@ -254,10 +270,13 @@
     ) -> float:
         if level.waiting == 0:
             return 0.0
-        each = level.busy_flows * level.cost / level.waiting
-        if flow is None:
-            return min(level.cost, each)
-        lag = max(0.0, flow.finish - level.virtual)
-        own = lag + flow.cost / max(weight, 1e-6)
-        active = level.active_weight + (0.0 if flow.waiting else weight)
-        return min(level.cost, own * active + each)
+        start, own = level.virtual, 0.0
+        if flow is not None:
+            own = flow.cost
+            start = max(start, flow.finish) + own / max(weight, 1e-6)
+        each = level.cost / level.waiting
+        if len(level.flows) <= COUNTED_FLOWS:
+            others = [f for f in level.flows.values() if f is not flow]
+            return own + sum(f.cost_before(start, each) for f in others)
+        ahead = (start - level.virtual) * level.active_weight
+        return min(level.cost, ahead + level.busy_flows * each)
