--- a/tests/coordination/network.py
+++ b/tests/coordination/network.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import random
 from typing import TYPE_CHECKING
@@ -22,6 +23,7 @@
 
 HEADER_BYTES = 4
 MAX_FRAME_BYTES = 65_536
+SETTLE_PASSES = 10
 WALL_START = 1_700_000_000.0
 
 
@@ -36,6 +38,7 @@
     def __init__(self) -> None:
         self.now = 100.0
         self.wall_offset = WALL_START
+        self.sleepers: list[tuple[float, asyncio.Future[None]]] = []
 
     def monotonic(self) -> float:
         return self.now
@@ -44,7 +47,29 @@
         return self.now + self.wall_offset
 
     async def sleep(self, seconds: float) -> None:
-        self.now += seconds
+        due = self.now + seconds
+        future = asyncio.get_running_loop().create_future()
+        self.sleepers.append((due, future))
+        await future
+
+    async def advance(self, seconds: float) -> None:
+        """Moves the clock, and wakes sleepers in the order of their times."""
+        end = self.now + seconds
+        await settle()
+        while due := [s for s in self.sleepers if s[0] <= end]:
+            first = min(due, key=lambda sleeper: sleeper[0])
+            self.sleepers.remove(first)
+            self.now = max(self.now, first[0])
+            if not first[1].done():
+                first[1].set_result(None)
+            await settle()
+        self.now = end
+
+
+async def settle() -> None:
+    """Lets all tasks run as far as they can without the clock."""
+    for _ in range(SETTLE_PASSES):
+        await asyncio.sleep(0)
 
 
 @dataclasses.dataclass(slots=True)
