Stop nodes gracefully, share word of leaving endpoints, place by flow

SIGTERM now takes a node out of the entries, tells its peers, goes on taking requests while callers may hold its address, then refuses with not_run and the other addresses, and waits for what is in flight; requests longer than the grace time get a final error. Leaving endpoints come from the VM list, their own word and peers. Orders come from policy/placement; the greedy planner stays as the named baseline.

--- a/src/almondshift/adapters/http_front/base.py
+++ b/src/almondshift/adapters/http_front/base.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from typing import TYPE_CHECKING
 from typing import Any
 import uuid
 
+import expression
 import tornado.iostream
 import tornado.web
 
@@ -15,6 +17,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
+    from collections.abc import Callable
 
     from almondshift.adapters import request_observer
     from almondshift.adapters.http_front import contexts
@@ -101,12 +104,6 @@
             self.request_id, account, service, self.arrived
         )
 
-    def check_admission(self) -> None:
-        """Refuses new work while the node is leaving."""
-        refusal = self.node.refusal()
-        if refusal is not None:
-            raise refusal
-
     def write_problem(self, error: BaseException) -> None:
         """Answers with a problem in place of whatever was prepared."""
         if self.record is not None:
@@ -150,6 +147,9 @@
     empty 400 and close, from which a caller can't tell what to mend.
     """
 
+    work: asyncio.Future[None] | None = None
+    cut_error: errors.NodeLeaving | None = None
+
     def prepare(self) -> Awaitable[None] | None:
         """Refuses a body whose announced length is over the limit."""
         super().prepare()
@@ -170,6 +170,46 @@
             self.chunks.append(chunk)
         return None
 
+    async def run_admitted(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Runs a request's work, unless the node is leaving.
+
+        The work ends early when the caller goes away, or when the node
+        closes before the request has ended.
+        """
+        match self.node.begin(self.request_id, self._cut):
+            case expression.Result(tag="ok"):
+                pass
+            case expression.Result(error=error):
+                raise error
+        self.work = asyncio.ensure_future(work())
+        try:
+            await self.work
+        except asyncio.CancelledError:
+            self.end_early()
+        finally:
+            self.node.end(self.request_id)
+
+    def on_connection_close(self) -> None:
+        """Cancels the work when the caller goes away."""
+        if self.work is not None:
+            self.work.cancel()
+
+    def end_early(self) -> None:
+        """Gives the final error, or notes that the caller went away."""
+        if self.cut_error is not None:
+            self.write_final(self.cut_error)
+        elif self.record is not None:
+            self.record.abandoned()
+
+    def write_final(self, error: errors.AlmondshiftError) -> None:
+        """Answers with an error; streams override it."""
+        self.write_problem(error)
+
+    def _cut(self, error: errors.NodeLeaving) -> None:
+        self.cut_error = error
+        if self.work is not None:
+            self.work.cancel()
+
     def body(self) -> bytes:
         """Returns the whole body."""
         if self.received > self.limit:
--- a/src/almondshift/adapters/http_front/completions.py
+++ b/src/almondshift/adapters/http_front/completions.py
@@ -31,22 +31,11 @@
     """Runs completions."""
 
     stream: gateway.CompletionStream | None = None
-    work: asyncio.Task[None] | None = None
 
     async def post(self) -> None:
         """Answers whole, or as server-sent events with ``stream: true``."""
         request = self._request()
-        self.check_admission()
-        self.work = asyncio.ensure_future(self._serve_in_time(request))
-        try:
-            await self.work
-        except asyncio.CancelledError:
-            self._abandon()
-
-    def on_connection_close(self) -> None:
-        """Cancels the work when the caller goes away."""
-        if self.work is not None:
-            self.work.cancel()
+        await self.run_admitted(lambda: self._serve_in_time(request))
 
     async def _serve_in_time(
         self, request: completions.CompletionRequest
@@ -97,11 +86,18 @@
         else:
             await self._answer_whole(request, stream)
 
-    def _abandon(self) -> None:
+    def end_early(self) -> None:
+        """Drops the work, then answers if someone still listens."""
         if self.stream is not None:
             self.stream.close()
-        if self.record is not None:
-            self.record.abandoned()
+        super().end_early()
+
+    def write_final(self, error: errors.AlmondshiftError) -> None:
+        """Answers with a problem, or with an error event in a stream."""
+        if self._headers_written:
+            self._write_error_event(error)
+        else:
+            self.write_problem(error)
 
     def _request(self) -> completions.CompletionRequest:
         account = self.account()
--- a/src/almondshift/adapters/http_front/plain.py
+++ b/src/almondshift/adapters/http_front/plain.py
@@ -33,7 +33,9 @@
 
     async def _pass_on(self, name: str, path: str) -> None:
         request = self._request(name, path)
-        self.check_admission()
+        await self.run_admitted(lambda: self._call(request))
+
+    async def _call(self, request: gateway.PlainRequest) -> None:
         match await self.node.call_plain(request):
             case expression.Result(tag="ok", ok=answer):
                 self.set_status(answer.status)
--- a/src/almondshift/daemons/node.py
+++ b/src/almondshift/daemons/node.py
@@ -28,7 +28,7 @@
 from almondshift.node import completions
 from almondshift.node import directory
 from almondshift.policy import baseline
-from almondshift.policy import greedy_placement
+from almondshift.policy import planners
 from almondshift.policy import router
 
 if TYPE_CHECKING:
@@ -151,7 +151,7 @@
     """Returns the decisions that a node runs with."""
     return application.NodeChoices(
         router=_create_router(settings, rng),
-        planner=greedy_placement.create_greedy_planner(),
+        planner=planners.create_flow_planner(),
         completions=completions.CompletionSettings(
             keep_inputs=settings.keep_inputs
         ),
@@ -200,6 +200,7 @@
         loop.add_signal_handler(number, stop.set)
     await process.start()
     await stop.wait()
+    await process.node.stop_gracefully()
     await process.close()
 
 
--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import logging
 from typing import TYPE_CHECKING
-from typing import Any
 
 from almondshift import log_events
 from almondshift.adapters import fleet_text
 from almondshift.adapters import keys
 from almondshift.coordination import claims
+from almondshift.coordination import drain as drains
 from almondshift.coordination import lease as leases
+from almondshift.coordination import leaving
 from almondshift.coordination import membership as memberships
 from almondshift.coordination import versioned_config
 from almondshift.node import at_most_once
@@ -29,25 +31,27 @@
 from almondshift.node import router_driver
 from almondshift.node import seeds
 from almondshift.node import stage_calls
+from almondshift.node import status
 from almondshift.policy import events
 from almondshift.policy import step_timeouts
+from almondshift.ports import peers
 
 if TYPE_CHECKING:
     import random
 
     from almondshift.adapters import settings as node_settings
     from almondshift.model import fleet
-    from almondshift.policy import placements
+    from almondshift.policy import planners
     from almondshift.policy import routers
     from almondshift.ports import clocks
     from almondshift.ports import engines
     from almondshift.ports import operations as operation_ports
-    from almondshift.ports import peers
     from almondshift.ports import plain_services
     from almondshift.ports import stores
     from almondshift.ports import vm_lists
 
 CONTROL_LEASE = "control"
+SETTLE_S = 5.0
 
 logger = logging.getLogger(__name__)
 
@@ -70,7 +74,7 @@
     """What may be exchanged against a baseline."""
 
     router: routers.Router
-    planner: placements.Planner
+    planner: planners.Planner
     completions: completions.CompletionSettings = dataclasses.field(
         default_factory=completions.CompletionSettings
     )
@@ -97,6 +101,7 @@
     Attributes:
         gateway: Where the HTTP front sends callers.
         operations: Where the HTTP front sends operators.
+        entry_address: Where callers reach this node.
     """
 
     def __init__(
@@ -108,101 +113,134 @@
     ) -> None:
         self.settings = settings
         self.ports = ports
+        self.rng = rng
         self.entry_address = settings.entry_advertise
-        clock = ports.clock
-        self.driver = router_driver.create_router_driver(choices.router, clock)
-        timeouts = step_timeouts.create_step_timeouts()
-        self.directory = directory.Directory(
-            ports.vm_list,
-            ports.engines,
-            self.driver,
-            timeouts,
-            clock,
-            rng,
-            choices.directory,
+        self.driver = router_driver.create_router_driver(
+            choices.router, ports.clock
         )
+        self._build_coordination()
+        self._build_endpoints(choices)
+        self._build_callers_side(choices)
+        self.counts = objectives.create_objective_counts(ports.clock)
+        self.operations = operations.NodeOperations(
+            self.config, lambda: status.describe(self), self.counts.snapshot
+        )
+        self.config.subscribe(self._apply)
+
+    def _build_coordination(self) -> None:
+        settings, ports, rng = self.settings, self.ports, self.rng
         self.config = versioned_config.create_versioned_config(
             ports.table,
-            clock,
+            ports.clock,
             rng,
             fleet_text.parse,
             versioned_config.ConfigSettings(interval_s=settings.poll_s),
         )
         self.lease = leases.create_lease(
             ports.table,
-            clock,
+            ports.clock,
             rng,
             CONTROL_LEASE,
             settings.name,
             _lease_settings(settings.lease_s),
         )
         self.seeds = seeds.create_seed_rows(
-            ports.table, clock, rng, settings.name, settings.peer_seeds
+            ports.table, ports.clock, rng, settings.name, settings.peer_seeds
         )
         self.membership = memberships.create_membership(
             ports.link,
-            clock,
+            ports.clock,
             rng,
             memberships.NodeIdentity(
                 settings.name, settings.peer_advertise, "", settings.zone
             ),
             self.seeds.addresses,
         )
+        self.spread = config_spread.create_config_spread(
+            self.config, self.membership, ports.clock, rng
+        )
+        questions = at_most_once.ClaimQuestions(self.membership)
+        self.claims = claims.create_claims(
+            ports.table,
+            ports.objects,
+            ports.clock,
+            rng,
+            settings.name,
+            questions.ask,
+        )
+        questions.use(self.claims)
+
+    def _build_endpoints(self, choices: NodeChoices) -> None:
+        ports, rng = self.ports, self.rng
+        self.leaving = leaving.create_leaving_endpoints(
+            ports.clock, self.membership.publish
+        )
+        self.directory = directory.Directory(
+            ports.vm_list,
+            ports.engines,
+            self.driver,
+            step_timeouts.create_step_timeouts(),
+            self.leaving,
+            ports.clock,
+            rng,
+            choices.directory,
+        )
         self.load_exchange = load_exchange.create_load_exchange(
             self.membership,
             self.directory,
             self.driver,
             self.driver.usage,
-            clock,
+            ports.clock,
             rng,
         )
         self.directory.watches = self.load_exchange.watches
-        questions = at_most_once.ClaimQuestions(self.membership)
-        self.claims = claims.create_claims(
-            ports.table, ports.objects, clock, rng, settings.name, questions.ask
-        )
-        questions.use(self.claims)
-        self.spread = config_spread.create_config_spread(
-            self.config, self.membership, clock, rng
-        )
         self.reconciler = reconciler.Reconciler(
             LeaseGuard(self.lease),
             self.directory,
             lambda: self.config.value,
             choices.planner,
-            clock,
+            ports.clock,
             rng,
             reconciler.ReconcilerSettings(),
         )
+
+    def _build_callers_side(self, choices: NodeChoices) -> None:
+        settings, ports = self.settings, self.ports
         self.budget = kept_inputs.create_kept_inputs(settings.kept_inputs_bytes)
-        self.counts = objectives.create_objective_counts(clock)
         self.entries = entries.EntryList(
             self.membership,
             self.load_exchange,
             lambda: self.config.value,
             lambda: self.entry_address,
-            clock,
-            rng,
+            ports.clock,
+            self.rng,
+        )
+        self.once = at_most_once.AtMostOnce(self.claims)
+        self.drain = drains.create_drain(
+            ports.clock,
+            drains.DrainSettings(
+                hold_s=settings.drain_hold_s,
+                margin_s=0.0,
+                grace_s=settings.drain_hold_s + settings.drain_grace_s,
+            ),
+            self._announce_leaving,
+            lambda request_id, error: self.gateway.cut(request_id, error),
         )
         self.gateway = gateway.NodeGateway(
             completions.CompletionService(
                 stage_calls.NodeStageCalls(self.directory, self.driver),
                 self.driver,
                 self.budget,
-                clock,
+                ports.clock,
                 choices.completions,
             ),
             plain_calls.PlainCalls(
-                ports.plain, self.directory, self.driver, clock
+                ports.plain, self.directory, self.driver, ports.clock
             ),
-            at_most_once.AtMostOnce(self.claims),
-            self.entries.answer,
-            lambda: self.config.value is not None,
+            self.once,
+            self.entries,
+            self.drain,
         )
-        self.operations = operations.NodeOperations(
-            self.config, self.status, self.counts.snapshot
-        )
-        self.config.subscribe(self._apply)
 
     async def start(self, entry_address: str) -> None:
         """Starts all parts; callers may come as soon as it returns.
@@ -214,6 +252,7 @@
         self.membership.node = dataclasses.replace(
             self.membership.node, entry_address=self.entry_address
         )
+        self.membership.subscribe(peers.FactKind.LEAVING, self._heard_leaving)
         await self.driver.start()
         await self.membership.start()
         await self.seeds.start(self.membership.node.peer_address)
@@ -225,6 +264,19 @@
         await self.claims.start()
         await self.reconciler.start()
 
+    async def stop_gracefully(self) -> drains.DrainReport:
+        """Leaves the entries and waits for what is in flight.
+
+        The control lease is given up first, so that another node gives
+        orders while this one drains.
+        """
+        await self.reconciler.close()
+        await self.lease.close()
+        report = await self.drain.run()
+        if self.once.running:
+            await asyncio.wait(self.once.running, timeout=SETTLE_S)
+        return report
+
     async def close(self) -> None:
         """Closes all parts, those that others rely on last."""
         await self.reconciler.close()
@@ -238,69 +290,14 @@
         await self.driver.close()
         await self.directory.close()
 
-    def status(self) -> dict[str, Any]:
-        """Returns this node's state as a JSON object."""
-        current = self.config.current
-        grant = self.lease.grant()
-        return {
-            "node": self.settings.name,
-            "zone": self.settings.zone,
-            "config": {
-                "version": current.version if current else 0,
-                "verified": current.verified if current else False,
-            },
-            "lease": {
-                "holder": self.settings.name if grant else None,
-                "fencing": grant.fencing if grant else None,
-            },
-            "nodes": [self._own_row(), *self._peer_rows()],
-            "endpoints": self._endpoint_rows(),
-            "services": self._service_rows(),
-            "quarantine": [],
-        }
-
-    def _own_row(self) -> dict[str, Any]:
-        return {
-            "name": self.settings.name,
-            "entry": self.entry_address,
-            "zone": self.settings.zone,
-            "state": "alive",
-        }
-
-    def _peer_rows(self) -> list[dict[str, Any]]:
-        return [
-            {
-                "name": peer.name,
-                "entry": peer.entry_address,
-                "zone": peer.zone,
-                "state": peer.state.value,
-            }
-            for peer in self.membership.peers()
-        ]
-
-    def _endpoint_rows(self) -> list[dict[str, Any]]:
-        rows = []
-        for name, known in sorted(self.directory.endpoints.items()):
-            report = known.report
-            holdings = report.holdings if report else ()
-            rows.append(
-                {
-                    "name": name,
-                    "kind": known.vm.kind.value,
-                    "zone": known.vm.zone,
-                    "leaving": known.leaving,
-                    "holdings": [_describe_holding(h) for h in holdings],
-                }
-            )
-        return rows
-
-    def _service_rows(self) -> list[dict[str, Any]]:
-        value = self.config.value
-        services = value.services if value else {}
-        return [
-            {"name": name, "ready": self.driver.router.service_ready(name)}
-            for name in sorted(services)
-        ]
+    async def _announce_leaving(self) -> None:
+        self.entries.leaving = True
+        self.membership.leave()
+        await self.membership.run_round(urgent=True)
+
+    def _heard_leaving(self, key: str, fact: peers.Fact | None) -> None:
+        self.leaving.fact_changed(key, fact)
+        self.directory.tell_leaving()
 
     def _apply(
         self, version: operation_ports.ConfigVersion, value: fleet.Fleet
@@ -322,16 +319,6 @@
         )
 
 
-def _describe_holding(held: Any) -> dict[str, Any]:
-    return {
-        "model": held.model,
-        "version": held.version,
-        "adapter": held.adapter,
-        "layers": f"{held.layers.start}-{held.layers.end}",
-        "ready": held.ready,
-    }
-
-
 def _lease_settings(duration_s: float) -> leases.LeaseSettings:
     return leases.LeaseSettings(
         duration_s=duration_s,
--- a/src/almondshift/node/directory.py
+++ b/src/almondshift/node/directory.py
@@ -23,6 +23,7 @@
     from collections.abc import Callable
     import random
 
+    from almondshift.coordination import leaving as leaving_parts
     from almondshift.node import router_driver
     from almondshift.policy import step_timeouts
     from almondshift.ports import clocks
@@ -63,7 +64,7 @@
         engine: Client, for engines.
         calls: Coalescer, for engines that described themselves.
         report: The newest load report seen here.
-        leaving: Whether any source said that it is leaving.
+        is_told: Whether the router was told that it is leaving.
         missing: Reads of the VM list in a row without it.
         watched: Whether this node asks the engine itself for its load.
     """
@@ -73,7 +74,7 @@
     calls: coalescer.Coalescer | None = None
     description: endpoints.EndpointDescription | None = None
     report: endpoints.LoadReport | None = None
-    leaving: bool = False
+    is_told: bool = False
     missing: int = 0
     watched: bool = True
     cache_sequence: int = 0
@@ -85,6 +86,7 @@
 
     Attributes:
         endpoints: What is known now.
+        leaving: Which of them get no new work.
         list_known: Whether the VM list was read at least once.
         watches: Says which engines this node asks for their load; peers
             tell of the others.
@@ -96,6 +98,7 @@
         factory: engines.EngineFactory,
         driver: router_driver.RouterDriver,
         timeouts: step_timeouts.StepTimeouts,
+        leaving: leaving_parts.LeavingEndpoints,
         clock: clocks.Clock,
         rng: random.Random,
         settings: DirectorySettings,
@@ -104,6 +107,7 @@
         self.factory = factory
         self.driver = driver
         self.timeouts = timeouts
+        self.leaving = leaving
         self.clock = clock
         self.rng = rng
         self.settings = settings
@@ -141,19 +145,34 @@
 
     def is_leaving(self, endpoint: str) -> bool:
         """Returns whether an endpoint is leaving or gone."""
-        known = self.endpoints.get(endpoint)
-        return known is None or known.leaving
-
-    def mark_leaving(self, endpoint: str) -> None:
-        """Takes any source's word that an endpoint is leaving."""
-        known = self.endpoints.get(endpoint)
-        if known is None or known.leaving:
-            return
-        known.leaving = True
-        self.driver.tell(
-            events.EndpointLeaving(self.clock.monotonic(), endpoint)
+        return endpoint not in self.endpoints or self.leaving.is_leaving(
+            endpoint
         )
 
+    def plain_ready(self) -> set[str]:
+        """Returns the plain services that have an endpoint to use."""
+        return {
+            known.vm.service
+            for name, known in self.endpoints.items()
+            if known.vm.kind is endpoints.EndpointKind.PLAIN
+            and not self.leaving.is_leaving(name)
+        }
+
+    def said_leaving(self, endpoint: str, instance: str = "") -> None:
+        """Takes an endpoint's own word that it is leaving."""
+        self.leaving.endpoint_said(endpoint, instance)
+        self.tell_leaving()
+
+    def tell_leaving(self) -> None:
+        """Tells the router of each endpoint that began to leave."""
+        for name, known in self.endpoints.items():
+            leaving = self.leaving.is_leaving(name)
+            if leaving and not known.is_told:
+                self.driver.tell(
+                    events.EndpointLeaving(self.clock.monotonic(), name)
+                )
+            known.is_told = leaving
+
     async def _watch_list(self) -> None:
         while True:
             try:
@@ -175,6 +194,8 @@
         seen = {vm.name for vm in vms}
         for vm in vms:
             await self._see(vm)
+        self.leaving.vms_listed(vms)
+        self.tell_leaving()
         for name in list(self.endpoints):
             if name in seen:
                 self.endpoints[name].missing = 0
@@ -192,8 +213,6 @@
             await self._add(vm)
         elif known.vm != vm:
             known.vm = vm
-        if vm.state is endpoints.VmState.LEAVING:
-            self.mark_leaving(vm.name)
 
     async def _add(self, vm: endpoints.Vm) -> None:
         known = Endpoint(vm)
@@ -214,6 +233,7 @@
         if known.engine is not None:
             await known.engine.close()
         self.timeouts.forget(name)
+        self.leaving.endpoint_gone(name)
         self.driver.tell(events.EndpointGone(self.clock.monotonic(), name))
 
     def _tell_seen(self, known: Endpoint) -> None:
@@ -306,13 +326,13 @@
         described = known.description
         if described is not None and described.instance != report.instance:
             known.description = None
-            known.leaving = False
             known.cache_sequence = 0
             await self._describe(known, engine)
         known.report = report
+        self.leaving.instance_seen(known.vm.name, report.instance)
         self.driver.tell(events.LoadReported(self.clock.monotonic(), report))
         if report.leaving:
-            self.mark_leaving(known.vm.name)
+            self.said_leaving(known.vm.name, report.instance)
 
     def take_peer_report(self, report: endpoints.LoadReport) -> None:
         """Takes a report that a peer read."""
@@ -327,7 +347,7 @@
         known.report = report
         self.driver.tell(events.LoadReported(self.clock.monotonic(), report))
         if report.leaving:
-            self.mark_leaving(report.endpoint)
+            self.said_leaving(report.endpoint, report.instance)
 
     async def _read_cache_events(
         self, known: Endpoint, engine: engines.Engine
--- a/src/almondshift/node/gateway.py
+++ b/src/almondshift/node/gateway.py
@@ -18,9 +18,11 @@
     from collections.abc import Callable
 
     from almondshift.adapters import keys
+    from almondshift.coordination import drain as drains
     from almondshift.model import completions as requests
     from almondshift.node import at_most_once
     from almondshift.node import completions
+    from almondshift.node import entries
     from almondshift.node import plain_calls
 
 SAFE_METHODS = frozenset({"GET", "HEAD"})
@@ -32,8 +34,6 @@
     Attributes:
         current: The configuration in force.
         key_table: Bearer keys of ``current``.
-        leaving: Why no new request is taken, while draining.
-        in_flight: Requests taken and not answered yet.
     """
 
     def __init__(
@@ -41,17 +41,17 @@
         completion_service: completions.CompletionService,
         plain_service: plain_calls.PlainCalls,
         once: at_most_once.AtMostOnce,
-        list_entries: Callable[[str], gateway.Entries],
-        is_ready: Callable[[], bool],
+        entry_list: entries.EntryList,
+        drain: drains.Drain,
     ) -> None:
         self.completion_service = completion_service
         self.plain_service = plain_service
         self.at_most_once = once
-        self.list_entries = list_entries
-        self.is_ready = is_ready
+        self.entry_list = entry_list
+        self.drain = drain
         self.current: fleets.Fleet | None = None
         self.key_table: keys.KeyTable | None = None
-        self.leaving: errors.NodeLeaving | None = None
+        self._cuts: dict[str, Callable[[errors.NodeLeaving], None]] = {}
 
     def current_fleet(self) -> fleets.Fleet | None:
         """Returns the configuration in force."""
@@ -63,15 +63,39 @@
 
     def ready(self) -> bool:
         """Returns whether callers should be sent here."""
-        return self.leaving is None and self.is_ready()
-
-    def refusal(self) -> errors.NodeLeaving | None:
-        """Returns why no new request is taken, if so."""
-        return self.leaving
+        return self.drain.is_listed and self.current is not None
+
+    def begin(
+        self, request_id: str, cut: Callable[[errors.NodeLeaving], None]
+    ) -> expression.Result[None, errors.NodeLeaving]:
+        """Takes a request, or refuses it and says where to go."""
+        taken = self.drain.begin(request_id)
+        if taken.is_error():
+            return expression.Error(self._elsewhere(taken.error))
+        self._cuts[request_id] = cut
+        return taken
+
+    def end(self, request_id: str) -> None:
+        """Notes that a request ended."""
+        self._cuts.pop(request_id, None)
+        self.drain.end(request_id)
+
+    def cut(self, request_id: str, error: errors.AlmondshiftError) -> None:
+        """Gives a request its final error, since the node closes."""
+        cut = self._cuts.get(request_id)
+        if cut is not None and isinstance(error, errors.NodeLeaving):
+            cut(error)
+
+    def _elsewhere(self, error: errors.NodeLeaving) -> errors.NodeLeaving:
+        found = self.entry_list.answer("").addresses
+        names = ", ".join(entry.address for entry in found)
+        if names:
+            error.remedy = f"Use another address: {names}."
+        return error
 
     def entries(self, account: str) -> gateway.Entries:
         """Returns the addresses for an account."""
-        return self.list_entries(account)
+        return self.entry_list.answer(account)
 
     async def complete(
         self, request: requests.CompletionRequest
--- a/src/almondshift/node/reconciler.py
+++ b/src/almondshift/node/reconciler.py
@@ -11,7 +11,7 @@
 import expression
 
 from almondshift.model import orders
-from almondshift.policy import placements
+from almondshift.policy import placement
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,6 +19,7 @@
 
     from almondshift.model import fleet
     from almondshift.node import directory
+    from almondshift.policy import planners
     from almondshift.ports import clocks
     from almondshift.ports import engines
 
@@ -49,7 +50,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Sent:
-    order: placements.PlannedOrder
+    order: placement.PlannedOrder
     at: float
 
 
@@ -59,6 +60,7 @@
     Attributes:
         sent: Orders given since the start.
         stale: Orders that an engine refused for an old fencing number.
+        notes: What the last plan said can't be done.
     """
 
     def __init__(
@@ -66,7 +68,7 @@
         guard: OrderGuard,
         known: directory.Directory,
         current_fleet: Callable[[], fleet.Fleet | None],
-        planner: placements.Planner,
+        planner: planners.Planner,
         clock: clocks.Clock,
         rng: random.Random,
         settings: ReconcilerSettings,
@@ -80,6 +82,7 @@
         self.settings = settings
         self.sent = 0
         self.stale = 0
+        self.notes: tuple[str, ...] = ()
         self._last: dict[str, _Sent] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -107,30 +110,30 @@
         if self.guard.fencing() is None or wanted is None:
             self._last.clear()
             return
-        for order in self.planner.plan(wanted, self._views()):
+        plan = self.planner.plan(
+            wanted, self._engines(), self.directory.plain_ready()
+        )
+        self.notes = plan.notes
+        for order in plan.orders:
             if self._is_due(order):
                 await self._give(order)
 
-    def _views(self) -> list[placements.EngineView]:
+    def _engines(self) -> list[placement.PlacedEngine]:
         return [
-            placements.EngineView(
-                name=name,
-                zone=known.vm.zone,
-                description=known.description,
-                report=known.report,
-                leaving=known.leaving,
-            )
+            placement.PlacedEngine(known.description, known.report)
             for name, known in self.directory.endpoints.items()
             if known.description is not None
+            and known.report is not None
+            and not self.directory.is_leaving(name)
         ]
 
-    def _is_due(self, order: placements.PlannedOrder) -> bool:
+    def _is_due(self, order: placement.PlannedOrder) -> bool:
         last = self._last.get(order.endpoint)
         if last is None or last.order != order:
             return True
         return self.clock.monotonic() - last.at >= self.settings.resend_s
 
-    async def _give(self, order: placements.PlannedOrder) -> None:
+    async def _give(self, order: placement.PlannedOrder) -> None:
         """Gives one order if the lease is still held right now.
 
         A holder that was paused between plan and order may have lost its
@@ -145,12 +148,14 @@
             return
         self._last[order.endpoint] = _Sent(order, self.clock.monotonic())
         self.sent += 1
-        answer = await engine.order(_to_order(order, fencing))
+        answer = await engine.order(
+            dataclasses.replace(order.order, fencing=fencing)
+        )
         self._take_answer(order, answer)
 
     def _take_answer(
         self,
-        order: placements.PlannedOrder,
+        order: placement.PlannedOrder,
         answer: expression.Result[orders.OrderAnswer, engines.EngineError],
     ) -> None:
         match answer:
@@ -160,14 +165,3 @@
                     logger.warning("stale order for %s", order.endpoint)
             case _:
                 self._last.pop(order.endpoint, None)
-
-
-def _to_order(order: placements.PlannedOrder, fencing: int) -> orders.Order:
-    return orders.Order(
-        fencing=fencing,
-        role=order.role,
-        model=order.model,
-        version=order.version,
-        adapter=order.adapter,
-        layers=order.layers,
-    )
--- a/src/almondshift/node/stage_calls.py
+++ b/src/almondshift/node/stage_calls.py
@@ -52,7 +52,7 @@
         """Asks the router which stages take over."""
         endpoint = failure.chain.stages[failure.index].endpoint
         if failure.reason is events.FailureReason.LEAVING:
-            self.directory.mark_leaving(endpoint)
+            self.directory.said_leaving(endpoint)
         decision = await self.driver.decide(failure)
         if isinstance(decision, actions.Replace):
             return expression.Ok(decision.replacement)
--- a/src/almondshift/policy/greedy_placement.py
+++ b/src/almondshift/policy/greedy_placement.py
@@ -11,68 +11,67 @@
 
 from almondshift.model import endpoints
 from almondshift.model import layers
-from almondshift.policy import placements
+from almondshift.model import orders
+from almondshift.policy import placement
+from almondshift.policy import planners
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Sequence
 
-    from almondshift.model import fleet
+    from almondshift.model import fleet as fleets
 
 
-class GreedyPlanner(placements.Planner):
+class GreedyPlanner(planners.Planner):
     """Fills one chain after the other."""
 
     def plan(
-        self, fleet: fleet.Fleet, engines: Sequence[placements.EngineView]
-    ) -> list[placements.PlannedOrder]:
+        self,
+        fleet: fleets.Fleet,
+        engines: Sequence[placement.PlacedEngine],
+        plain_ready: Iterable[str],
+    ) -> placement.Plan:
         """Returns orders for engines that do not hold their range yet."""
-        usable = sorted(
-            (e for e in engines if not e.leaving), key=lambda e: e.name
-        )
+        usable = sorted(engines, key=lambda e: e.name)
         models = [fleet.models[name] for name in sorted(fleet.models)]
-        if not models:
-            return []
-        orders = []
+        found = []
         for index, model in enumerate(models):
-            share = usable[index :: len(models)]
-            orders.extend(_fill(model, share))
-        return [o for o in orders if not _holds(o, usable)]
+            found.extend(_fill(model, usable[index :: len(models)]))
+        return placement.Plan(tuple(found))
 
 
 def _fill(
-    model: fleet.Model, engines: Sequence[placements.EngineView]
-) -> list[placements.PlannedOrder]:
-    orders = []
+    model: fleets.Model, engines: Sequence[placement.PlacedEngine]
+) -> list[placement.PlannedOrder]:
+    found = []
     start = 0
     for engine in engines:
         end = min(start + engine.description.layer_capacity, model.layers)
-        orders.append(
-            placements.PlannedOrder(
-                endpoint=engine.name,
-                role=endpoints.EndpointRole.SERVING,
-                model=model.name,
-                version=model.version,
-                adapter="",
-                layers=layers.LayerRange(start, end),
-            )
-        )
+        order = _order(model, layers.LayerRange(start, end))
+        if not _holds(order, engine):
+            found.append(placement.PlannedOrder(engine.name, order))
         start = 0 if end == model.layers else end
-    return orders
+    return found
 
 
-def _holds(
-    order: placements.PlannedOrder, engines: Sequence[placements.EngineView]
-) -> bool:
-    for engine in engines:
-        if engine.name != order.endpoint or engine.report is None:
-            continue
-        return any(
-            held.model == order.model
-            and held.version == order.version
-            and held.layers == order.layers
-            for held in engine.report.holdings
-        )
-    return False
+def _order(model: fleets.Model, span: layers.LayerRange) -> orders.Order:
+    return orders.Order(
+        fencing=placement.NO_FENCING,
+        role=endpoints.EndpointRole.SERVING,
+        model=model.name,
+        version=model.version,
+        adapter="",
+        layers=span,
+    )
+
+
+def _holds(order: orders.Order, engine: placement.PlacedEngine) -> bool:
+    return any(
+        held.model == order.model
+        and held.version == order.version
+        and held.layers == order.layers
+        for held in engine.report.holdings
+    )
 
 
 def create_greedy_planner() -> GreedyPlanner:
--- a/src/almondshift/ports/gateway.py
+++ b/src/almondshift/ports/gateway.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
+    from collections.abc import Callable
 
     import expression
 
@@ -98,8 +99,19 @@
         """Returns whether callers should be sent here."""
 
     @abc.abstractmethod
-    def refusal(self) -> errors.NodeLeaving | None:
-        """Returns why no new request is taken, if so."""
+    def begin(
+        self, request_id: str, cut: Callable[[errors.NodeLeaving], None]
+    ) -> expression.Result[None, errors.NodeLeaving]:
+        """Takes a request, or refuses it while the node is leaving.
+
+        Args:
+            request_id: The request.
+            cut: Called if the node closes before the request has ended.
+        """
+
+    @abc.abstractmethod
+    def end(self, request_id: str) -> None:
+        """Notes that a request ended, in whatever way."""
 
     @abc.abstractmethod
     def entries(self, account: str) -> Entries:
