Prove that engines join and versions change without failing a request

Cause of a version change that never ended under load (30 s, then the scenario failed): an engine ordered to drain reported that it is leaving, as if its VM went away, so that it was left out of every later plan and version 2 was never loaded. Ruled out: the plan (it drains one replica, then waits), the order (accepted). Change: draining is told by the role alone; new sessions get wrong_model there, and leaving stands for the VM. Scenarios: a new engine is put to use, a version change fails no request, a service waits for what it depends on; pytest tests/scenarios tests/standins: passed.

--- a/src/almondshift/adapters/curl_calls.py
+++ b/src/almondshift/adapters/curl_calls.py
@@ -21,6 +21,7 @@
 from tornado import httpclient
 
 from almondshift import errors
+from almondshift.adapters import curl_client
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -119,16 +120,14 @@
         self.max_connections = max_connections
         self.connect_timeout_s = connect_timeout_s
         self.slots = asyncio.Semaphore(max_connections)
-        self.client: curl_httpclient.CurlAsyncHTTPClient | None = None
+        self.client: curl_client.ClosableCurlClient | None = None
         self.waiting: set[asyncio.Future[CallResult]] = set()
 
     def start(self) -> None:
         """Makes calls possible; needs a running loop. Idempotent."""
         if self.client is None:
-            self.client = curl_httpclient.CurlAsyncHTTPClient(
-                force_instance=True,
-                max_clients=self.max_connections,
-                max_body_size=MAX_REPLY_BYTES,
+            self.client = curl_client.create_curl_client(
+                self.max_connections, MAX_REPLY_BYTES
             )
 
     def close(self) -> None:
--- /dev/null
+++ b/src/almondshift/adapters/curl_client.py
@@ -0,0 +1,35 @@
+"""Tornado's curl client, mended at its end."""
+
+from __future__ import annotations
+
+from tornado import curl_httpclient
+
+MAX_ANSWER_BYTES = 100 * 1024 * 1024
+
+
+class ClosableCurlClient(curl_httpclient.CurlAsyncHTTPClient):
+    """A client that may be closed with transfers open.
+
+    Closing the transfers makes libcurl ask for one more timer, after tornado
+    removed the last; it would run on a closed client and log a traceback.
+    """
+
+    def _handle_timeout(self) -> None:
+        if self._multi is not None:
+            super()._handle_timeout()
+
+
+def create_curl_client(
+    max_clients: int, max_body_size: int = MAX_ANSWER_BYTES
+) -> ClosableCurlClient:
+    """Builds a client of its own.
+
+    Args:
+        max_clients: Concurrent calls; more wait in tornado's own queue.
+        max_body_size: Largest answer in bytes.
+    """
+    return ClosableCurlClient(
+        force_instance=True,
+        max_clients=max_clients,
+        max_body_size=max_body_size,
+    )
--- a/src/almondshift/adapters/http_caller.py
+++ b/src/almondshift/adapters/http_caller.py
@@ -12,9 +12,10 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from tornado import curl_httpclient
 from tornado import httpclient
 
+from almondshift.adapters import curl_client
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -119,9 +120,7 @@
 
     async def start(self) -> None:
         """Makes calls possible."""
-        self._client = curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CLIENTS
-        )
+        self._client = curl_client.create_curl_client(MAX_CLIENTS)
 
     async def close(self) -> None:
         """Closes connections."""
--- a/src/almondshift/adapters/platform_client.py
+++ b/src/almondshift/adapters/platform_client.py
@@ -9,10 +9,10 @@
 import expression
 import msgspec
 import pycurl
-from tornado import curl_httpclient
 from tornado import httpclient
 
 from almondshift import errors
+from almondshift.adapters import curl_client
 from almondshift.adapters import platform_messages
 
 CONCURRENT_REQUESTS = 16
@@ -80,14 +80,12 @@
         self.timeout_s = timeout_s
         self.concurrent_requests = concurrent_requests
         self.slots = asyncio.Semaphore(concurrent_requests)
-        self.http: curl_httpclient.CurlAsyncHTTPClient | None = None
+        self.http: curl_client.ClosableCurlClient | None = None
         self.in_flight: set[asyncio.Future[httpclient.HTTPResponse]] = set()
 
     async def start(self) -> None:
         """Creates the HTTP client on the running loop."""
-        self.http = curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=self.concurrent_requests
-        )
+        self.http = curl_client.create_curl_client(self.concurrent_requests)
 
     async def close(self) -> None:
         """Refuses new calls and waits for those in flight to end.
@@ -144,7 +142,7 @@
 
     async def _send(
         self,
-        http: curl_httpclient.CurlAsyncHTTPClient,
+        http: curl_client.ClosableCurlClient,
         method: str,
         path: str,
         body: bytes | None,
--- a/src/almondshift/standins/engine/runner.py
+++ b/src/almondshift/standins/engine/runner.py
@@ -88,18 +88,21 @@
     def _open(self, item: steps.StepItem) -> steps.StepStatus:
         if item.position != 0:
             return steps.StepStatus.UNKNOWN_SESSION
-        if self.is_leaving():
+        if self.faults.leaving:
             return steps.StepStatus.LEAVING
-        if not item.inputs or not self.held.opens(item):
+        if self.is_draining() or not item.inputs or not self.held.opens(item):
             return steps.StepStatus.WRONG_MODEL
         if self.table.open(item, time.monotonic()) is None:
             return steps.StepStatus.BUSY
         return steps.StepStatus.OK
 
-    def is_leaving(self) -> bool:
-        """Returns whether no session is opened any more."""
-        draining = self.held.role is endpoints.EndpointRole.DRAINING
-        return self.faults.leaving or draining
+    def is_draining(self) -> bool:
+        """Returns whether it was ordered to open no sessions for now.
+
+        Other than one whose VM is leaving, a draining engine stays, and
+        waits for its next order.
+        """
+        return self.held.role is endpoints.EndpointRole.DRAINING
 
     def _continue(
         self, session: sessions.Session, item: steps.StepItem
--- a/src/almondshift/standins/engine/server.py
+++ b/src/almondshift/standins/engine/server.py
@@ -157,7 +157,7 @@
             self.settings.name,
             self.instance,
             self.held.role,
-            self.runner.is_leaving(),
+            self.faults.leaving,
             self.held.report(),
             len(self.table),
             len(self.batcher.queue),
@@ -177,8 +177,8 @@
         Raises:
             struct.error: If the state does not fit the layers.
         """
-        if self.runner.is_leaving():
-            return "The engine is leaving."
+        if self.faults.leaving or self.runner.is_draining():
+            return "The engine opens no sessions."
         if not self.held.opens(snapshot):
             return "The engine does not hold these layers."
         if self.table.find(snapshot.session) is not None:
--- /dev/null
+++ b/tests/scenarios/features/fleet_change.feature
@@ -0,0 +1,26 @@
+Feature: The fleet changes while requests are served
+  Engines join and versions change without any step beside the operators'
+  text, and no caller's request fails for it.
+
+  Scenario: a new engine is put to use
+    The engine registers with the platform; the holder of the control lease
+    orders it to load layers, and requests then go through it.
+    Given a system of 2 nodes
+    When the engine e9 with room for 12 layers joins
+    Then e9 serves layers within 20 seconds
+
+  Scenario: a version change fails no request
+    Callers keep asking while version 2 replaces version 1. Each answer is
+    whole and of one version, first all of 1, in the end all of 2.
+    Given a system of 2 nodes
+    When callers keep asking for 12 tokens
+    And version 2 of the model is applied
+    Then all answers come to be of version 2 within 30 seconds
+    And every answer was whole and of one version
+
+  Scenario: a service waits for what it depends on
+    The advice of this text depends on a plain service without endpoints, so
+    that a request for it is refused as not run, and says when to come back.
+    Given a system of 1 nodes
+    When chat is made to depend on a service without endpoints
+    Then a request for chat is refused as service_not_ready
--- /dev/null
+++ b/tests/scenarios/test_fleet_change.py
@@ -0,0 +1,158 @@
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+
+from tests.faults import systems
+
+if TYPE_CHECKING:
+    from tests.scenarios import worlds
+
+scenarios("features/fleet_change.feature")
+
+CALLERS = 4
+
+
+@dataclasses.dataclass
+class SteadyLoad:
+    """Callers that ask again and again.
+
+    Attributes:
+        versions: Versions of the answers so far, in order.
+        faults: What was not a whole answer of one version.
+    """
+
+    count: int
+    versions: list[int] = dataclasses.field(default_factory=list)
+    faults: list[str] = dataclasses.field(default_factory=list)
+    is_on: bool = True
+    tasks: list[asyncio.Task[None]] = dataclasses.field(default_factory=list)
+
+    async def ask(self, system: systems.RealSystem, number: int) -> None:
+        caller = await system.caller()
+        prompt = [ord(c) for c in f"steady {number}"]
+        expected = {
+            systems.expected(prompt, self.count, version): version
+            for version in (1, 2)
+        }
+        nodes = list(system.nodes.values())
+        while self.is_on:
+            answer = await caller.complete(
+                "chat",
+                prompt,
+                self.count,
+                address=nodes[number % len(nodes)].address,
+            )
+            version = expected.get(tuple(answer.tokens))
+            if not answer.whole or version is None:
+                self.faults.append(f"{answer.problem} {answer.tokens}")
+            else:
+                self.versions.append(version)
+
+
+@when(parsers.parse("the engine {name} with room for {room:d} layers joins"))
+def join(world: worlds.World, name: str, room: int) -> None:
+    shape = systems.EngineShape(name, room, "za", "large")
+    world.run(world.system.start_engine(shape))
+
+
+@then(parsers.parse("{name} serves layers within {seconds:d} seconds"))
+def serves(world: worlds.World, name: str, seconds: int) -> None:
+    async def ready() -> bool:
+        status = await world.system.status("n1")
+        rows = [r for r in status["endpoints"] if r["name"] == name]
+        return any(h["ready"] for row in rows for h in row["holdings"])
+
+    world.run(world.system.wait_for(ready, f"{name} serves", seconds))
+
+    async def used() -> bool:
+        caller = await world.system.caller()
+        await asyncio.gather(
+            *(caller.complete("chat", [n + 1, 2, 3], 4) for n in range(16))
+        )
+        return len(await world.system.ledger(name)) > 0
+
+    world.run(world.system.wait_for(used, f"{name} is used", seconds))
+
+
+@when(parsers.parse("callers keep asking for {count:d} tokens"))
+def keep_asking(world: worlds.World, count: int) -> None:
+    load = SteadyLoad(count)
+    world.notes["load"] = load
+
+    async def start() -> None:
+        load.tasks = [
+            asyncio.create_task(load.ask(world.system, number))
+            for number in range(CALLERS)
+        ]
+
+    async def begun() -> bool:
+        return len(load.versions) >= 2 * CALLERS
+
+    world.run(start())
+    world.run(world.system.wait_for(begun, "first answers"))
+
+
+@when("version 2 of the model is applied")
+def apply_version(world: worlds.World) -> None:
+    text = systems.fleet_text().replace("version = 1", "version = 2")
+    assert world.run(world.system.apply(text, 1)).is_ok()
+
+
+@then(
+    parsers.parse(
+        "all answers come to be of version {version:d} within {seconds:d} "
+        "seconds"
+    )
+)
+def all_of_version(world: worlds.World, version: int, seconds: int) -> None:
+    load = world.notes["load"]
+
+    async def changed() -> bool:
+        latest = collections.Counter(load.versions[-4 * CALLERS :])
+        return set(latest) == {version}
+
+    world.run(world.system.wait_for(changed, f"version {version}", seconds))
+    load.is_on = False
+    world.run(_gather(load))
+
+
+async def _gather(load: SteadyLoad) -> None:
+    await asyncio.gather(*load.tasks)
+
+
+@then("every answer was whole and of one version")
+def every_answer_whole(world: worlds.World) -> None:
+    assert world.notes["load"].faults == []
+
+
+@when("chat is made to depend on a service without endpoints")
+def depend(world: worlds.World) -> None:
+    text = systems.fleet_text().replace(
+        "[service chat]\nkind = model",
+        "[service chat]\nkind = model\ndepends_on = absent",
+    )
+    text += "\n[service absent]\nkind = plain\n"
+    assert world.run(world.system.apply(text, 1)).is_ok()
+
+
+@then(parsers.parse("a request for {service} is refused as {kind}"))
+def refused(world: worlds.World, service: str, kind: str) -> None:
+    answers = []
+
+    async def is_refused() -> bool:
+        caller = await world.system.caller()
+        answer = await caller.complete(service, [1, 2, 3], 4, deadline_ms=2000)
+        answers.append(answer)
+        return answer.kind == kind
+
+    world.run(world.system.wait_for(is_refused, f"refused as {kind}"))
+    assert answers[-1].execution == "not_run"
+    assert answers[-1].problem["retry_after_s"] >= 1
