Add the lease with a fencing number

Cause: orders need one holder at a time although it may be paused past its lease, and answers of the store may be lost after a write took effect.

Ruled out: times written in the row, since clocks of machines differ.

--- /dev/null
+++ b/src/almondshift/coordination/lease.py
@@ -0,0 +1,287 @@
+"""A lease: at most one holder at a time, with a fencing number.
+
+The holder's deadline counts from before its renewal was sent, and a
+contender waits for the whole duration after it has seen the row unchanged,
+each on its own monotonic clock. So the holder's grant has ended before the
+row can change hands, without any comparison of clocks. What is left are
+clocks that run at different rates (``drift``) and clocks that stop with a
+paused machine; for these the fencing number lets endpoints refuse.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+from typing import TYPE_CHECKING
+
+from almondshift import errors
+from almondshift.ports import stores
+
+if TYPE_CHECKING:
+    import random
+
+    from almondshift.ports import clocks
+
+TABLE = "leases"
+TOKEN_BITS = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseSettings:
+    """Times of a lease.
+
+    Attributes:
+        duration_s: Seconds that a grant lasts from before it was asked for.
+        renew_s: Seconds between renewals by the holder.
+        watch_s: Mean seconds between reads by the others; spread at random.
+        drift: Share by which two clocks may run apart over a duration.
+    """
+
+    duration_s: float = 6.0
+    renew_s: float = 1.5
+    watch_s: float = 2.0
+    drift: float = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseGrant:
+    """Permission to act until ``deadline``.
+
+    Attributes:
+        fencing: Grows with each grant to a new holder.
+        deadline: Monotonic seconds on this process's clock.
+    """
+
+    fencing: int
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseRow:
+    """What the row of a lease says.
+
+    Attributes:
+        holder: Name of the holder, for people.
+        token: Random id of the holder's process.
+        renewal: Number of the holder's request that wrote the row.
+        fencing: Fencing number of the present or last grant.
+        duration_s: Duration that the holder counts with.
+        released: Whether the holder gave it back.
+    """
+
+    holder: str
+    token: str
+    renewal: int
+    fencing: int
+    duration_s: float
+    released: bool
+
+    def to_value(self) -> dict[str, object]:
+        """Returns the JSON object of the row."""
+        return dataclasses.asdict(self)
+
+
+def read_row(row: stores.Row) -> LeaseRow:
+    """Returns what a row of the table says."""
+    return LeaseRow(
+        holder=str(row.value["holder"]),
+        token=str(row.value["token"]),
+        renewal=int(row.value["renewal"]),
+        fencing=int(row.value["fencing"]),
+        duration_s=float(row.value["duration_s"]),
+        released=bool(row.value["released"]),
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sighting:
+    """A revision of another's row, and when it was first seen."""
+
+    revision: int
+    seen_at: float
+
+
+class Lease:
+    """One process's part in a lease.
+
+    Attributes:
+        holder: Name of the last known holder, ``""`` if none; for people.
+    """
+
+    def __init__(
+        self,
+        store: stores.TableStore,
+        clock: clocks.Clock,
+        rng: random.Random,
+        name: str,
+        owner: str,
+        settings: LeaseSettings,
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.rng = rng
+        self.name = name
+        self.owner = owner
+        self.settings = settings
+        self.token = f"{owner}/{rng.getrandbits(TOKEN_BITS):016x}"
+        self.holder = ""
+        self.held: LeaseGrant | None = None
+        self.sighting: Sighting | None = None
+        self.renewal = 0
+        self.sent_at: dict[int, float] = {}
+        self.closing = False
+        self.loop_task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Starts to acquire, renew or watch the lease."""
+        self.loop_task = asyncio.create_task(self._loop())
+
+    async def close(self) -> None:
+        """Ends the grant and then gives the lease back."""
+        self.closing = True
+        if self.loop_task is not None:
+            self.loop_task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.loop_task
+            self.loop_task = None
+        self.held = None
+        await self._release()
+
+    def grant(self) -> LeaseGrant | None:
+        """Returns the grant if it is valid right now.
+
+        Ask again right before each order: a process that was paused past
+        its deadline learns of it only here.
+        """
+        if self.held is None or self.clock.monotonic() >= self.held.deadline:
+            return None
+        return self.held
+
+    async def step(self) -> None:
+        """Reads the row once and acquires or renews if that is possible."""
+        read = await self.store.read(TABLE, self.name)
+        if read.is_error():
+            return
+        seen_at = self.clock.monotonic()
+        if read.ok is None:
+            await self._write(stores.ABSENT, fencing=1)
+            return
+        row = read_row(read.ok)
+        self.holder = "" if row.released else row.holder
+        if row.token == self.token and not row.released:
+            await self._renew(row, read.ok.revision)
+            return
+        self.held = None
+        if self._may_take(row, read.ok.revision, seen_at):
+            await self._write(read.ok.revision, fencing=row.fencing + 1)
+
+    def _may_take(self, row: LeaseRow, revision: int, seen_at: float) -> bool:
+        """Returns whether the holder's grant has ended for certain.
+
+        A contender that took over on the age of the row, or on its clock
+        against a time in the row, could act beside a holder that renewed
+        meanwhile. The holder sent its last renewal before this process saw
+        it, so that a full duration after the first sight is enough.
+        """
+        if row.released:
+            return True
+        if self.sighting is None or self.sighting.revision != revision:
+            self.sighting = Sighting(revision, seen_at)
+            return False
+        waited_s = seen_at - self.sighting.seen_at
+        return waited_s >= row.duration_s * (1.0 + self.settings.drift)
+
+    async def _renew(self, row: LeaseRow, revision: int) -> None:
+        """Writes the own row again, also after a lost answer.
+
+        The row may hold an own request whose answer was lost; its grant
+        counts from before that request. After the deadline the number
+        grows, so that orders from before and after it can be told apart.
+        """
+        self._hold(row.fencing, row.renewal)
+        fencing = row.fencing if self.grant() is not None else row.fencing + 1
+        await self._write(revision, fencing)
+
+    async def _write(self, revision: int, fencing: int) -> None:
+        self.renewal += 1
+        renewal = self.renewal
+        self.sent_at[renewal] = self.clock.monotonic()
+        row = self._row(renewal, fencing, released=False)
+        write = stores.Write(TABLE, self.name, row.to_value(), revision)
+        written = await self.store.transact([write])
+        if written.is_ok():
+            self.holder = self.owner
+            self._hold(fencing, renewal)
+        elif written.is_error() and isinstance(
+            written.error, errors.ConditionFailed
+        ):
+            self.sent_at.pop(renewal, None)
+
+    def _hold(self, fencing: int, renewal: int) -> None:
+        sent_at = self.sent_at.get(renewal)
+        if sent_at is None or self.closing:
+            return
+        deadline = sent_at + self.settings.duration_s
+        if self.held is None or deadline >= self.held.deadline:
+            self.held = LeaseGrant(fencing, deadline)
+        self.sent_at = {
+            number: at
+            for number, at in self.sent_at.items()
+            if number >= renewal
+        }
+
+    async def _release(self) -> None:
+        read = await self.store.read(TABLE, self.name)
+        if read.is_error() or read.ok is None:
+            return
+        row = read_row(read.ok)
+        if row.token != self.token or row.released:
+            return
+        released = self._row(row.renewal, row.fencing, released=True)
+        write = stores.Write(
+            TABLE, self.name, released.to_value(), read.ok.revision
+        )
+        await self.store.transact([write])
+
+    def _row(self, renewal: int, fencing: int, released: bool) -> LeaseRow:
+        return LeaseRow(
+            holder=self.owner,
+            token=self.token,
+            renewal=renewal,
+            fencing=fencing,
+            duration_s=self.settings.duration_s,
+            released=released,
+        )
+
+    async def _loop(self) -> None:
+        while True:
+            await self.step()
+            await self.clock.sleep(self._pause_s())
+
+    def _pause_s(self) -> float:
+        if self.grant() is not None:
+            return self.settings.renew_s
+        return self.settings.watch_s * self.rng.uniform(0.5, 1.5)
+
+
+def create_lease(
+    store: stores.TableStore,
+    clock: clocks.Clock,
+    rng: random.Random,
+    name: str,
+    holder: str,
+    settings: LeaseSettings | None = None,
+) -> Lease:
+    """Creates a part in a lease; ``start`` begins to contend for it.
+
+    Args:
+        store: Where the row of the lease is.
+        clock: Its monotonic time bounds the grant.
+        rng: Spreads the reads and draws the token of this process; must
+            differ between processes.
+        name: Key of the lease.
+        holder: Name of this process, for people.
+        settings: None for the defaults.
+    """
+    return Lease(store, clock, rng, name, holder, settings or LeaseSettings())
