--- /dev/null
+++ b/tests/coordination/test_grouped_writes.py
@@ -0,0 +1,84 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from almondshift import errors
+from almondshift.coordination import grouped_writes
+from almondshift.ports import stores
+from tests.fakes import tables as fake_tables
+
+Outcome = fake_tables.Outcome
+
+
+def write(key: str, if_revision: int | None = stores.ABSENT) -> stores.Write:
+    return stores.Write("t", key, {"k": key}, if_revision)
+
+
+@pytest.mark.parametrize(
+    ("keys", "taken", "failed", "most_writes"),
+    [
+        ([f"{i}" for i in range(100)], [], 0, 3),
+        ([f"{i}" for i in range(64)], ["5"], 1, 14),
+        (["a", "a", "a"], [], 2, 5),
+        (["a"], [], 0, 1),
+    ],
+)
+def test_each_caller_gets_the_outcome_of_its_own_writes(
+    keys: list[str], taken: list[str], failed: int, most_writes: int
+) -> None:
+    # Many callers insert at once, and some keys exist. Only those callers
+    # hear that the condition failed; all others' rows are written.
+    async def case() -> None:
+        store = fake_tables.FakeTableStore()
+        store.shared.transact([write(key) for key in taken])
+        grouped = grouped_writes.create_grouped_store(store)
+        calls = [grouped.transact([write(key)]) for key in keys]
+        results = await asyncio.gather(*calls)
+        await grouped.close()
+        errors_seen = [result for result in results if result.is_error()]
+        assert len(errors_seen) == failed
+        assert store.writes <= most_writes
+        for key, result in zip(keys, results, strict=True):
+            row = store.shared.read("t", key)
+            assert row is not None
+            if result.is_ok():
+                assert result.ok == [row.revision]
+
+    asyncio.run(case())
+
+
+@pytest.mark.parametrize(
+    ("outcome", "kind"),
+    [
+        (Outcome.LOST, errors.StoreOutcomeUnknown),
+        (Outcome.DROPPED, errors.StoreOutcomeUnknown),
+        (Outcome.REFUSED, errors.StoreUnavailable),
+    ],
+)
+def test_group_fails_together(
+    outcome: Outcome, kind: type[errors.AlmondshiftError]
+) -> None:
+    async def case() -> None:
+        store = fake_tables.FakeTableStore()
+        store.outcomes.append(outcome)
+        grouped = grouped_writes.create_grouped_store(store)
+        calls = [grouped.transact([write(f"{i}")]) for i in range(5)]
+        results = await asyncio.gather(*calls)
+        assert {type(result.error) for result in results} == {kind}
+
+    asyncio.run(case())
+
+
+def test_too_many_waiting_are_refused() -> None:
+    async def case() -> None:
+        store = fake_tables.FakeTableStore()
+        settings = grouped_writes.GroupSettings(waiting=3)
+        grouped = grouped_writes.create_grouped_store(store, settings)
+        calls = [grouped.transact([write(f"{i}")]) for i in range(5)]
+        results = await asyncio.gather(*calls)
+        assert [result.is_ok() for result in results].count(False) == 2
+        assert len(store.shared.rows) == 3
+
+    asyncio.run(case())
