--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,321 @@
+"""Decisions under load: the router against the baseline, in virtual time.
+
+Run with ``python -m bench.load``. Each pattern is played once with the
+baseline and once with the router, with the same seed and the same requests.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import random
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+from almondshift.model import fleet as fleets
+from almondshift.policy import actions
+from almondshift.policy import events
+from almondshift.policy import router as router_module
+from bench.virtual import clusters
+from bench.virtual import patterns
+from bench.virtual import results
+from bench.virtual import simulation
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SEED = 1
+ROUTERS = {
+    "baseline": clusters.create_baseline,
+    "router": clusters.create_router,
+}
+PATTERNS: tuple[
+    tuple[str, Callable[[patterns.Factory], patterns.Played]], ...
+] = (
+    ("steady 1x", lambda f: patterns.steady(f, SEED, 1.0)),
+    ("steady 2x", lambda f: patterns.steady(f, SEED, 2.0)),
+    ("steady 4x", lambda f: patterns.steady(f, SEED, 4.0)),
+    ("burst", lambda f: patterns.burst(f, SEED)),
+    ("others alone", lambda f: patterns.hot_account(f, SEED, 0.0)),
+    ("hot account 10x", lambda f: patterns.hot_account(f, SEED, 10.0)),
+    ("hot prefix", lambda f: patterns.hot_prefix(f, SEED)),
+    ("slow endpoint", lambda f: patterns.slow_endpoint(f, SEED)),
+    ("degraded link", lambda f: patterns.degraded_link(f, SEED)),
+    ("short alone", lambda f: patterns.long_among_short(f, SEED, 0.0)),
+    ("long among short", lambda f: patterns.long_among_short(f, SEED, 1.5)),
+    ("critical among bulk", lambda f: patterns.critical_among_bulk(f, SEED)),
+    ("overload ends", lambda f: patterns.overload_ends(f, SEED)),
+    ("lost zone", lambda f: patterns.lost_zone(f, SEED)),
+)
+HEADINGS = (
+    ("pattern", 20),
+    ("with", 9),
+    ("goodput", 8),
+    ("/bound", 7),
+    ("in time", 8),
+    ("first token p50/95/99", 24),
+    ("between p50/95/99", 22),
+    ("whole p99", 10),
+    ("worst/best", 12),
+    ("refused", 8),
+    ("<50ms", 6),
+    ("retries", 7),
+)
+SIZES = ((8, 30, 10), (80, 270, 300), (390, 820, 1700))
+"""Peers, engines and accounts."""
+ARRIVALS = 2000
+TICKS = 2000
+
+
+def figures(played: patterns.Played) -> dict[str, Any]:
+    """Returns the figures of a pattern, times in seconds."""
+    part = played.results.between(played.start, played.end)
+    shares = part.account_shares()
+    refusals = part.refusals()
+    prompt = [s for s in refusals if s <= results.PROMPT_REFUSAL_S]
+    return {
+        "goodput_tokens_per_s": round(played.goodput, 1),
+        "bound_tokens_per_s": round(played.bound, 1),
+        "goodput_by_bound": round(played.goodput / played.bound_after, 3),
+        "in_time_share": round(part.good_share(), 4),
+        "first_token_s": results.percentiles(part.first_token_s()),
+        "between_tokens_s": results.percentiles(part.gaps()),
+        "whole_s": results.percentiles(part.whole_s()),
+        "worst_account_share": round(min(shares.values()), 3),
+        "best_account_share": round(max(shares.values()), 3),
+        "refusals": len(refusals),
+        "refusals_within_50_ms": (
+            round(len(prompt) / len(refusals), 3) if refusals else None
+        ),
+        "retries_per_request": round(part.retries(), 3),
+        "stages_replaced": sum(o.replaced for o in part.outcomes),
+    }
+
+
+def _row(name: str, kind: str, found: dict[str, Any]) -> str:
+    def three(values: list[float]) -> str:
+        return "/".join(f"{value:.3f}" for value in values)
+
+    prompt = found["refusals_within_50_ms"]
+    worst, best = found["worst_account_share"], found["best_account_share"]
+    cells = (
+        name,
+        kind,
+        f"{found['goodput_tokens_per_s']:.0f}",
+        f"{found['goodput_by_bound']:.2f}",
+        f"{found['in_time_share']:.3f}",
+        three(found["first_token_s"]),
+        three(found["between_tokens_s"]),
+        f"{found['whole_s'][2]:.2f}",
+        f"{worst:.2f}/{best:.2f}",
+        str(found["refusals"]),
+        "-" if prompt is None else f"{prompt:.2f}",
+        f"{found['retries_per_request']:.2f}",
+    )
+    return _line(cells)
+
+
+def _line(cells: tuple[str, ...]) -> str:
+    widths = (width for _, width in HEADINGS)
+    return " ".join(f"{c:<{w}}" for c, w in zip(cells, widths, strict=True))
+
+
+def play_patterns() -> dict[str, dict[str, dict[str, Any]]]:
+    """Plays every pattern, prints the table and returns its figures."""
+    print(_line(tuple(heading for heading, _ in HEADINGS)))
+    found: dict[str, dict[str, dict[str, Any]]] = {}
+    for name, play in PATTERNS:
+        found[name] = {}
+        for kind, factory in ROUTERS.items():
+            found[name][kind] = figures(play(factory))
+            print(_row(name, kind, found[name][kind]), flush=True)
+    return found
+
+
+def targets(found: dict[str, dict[str, dict[str, Any]]]) -> dict[str, Any]:
+    """Returns what the letter's targets ask for, as reached."""
+
+    def router_of(pattern: str) -> dict[str, Any]:
+        return found[pattern]["router"]
+
+    short = _short_p99_ratio()
+    hot = patterns.hot_account(clusters.create_router, SEED, 10.0)
+    part = hot.results.between(hot.start, hot.end)
+    others = part.where(lambda o: o.arrival.account != patterns.HOT_ACCOUNT)
+    once = router_of("steady 1x")["goodput_tokens_per_s"]
+    return {
+        "goodput_4x_by_1x": (
+            router_of("steady 4x")["goodput_tokens_per_s"] / once
+        ),
+        "others_in_time_beside_hot_account": (
+            others.good_share() / router_of("others alone")["in_time_share"]
+        ),
+        "short_p99_among_long_by_alone": short,
+        "goodput_with_slow_endpoint_by_1x": (
+            router_of("slow endpoint")["goodput_tokens_per_s"] / once
+        ),
+        "refusals_within_50_ms_at_4x": router_of("steady 4x")[
+            "refusals_within_50_ms"
+        ],
+    }
+
+
+def _short_p99_ratio() -> float:
+    p99 = []
+    for load in (0.0, 1.5):
+        played = patterns.long_among_short(clusters.create_router, SEED, load)
+        part = played.results.between(played.start, played.end)
+        short = part.where(lambda o: o.arrival.account != "drafts")
+        p99.append(results.percentiles(short.whole_s())[2])
+    return p99[1] / p99[0]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """A size at which the cost of decisions is measured."""
+
+    peers: int
+    engines: int
+    accounts: int
+
+
+def _sized_router(size: Size) -> router_module.LoadRouter:
+    settings = router_module.RouterSettings(zone="z1")
+    made = router_module.create_router(random.Random(SEED), "n0", settings)
+    accounts = {
+        f"a{i}": fleets.Account(f"a{i}", "") for i in range(size.accounts)
+    }
+    made.handle(events.FleetChanged(0.0, clusters.make_fleet(accounts)))
+    for index in range(size.engines):
+        for event in _engine_events(index):
+            made.handle(event)
+    for index in range(size.peers):
+        made.handle(_peer_load(index, size, 0.0))
+    return made
+
+
+def _engine_events(index: int) -> list[events.Event]:
+    names = sorted(clusters.ACCELERATORS)
+    accelerator = names[index % len(names)]
+    span = ((0, 6), (6, 12), (0, 4), (4, 8), (8, 12))[index % 5]
+    spec = clusters.EngineSpec(accelerator, span, f"z{index % 3 + 1}")
+    engine = clusters.make_engine(simulation.Simulation(), index, spec)
+    return [
+        events.EndpointSeen(0.0, engine.vm, engine.description),
+        events.LoadReported(0.0, engine.report(0.3)),
+    ]
+
+
+def _peer_load(index: int, size: Size, at: float) -> events.PeerLoad:
+    # At the target a node has some 8 requests a second in flight for a few
+    # seconds, each on three engines.
+    rng = random.Random(index)
+    names = sorted(clusters.ACCELERATORS)
+    engines = [rng.randrange(size.engines) for _ in range(60)]
+    in_flight = {f"e{i}-{names[i % len(names)]}": 1 for i in engines}
+    used = {f"a{rng.randrange(size.accounts)}": 50.0 for _ in range(20)}
+    return events.PeerLoad(at, f"p{index}", in_flight, used)
+
+
+def measure_cost(size: Size) -> dict[str, Any]:
+    """Measures processor time of decisions, in microseconds each."""
+    made = _sized_router(size)
+    found: dict[str, Any] = dataclasses.asdict(size)
+    found["arrival_us"] = _arrivals_us(made, size)
+    found["tick_us"] = _ticks_us(made, 100.0)
+    found["tick_waiting_us"] = _ticks_waiting_us(made, size)
+    found["report_us"] = _reports_us(made, size)
+    found["peer_load_us"] = _peer_loads_us(made, size)
+    return found
+
+
+def _arrival(number: int, at: float, size: Size) -> events.Arrival:
+    return events.Arrival(
+        at,
+        f"r{number}",
+        f"a{number % size.accounts}",
+        "chat",
+        fleets.Priority.NORMAL,
+        32,
+        32,
+        at + 8.0,
+        True,
+        (number % 50,),
+    )
+
+
+def _arrivals_us(made: router_module.LoadRouter, size: Size) -> float:
+    """Times arrivals that are dispatched; each ends before the next."""
+    spent = 0.0
+    for number in range(ARRIVALS):
+        at = 10.0 + number * 0.01
+        event = _arrival(number, at, size)
+        start = time.process_time()
+        decided = made.handle(event)
+        spent += time.process_time() - start
+        assert isinstance(decided[0], actions.Dispatch)
+        made.handle(events.Completed(at, event.request_id))
+    return round(spent / ARRIVALS * 1e6, 1)
+
+
+def _ticks_us(made: router_module.LoadRouter, at: float) -> float:
+    start = time.process_time()
+    for number in range(TICKS):
+        made.handle(events.Tick(at + number * 1e-4))
+    return round((time.process_time() - start) / TICKS * 1e6, 1)
+
+
+def _ticks_waiting_us(made: router_module.LoadRouter, size: Size) -> float:
+    """Times ticks while requests of many accounts wait."""
+    number = ARRIVALS
+    while len(made.waiting) < 50 and number < ARRIVALS + 100_000:
+        made.handle(_arrival(number, 200.0, size))
+        number += 1
+    return _ticks_us(made, 200.1)
+
+
+def _reports_us(made: router_module.LoadRouter, size: Size) -> float:
+    reports = [_engine_events(i)[1] for i in range(size.engines)]
+    later = [
+        dataclasses.replace(report, at=300.0)
+        for report in reports
+        if isinstance(report, events.LoadReported)
+    ]
+    start = time.process_time()
+    for report in later:
+        made.handle(report)
+    return round((time.process_time() - start) / len(later) * 1e6, 1)
+
+
+def _peer_loads_us(made: router_module.LoadRouter, size: Size) -> float:
+    loads = [_peer_load(i, size, 301.0) for i in range(size.peers)]
+    start = time.process_time()
+    for load in loads:
+        made.handle(load)
+    return round((time.process_time() - start) / len(loads) * 1e6, 1)
+
+
+def measure_costs() -> list[dict[str, Any]]:
+    """Measures the cost of decisions at each size and prints it."""
+    found = [measure_cost(Size(*size)) for size in SIZES]
+    for line in found:
+        print(json.dumps(line))
+    return found
+
+
+def main() -> dict[str, Any]:
+    """Plays the patterns and measures costs; returns all figures."""
+    played = play_patterns()
+    reached = targets(played)
+    for name, value in reached.items():
+        print(f"{name}: {value:.3f}")
+    return {
+        "patterns": played,
+        "targets": reached,
+        "costs": measure_costs(),
+    }
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/virtual/clusters.py
+++ b/bench/virtual/clusters.py
@@ -138,7 +138,7 @@
         self.engines = {
             engine.description.name: engine
             for engine in (
-                _make_engine(self.sim, index, spec)
+                make_engine(self.sim, index, spec)
                 for index, spec in enumerate(specs)
             )
         }
@@ -335,9 +335,10 @@
     )
 
 
-def _make_engine(
+def make_engine(
     sim: simulation.Simulation, index: int, spec: EngineSpec
 ) -> engines_module.VirtualEngine:
+    """Returns an engine that holds its range ready."""
     name = f"e{index}-{spec.accelerator}"
     kind = ACCELERATORS[spec.accelerator]
     description = endpoints.EndpointDescription(
