Measure the exchange and index facts by kind

bench/exchange.py runs whole memberships with the real codec. Profiling it at 81 nodes showed each round building all peers' states to choose two addresses, and each look at one kind walking all facts.

--- /dev/null
+++ b/bench/exchange.py
@@ -0,0 +1,332 @@
+"""What the exchange costs a node, by the number of nodes.
+
+All nodes run in one process on a clock of their own, over an in-memory
+transport with the real codec. Each state is that of a busy system: engine
+loads at 820/390 per node and account use per node, stated anew every
+``FRESH_S``. The baseline is a full mesh that sends each node's own facts to
+every other node once a second, over the same codec.
+
+Run: ``python -m bench.exchange [SIZE ...]``
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import dataclasses
+import random
+import time
+import tracemalloc
+from typing import TYPE_CHECKING
+
+import expression
+
+from almondshift import errors
+from almondshift.adapters import peer_codec
+from almondshift.coordination import membership
+from almondshift.ports import clocks
+from almondshift.ports import peers
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    MessageHandler = Callable[[peers.PeerMessage], Awaitable[peers.PeerMessage]]
+
+SIZES = (3, 9, 27, 81)
+TARGET = 390
+ENGINES_PER_NODE = 820 / 390
+FRESH_S = 5.0
+WARM_ROUNDS = 20
+ROUNDS = 30
+GAP_S = membership.MembershipSettings().urgent_gap_s
+MAX_FRAME_BYTES = 1_048_576
+FRAME_HEADER_BYTES = 4
+PACKET_BYTES = 66
+"""Ethernet, IPv4 and TCP heads with timestamps, of data or an ack."""
+
+LOAD = b'{"i":"0123456789abcdef","r":"serving","s":12,"q":3,"h":[["m",1,0,8]]}'
+USE = b'{"account-1":1200.5,"account-2":310.0,"account-3":88.25}'
+
+
+class BenchClock(clocks.Clock):
+    """A clock that the bench moves."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def monotonic(self) -> float:
+        """Returns the bench's time."""
+        return self.now
+
+    def wall(self) -> float:
+        """Returns the bench's time as of an epoch."""
+        return self.now + 1_700_000_000.0
+
+    async def sleep(self, seconds: float) -> None:
+        """Does not wait."""
+        del seconds
+
+
+@dataclasses.dataclass(slots=True)
+class Traffic:
+    """What went over the transport."""
+
+    messages: int = 0
+    content_bytes: int = 0
+    codec_s: float = 0.0
+
+    @property
+    def wire_bytes(self) -> int:
+        """Bytes with frame and packet heads, an ack for each message."""
+        heads = FRAME_HEADER_BYTES + 2 * PACKET_BYTES
+        return self.content_bytes + self.messages * heads
+
+
+class CodecLink(peers.PeerLink):
+    """A link in memory that encodes and decodes each message."""
+
+    def __init__(
+        self, links: dict[str, CodecLink], address: str, traffic: Traffic
+    ) -> None:
+        self.links = links
+        self.address = address
+        self.traffic = traffic
+
+    async def start(self, handler: MessageHandler) -> None:
+        """Takes calls."""
+        self.handler = handler
+        self.links[self.address] = self
+
+    async def close(self) -> None:
+        """Takes no more calls."""
+        self.links.pop(self.address, None)
+
+    async def call(
+        self, address: str, message: peers.PeerMessage, timeout_s: float
+    ) -> expression.Result[peers.PeerMessage, errors.PeerUnreachable]:
+        """Calls a node in this process."""
+        del timeout_s
+        link = self.links.get(address)
+        if link is None:
+            return expression.Error(errors.PeerUnreachable("not there"))
+        answer = await link.handler(self.carried(message))
+        return expression.Ok(self.carried(answer))
+
+    def carried(self, message: peers.PeerMessage) -> peers.PeerMessage:
+        """Encodes, counts and decodes a message."""
+        started = time.process_time()
+        frame = peer_codec.Frame(1, message)
+        content = peer_codec.encode(frame, MAX_FRAME_BYTES)
+        decoded = peer_codec.decode(content, MAX_FRAME_BYTES).ok.message
+        self.traffic.codec_s += time.process_time() - started
+        self.traffic.messages += 1
+        self.traffic.content_bytes += len(content)
+        return decoded
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cost:
+    """What a node costs on average, and how a change spread.
+
+    Attributes:
+        wire_bytes_s: Bytes sent and received a second.
+        cpu_share: Share of a core.
+        heap_bytes: Python heap of the node's state.
+        rounds: Rounds until each node had a configuration change, without
+            extra rounds.
+        seconds: Seconds until each node had one, with extra rounds.
+        loads_share: Share of engine loads that a node holds.
+    """
+
+    nodes: int
+    messages_s: float
+    wire_bytes_s: float
+    cpu_share: float
+    heap_bytes: float
+    rounds: int
+    seconds: float
+    loads_share: float
+
+
+class System:
+    """Nodes on one clock."""
+
+    def __init__(self, size: int) -> None:
+        self.size = size
+        self.clock = BenchClock()
+        self.traffic = Traffic()
+        self.links: dict[str, CodecLink] = {}
+        self.rng = random.Random(size)
+        self.engines = round(size * ENGINES_PER_NODE)
+        self.nodes: list[membership.Membership] = []
+
+    async def seeds(self) -> list[str]:
+        """Returns two addresses."""
+        return ["node-0:1", "node-1:1"]
+
+    async def start(self) -> None:
+        """Starts all nodes."""
+        for number in range(self.size):
+            name = f"node-{number}"
+            identity = membership.NodeIdentity(
+                name, f"{name}:1", f"10.0.{number // 250}.{number}:80", "zone"
+            )
+            link = CodecLink(self.links, f"{name}:1", self.traffic)
+            node = membership.create_membership(
+                link,
+                self.clock,
+                random.Random(self.rng.random()),
+                identity,
+                self.seeds,
+            )
+            await link.start(node.handle)
+            node.join()
+            await node.refresh_seeds()
+            self.nodes.append(node)
+
+    async def run_round(self, number: int) -> None:
+        """Does a round on each node, in a new order, over one second."""
+        order = list(self.nodes)
+        self.rng.shuffle(order)
+        for index, node in enumerate(order):
+            self.clock.now += 1.0 / self.size
+            if (number + index) % FRESH_S == 0:
+                self.state_anew(self.nodes.index(node))
+            await node.run_round()
+
+    def state_anew(self, index: int) -> None:
+        """States the loads that a node polled, and its accounts' use."""
+        node = self.nodes[index]
+        ttl_s = 60.0
+        for engine in range(index, self.engines, self.size):
+            node.publish(
+                peers.FactKind.ENGINE_LOAD, f"engine-{engine}", LOAD, ttl_s
+            )
+        node.publish(peers.FactKind.ACCOUNT_USE, node.node.name, USE, ttl_s)
+
+
+async def measure(size: int) -> Cost:
+    """Runs a system and returns what a node costs."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    system = System(size)
+    await system.start()
+    for number in range(WARM_ROUNDS):
+        await system.run_round(number)
+    heap = (tracemalloc.get_traced_memory()[0] - before) / size
+    tracemalloc.stop()
+    system.traffic.messages = 0
+    system.traffic.content_bytes = 0
+    started = time.process_time()
+    for number in range(ROUNDS):
+        await system.run_round(number)
+    cpu_s = time.process_time() - started
+    node_seconds = size * ROUNDS
+    messages_s = 2 * system.traffic.messages / node_seconds
+    wire_bytes_s = 2 * system.traffic.wire_bytes / node_seconds
+    loads = [
+        len(node.facts(peers.FactKind.ENGINE_LOAD)) for node in system.nodes
+    ]
+    return Cost(
+        nodes=size,
+        messages_s=messages_s,
+        wire_bytes_s=wire_bytes_s,
+        cpu_share=cpu_s / node_seconds,
+        heap_bytes=heap,
+        rounds=await spread(system),
+        seconds=await spread_urgently(system),
+        loads_share=sum(loads) / (size * system.engines),
+    )
+
+
+async def spread(system: System) -> int:
+    """Returns the rounds until each node has a configuration change."""
+    system.nodes[0].publish(peers.FactKind.CONFIG, "version", b"8", 600.0)
+    rounds = 0
+    while not all(node.facts(peers.FactKind.CONFIG) for node in system.nodes):
+        await system.run_round(rounds)
+        rounds += 1
+    return rounds
+
+
+async def spread_urgently(system: System) -> float:
+    """Returns the seconds until each node has a change, as daemons do it.
+
+    A node that learns of it does an extra round after ``GAP_S`` at latest.
+    """
+    for node in system.nodes:
+        node.wake.clear()
+    system.nodes[0].publish(peers.FactKind.CONFIG, "version", b"9", 600.0)
+    steps = 0
+    while not all(
+        node.facts(peers.FactKind.CONFIG)["version"].value == b"9"
+        for node in system.nodes
+    ):
+        steps += 1
+        system.clock.now += GAP_S
+        for node in [n for n in system.nodes if n.wake.is_set()]:
+            node.wake.clear()
+            await node.run_round(urgent=True)
+    return steps * GAP_S
+
+
+def mesh_bytes_s(size: int) -> float:
+    """Returns what a full mesh would cost a node, sent and received."""
+    own = [
+        peers.Fact(
+            peers.FactKind.ENGINE_LOAD, f"engine-{n}", 1 << 60, "n", 60.0, LOAD
+        )
+        for n in range(round(ENGINES_PER_NODE))
+    ]
+    own.append(
+        peers.Fact(
+            peers.FactKind.ACCOUNT_USE, "node-1", 1 << 60, "n", 60.0, USE
+        )
+    )
+    message = peers.Exchange("node-1", "secret", (), tuple(own), ())
+    answer = peers.Exchange("node-2", "secret", (), (), ())
+    traffic = Traffic()
+    link = CodecLink({}, "", traffic)
+    link.carried(message)
+    link.carried(answer)
+    return 2.0 * traffic.wire_bytes * (size - 1)
+
+
+async def compare(sizes: list[int]) -> None:
+    """Prints a table, and the slope to the target."""
+    print("nodes  msg/s  KB/s  mesh KB/s  cpu %  heap KB  rounds  sec  loads")
+    costs = []
+    for size in sizes:
+        cost = await measure(size)
+        costs.append(cost)
+        print(
+            f"{size:5d} {cost.messages_s:6.1f} {cost.wire_bytes_s / 1e3:5.1f}"
+            f" {mesh_bytes_s(size) / 1e3:10.1f} {100 * cost.cpu_share:6.2f}"
+            f" {cost.heap_bytes / 1e3:8.0f} {cost.rounds:7d}"
+            f" {cost.seconds:4.1f} {cost.loads_share:6.2f}"
+        )
+    if len(costs) > 1:
+        print_slope(costs[-2], costs[-1])
+
+
+def print_slope(smaller: Cost, larger: Cost) -> None:
+    """Prints the costs at the target on the line through two sizes."""
+    steps = larger.nodes - smaller.nodes
+    left = TARGET - larger.nodes
+    print(f"on the line through {smaller.nodes} and {larger.nodes} nodes:")
+    for name in ("wire_bytes_s", "cpu_share", "heap_bytes"):
+        high = getattr(larger, name)
+        slope = (high - getattr(smaller, name)) / steps
+        print(f"  {name} at {TARGET}: {high + slope * left:.4g}")
+
+
+def main() -> None:
+    """Measures the sizes named on the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("sizes", nargs="*", type=int, default=list(SIZES))
+    asyncio.run(compare(parser.parse_args().sizes))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/almondshift/coordination/facts.py
+++ b/src/almondshift/coordination/facts.py
@@ -101,12 +101,16 @@
 
     Attributes:
         entries: All entries, tombstones too.
+        by_kind: The same, by kind and key.
         hot: Entries still to be told, with the sends left, oldest first.
         beats: Nodes whose heartbeat is still to be told, likewise.
     """
 
     def __init__(self) -> None:
         self.entries: dict[FactId, Entry] = {}
+        self.by_kind: dict[peers.FactKind, dict[str, Entry]] = {
+            kind: {} for kind in peers.FactKind
+        }
         self.hot: collections.OrderedDict[FactId, int] = (
             collections.OrderedDict()
         )
@@ -121,8 +125,8 @@
 
     def live(self, kind: peers.FactKind, now: float) -> Iterator[Entry]:
         """Yields entries of a kind that hold now."""
-        for (entry_kind, _), entry in self.entries.items():
-            if entry_kind is kind and entry.value and now < entry.expires_at:
+        for entry in self.by_kind[kind].values():
+            if entry.value and now < entry.expires_at:
                 yield entry
 
     def accept(self, fact: peers.Fact, now: float, sends: int) -> bool:
@@ -149,7 +153,7 @@
         expires_at = now + min(fact.ttl_s, MAX_TTL_S)
         if held is None:
             self.rotation.append(identity)
-        self.entries[identity] = Entry(
+        entry = Entry(
             kind=fact.kind,
             key=fact.key,
             version=fact.version,
@@ -159,6 +163,8 @@
             forget_at=expires_at + TOMBSTONE_S,
             heard_at=now,
         )
+        self.entries[identity] = entry
+        self.by_kind[fact.kind][fact.key] = entry
         self.beats.pop(identity, None)
         self.hot[identity] = sends
         return True
@@ -226,6 +232,7 @@
     def forget(self, identity: FactId) -> None:
         """Drops an entry and its tombstone."""
         del self.entries[identity]
+        del self.by_kind[identity[0]][identity[1]]
         self.hot.pop(identity, None)
         self.beats.pop(identity, None)
 
--- a/src/almondshift/coordination/membership.py
+++ b/src/almondshift/coordination/membership.py
@@ -843,7 +843,7 @@
 
     def targets(self, now: float, urgent: bool) -> list[str]:
         """Returns the addresses to exchange with in this round."""
-        known = [peer.peer_address for peer in self.peers()]
+        known = self.peer_addresses(now)
         chosen = self.rng.sample(known, min(self.settings.fan_out, len(known)))
         is_due = not urgent and now >= self.seeds_at
         if is_due or not known:
@@ -851,6 +851,15 @@
             chosen += self.outside_target(known)
         return chosen
 
+    def peer_addresses(self, now: float) -> list[str]:
+        """Returns the peer addresses of all peers, in no order."""
+        found = []
+        for entry in self.store.live(peer_port.FactKind.NODE, now):
+            value = self.node_value(entry)
+            if value is not None and entry.key != self.node.name:
+                found.append(value.peer)
+        return found
+
     def outside_target(self, known: list[str]) -> list[str]:
         """Returns one address outside the membership, if there is any."""
         candidates = {*self.outside, *self.remembered.values()}
