--- a/src/almondshift/coordination/membership.py
+++ b/src/almondshift/coordination/membership.py
@@ -23,6 +23,7 @@
 import pydantic
 
 from almondshift import errors
+from almondshift.coordination import drafts
 from almondshift.coordination import facts as fact_store
 from almondshift.ports import peers as peer_port
 
@@ -39,11 +40,6 @@
     Callback = Callable[[str, peer_port.Fact | None], None]
     Handler = Callable[[str, bytes], Awaitable[bytes]]
 
-DIGEST_BYTES = 16
-FACT_BYTES = 30
-MESSAGE_BYTES = 64
-"""Bytes on the wire beside texts and values; measured by bench/exchange."""
-
 WITHDRAWN_S = 60.0
 """How long a withdrawal is told; longer than a round reaches everyone."""
 
@@ -139,80 +135,6 @@
     leaving: bool = False
 
 
-class ByteBudget:
-    """A token bucket of bytes; bounds what a node sends a second."""
-
-    def __init__(self, rate: float, burst: float, now: float) -> None:
-        self.rate = rate
-        self.burst = burst
-        self.left = burst
-        self.at = now
-
-    def allowance(self, most: int, now: float) -> int:
-        """Returns how many bytes the next message may have."""
-        self.left = min(self.burst, self.left + self.rate * (now - self.at))
-        self.at = now
-        return max(0, min(most, int(self.left)))
-
-    def spend(self, count: int) -> None:
-        """Takes bytes that were sent."""
-        self.left -= count
-
-
-@dataclasses.dataclass(slots=True)
-class Draft:
-    """A message being filled within a number of bytes."""
-
-    left: int
-    used: int = 0
-    digests: list[peer_port.FactDigest] = dataclasses.field(
-        default_factory=list
-    )
-    facts: list[peer_port.Fact] = dataclasses.field(default_factory=list)
-    wants: list[peer_port.FactDigest] = dataclasses.field(default_factory=list)
-    named: set[fact_store.FactId] = dataclasses.field(default_factory=set)
-
-    def take_bytes(self, size: int) -> None:
-        """Counts bytes as used."""
-        self.left -= size
-        self.used += size
-
-    def add_fact(self, fact: peer_port.Fact) -> bool:
-        """Adds a fact if it fits; returns whether there was room."""
-        identity = (fact.kind, fact.key)
-        if identity in self.named:
-            return True
-        size = fact_bytes(fact)
-        if size > self.left:
-            return False
-        self.take_bytes(size)
-        self.named.add(identity)
-        self.facts.append(fact)
-        return True
-
-    def add_digest(self, digest: peer_port.FactDigest) -> bool:
-        """Adds a digest if it fits; returns whether there was room."""
-        identity = (digest.kind, digest.key)
-        if identity in self.named:
-            return True
-        size = digest_bytes(digest)
-        if size > self.left:
-            return False
-        self.take_bytes(size)
-        self.named.add(identity)
-        self.digests.append(digest)
-        return True
-
-    def add_want(self, digest: peer_port.FactDigest) -> bool:
-        """Asks for a fact if that fits."""
-        size = digest_bytes(digest)
-        if size > self.left:
-            return False
-        self.take_bytes(size)
-        self.wants.append(digest)
-        return True
-
-
 class Membership:
     """One node's part in the exchange.
 
@@ -239,7 +161,7 @@
         self.settings = settings
         self.store = fact_store.FactStore()
         self.is_leaving = False
-        self.budget = ByteBudget(
+        self.budget = drafts.ByteBudget(
             settings.bytes_per_s, 2 * settings.bytes_per_s, clock.monotonic()
         )
         self.callbacks: dict[peer_port.FactKind, list[Callback]] = {}
@@ -614,7 +536,7 @@
         return now - self.round_at > self.settings.paused_s
 
     def take_side(
-        self, message: peer_port.Exchange, now: float, draft: Draft
+        self, message: peer_port.Exchange, now: float, draft: drafts.Draft
     ) -> None:
         """Takes facts and heartbeats; drafts what the sender lacks."""
         for fact in message.facts:
@@ -624,7 +546,9 @@
         for digest in message.digests:
             self.take_digest(digest, now, draft)
 
-    def take_fact(self, fact: peer_port.Fact, now: float, draft: Draft) -> None:
+    def take_fact(
+        self, fact: peer_port.Fact, now: float, draft: drafts.Draft
+    ) -> None:
         """Takes a fact or notice; drafts what is newer here."""
         if self.take(fact, now):
             draft.named.add((fact.kind, fact.key))
@@ -634,16 +558,18 @@
             self.take_notice(fact, now)
             return
         entry = self.store.get(fact.kind, fact.key)
-        if entry is not None and knows_more(entry, digest_of(fact), now):
-            self.draft_newer(entry, digest_of(fact), draft, now)
+        if entry is not None and drafts.knows_more(
+            entry, drafts.digest_of(fact), now
+        ):
+            self.draft_newer(entry, drafts.digest_of(fact), draft, now)
 
     def take_digest(
-        self, digest: peer_port.FactDigest, now: float, draft: Draft
+        self, digest: peer_port.FactDigest, now: float, draft: drafts.Draft
     ) -> None:
         """Compares one digest with what is held."""
         identity = (digest.kind, digest.key)
         entry = self.store.entries.get(identity)
-        if entry is not None and knows_more(entry, digest, now):
+        if entry is not None and drafts.knows_more(entry, digest, now):
             self.draft_newer(entry, digest, draft, now)
             return
         if digest.kind is peer_port.FactKind.NODE and self.store.beat(
@@ -657,7 +583,7 @@
         self,
         entry: fact_store.Entry,
         digest: peer_port.FactDigest,
-        draft: Draft,
+        draft: drafts.Draft,
         now: float,
     ) -> None:
         """Drafts a fact that the sender has in an older version.
@@ -682,7 +608,7 @@
         self.draft_fact((entry.kind, entry.key), draft, now)
 
     def draft_fact(
-        self, identity: fact_store.FactId, draft: Draft, now: float
+        self, identity: fact_store.FactId, draft: drafts.Draft, now: float
     ) -> bool:
         """Drafts a held fact; returns whether there was room."""
         entry = self.store.entries.get(identity)
@@ -734,12 +660,12 @@
         """Returns how often each node tells a heartbeat on."""
         return min(4, self.sends(peer_port.FactKind.NODE))
 
-    def new_draft(self, now: float) -> Draft:
+    def new_draft(self, now: float) -> drafts.Draft:
         """Returns an empty message with the bytes that it may have."""
-        most = self.settings.message_bytes - MESSAGE_BYTES
-        return Draft(self.budget.allowance(most, now))
+        most = self.settings.message_bytes - drafts.MESSAGE_BYTES
+        return drafts.Draft(self.budget.allowance(most, now))
 
-    def fill(self, draft: Draft, now: float) -> None:
+    def fill(self, draft: drafts.Draft, now: float) -> None:
         """Fills a message: urgent, nodes, heartbeats, digests, bulk."""
         hot = list(self.store.hot)
         self.fill_facts(hot, fact_store.URGENT_KINDS, draft, now)
@@ -752,7 +678,7 @@
         self,
         hot: Iterable[fact_store.FactId],
         kinds: Iterable[peer_port.FactKind],
-        draft: Draft,
+        draft: drafts.Draft,
         now: float,
     ) -> None:
         """Drafts facts of some kinds that are still to be told."""
@@ -762,23 +688,23 @@
             ):
                 return
 
-    def fill_beats(self, draft: Draft) -> None:
+    def fill_beats(self, draft: drafts.Draft) -> None:
         """Drafts heartbeats that are still to be told."""
         for identity in self.store.beats:
             if not draft.add_digest(self.store.entries[identity].digest()):
                 return
 
-    def fill_digests(self, draft: Draft, now: float) -> None:
+    def fill_digests(self, draft: drafts.Draft, now: float) -> None:
         """Drafts digests in rotation, on a third of what is left."""
         end = draft.left * 2 // 3
-        count = draft.left // (3 * DIGEST_BYTES)
+        count = draft.left // (3 * drafts.DIGEST_BYTES)
         for entry in self.store.next_in_rotation(count, now):
             if draft.left <= end or not draft.add_digest(entry.digest()):
                 return
 
-    def finished(self, draft: Draft) -> peer_port.Exchange:
+    def finished(self, draft: drafts.Draft) -> peer_port.Exchange:
         """Returns the message and counts what it tells as told."""
-        self.budget.spend(MESSAGE_BYTES + draft.used)
+        self.budget.spend(drafts.MESSAGE_BYTES + draft.used)
         told = [(f.kind, f.key) for f in draft.facts]
         told += [(d.kind, d.key) for d in draft.digests]
         self.store.told(told)
@@ -897,7 +823,7 @@
     def take_facts(self, message: peer_port.Exchange) -> None:
         """Takes the facts of an answer and nothing else."""
         now = self.clock.monotonic()
-        nothing = Draft(left=0)
+        nothing = drafts.Draft(left=0)
         for fact in message.facts:
             self.take_fact(fact, now, nothing)
 
@@ -915,7 +841,7 @@
         now = self.clock.monotonic()
         reply = result.ok
         self.heard_from(reply.sender, now)
-        return aged(reply, now - sent_at)
+        return drafts.aged(reply, now - sent_at)
 
     def note_failed_address(self, address: str) -> None:
         """Counts a failed exchange with the peer at an address."""
@@ -924,41 +850,6 @@
                 self.note_failure(peer.name)
 
 
-def aged(message: peer_port.Exchange, seconds: float) -> peer_port.Exchange:
-    """Takes the time on the way from the facts' times to live."""
-    aged_facts = tuple(
-        dataclasses.replace(fact, ttl_s=fact.ttl_s - seconds)
-        for fact in message.facts
-    )
-    return dataclasses.replace(message, facts=aged_facts)
-
-
-def fact_bytes(fact: peer_port.Fact) -> int:
-    """Returns about how many bytes a fact takes on the wire."""
-    origin = "" if fact.origin == fact.key else fact.origin
-    return FACT_BYTES + len(fact.key) + len(origin) + len(fact.value)
-
-
-def digest_bytes(digest: peer_port.FactDigest) -> int:
-    """Returns about how many bytes a digest takes on the wire."""
-    origin = "" if digest.origin == digest.key else digest.origin
-    return DIGEST_BYTES + len(digest.key) + len(origin)
-
-
-def knows_more(
-    entry: fact_store.Entry, digest: peer_port.FactDigest, now: float
-) -> bool:
-    """Returns whether a held version is newer than a digest's, or ended."""
-    order = (digest.version, digest.origin)
-    has_ended = now >= entry.expires_at
-    return entry.order > order or (has_ended and entry.order == order)
-
-
-def digest_of(fact: peer_port.Fact) -> peer_port.FactDigest:
-    """Returns the digest of a fact."""
-    return peer_port.FactDigest(fact.kind, fact.key, fact.version, fact.origin)
-
-
 def not_asked(detail: str) -> errors.PeerUnreachable:
     """Returns the error of a question that nobody took."""
     return errors.PeerUnreachable(detail, execution=errors.Execution.NOT_RUN)
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -6,6 +6,7 @@
 import pytest
 
 from almondshift import errors
+from almondshift.coordination import drafts
 from almondshift.coordination import membership
 from almondshift.ports import peers
 from tests.coordination import network
@@ -421,7 +422,7 @@
         for _ in range(50):
             await node.run_round(urgent=True)
         sent = cluster.switchboard.sent_bytes[network.address_of("node-0")]
-        heads = 3 * 50 * membership.MESSAGE_BYTES
+        heads = 3 * 50 * drafts.MESSAGE_BYTES
         assert sent < node.budget.burst + heads
 
     asyncio.run(scenario())
