--- a/src/almondshift/coordination/quarantine.py
+++ b/src/almondshift/coordination/quarantine.py
@@ -119,7 +119,8 @@
         window_s: Crashes within it may have one cause.
         mass_endpoints: So many endpoints in the window are a failure of a
             rack or zone.
-        suspicion_s: How long a crash counts.
+        suspicion_s: How long a crash counts; as long as a conviction, or a
+            suspect that could not be tried would soon run freely again.
         conviction_s: How long a convicted request is refused.
         trial_s: Longest run of a suspect; its endpoints are kept free.
         busy_retry_s: When to ask again while a suspect runs.
@@ -128,7 +129,7 @@
     spread_wait_s: float = 3.0
     window_s: float = 2.0
     mass_endpoints: int = 3
-    suspicion_s: float = 900.0
+    suspicion_s: float = 1_800.0
     conviction_s: float = 1_800.0
     trial_s: float = 120.0
     busy_retry_s: float = 1.0
