Quarantine requests that crash endpoints

What was in flight at a crash is run again at once, but never two suspects on one endpoint at a time; a second crash names the request that was in flight at both. It is held while peers hear of it, and refused from then on by all nodes; what dies with a whole rack convicts nobody, for which a node also looks at the idle endpoints of the zone. Ruled out: running each suspect alone on an idle endpoint after a wait of 3 s, since each ordinary loss of an engine would then cost every stream that wait (recovery p99 under 1 s is asked for).

--- a/src/almondshift/coordination/quarantine.py
+++ b/src/almondshift/coordination/quarantine.py
@@ -379,6 +379,11 @@
         self.cleared[fingerprint] = at
         self.clear_crashes(fingerprint)
 
+    def passed(self, fingerprint: str) -> None:
+        """Clears a suspect that got past what crashed; tells peers."""
+        self.clear(fingerprint, self.clock.monotonic())
+        self.tell(f"cleared/{fingerprint}", b"{}", self.settings.suspicion_s)
+
     def clear_crashes(self, fingerprint: str) -> None:
         """Takes a request out of the crashes known here."""
         for crash in self.crashes.values():
--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -434,7 +434,6 @@
 
     request_id: str
     fingerprint: str
-    endpoint: str
     expires_s: float
 
 
--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -15,10 +15,12 @@
 from almondshift.coordination import lease as leases
 from almondshift.coordination import leaving
 from almondshift.coordination import membership as memberships
+from almondshift.coordination import quarantine as quarantines
 from almondshift.coordination import versioned_config
 from almondshift.node import at_most_once
 from almondshift.node import completions
 from almondshift.node import config_spread
+from almondshift.node import crash_guard
 from almondshift.node import directory
 from almondshift.node import entries
 from almondshift.node import gateway
@@ -193,6 +195,15 @@
             ports.clock,
             rng,
         )
+        self.quarantine = quarantines.create_quarantine(
+            ports.clock,
+            self.settings.name,
+            self.membership.publish,
+            self.membership.withdraw,
+        )
+        self.guard = crash_guard.create_crash_guard(
+            self.quarantine, self.directory, ports.clock
+        )
         self.directory.watches = self.load_exchange.watches
         self.reconciler = reconciler.Reconciler(
             LeaseGuard(self.lease),
@@ -228,14 +239,21 @@
         )
         self.gateway = gateway.NodeGateway(
             completions.CompletionService(
-                stage_calls.NodeStageCalls(self.directory, self.driver),
+                stage_calls.NodeStageCalls(
+                    self.directory, self.driver, self.guard
+                ),
                 self.driver,
+                self.guard,
                 self.budget,
                 ports.clock,
                 choices.completions,
             ),
             plain_calls.PlainCalls(
-                ports.plain, self.directory, self.driver, ports.clock
+                ports.plain,
+                self.directory,
+                self.driver,
+                self.guard,
+                ports.clock,
             ),
             self.once,
             self.entries,
@@ -253,6 +271,9 @@
             self.membership.node, entry_address=self.entry_address
         )
         self.membership.subscribe(peers.FactKind.LEAVING, self._heard_leaving)
+        self.membership.subscribe(
+            peers.FactKind.QUARANTINE, self.quarantine.merge
+        )
         await self.driver.start()
         await self.membership.start()
         await self.seeds.start(self.membership.node.peer_address)
--- a/src/almondshift/node/completions.py
+++ b/src/almondshift/node/completions.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import dataclasses
+import struct
 from typing import TYPE_CHECKING
 
 import expression
 
 from almondshift import errors
+from almondshift.coordination import quarantine
 from almondshift.node import pipeline
 from almondshift.node import refusals
 from almondshift.policy import actions
@@ -20,6 +22,7 @@
 
     from almondshift.model import chains
     from almondshift.model import completions
+    from almondshift.node import crash_guard
     from almondshift.node import kept_inputs
     from almondshift.node import router_driver
     from almondshift.ports import clocks
@@ -48,10 +51,12 @@
         self,
         work: pipeline.Pipeline,
         driver: router_driver.RouterDriver,
+        guard: crash_guard.CrashGuard,
         clock: clocks.Clock,
     ) -> None:
         self.pipeline = work
         self.driver = driver
+        self.guard = guard
         self.clock = clock
         self._ended = False
 
@@ -94,6 +99,7 @@
         if self._ended:
             return
         self._ended = True
+        self.guard.forget(event.request_id)
         self.driver.tell(event)
 
 
@@ -104,12 +110,14 @@
         self,
         calls: pipeline.StageCalls,
         driver: router_driver.RouterDriver,
+        guard: crash_guard.CrashGuard,
         budget: kept_inputs.KeptInputs,
         clock: clocks.Clock,
         settings: CompletionSettings,
     ) -> None:
         self.calls = calls
         self.driver = driver
+        self.guard = guard
         self.budget = budget
         self.clock = clock
         self.settings = settings
@@ -123,15 +131,28 @@
             return expression.Error(
                 errors.DeadlinePast("The deadline had passed on arrival.")
             )
-        arrival = _arrival(request, prefixes, now)
+        admitted = self.guard.admit(request.request_id, _fingerprint(request))
+        if admitted.is_error():
+            return expression.Error(admitted.error)
+        started = await self._start(request, _arrival(request, prefixes, now))
+        if started.is_error():
+            self.guard.forget(request.request_id)
+        return started
+
+    async def _start(
+        self, request: completions.CompletionRequest, arrival: events.Arrival
+    ) -> expression.Result[RunningCompletion, errors.AlmondshiftError]:
         try:
             decision = await asyncio.wait_for(
-                self.driver.decide(arrival), request.deadline - now
+                self.driver.decide(arrival), request.deadline - arrival.at
             )
         except TimeoutError:
             return expression.Error(
                 errors.DeadlinePast("The deadline passed in the queue.")
             )
+        except asyncio.CancelledError:
+            self.guard.forget(request.request_id)
+            raise
         return self._begin(request, decision)
 
     def _begin(
@@ -153,7 +174,14 @@
             self.clock,
             keep_inputs=self.settings.keep_inputs,
         )
-        return expression.Ok(RunningCompletion(work, self.driver, self.clock))
+        return expression.Ok(
+            RunningCompletion(work, self.driver, self.guard, self.clock)
+        )
+
+
+def _fingerprint(request: completions.CompletionRequest) -> str:
+    content = struct.pack(f"<{len(request.prompt)}Q", *request.prompt)
+    return quarantine.fingerprint_of(request.service, content)
 
 
 def _arrival(
--- a/src/almondshift/node/plain_calls.py
+++ b/src/almondshift/node/plain_calls.py
@@ -9,6 +9,7 @@
 import expression
 
 from almondshift import errors
+from almondshift.coordination import quarantine
 from almondshift.node import refusals
 from almondshift.policy import actions
 from almondshift.policy import events
@@ -16,6 +17,7 @@
 
 if TYPE_CHECKING:
     from almondshift.model import fleet
+    from almondshift.node import crash_guard
     from almondshift.node import directory
     from almondshift.node import router_driver
     from almondshift.ports import clocks
@@ -37,11 +39,13 @@
         service: plain_services.PlainService,
         known: directory.Directory,
         driver: router_driver.RouterDriver,
+        guard: crash_guard.CrashGuard,
         clock: clocks.Clock,
     ) -> None:
         self.service = service
         self.directory = known
         self.driver = driver
+        self.guard = guard
         self.clock = clock
 
     async def call(
@@ -55,6 +59,20 @@
         A call whose outcome is unknown is repeated only if idempotent: a
         pause notice sent twice would otherwise be carried out twice.
         """
+        admitted = self.guard.admit(request.request_id, _fingerprint(request))
+        if admitted.is_error():
+            return expression.Error(admitted.error)
+        try:
+            return await self._call_repeatedly(request, priority, idempotent)
+        finally:
+            self.guard.forget(request.request_id)
+
+    async def _call_repeatedly(
+        self,
+        request: gateway.PlainRequest,
+        priority: fleet.Priority,
+        idempotent: bool,
+    ) -> PlainResult:
         error: errors.AlmondshiftError | None = None
         for _ in range(MAX_TRIES):
             match await self._try_once(request, priority, idempotent):
@@ -63,6 +81,9 @@
                 case expression.Result(error=error):
                     if not _may_repeat(error, idempotent):
                         break
+                    allowed = await self.guard.may_go_on(request.request_id)
+                    if allowed.is_error():
+                        return expression.Error(allowed.error)
         assert error is not None
         return expression.Error(_final(error, idempotent))
 
@@ -136,13 +157,19 @@
             timeout_s=max(min(left, CALL_TIMEOUT_S), 0.001),
             repeatable=idempotent,
         )
-        answer = await self.service.call(address, call)
-        self._ended(request, whole=answer.is_ok())
-        match answer:
-            case expression.Result(tag="ok", ok=whole):
-                return expression.Ok(whole)
-            case expression.Result(error=error):
-                return expression.Error(error)
+        async with self.guard.turn(endpoint, request.request_id):
+            answer = await self.service.call(address, call)
+            self._ended(request, whole=answer.is_ok())
+            match answer:
+                case expression.Result(tag="ok", ok=whole):
+                    self.guard.plain_answered(endpoint, request.request_id)
+                    return expression.Ok(whole)
+                case expression.Result(error=error):
+                    await self.guard.plain_ended(
+                        endpoint, request.request_id, error
+                    )
+                    return expression.Error(error)
+        raise AssertionError(answer)
 
     def _ended(self, request: gateway.PlainRequest, *, whole: bool) -> None:
         now = self.clock.monotonic()
@@ -152,6 +179,11 @@
             self.driver.tell(events.Abandoned(now, request.request_id))
 
 
+def _fingerprint(request: gateway.PlainRequest) -> str:
+    content = f"{request.method} {request.path}\n".encode() + request.body
+    return quarantine.fingerprint_of(request.service, content)
+
+
 def _may_repeat(error: errors.AlmondshiftError, idempotent: bool) -> bool:
     if isinstance(error, errors.EndpointOutcomeUnknown):
         return idempotent
--- a/src/almondshift/node/stage_calls.py
+++ b/src/almondshift/node/stage_calls.py
@@ -21,6 +21,8 @@
 
     from almondshift.model import chains
     from almondshift.model import steps
+    from almondshift.node import coalescer
+    from almondshift.node import crash_guard
     from almondshift.node import router_driver
     from almondshift.ports import engines
 
@@ -32,9 +34,11 @@
         self,
         known: directory.Directory,
         driver: router_driver.RouterDriver,
+        guard: crash_guard.CrashGuard,
     ) -> None:
         self.directory = known
         self.driver = driver
+        self.guard = guard
         self._background: set[asyncio.Task[Any]] = set()
 
     async def step(
@@ -44,7 +48,19 @@
         calls = self.directory.calls_to(endpoint)
         if calls is None:
             return expression.Error(directory.unreachable(endpoint))
-        return await calls.submit(item)
+        async with self.guard.turn(endpoint, item.request_id):
+            return await self._submit(calls, endpoint, item)
+
+    async def _submit(
+        self, calls: coalescer.Coalescer, endpoint: str, item: steps.StepItem
+    ) -> expression.Result[steps.StepResult, engines.EngineError]:
+        try:
+            outcome = await calls.submit(item)
+        except asyncio.CancelledError:
+            self.guard.gave_up(endpoint, item.request_id)
+            raise
+        await self.guard.ended(endpoint, item, outcome)
+        return outcome
 
     async def replace(
         self, failure: events.StageFailed
@@ -53,6 +69,9 @@
         endpoint = failure.chain.stages[failure.index].endpoint
         if failure.reason is events.FailureReason.LEAVING:
             self.directory.said_leaving(endpoint)
+        allowed = await self.guard.may_go_on(failure.request_id)
+        if allowed.is_error():
+            return expression.Error(allowed.error)
         decision = await self.driver.decide(failure)
         if isinstance(decision, actions.Replace):
             return expression.Ok(decision.replacement)
--- a/src/almondshift/node/status.py
+++ b/src/almondshift/node/status.py
@@ -38,7 +38,7 @@
             for name, known in sorted(node.directory.endpoints.items())
         ],
         "services": _service_rows(node),
-        "quarantine": [],
+        "quarantine": node.quarantine.snapshot(),
     }
 
 
