Judge crashes surely, and give suspects of several nodes their turns

Cause of a refused innocent stream: suspects of two nodes were run again on one endpoint at one moment. Cause of a stream convicted when a rack died: the look at idle engines came before the last of them was dead. Change: look again until an endpoint answers or refuses; each node's suspects wait for the node's turn (40 ms a place, an order for each endpoint); look at idle endpoints every 0.3 s while a request is held.

--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -202,7 +202,10 @@
             self.membership.withdraw,
         )
         self.guard = crash_guard.create_crash_guard(
-            self.quarantine, self.directory, ports.clock
+            self.quarantine,
+            self.directory,
+            self.load_exchange.rank,
+            ports.clock,
         )
         self.directory.watches = self.load_exchange.watches
         self.reconciler = reconciler.Reconciler(
--- a/src/almondshift/node/crash_guard.py
+++ b/src/almondshift/node/crash_guard.py
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
 
     from almondshift.model import steps
     from almondshift.node import directory
@@ -31,6 +32,14 @@
     from almondshift.ports import engines
 
 CONNECT_S = 0.5
+LOOKS = 8
+LOOK_AGAIN_S = 0.03
+LOOK_AROUND_S = 0.3
+"""Time between looks at idle endpoints; several fall in the window in which
+deaths are taken for those of a rack, as its engines don't die all at once."""
+
+SLOT_S = 0.04
+MAX_SLOTS = 8
 SINGLE_LOSS = 1
 
 logger = logging.getLogger(__name__)
@@ -55,10 +64,12 @@
         self,
         quarantine: quarantines.Quarantine,
         known: directory.Directory,
+        rank: Callable[[str], int],
         clock: clocks.Clock,
     ) -> None:
         self.quarantine = quarantine
         self.directory = known
+        self.rank = rank
         self.clock = clock
         self._fingerprints: dict[str, str] = {}
         self._places: dict[str, _Place] = {}
@@ -146,20 +157,32 @@
         send the request through a node that has not heard of it.
         """
         fingerprint = self._fingerprints.get(request_id, request_id)
-        if self._losses(fingerprint) > SINGLE_LOSS:
-            await self._look_around(fingerprint)
+        if self._losses(fingerprint) == SINGLE_LOSS:
+            await self.clock.sleep(self._slot_s(fingerprint))
         while self._losses(fingerprint) > SINGLE_LOSS:
+            await self._look_around(fingerprint)
             verdict = self.quarantine.may_run(fingerprint)
             if verdict.convicted:
                 return expression.Error(self._convicted(request_id, verdict))
             if verdict.kind is not quarantines.VerdictKind.REFUSED:
                 break
-            await self.clock.sleep(verdict.retry_after_s)
+            await self.clock.sleep(min(verdict.retry_after_s, LOOK_AROUND_S))
         verdict = self.quarantine.may_run(fingerprint)
         if verdict.convicted:
             return expression.Error(self._convicted(request_id, verdict))
         return expression.Ok(None)
 
+    def _slot_s(self, fingerprint: str) -> float:
+        """Returns how long this node's suspects wait for those of others.
+
+        Several nodes have suspects of one crash. Run again at one moment on
+        one endpoint, an innocent one would be lost with the guilty one a
+        second time and be refused for it. The nodes' order differs for each
+        endpoint, so that none always waits longest.
+        """
+        endpoint = self.quarantine.counting(fingerprint)[0].endpoint
+        return SLOT_S * (self.rank(endpoint) % MAX_SLOTS)
+
     async def _look_around(self, fingerprint: str) -> None:
         """Looks for idle endpoints that died with those that were busy.
 
@@ -235,20 +258,35 @@
         return True
 
     async def _is_dead(self, known: directory.Endpoint) -> bool:
-        """Returns whether the process is gone or is another one now."""
-        host, _, port = known.vm.address.rpartition(":")
-        try:
-            async with asyncio.timeout(CONNECT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            return True
-        writer.close()
-        if known.engine is None or known.description is None:
-            return False
-        answer = await known.engine.describe()
-        if answer.is_error():
-            return isinstance(answer.error, errors.EndpointUnreachable)
-        return bool(answer.ok.instance != known.description.instance)
+        """Returns whether the process is gone or is another one now.
+
+        A process that is just ending may still accept a connection and then
+        break it. Taken for alive, its loss would count against nobody, so
+        it is looked at again until it answers or refuses.
+        """
+        for _ in range(LOOKS):
+            if not await _accepts(known.vm.address):
+                return True
+            if known.engine is None or known.description is None:
+                return False
+            answer = await known.engine.describe()
+            if answer.is_ok():
+                return answer.ok.instance != known.description.instance
+            await self.clock.sleep(LOOK_AGAIN_S)
+        return False
+
+
+async def _accepts(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(CONNECT_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except TimeoutError:
+        return True
+    except OSError:
+        return False
+    writer.close()
+    return True
 
 
 def _is_unknown(
@@ -270,7 +308,15 @@
 def create_crash_guard(
     quarantine: quarantines.Quarantine,
     known: directory.Directory,
+    rank: Callable[[str], int],
     clock: clocks.Clock,
 ) -> CrashGuard:
-    """Builds a guard."""
-    return CrashGuard(quarantine, known, clock)
+    """Builds a guard.
+
+    Args:
+        quarantine: This node's part of the quarantine.
+        known: The endpoints.
+        rank: This node's place among the live nodes for an endpoint, from 0.
+        clock: Source of time.
+    """
+    return CrashGuard(quarantine, known, rank, clock)
--- a/src/almondshift/node/load_exchange.py
+++ b/src/almondshift/node/load_exchange.py
@@ -82,17 +82,21 @@
 
     def watches(self, engine: str) -> bool:
         """Returns whether this node asks an engine itself."""
-        own = self.membership.node.name
-        nodes = [
-            peer.name
+        return self.rank(engine) < WATCHERS
+
+    def rank(self, engine: str) -> int:
+        """Returns this node's place among the live nodes for an engine.
+
+        All nodes compute the same order, as far as they know the same
+        nodes, and each engine has an order of its own.
+        """
+        own = _score(self.membership.node.name, engine)
+        return sum(
+            1
             for peer in self.membership.peers()
             if peer.state is memberships.PeerState.ALIVE
-        ]
-        if len(nodes) < WATCHERS:
-            return True
-        rank = _score(own, engine)
-        higher = sum(1 for node in nodes if _score(node, engine) > rank)
-        return higher < WATCHERS
+            and _score(peer.name, engine) > own
+        )
 
     async def _run(self) -> None:
         while True:
