Mend a lost wake-up in grouped writes

A committer that had found nothing waiting still counted as busy until the loop's next turn; a write in that turn started none and waited for the next write, or forever.

Ruled out: a hang in the adapter, since its calls end by their time limit. The count of committers now falls in the turn in which nothing was found waiting. test_write_that_comes_as_a_group_ends_is_not_left_waiting[1] failed with TimeoutError before the change and passes with it.

--- a/src/almondshift/coordination/grouped_writes.py
+++ b/src/almondshift/coordination/grouped_writes.py
@@ -57,6 +57,7 @@
         self.settings = settings
         self.waiting: collections.deque[Waiting] = collections.deque()
         self.tasks: set[asyncio.Task[None]] = set()
+        self.committers = 0
 
     async def close(self) -> None:
         """Waits for what is waiting and on its way."""
@@ -89,20 +90,33 @@
             expression.Result[list[int], stores.StoreError]
         ] = asyncio.get_running_loop().create_future()
         self.waiting.append(Waiting(writes, outcome))
-        if len(self.tasks) < self.settings.in_flight:
+        if self.committers < self.settings.in_flight:
+            self.committers += 1
             task = asyncio.create_task(self._commit_waiting())
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
         return await outcome
 
     async def _commit_waiting(self) -> None:
-        while self.waiting:
-            group = self._take_group()
-            try:
-                await self._commit(group)
-            except BaseException as error:
-                _fail(group, error)
-                raise
+        """Commits until nothing waits.
+
+        A finished task stays in ``tasks`` until the loop's next turn. Were
+        committers counted by it, a write that comes in between would find
+        them all busy and wait forever; the count falls in the same turn in
+        which nothing was found waiting.
+        """
+        try:
+            while self.waiting:
+                await self._commit_group(self._take_group())
+        finally:
+            self.committers -= 1
+
+    async def _commit_group(self, group: list[Waiting]) -> None:
+        try:
+            await self._commit(group)
+        except BaseException as error:
+            _fail(group, error)
+            raise
 
     def _take_group(self) -> list[Waiting]:
         """Takes waiting transactions that touch different rows.
--- a/tests/coordination/test_grouped_writes.py
+++ b/tests/coordination/test_grouped_writes.py
@@ -82,3 +82,25 @@
         assert len(store.shared.rows) == 3
 
     asyncio.run(case())
+
+
+@pytest.mark.parametrize("in_flight", [1, 2])
+def test_write_that_comes_as_a_group_ends_is_not_left_waiting(
+    in_flight: int,
+) -> None:
+    # Callers write again in the very turn in which they get their answers.
+    # The committers have found nothing waiting but do not count as ended
+    # yet; without another write the new ones would wait forever.
+    async def case() -> None:
+        store = fake_tables.FakeTableStore()
+        settings = grouped_writes.GroupSettings(in_flight=in_flight)
+        grouped = grouped_writes.create_grouped_store(store, settings)
+
+        async def write_twice(index: int) -> None:
+            for turn in range(2):
+                await grouped.transact([write(f"{index}/{turn}")])
+
+        calls = [write_twice(index) for index in range(in_flight)]
+        await asyncio.wait_for(asyncio.gather(*calls), 5.0)
+
+    asyncio.run(case())
