Run the claim machine over grouped writes too

Cause: in a node claims go through the grouping store, whose groups fail together. `pytest tests/coordination/test_claim_machine.py tests/coordination/test_claims.py`: 33 passed.

--- a/tests/coordination/test_claim_machine.py
+++ b/tests/coordination/test_claim_machine.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from typing import TYPE_CHECKING
+from typing import ClassVar
 
 from hypothesis import stateful
 from hypothesis import strategies
@@ -36,9 +37,11 @@
 class ClaimMachine(machines.LoopMachine):
     """Requests repeated through three nodes that fail in every way."""
 
+    grouped: ClassVar[bool] = False
+
     def __init__(self) -> None:
         super().__init__()
-        self.nodes = test_claims.Nodes(3)
+        self.nodes = test_claims.Nodes(3, self.grouped)
         self.clock = self.nodes.clock
         self.requests: list[Request] = []
         self.runs: dict[str, int] = {}
@@ -184,3 +187,13 @@
 
 ClaimMachine.TestCase.settings = machines.SETTINGS
 TestClaimMachine = ClaimMachine.TestCase
+
+
+class GroupedClaimMachine(ClaimMachine):
+    """The same with each node's writes grouped."""
+
+    grouped = True
+
+
+GroupedClaimMachine.TestCase.settings = machines.SETTINGS
+TestGroupedClaimMachine = GroupedClaimMachine.TestCase
--- a/tests/coordination/test_claims.py
+++ b/tests/coordination/test_claims.py
@@ -11,12 +11,15 @@
 from almondshift.coordination import claim_rows
 from almondshift.coordination import claim_sweep
 from almondshift.coordination import claims
+from almondshift.coordination import grouped_writes
 from tests.fakes import clocks
 from tests.fakes import tables as fake_tables
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
+    from almondshift.ports import stores
+
 Outcome = fake_tables.Outcome
 Answer = claim_attempts.ClaimantAnswer
 LIMIT_S = 10.0
@@ -35,7 +38,8 @@
 class Nodes:
     """Nodes that claim over shared tables and ask each other."""
 
-    def __init__(self, count: int = 2) -> None:
+    def __init__(self, count: int = 2, grouped: bool = False) -> None:
+        self.grouped = grouped
         self.clock = clocks.VirtualClock()
         first = fake_tables.FakeTableStore()
         others = [
@@ -49,8 +53,11 @@
 
     def create(self, index: int) -> claims.Claims:
         self.incarnations += 1
+        store: stores.TableStore = self.stores[index]
+        if self.grouped:
+            store = grouped_writes.create_grouped_store(store)
         return claims.create_claims(
-            self.stores[index],
+            store,
             self.objects,
             self.clock,
             random.Random(self.incarnations),
