--- /dev/null
+++ b/bench/coordination.py
@@ -0,0 +1,198 @@
+"""Writes and reads at the platform for each claim, poll and lease.
+
+Claims arrive at a fixed rate at one committer, as at a node or a relay; the
+baseline is the same load without grouping. The platform is the stand-in, in
+this process, with a set delay before each request takes effect.
+
+Run: ``python -m bench.coordination``; takes about 50 seconds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import dataclasses
+import random
+import statistics
+from typing import TYPE_CHECKING
+
+import expression
+
+from almondshift.adapters import platform_store
+from almondshift.adapters import system_clock
+from almondshift.coordination import claim_attempts
+from almondshift.coordination import claim_rows
+from almondshift.coordination import claims
+from almondshift.coordination import grouped_writes
+from almondshift.coordination import lease
+from almondshift.coordination import versioned_config
+from almondshift.standins.platform import faults
+from almondshift.standins.platform import server
+from almondshift.standins.platform import settings
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from almondshift.ports import stores
+
+CLOCK = system_clock.create_system_clock()
+RESULT = claim_rows.StoredResult(200, "application/json", b"{}" * 50)
+TIMEOUT_S = 2.0
+WARM_UP_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """Claims a second, how many seconds, and the platform's delay."""
+
+    rate: float
+    seconds: float
+    delay_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What the claims of one run took."""
+
+    finished: int = 0
+    failed: int = 0
+    waits_s: list[float] = dataclasses.field(default_factory=list)
+
+
+async def _ask(node: str, attempt: str) -> claim_attempts.ClaimantAnswer:
+    return claim_attempts.ClaimantAnswer.UNKNOWN
+
+
+async def _serve(node: claims.Claims, key: str, outcome: Outcome) -> None:
+    began = CLOCK.monotonic()
+    result = await node.claim("a", "s", key, b"body", began + TIMEOUT_S)
+    if result.is_error() or not isinstance(result.ok, claims.Claimed):
+        outcome.failed += 1
+        return
+    outcome.waits_s.append(CLOCK.monotonic() - began)
+    await node.finish(result.ok, RESULT)
+    outcome.finished += 1
+
+
+async def _offer(node: claims.Claims, load: Load) -> Outcome:
+    outcome = Outcome()
+    began = CLOCK.monotonic()
+    tasks = []
+    for number in range(int(load.rate * load.seconds)):
+        due = began + number / load.rate
+        await CLOCK.sleep(max(0.0, due - CLOCK.monotonic()))
+        work = _serve(node, f"k{number}", outcome)
+        tasks.append(asyncio.create_task(work))
+    await asyncio.gather(*tasks)
+    return outcome
+
+
+async def measure_claims(
+    load: Load,
+    label: str,
+    wrap: Callable[[stores.TableStore], stores.TableStore],
+) -> None:
+    """Prints what claims at a rate cost the platform."""
+    platform = server.create_platform(settings.PlatformSettings())
+    await platform.start()
+    platform.state.faults.set(faults.Switch(delay_s=load.delay_s))
+    table = platform_store.create_table_store(platform.address, TIMEOUT_S)
+    objects = platform_store.create_object_store(platform.address, TIMEOUT_S)
+    await table.start()
+    await objects.start()
+    node = claims.create_claims(
+        wrap(table), objects, CLOCK, random.Random(1), "n", _ask
+    )
+    outcome = await _offer(node, load)
+    counts = platform.state.counters.current()
+    done = max(1, outcome.finished)
+    waits = sorted(outcome.waits_s) or [0.0]
+    p99 = waits[int(0.99 * (len(waits) - 1))]
+    print(
+        f"{label:9} {load.rate:5.0f} claims/s: "
+        f"{counts.writes / done:5.2f} writes, {counts.reads / done:5.2f} "
+        f"reads a claim; peak {counts.peak_writes_per_s:4d} writes/s; "
+        f"claimed in p50 {statistics.median(waits) * 1000:6.1f} "
+        f"p99 {p99 * 1000:6.1f} ms; "
+        f"{outcome.finished} finished, {outcome.failed} failed"
+    )
+    await table.close()
+    await objects.close()
+    await platform.close()
+
+
+async def _watch(
+    platform: server.PlatformServer,
+    label: str,
+    parts: Sequence[versioned_config.VersionedConfig[str] | lease.Lease],
+    seconds: float,
+) -> None:
+    """Prints the steady rates; what the start costs is left out."""
+    for part in parts:
+        await part.start()
+    await CLOCK.sleep(WARM_UP_S)
+    counts = platform.state.counters.current()
+    reads, writes = counts.reads, counts.writes
+    await CLOCK.sleep(seconds)
+    counts = platform.state.counters.current()
+    reads, writes = counts.reads - reads, counts.writes - writes
+    print(
+        f"{label:9} {len(parts)} nodes: "
+        f"{reads / seconds / len(parts):5.2f} reads/s a node, "
+        f"{writes / seconds:5.2f} writes/s in all"
+    )
+    for part in parts:
+        await part.close()
+
+
+async def measure_polls(nodes: int, seconds: float) -> None:
+    """Prints the reads of nodes that poll the head and watch a lease."""
+    platform = server.create_platform(settings.PlatformSettings())
+    await platform.start()
+    table = platform_store.create_table_store(platform.address, TIMEOUT_S)
+    await table.start()
+    configs = [
+        versioned_config.create_versioned_config(
+            table,
+            CLOCK,
+            random.Random(number),
+            lambda text, version: expression.Ok(text),
+        )
+        for number in range(nodes)
+    ]
+    await configs[0].apply("text", 0, "c", "bench")
+    leases = [
+        lease.create_lease(
+            table, CLOCK, random.Random(number), "control", f"n{number}"
+        )
+        for number in range(nodes)
+    ]
+    await _watch(platform, "polls", configs, seconds)
+    await _watch(platform, "lease", leases, seconds)
+    await table.close()
+    await platform.close()
+
+
+async def run(arguments: argparse.Namespace) -> None:
+    """Runs all measurements, the baseline first."""
+    for rate in (20.0, 100.0, 300.0):
+        load = Load(rate, arguments.seconds, arguments.delay_s)
+        await measure_claims(load, "alone", lambda store: store)
+        await measure_claims(
+            load, "grouped", grouped_writes.create_grouped_store
+        )
+    await measure_polls(arguments.nodes, arguments.seconds)
+
+
+def main() -> None:
+    """Parses the command line and runs."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=5.0)
+    parser.add_argument("--delay-s", type=float, default=0.02)
+    parser.add_argument("--nodes", type=int, default=40)
+    asyncio.run(run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
