--- a/src/almondshift/coordination/claims.py
+++ b/src/almondshift/coordination/claims.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import contextlib
 import dataclasses
 from typing import TYPE_CHECKING
@@ -18,6 +17,7 @@
 
 from almondshift import errors
 from almondshift.coordination import claim_attempts
+from almondshift.coordination import claim_results
 from almondshift.coordination import claim_rows
 from almondshift.ports import stores
 
@@ -38,26 +38,26 @@
     Attributes:
         retention_s: Seconds for which a key is kept; told to callers.
         unfinished_retention_s: Further seconds for claims without a result.
-        inline_bytes: Larger results go to the object store.
         write_attempts: Times that a write of unknown outcome is settled.
         write_wait_s: Seconds before settling again; doubles each time.
         poll_s: Seconds between looks at a running claim; doubles.
         longest_poll_s: Longest time between looks.
-        unsaved: Results kept in memory while the store is away.
         flush_s: Seconds between attempts to store these.
         remembered: Abandoned attempts remembered for peers' questions.
+        results: Bounds of stored results.
     """
 
     retention_s: float = 86_400.0
     unfinished_retention_s: float = 604_800.0
-    inline_bytes: int = 4096
     write_attempts: int = 4
     write_wait_s: float = 0.02
     poll_s: float = 0.05
     longest_poll_s: float = 0.8
-    unsaved: int = 1000
     flush_s: float = 1.0
     remembered: int = 10_000
+    results: claim_results.ResultSettings = dataclasses.field(
+        default_factory=claim_results.ResultSettings
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,14 +81,6 @@
     result: claim_rows.StoredResult
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unsaved:
-    """A result that the store has not taken yet."""
-
-    claimed: Claimed
-    result: claim_rows.StoredResult
-
-
 ClaimResult = expression.Result[Claimed | Finished, errors.AlmondshiftError]
 Decision = ClaimResult | None
 """None means to look at the row again."""
@@ -110,11 +102,7 @@
 
 
 class Claims:
-    """Claims made by one node.
-
-    Attributes:
-        unsaved: Results that the store has not taken yet, by claim key.
-    """
+    """Claims made by one node."""
 
     def __init__(
         self,
@@ -134,8 +122,9 @@
         self.ask = ask
         self.settings = settings
         self.attempts = claim_attempts.Attempts(settings.remembered)
-        self.unsaved: collections.OrderedDict[str, Unsaved]
-        self.unsaved = collections.OrderedDict()
+        self.results = claim_results.ResultKeeper(
+            store, objects, clock, self.attempts, settings.results
+        )
         self.flusher: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -205,17 +194,11 @@
         caller got, so that repeats get the same. If the store does not take
         it, it is kept in memory and stored later.
         """
-        unsaved = Unsaved(claimed, result)
-        wait_s = self.settings.write_wait_s
-        self._keep(unsaved)
-        for _ in range(self.settings.write_attempts):
-            saved = await self._save(unsaved)
-            if saved.is_ok() or isinstance(saved.error, errors.ConditionFailed):
-                self._forget(unsaved)
-                return saved
-            await self.clock.sleep(wait_s)
-            wait_s *= 2
-        return saved
+        return await self.results.store_result(
+            claim_results.Unsaved(
+                claimed.key, claimed.row, claimed.revision, result
+            )
+        )
 
     async def release_not_run(
         self, claimed: Claimed
@@ -241,10 +224,7 @@
 
     async def flush(self) -> None:
         """Tries once to store each result that is not stored yet."""
-        for unsaved in list(self.unsaved.values()):
-            saved = await self._save(unsaved)
-            if saved.is_ok() or isinstance(saved.error, errors.ConditionFailed):
-                self._forget(unsaved)
+        await self.results.flush()
 
     async def _claim(self, claim: Claim) -> ClaimResult:
         """Decides, and abandons the attempt unless it holds the claim.
@@ -305,7 +285,7 @@
         it never dispatches counts, and the write from this very revision.
         """
         claim.saw_other = True
-        unsaved = self.unsaved.get(claim.key)
+        unsaved = self.results.unsaved.get(claim.key)
         if unsaved is not None:
             return expression.Ok(Finished(unsaved.result))
         if claim.asked_revision == revision:
@@ -363,26 +343,15 @@
         )
 
     async def _finished(self, row: claim_rows.ClaimRow) -> ClaimResult:
-        assert row.result is not None
-        if not row.result.object_key:
-            body = claim_rows.inline_body(row.result)
-            return expression.Ok(_finished(row.result, body))
-        content = await self.objects.get(row.result.object_key)
-        if content.is_error() or content.ok is None:
-            return expression.Error(
-                errors.StoreUnavailable(
-                    "The request ran; its result can't be read now.",
-                    remedy="Ask again with the same Idempotency-Key.",
-                    execution=errors.Execution.RAN,
-                    retry_after_s=1.0,
-                )
-            )
-        return expression.Ok(_finished(row.result, content.ok))
+        result = await self.results.read_result(row)
+        if result.is_error():
+            return expression.Error(result.error)
+        return expression.Ok(Finished(result.ok))
 
     def _without_store(self, claim: Claim) -> ClaimResult:
-        unsaved = self.unsaved.get(claim.key)
+        unsaved = self.results.unsaved.get(claim.key)
         if unsaved is not None:
-            if unsaved.claimed.row.fingerprint == claim.row.fingerprint:
+            if unsaved.row.fingerprint == claim.row.fingerprint:
                 return expression.Ok(Finished(unsaved.result))
             return expression.Error(
                 errors.IdempotencyKeyReused(
@@ -409,65 +378,6 @@
             )
         )
 
-    async def _save(
-        self, unsaved: Unsaved
-    ) -> expression.Result[None, errors.AlmondshiftError]:
-        stored = await self._store_body(unsaved)
-        if stored.is_error():
-            return expression.Error(stored.error)
-        claimed = unsaved.claimed
-        row = dataclasses.replace(
-            claimed.row,
-            state=claim_rows.ClaimState.FINISHED,
-            result=stored.ok,
-        )
-        write = claim_rows.write_claim(claimed.key, row, claimed.revision)
-        written = await self.store.transact([write])
-        if written.is_ok():
-            return expression.Ok(None)
-        if isinstance(written.error, errors.ConditionFailed):
-            return await self._check_saved(claimed, written.error)
-        return expression.Error(written.error)
-
-    async def _store_body(
-        self, unsaved: Unsaved
-    ) -> expression.Result[claim_rows.ResultRow, errors.AlmondshiftError]:
-        result = unsaved.result
-        if len(result.body) <= self.settings.inline_bytes:
-            return expression.Ok(claim_rows.inline_result(result))
-        claimed = unsaved.claimed
-        object_key = f"claims/{claimed.key}/{claimed.row.attempt}"
-        put = await self.objects.put(object_key, result.body)
-        if put.is_error():
-            return expression.Error(put.error)
-        return expression.Ok(claim_rows.result_by_object(result, object_key))
-
-    async def _check_saved(
-        self, claimed: Claimed, failure: errors.ConditionFailed
-    ) -> expression.Result[None, errors.AlmondshiftError]:
-        """Finds out whether an earlier write had stored the result."""
-        read = await self.store.read(claim_rows.TABLE, claimed.key)
-        if read.is_error():
-            return expression.Error(read.error)
-        if read.ok is None:
-            return expression.Error(failure)
-        row = claim_rows.read_claim(read.ok)
-        is_saved = row.state is claim_rows.ClaimState.FINISHED
-        if is_saved and row.attempt == claimed.row.attempt:
-            return expression.Ok(None)
-        return expression.Error(failure)
-
-    def _keep(self, unsaved: Unsaved) -> None:
-        self.unsaved[unsaved.claimed.key] = unsaved
-        while len(self.unsaved) > self.settings.unsaved:
-            _, oldest = self.unsaved.popitem(last=False)
-            self.attempts.end(oldest.claimed.row.attempt)
-
-    def _forget(self, unsaved: Unsaved) -> None:
-        if self.unsaved.get(unsaved.claimed.key) is unsaved:
-            del self.unsaved[unsaved.claimed.key]
-        self.attempts.end(unsaved.claimed.row.attempt)
-
     def _next_pause(self, pause_s: float) -> float:
         doubled = max(2 * pause_s, self.settings.poll_s)
         longest = min(doubled, self.settings.longest_poll_s)
@@ -485,12 +395,6 @@
     )
 
 
-def _finished(result: claim_rows.ResultRow, body: bytes) -> Finished:
-    return Finished(
-        claim_rows.StoredResult(result.status, result.content_type, body)
-    )
-
-
 def _out_of_time(claim: Claim) -> errors.AlmondshiftError:
     if claim.saw_other:
         return errors.OutcomeUnknown(
