--- a/bench/load.py
+++ b/bench/load.py
@@ -210,9 +210,12 @@
 def _peer_load(index: int, size: Size, at: float) -> events.PeerLoad:
     # At the target a node has some 8 requests a second in flight for a few
     # seconds, each on three engines.
+    # A third of them ends or starts between two exchanges.
     rng = random.Random(index)
     names = sorted(clusters.ACCELERATORS)
     engines = [rng.randrange(size.engines) for _ in range(60)]
+    for place in range(0, 20 if at > 0.0 else 0):
+        engines[place] = (engines[place] + 7) % size.engines
     in_flight = {f"e{i}-{names[i % len(names)]}": 1 for i in engines}
     used = {f"a{rng.randrange(size.accounts)}": 50.0 for _ in range(20)}
     return events.PeerLoad(at, f"p{index}", in_flight, used)
--- a/src/almondshift/policy/chain_choice.py
+++ b/src/almondshift/policy/chain_choice.py
@@ -144,6 +144,7 @@
         ] = {}
         self._graphs_generation = -1
         self._cycles: dict[str, float] = {}
+        self._objectives: dict[str, float] = {}
 
     def cycle_s(self, model: str) -> float:
         """Returns the time of one token round a chain of this model."""
@@ -268,13 +269,19 @@
         """Takes what a peer has in flight in place of what it had."""
         for name in before.keys() - now.keys():
             if name in self.engines:
-                self.engines[name].load.peers.pop(node, None)
-        for name, count in now.items():
+                self.engines[name].load.peers.discard(node)
+        for name in now.keys() - before.keys():
             if name in self.engines:
-                self.engines[name].load.peers[node] = count
+                self.engines[name].load.peers.add(node)
 
-    def relink(self) -> None:
-        """Takes the links' latencies from a new configuration."""
+    def configured(self) -> None:
+        """Takes latencies and objectives from a new configuration."""
+        fleet = self.topology.fleet
+        self._objectives.clear()
+        for service in fleet.services.values() if fleet else ():
+            objective = service.objectives.between_tokens_s
+            least = self._objectives.get(service.model, objective)
+            self._objectives[service.model] = min(least, objective)
         for name, engine in self.engines.items():
             known = self.topology.endpoints[name]
             engine.link_s = self._link_s(known.zone)
@@ -346,7 +353,11 @@
         served = self._served.get(name)
         if not served:
             return 1.0
-        target, span = max(served, key=lambda pair: pair[1].count)
+        target, span = (
+            next(iter(served))
+            if len(served) == 1
+            else max(served, key=lambda pair: pair[1].count)
+        )
         return concurrency.limit_for(
             engine.description,
             span.count,
@@ -355,17 +366,8 @@
         )
 
     def _objective_s(self, model: str) -> float:
-        fleet = self.topology.fleet
-        if fleet is None:
-            return 0.0
-        return min(
-            (
-                service.objectives.between_tokens_s
-                for service in fleet.services.values()
-                if service.model == model
-            ),
-            default=0.0,
-        )
+        """Returns the least time between tokens promised on a model."""
+        return self._objectives.get(model, 0.0)
 
     def _link_s(self, zone: str) -> float:
         if zone == self.zone:
--- a/src/almondshift/policy/concurrency.py
+++ b/src/almondshift/policy/concurrency.py
@@ -51,7 +51,7 @@
         others: Requests of other nodes on it.
         limit: Requests of all nodes that it should have at most.
         queued: Items queued in it at the last report.
-        peers: What each peer says it has on it.
+        peers: Peers that say they have requests on it.
     """
 
     def __init__(self) -> None:
@@ -62,7 +62,7 @@
         self.others = 0.0
         self.limit = 1.0
         self.queued = 0
-        self.peers: dict[str, int] = {}
+        self.peers: set[str] = set()
         self._changes: collections.deque[tuple[float, int]] = (
             collections.deque()
         )
--- a/src/almondshift/policy/plain_choice.py
+++ b/src/almondshift/policy/plain_choice.py
@@ -69,15 +69,11 @@
         self, node: str, before: dict[str, int], now: dict[str, int]
     ) -> None:
         """Takes what a peer has in flight in place of what it had."""
-        for name in before.keys() - now.keys():
-            self.peers.get(name, {}).pop(node, None)
-        for name, count in now.items():
-            if self._is_plain(name):
-                self.peers.setdefault(name, {})[node] = count
-
-    def _is_plain(self, name: str) -> bool:
-        known = self.topology.endpoints.get(name)
-        return known is not None and known.description is None
+        for names in self.topology.plain.values():
+            for name in names.keys() & before.keys():
+                self.peers.get(name, {}).pop(node, None)
+            for name in names.keys() & now.keys():
+                self.peers.setdefault(name, {})[node] = now[name]
 
     def _busy(self, name: str) -> float:
         load = self.own[name] + sum(self.peers.get(name, {}).values())
--- a/src/almondshift/policy/router.py
+++ b/src/almondshift/policy/router.py
@@ -189,7 +189,7 @@
 
     def _configure(self, event: events.FleetChanged) -> list[actions.Action]:
         self.topology.configure(event.fleet)
-        self.chooser.relink()
+        self.chooser.configured()
         return []
 
     def _peer_load(self, event: events.PeerLoad) -> list[actions.Action]:
--- a/src/almondshift/policy/topology.py
+++ b/src/almondshift/policy/topology.py
@@ -113,11 +113,13 @@
             return False
         if known.left_instance and known.left_instance != report.instance:
             known.leaving = False
+        changed = known.report is None or _differ(known.report, report)
         known.report = report
         known.reported_at = true_at
-        if report.leaving:
-            self._mark_leaving(known)
-        self._index(known)
+        if changed:
+            if report.leaving:
+                self._mark_leaving(known)
+            self._index(known)
         return True
 
     def leave(self, name: str) -> None:
@@ -271,6 +273,16 @@
     return reached >= count
 
 
+def _differ(before: endpoints.LoadReport, after: endpoints.LoadReport) -> bool:
+    """Returns whether a report changes what an engine may be used for."""
+    return (
+        before.holdings != after.holdings
+        or before.instance != after.instance
+        or before.role is not after.role
+        or before.leaving is not after.leaving
+    )
+
+
 def _version_rank(version: int, wanted: int) -> tuple[int, int]:
     if version == wanted:
         return (0, 0)
