Eject by the least time of a call, not by a smoothed one

Smoothed times are mostly waiting behind others' work, so healthy engines were ejected some fifteen times a second at 1x and the load moved to and fro. Change: what is compared is the least time in the last window of half a second and five calls, by the time usual at the engine's load; nothing is judged before half of the group is measured.

--- a/bench/virtual/nodes.py
+++ b/bench/virtual/nodes.py
@@ -86,6 +86,16 @@
         self.sim.after(left, self._time_out, arrival.request_id)
         self.tell(arrival)
 
+    def abandon(self, request_id: str) -> None:
+        """Drops a request whose caller no longer wants it."""
+        if self._drop(request_id) is not None:
+            self.tell(events.Abandoned(self.sim.now, request_id))
+
+    def tokens_of(self, request_id: str) -> int:
+        """Returns the tokens that a request has got here."""
+        run = self.runs.get(request_id)
+        return run.tokens if run else 0
+
     def in_flight(self) -> dict[str, int]:
         """Returns requests in flight by engine."""
         counts: dict[str, int] = {}
--- a/src/almondshift/policy/chain_choice.py
+++ b/src/almondshift/policy/chain_choice.py
@@ -287,13 +287,19 @@
             engine.link_s = self._link_s(known.zone)
 
     def usual_call_s(self, name: str, tokens: int, layer_count: int) -> float:
-        """Returns what a call should take by the engine's description."""
+        """Returns what a call should take by the engine's description.
+
+        Other requests share its batch, as many as its utilisation says,
+        and past its limit the call waits for whole batches before it.
+        """
         engine = self.engines.get(name)
         if engine is None:
             return 1.0
         described = engine.description
-        work = described.per_layer_token_s * layer_count * tokens
-        return described.fixed_s + work
+        used = engine.load.utilisation
+        shared = described.max_batch * min(1.0, used)
+        work = described.per_layer_token_s * layer_count * max(tokens, shared)
+        return (described.fixed_s + work) * max(1.0, used)
 
     def _sync_engine(self, name: str) -> None:
         known = self.topology.endpoints.get(name)
--- a/src/almondshift/policy/ejection.py
+++ b/src/almondshift/policy/ejection.py
@@ -8,17 +8,23 @@
 Grounds: an engine is compared with the median of those with the same kind
 of accelerator and the same layers (of the same service, for plain ones),
 since mismatched accelerators differ by more than a slow one differs from
-its like. What is compared is the time of a call by the time that the
-engine's own description gives for it. Two and a half times the median is
-beyond what differing batch sizes make; five calls are too few to take long
-(a fifth of a second at 25 calls a second) and too many for one late answer.
+its like. What is compared is the least time of a call in the last window of
+half a second and five calls, by the time that the engine's description gives
+for its present load. A call's mean time is mostly waiting behind others'
+work, which differs tenfold between healthy engines (comparing smoothed times
+ejected healthy engines some fifteen times a second in the bench at 1x),
+while the least time of a slow engine is as slow as it is. Three times the
+median is beyond what a wrongly estimated batch makes, and an engine that is
+ten times slow still answers five calls of a node in about a second. Nothing
+is judged before half of the group is measured.
+
 At most a fifth of a group, and at least one of it, may be out: if more are
 slow, the load is the cause and ejecting makes it worse. A group of one has
 nothing to be compared with and is left in.
 
 An ejected endpoint is probed after one second, then after twice as long
 each time up to thirty; once a probe is as fast as its like, it gets two
-requests at once until five calls were good, then its full share.
+requests at once for a window; if that is good, its full share.
 An endpoint that can't be reached, or fails twice with no answer between, is
 ejected whatever the cap says.
 """
@@ -28,15 +34,15 @@
 import dataclasses
 import enum
 import heapq
+import math
 import statistics
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Hashable
 
-SLOW_RATIO = 2.5
+SLOW_RATIO = 3.0
 MIN_CALLS = 5
-TRIAL_CALLS = 5
 TRIAL_REQUESTS = 2
 FAILURES = 2
 MAX_EJECTED_SHARE = 0.2
@@ -44,7 +50,8 @@
 FIRST_PROBE_S = 1.0
 LAST_PROBE_S = 30.0
 PROBE_TIMEOUT_S = 5.0
-MEDIAN_HOLDS_S = 0.25
+MEDIAN_HOLDS_S = 0.1
+WINDOW_S = 0.5
 
 
 class State(enum.Enum):
@@ -63,12 +70,50 @@
     calls: int = 0
     failures: int = 0
     wait_s: float = FIRST_PROBE_S
+    window_at: float = float("-inf")
+    window_calls: int = 0
+    least: float = math.inf
+    least_before: float = math.inf
+
+    @property
+    def floor(self) -> float:
+        """The least ratio in the last one to two windows, 0 if unknown."""
+        if self.least_before == math.inf:
+            return 0.0
+        return min(self.least, self.least_before)
+
+    def note(self, at: float, ratio: float) -> None:
+        """Takes the ratio of a call's time to the usual one."""
+        if self.calls == 0:
+            self.ratio = ratio
+        self.ratio += SMOOTHING * (ratio - self.ratio)
+        self.calls += 1
+        if self.calls == 1:
+            self.window_at = at
+        full = self.window_calls >= MIN_CALLS
+        if full and at - self.window_at >= WINDOW_S:
+            self.least_before = self.least
+            self.least = math.inf
+            self.window_calls = 0
+            self.window_at = at
+        self.least = min(self.least, ratio)
+        self.window_calls += 1
+
+    def start_over(self) -> None:
+        """Forgets what was measured."""
+        self.calls = 0
+        self.failures = 0
+        self.window_at = float("-inf")
+        self.window_calls = 0
+        self.least = self.least_before = math.inf
 
 
 @dataclasses.dataclass(slots=True)
 class _Group:
     members: dict[str, _Health] = dataclasses.field(default_factory=dict)
     median: float = 1.0
+    floor: float = 1.0
+    measured: bool = False
     median_at: float = float("-inf")
 
     def refresh(self, at: float) -> None:
@@ -77,6 +122,9 @@
         known = [h.ratio for h in self.members.values() if h.calls]
         if known:
             self.median = statistics.median_low(known)
+        floors = [h.floor for h in self.members.values() if h.floor > 0.0]
+        self.floor = max(1.0, statistics.median_low(floors)) if floors else 1.0
+        self.measured = len(floors) >= max(2, len(known) / 2)
         self.median_at = at
 
     def may_eject(self) -> bool:
@@ -103,7 +151,7 @@
         else:
             self._groups[health.group].members.pop(name, None)
             health.group = group
-            health.calls = 0
+            health.start_over()
         self._groups.setdefault(group, _Group()).members[name] = health
 
     def forget(self, name: str) -> None:
@@ -138,18 +186,13 @@
         health = self._healths.get(name)
         if health is None:
             return False
-        ratio = seconds / max(usual, 1e-9)
-        if health.calls == 0:
-            health.ratio = ratio
-        health.ratio += SMOOTHING * (ratio - health.ratio)
-        health.calls += 1
+        health.note(at, seconds / max(usual, 1e-9))
         health.failures = 0
         group = self._groups[health.group]
         group.refresh(at)
-        slow = health.ratio > SLOW_RATIO * group.median
         if health.state is State.TRIAL:
-            return self._judge_trial(name, health, at, slow)
-        if slow and health.state is State.IN and health.calls >= MIN_CALLS:
+            return self._judge_trial(name, health, at)
+        if health.state is State.IN and _is_slow(health, group):
             return self._eject(name, health, at)
         return False
 
@@ -201,20 +244,17 @@
         median = self._groups[health.group].median
         if ok and ratio <= SLOW_RATIO * max(median, 1.0):
             health.state = State.TRIAL
-            health.ratio = median
-            health.calls = 0
-            health.failures = 0
+            health.start_over()
             return True
         health.wait_s = min(LAST_PROBE_S, health.wait_s * 2.0)
         self._schedule(name, at + health.wait_s)
         return False
 
-    def _judge_trial(
-        self, name: str, health: _Health, at: float, slow: bool
-    ) -> bool:
-        if health.calls < TRIAL_CALLS:
+    def _judge_trial(self, name: str, health: _Health, at: float) -> bool:
+        """Ends a trial once it was long enough to tell."""
+        if health.floor == 0.0:
             return False
-        if slow:
+        if _is_slow(health, self._groups[health.group]):
             health.wait_s = min(LAST_PROBE_S, health.wait_s * 2.0)
             return self._put_out(name, health, at)
         health.state = State.IN
@@ -233,3 +273,7 @@
 
     def _schedule(self, name: str, at: float) -> None:
         heapq.heappush(self._due, (at, name))
+
+
+def _is_slow(health: _Health, group: _Group) -> bool:
+    return group.measured and health.floor > SLOW_RATIO * group.floor
