--- a/src/almondshift/coordination/membership.py
+++ b/src/almondshift/coordination/membership.py
@@ -222,6 +222,11 @@
         self.join()
         self.wake.set()
 
+    async def announce_leaving(self) -> None:
+        """Tells some peers now, which tell the others; for the drain."""
+        self.leave()
+        await self.run_round(urgent=True)
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Runs work beside the caller until it ends or ``close``."""
         task = asyncio.get_running_loop().create_task(work)
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -108,9 +108,7 @@
     async def scenario() -> None:
         cluster = await network.create_cluster(3)
         leaver = cluster.nodes["node-2"]
-        leaver.leave()
-        assert leaver.wake.is_set()
-        await leaver.run_round(urgent=True)
+        await leaver.announce_leaving()
         for name in ("node-0", "node-1"):
             state = cluster.nodes[name].peers()[1].state
             assert state is membership.PeerState.LEAVING
