--- a/src/almondshift/coordination/membership.py
+++ b/src/almondshift/coordination/membership.py
@@ -371,9 +371,11 @@
         """Returns how often a fact is told on by each node.
 
         With log2 n + 2 sends by each who learns it, the share of nodes
-        that miss it is below one in n; digests find those.
+        that miss it is below one in n; digests find those. Other kinds are
+        told less often: a node that misses a fact about a node learns of it
+        by the next heartbeat, and loads are stated anew.
         """
-        if kind in fact_store.BULK_KINDS:
+        if kind not in fact_store.URGENT_KINDS:
             return 3
         return math.ceil(math.log2(self.size() + 1)) + 2
 
@@ -667,7 +669,7 @@
 
     def beat_sends(self) -> int:
         """Returns how often each node tells a heartbeat on."""
-        return min(3, self.sends(peer_port.FactKind.NODE))
+        return self.sends(peer_port.FactKind.NODE)
 
     def new_draft(self, now: float) -> drafts.Draft:
         """Returns an empty message with the bytes that it may have."""
