--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -10,8 +10,10 @@
 from almondshift import log_events
 from almondshift.adapters import fleet_text
 from almondshift.adapters import keys
+from almondshift.coordination import claim_sweep
 from almondshift.coordination import claims
 from almondshift.coordination import drain as drains
+from almondshift.coordination import grouped_writes
 from almondshift.coordination import lease as leases
 from almondshift.coordination import leaving
 from almondshift.coordination import membership as memberships
@@ -34,6 +36,7 @@
 from almondshift.node import seeds
 from almondshift.node import stage_calls
 from almondshift.node import status
+from almondshift.node import sweeper
 from almondshift.policy import events
 from almondshift.policy import step_timeouts
 from almondshift.ports import peers
@@ -162,8 +165,9 @@
             self.config, self.membership, ports.clock, rng
         )
         questions = at_most_once.ClaimQuestions(self.membership)
+        self.grouped = grouped_writes.create_grouped_store(ports.table)
         self.claims = claims.create_claims(
-            ports.table,
+            self.grouped,
             ports.objects,
             ports.clock,
             rng,
@@ -171,6 +175,16 @@
             questions.ask,
         )
         questions.use(self.claims)
+        self.sweeper = sweeper.create_sweeper(
+            claim_sweep.create_claim_sweep(
+                ports.table,
+                ports.clock,
+                claims.ClaimSettings().unfinished_retention_s,
+            ),
+            LeaseGuard(self.lease),
+            ports.clock,
+            rng,
+        )
 
     def _build_endpoints(self, choices: NodeChoices) -> None:
         ports, rng = self.ports, self.rng
@@ -287,6 +301,7 @@
         await self.lease.start()
         await self.claims.start()
         await self.reconciler.start()
+        await self.sweeper.start()
 
     async def stop_gracefully(self) -> drains.DrainReport:
         """Leaves the entries and waits for what is in flight.
@@ -303,10 +318,12 @@
 
     async def close(self) -> None:
         """Closes all parts, those that others rely on last."""
+        await self.sweeper.close()
         await self.reconciler.close()
         await self.load_exchange.close()
         await self.lease.close()
         await self.claims.close()
+        await self.grouped.close()
         await self.spread.close()
         await self.config.close()
         await self.seeds.close()
@@ -316,8 +333,7 @@
 
     async def _announce_leaving(self) -> None:
         self.entries.leaving = True
-        self.membership.leave()
-        await self.membership.run_round(urgent=True)
+        await self.membership.announce_leaving()
 
     def _heard_leaving(self, key: str, fact: peers.Fact | None) -> None:
         self.leaving.fact_changed(key, fact)
