Prove that every layer runs once when a stage is lost

The oracle is a ledger file of each engine, which outlives a kill: each (session, layer, position) ran once and in order, and the last sessions cover each layer once.

The set-up now waits until the nodes know all holdings.

--- a/src/almondshift/standins/engine/__main__.py
+++ b/src/almondshift/standins/engine/__main__.py
@@ -44,6 +44,8 @@
     parser.add_argument("--activation-bytes", type=int, default=8192)
     parser.add_argument("--kv-bytes", type=int, default=4096)
     parser.add_argument("--ledger-limit", type=int, default=100_000)
+    parser.add_argument("--ledger-file", default="")
+    parser.add_argument("--advertise", default="", metavar="HOST:PORT")
     parser.add_argument("--ignore-fencing", action="store_true")
     parser.add_argument("--seed", type=int, default=0)
     parser.add_argument("--port", type=int, default=0)
@@ -92,6 +94,8 @@
         activation_bytes=options.activation_bytes,
         kv_bytes=options.kv_bytes,
         ledger_limit=options.ledger_limit,
+        ledger_file=options.ledger_file,
+        advertise=options.advertise,
         grace_s=options.grace_s,
         seed=options.seed,
     )
--- a/src/almondshift/standins/engine/handlers.py
+++ b/src/almondshift/standins/engine/handlers.py
@@ -85,7 +85,7 @@
         if self.engine.faults.swallow_answers > 0:
             self._swallow()
             return
-        body = engine_messages.encode_results(results)
+        body = engine_messages.encode_results(self._crossed(results))
         self.send(body, engine_messages.MSGPACK_TYPE)
 
     async def _run(self, items: list[steps.StepItem]) -> list[steps.StepResult]:
@@ -97,6 +97,19 @@
         await self.engine.outbound.carry(size)
         return results
 
+    def _crossed(
+        self, results: list[steps.StepResult]
+    ) -> list[steps.StepResult]:
+        """Exchanges the answers if told to, as a confused engine would."""
+        engine = self.engine
+        former, engine.last_results = engine.last_results, results
+        if engine.faults.cross_answers <= 0 or not former:
+            return results
+        engine.faults.cross_answers -= 1
+        if len(results) > 1:
+            return [*results[1:], results[0]]
+        return former[:1]
+
     def _swallow(self) -> None:
         faults = self.engine.faults
         faults.swallow_answers -= 1
--- a/src/almondshift/standins/engine/ledger.py
+++ b/src/almondshift/standins/engine/ledger.py
@@ -4,7 +4,11 @@
 
 import collections
 import dataclasses
+import time
 from typing import TYPE_CHECKING
+from typing import BinaryIO
+
+import msgspec
 
 if TYPE_CHECKING:
     from almondshift.model import steps
@@ -12,7 +16,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LedgerRow:
-    """One item that ran: ``count`` positions from ``position`` on."""
+    """One item that ran: ``count`` positions from ``position`` on.
+
+    Attributes:
+        at: Monotonic seconds, comparable between processes of one machine.
+    """
 
     sequence: int
     request_id: str
@@ -26,37 +34,58 @@
     position: int
     count: int
     first_input: int
+    at: float
 
 
 class Ledger:
     """Rows in the order in which the items ran.
 
+    Args:
+        limit: Rows kept in memory.
+        path: File to which each row is also appended as a line of JSON, so
+            that it outlives a kill; ``""`` for none.
+
     Attributes:
         total: Number of rows ever written, also those since dropped.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, path: str = "") -> None:
+        self.path = path
+        self.file: BinaryIO | None = None
         self.rows: collections.deque[LedgerRow] = collections.deque(
             maxlen=limit
         )
         self.total = 0
 
+    def start(self) -> None:
+        """Opens the file; what it holds stays."""
+        if self.path:
+            self.file = open(self.path, "ab", buffering=0)  # noqa: SIM115
+
+    def close(self) -> None:
+        """Closes the file."""
+        if self.file is not None:
+            self.file.close()
+            self.file = None
+
     def record(self, item: steps.StepItem) -> None:
         """Writes that an item ran."""
         self.total += 1
-        self.rows.append(
-            LedgerRow(
-                self.total,
-                item.request_id,
-                item.session,
-                item.epoch,
-                item.model,
-                item.version,
-                item.adapter,
-                item.layers.start,
-                item.layers.end,
-                item.position,
-                len(item.inputs),
-                item.inputs[0],
-            )
+        row = LedgerRow(
+            self.total,
+            item.request_id,
+            item.session,
+            item.epoch,
+            item.model,
+            item.version,
+            item.adapter,
+            item.layers.start,
+            item.layers.end,
+            item.position,
+            len(item.inputs),
+            item.inputs[0],
+            time.monotonic(),
         )
+        self.rows.append(row)
+        if self.file is not None:
+            self.file.write(msgspec.json.encode(row) + b"\n")
--- a/src/almondshift/standins/engine/server.py
+++ b/src/almondshift/standins/engine/server.py
@@ -46,6 +46,7 @@
         faults: The switches of tests.
         record: The ledger.
         hanging: Connections whose answer was swallowed.
+        last_results: Results of the latest step call.
     """
 
     def __init__(self, settings: engine_settings.EngineSettings) -> None:
@@ -53,8 +54,9 @@
         self.address = ""
         self.instance = f"{random.SystemRandom().getrandbits(INSTANCE_BITS):x}"
         self.faults = switches.Switches()
-        self.record = ledger.Ledger(settings.ledger_limit)
+        self.record = ledger.Ledger(settings.ledger_limit, settings.ledger_file)
         self.hanging: list[iostream.IOStream] = []
+        self.last_results: list[steps.StepResult] = []
         self.events = cache_events.CacheEventLog(
             settings.cache_event_delay_s,
             settings.cache_event_loss,
@@ -100,6 +102,7 @@
 
     async def start(self) -> None:
         """Listens and begins to run batches."""
+        self.record.start()
         await self.batcher.start()
         await self.reporter.start()
         sockets = netutil.bind_sockets(self.settings.port, self.settings.host)
@@ -116,6 +119,7 @@
         await self.reporter.close()
         await self.held.close()
         self.weights.close()
+        self.record.close()
         await self.server.close_all_connections()
 
     def describe(self) -> endpoints.EndpointDescription:
@@ -136,7 +140,7 @@
         """Returns the engine's row in the list of VMs."""
         return endpoints.Vm(
             self.settings.name,
-            self.address,
+            self.settings.advertise or self.address,
             self.settings.zone,
             endpoints.EndpointKind.ENGINE,
             "",
--- a/src/almondshift/standins/engine/settings.py
+++ b/src/almondshift/standins/engine/settings.py
@@ -32,7 +32,10 @@
         activation_bytes: Size of one activation on the link.
         kv_bytes: Size of the KV cache of one position in one layer, which
             takes its time on the link when it is exported or imported.
+        advertise: ``host:port`` to register in place of the own address,
+            ``""`` for the own; a proxy's, if one stands before it.
         ledger_limit: Rows kept; the oldest go first.
+        ledger_file: File that rows are appended to, ``""`` for none.
         grace_s: How long running sessions are served after SIGTERM.
         exit_process: Ends the process when a crash is emulated.
     """
@@ -62,7 +65,9 @@
     link_bytes_per_s: float = 0.0
     activation_bytes: int = 8192
     kv_bytes: int = 4096
+    advertise: str = ""
     ledger_limit: int = 100_000
+    ledger_file: str = ""
     grace_s: float = 10.0
     seed: int = 0
     exit_process: Callable[[int], None] = os._exit
--- a/src/almondshift/standins/engine/switches.py
+++ b/src/almondshift/standins/engine/switches.py
@@ -22,6 +22,7 @@
         slow_factor: Multiplies the time of each batch.
         swallow_answers: Number of step answers to swallow after running.
         swallow: What happens to their connections.
+        cross_answers: Number of step calls that get answers to other items.
         refuse_all: Answer each step call 503 without running it.
         leaving: Refuse to open sessions.
     """
@@ -30,6 +31,7 @@
     slow_factor: float = 1.0
     swallow_answers: int = 0
     swallow: Swallow = Swallow.CLOSE
+    cross_answers: int = 0
     refuse_all: bool = False
     leaving: bool = False
 
@@ -41,6 +43,7 @@
     slow_factor: float | msgspec.UnsetType = msgspec.UNSET
     swallow_answers: int | msgspec.UnsetType = msgspec.UNSET
     swallow: Swallow | msgspec.UnsetType = msgspec.UNSET
+    cross_answers: int | msgspec.UnsetType = msgspec.UNSET
     refuse_all: bool | msgspec.UnsetType = msgspec.UNSET
     leaving: bool | msgspec.UnsetType = msgspec.UNSET
     drop_kv: bool = False
--- /dev/null
+++ b/tests/scenarios/datapath/paths.py
@@ -0,0 +1,244 @@
+"""A system whose engines stand behind fault proxies, for many scenarios."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING
+from typing import Any
+
+from tests.faults import ledgers
+from tests.faults import processes
+from tests.faults import proxy as proxies
+from tests.faults import systems
+from tests.scenarios import worlds
+
+if TYPE_CHECKING:
+    import pathlib
+
+STAGES = 3
+FIRST_MARK = 10_000
+PROMPT_TOKENS = 12
+WORD = 7
+
+
+class PathSystem(systems.RealSystem):
+    """A real system with a proxy between the nodes and each engine.
+
+    Attributes:
+        proxies: Proxies by engine; nodes know only their addresses.
+        shapes: What each engine was started with, to start it again.
+    """
+
+    def __init__(
+        self,
+        runner: processes.ProcessRunner,
+        folder: pathlib.Path,
+        **options: Any,
+    ) -> None:
+        super().__init__(runner, folder, **options)
+        self.proxies: dict[str, proxies.FaultProxy] = {}
+        self.shapes: dict[str, systems.EngineShape] = {}
+
+    async def start_engine(self, shape: systems.EngineShape) -> None:
+        """Starts an engine behind its proxy."""
+        proxy = self.proxies.get(shape.name)
+        if proxy is None:
+            proxy = await proxies.create_fault_proxy("")
+            self.proxies[shape.name] = proxy
+        self.shapes[shape.name] = shape
+        extra = (
+            *("--advertise", proxy.address),
+            *("--ledger-file", str(self.ledger_path(shape.name))),
+        )
+        await super().start_engine(
+            systems.EngineShape(
+                shape.name,
+                shape.capacity,
+                shape.zone,
+                shape.accelerator,
+                shape.fixed_ms,
+                shape.token_us,
+                (*shape.extra, *extra),
+            )
+        )
+        proxy.upstream = self.engines[shape.name].address
+
+    async def close(self) -> None:
+        """Closes clients and proxies."""
+        for proxy in self.proxies.values():
+            await proxy.close()
+        await super().close()
+
+    def ledger_path(self, engine: str) -> pathlib.Path:
+        """Returns the file that outlives the engine."""
+        return self.folder / f"{engine}.ledger"
+
+    def runs(self) -> list[ledgers.Run]:
+        """Returns what really ran on all engines, also on killed ones."""
+        return [
+            run
+            for name in self.engines
+            for run in ledgers.read(self.ledger_path(name), name)
+        ]
+
+    async def heal(self) -> None:
+        """Ends all faults and waits until the system is whole again."""
+        for proxy in self.proxies.values():
+            proxy.heal()
+            await proxy.accept()
+        for name, engine in list(self.engines.items()):
+            engine.thaw()
+            if not engine.is_running():
+                await self.start_engine(self.shapes[name])
+        for name in self.engines:
+            await self.control(name, **NO_FAULTS)
+        await self.wait_whole()
+
+    async def start(self, **options: Any) -> None:
+        """Starts all and waits until every engine can take a stage."""
+        await super().start(**options)
+        await self.wait_whole()
+
+    async def wait_whole(self) -> None:
+        """Waits until all engines hold layers and the nodes know it."""
+        await self.wait_for(self._engines_hold, "all engines hold layers")
+        await self.wait_for(self._nodes_know, "the nodes know all holdings")
+        await self.wait_ready("chat")
+
+    async def load(self, engine: str) -> dict[str, Any]:
+        """Returns an engine's own load report."""
+        return await self.get_json(self.engines[engine].address, "/v1/load")
+
+    async def _engines_hold(self) -> bool:
+        for name in self.engines:
+            report = await self.load(name)
+            held = report.get("holdings", ())
+            if not any(holding["ready"] for holding in held):
+                return False
+        return True
+
+    async def _nodes_know(self) -> bool:
+        for name in self.nodes:
+            status = await self.status(name)
+            rows = {row["name"]: row for row in status.get("endpoints", ())}
+            if not all(_is_usable(rows.get(name)) for name in self.engines):
+                return False
+        return True
+
+
+def _is_usable(row: dict[str, Any] | None) -> bool:
+    if row is None or row["leaving"]:
+        return False
+    return any(holding["ready"] for holding in row["holdings"])
+
+
+NO_FAULTS = {
+    "crash_token": None,
+    "slow_factor": 1.0,
+    "swallow_answers": 0,
+    "cross_answers": 0,
+    "refuse_all": False,
+    "leaving": False,
+}
+
+
+def engines(
+    count: int, fixed_ms: float = 1.0, token_us: float = 20.0
+) -> tuple[systems.EngineShape, ...]:
+    """Returns engines that hold a third of the layers each."""
+    capacity = systems.LAYERS // STAGES
+    return tuple(
+        systems.EngineShape(
+            f"e{index + 1}",
+            capacity,
+            "za" if index % 2 else "zb",
+            fixed_ms=fixed_ms,
+            token_us=token_us,
+        )
+        for index in range(count)
+    )
+
+
+class PathWorld(worlds.World):
+    """One scenario on a system that others used before.
+
+    Attributes:
+        system: The system, which outlives the scenario.
+    """
+
+    system: PathSystem
+    marks = itertools.count(FIRST_MARK)
+
+    def ask(
+        self, name: str, count: int, prompt_tokens: int, **options: Any
+    ) -> worlds.Request:
+        """Sends a completion whose first prompt token is its own."""
+        prompt = [next(self.marks), *[WORD] * (prompt_tokens - 1)]
+        return self.send(name, count, prompt=prompt, **options)
+
+    def runs(self, name: str) -> list[ledgers.Run]:
+        """Returns what engines ran for a request."""
+        runs = self.system.runs()
+        request_id = self.request_id(name, runs)
+        return [run for run in runs if run.request_id == request_id]
+
+    def request_id(self, name: str, runs: list[ledgers.Run]) -> str:
+        """Finds a request in the ledgers by its first prompt token."""
+        mark = self.requests[name].prompt[0]
+        for run in runs:
+            if (run.start, run.position, run.first_input) == (0, 0, mark):
+                return run.request_id
+        return ""
+
+    def stage_of(self, name: str, stage: str) -> str:
+        """Returns the engine that now runs a stage, or an empty string."""
+        latest = ""
+        epoch = -1
+        for run in self.runs(name):
+            if place_of(run) == stage and run.epoch >= epoch:
+                latest, epoch = run.engine, run.epoch
+        return latest
+
+    def sessions_of(self, name: str, stage: str) -> list[ledgers.Session]:
+        """Returns the sessions that ran a stage, or a part of it."""
+        runs = [run for run in self.runs(name) if place_of(run) == stage]
+        return ledgers.sessions(runs)
+
+    def wait_stage(self, name: str, stage: str) -> str:
+        """Waits until a stage has begun; returns its engine."""
+
+        async def begun() -> bool:
+            return bool(self.stage_of(name, stage))
+
+        self.run(self.system.wait_for(begun, f"{stage} stage of {name}"))
+        return self.stage_of(name, stage)
+
+    def wait_positions(self, name: str, stage: str, count: int) -> None:
+        """Waits until a stage has run so many positions."""
+
+        async def enough() -> bool:
+            found = self.sessions_of(name, stage)
+            return any(session.stop >= count for session in found)
+
+        what = f"{count} positions in the {stage} stage of {name}"
+        self.run(self.system.wait_for(enough, what))
+
+    def check_ledgers(self, name: str) -> None:
+        """Checks that each layer ran once and in order."""
+        request = self.requests[name]
+        positions = len(request.prompt) + request.count - 1
+        ledgers.check(self.runs(name), systems.LAYERS, positions)
+
+    def end(self) -> None:
+        """Drops what still runs, for the next scenario."""
+        for request in self.requests.values():
+            request.task.cancel()
+        self.run(asyncio.sleep(0))
+
+
+def place_of(run: ledgers.Run) -> str:
+    """Returns where in the chain an item ran."""
+    if run.start == 0:
+        return "first"
+    return "last" if run.end == systems.LAYERS else "middle"
--- /dev/null
+++ b/tests/scenarios/features/link_cut.feature
@@ -0,0 +1,42 @@
+Feature: The link to an engine is cut at any position of a chain
+  The caller's stream goes on with the right tokens, each once.
+  The engine may have run the step before the cut or not; nobody knows, so
+  the step isn't sent again to that session: it could append to its KV twice.
+
+  Background:
+    Given two engines for each of three stages, behind proxies
+
+  Scenario Outline: the engine of the <stage> stage is <fault> in <phase>
+    When ann asks for an answer
+    And the <stage> stage of ann is in <phase>
+    And the engine of ann's <stage> stage is <fault>
+    Then ann has the right answer
+    And every layer ran once and in order for ann
+    And another session took over ann's <stage> stage
+
+    Examples:
+      | fault              | stage  | phase   |
+      | cut before a run   | first  | prefill |
+      | cut before a run   | middle | prefill |
+      | cut before a run   | last   | prefill |
+      | cut before a run   | first  | decode  |
+      | cut before a run   | middle | decode  |
+      | cut before a run   | last   | decode  |
+      | cut after a run    | first  | prefill |
+      | cut after a run    | middle | prefill |
+      | cut after a run    | last   | prefill |
+      | cut after a run    | first  | decode  |
+      | cut after a run    | middle | decode  |
+      | cut after a run    | last   | decode  |
+      | cut off            | first  | prefill |
+      | cut off            | middle | prefill |
+      | cut off            | last   | prefill |
+      | cut off            | first  | decode  |
+      | cut off            | middle | decode  |
+      | cut off            | last   | decode  |
+      | swallowing answers | first  | prefill |
+      | swallowing answers | middle | prefill |
+      | swallowing answers | last   | prefill |
+      | swallowing answers | first  | decode  |
+      | swallowing answers | middle | decode  |
+      | swallowing answers | last   | decode  |
