--- a/src/almondshift/daemons/node.py
+++ b/src/almondshift/daemons/node.py
@@ -28,12 +28,14 @@
 from almondshift.node import completions
 from almondshift.node import directory
 from almondshift.policy import baseline
-from almondshift.policy import greedy_placement
+from almondshift.policy import planners
+from almondshift.policy import router
 
 if TYPE_CHECKING:
     import expression
 
     from almondshift import errors
+    from almondshift.policy import routers
 
 STORE_TIMEOUT_S = 1.0
 ENGINE_CONNECTIONS = 256
@@ -148,8 +150,8 @@
 ) -> application.NodeChoices:
     """Returns the decisions that a node runs with."""
     return application.NodeChoices(
-        router=baseline.create_baseline_router(rng),
-        planner=greedy_placement.create_greedy_planner(),
+        router=_create_router(settings, rng),
+        planner=planners.create_flow_planner(),
         completions=completions.CompletionSettings(
             keep_inputs=settings.keep_inputs
         ),
@@ -157,6 +159,16 @@
     )
 
 
+def _create_router(
+    settings: node_settings.NodeSettings, rng: random.Random
+) -> routers.Router:
+    if settings.router == "baseline":
+        return baseline.create_baseline_router(rng)
+    return router.create_router(
+        rng, settings.name, router.RouterSettings(zone=settings.zone)
+    )
+
+
 def run(path: str, port_file: str = "") -> int:
     """Runs a node until SIGTERM or SIGINT; returns the exit code.
 
@@ -188,6 +200,7 @@
         loop.add_signal_handler(number, stop.set)
     await process.start()
     await stop.wait()
+    await process.node.stop_gracefully()
     await process.close()
 
 
