Say of a failed completion whether any engine ran it

Cause: when the router found no endpoint for a stage, the error said execution unknown, whatever had happened. With all engines refusing, or all links refusing connections, nothing had run and the caller could not know. For a non-idempotent completion the claim was kept with that failure, so that a repeat with the same key never ran; and its remedy said 'the request is idempotent'. Ruled out: answering not_run from the router's reason: it doesn't know which steps were answered. Change: the pipeline notes the best knowledge from its steps' answers (not_run, unknown, ran) and sets it on the final error; for non-idempotent work that may have run, upstream_failed becomes outcome_unknown. Before: two scenarios of test_refusals.py (engines refuse, links refuse) fail, told unknown. After: both pass, told not_run, ledgers empty.

--- a/src/almondshift/node/pipeline.py
+++ b/src/almondshift/node/pipeline.py
@@ -100,6 +100,7 @@
         chain: The chain in use; changes with each recovery.
         tokens: Tokens that came out so far.
         recoveries: Recoveries so far.
+        execution: Whether any engine ran any part of it.
     """
 
     def __init__(
@@ -120,6 +121,7 @@
         self.keep_inputs = keep_inputs
         self.tokens: list[int] = []
         self.recoveries: list[completions.Recovery] = []
+        self.execution = errors.Execution.NOT_RUN
         self.epoch = 0
         self.runs: list[stage_run.StageRun] = []
         self.retired: list[stage_run.StageRun] = []
@@ -141,9 +143,26 @@
                 self.runs[0].inputs.append(token)
                 self._note_recovery()
                 yield token
+        except errors.AlmondshiftError as error:
+            raise self._final(error) from error
         finally:
             self.close()
 
+    def _final(self, error: errors.AlmondshiftError) -> errors.AlmondshiftError:
+        """Returns an error that says what is known of execution here.
+
+        The router that gave up knows only that no endpoint is left. Whether
+        one ran a step, and so whether the caller may hear "not run", is
+        known by the answers that came.
+        """
+        error.execution = self.execution
+        repeatable = self.request.idempotent
+        if repeatable or self.execution is errors.Execution.NOT_RUN:
+            return error
+        if not isinstance(error, errors.UpstreamFailed):
+            return error
+        return errors.OutcomeUnknown(error.detail, execution=self.execution)
+
     def close(self) -> None:
         """Drops all sessions and kept inputs; safe to call again."""
         for run in self.runs:
@@ -237,6 +256,7 @@
         answer = await self.calls.step(run.stage.endpoint, item)
         run.calls += 1
         run.seconds += self.clock.monotonic() - started
+        self._note_execution(answer)
         match answer:
             case expression.Result(tag="ok", ok=result):
                 return result
@@ -245,6 +265,17 @@
                     raise errors.DeadlineExceeded("The deadline passed.")
                 raise StageLost(_reason(error))
 
+    def _note_execution(
+        self, answer: expression.Result[steps.StepResult, engines.EngineError]
+    ) -> None:
+        if self.execution is errors.Execution.RAN:
+            return
+        if answer.is_ok():
+            if answer.ok.status is steps.StepStatus.OK:
+                self.execution = errors.Execution.RAN
+        elif isinstance(answer.error, errors.EndpointOutcomeUnknown):
+            self.execution = errors.Execution.UNKNOWN
+
     def _item(
         self, run: stage_run.StageRun, position: int, values: tuple[int, ...]
     ) -> steps.StepItem:
