Don't say not_run of a non-idempotent completion at its deadline

Cause: at the deadline the front took 'no stream yet' for 'still queued'. A non-idempotent completion runs whole before there is a stream, so its caller was told deadline_past, not_run, while engines had run prefill and tokens. Asking again with a new key would have run it twice. Ruled out: waiting for the claim's own answer: it would hold the caller past the deadline. Change: without a stream, not_run is said of idempotent requests only; others hear outcome_unknown and to ask again with the same key. Before: test_execution_truth.py, 'takes longer than its caller allows', fails with not_run, ledgers with rows. After: passes; the repeat runs nothing.

--- a/src/almondshift/adapters/http_front/completions.py
+++ b/src/almondshift/adapters/http_front/completions.py
@@ -26,6 +26,9 @@
 
 DONE = b"data: [DONE]\n\n"
 
+LATE_RETRY_S = 1.0
+"""Seconds until the answer of work that goes on may be asked for."""
+
 
 class CompletionsHandler(base.BodyHandler):
     """Runs completions."""
@@ -50,18 +53,17 @@
             async with asyncio.timeout(left):
                 await self._serve(request)
         except TimeoutError:
-            self._end_late()
+            self._end_late(request)
 
-    def _end_late(self) -> None:
+    def _end_late(self, request: completions.CompletionRequest) -> None:
         """Answers at the deadline.
 
         A reader that does not take what was sent gets a closed connection:
         the stream has no end, so that it can't be taken for whole.
         """
-        ran = self.stream is not None
+        error = _late(request, self.stream)
         if self.stream is not None:
             self.stream.close()
-        error = _late(ran)
         if not self._headers_written:
             raise error
         if self._unsent():
@@ -266,10 +268,25 @@
         }
 
 
-def _late(ran: bool) -> errors.AlmondshiftError:
-    if ran:
+def _late(
+    request: completions.CompletionRequest,
+    stream: gateway.CompletionStream | None,
+) -> errors.AlmondshiftError:
+    """Returns the error of a request whose deadline passed.
+
+    A non-idempotent request runs to its end before there is a stream, and
+    goes on after this answer. "Not run" would make its caller send it again
+    with a new key, and it would run twice.
+    """
+    if stream is not None:
         return errors.DeadlineExceeded("The deadline passed.")
-    return errors.DeadlinePast("The deadline passed in the queue.")
+    if request.idempotent:
+        return errors.DeadlinePast("The deadline passed in the queue.")
+    return errors.OutcomeUnknown(
+        "The deadline passed; the request may be running.",
+        remedy="Ask again with the same Idempotency-Key.",
+        retry_after_s=LATE_RETRY_S,
+    )
 
 
 def _usage(
