Prove refusals, bad input and what is told of execution

52 scenarios against a real node: 33 bad requests, each with its kind, status, remedy, not_run and an unchanged count of executions on all engines and plain services; engines that refuse; links that refuse; and a plain, non-idempotent service in trouble before, while and after the request is sent, judged by the service's own ledger.

'The link is cut on a kept connection' is told unknown although nothing ran: bytes were given to the kernel, so not_run can't be proved; the scenario for refused links therefore waits until kept connections are gone.

--- a/src/almondshift/standins/plain/__main__.py
+++ b/src/almondshift/standins/plain/__main__.py
@@ -17,6 +17,7 @@
     parser.add_argument("--zone", required=True)
     parser.add_argument("--service", required=True)
     parser.add_argument("--grace-s", type=float, default=10.0)
+    parser.add_argument("--advertise", default="", metavar="HOST:PORT")
     parser.add_argument("--ledger-limit", type=int, default=100_000)
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--port-file", default="")
@@ -31,6 +32,7 @@
         zone=options.zone,
         service=options.service,
         port=options.port,
+        advertise=options.advertise,
         ledger_limit=options.ledger_limit,
         grace_s=options.grace_s,
     )
--- a/src/almondshift/standins/plain/server.py
+++ b/src/almondshift/standins/plain/server.py
@@ -57,7 +57,7 @@
         """Returns the service's row in the list of VMs."""
         return endpoints.Vm(
             self.settings.name,
-            self.address,
+            self.settings.advertise or self.address,
             self.settings.zone,
             endpoints.EndpointKind.PLAIN,
             self.settings.service,
--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -32,6 +32,7 @@
         swallow_answers: Whether what the upstream sends is dropped.
         request_limit: Bytes forwarded upstream on each connection; what
             follows is dropped. None for all.
+        answer_limit: The same for bytes that the upstream sends.
         trickle_bytes_s: Rate in each direction; 0 for no limit.
         connections: Connections taken so far.
         delivered: Bytes delivered so far, by direction.
@@ -44,6 +45,7 @@
         self.silent: set[Direction] = set()
         self.swallow_answers = False
         self.request_limit: int | None = None
+        self.answer_limit: int | None = None
         self.trickle_bytes_s = 0
         self.connections = 0
         self.delivered = dict.fromkeys(Direction, 0)
@@ -91,6 +93,7 @@
         self.silent.clear()
         self.swallow_answers = False
         self.request_limit = None
+        self.answer_limit = None
         self.trickle_bytes_s = 0
 
     async def serve(
@@ -104,7 +107,7 @@
         self.writers.add(writer)
         try:
             await self.forward(reader, writer)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             reset(writer)
         finally:
             self.writers.discard(writer)
@@ -164,11 +167,12 @@
 
     def kept(self, chunk: bytes, direction: Direction, before: int) -> bytes:
         """Returns what of a chunk is delivered."""
+        limit = self.request_limit
         if direction is Direction.DOWN:
-            return b"" if self.swallow_answers else chunk
-        if self.request_limit is None:
+            limit = 0 if self.swallow_answers else self.answer_limit
+        if limit is None:
             return chunk
-        return chunk[: max(0, self.request_limit - before)]
+        return chunk[: max(0, limit - before)]
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
--- a/tests/faults/systems.py
+++ b/tests/faults/systems.py
@@ -200,7 +200,9 @@
             *shape.extra,
         )
 
-    async def start_plain(self, service: str, name: str, zone: str) -> None:
+    async def start_plain(
+        self, service: str, name: str, zone: str, *extra: str
+    ) -> None:
         """Starts an endpoint of a plain service."""
         assert self.platform is not None
         self.plain[name] = await self.runner.start_standin(
@@ -210,6 +212,7 @@
             *("--zone", zone),
             *("--service", service),
             *("--platform", self.platform.address),
+            *extra,
         )
 
     async def start_node(self, name: str, zone: str = "za") -> None:
--- a/tests/scenarios/datapath/conftest.py
+++ b/tests/scenarios/datapath/conftest.py
@@ -12,6 +12,8 @@
 from pytest_bdd import when
 
 from tests.faults import processes
+from tests.faults import systems
+from tests.scenarios.datapath import bad_requests
 from tests.scenarios.datapath import faults
 from tests.scenarios.datapath import paths
 
@@ -65,7 +67,8 @@
 def start_chain(world: paths.PathWorld) -> None:
     if not world.system.nodes:
         shapes = paths.engines(6, token_us=800.0)
-        world.run(world.system.start(nodes=1, engines=shapes))
+        text = systems.fleet_text(bad_requests.EXTRA_SERVICES)
+        world.run(world.system.start(nodes=1, engines=shapes, text=text))
 
 
 @when(parsers.parse("{name} asks for an answer"))
--- a/tests/scenarios/datapath/paths.py
+++ b/tests/scenarios/datapath/paths.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from tests.faults import backlogs
 from tests.faults import ledgers
 from tests.faults import processes
 from tests.faults import proxy as proxies
@@ -28,6 +29,8 @@
     Attributes:
         proxies: Proxies by engine; nodes know only their addresses.
         shapes: What each engine was started with, to start it again.
+        tasks: Faults that wait for their moment.
+        full_backlogs: Sockets that listen in place of proxies.
     """
 
     def __init__(
@@ -39,6 +42,8 @@
         super().__init__(runner, folder, **options)
         self.proxies: dict[str, proxies.FaultProxy] = {}
         self.shapes: dict[str, systems.EngineShape] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+        self.full_backlogs: list[backlogs.FullBacklog] = []
 
     async def start_engine(self, shape: systems.EngineShape) -> None:
         """Starts an engine behind its proxy."""
@@ -64,12 +69,26 @@
         )
         proxy.upstream = self.engines[shape.name].address
 
+    async def start_proxied_plain(self, service: str, name: str) -> None:
+        """Starts an endpoint of a plain service behind a proxy."""
+        proxy = await proxies.create_fault_proxy("")
+        self.proxies[name] = proxy
+        await self.start_plain(
+            service, name, "za", "--advertise", proxy.address
+        )
+        proxy.upstream = self.plain[name].address
+        await self.wait_ready(service)
+
     async def close(self) -> None:
         """Closes clients and proxies."""
         for proxy in self.proxies.values():
             await proxy.close()
         await super().close()
 
+    def upstream_of(self, name: str) -> str:
+        """Returns the address of the endpoint behind a proxy."""
+        return {**self.engines, **self.plain}[name].address
+
     def ledger_path(self, engine: str) -> pathlib.Path:
         """Returns the file that outlives the engine."""
         return self.folder / f"{engine}.ledger"
@@ -84,15 +103,22 @@
 
     async def heal(self) -> None:
         """Ends all faults and waits until the system is whole again."""
-        for proxy in self.proxies.values():
+        while self.tasks:
+            self.tasks.pop().cancel()
+        while self.full_backlogs:
+            self.full_backlogs.pop().close()
+        for name, proxy in self.proxies.items():
             proxy.heal()
             await proxy.accept()
+            proxy.upstream = self.upstream_of(name)
         for name, engine in list(self.engines.items()):
             engine.thaw()
             if not engine.is_running():
                 await self.start_engine(self.shapes[name])
         for name in self.engines:
             await self.control(name, **NO_FAULTS)
+        for name in self.plain:
+            await self.control(name, **NO_PLAIN_FAULTS)
         await self.wait_whole()
 
     async def start(self, **options: Any) -> None:
@@ -142,6 +168,12 @@
     "leaving": False,
 }
 
+NO_PLAIN_FAULTS = {
+    "slow_s": 0.0,
+    "swallow_answers": 0,
+    "refuse": False,
+}
+
 
 def engines(
     count: int, fixed_ms: float = 1.0, token_us: float = 20.0
@@ -230,6 +262,22 @@
         positions = len(request.prompt) + request.count - 1
         ledgers.check(self.runs(name), systems.LAYERS, positions)
 
+    def note_executions(self) -> None:
+        """Remembers what ran so far, for ``check_no_executions``."""
+        self.notes["executions"] = self.run(self._executions())
+
+    def check_no_executions(self) -> None:
+        """Checks that nothing ran on any endpoint since."""
+        assert self.run(self._executions()) == self.notes["executions"]
+
+    async def _executions(self) -> dict[str, int]:
+        counts = {
+            name: len(await self.system.ledger(name))
+            for name in self.system.plain
+        }
+        counts["engines"] = len(self.system.runs())
+        return counts
+
     def end(self) -> None:
         """Drops what still runs, for the next scenario."""
         for request in self.requests.values():
--- /dev/null
+++ b/tests/scenarios/datapath/troubles.py
@@ -0,0 +1,93 @@
+"""Troubles of one plain endpoint, by the names in features."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from tests.faults import backlogs
+from tests.faults import proxy as proxies
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from tests.scenarios.datapath import paths
+
+SERVICE = "slip"
+ENDPOINT = "slip1"
+SLOW_S = 2.0
+MID_REQUEST_S = 0.2
+HALF_REQUEST = 150
+HALF_ANSWER = 30
+
+
+async def bring_about(system: paths.PathSystem, trouble: str) -> None:
+    """Brings about a trouble that lasts until the system is healed."""
+    await TROUBLES[trouble](system)
+
+
+async def refuse(system: paths.PathSystem) -> None:
+    await system.proxies[ENDPOINT].refuse()
+
+
+async def fill_backlog(system: paths.PathSystem) -> None:
+    proxy = system.proxies[ENDPOINT]
+    await proxy.refuse()
+    system.full_backlogs.append(backlogs.FullBacklog(proxy.port))
+
+
+async def hold_requests(system: paths.PathSystem) -> None:
+    system.proxies[ENDPOINT].silent.add(proxies.Direction.UP)
+
+
+async def cut_requests_short(system: paths.PathSystem) -> None:
+    system.proxies[ENDPOINT].request_limit = HALF_REQUEST
+
+
+async def cut_mid_request(system: paths.PathSystem) -> None:
+    proxy = system.proxies[ENDPOINT]
+    proxy.silent.add(proxies.Direction.UP)
+    system.tasks.append(asyncio.create_task(_cut_next(proxy)))
+
+
+async def _cut_next(proxy: proxies.FaultProxy) -> None:
+    before = proxy.connections
+    while proxy.connections == before:
+        await asyncio.sleep(proxies.POLL_S)
+    await asyncio.sleep(MID_REQUEST_S)
+    proxy.cut()
+
+
+async def hold_answers(system: paths.PathSystem) -> None:
+    system.proxies[ENDPOINT].silent.add(proxies.Direction.DOWN)
+
+
+async def cut_answers_short(system: paths.PathSystem) -> None:
+    system.proxies[ENDPOINT].answer_limit = HALF_ANSWER
+
+
+async def close_after_run(system: paths.PathSystem) -> None:
+    await system.control(ENDPOINT, swallow_answers=1)
+
+
+async def slow_down(system: paths.PathSystem) -> None:
+    await system.control(ENDPOINT, slow_s=SLOW_S)
+
+
+async def refuse_calls(system: paths.PathSystem) -> None:
+    await system.control(ENDPOINT, refuse=True)
+
+
+TROUBLES: dict[str, Callable[[paths.PathSystem], Awaitable[None]]] = {
+    "refuses connections": refuse,
+    "takes no connection": fill_backlog,
+    "gets no request": hold_requests,
+    "gets half the request": cut_requests_short,
+    "is cut mid-request": cut_mid_request,
+    "sends no answer": hold_answers,
+    "sends half an answer": cut_answers_short,
+    "closes after the run": close_after_run,
+    "is slow": slow_down,
+    "refuses the call": refuse_calls,
+}
