End the reads of a part that is closed

Cause: asyncio.wait_for of Python 3.11 loses a cancellation that comes in the turn in which what it waits for is done. PlatformClient waits for its slot with it, and the slot is free as a rule, so that a lease or configuration closed in that turn went on reading for ever and its node never ended after SIGTERM.

Ruled out: a call that never ends (each is limited to a second); the drain (it was not wired in yet).

Change: asyncio.timeout, which waits in the task itself, as in curl_calls.

--- a/src/almondshift/adapters/platform_client.py
+++ b/src/almondshift/adapters/platform_client.py
@@ -136,11 +136,19 @@
             self.slots.release()
 
     async def _take_slot(self) -> bool:
+        """Waits for a free slot; returns False if none was free in time.
+
+        ``asyncio.wait_for`` loses a cancellation that comes in the moment in
+        which the slot is given. The loop of a lease or of a configuration
+        then went on after its end, and a node that was stopped never ended.
+        ``asyncio.timeout`` waits in this task itself, so that a cancellation
+        always ends it.
+        """
         try:
-            await asyncio.wait_for(self.slots.acquire(), self.timeout_s)
+            async with asyncio.timeout(self.timeout_s):
+                return await self.slots.acquire()
         except TimeoutError:
             return False
-        return True
 
     async def _send(
         self,
