Prove the configuration with scripted scenarios over processes

Seventeen examples: two writes on the way at once, lost answers, writes that arrive late or after another change, the platform down or hung, a frozen node, a node that joins without the platform, all nodes replaced, a table restored from an older copy, wrong texts. The fault proxy can hold back requests by their content and counts requests. Judges are the platform's rows, the nodes' logs (AS2002) and the accounts that nodes serve.

Not caught by any: writes that repeat the same text late, as they change nothing.

--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import enum
 import socket
@@ -32,9 +33,13 @@
         swallow_answers: Whether what the upstream sends is dropped.
         request_limit: Bytes forwarded upstream on each connection; what
             follows is dropped. None for all.
+        held_content: Requests that contain this are held back, and go on
+            when it is changed; None for none.
+        held: Requests held back now.
         trickle_bytes_s: Rate in each direction; 0 for no limit.
         connections: Connections taken so far.
         delivered: Bytes delivered so far, by direction.
+        requests: HTTP requests that came, by their first line.
     """
 
     def __init__(self, upstream: str) -> None:
@@ -44,9 +49,12 @@
         self.silent: set[Direction] = set()
         self.swallow_answers = False
         self.request_limit: int | None = None
+        self.held_content: bytes | None = None
+        self.held = 0
         self.trickle_bytes_s = 0
         self.connections = 0
         self.delivered = dict.fromkeys(Direction, 0)
+        self.requests: collections.Counter[str] = collections.Counter()
         self.port = 0
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
@@ -91,6 +99,7 @@
         self.silent.clear()
         self.swallow_answers = False
         self.request_limit = None
+        self.held_content = None
         self.trickle_bytes_s = 0
 
     async def serve(
@@ -104,7 +113,7 @@
         self.writers.add(writer)
         try:
             await self.forward(reader, writer)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             reset(writer)
         finally:
             self.writers.discard(writer)
@@ -137,6 +146,9 @@
         forwarded = 0
         while chunk := await reader.read(self.chunk_bytes()):
             await self.hold(direction, len(chunk))
+            if direction is Direction.UP:
+                self.count_request(chunk)
+                await self.hold_content(chunk)
             kept = self.kept(chunk, direction, forwarded)
             forwarded += len(kept)
             self.delivered[direction] += len(kept)
@@ -147,6 +159,12 @@
             with contextlib.suppress(OSError):
                 writer.write_eof()
 
+    def count_request(self, chunk: bytes) -> None:
+        """Counts a chunk that begins a request."""
+        line, _, _ = chunk.partition(b"\r\n")
+        if line.endswith(b" HTTP/1.1"):
+            self.requests[line.decode(errors="replace")] += 1
+
     def chunk_bytes(self) -> int:
         """Returns how many bytes to forward at once."""
         if not self.trickle_bytes_s:
@@ -162,6 +180,13 @@
         while direction in self.silent:
             await asyncio.sleep(POLL_S)
 
+    async def hold_content(self, chunk: bytes) -> None:
+        """Waits while what comes is to be held back."""
+        self.held += 1
+        while self.held_content is not None and self.held_content in chunk:
+            await asyncio.sleep(POLL_S)
+        self.held -= 1
+
     def kept(self, chunk: bytes, direction: Direction, before: int) -> bytes:
         """Returns what of a chunk is delivered."""
         if direction is Direction.DOWN:
--- a/tests/faults/systems.py
+++ b/tests/faults/systems.py
@@ -135,6 +135,7 @@
     Attributes:
         platform_route: Address that nodes use for the platform; a proxy's
             if one was put between.
+        platform_routes: The same for single nodes, by name.
     """
 
     def __init__(
@@ -157,6 +158,7 @@
         self.keep_inputs = keep_inputs
         self.platform: processes.ChildProcess | None = None
         self.platform_route = ""
+        self.platform_routes: dict[str, str] = {}
         self.nodes: dict[str, processes.ChildProcess] = {}
         self.engines: dict[str, processes.ChildProcess] = {}
         self.plain: dict[str, processes.ChildProcess] = {}
@@ -218,7 +220,7 @@
                 zone=zone,
                 seeds=", ".join(self._peer_addresses()),
                 folder=self.folder,
-                platform=self.platform_route,
+                platform=self.platform_routes.get(name, self.platform_route),
                 hold_s=self.hold_s,
                 grace_s=self.grace_s,
                 lease_s=self.lease_s,
@@ -237,6 +239,16 @@
     ) -> None:
         """Starts all, applies the configuration and waits until ready."""
         await self.start_platform()
+        await self.start_parts(nodes=nodes, engines=engines, text=text)
+
+    async def start_parts(
+        self,
+        *,
+        nodes: int = 2,
+        engines: tuple[EngineShape, ...] = ENGINES,
+        text: str | None = None,
+    ) -> None:
+        """Starts all but the platform, which was started before."""
         starts: list[Awaitable[None]] = [
             self.start_engine(shape) for shape in engines
         ]
@@ -250,7 +262,9 @@
         assert answer.is_ok(), answer
         await self.wait_ready("chat", "portal", "lookup")
 
-    async def apply(self, text: str, base: int, node: str = "n1") -> Any:
+    async def apply(
+        self, text: str, base: int, node: str = "n1", change_id: str = ""
+    ) -> Any:
         """Applies a configuration through a node; returns the result."""
         client = http_operations_client.create_node_client(
             keys.Secret(OPERATOR)
@@ -258,7 +272,7 @@
         address = self.nodes[node].address
         try:
             return await client.apply(
-                address, text, base, f"c{base}-{node}", "tester"
+                address, text, base, change_id or f"c{base}-{node}", "tester"
             )
         finally:
             client.close()
@@ -288,12 +302,7 @@
             address, path = self.engines[endpoint].address, "/v1/control"
         else:
             address, path = self.plain[endpoint].address, "/control/switches"
-        response = await self.http.fetch(
-            f"http://{address}{path}",
-            method="POST",
-            body=json.dumps(switches),
-        )
-        assert response.code == 200
+        await self.post_json(address, path, switches)
 
     async def get_json(
         self, address: str, path: str, secret: str = ""
@@ -309,6 +318,13 @@
         found: dict[str, Any] = json.loads(response.body)
         return found
 
+    async def post_json(self, address: str, path: str, body: Any) -> None:
+        """Posts a JSON body; fails unless the answer is a success."""
+        response = await self.http.fetch(
+            f"http://{address}{path}", method="POST", body=json.dumps(body)
+        )
+        assert response.code in (200, 204)
+
     async def wait_ready(self, *services: str) -> None:
         """Waits until each node knows its peers and serves these."""
         for node in list(self.nodes):
--- /dev/null
+++ b/tests/scenarios/steps_config.py
@@ -0,0 +1,318 @@
+"""Steps about operators who change the configuration."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pytest_bdd import parsers
+from pytest_bdd import then
+from pytest_bdd import when
+
+from tests.faults import systems
+from tests.scenarios import control as controls
+
+if TYPE_CHECKING:
+    from almondshift.ports import operations
+
+IN_FORCE_S = 5.0
+ATTEMPTS = 5
+
+WRONG_TEXTS = {
+    "has an unknown key": (
+        "[service chat]\n",
+        "[service chat]\ncolour = red\n",
+    ),
+    "depends on a missing service": (
+        "[service lookup]\n",
+        "[service lookup]\ndepends_on = nowhere\n",
+    ),
+    "has a cycle of dependencies": (
+        "[service lookup]\n",
+        "[service lookup]\ndepends_on = lookup\n",
+    ),
+    "names a missing model": ("model = m\nmax", "model = lost\nmax"),
+    "has a wrong number at its end": (
+        "[account other]\n",
+        "[account other]\nweight = heavy\n",
+    ),
+}
+
+
+def _write_change(control: controls.Control, operator: str) -> None:
+    """Adds the operator's account to the text that a node shows."""
+    node = next(iter(control.system.nodes.values()))
+    shown = control.world.run(
+        control.system.get_json(
+            node.address, "/v1/admin/config", systems.OPERATOR
+        )
+    )
+    control.texts[operator] = controls.with_account(shown["text"], operator)
+    control.bases[operator] = shown["version"]
+
+
+@when(parsers.parse("{operator} begins to apply a change through {node}"))
+def begin_change(control: controls.Control, operator: str, node: str) -> None:
+    _write_change(control, operator)
+    control.begin(operator, node)
+
+
+@when(parsers.parse("{operator} applies a change through {node}"))
+def apply_change(control: controls.Control, operator: str, node: str) -> None:
+    begin_change(control, operator, node)
+    control.hear(operator)
+
+
+@when(parsers.parse("{operator} repeats the change through {node}"))
+def repeat_change(control: controls.Control, operator: str, node: str) -> None:
+    control.begin(operator, node)
+    control.hear(operator)
+
+
+@when(parsers.parse("{operator} applies a text that {fault}"))
+def apply_wrong(control: controls.Control, operator: str, fault: str) -> None:
+    _write_change(control, operator)
+    old, new = WRONG_TEXTS[fault]
+    assert old in control.texts[operator]
+    control.texts[operator] = control.texts[operator].replace(old, new)
+    control.begin(operator, "n1")
+    control.hear(operator)
+
+
+@when(
+    parsers.parse(
+        "{first} and {second} apply changes at the same time through "
+        "{one} and {other}"
+    )
+)
+def race(
+    control: controls.Control, first: str, second: str, one: str, other: str
+) -> None:
+    """Lets both writes go only when both nodes have sent theirs."""
+    _write_change(control, first)
+    _write_change(control, second)
+    hold_writes(control, one)
+    hold_writes(control, other)
+    control.begin(first, one)
+    control.begin(second, other)
+    _wait_held(control, one)
+    _wait_held(control, other)
+    release_writes(control, one)
+    release_writes(control, other)
+    control.hear(first)
+    control.hear(second)
+
+
+@when(parsers.parse("changes that {node} writes are held back on the way"))
+def hold_writes(control: controls.Control, node: str) -> None:
+    control.proxies[node].held_content = controls.CONFIG_WRITE
+
+
+@when(parsers.parse("what {node} wrote arrives late"))
+def release_writes(control: controls.Control, node: str) -> None:
+    proxy = control.proxies[node]
+    proxy.held_content = None
+
+    async def gone() -> bool:
+        return proxy.held == 0
+
+    control.world.run(control.system.wait_for(gone, f"writes of {node} went"))
+
+
+def _wait_held(control: controls.Control, node: str) -> None:
+    async def held() -> bool:
+        return control.proxies[node].held > 0
+
+    control.world.run(control.system.wait_for(held, f"a write of {node}"))
+
+
+@when("the one with the conflict rebases and applies again")
+def rebase(control: controls.Control) -> None:
+    loser = next(
+        name for name, heard in control.heard.items() if heard.is_error()
+    )
+    _write_change(control, loser)
+    control.begin(loser, "n3", f"rebased-change-of-{loser}")
+    assert control.hear(loser).is_ok(), control.heard[loser]
+
+
+@when(parsers.parse("the platform holds version {version:d}"))
+def wait_platform(control: controls.Control, version: int) -> None:
+    async def holds() -> bool:
+        rows = await control.rows("config", "version/")
+        return version in [row["value"]["version"] for row in rows]
+
+    control.world.run(
+        control.system.wait_for(holds, f"the platform has {version}")
+    )
+
+
+@when(parsers.parse("{operator} hears that the outcome is unknown"))
+@then(parsers.parse("{operator} hears that the outcome is unknown"))
+def hears_unknown(control: controls.Control, operator: str) -> None:
+    error = control.hear(operator).error
+    assert error.reported == "store_outcome_unknown", error
+    assert error.execution == "unknown"
+    assert f"change-of-{operator}" in error.remedy
+
+
+@then(parsers.parse("{operator} hears that nothing was changed"))
+def hears_not_run(control: controls.Control, operator: str) -> None:
+    error = control.hear(operator).error
+    assert error.reported == "store_unavailable", error
+    assert error.execution == "not_run"
+
+
+@then(
+    parsers.parse("{operator} hears at last that version {version:d} is hers")
+)
+def hears_accepted(
+    control: controls.Control, operator: str, version: int
+) -> None:
+    """Repeats under the same change id while the answer is unknown."""
+    for _ in range(ATTEMPTS):
+        heard = control.hear(operator)
+        if heard.is_ok() or heard.error.reported != "store_outcome_unknown":
+            break
+        control.begin(operator, "n2")
+    assert heard.is_ok(), heard
+    accepted: operations.ConfigVersion = heard.ok
+    assert accepted.version == version
+    assert accepted.text == control.texts[operator]
+
+
+@then(parsers.parse("one is accepted, the other must rebase on {version:d}"))
+def one_wins(control: controls.Control, version: int) -> None:
+    lost = [heard for heard in control.heard.values() if heard.is_error()]
+    assert len(lost) == 1, control.heard
+    error = lost[0].error
+    assert error.reported == "config_conflict", error
+    assert error.execution == "not_run"
+    assert "almondshift config show" in error.remedy
+    assert f"--base {version}" in error.remedy
+
+
+@then(parsers.parse("{operator} hears what to correct"))
+def hears_invalid(control: controls.Control, operator: str) -> None:
+    error = control.heard[operator].error
+    assert error.reported == "config_invalid", error
+    assert error.execution == "not_run"
+    assert "[" in error.detail
+    assert error.remedy
+
+
+@when(parsers.parse("version {version:d} is in force on {names}"))
+@then(parsers.parse("version {version:d} is in force on {names}"))
+def in_force_on(control: controls.Control, version: int, names: str) -> None:
+    wanted = control.nodes_of(names)
+    control.wait_version(version, wanted, IN_FORCE_S)
+
+
+@then(parsers.parse("the platform holds versions {versions}"))
+def platform_versions(control: controls.Control, versions: str) -> None:
+    wanted = [int(version) for version in versions.split(", ")]
+    assert sorted(control.accepted()) == wanted
+
+
+@then(parsers.parse("all nodes serve the account of {operator}"))
+def serves_account(control: controls.Control, operator: str) -> None:
+    for node in control.system.nodes:
+        _wait_served(control, node, operator)
+
+
+@then(parsers.parse("no node serves the account of {operator}"))
+def serves_no_account(control: controls.Control, operator: str) -> None:
+    for node in control.system.nodes:
+        assert _lookup_status(control, node, operator) == 401, node
+
+
+def _wait_served(control: controls.Control, node: str, operator: str) -> None:
+    """Waits, since a new node may not know the endpoints yet."""
+
+    async def served() -> bool:
+        return await _ask_lookup(control, node, operator) == 200
+
+    control.world.run(
+        control.system.wait_for(served, f"{node} serves {operator}", IN_FORCE_S)
+    )
+
+
+def _lookup_status(control: controls.Control, node: str, operator: str) -> int:
+    return control.world.run(_ask_lookup(control, node, operator))
+
+
+async def _ask_lookup(
+    control: controls.Control, node: str, operator: str
+) -> int:
+    caller = await control.system.caller(controls.key_of(operator))
+    answer = await caller.call(
+        "lookup",
+        "/",
+        b"",
+        method="GET",
+        address=control.system.nodes[node].address,
+    )
+    return answer.status
+
+
+@then("no node ever went back")
+def never_back(control: controls.Control) -> None:
+    for node in [*control.system.nodes, *control.stopped]:
+        versions = control.versions_in_log(node)
+        assert versions, node
+        assert versions == sorted(set(versions)), (node, versions)
+
+
+@then(parsers.parse("{node} says that its version is {word}"))
+def says_verified(control: controls.Control, node: str, word: str) -> None:
+    wanted = {"verified": True, "unverified": False}[word]
+
+    async def says() -> bool:
+        status = await control.system.status(node)
+        return bool(status) and status["config"]["verified"] is wanted
+
+    control.world.run(
+        control.system.wait_for(says, f"{node} says {word}", IN_FORCE_S)
+    )
+
+
+@when("the platform's table goes back to an older copy")
+def restore_table(control: controls.Control) -> None:
+    """Sets the head back to version 1, as a restored backup would."""
+
+    async def write() -> None:
+        assert control.system.platform is not None
+        await control.system.post_json(
+            control.system.platform.address,
+            "/v1/transactions",
+            {
+                "writes": [
+                    {
+                        "table": "config",
+                        "key": "head",
+                        "value": {"version": 1, "change_id": "c0-n1"},
+                        "if_revision": None,
+                    }
+                ]
+            },
+        )
+
+    control.world.run(write())
+
+
+@when("every node has read the platform again")
+@then("every node has read the platform again")
+def all_read_again(control: controls.Control) -> None:
+    """Waits for two reads of each node; the first may have begun before."""
+    before = {node: _head_reads(control, node) for node in control.proxies}
+
+    async def read() -> bool:
+        return all(
+            _head_reads(control, node) >= count + 2
+            for node, count in before.items()
+        )
+
+    control.world.run(control.system.wait_for(read, "all nodes read"))
+
+
+def _head_reads(control: controls.Control, node: str) -> int:
+    return control.proxies[node].requests[controls.HEAD_READ]
