--- a/src/almondshift/node/load_exchange.py
+++ b/src/almondshift/node/load_exchange.py
@@ -8,21 +8,22 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import logging
 from typing import TYPE_CHECKING
 
-import msgspec
 import xxhash
 
+from almondshift.adapters import engine_messages
 from almondshift.coordination import membership as memberships
-from almondshift.model import endpoints
 from almondshift.policy import events
 from almondshift.ports import peers
 
 if TYPE_CHECKING:
     import random
 
+    from almondshift.model import endpoints
     from almondshift.node import directory
     from almondshift.node import router_driver
     from almondshift.node import usage
@@ -41,7 +42,11 @@
 
 
 class LoadExchange:
-    """Publishes what this node watches and uses; takes what peers tell."""
+    """Publishes what this node watches and uses; takes what peers tell.
+
+    Attributes:
+        peer_loads: How full each peer says it is, 1.0 when it refuses.
+    """
 
     def __init__(
         self,
@@ -58,6 +63,7 @@
         self.meter = meter
         self.clock = clock
         self.rng = rng
+        self.peer_loads: dict[str, float] = {}
         self._told: dict[str, tuple[float, endpoints.LoadReport]] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -104,6 +110,7 @@
         rates = sorted(self.meter.rates(now).items(), key=lambda row: -row[1])
         value = {
             "in_flight": in_flight,
+            "load": self.meter.load(now),
             "use": {name: round(rate, 1) for name, rate in rates[:MAX_ROWS]},
         }
         self.membership.publish(
@@ -124,7 +131,7 @@
                 self.membership.publish(
                     peers.FactKind.ENGINE_LOAD,
                     name,
-                    msgspec.json.encode(report),
+                    engine_messages.encode_load(report),
                     REPORT_TTL_S,
                 )
 
@@ -143,17 +150,21 @@
     def _heard_report(self, key: str, fact: peers.Fact | None) -> None:
         if fact is None or fact.origin == self.membership.node.name:
             return
-        report = msgspec.json.decode(fact.value, type=endpoints.LoadReport)
-        self.directory.take_peer_report(report)
+        report = engine_messages.decode_load(fact.value)
+        on_the_way_s = REPORT_TTL_S - fact.ttl_s
+        aged = dataclasses.replace(report, age_s=report.age_s + on_the_way_s)
+        self.directory.take_peer_report(aged)
 
     def _heard_use(self, key: str, fact: peers.Fact | None) -> None:
         now = self.clock.monotonic()
         if key == self.membership.node.name:
             return
         if fact is None:
+            self.peer_loads.pop(key, None)
             self.driver.tell(events.PeerGone(now, key))
             return
         value = json.loads(fact.value)
+        self.peer_loads[key] = float(value["load"])
         self.driver.tell(
             events.PeerLoad(now, key, value["in_flight"], value["use"])
         )
--- a/tests/faults/systems.py
+++ b/tests/faults/systems.py
@@ -90,6 +90,7 @@
 [experiment]
 coalesce = {coalesce}
 keep_inputs = {keep_inputs}
+router = {router}
 """
 
 
@@ -148,6 +149,7 @@
         lease_s: float = 2.0,
         coalesce: bool = True,
         keep_inputs: bool = True,
+        router: str = "full",
     ) -> None:
         self.runner = runner
         self.folder = folder
@@ -156,6 +158,7 @@
         self.lease_s = lease_s
         self.coalesce = coalesce
         self.keep_inputs = keep_inputs
+        self.router = router
         self.platform: processes.ChildProcess | None = None
         self.platform_route = ""
         self.platform_routes: dict[str, str] = {}
@@ -226,6 +229,7 @@
                 lease_s=self.lease_s,
                 coalesce="yes" if self.coalesce else "no",
                 keep_inputs="yes" if self.keep_inputs else "no",
+                router=self.router,
             )
         )
         self.nodes[name] = await self.runner.start_node(name, path)
