--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -36,6 +36,8 @@
         held_content: Requests that contain this are held back, and go on
             when it is changed; None for none.
         held: Requests held back now.
+        held_answer_to: Answers are held back on connections on which a
+            request contained this, until it is changed; None for none.
         trickle_bytes_s: Rate in each direction; 0 for no limit.
         connections: Connections taken so far.
         delivered: Bytes delivered so far, by direction.
@@ -51,6 +53,8 @@
         self.request_limit: int | None = None
         self.held_content: bytes | None = None
         self.held = 0
+        self.held_answer_to: bytes | None = None
+        self.muted: set[asyncio.StreamReader] = set()
         self.trickle_bytes_s = 0
         self.connections = 0
         self.delivered = dict.fromkeys(Direction, 0)
@@ -100,6 +104,7 @@
         self.swallow_answers = False
         self.request_limit = None
         self.held_content = None
+        self.held_answer_to = None
         self.trickle_bytes_s = 0
 
     async def serve(
@@ -129,10 +134,11 @@
         self.writers.add(up_writer)
         try:
             await asyncio.gather(
-                self.pump(reader, up_writer, Direction.UP),
-                self.pump(up_reader, writer, Direction.DOWN),
+                self.pump(reader, up_writer, Direction.UP, up_reader),
+                self.pump(up_reader, writer, Direction.DOWN, up_reader),
             )
         finally:
+            self.muted.discard(up_reader)
             self.writers.discard(up_writer)
             up_writer.close()
 
@@ -141,6 +147,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         direction: Direction,
+        answers: asyncio.StreamReader,
     ) -> None:
         """Forwards one direction until its end, then passes the end on."""
         forwarded = 0
@@ -148,7 +155,10 @@
             await self.hold(direction, len(chunk))
             if direction is Direction.UP:
                 self.count_request(chunk)
+                self.mute(chunk, answers)
                 await self.hold_content(chunk)
+            else:
+                await self.hold_answer(answers)
             kept = self.kept(chunk, direction, forwarded)
             forwarded += len(kept)
             self.delivered[direction] += len(kept)
@@ -187,6 +197,16 @@
             await asyncio.sleep(POLL_S)
         self.held -= 1
 
+    def mute(self, chunk: bytes, answers: asyncio.StreamReader) -> None:
+        """Notes that the answer to a request is to be held back."""
+        if self.held_answer_to is not None and self.held_answer_to in chunk:
+            self.muted.add(answers)
+
+    async def hold_answer(self, answers: asyncio.StreamReader) -> None:
+        """Waits while an answer is to be held back."""
+        while self.held_answer_to is not None and answers in self.muted:
+            await asyncio.sleep(POLL_S)
+
     def kept(self, chunk: bytes, direction: Direction, before: int) -> bytes:
         """Returns what of a chunk is delivered."""
         if direction is Direction.DOWN:
