--- a/src/almondshift/coordination/lease.py
+++ b/src/almondshift/coordination/lease.py
@@ -154,7 +154,7 @@
         Ask again right before each order: a process that was paused past
         its deadline learns of it only here.
         """
-        if self.held is None:
+        if self.held is None or self.clock.monotonic() >= self.held.deadline:
             return None
         return self.held
 
