Prove orders and the lease with scenarios under load

Engine stand-ins tell the orders that they saw (GET /v1/orders). A caller in the tests' load judges each answer; the demo's caller now tells a connection that was not made (CallerAnswer.unreachable) from one that broke, and no longer raises for either, as its page always said (status 599).

Callers begin after the freeze: a request in flight at a frozen node waits for it, and keeps its sessions at the engines for up to 30 s, during which they can't make room for another version.

--- a/src/almondshift/adapters/http_caller.py
+++ b/src/almondshift/adapters/http_caller.py
@@ -12,6 +12,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import pycurl
+from tornado import curl_httpclient
 from tornado import httpclient
 
 from almondshift.adapters import curl_client
@@ -37,6 +39,7 @@
         details: What the node says of stages and recoveries.
         arrivals: Monotonic times at which tokens came, when streamed.
         seconds: Time from sending to the end.
+        unreachable: Whether no connection was made, so nothing was sent.
     """
 
     status: int = NO_ANSWER
@@ -47,6 +50,7 @@
     details: dict[str, Any] = dataclasses.field(default_factory=dict)
     arrivals: list[float] = dataclasses.field(default_factory=list)
     seconds: float = 0.0
+    unreachable: bool = False
 
     @property
     def kind(self) -> str:
@@ -64,6 +68,7 @@
     code: int
     content_type: str
     body: bytes
+    unreachable: bool = False
 
 
 class _EventReader:
@@ -185,6 +190,7 @@
         )
         answer.seconds = time.monotonic() - started
         answer.status = response.code
+        answer.unreachable = response.unreachable
         self._take_response(answer, response, reader)
         return answer
 
@@ -219,6 +225,7 @@
         answer.seconds = time.monotonic() - started
         answer.text = response.body.decode(errors="replace")
         answer.whole = response.code != NO_ANSWER
+        answer.unreachable = response.unreachable
         answer.problem = _problem(response)
         return answer
 
@@ -264,7 +271,10 @@
             follow_redirects=False,
             streaming_callback=_tee(buffered, on_chunk),
         )
-        response = await self._client.fetch(request, raise_error=False)
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except httpclient.HTTPError as error:
+            return _Reply(NO_ANSWER, "", b"", _is_unreachable(error))
         kind = response.headers.get("Content-Type", "")
         return _Reply(response.code, kind, b"".join(buffered))
 
@@ -280,6 +290,12 @@
     return take
 
 
+def _is_unreachable(error: httpclient.HTTPError) -> bool:
+    if not isinstance(error, curl_httpclient.CurlError):
+        return False
+    return bool(error.errno == pycurl.E_COULDNT_CONNECT)
+
+
 def _problem(response: _Reply) -> dict[str, Any] | None:
     if "problem+json" not in response.content_type:
         return None
--- a/src/almondshift/standins/engine/handlers.py
+++ b/src/almondshift/standins/engine/handlers.py
@@ -179,7 +179,11 @@
 
 
 class OrdersHandler(EngineHandler):
-    """``POST /v1/orders``."""
+    """``GET`` and ``POST /v1/orders``."""
+
+    def get(self) -> None:
+        """Sends the orders that came, for tests."""
+        self.send_json({"rows": list(self.engine.held.seen)})
 
     def post(self) -> None:
         """Takes an order."""
--- a/src/almondshift/standins/engine/holdings.py
+++ b/src/almondshift/standins/engine/holdings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 from typing import TYPE_CHECKING
@@ -20,6 +21,8 @@
     from almondshift.standins.engine import sessions
     from almondshift.standins.engine import settings as engine_settings
 
+SEEN_LIMIT = 10_000
+
 Weights = tuple[str, int, int]
 """Model, version and layer."""
 
@@ -86,6 +89,18 @@
         return {(self.model, self.version, layer) for layer in wanted}
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenOrder:
+    """An order as it came, and how it was answered; for tests to judge."""
+
+    fencing: int
+    status: str
+    model: str
+    version: int
+    start: int
+    end: int
+
+
 class HoldingTable:
     """Takes orders and loads what they ask for, one order at a time.
 
@@ -93,6 +108,7 @@
         role: The role last ordered.
         highest_fencing: The highest fencing number seen.
         order_number: Fencing number of the order last accepted.
+        seen: The last orders, in the order in which they came.
     """
 
     def __init__(
@@ -109,6 +125,9 @@
         self.role = endpoints.EndpointRole.IDLE
         self.highest_fencing = 0
         self.order_number = 0
+        self.seen: collections.deque[SeenOrder] = collections.deque(
+            maxlen=SEEN_LIMIT
+        )
         self.entries: list[Entry] = []
         self.loaded: set[Weights] = set()
         self.loading: asyncio.Task[None] | None = None
@@ -147,6 +166,16 @@
     def take(self, order: orders.Order) -> orders.OrderAnswer:
         """Accepts or refuses an order; the loading goes on afterwards."""
         status = self._judge(order)
+        self.seen.append(
+            SeenOrder(
+                order.fencing,
+                status.value,
+                order.model,
+                order.version,
+                order.layers.start,
+                order.layers.end,
+            )
+        )
         self.highest_fencing = max(self.highest_fencing, order.fencing)
         if status is orders.OrderStatus.ACCEPTED:
             self.order_number = order.fencing
--- a/tests/scenarios/control.py
+++ b/tests/scenarios/control.py
@@ -51,6 +51,7 @@
         texts: The text that each operator applies, by operator.
         bases: The version that each operator's text is based on.
         heard: What each operator heard, by operator.
+        frozen: Nodes that the scenario froze and that callers avoid.
         applying: Applies that have not been answered yet, by operator.
     """
 
@@ -59,6 +60,7 @@
         self.system = world.system
         self.proxies: dict[str, fault_proxy.FaultProxy] = {}
         self.stopped: dict[str, processes.ChildProcess] = {}
+        self.frozen: set[str] = set()
         self.texts: dict[str, str] = {}
         self.bases: dict[str, int] = {}
         self.heard: dict[str, Any] = {}
