--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import enum
 import socket
@@ -33,9 +34,15 @@
         request_limit: Bytes forwarded upstream on each connection; what
             follows is dropped. None for all.
         answer_limit: The same for bytes that the upstream sends.
+        held_content: Requests that contain this are held back, and go on
+            when it is changed; None for none.
+        held: Requests held back now.
+        held_answer_to: Answers are held back on connections on which a
+            request contained this, until it is changed; None for none.
         trickle_bytes_s: Rate in each direction; 0 for no limit.
         connections: Connections taken so far.
         delivered: Bytes delivered so far, by direction.
+        requests: HTTP requests that came, by their first line.
     """
 
     def __init__(self, upstream: str) -> None:
@@ -46,9 +53,14 @@
         self.swallow_answers = False
         self.request_limit: int | None = None
         self.answer_limit: int | None = None
+        self.held_content: bytes | None = None
+        self.held = 0
+        self.held_answer_to: bytes | None = None
+        self.muted: set[asyncio.StreamReader] = set()
         self.trickle_bytes_s = 0
         self.connections = 0
         self.delivered = dict.fromkeys(Direction, 0)
+        self.requests: collections.Counter[str] = collections.Counter()
         self.port = 0
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
@@ -94,6 +106,8 @@
         self.swallow_answers = False
         self.request_limit = None
         self.answer_limit = None
+        self.held_content = None
+        self.held_answer_to = None
         self.trickle_bytes_s = 0
 
     async def serve(
@@ -123,10 +137,11 @@
         self.writers.add(up_writer)
         try:
             await asyncio.gather(
-                self.pump(reader, up_writer, Direction.UP),
-                self.pump(up_reader, writer, Direction.DOWN),
+                self.pump(reader, up_writer, Direction.UP, up_reader),
+                self.pump(up_reader, writer, Direction.DOWN, up_reader),
             )
         finally:
+            self.muted.discard(up_reader)
             self.writers.discard(up_writer)
             up_writer.close()
 
@@ -135,11 +150,18 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         direction: Direction,
+        answers: asyncio.StreamReader,
     ) -> None:
         """Forwards one direction until its end, then passes the end on."""
         forwarded = 0
         while chunk := await reader.read(self.chunk_bytes()):
             await self.hold(direction, len(chunk))
+            if direction is Direction.UP:
+                self.count_request(chunk)
+                self.mute(chunk, answers)
+                await self.hold_content(chunk)
+            else:
+                await self.hold_answer(answers)
             kept = self.kept(chunk, direction, forwarded)
             forwarded += len(kept)
             self.delivered[direction] += len(kept)
@@ -150,6 +172,12 @@
             with contextlib.suppress(OSError):
                 writer.write_eof()
 
+    def count_request(self, chunk: bytes) -> None:
+        """Counts a chunk that begins a request."""
+        line, _, _ = chunk.partition(b"\r\n")
+        if line.endswith(b" HTTP/1.1"):
+            self.requests[line.decode(errors="replace")] += 1
+
     def chunk_bytes(self) -> int:
         """Returns how many bytes to forward at once."""
         if not self.trickle_bytes_s:
@@ -165,6 +193,23 @@
         while direction in self.silent:
             await asyncio.sleep(POLL_S)
 
+    async def hold_content(self, chunk: bytes) -> None:
+        """Waits while what comes is to be held back."""
+        self.held += 1
+        while self.held_content is not None and self.held_content in chunk:
+            await asyncio.sleep(POLL_S)
+        self.held -= 1
+
+    def mute(self, chunk: bytes, answers: asyncio.StreamReader) -> None:
+        """Notes that the answer to a request is to be held back."""
+        if self.held_answer_to is not None and self.held_answer_to in chunk:
+            self.muted.add(answers)
+
+    async def hold_answer(self, answers: asyncio.StreamReader) -> None:
+        """Waits while an answer is to be held back."""
+        while self.held_answer_to is not None and answers in self.muted:
+            await asyncio.sleep(POLL_S)
+
     def kept(self, chunk: bytes, direction: Direction, before: int) -> bytes:
         """Returns what of a chunk is delivered."""
         limit = self.request_limit
