--- a/bench/virtual/clusters.py
+++ b/bench/virtual/clusters.py
@@ -34,7 +34,7 @@
 PEER_EVERY_S = 1.0
 PEER_LAG_S = 0.7
 CACHE_EVERY_S = 0.5
-CACHE_LOSS = 0.1
+CACHE_LOSS = 0.01
 MAX_ATTEMPTS = 4
 WARM_UP_S = 1.5
 """Reports arrive in this time, before the first request."""
@@ -276,7 +276,7 @@
                 continue
             for node in self.nodes:
                 kept = tuple(
-                    c for c in changes if self.rng.random() > CACHE_LOSS / 10
+                    c for c in changes if self.rng.random() > CACHE_LOSS
                 )
                 node.tell(events.CacheChanged(self.sim.now, name, kept))
 
--- a/src/almondshift/policy/placement.py
+++ b/src/almondshift/policy/placement.py
@@ -34,6 +34,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -319,17 +320,19 @@
         covered: list[layers.LayerRange],
     ) -> list[str]:
         """Chooses engines that the old version's chain can do without."""
-        count = state.model.layers
-        left = list(serving)
-        reached = list(covered)
+        holders = collections.Counter(
+            layer for name in serving for layer in _each(state.holders[name])
+        )
+        missing = _missing(covered, state.model.layers)
         spared = []
         for name in sorted(serving, key=lambda n: (self._sessions(n), n)):
-            span = state.holders[name]
-            rest = [state.holders[n] for n in left if n != name]
-            if topology.covers_all(rest, count) and _adds(reached, span, count):
-                left.remove(name)
-                spared.append(name)
-                reached.append(span)
+            span = set(_each(state.holders[name]))
+            last = any(holders[layer] == 1 for layer in span)
+            if last or not missing & span:
+                continue
+            spared.append(name)
+            holders.subtract(span)
+            missing -= span
         return spared
 
     def _holding_both(
@@ -339,15 +342,13 @@
         covered: list[layers.LayerRange],
     ) -> list[str]:
         chosen = []
-        reached = list(covered)
+        missing = _missing(covered, state.model.layers)
         for name in serving:
             span = state.holders[name]
             capacity = self.engines[name].description.layer_capacity
-            if capacity >= 2 * span.count and _adds(
-                reached, span, state.model.layers
-            ):
+            if capacity >= 2 * span.count and missing & set(_each(span)):
                 chosen.append(name)
-                reached.append(span)
+                missing -= set(_each(span))
         return chosen
 
     def _held(self, name: str) -> endpoints.Holding:
@@ -412,13 +413,23 @@
         return min(self.states, key=lambda state: state.least, default=None)
 
     def _move(self) -> None:
-        """Moves one engine if that lifts the least covered model enough."""
+        """Moves one engine if that lifts the least covered model enough.
+
+        Of engines that are alike and hold the same, one is tried: the
+        others would give the same cover.
+        """
         if self.loading > 0 or any(s.draining for s in self.states):
             return
-        for state in sorted(self.states, key=lambda s: s.least):
-            for engine in self.engines.values():
-                if self._try_move(engine, state):
-                    return
+        state = min(self.states, key=lambda s: s.least, default=None)
+        tried = set()
+        for engine in self.engines.values():
+            held = self._useful(engine)
+            likeness = (_kind(engine.description), held)
+            if state is None or likeness in tried:
+                continue
+            tried.add(likeness)
+            if self._try_move(engine, state):
+                return
 
     def _try_move(self, engine: PlacedEngine, state: _State) -> bool:
         origin = next(
@@ -484,6 +495,17 @@
     return (-described.layer_capacity, described.fixed_s, described.name)
 
 
+def _kind(
+    description: endpoints.EndpointDescription,
+) -> tuple[int, float, float, int]:
+    return (
+        description.layer_capacity,
+        description.fixed_s,
+        description.per_layer_token_s,
+        description.max_batch,
+    )
+
+
 def _lift(
     cover: list[float],
     engine: PlacedEngine,
@@ -491,20 +513,22 @@
     sign: float,
 ) -> None:
     rate = flow.engine_tokens_per_s(engine.description, span.count)
-    for layer in range(span.start, span.end):
+    for layer in _each(span):
         cover[layer] = max(0.0, cover[layer] + sign * rate)
         if cover[layer] < _EMPTY:
             cover[layer] = 0.0
 
 
-def _adds(
-    covered: list[layers.LayerRange], span: layers.LayerRange, count: int
-) -> bool:
-    """Returns whether a range covers a layer that is not covered yet."""
+def _each(span: layers.LayerRange) -> range:
+    return range(span.start, span.end)
+
+
+def _missing(covered: Iterable[layers.LayerRange], count: int) -> set[int]:
+    """Returns the layers that no range covers."""
     missing = set(range(count))
-    for other in covered:
-        missing -= set(range(other.start, other.end))
-    return any(span.start <= layer < span.end for layer in missing)
+    for span in covered:
+        missing -= set(_each(span))
+    return missing
 
 
 def _best_span(state: _State, engine: PlacedEngine) -> layers.LayerRange:
