Move recovery out of the router; ask full engines again

Change: policy/recovery.py; an endpoint that failed is avoided by the request for good, one that was full is asked again once it has room.

--- a/src/almondshift/policy/router.py
+++ b/src/almondshift/policy/router.py
@@ -5,13 +5,6 @@
 and what has waited for as long as it may is refused. The cost of an event
 grows with what it changes: a tick that finds nothing due looks at the heads
 of two heaps and at the lanes that have requests waiting.
-
-Recovery: a failed stage is replaced at once when another engine has its
-layers, if need be one without room, because the request has already cost its
-work. When there is none, it waits for one for at most five seconds or half
-of its remaining time, whichever is less (an engine that takes over a range
-loads it in seconds), and is then refused. Replacing a stage goes on with the
-same run, so it is done for non-idempotent requests too.
 """
 
 from __future__ import annotations
@@ -33,6 +26,7 @@
 from almondshift.policy import lanes as lanes_module
 from almondshift.policy import long_jobs
 from almondshift.policy import plain_choice
+from almondshift.policy import recovery
 from almondshift.policy import retry_after
 from almondshift.policy import retry_budget
 from almondshift.policy import routers
@@ -45,8 +39,6 @@
 
 NOT_READY_RETRY_S = 1.0
 """Mean Retry-After while layers are loaded, which takes seconds."""
-RECOVERY_WAIT_S = 5.0
-RECOVERY_SHARE = 0.5
 PROBE_USUAL_S = 0.02
 """Least time that counts as usual for a probe, for links and scheduling."""
 
@@ -71,14 +63,6 @@
     in_flight: dict[str, int]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Recovery:
-    """A request that waits for a replacement of a failed stage."""
-
-    event: events.StageFailed
-    until: float
-
-
 class LoadRouter(routers.Router):
     """The router that nodes run."""
 
@@ -100,14 +84,15 @@
             self.hints,
         )
         self.plain = plain_choice.PlainChooser(rng, self.topology, self.health)
+        self.recovery = recovery.Recovery(
+            self.topology, self.chooser, self.health
+        )
         self.limits = account_limits.AccountLimits()
         self.budget = retry_budget.RetryBudget(settings.retry_share)
         self.jitter = retry_after.RetryAfter(rng)
         self.lanes: dict[lanes_module.LaneKey, lanes_module.Lane] = {}
         self.waiting: dict[str, lanes_module.Request] = {}
         self.flights: dict[str, lanes_module.Flight] = {}
-        self._recovering: dict[str, _Recovery] = {}
-        self._recovered_at = (-1, -1)
         self._expiries: list[tuple[float, int, lanes_module.Request]] = []
         self._order = 0
         self._peers: dict[str, _Peer] = {}
@@ -488,7 +473,7 @@
 
     def _end(self, request_id: str, at: float, *, whole: bool) -> None:
         flight = self.flights.pop(request_id, None)
-        self._recovering.pop(request_id, None)
+        self.recovery.forget(request_id)
         if flight is None:
             return
         request = flight.request
@@ -543,7 +528,7 @@
 
     def _stage_failed(self, event: events.StageFailed) -> list[actions.Action]:
         failed = event.chain.stages[event.index]
-        self._note_failure(failed.endpoint, event)
+        self.recovery.note(event)
         flight = self.flights.get(event.request_id)
         if flight is None:
             return [
@@ -554,7 +539,6 @@
         if failed in flight.stages:
             self._release(flight, (failed,), event.at)
             flight.stages = tuple(s for s in flight.stages if s != failed)
-        flight.failed.add(failed.endpoint)
         if not self.budget.spend(flight.repeats, 1.0 + event.positions):
             self._end(event.request_id, event.at, whole=False)
             return [
@@ -563,77 +547,19 @@
                 )
             ]
         flight.repeats += 1
-        self.chooser.sync()
-        replaced = self._replace(event, flight, event.at)
-        if replaced is not None:
-            return [replaced]
-        left = flight.request.arrival.deadline - event.at
-        wait = min(RECOVERY_WAIT_S, left * RECOVERY_SHARE)
-        self._recovering[event.request_id] = _Recovery(event, event.at + wait)
-        return []
-
-    def _note_failure(self, name: str, event: events.StageFailed) -> None:
-        reasons = events.FailureReason
-        if event.reason is reasons.LEAVING:
-            self.topology.leave(name)
-        elif event.reason is reasons.REFUSED:
-            self.chooser.full(name)
-        else:
-            certain = event.reason is reasons.UNREACHABLE
-            if self.health.failed(name, event.at, certain=certain):
-                self.chooser.refresh(name)
-
-    def _replace(
-        self,
-        event: events.StageFailed,
-        flight: lanes_module.Flight,
-        at: float,
-    ) -> actions.Replace | None:
-        chain = event.chain
-        failed = chain.stages[event.index]
-        target = topology.Target(chain.model, chain.version, chain.adapter)
-        job = dataclasses.replace(
-            flight.request.job, prompt_tokens=event.positions, prefixes=()
-        )
-        choice = self.chooser.choose(
-            target,
-            failed.layers,
-            job,
-            at,
-            avoid=frozenset(flight.failed),
-            force=True,
-        )
-        if choice is None:
-            return None
-        self.chooser.started(choice.stages, flight.request.job, at)
-        if flight.first_at is not None:
-            self.chooser.prompted(choice.stages, flight.request.job)
-        flight.stages += choice.stages
-        flight.chain = chain.replace(event.index, choice.stages)
-        return actions.Replace(event.request_id, event.index, choice.stages)
+        replaced = self.recovery.start(event, flight)
+        return [] if replaced is None else [replaced]
 
     def _recover_waiting(self, at: float) -> list[actions.Action]:
-        if not self._recovering:
-            return []
-        decided: list[actions.Action] = []
-        state = (self.topology.generation, self.chooser.openings)
-        changed = state != self._recovered_at
-        for request_id, recovery in list(self._recovering.items()):
-            flight = self.flights[request_id]
-            replaced = (
-                self._replace(recovery.event, flight, at) if changed else None
-            )
-            if replaced is not None:
-                del self._recovering[request_id]
-                decided.append(replaced)
-            elif at >= recovery.until:
-                self._end(request_id, at, whole=False)
-                decided.append(
-                    self._not_repeated(
-                        request_id, actions.RefusalReason.NO_REPLACEMENT
-                    )
+        recovered = self.recovery.go_on(at)
+        decided: list[actions.Action] = list(recovered.replaced)
+        for request_id in recovered.given_up:
+            self._end(request_id, at, whole=False)
+            decided.append(
+                self._not_repeated(
+                    request_id, actions.RefusalReason.NO_REPLACEMENT
                 )
-        self._recovered_at = (self.topology.generation, self.chooser.openings)
+            )
         return decided
 
     def _not_repeated(
--- a/tests/policy/test_router.py
+++ b/tests/policy/test_router.py
@@ -293,3 +293,20 @@
         ]
 
     assert play() == play()
+
+
+def test_an_engine_that_was_full_is_asked_again() -> None:
+    """A caller keeps its answer when the only engine was briefly full.
+
+    The engine of a range refuses a stage for want of memory, and nobody
+    else has its layers. Its next report shows room; the stage goes there.
+    """
+    made = _router({"a": (0, 4), "b": (4, 8)})
+    (action,) = made.handle(fleets.arrival())
+    failure = events.StageFailed(
+        0.1, "r1", _chain(action), 1, events.FailureReason.REFUSED, 16
+    )
+    assert made.handle(failure) == []
+    (replace,) = made.handle(fleets.reported("b", (4, 8), at=0.5))
+    assert isinstance(replace, actions.Replace)
+    assert replace.replacement[0].endpoint == "b"
