Forget an engine that served nothing when it goes

Cause: an engine that had said it was leaving and then vanished stayed with the chain chooser; the next configuration failed on it with a KeyError. Change: a removed engine is always taken out of the chooser's index; a test that failed before, and more events for the state machine (leave and go with a new configuration, timed calls, probes, peers, cache events). Checked: make lint; all tests in the worktree.

--- a/src/almondshift/policy/topology.py
+++ b/src/almondshift/policy/topology.py
@@ -135,6 +135,7 @@
         if known is not None:
             known.leaving = True
             self._index(known)
+            self.changed.add(name)
 
     def serves(
         self, name: str, target: Target, needed: layers.LayerRange
--- a/tests/policy/test_router.py
+++ b/tests/policy/test_router.py
@@ -310,3 +310,21 @@
     (replace,) = made.handle(fleets.reported("b", (4, 8), at=0.5))
     assert isinstance(replace, actions.Replace)
     assert replace.replacement[0].endpoint == "b"
+
+
+def test_an_engine_that_left_and_went_is_forgotten() -> None:
+    """A change of configuration goes through after an engine has gone.
+
+    An engine first says that it is leaving, so that it serves nothing, and
+    then vanishes from the list of VMs. The next configuration is taken.
+    """
+    made = _router()
+    fleets.feed(
+        made,
+        fleets.reported("b", (4, 8), at=0.1, leaving=True),
+        events.EndpointGone(0.2, "b"),
+        events.FleetChanged(0.3, fleets.make_fleet(version=2)),
+    )
+    assert "b" not in made.chooser.engines
+    (action,) = made.handle(fleets.arrival(at=0.4))
+    assert {s.endpoint for s in _chain(action).stages} == {"a", "c"}
--- a/tests/policy/test_router_machine.py
+++ b/tests/policy/test_router_machine.py
@@ -9,6 +9,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from almondshift.model import endpoints
 from almondshift.model import fleet
 from almondshift.model import layers
 from almondshift.policy import actions
@@ -78,12 +79,16 @@
             self.report(name, True)
 
     @stateful.precondition(lambda self: self.restarts)
-    @stateful.rule(name=ENDPOINTS)
-    def restart(self, name: str) -> None:
+    @stateful.rule(name=ENDPOINTS, leaving=strategies.booleans())
+    def restart(self, name: str, leaving: bool) -> None:
         """An engine goes, and another life of it is seen."""
         self.restarted = True
         self.held.pop(name, None)
+        if leaving:
+            self._tell(events.EndpointLeaving(self.now, name))
         self._tell(events.EndpointGone(self.now, name))
+        if leaving:
+            self.change_version()
         self._tell(fleets.seen(name, at=self.now))
 
     @stateful.rule()
@@ -150,6 +155,45 @@
             events.StageFailed(self.now, request_id, chain, index, reason, 16)
         )
 
+    @stateful.rule(
+        name=ENDPOINTS, seconds=strategies.sampled_from((0.003, 0.2, 2.0))
+    )
+    def time_calls(self, name: str, seconds: float) -> None:
+        """Calls to an engine take some time, over a second."""
+        for _ in range(12):
+            self.now += 0.1
+            self._tell(events.CallTimed(self.now, name, seconds, 1, 1, 4))
+
+    @stateful.rule(name=ENDPOINTS, ok=strategies.booleans())
+    def answer_probe(self, name: str, ok: bool) -> None:
+        """A probe is answered, wanted or not."""
+        self._tell(events.ProbeAnswered(self.now, name, ok, 0.01))
+
+    @stateful.rule(
+        node=strategies.sampled_from(("n0", "n1", "n2")),
+        in_flight=strategies.dictionaries(ENDPOINTS, strategies.just(3)),
+        gone=strategies.booleans(),
+    )
+    def hear_of_peer(
+        self, node: str, in_flight: dict[str, int], gone: bool
+    ) -> None:
+        """A peer tells its load, or goes."""
+        if gone:
+            self._tell(events.PeerGone(self.now, node))
+            return
+        self._tell(events.PeerLoad(self.now, node, in_flight, {"x": 9.0}))
+
+    @stateful.rule(
+        name=ENDPOINTS, numbers=strategies.lists(strategies.integers(1, 9))
+    )
+    def change_cache(self, name: str, numbers: list[int]) -> None:
+        """Cache events come, with gaps and in any order."""
+        changes = tuple(
+            endpoints.CacheEvent(number, 16, number % 2 == 1)
+            for number in numbers
+        )
+        self._tell(events.CacheChanged(self.now, name, changes))
+
     @stateful.rule(seconds=strategies.sampled_from((0.02, 0.5, 3.0)))
     def tick(self, seconds: float) -> None:
         """Time passes."""
@@ -207,6 +251,6 @@
 
 
 RouterMachine.TestCase.settings = settings(
-    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+    max_examples=100, stateful_step_count=50, deadline=None, derandomize=True
 )
 TestRouter = RouterMachine.TestCase
