Share the engines' rate without loading networkx; allow instant engines

Cause: an engine that describes itself with no times or a batch of 0 divided by zero, and the limit stood twice (concurrency and flow). Change: policy/engine_rates.py, used by concurrency, placement and flow. A first try imported flow from concurrency: the router then loaded networkx (0.24 s at start), so the rate moved to a module of its own.

--- a/src/almondshift/policy/chain_choice.py
+++ b/src/almondshift/policy/chain_choice.py
@@ -25,6 +25,7 @@
 from almondshift.model import layers
 from almondshift.policy import concurrency
 from almondshift.policy import ejection
+from almondshift.policy import engine_rates
 from almondshift.policy import long_jobs as long_jobs_module
 from almondshift.policy import pools
 from almondshift.policy import spreading
@@ -299,7 +300,8 @@
         used = engine.load.utilisation
         shared = described.max_batch * min(1.0, used)
         work = described.per_layer_token_s * layer_count * max(tokens, shared)
-        return (described.fixed_s + work) * max(1.0, used)
+        batch_s = max(engine_rates.MIN_BATCH_S, described.fixed_s + work)
+        return batch_s * max(1.0, used)
 
     def _sync_engine(self, name: str) -> None:
         known = self.topology.endpoints.get(name)
@@ -465,7 +467,7 @@
         slow = self.health.slowness(name)
         busy = slow * (1.0 + CONGESTION * used * used)
         tokens = 1.0 + job.tokens
-        steps = tokens + load.queued / described.max_batch
+        steps = tokens + load.queued / max(1, described.max_batch)
         batch = max(1.0, used * described.max_batch)
         cached = self.hints.share(job.prefixes, name, load.allowed)
         prompt = job.prompt_tokens * (1.0 - cached) + load.pending_prompt
--- a/src/almondshift/policy/concurrency.py
+++ b/src/almondshift/policy/concurrency.py
@@ -28,6 +28,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from almondshift.policy import engine_rates
 from almondshift.policy import shares
 
 if TYPE_CHECKING:
@@ -127,9 +128,7 @@
         cycle_s: Time of one token round a chain with full batches.
         objective_s: Time between tokens that was promised.
     """
-    per_token = description.per_layer_token_s * layer_count
-    batch_s = description.fixed_s + per_token * description.max_batch
-    rate = description.max_batch / batch_s
+    rate = engine_rates.tokens_per_s(description, layer_count)
     round_s = max(cycle_s * VARIATION, objective_s * OBJECTIVE_SHARE)
     needed = max(description.max_batch, rate * round_s)
     memory = max(1.0, description.max_sessions * MEMORY_SHARE)
--- a/src/almondshift/policy/flow.py
+++ b/src/almondshift/policy/flow.py
@@ -19,6 +19,8 @@
 
 import networkx
 
+from almondshift.policy import engine_rates
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -39,14 +41,6 @@
     zone: str = ""
 
 
-def engine_tokens_per_s(
-    description: endpoints.EndpointDescription, layer_count: int
-) -> float:
-    """Returns the tokens a second of an engine with full batches."""
-    work = description.per_layer_token_s * layer_count * description.max_batch
-    return description.max_batch / (description.fixed_s + work)
-
-
 def bound_tokens_per_s(
     engines: Iterable[FlowEngine],
     layer_count: int,
@@ -88,7 +82,7 @@
     """Adds an engine, split in two by its capacity."""
     name = engine.description.name
     span = engine.layers
-    rate = engine_tokens_per_s(engine.description, span.count)
+    rate = engine_rates.tokens_per_s(engine.description, span.count)
     graph.add_edge(("in", name), ("out", name), capacity=rate)
     for position in ends:
         if span.start <= position < span.end:
--- a/src/almondshift/policy/placement.py
+++ b/src/almondshift/policy/placement.py
@@ -42,7 +42,7 @@
 from almondshift.model import fleet as fleets
 from almondshift.model import layers
 from almondshift.model import orders
-from almondshift.policy import flow
+from almondshift.policy import engine_rates
 from almondshift.policy import topology
 
 if TYPE_CHECKING:
@@ -512,7 +512,7 @@
     span: layers.LayerRange,
     sign: float,
 ) -> None:
-    rate = flow.engine_tokens_per_s(engine.description, span.count)
+    rate = engine_rates.tokens_per_s(engine.description, span.count)
     for layer in _each(span):
         cover[layer] = max(0.0, cover[layer] + sign * rate)
         if cover[layer] < _EMPTY:
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -7,6 +7,7 @@
 from almondshift.model import endpoints
 from almondshift.model import fleet
 from almondshift.model import layers
+from almondshift.policy import engine_rates
 from almondshift.policy import flow
 from almondshift.policy import placement
 from almondshift.policy import topology
@@ -139,7 +140,7 @@
     # No placement gives more than all engines' layers a second, each with
     # as many layers as it holds, divided by the layers of the model.
     work = sum(
-        flow.engine_tokens_per_s(d, min(d.layer_capacity, LAYERS))
+        engine_rates.tokens_per_s(d, min(d.layer_capacity, LAYERS))
         * min(d.layer_capacity, LAYERS)
         for d in engines.descriptions.values()
     )
--- a/tests/policy/test_router.py
+++ b/tests/policy/test_router.py
@@ -328,3 +328,20 @@
     assert "b" not in made.chooser.engines
     (action,) = made.handle(fleets.arrival(at=0.4))
     assert {s.endpoint for s in _chain(action).stages} == {"a", "c"}
+
+
+def test_an_engine_that_describes_itself_as_instant_is_used() -> None:
+    made = _router({})
+    seen = fleets.seen("a")
+    assert seen.description is not None
+    instant = dataclasses.replace(
+        seen.description, fixed_s=0.0, per_layer_token_s=0.0, max_batch=0
+    )
+    fleets.feed(
+        made,
+        dataclasses.replace(seen, description=instant),
+        fleets.reported("a", (0, 8)),
+        events.CallTimed(0.1, "a", 0.0, 1, 1, 8),
+    )
+    (action,) = made.handle(fleets.arrival(at=0.2))
+    assert _chain(action).stages[0].endpoint == "a"
