Tell the router how many layers a call ran

Ejection compares an engine's time for a token and layer with others of its kind; the layers were always told as 0. pytest tests/node: passed.

--- a/src/almondshift/node/coalescer.py
+++ b/src/almondshift/node/coalescer.py
@@ -48,6 +48,7 @@
     Attributes:
         items: Items that it carried.
         tokens: Their tokens.
+        layers: Layers that the longest range among them has.
         seconds: From sending to the whole answer.
         waited_s: How long its oldest item waited before.
         error: Kind of the error, ``""`` if it was answered.
@@ -55,6 +56,7 @@
 
     items: int
     tokens: int
+    layers: int
     seconds: float
     waited_s: float
     error: str
@@ -211,6 +213,7 @@
             CallTiming(
                 len(portions),
                 tokens,
+                max(portion.item.layers.count for portion in portions),
                 self.clock.monotonic() - begun_at,
                 begun_at - oldest,
                 outcome.error.kind if outcome.is_error() else "",
--- a/src/almondshift/node/directory.py
+++ b/src/almondshift/node/directory.py
@@ -313,7 +313,7 @@
                 seconds=timing.seconds,
                 items=timing.items,
                 tokens=timing.tokens,
-                layers=0,
+                layers=timing.layers,
             )
         )
 
