Return a cut answer from the caller in place of an exception

Cause: tornado's clients raise for a transfer that ends early, also with raise_error=False, so that a stream cut by a killed node raised CurlError from Caller.complete and its tokens were lost. Change: it gives status 599, as CallerAnswer documents, with the tokens so far and whole = False. Before: test_own_answer.py, 'the node is killed in the middle of a stream', fails with CurlError. After: passes.

--- a/src/almondshift/adapters/http_caller.py
+++ b/src/almondshift/adapters/http_caller.py
@@ -264,7 +264,10 @@
             follow_redirects=False,
             streaming_callback=_tee(buffered, on_chunk),
         )
-        response = await self._client.fetch(request, raise_error=False)
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except httpclient.HTTPError:
+            return _Reply(NO_ANSWER, "", b"".join(buffered))
         kind = response.headers.get("Content-Type", "")
         return _Reply(response.code, kind, b"".join(buffered))
 
