--- a/src/almondshift/standins/engine/runner.py
+++ b/src/almondshift/standins/engine/runner.py
@@ -88,7 +88,7 @@
     def _open(self, item: steps.StepItem) -> steps.StepStatus:
         if item.position != 0:
             return steps.StepStatus.UNKNOWN_SESSION
-        if self.faults.leaving:
+        if self.faults.leaving and not self.faults.opens_while_leaving:
             return steps.StepStatus.LEAVING
         if self.is_draining() or not item.inputs or not self.held.opens(item):
             return steps.StepStatus.WRONG_MODEL
--- a/src/almondshift/standins/engine/switches.py
+++ b/src/almondshift/standins/engine/switches.py
@@ -25,6 +25,7 @@
         cross_answers: Number of step calls that get answers to other items.
         refuse_all: Answer each step call 503 without running it.
         leaving: Refuse to open sessions.
+        opens_while_leaving: Say that it is leaving, but open sessions.
     """
 
     crash_token: int | None = None
@@ -34,6 +35,7 @@
     cross_answers: int = 0
     refuse_all: bool = False
     leaving: bool = False
+    opens_while_leaving: bool = False
 
 
 class Control(msgspec.Struct, kw_only=True):
@@ -45,6 +47,7 @@
     swallow: Swallow | msgspec.UnsetType = msgspec.UNSET
     cross_answers: int | msgspec.UnsetType = msgspec.UNSET
     refuse_all: bool | msgspec.UnsetType = msgspec.UNSET
+    opens_while_leaving: bool | msgspec.UnsetType = msgspec.UNSET
     leaving: bool | msgspec.UnsetType = msgspec.UNSET
     drop_kv: bool = False
 
--- a/tests/scenarios/datapath/paths.py
+++ b/tests/scenarios/datapath/paths.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import json
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -29,6 +30,9 @@
     Attributes:
         proxies: Proxies by engine; nodes know only their addresses.
         shapes: What each engine was started with, to start it again.
+        vm_lag_s: Lag of the platform's VM list, to be set before ``start``.
+        listed_leaving: Engines that only the list says are leaving; only a
+            new instance of such an engine is used again.
         tasks: Faults that wait for their moment.
         full_backlogs: Sockets that listen in place of proxies.
     """
@@ -42,9 +46,40 @@
         super().__init__(runner, folder, **options)
         self.proxies: dict[str, proxies.FaultProxy] = {}
         self.shapes: dict[str, systems.EngineShape] = {}
+        self.vm_lag_s = 0.0
+        self.listed_leaving: set[str] = set()
         self.tasks: list[asyncio.Task[None]] = []
         self.full_backlogs: list[backlogs.FullBacklog] = []
 
+    async def start_platform(self, *arguments: str) -> None:
+        """Starts the platform with a VM list that lags."""
+        lag = ("--vm-lag-s", str(self.vm_lag_s))
+        await super().start_platform(*arguments, *lag)
+
+    async def list_leaving(self, engine: str) -> None:
+        """Writes into the VM list that an engine is leaving."""
+        row = {**await self._listed(engine), "state": "leaving"}
+        self.listed_leaving.add(engine)
+        await self.http.fetch(
+            f"http://{self._platform_address()}/v1/vms/{engine}",
+            method="PUT",
+            body=json.dumps(row),
+        )
+
+    async def is_listed_leaving(self, engine: str) -> bool:
+        """Returns whether the VM list shows that an engine is leaving."""
+        row = await self._listed(engine)
+        return row.get("state") == "leaving"
+
+    async def _listed(self, engine: str) -> dict[str, Any]:
+        found = await self.get_json(self._platform_address(), "/v1/vms")
+        rows = {row["name"]: row for row in found["vms"]}
+        return dict(rows.get(engine, {}))
+
+    def _platform_address(self) -> str:
+        assert self.platform is not None
+        return self.platform.address
+
     async def start_engine(self, shape: systems.EngineShape) -> None:
         """Starts an engine behind its proxy."""
         proxy = self.proxies.get(shape.name)
@@ -113,14 +148,27 @@
             proxy.upstream = self.upstream_of(name)
         for name, engine in list(self.engines.items()):
             engine.thaw()
+            if name in self.listed_leaving:
+                engine.kill()
             if not engine.is_running():
                 await self.start_engine(self.shapes[name])
         for name in self.engines:
             await self.control(name, **NO_FAULTS)
         for name in self.plain:
             await self.control(name, **NO_PLAIN_FAULTS)
+        self.listed_leaving.clear()
+        await self._restart_nodes()
         await self.wait_whole()
 
+    async def _restart_nodes(self) -> None:
+        dead = [n for n, node in self.nodes.items() if not node.is_running()]
+        for name in dead:
+            await self.start_node(name)
+        if dead:
+            for caller in self.callers.values():
+                await caller.close()
+            self.callers.clear()
+
     async def start(self, **options: Any) -> None:
         """Starts all and waits until every engine can take a stage."""
         await super().start(**options)
@@ -166,6 +214,7 @@
     "cross_answers": 0,
     "refuse_all": False,
     "leaving": False,
+    "opens_while_leaving": False,
 }
 
 NO_PLAIN_FAULTS = {
@@ -211,17 +260,17 @@
 
     def runs(self, name: str) -> list[ledgers.Run]:
         """Returns what engines ran for a request."""
-        runs = self.system.runs()
-        request_id = self.request_id(name, runs)
-        return [run for run in runs if run.request_id == request_id]
+        return self.runs_of_mark(self.requests[name].prompt[0])
 
-    def request_id(self, name: str, runs: list[ledgers.Run]) -> str:
+    def runs_of_mark(self, mark: int) -> list[ledgers.Run]:
         """Finds a request in the ledgers by its first prompt token."""
-        mark = self.requests[name].prompt[0]
-        for run in runs:
-            if (run.start, run.position, run.first_input) == (0, 0, mark):
-                return run.request_id
-        return ""
+        runs = self.system.runs()
+        begun = {
+            run.request_id
+            for run in runs
+            if (run.start, run.position, run.first_input) == (0, 0, mark)
+        }
+        return [run for run in runs if run.request_id in begun]
 
     def stage_of(self, name: str, stage: str) -> str:
         """Returns the engine that now runs a stage, or an empty string."""
