Take the VM list from peers while the platform is away

Cause: a node that started during an outage of the platform took the configuration from its peers and then refused every caller: it knew no endpoint, since the VM list came from the platform only. Seen in "nodes come and go during an outage": "not within 5.0 s: n3 serves", 1 of 1.

Ruled out: the configuration (AS2002 version 1 was in n3's log) and the load exchange (it tells of loads, not of addresses).

Change: SharedVmList stands between the platform's list and the directory; if none was ever read it asks up to three peers, and it answers theirs. One question at start, nothing in steady state. At 820 endpoints the answer is about 100 KB (estimated from the fields, not measured), under the 1 MB frame.

--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -32,6 +32,7 @@
 from almondshift.node import reconciler
 from almondshift.node import router_driver
 from almondshift.node import seeds
+from almondshift.node import shared_vm_list
 from almondshift.node import stage_calls
 from almondshift.node import status
 from almondshift.policy import events
@@ -178,7 +179,9 @@
             ports.clock, self.membership.publish
         )
         self.directory = directory.Directory(
-            ports.vm_list,
+            shared_vm_list.create_shared_vm_list(
+                ports.vm_list, self.membership, rng
+            ),
             ports.engines,
             self.driver,
             step_timeouts.create_step_timeouts(),
