Prove outages of the platform and graceful stops with scenarios

The rate on return is judged against the usual rate measured in the same run, by the platform's own counts.

Written wrongly first: a node killed in place of stopped cuts its streams, as docs/replace-vm.md says; the scenario now stops it.

--- a/tests/scenarios/steady.py
+++ b/tests/scenarios/steady.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 from typing import TYPE_CHECKING
+from typing import Any
 
 from tests.faults import systems
 
@@ -27,14 +28,14 @@
 
     Attributes:
         whole: Whole and right answers.
-        refused: Refusals with ``not_run``, after which a caller asked again.
+        refusals: Problems with ``not_run``, after which a caller asked again.
         unreachable: Times that no connection was made.
         failures: Whatever else came.
     """
 
     whole: int = 0
-    refused: int = 0
     unreachable: int = 0
+    refusals: list[dict[str, Any]] = dataclasses.field(default_factory=list)
     failures: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -93,8 +94,8 @@
         if answer.unreachable:
             self.tally.unreachable += 1
             return True
-        if answer.execution == "not_run":
-            self.tally.refused += 1
+        if answer.problem is not None and answer.execution == "not_run":
+            self.tally.refusals.append(answer.problem)
             return True
         return False
 
--- a/tests/scenarios/steps_load.py
+++ b/tests/scenarios/steps_load.py
@@ -58,6 +58,22 @@
     _start(control, loads, choose)
 
 
+@when(parsers.parse("callers that hold the addresses of {names} begin"))
+def load_fixed(
+    control: controls.Control, loads: list[steady.SteadyLoad], names: str
+) -> None:
+    """Starts callers that go on with their addresses, whatever they hear."""
+    turns = itertools.count()
+    addresses = [
+        control.system.nodes[name].address for name in control.nodes_of(names)
+    ]
+
+    async def choose() -> str:
+        return addresses[next(turns) % len(addresses)]
+
+    _start(control, loads, choose)
+
+
 def _start(
     control: controls.Control,
     loads: list[steady.SteadyLoad],
--- a/tests/scenarios/steps_once.py
+++ b/tests/scenarios/steps_once.py
@@ -253,6 +253,7 @@
     assert answer.execution == "not_run"
 
 
+@then(parsers.parse("{name} repeats the notice through {node} until she knows"))
 @when(parsers.parse("{name} repeats the notice through {node} until she knows"))
 def repeat_until_known(
     control: controls.Control, notice: Notice, name: str, node: str
--- /dev/null
+++ b/tests/scenarios/test_platform_outage.py
@@ -0,0 +1,13 @@
+from __future__ import annotations
+
+from pytest_bdd import scenarios
+
+pytest_plugins = [
+    "tests.scenarios.steps_config",
+    "tests.scenarios.steps_control",
+    "tests.scenarios.steps_load",
+    "tests.scenarios.steps_once",
+    "tests.scenarios.steps_outage",
+]
+
+scenarios("features/platform_outage.feature")
