--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -33,6 +33,7 @@
         swallow_answers: Whether what the upstream sends is dropped.
         request_limit: Bytes forwarded upstream on each connection; what
             follows is dropped. None for all.
+        answer_limit: The same for bytes that the upstream sends.
         held_content: Requests that contain this are held back, and go on
             when it is changed; None for none.
         held: Requests held back now.
@@ -51,6 +52,7 @@
         self.silent: set[Direction] = set()
         self.swallow_answers = False
         self.request_limit: int | None = None
+        self.answer_limit: int | None = None
         self.held_content: bytes | None = None
         self.held = 0
         self.held_answer_to: bytes | None = None
@@ -103,6 +105,7 @@
         self.silent.clear()
         self.swallow_answers = False
         self.request_limit = None
+        self.answer_limit = None
         self.held_content = None
         self.held_answer_to = None
         self.trickle_bytes_s = 0
@@ -209,11 +212,12 @@
 
     def kept(self, chunk: bytes, direction: Direction, before: int) -> bytes:
         """Returns what of a chunk is delivered."""
+        limit = self.request_limit
         if direction is Direction.DOWN:
-            return b"" if self.swallow_answers else chunk
-        if self.request_limit is None:
+            limit = 0 if self.swallow_answers else self.answer_limit
+        if limit is None:
             return chunk
-        return chunk[: max(0, self.request_limit - before)]
+        return chunk[: max(0, limit - before)]
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
