Prove that a stopping node carries a notice through; test the parts added

A notice that runs when its node gets SIGTERM is answered and its answer kept for a repeat elsewhere, for the plain and the model service.

--- a/tests/faults/test_proxy.py
+++ b/tests/faults/test_proxy.py
@@ -67,6 +67,22 @@
     proxy.silent.add(fault_proxy.Direction.DOWN)
 
 
+def hold_request(proxy: fault_proxy.FaultProxy) -> None:
+    proxy.held_content = b"345"
+
+
+def hold_other_request(proxy: fault_proxy.FaultProxy) -> None:
+    proxy.held_content = b"543"
+
+
+def hold_answer(proxy: fault_proxy.FaultProxy) -> None:
+    proxy.held_answer_to = b"345"
+
+
+def hold_other_answer(proxy: fault_proxy.FaultProxy) -> None:
+    proxy.held_answer_to = b"543"
+
+
 @pytest.mark.parametrize(
     ("switch", "answer", "delivered_up"),
     [
@@ -75,6 +91,10 @@
         (swallow_late, b"", 4),
         (silence_up, b"", 0),
         (silence_down, b"", 10),
+        (hold_request, b"", 0),
+        (hold_other_request, REQUEST, 10),
+        (hold_answer, b"", 10),
+        (hold_other_answer, REQUEST, 10),
     ],
 )
 def test_switch(
--- a/tests/scenarios/features/graceful_stop.feature
+++ b/tests/scenarios/features/graceful_stop.feature
@@ -21,6 +21,28 @@
     And the callers have had 3 more answers
     And no request failed
 
+  Scenario Outline: a node is stopped during a notice, to <service>
+    The notice runs when n1 is told to stop. It is carried through, ann gets
+    its answer, and a repeat at another node gets the kept one.
+
+    Given a system of 2 nodes behind proxies
+    And a notice for the service <service>
+    And runs take long
+    When ann sends the notice through n1
+    And the notice has begun to run
+    And n1 is terminated
+    And ben sends the notice through n2
+    Then all get the same answer
+    And n1 has ended by itself
+    When cat sends the notice through n2
+    Then all get the same answer
+    And it ran 1 times
+
+    Examples:
+      | service |
+      | portal  |
+      | once    |
+
   Scenario: all nodes are replaced under steady load
     Each old node is stopped when a new one has joined.
 
--- a/tests/scenarios/test_graceful_stop.py
+++ b/tests/scenarios/test_graceful_stop.py
@@ -8,6 +8,7 @@
     "tests.scenarios.steps_drain",
     "tests.scenarios.steps_load",
     "tests.scenarios.steps_orders",
+    "tests.scenarios.steps_once",
     "tests.scenarios.steps_outage",
 ]
 
