--- a/tests/scenarios/steps_load.py
+++ b/tests/scenarios/steps_load.py
@@ -58,6 +58,22 @@
     _start(control, loads, choose)
 
 
+@when(parsers.parse("callers that hold the addresses of {names} begin"))
+def load_fixed(
+    control: controls.Control, loads: list[steady.SteadyLoad], names: str
+) -> None:
+    """Starts callers that go on with their addresses, whatever they hear."""
+    turns = itertools.count()
+    addresses = [
+        control.system.nodes[name].address for name in control.nodes_of(names)
+    ]
+
+    async def choose() -> str:
+        return addresses[next(turns) % len(addresses)]
+
+    _start(control, loads, choose)
+
+
 def _start(
     control: controls.Control,
     loads: list[steady.SteadyLoad],
@@ -83,7 +99,7 @@
         return tally.whole >= wanted or bool(tally.failures)
 
     control.world.run(control.system.wait_for(come, f"{count} more answers"))
-    assert not tally.failures, tally
+    assert not tally.failures, "\n".join(tally.failures)
 
 
 @then("no request failed")
@@ -92,4 +108,4 @@
 ) -> None:
     tally = control.world.run(loads[-1].stop())
     assert tally.whole > 0
-    assert not tally.failures, tally
+    assert not tally.failures, "\n".join(tally.failures)
