--- a/src/almondshift/adapters/http_caller.py
+++ b/src/almondshift/adapters/http_caller.py
@@ -274,7 +274,8 @@
         try:
             response = await self._client.fetch(request, raise_error=False)
         except httpclient.HTTPError as error:
-            return _Reply(NO_ANSWER, "", b"", _is_unreachable(error))
+            got = b"".join(buffered)
+            return _Reply(NO_ANSWER, "", got, _is_unreachable(error))
         kind = response.headers.get("Content-Type", "")
         return _Reply(response.code, kind, b"".join(buffered))
 
--- a/tests/scenarios/datapath/conftest.py
+++ b/tests/scenarios/datapath/conftest.py
@@ -73,6 +73,7 @@
 
 @when(parsers.parse("{name} asks for an answer"))
 def ask(world: paths.PathWorld, name: str) -> None:
+    world.note_places()
     world.ask(name, TOKENS, PROMPT)
 
 
@@ -87,6 +88,8 @@
 ) -> None:
     if phase == "decode":
         world.wait_tokens(name, FIRST_TOKENS)
+    else:
+        world.hold_stage(stage)
     world.wait_stage(name, stage)
 
 
@@ -94,7 +97,9 @@
 def break_engine(
     world: paths.PathWorld, name: str, stage: str, fault: str
 ) -> None:
-    faults.inject(world, world.wait_stage(name, stage), fault)
+    engine = world.wait_stage(name, stage)
+    faults.inject(world, engine, fault)
+    world.release_stages(but=engine if fault in faults.SILENT else "")
 
 
 @when(parsers.parse("{name} has received {count:d} more tokens"))
--- a/tests/scenarios/datapath/faults.py
+++ b/tests/scenarios/datapath/faults.py
@@ -108,3 +108,6 @@
     "trickling": trickle,
     "crossing answers": cross,
 }
+
+SILENT = frozenset({"not heard"})
+"""Faults that hold answers back until the scenario ends."""
--- a/tests/scenarios/datapath/paths.py
+++ b/tests/scenarios/datapath/paths.py
@@ -311,6 +311,36 @@
         positions = len(request.prompt) + request.count - 1
         ledgers.check(self.runs(name), systems.LAYERS, positions)
 
+    def note_places(self) -> None:
+        """Remembers which engines hold which stage, for ``hold_stage``."""
+        self.notes["places"] = self.run(self._places())
+
+    async def _places(self) -> dict[str, str]:
+        found = {}
+        for name in self.system.engines:
+            report = await self.system.load(name)
+            held = report["holdings"][0]
+            found[name] = place_between(held["start"], held["end"])
+        return found
+
+    def hold_stage(self, stage: str) -> None:
+        """Holds a stage's answers back until a fault is brought about.
+
+        Its first part has run then and is not answered, however slow the
+        machine is; without this the request could end before the fault.
+        """
+        for engine, place in self.notes["places"].items():
+            if place == stage:
+                silent = self.system.proxies[engine].silent
+                silent.add(proxies.Direction.DOWN)
+
+    def release_stages(self, but: str = "") -> None:
+        """Lets held answers go on, but those of one engine."""
+        for engine in self.notes.get("places", ()):
+            if engine != but:
+                silent = self.system.proxies[engine].silent
+                silent.discard(proxies.Direction.DOWN)
+
     def note_executions(self) -> None:
         """Remembers what ran so far, for ``check_no_executions``."""
         self.notes["executions"] = self.run(self._executions())
@@ -336,6 +366,11 @@
 
 def place_of(run: ledgers.Run) -> str:
     """Returns where in the chain an item ran."""
-    if run.start == 0:
+    return place_between(run.start, run.end)
+
+
+def place_between(start: int, end: int) -> str:
+    """Returns where in the chain a layer range is."""
+    if start == 0:
         return "first"
-    return "last" if run.end == systems.LAYERS else "middle"
+    return "last" if end == systems.LAYERS else "middle"
