--- a/src/almondshift/node/directory.py
+++ b/src/almondshift/node/directory.py
@@ -171,8 +171,18 @@
                 self.driver.tell(
                     events.EndpointLeaving(self.clock.monotonic(), name)
                 )
+            elif known.is_told and not leaving:
+                self._tell_staying(name, known)
             known.is_told = leaving
 
+    def _tell_staying(self, name: str, known: Endpoint) -> None:
+        """Tells the router that an endpoint stays after all."""
+        now = self.clock.monotonic()
+        self.driver.tell(events.EndpointGone(now, name))
+        self._tell_seen(known)
+        if known.report is not None:
+            self.driver.tell(events.LoadReported(now, known.report))
+
     async def _watch_list(self) -> None:
         while True:
             try:
