Tell engines' states seldom and their numbers in rows

At the target of 390 nodes and 820 engines loads did not fit through the exchange: each of three watchers published a whole report of each engine every 20 s, and the use of accounts went out each second at any size, in up to 1,500 bytes.

Now the first live watcher alone tells. A state goes as a fact when it changes and else every 300 s; numbers go as rows in the node's fact of use, most changed first. Use is stated every n/20 s, in 9,000/n bytes but at least 200. One bad row or value leaves the others. A node tells no states in its first 3 s, when it knows no peers and would be first for all engines.

Places among watchers are kept and changed by who comes and goes. Computed at each look they saturated a core at 390 nodes. Engines that others watch are looked at less often the more there are.

A change to a test: the report that "arrives as it was told and older" now comes from the node that is first for the engine, since only it tells. What holds is as strict as before.

--- a/bench/exchange.py
+++ b/bench/exchange.py
@@ -1,10 +1,11 @@
 """What the exchange costs a node, by the number of nodes.
 
 All nodes run in one process on a clock of their own, over an in-memory
-transport with the real codec. Each state is that of a busy system: engine
-loads at 820/390 per node and account use per node, stated anew every
-``FRESH_S``. The baseline is a full mesh that sends each node's own facts to
-every other node once a second, over the same codec.
+transport with the real codec. Each has the real load exchange, which tells
+of 820/390 engines for each node, as a busy system does: the numbers of every
+engine change each second, its state once in ``STATE_CHANGE_S``, and each
+node has requests of 20 accounts. The baseline is a full mesh that sends
+each node's own facts to every other node once a second, over the same codec.
 
 Run: ``python -m bench.exchange [SIZE ...]``
 """
@@ -25,6 +26,16 @@
 from almondshift import errors
 from almondshift.adapters import peer_codec
 from almondshift.coordination import membership
+from almondshift.model import endpoints
+from almondshift.model import fleet as fleets
+from almondshift.model import layers
+from almondshift.node import directory
+from almondshift.node import load_exchange
+from almondshift.node import router_driver
+from almondshift.node import usage
+from almondshift.policy import actions
+from almondshift.policy import events
+from almondshift.policy import routers
 from almondshift.ports import clocks
 from almondshift.ports import peers
 
@@ -37,7 +48,11 @@
 SIZES = (3, 9, 27, 81)
 TARGET = 390
 ENGINES_PER_NODE = 820 / 390
-FRESH_S = 5.0
+FRESH_S = 10.0
+"""Age up to which a load counts as fresh."""
+
+STATE_CHANGE_S = 600.0
+ACCOUNTS = 20
 WARM_ROUNDS = 60
 ROUNDS = 20
 GAP_S = membership.MembershipSettings().urgent_gap_s
@@ -76,6 +91,7 @@
     messages: int = 0
     content_bytes: int = 0
     codec_s: float = 0.0
+    bench_s: float = 0.0
 
     @property
     def wire_bytes(self) -> int:
@@ -126,6 +142,74 @@
         return decoded
 
 
+class IdleRouter(routers.Router):
+    """A router that decides nothing; its own cost is in ``bench.load``."""
+
+    def handle(self, event: events.Event) -> list[actions.Action]:
+        """Takes an event."""
+        del event
+        return []
+
+    def service_ready(self, service: str) -> bool:
+        """Returns that nothing is ready."""
+        del service
+        return False
+
+
+class HeldLoads(directory.Directory):
+    """Endpoints without connections.
+
+    Attributes:
+        read_at: When the engine gave the newest load, by engine.
+    """
+
+    def __init__(self, clock: clocks.Clock, names: list[str]) -> None:
+        self.clock = clock
+        self.endpoints = {n: directory.Endpoint(vm_of(n)) for n in names}
+        self.read_at: dict[str, float] = {}
+
+    def take_peer_report(self, report: endpoints.LoadReport) -> None:
+        """Notes how old a load is."""
+        at = self.clock.monotonic() - report.age_s
+        self.read_at[report.endpoint] = at
+
+    def read(
+        self, reports: list[endpoints.LoadReport], watches: set[str]
+    ) -> None:
+        """Takes reports as if the watched engines had just given them."""
+        now = self.clock.monotonic()
+        for report in reports:
+            known = self.endpoints[report.endpoint]
+            known.watched = report.endpoint in watches
+            if known.watched:
+                known.report = report
+                known.reported_at = now
+                self.read_at[report.endpoint] = now
+
+
+def vm_of(name: str) -> endpoints.Vm:
+    """Returns the VM of an engine."""
+    kind = endpoints.EndpointKind.ENGINE
+    state = endpoints.VmState.LIVE
+    return endpoints.Vm(name, f"{name}:80", "zone", kind, "", state)
+
+
+def report_of(name: str, instance: int, load: int) -> endpoints.LoadReport:
+    """Returns a load report of a busy engine."""
+    span = layers.LayerRange(0, 8)
+    return endpoints.LoadReport(
+        endpoint=name,
+        instance=f"{instance:016x}",
+        role=endpoints.EndpointRole.SERVING,
+        leaving=False,
+        holdings=(endpoints.Holding("model-1", 1, "", span, True),),
+        sessions=load % 64,
+        queued_items=load % 7,
+        order_number=1,
+        age_s=0.1,
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cost:
     """What a node costs on average, and how a change spread.
@@ -138,6 +222,8 @@
             extra rounds.
         seconds: Seconds until each node had one, with extra rounds.
         loads_share: Share of engine loads that a node holds.
+        fresh_share: Share of them that are at most ``FRESH_S`` old.
+        age_p95_s: Age of the loads held, 95 in 100 are younger.
     """
 
     nodes: int
@@ -148,6 +234,8 @@
     rounds: int
     seconds: float
     loads_share: float
+    fresh_share: float
+    age_p95_s: float
 
 
 class System:
@@ -160,7 +248,11 @@
         self.links: dict[str, CodecLink] = {}
         self.rng = random.Random(size)
         self.engines = round(size * ENGINES_PER_NODE)
+        self.names = [f"engine-{n}" for n in range(self.engines)]
+        self.instances = dict.fromkeys(self.names, 1)
         self.nodes: list[membership.Membership] = []
+        self.exchanges: list[load_exchange.LoadExchange] = []
+        self.held: list[HeldLoads] = []
 
     async def seeds(self) -> list[str]:
         """Returns two addresses."""
@@ -185,26 +277,77 @@
             node.join()
             await node.refresh_seeds()
             self.nodes.append(node)
+            self.add_exchange(node)
+
+    def add_exchange(self, node: membership.Membership) -> None:
+        """Gives a node its load exchange."""
+        held = HeldLoads(self.clock, self.names)
+        exchange = load_exchange.create_load_exchange(
+            node,
+            held,
+            router_driver.create_router_driver(IdleRouter(), self.clock),
+            usage.create_usage(),
+            self.clock,
+            random.Random(self.rng.random()),
+        )
+        exchange.listen()
+        self.held.append(held)
+        self.exchanges.append(exchange)
 
     async def run_round(self, number: int) -> None:
         """Does a round on each node, in a new order, over one second."""
-        order = list(self.nodes)
+        del number
+        order = list(range(self.size))
         self.rng.shuffle(order)
-        for index, node in enumerate(order):
+        reports = self.new_reports()
+        for index in order:
             self.clock.now += 1.0 / self.size
-            if (number + index) % FRESH_S == 0:
-                self.state_anew(self.nodes.index(node))
-            await node.run_round()
-
-    def state_anew(self, index: int) -> None:
-        """States the loads that a node polled, and its accounts' use."""
-        node = self.nodes[index]
-        ttl_s = 60.0
-        for engine in range(index, self.engines, self.size):
-            node.publish(
-                peers.FactKind.ENGINE_LOAD, f"engine-{engine}", LOAD, ttl_s
+            self.state_anew(index, reports)
+            await self.nodes[index].run_round()
+
+    def new_reports(self) -> list[endpoints.LoadReport]:
+        """Returns new numbers of all engines; a few start anew."""
+        for name in self.names:
+            if self.rng.random() < 1.0 / STATE_CHANGE_S:
+                self.instances[name] += 1
+        return [
+            report_of(name, instance, self.rng.randrange(1000))
+            for name, instance in self.instances.items()
+        ]
+
+    def state_anew(
+        self, index: int, reports: list[endpoints.LoadReport]
+    ) -> None:
+        """Lets a node read its engines' loads and publish what is due."""
+        exchange = self.exchanges[index]
+        watches = {name for name in self.names if exchange.watches(name)}
+        started = time.process_time()
+        self.held[index].read(reports, watches)
+        self.use_accounts(exchange.meter, index)
+        self.traffic.bench_s += time.process_time() - started
+        exchange.publish()
+
+    def use_accounts(self, meter: usage.Usage, index: int) -> None:
+        """Notes requests of some accounts in flight on some engines."""
+        now = self.clock.monotonic()
+        for number in range(ACCOUNTS):
+            request_id = f"{index}/{number}"
+            engine = self.names[(index + number) % self.engines]
+            meter.in_flight[engine] = 1 + number % 3
+            arrival = events.Arrival(
+                now,
+                request_id,
+                f"account-{index}-{number}",
+                "chat",
+                fleets.Priority.NORMAL,
+                32,
+                32,
+                now + 8.0,
+                True,
+                (),
             )
-        node.publish(peers.FactKind.ACCOUNT_USE, node.node.name, USE, ttl_s)
+            meter.observe(arrival)
+            meter.observe(events.Progress(now, request_id, 40 + number))
 
 
 def resident_bytes() -> int:
@@ -223,16 +366,19 @@
     heap = (resident_bytes() - before) / size
     system.traffic.messages = 0
     system.traffic.content_bytes = 0
+    system.traffic.bench_s = 0.0
     started = time.process_time()
     for number in range(ROUNDS):
         await system.run_round(number)
-    cpu_s = time.process_time() - started
+    cpu_s = time.process_time() - started - system.traffic.bench_s
     node_seconds = size * ROUNDS
     messages_s = 2 * system.traffic.messages / node_seconds
     wire_bytes_s = 2 * system.traffic.wire_bytes / node_seconds
-    loads = [
-        len(node.facts(peers.FactKind.ENGINE_LOAD)) for node in system.nodes
-    ]
+    now = system.clock.now
+    ages = sorted(
+        now - at for held in system.held for at in held.read_at.values()
+    )
+    pairs = size * system.engines
     return Cost(
         nodes=size,
         messages_s=messages_s,
@@ -241,7 +387,9 @@
         heap_bytes=heap,
         rounds=await spread(system),
         seconds=await spread_urgently(system),
-        loads_share=sum(loads) / (size * system.engines),
+        loads_share=len(ages) / pairs,
+        fresh_share=sum(age <= FRESH_S for age in ages) / pairs,
+        age_p95_s=ages[int(0.95 * (len(ages) - 1))],
     )
 
 
@@ -302,7 +450,10 @@
 
 async def compare(sizes: list[int]) -> None:
     """Prints a table, and the slope to the target."""
-    print("nodes  msg/s  KB/s  mesh KB/s  cpu %  heap KB  rounds  sec  loads")
+    print(
+        "nodes  msg/s  KB/s  mesh KB/s  cpu %  heap KB  rounds  sec  loads"
+        "  fresh  age p95"
+    )
     costs = []
     for size in sizes:
         cost = await measure(size)
@@ -312,6 +463,7 @@
             f" {mesh_bytes_s(size) / 1e3:10.1f} {100 * cost.cpu_share:6.2f}"
             f" {cost.heap_bytes / 1e3:8.0f} {cost.rounds:7d}"
             f" {cost.seconds:4.1f} {cost.loads_share:6.2f}"
+            f" {cost.fresh_share:6.2f} {cost.age_p95_s:8.1f}"
         )
     if len(costs) > 1:
         print_slope(costs[-2], costs[-1])
--- /dev/null
+++ b/bench/watching.py
@@ -0,0 +1,167 @@
+"""Measures what it costs a node to watch engines, without the calls.
+
+Run as ``python -m bench.watching``; takes about 70 seconds. Each
+size has the real directory, the real choice of watchers and engines that
+answer at once in this process; what an HTTP call costs is measured by
+``python -m bench.pipeline_calls`` and has to be added for each question.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import time
+from typing import TYPE_CHECKING
+from unittest import mock
+
+import expression
+
+from almondshift.adapters import system_clock
+from almondshift.coordination import leaving
+from almondshift.coordination import membership as memberships
+from almondshift.model import endpoints
+from almondshift.node import directory
+from almondshift.node import load_exchange
+from almondshift.node import router_driver
+from almondshift.policy import step_timeouts
+from almondshift.ports import engines as engine_ports
+from almondshift.ports import vm_lists
+from bench import exchange
+
+if TYPE_CHECKING:
+    from almondshift import errors
+
+SIZES = ((8, 30), (80, 270), (390, 820))
+"""Nodes and engines."""
+
+WARM_UP_S = 18.0
+"""Until the first questions, which are spread over this time, are over."""
+
+MEASURE_S = 4.0
+CLOCK = system_clock.create_system_clock()
+
+
+class FixedList(vm_lists.VmList):
+    """A list of VMs that doesn't change."""
+
+    def __init__(self, vms: list[endpoints.Vm]) -> None:
+        self.vms = vms
+
+    async def list(
+        self,
+    ) -> expression.Result[list[endpoints.Vm], errors.StoreUnavailable]:
+        """Returns the VMs."""
+        return expression.Ok(self.vms)
+
+
+class InstantEngines(engine_ports.EngineFactory):
+    """Engines that answer at once.
+
+    Attributes:
+        questions: Load reports that were asked for.
+    """
+
+    def __init__(self) -> None:
+        self.questions = 0
+
+    def build(self, name: str, address: str) -> engine_ports.Engine:
+        """Returns an engine."""
+        del address
+        engine = mock.Mock()
+        description = endpoints.EndpointDescription(
+            name, f"{1:016x}", "kind", 8, 0.005, 0.0002, 16, 64
+        )
+        report = exchange.report_of(name, 1, 9)
+
+        async def describe() -> object:
+            return expression.Ok(description)
+
+        async def load() -> object:
+            self.questions += 1
+            return expression.Ok(report)
+
+        async def cache_events(after: int) -> object:
+            del after
+            return expression.Ok([])
+
+        async def nothing() -> None:
+            return None
+
+        engine.describe = describe
+        engine.load = load
+        engine.cache_events = cache_events
+        engine.start = nothing
+        engine.close = nothing
+        return engine
+
+
+def make_membership(nodes: int) -> memberships.Membership:
+    """Returns a membership that knows so many nodes, all heard from."""
+    found = exchange.System(nodes)
+    link = exchange.CodecLink({}, "node-0:1", exchange.Traffic())
+    identity = memberships.NodeIdentity("node-0", "node-0:1", "", "zone")
+    made = memberships.create_membership(
+        link, CLOCK, random.Random(1), identity, found.seeds
+    )
+    made.settings = dataclasses.replace(made.settings, silent_beats=10_000)
+    made.join()
+    for number in range(1, nodes):
+        value = memberships.NodeValue(peer="p:1", entry="e:1", zone="zone")
+        made.publish(
+            exchange.peers.FactKind.NODE,
+            f"node-{number}",
+            value.model_dump_json().encode(),
+            600.0,
+        )
+    return made
+
+
+async def measure(nodes: int, count: int) -> None:
+    """Prints the share of a core and the questions a second."""
+    membership = make_membership(nodes)
+    driver = router_driver.create_router_driver(exchange.IdleRouter(), CLOCK)
+    factory = InstantEngines()
+    known = directory.Directory(
+        FixedList([exchange.vm_of(f"engine-{n}") for n in range(count)]),
+        factory,
+        driver,
+        step_timeouts.create_step_timeouts(),
+        leaving.create_leaving_endpoints(CLOCK, membership.publish),
+        CLOCK,
+        random.Random(1),
+        directory.DirectorySettings(),
+    )
+    shared = load_exchange.create_load_exchange(
+        membership, known, driver, driver.usage, CLOCK, random.Random(1)
+    )
+    known.watches = shared.watches
+    await known.start()
+    await asyncio.sleep(WARM_UP_S)
+    asked, started = factory.questions, time.process_time()
+    await asyncio.sleep(MEASURE_S)
+    share = (time.process_time() - started) / MEASURE_S
+    asked = factory.questions - asked
+    watched = sum(e.watched for e in known.endpoints.values())
+    print(
+        f"{nodes} nodes, {count} engines: {watched} watched, "
+        f"{asked / MEASURE_S:.0f} reports asked for a second, "
+        f"{100 * share:.2f}% of a core beside the calls",
+        flush=True,
+    )
+    await known.close()
+
+
+async def measure_sizes() -> None:
+    """Measures all sizes."""
+    for nodes, count in SIZES:
+        await measure(nodes, count)
+
+
+def main() -> None:
+    """Prints the figures."""
+    asyncio.run(measure_sizes())
+
+
+if __name__ == "__main__":
+    main()
--- a/src/almondshift/node/directory.py
+++ b/src/almondshift/node/directory.py
@@ -44,6 +44,10 @@
         load_s: Least seconds between load reports of one engine.
         ask_s: Least seconds between two questions to engines; with many
             engines each is asked less often, so that the cost is bounded.
+        look_s: Least seconds between two looks at engines that peers
+            watch; each look only finds whether this node has to ask now.
+            820 engines looked at four times a second took an eighth of a
+            core.
         forget_after: Reads of the list in a row without a VM after which
             its endpoint is dropped.
         coalesce: Whether steps of many requests share a call.
@@ -52,6 +56,7 @@
     list_s: float = 0.5
     load_s: float = 0.25
     ask_s: float = 0.02
+    look_s: float = 0.005
     forget_after: int = 2
     coalesce: bool = True
 
@@ -64,6 +69,7 @@
         engine: Client, for engines.
         calls: Coalescer, for engines that described themselves.
         report: The newest load report seen here.
+        reported_at: Monotonic time at which it was received.
         is_told: Whether the router was told that it is leaving.
         missing: Reads of the VM list in a row without it.
         watched: Whether this node asks the engine itself for its load.
@@ -74,6 +80,7 @@
     calls: coalescer.Coalescer | None = None
     description: endpoints.EndpointDescription | None = None
     report: endpoints.LoadReport | None = None
+    reported_at: float | None = None
     is_told: bool = False
     missing: int = 0
     watched: bool = True
@@ -249,7 +256,7 @@
                 await self._ask_engine(known)
             except Exception:
                 logger.exception("watching %s failed", known.vm.name)
-            await self._pause(self._load_pause_s())
+            await self._pause(self._load_pause_s(known))
 
     async def _ask_engine(self, known: Endpoint) -> None:
         engine = known.engine
@@ -329,6 +336,7 @@
             known.cache_sequence = 0
             await self._describe(known, engine)
         known.report = report
+        known.reported_at = self.clock.monotonic()
         self.leaving.instance_seen(known.vm.name, report.instance)
         self.driver.tell(events.LoadReported(self.clock.monotonic(), report))
         if report.leaving:
@@ -345,6 +353,7 @@
             known.report = None
             return
         known.report = report
+        known.reported_at = self.clock.monotonic()
         self.driver.tell(events.LoadReported(self.clock.monotonic(), report))
         if report.leaving:
             self.said_leaving(report.endpoint, report.instance)
@@ -363,7 +372,10 @@
             case _:
                 return
 
-    def _load_pause_s(self) -> float:
+    def _load_pause_s(self, known: Endpoint) -> float:
+        if not known.watched and known.report is not None:
+            looks_s = len(self.endpoints) * self.settings.look_s
+            return max(self.settings.load_s, looks_s)
         watched = sum(1 for e in self.endpoints.values() if e.watched)
         return max(self.settings.load_s, watched * self.settings.ask_s)
 
--- a/tests/node/test_load_exchange.py
+++ b/tests/node/test_load_exchange.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import dataclasses
+import json
 import random
 from unittest import mock
 
@@ -65,15 +67,67 @@
         assert watching == min(nodes, load_exchange.WATCHERS)
 
 
+def _publisher_and_other() -> tuple[
+    load_exchange.LoadExchange, load_exchange.LoadExchange
+]:
+    pair = _exchange("n1", ["n2"]), _exchange("n2", ["n1"])
+    first, second = sorted(pair, key=lambda e: e.rank("e1"))
+    return first, second
+
+
+def _at(exchange: load_exchange.LoadExchange, now: float) -> None:
+    exchange.clock.monotonic.return_value = now
+
+
+def _observe(
+    exchange: load_exchange.LoadExchange, name: str, **changes: object
+) -> None:
+    report = dataclasses.replace(REPORT, endpoint=name, **changes)
+    known = directory.Endpoint(mock.Mock(), report=report, watched=True)
+    known.reported_at = exchange.clock.monotonic()
+    exchange.directory.endpoints[name] = known
+
+
+def _published(
+    exchange: load_exchange.LoadExchange, kind: peers.FactKind
+) -> list[peers.Fact]:
+    calls = [call.args for call in exchange.membership.publish.call_args_list]
+    exchange.membership.publish.reset_mock()
+    return [
+        peers.Fact(kind, key, 1, "peer", ttl_s, value)
+        for found, key, value, ttl_s in calls
+        if found is kind
+    ]
+
+
+def _deliver(
+    sender: load_exchange.LoadExchange, receiver: load_exchange.LoadExchange
+) -> None:
+    calls = [call.args for call in sender.membership.publish.call_args_list]
+    sender.membership.publish.reset_mock()
+    for kind, key, value, ttl_s in calls:
+        fact = peers.Fact(kind, key, 1, "peer", ttl_s, value)
+        if kind is peers.FactKind.ENGINE_LOAD:
+            receiver._heard_report(key, fact)
+        else:
+            receiver._heard_use("peer", fact)
+
+
+def _taken(
+    exchange: load_exchange.LoadExchange,
+) -> list[endpoints.LoadReport]:
+    calls = exchange.directory.take_peer_report.call_args_list
+    return [call.args[0] for call in calls]
+
+
 def test_a_report_arrives_as_it_was_told_and_older() -> None:
     # A report told by a peer must reach the router as the engine gave it,
     # with the time on the way added to its age; else old news would count
     # as fresh. It once failed to decode, and ended the exchange with it.
-    sender = _exchange("n1", ["n2"])
+    sender, receiver = _publisher_and_other()
     sender._publish_reports()
     kind, key, value, ttl_s = sender.membership.publish.call_args.args
-    receiver = _exchange("n2", ["n1"])
-    fact = peers.Fact(kind, key, 1, "n1", ttl_s - 2.0, value)
+    fact = peers.Fact(kind, key, 1, "peer", ttl_s - 2.0, value)
     receiver._heard_report(key, fact)
     (report,) = receiver.directory.take_peer_report.call_args.args
     assert report.age_s == pytest.approx(2.5)
@@ -92,3 +146,256 @@
         events.PeerLoad(100.0, "n1", {}, {}),
         events.PeerGone(100.0, "n1"),
     ]
+
+
+@pytest.mark.parametrize("nodes", [1, 2, 3, 9, 40])
+def test_one_node_tells_of_an_engine(nodes: int) -> None:
+    # Three watchers that each told of 820 engines filled the exchange of
+    # 390 nodes, and the loads of most engines reached nobody.
+    names = [f"n{i}" for i in range(nodes)]
+    told = 0
+    for name in names:
+        exchange = _exchange(name, [other for other in names if other != name])
+        exchange.publish()
+        told += len(_published(exchange, peers.FactKind.ENGINE_LOAD))
+    assert told == 1
+
+
+def test_the_next_watcher_takes_over() -> None:
+    # The node that tells of an engine is lost. Without the next one telling
+    # at once, callers' work would go by old loads for minutes.
+    sender, other = _publisher_and_other()
+    other._publish_reports()
+    assert not _published(other, peers.FactKind.ENGINE_LOAD)
+    other.membership.peers.return_value = []
+    _at(other, 101.0)
+    other._publish_reports()
+    assert len(_published(other, peers.FactKind.ENGINE_LOAD)) == 1
+
+
+def test_a_watcher_that_is_first_again_tells_the_state_again() -> None:
+    # Meanwhile the next watcher told another state, which would stand.
+    sender, _ = _publisher_and_other()
+    alone = sender.membership.peers.return_value
+    sender._publish_reports()
+    better = next(n for n in map(str, range(99)) if _is_first(n, sender))
+    sender.membership.peers.return_value = [
+        dataclasses.replace(alone[0], name=better)
+    ]
+    _at(sender, 101.0)
+    sender._publish_reports()
+    sender.membership.peers.return_value = alone
+    _at(sender, 102.0)
+    sender.membership.publish.reset_mock()
+    sender._publish_reports()
+    assert len(_published(sender, peers.FactKind.ENGINE_LOAD)) == 1
+
+
+def _is_first(name: str, than: load_exchange.LoadExchange) -> bool:
+    own = load_exchange._score(than.membership.node.name, "e1")
+    return load_exchange._score(name, "e1") > own
+
+
+@pytest.mark.parametrize(
+    ("changes", "after_s", "told"),
+    [
+        ({}, 1.0, 0),
+        ({"sessions": 60, "queued_items": 50}, 1.0, 0),
+        ({}, load_exchange.REPEAT_S, 1),
+        ({"instance": "other"}, 1.0, 1),
+        ({"leaving": True}, 1.0, 1),
+        ({"role": endpoints.EndpointRole.DRAINING}, 1.0, 1),
+        ({"holdings": ()}, 1.0, 1),
+        ({"order_number": 8}, 1.0, 1),
+    ],
+)
+def test_a_state_is_told_when_it_changes_and_seldom_else(
+    changes: dict[str, object], after_s: float, told: int
+) -> None:
+    sender, _ = _publisher_and_other()
+    sender._publish_reports()
+    sender.membership.publish.reset_mock()
+    _at(sender, 100.0 + after_s)
+    _observe(sender, "e1", **changes)
+    sender._publish_reports()
+    assert len(_published(sender, peers.FactKind.ENGINE_LOAD)) == told
+
+
+@pytest.mark.parametrize("state_first", [True, False])
+def test_numbers_and_state_are_joined_with_the_age_of_the_numbers(
+    state_first: bool,
+) -> None:
+    # The state was told a minute ago, the numbers now: a router that took
+    # the state's age would leave the engine out as long not heard of.
+    sender, receiver = _publisher_and_other()
+    sender._publish_reports()
+    (state,) = _published(sender, peers.FactKind.ENGINE_LOAD)
+    _at(sender, 160.0)
+    _observe(sender, "e1", sessions=9, queued_items=4)
+    _at(sender, 161.0)
+    sender._publish_use()
+    (use,) = _published(sender, peers.FactKind.ACCOUNT_USE)
+    _at(receiver, 162.0)
+    state = dataclasses.replace(state, ttl_s=state.ttl_s - 62.0)
+    use = dataclasses.replace(use, ttl_s=use.ttl_s - 1.0)
+    if state_first:
+        receiver._heard_report("e1", state)
+    receiver._heard_use("peer", use)
+    if not state_first:
+        receiver._heard_report("e1", state)
+    last = _taken(receiver)[-1]
+    assert (last.sessions, last.queued_items) == (9, 4)
+    assert last.age_s == pytest.approx(2.5)
+    assert last.holdings == REPORT.holdings
+
+
+def test_numbers_of_a_former_instance_are_not_joined() -> None:
+    sender, receiver = _publisher_and_other()
+    sender.publish()
+    _deliver(sender, receiver)
+    _at(sender, 102.0)
+    _at(receiver, 102.0)
+    _observe(sender, "e1", instance="new", sessions=50)
+    sender._publish_use()
+    _deliver(sender, receiver)
+    assert all(report.sessions == 3 for report in _taken(receiver))
+
+
+def test_numbers_that_do_not_fit_are_left_out_most_changed_first() -> None:
+    # One node tells of more engines than a fact holds. None may be left out
+    # for ever, and what changed most must be known first.
+    sender = _exchange("n1", [])
+    names = [f"a-rather-long-name-of-an-engine-{i}" for i in range(200)]
+    for name in names:
+        _observe(sender, name)
+    told: set[str] = set()
+    for second in range(20):
+        _at(sender, 101.0 + second)
+        sender._publish_use()
+        (use,) = _published(sender, peers.FactKind.ACCOUNT_USE)
+        assert len(use.value) <= load_exchange.MAX_VALUE_BYTES
+        told |= {row[0] for row in json.loads(use.value)["loads"]}
+    assert told == {"e1", *names}
+    _observe(sender, names[7], sessions=40)
+    sender._publish_use()
+    (use,) = _published(sender, peers.FactKind.ACCOUNT_USE)
+    assert json.loads(use.value)["loads"][0][0] == names[7]
+
+
+def test_use_with_long_names_still_fits() -> None:
+    sender = _exchange("n1", [])
+    sender.meter.in_flight.update({"e" * 90 + str(i): 5 for i in range(40)})
+    sender._publish_use()
+    (use,) = _published(sender, peers.FactKind.ACCOUNT_USE)
+    value = json.loads(use.value)
+    assert len(use.value) <= load_exchange.MAX_VALUE_BYTES
+    assert value["in_flight"]
+    assert [row[0] for row in value["loads"]] == ["e1"]
+
+
+@pytest.mark.parametrize(
+    ("part", "bad"),
+    [
+        ("loads", ["e1"]),
+        ("loads", ["e1", 1, -3, 0, 0.0]),
+        ("loads", ["e1", 1, 3, 0, float("nan")]),
+        ("loads", [None, 1, 3, 0, 0.0]),
+        ("loads", 7),
+        ("in_flight", None),
+        ("in_flight", "many"),
+        ("use", -1),
+        ("use", float("inf")),
+        ("load", "full"),
+    ],
+)
+def test_one_bad_number_leaves_the_others(part: str, bad: object) -> None:
+    # A peer of another version tells something that makes no sense here.
+    sender, receiver = _publisher_and_other()
+    _observe(sender, "e1", sessions=8)
+    sender.meter.in_flight.update({"e1": 2})
+    sender.publish()
+    (state,) = _published_keeping(sender, peers.FactKind.ENGINE_LOAD)
+    (use,) = _published(sender, peers.FactKind.ACCOUNT_USE)
+    value = json.loads(use.value)
+    if part == "loads":
+        value["loads"].insert(0, bad)
+    elif part == "load":
+        value["load"] = bad
+    else:
+        value.setdefault(part, {})["other"] = bad
+    receiver._heard_report("e1", state)
+    _at(receiver, 100.5)
+    changed = dataclasses.replace(use, value=json.dumps(value).encode())
+    receiver._heard_use("peer", changed)
+    (told,) = [call.args[0] for call in receiver.driver.tell.call_args_list]
+    assert told == events.PeerLoad(100.5, "peer", {"e1": 2}, {})
+    assert receiver._rows["e1"].row.sessions == 8
+
+
+def _published_keeping(
+    exchange: load_exchange.LoadExchange, kind: peers.FactKind
+) -> list[peers.Fact]:
+    calls = list(exchange.membership.publish.call_args_list)
+    found = _published(exchange, kind)
+    exchange.membership.publish.call_args_list.extend(calls)
+    return found
+
+
+def test_a_state_that_cannot_be_told_leaves_the_others() -> None:
+    sender = _exchange("n1", [])
+    _observe(sender, "e2")
+
+    def refuse_first(kind: object, key: str, *_: object) -> None:
+        if key == "e1":
+            raise ValueError("too long")
+
+    sender.membership.publish.side_effect = refuse_first
+    sender.publish()
+    keys = [c.args[1] for c in sender.membership.publish.call_args_list]
+    assert keys == ["n1", "e1", "e2"]
+
+
+@pytest.mark.parametrize(
+    ("nodes", "seconds", "most_bytes"),
+    [
+        (1, 1.0, 1500),
+        (5, 1.0, 1500),
+        (9, 1.0, 1000),
+        (20, 1.0, 450),
+        (80, 4.0, 200),
+        (400, 20.0, 200),
+    ],
+)
+def test_use_is_stated_less_often_and_shorter_with_more_nodes(
+    nodes: int, seconds: float, most_bytes: int
+) -> None:
+    # With statements as long and as frequent as in a small system, those of
+    # 81 nodes did not fit through the exchange, and all got old.
+    exchange = _exchange("n0", [f"n{i}" for i in range(1, nodes)])
+    exchange.meter.in_flight.update({f"engine-{i}": 9 for i in range(40)})
+    for i in range(40):
+        _observe(exchange, f"engine-{i}")
+    exchange.rank("e1")
+    exchange._ranks = dict.fromkeys(exchange.directory.endpoints, 0)
+    assert exchange.use_s() == pytest.approx(seconds)
+    exchange._publish_use()
+    (use,) = _published(exchange, peers.FactKind.ACCOUNT_USE)
+    assert len(use.value) <= exchange.value_bytes() == most_bytes
+    assert len(json.loads(use.value)["in_flight"]) >= 3
+    assert len(json.loads(use.value)["loads"]) >= 3
+
+
+def test_places_follow_the_nodes_that_come_and_go() -> None:
+    # A place that drifted would leave an engine with no node that tells of
+    # it, or with many.
+    exchange = _exchange("n0", [])
+    rng = random.Random(7)
+    every = _exchange("n0", [f"n{i}" for i in range(1, 30)])
+    others = every.membership.peers.return_value
+    for second in range(20):
+        alive = rng.sample(others, rng.randrange(len(others)))
+        exchange.membership.peers.return_value = alive
+        _at(exchange, 200.0 + second)
+        fresh = _exchange("n0", [peer.name for peer in alive])
+        for engine in ("e1", "e2", "e3", f"e{second}"):
+            assert exchange.rank(engine) == fresh.rank(engine)
