Ask failed engines again when there is no other and they have reported

Cause: with all replicas of a stage paused for one second (three scenarios of test_stage_frozen.py, 'frozen for 1 s' in prefill, failed with upstream_failed in each run once a frozen engine is judged at once), each request noted both engines as failed and never asked them again, though they were back before it gave up. Ruled out: the wait (5 s was enough). Change: when no other engine can take over, one that reported after the failure counts again. After: the file's 12 scenarios and the router's tests passed.

--- a/src/almondshift/policy/recovery.py
+++ b/src/almondshift/policy/recovery.py
@@ -10,8 +10,10 @@
 work. When there is none, it waits for one for at most five seconds or half
 of its remaining time, whichever is less (an engine that takes over a range
 loads it in seconds), and is then refused. An endpoint that failed is not
-asked again by the same request; one that only refused for being full is,
-once something has changed. Replacing a stage goes on with the same run, so
+asked again by the same request, unless there is no other and it has reported
+since: a pause of all replicas of a range (a cut link, a frozen host) would
+else fail every request on them though all are back a second later. One that
+only refused for being full is asked once something has changed. Replacing a stage goes on with the same run, so
 it is done for non-idempotent requests too.
 """
 
@@ -38,13 +40,14 @@
     """A request that waits for a replacement of a failed stage.
 
     Attributes:
-        tried: State of topology and load at which there was none.
+        tried: State of topology and load at which there was none, and the
+            failed endpoints that had come back by then.
     """
 
     event: events.StageFailed
     flight: lanes.Flight
     until: float
-    tried: tuple[int, int]
+    tried: tuple[int, int, frozenset[str]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,7 +104,8 @@
         if replaced is None:
             left = flight.request.arrival.deadline - event.at
             until = event.at + min(WAIT_S, left * WAIT_SHARE)
-            waiting = _Waiting(event, flight, until, self._state())
+            tried = self._state(frozenset())
+            waiting = _Waiting(event, flight, until, tried)
             self._waiting[event.request_id] = waiting
         return replaced
 
@@ -125,20 +129,32 @@
     def _try_again(
         self, waiting: _Waiting, at: float
     ) -> actions.Replace | None:
-        if waiting.tried == self._state():
+        back = self._back(waiting)
+        if waiting.tried == self._state(back):
             return None
         # An engine that refused for being full is asked again only when it
         # has room; else each change elsewhere would cost a repeat.
         force = waiting.event.reason is not events.FailureReason.REFUSED
         flight = waiting.flight
-        replaced = self._replace(
-            waiting.event, flight, at, frozenset(flight.failed), force=force
-        )
-        waiting.tried = self._state()
+        replaced = None
+        for avoid in (frozenset(flight.failed), flight.failed - back):
+            replaced = replaced or self._replace(
+                waiting.event, flight, at, frozenset(avoid), force=force
+            )
+        waiting.tried = self._state(back)
         return replaced
 
-    def _state(self) -> tuple[int, int]:
-        return (self.topology.generation, self.chooser.openings)
+    def _back(self, waiting: _Waiting) -> frozenset[str]:
+        """Returns failed endpoints that have reported since the failure."""
+        known = self.topology.endpoints
+        return frozenset(
+            name
+            for name in waiting.flight.failed
+            if name in known and known[name].reported_at > waiting.event.at
+        )
+
+    def _state(self, back: frozenset[str]) -> tuple[int, int, frozenset[str]]:
+        return (self.topology.generation, self.chooser.openings, back)
 
     def _replace(
         self,
