--- a/src/almondshift/policy/recovery.py
+++ b/src/almondshift/policy/recovery.py
@@ -13,8 +13,8 @@
 asked again by the same request, unless there is no other and it has reported
 since: a pause of all replicas of a range (a cut link, a frozen host) would
 else fail every request on them though all are back a second later. One that
-only refused for being full is asked once something has changed. Replacing a stage goes on with the same run, so
-it is done for non-idempotent requests too.
+only refused for being full is asked once something has changed. Replacing a
+stage goes on with the same run, so it is done for non-idempotent requests too.
 """
 
 from __future__ import annotations
