Wait between refusals while engines are replaced

Ruled out: the retry budget's figure (a longer one would only last some tenths longer). Change: each refusal in a row waits twice as long, from 0.05 to 0.8 s, so that the reports catch up.

--- a/src/almondshift/node/pipeline.py
+++ b/src/almondshift/node/pipeline.py
@@ -34,6 +34,8 @@
 
 BUSY_TRIES = 6
 BUSY_WAIT_S = 0.02
+REFUSED_WAIT_S = 0.05
+LONGEST_REFUSED_WAIT_S = 0.8
 
 _REASONS = {
     steps.StepStatus.LEAVING: events.FailureReason.LEAVING,
@@ -128,6 +130,7 @@
         self._lost: _Lost | None = None
         self._sampled: int | None = None
         self._staying: set[str] = set()
+        self._refusals = 0
 
     async def generate(self) -> AsyncGenerator[int]:
         """Yields each token once, in order.
@@ -241,6 +244,7 @@
         for attempt in range(BUSY_TRIES):
             result = await self._timed_step(run, item)
             if result.status is steps.StepStatus.OK:
+                self._refusals = 0
                 return result.outputs
             if result.status is not steps.StepStatus.BUSY:
                 break
@@ -302,6 +306,7 @@
         would be wrong without a sign of it.
         """
         failed = self.runs[index]
+        await self._wait_after_refusal(reason)
         if self._lost is None:
             self._lost = _Lost(self.clock.monotonic(), failed.stage.endpoint)
         first = self._last_replayable(index)
@@ -321,6 +326,20 @@
         self._lost.restarted |= first < index
         return first
 
+    async def _wait_after_refusal(self, reason: events.FailureReason) -> None:
+        """Waits longer after each refusal in a row.
+
+        While engines are replaced, those that are known to hold a stage may
+        all refuse it for the fraction of a second that their reports lag.
+        Asked again at once, they used up the request's repeats within 0.1 s.
+        """
+        if reason is not events.FailureReason.REFUSED:
+            self._refusals = 0
+            return
+        pause_s = REFUSED_WAIT_S * 2**self._refusals
+        self._refusals += 1
+        await self.clock.sleep(min(pause_s, LONGEST_REFUSED_WAIT_S))
+
     def _last_replayable(self, index: int) -> int:
         while index > 0 and not self.runs[index].replayable:
             index -= 1
