--- a/src/almondshift/daemons/embedded.py
+++ b/src/almondshift/daemons/embedded.py
@@ -35,7 +35,7 @@
 [node]
 name = {name}
 zone = {zone}
-log_level = warning
+log_level = {log_level}
 
 [peers]
 seeds = {seeds}
@@ -52,9 +52,10 @@
 grace_s = {grace_s}
 
 [control]
-poll_s = 0.5
-lease_s = 2
+poll_s = {poll_s}
+lease_s = {lease_s}
 """
+"""A node's settings for a system on one machine, to be formatted."""
 
 OPERATOR_SECRET = "embedded-operator"
 PEER_SECRET = "embedded-peers"
@@ -248,6 +249,9 @@
             platform=self.platform.address,
             hold_s=self.settings.hold_s,
             grace_s=self.settings.grace_s,
+            log_level="warning",
+            poll_s=0.5,
+            lease_s=2,
         )
         parsed = node_settings.parse(text)
         if parsed.is_error():
--- a/src/almondshift/model/steps.py
+++ b/src/almondshift/model/steps.py
@@ -50,6 +50,23 @@
     priority: int
     inputs: tuple[int, ...]
 
+    def answer(
+        self, status: StepStatus, outputs: tuple[int, ...] = ()
+    ) -> StepResult:
+        """Returns a result that echoes this item."""
+        return StepResult(
+            self.request_id,
+            self.session,
+            self.epoch,
+            self.position,
+            self.layers,
+            self.model,
+            self.version,
+            self.adapter,
+            status,
+            outputs,
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepResult:
--- a/src/almondshift/standins/engine/batcher.py
+++ b/src/almondshift/standins/engine/batcher.py
@@ -8,9 +8,9 @@
 from typing import TYPE_CHECKING
 
 from almondshift.model import steps
-from almondshift.standins.engine import runner as engine_runner
 
 if TYPE_CHECKING:
+    from almondshift.standins.engine import runner as engine_runner
     from almondshift.standins.engine import settings as engine_settings
     from almondshift.standins.engine import switches
 
@@ -69,7 +69,7 @@
         done: asyncio.Future[steps.StepResult] = loop.create_future()
         status = self.runner.admit(item)
         if status is not steps.StepStatus.OK:
-            done.set_result(engine_runner.answer(item, status))
+            done.set_result(item.answer(status))
             return done
         self.sequence += 1
         job = Job(item.priority, self.sequence, loop.time(), item, done)
@@ -115,4 +115,4 @@
 
 def _resolve(job: Job, status: steps.StepStatus) -> None:
     if not job.done.done():
-        job.done.set_result(engine_runner.answer(job.item, status))
+        job.done.set_result(job.item.answer(status))
--- a/src/almondshift/standins/engine/runner.py
+++ b/src/almondshift/standins/engine/runner.py
@@ -29,26 +29,6 @@
     layer_tokens: int
 
 
-def answer(
-    item: steps.StepItem,
-    status: steps.StepStatus,
-    outputs: tuple[int, ...] = (),
-) -> steps.StepResult:
-    """Returns a result that echoes the item."""
-    return steps.StepResult(
-        item.request_id,
-        item.session,
-        item.epoch,
-        item.position,
-        item.layers,
-        item.model,
-        item.version,
-        item.adapter,
-        status,
-        outputs,
-    )
-
-
 class Runner:
     """Runs items over sessions and holdings."""
 
@@ -128,11 +108,11 @@
         session = self.table.find(item.session)
         if session is None or not session.serves(item):
             status = steps.StepStatus.UNKNOWN_SESSION
-            return Ran(answer(item, status), 0)
+            return Ran(item.answer(status), 0)
         session.queued -= 1
         if session.length != item.position:
             status = steps.StepStatus.POSITION_MISMATCH
-            return Ran(answer(item, status), 0)
+            return Ran(item.answer(status), 0)
         self._crash_if_told(item)
         cached = self.cache.advance(session, item.inputs)
         outputs = session.run(item.inputs)
@@ -141,7 +121,7 @@
         if item.layers.end == self.settings.models.get(item.model):
             outputs = tuple(reference.sample(value) for value in outputs)
         work = item.layers.count * (len(item.inputs) - cached)
-        return Ran(answer(item, steps.StepStatus.OK, outputs), work)
+        return Ran(item.answer(steps.StepStatus.OK, outputs), work)
 
     def _crash_if_told(self, item: steps.StepItem) -> None:
         if self.faults.crash_token is None or item.layers.start != 0:
--- a/tests/faults/systems.py
+++ b/tests/faults/systems.py
@@ -14,6 +14,7 @@
 from almondshift.adapters import http_caller
 from almondshift.adapters import http_operations_client
 from almondshift.adapters import keys
+from almondshift.daemons import embedded
 from almondshift.standins import reference
 from tests.faults import processes
 
@@ -63,35 +64,13 @@
 key_hash = {other_hash}
 """
 
-SETTINGS = """\
-[node]
-name = {name}
-zone = {zone}
-log_level = info
-
-[peers]
-seeds = {seeds}
-secret_file = {folder}/peer.secret
-
-[operators]
-secret_file = {folder}/operator.secret
-
-[platform]
-address = {platform}
-
-[drain]
-hold_s = {hold_s}
-grace_s = {grace_s}
-
-[control]
-poll_s = 0.3
-lease_s = {lease_s}
-
+EXPERIMENT = """
 [experiment]
 coalesce = {coalesce}
 keep_inputs = {keep_inputs}
 router = {router}
 """
+SETTINGS = embedded.SETTINGS_TEXT + EXPERIMENT
 
 
 def fleet_text(extra: str = "") -> str:
@@ -230,6 +209,8 @@
                 hold_s=self.hold_s,
                 grace_s=self.grace_s,
                 lease_s=self.lease_s,
+                poll_s=0.3,
+                log_level="info",
                 coalesce="yes" if self.coalesce else "no",
                 keep_inputs="yes" if self.keep_inputs else "no",
                 router=self.router,
--- a/tests/node/fake_stages.py
+++ b/tests/node/fake_stages.py
@@ -59,8 +59,9 @@
     Attributes:
         failures: Numbers of the steps, counted from 0, that fail, with the
             way they fail: ``unknown`` (ran, answer lost), ``unreachable``,
-            ``leaving``, ``wrong`` (session unknown) or ``split`` (as unknown,
-            and two endpoints take over).
+            ``leaving``, ``refused`` (does not hold the layers), ``wrong``
+            (session unknown) or ``split`` (as unknown, and two endpoints
+            take over).
         ran: Steps that ran, by session and position.
     """
 
@@ -83,17 +84,18 @@
         self.step_count += 1
         if failure == "unreachable":
             return expression.Error(errors.EndpointUnreachable("gone"))
-        if failure in ("leaving", "wrong"):
+        if failure in ("leaving", "wrong", "refused"):
             status = {
                 "leaving": steps.StepStatus.LEAVING,
+                "refused": steps.StepStatus.WRONG_MODEL,
                 "wrong": steps.StepStatus.UNKNOWN_SESSION,
             }[failure]
-            return expression.Ok(self._answer(item, status, ()))
+            return expression.Ok(item.answer(status))
         outputs = self._run(endpoint, item)
         if failure in ("unknown", "split"):
             self._split = failure == "split"
             return expression.Error(errors.EndpointOutcomeUnknown("lost"))
-        return expression.Ok(self._answer(item, steps.StepStatus.OK, outputs))
+        return expression.Ok(item.answer(steps.StepStatus.OK, outputs))
 
     def _run(self, endpoint: str, item: steps.StepItem) -> tuple[int, ...]:
         session = self.sessions.setdefault((endpoint, item.session), Session())
@@ -111,25 +113,6 @@
         session.length += len(item.inputs)
         return tuple(outputs)
 
-    def _answer(
-        self,
-        item: steps.StepItem,
-        status: steps.StepStatus,
-        outputs: tuple[int, ...],
-    ) -> steps.StepResult:
-        return steps.StepResult(
-            item.request_id,
-            item.session,
-            item.epoch,
-            item.position,
-            item.layers,
-            item.model,
-            item.version,
-            item.adapter,
-            status,
-            outputs,
-        )
-
     async def replace(
         self, failure: events.StageFailed
     ) -> expression.Result[tuple[chains.Stage, ...], errors.AlmondshiftError]:
--- a/tests/node/test_coalescer.py
+++ b/tests/node/test_coalescer.py
@@ -19,7 +19,6 @@
 from almondshift.node import step_queue
 from almondshift.ports import clocks
 from almondshift.ports import engines
-from almondshift.standins.engine import runner
 from tests import asynchronous
 from tests.standins import rigs
 
@@ -39,7 +38,7 @@
     """Answers an item; each output is its input plus 1,000."""
     outputs = tuple(value + 1000 for value in item.inputs)
     is_ok = status is Status.OK
-    return runner.answer(item, status, outputs if is_ok else ())
+    return item.answer(status, outputs if is_ok else ())
 
 
 class Rig:
--- a/tests/node/test_pipeline.py
+++ b/tests/node/test_pipeline.py
@@ -30,7 +30,11 @@
     def wall(self) -> float:
         return time.time()
 
+    def __init__(self) -> None:
+        self.pauses: list[float] = []
+
     async def sleep(self, seconds: float) -> None:
+        self.pauses.append(seconds)
         await asyncio.sleep(0)
 
 
@@ -82,7 +86,7 @@
     return fake_stages.reference(LAYERS, PROMPT, TOKENS)
 
 
-KINDS = ("unknown", "unreachable", "wrong", "split", "leaving")
+KINDS = ("unknown", "unreachable", "wrong", "split", "leaving", "refused")
 
 
 @pytest.mark.parametrize("keep", [True, False])
@@ -169,6 +173,18 @@
     assert work.budget.used_bytes == 0
 
 
+def test_refusals_in_a_row_wait_longer_each_time() -> None:
+    # Engines are being replaced, and those known to hold the stage refuse it
+    # until their reports catch up. The caller gets its answer a little late;
+    # asked again at once they would use up the request's repeats.
+    refused = dict.fromkeys(range(3, 9), "refused")
+    stages = fake_stages.FakeStages(LAYERS, refused)
+    work = _pipeline(stages)
+    assert _collect(work) == _expected()
+    assert isinstance(work.clock, RealClock)
+    assert work.clock.pauses == [0.05, 0.1, 0.2, 0.4, 0.8, 0.8]
+
+
 def test_deadline_ends_the_work() -> None:
     # The deadline passes between tokens; the caller is told so, and nothing
     # more is sent to the engines.
