Say at the deadline what the engines' answers prove

Ruled out: giving up earlier (a refusal must last until reports catch up). Change: the stream says what is known at this moment: ran, unknown while a step has no answer, else not_run.

--- a/src/almondshift/adapters/http_front/completions.py
+++ b/src/almondshift/adapters/http_front/completions.py
@@ -279,7 +279,9 @@
     with a new key, and it would run twice.
     """
     if stream is not None:
-        return errors.DeadlineExceeded("The deadline passed.")
+        return errors.DeadlineExceeded(
+            "The deadline passed.", execution=stream.execution()
+        )
     if request.idempotent:
         return errors.DeadlinePast("The deadline passed in the queue.")
     return errors.OutcomeUnknown(
--- a/src/almondshift/node/completions.py
+++ b/src/almondshift/node/completions.py
@@ -87,6 +87,10 @@
             )
         )
 
+    def execution(self) -> errors.Execution:
+        """Returns what the pipeline knows."""
+        return self.pipeline.known_execution()
+
     def chain(self) -> chains.Chain:
         """Returns the chain in use."""
         return self.pipeline.chain
--- a/src/almondshift/node/kept_answers.py
+++ b/src/almondshift/node/kept_answers.py
@@ -37,6 +37,10 @@
     def close(self) -> None:
         """Does nothing: there is no work to drop."""
 
+    def execution(self) -> errors.Execution:
+        """Returns that it ran."""
+        return errors.Execution.RAN
+
     def chain(self) -> chains.Chain | None:
         """Returns None: the chain is not kept."""
         return None
--- a/src/almondshift/node/pipeline.py
+++ b/src/almondshift/node/pipeline.py
@@ -131,6 +131,7 @@
         self._sampled: int | None = None
         self._staying: set[str] = set()
         self._refusals = 0
+        self._is_stepping = False
 
     async def generate(self) -> AsyncGenerator[int]:
         """Yields each token once, in order.
@@ -174,6 +175,15 @@
         self.retired.extend(self.runs)
         self.runs = []
 
+    def known_execution(self) -> errors.Execution:
+        """Returns what can be said of execution at this moment.
+
+        A step that has no answer yet may be running.
+        """
+        if self._is_stepping and self.execution is errors.Execution.NOT_RUN:
+            return errors.Execution.UNKNOWN
+        return self.execution
+
     def summary(self) -> completions.CompletionSummary:
         """Returns where the time went, for every stage used."""
         used = [*self.retired, *self.runs]
@@ -257,7 +267,9 @@
         started = self.clock.monotonic()
         if started >= self.request.deadline:
             raise errors.DeadlineExceeded("The deadline passed.")
+        self._is_stepping = True
         answer = await self.calls.step(run.stage.endpoint, item)
+        self._is_stepping = False
         run.calls += 1
         run.seconds += self.clock.monotonic() - started
         self._note_execution(answer)
--- a/src/almondshift/ports/gateway.py
+++ b/src/almondshift/ports/gateway.py
@@ -74,6 +74,10 @@
     def close(self) -> None:
         """Drops the work; safe to call again."""
 
+    @abc.abstractmethod
+    def execution(self) -> errors.Execution:
+        """Returns what is known now of whether any engine ran it."""
+
     @abc.abstractmethod
     def chain(self) -> chains.Chain | None:
         """Returns the chain in use; None for a kept answer."""
