Keep the rule of what may be repeated in one place

Found when reading the whole change: the front and the gateway each decided, by a constant of their own, whether a call to a plain service may run twice. Were one changed alone, a call could pass without a key and run without a claim. The rule now stands with the service, in model/fleet. The crash guard looked up a fingerprint in seven places by the same expression; it has a name now.

--- a/src/almondshift/adapters/http_front/plain.py
+++ b/src/almondshift/adapters/http_front/plain.py
@@ -9,8 +9,6 @@
 from almondshift.model import fleet
 from almondshift.ports import gateway
 
-SAFE_METHODS = frozenset({"GET", "HEAD"})
-
 
 class PlainHandler(base.BodyHandler):
     """Passes a call on to a plain service."""
@@ -79,8 +77,7 @@
 
     def _key_for(self, service: fleet.Service) -> str:
         key = self.idempotency_key()
-        repeatable = service.idempotent or self.request.method in SAFE_METHODS
-        if not repeatable and not key:
+        if not service.may_repeat(self.request.method or "") and not key:
             raise errors.IdempotencyKeyRequired(
                 f"Service {service.name!r} is not idempotent."
             )
--- a/src/almondshift/model/fleet.py
+++ b/src/almondshift/model/fleet.py
@@ -11,6 +11,10 @@
     from almondshift.model import layers
 
 
+SAFE_METHODS = frozenset({"GET", "HEAD"})
+"""HTTP methods that change nothing, whatever the service."""
+
+
 class ServiceKind(enum.StrEnum):
     """How a service is served."""
 
@@ -84,6 +88,10 @@
     max_output_tokens: int = 1024
     objectives: Objectives = dataclasses.field(default_factory=Objectives)
 
+    def may_repeat(self, method: str) -> bool:
+        """Returns whether a call by this HTTP method may run twice."""
+        return self.idempotent or method in SAFE_METHODS
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointRule:
--- a/src/almondshift/node/crash_guard.py
+++ b/src/almondshift/node/crash_guard.py
@@ -96,10 +96,14 @@
         """Drops a request that ended."""
         self._fingerprints.pop(request_id, None)
 
+    def _fingerprint(self, request_id: str) -> str:
+        """Returns the fingerprint; the id itself once it is forgotten."""
+        return self._fingerprints.get(request_id, request_id)
+
     @contextlib.asynccontextmanager
     async def turn(self, endpoint: str, request_id: str) -> AsyncIterator[None]:
         """Runs one call; suspects wait for each other at an endpoint."""
-        fingerprint = self._fingerprints.get(request_id, request_id)
+        fingerprint = self._fingerprint(request_id)
         if not self.quarantine.counting(fingerprint):
             self.quarantine.in_flight(endpoint, fingerprint)
             yield
@@ -116,7 +120,7 @@
         outcome: expression.Result[steps.StepResult, engines.EngineError],
     ) -> None:
         """Takes the outcome of a step; waits for the judgement of a crash."""
-        fingerprint = self._fingerprints.get(item.request_id, item.request_id)
+        fingerprint = self._fingerprint(item.request_id)
         place = _Place(item.layers.start, item.position + len(item.inputs))
         if not _is_unknown(outcome):
             self.quarantine.done(endpoint, fingerprint)
@@ -129,21 +133,21 @@
 
     def gave_up(self, endpoint: str, request_id: str) -> None:
         """Notes that nobody waits for a call any more."""
-        fingerprint = self._fingerprints.get(request_id, request_id)
+        fingerprint = self._fingerprint(request_id)
         self.quarantine.done(endpoint, fingerprint)
 
     async def plain_ended(
         self, endpoint: str, request_id: str, error: errors.AlmondshiftError
     ) -> None:
         """Takes a failed call to a plain service."""
-        fingerprint = self._fingerprints.get(request_id, request_id)
+        fingerprint = self._fingerprint(request_id)
         unknown = isinstance(error, errors.EndpointOutcomeUnknown)
         if not unknown or not await self._crashed(endpoint):
             self.quarantine.done(endpoint, fingerprint)
 
     def plain_answered(self, endpoint: str, request_id: str) -> None:
         """Takes a whole answer of a plain service; it clears a suspect."""
-        fingerprint = self._fingerprints.get(request_id, request_id)
+        fingerprint = self._fingerprint(request_id)
         self.quarantine.done(endpoint, fingerprint)
         if self.quarantine.counting(fingerprint):
             self.quarantine.passed(fingerprint)
@@ -157,7 +161,7 @@
         is kept before the final answer: a caller that is told earlier could
         send the request through a node that has not heard of it.
         """
-        fingerprint = self._fingerprints.get(request_id, request_id)
+        fingerprint = self._fingerprint(request_id)
         if self._losses(fingerprint) == SINGLE_LOSS:
             await self.clock.sleep(self._slot_s(fingerprint))
         while self._losses(fingerprint) > SINGLE_LOSS:
@@ -208,7 +212,7 @@
             logger,
             log_events.QuarantineConvicted(
                 request_id=request_id,
-                fingerprint=self._fingerprints.get(request_id, request_id),
+                fingerprint=self._fingerprint(request_id),
                 expires_s=round(verdict.retry_after_s, 1),
             ),
         )
@@ -221,7 +225,7 @@
             logger,
             log_events.QuarantineSuspect(
                 request_id=request_id,
-                fingerprint=self._fingerprints.get(request_id, request_id),
+                fingerprint=self._fingerprint(request_id),
                 endpoint=endpoint,
             ),
         )
--- a/src/almondshift/node/gateway.py
+++ b/src/almondshift/node/gateway.py
@@ -25,8 +25,6 @@
     from almondshift.node import entries
     from almondshift.node import plain_calls
 
-SAFE_METHODS = frozenset({"GET", "HEAD"})
-
 
 class NodeGateway(gateway.Gateway):
     """Serves callers with what the node's parts know.
@@ -141,7 +139,7 @@
             return expression.Error(
                 errors.UnknownService(f"There is no {request.service!r}.")
             )
-        if service.idempotent or request.method in SAFE_METHODS:
+        if service.may_repeat(request.method):
             return await self.plain_service.call(
                 request, service.priority, idempotent=True
             )
