--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -31,6 +31,11 @@
 JITTER = 0.1
 """Share by which near-equal costs are told apart at random."""
 
+LOAD_WEIGHT = 4.0
+"""How much a full path's cost counts over an empty one's. Without it the
+zone with the fastest cards takes most requests, and its first events come
+late in each small burst, while a slower zone stands empty."""
+
 BATCH_SHARE = 2.0
 """A request waits for passes about as long as it is worked on."""
 
@@ -96,7 +101,8 @@
             chosen = self._fitting(found, view.spec, tokens)
             if chosen is None:
                 continue
-            score = found.cost_ms * self.rng.uniform(1.0, 1.0 + JITTER)
+            score = found.cost_ms * (1.0 + LOAD_WEIGHT * chosen.load)
+            score *= self.rng.uniform(1.0, 1.0 + JITTER)
             if best is None or score < best_score:
                 best, best_score = chosen, score
         return best
