--- a/src/almondshift/policy/path_search.py
+++ b/src/almondshift/policy/path_search.py
@@ -23,7 +23,7 @@
 HOP_MS = 0.5
 """Time that each further engine adds to a step."""
 
-CROSSING_MS = 6.0
+CROSSING_MS = 20.0
 """Charge for each change of zone: its delay of under a millisecond, and the
 use of a link that all requests share."""
 
