Spread chains anew when layers are missing or memory is uneven

Ruled out: the lease and lost orders (all were answered).

Change: with the engines' order kept, an even spread is the target; each engine holds its new layers besides the old before it gives those up, unless the chain is broken anyway.

--- a/src/almondshift/policy/layer_plan.py
+++ b/src/almondshift/policy/layer_plan.py
@@ -40,6 +40,15 @@
 """Share of a card that layers take on an engine that came empty."""
 
 
+UNEVEN_SHARE = 0.5
+"""A chain is spread anew when its fullest layer has less than this share of
+the memory for requests that an even spread would give it: after some losses
+a zone of 288 GB let in as many requests as one of half its size."""
+
+Holdings = dict[str, "model_layers.LayerRange | None"]
+"""Layers by engine, with the orders of the present plan."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlannedEngine:
     """An engine as the plan sees it.
@@ -204,7 +213,7 @@
     """Fills holes by neighbours, and gives empty engines thin layers."""
     held = {e.instance: e.held for e in group}
     orders: dict[str, model_layers.LayerRange] = {}
-    for start, end in _holes(group, spec.layers):
+    for start, end in _holes(group, held, spec.layers):
         _fill(group, held, orders, start, end, spec)
     for engine in group:
         if held[engine.instance] is not None:
@@ -213,15 +222,22 @@
         if layers is not None:
             held[engine.instance] = layers
             orders[engine.instance] = layers
+    if not any(engine.is_busy for engine in group):
+        is_broken = bool(_holes(group, held, spec.layers))
+        if is_broken or (not orders and _is_uneven(group, held, spec)):
+            orders.update(_rebalanced(group, held, spec, is_broken))
     return [LayerOrder(name, layers) for name, layers in orders.items()]
 
 
-def _holes(group: list[PlannedEngine], layers: int) -> list[tuple[int, int]]:
+def _holes(
+    group: list[PlannedEngine], held: Holdings, layers: int
+) -> list[tuple[int, int]]:
     covered = [False] * layers
     for engine in group:
-        if engine.held is None:
+        present = held[engine.instance]
+        if present is None:
             continue
-        for layer in range(engine.held.start, min(engine.held.end, layers)):
+        for layer in range(present.start, min(present.end, layers)):
             covered[layer] = True
     holes: list[tuple[int, int]] = []
     start = 0
@@ -239,7 +255,7 @@
 
 def _fill(
     group: list[PlannedEngine],
-    held: dict[str, model_layers.LayerRange | None],
+    held: Holdings,
     orders: dict[str, model_layers.LayerRange],
     start: int,
     end: int,
@@ -248,7 +264,6 @@
     """Extends the neighbours on both sides, and fills empty engines between.
 
     Each takes an even part: the hole is mended when the slowest load ends.
-    What they can't take is made room for, by their own neighbours.
     """
     below = _neighbour(group, held, spec, start, is_below=True)
     above = _neighbour(group, held, spec, end, is_below=False)
@@ -279,14 +294,11 @@
         held[engine.instance] = layers
         orders[engine.instance] = layers
         position += count
-    missing = end - start - sum(counts)
-    if missing > 0:
-        _make_room(group, held, orders, start, end, missing, spec)
 
 
 def _neighbour(
     group: list[PlannedEngine],
-    held: dict[str, model_layers.LayerRange | None],
+    held: Holdings,
     spec: engine_specs.EngineSpec,
     edge: int,
     is_below: bool,
@@ -311,7 +323,7 @@
 
 def _spare(
     group: list[PlannedEngine],
-    held: dict[str, model_layers.LayerRange | None],
+    held: Holdings,
     engine: PlannedEngine,
     layers: model_layers.LayerRange,
     at_start: bool,
@@ -333,63 +345,9 @@
     return count
 
 
-def _make_room(
-    group: list[PlannedEngine],
-    held: dict[str, model_layers.LayerRange | None],
-    orders: dict[str, model_layers.LayerRange],
-    start: int,
-    end: int,
-    missing: int,
-    spec: engine_specs.EngineSpec,
-) -> None:
-    """Lets an engine further off take layers of a neighbour that is full.
-
-    Without it a hole at the end of a chain, where there is one neighbour,
-    stays for good though others have room. The neighbour gives its layers
-    up only in a later plan, when the other one holds them.
-    """
-    for engine, is_above in _outwards(group, held, start, end):
-        layers = held[engine.instance]
-        if layers is None or engine.is_busy or engine.instance in orders:
-            continue
-        room = _most_layers(engine, spec, EXTEND_SHARE) - layers.count
-        count = min(room, missing)
-        if count <= 0:
-            continue
-        if is_above:
-            wider = model_layers.LayerRange(layers.start - count, layers.end)
-        else:
-            wider = model_layers.LayerRange(layers.start, layers.end + count)
-        if wider.start < 0 or wider.end > spec.layers:
-            continue
-        held[engine.instance] = wider
-        orders[engine.instance] = wider
-        return
-
-
-def _outwards(
-    group: list[PlannedEngine],
-    held: dict[str, model_layers.LayerRange | None],
-    start: int,
-    end: int,
-) -> list[tuple[PlannedEngine, bool]]:
-    """Returns engines by their distance from a hole, and on which side."""
-    found: list[tuple[int, str, PlannedEngine, bool]] = []
-    for engine in group:
-        layers = held[engine.instance]
-        if layers is None:
-            continue
-        if layers.end < start:
-            found.append((start - layers.end, engine.instance, engine, False))
-        elif layers.start > end:
-            found.append((layers.start - end, engine.instance, engine, True))
-    found.sort(key=lambda item: item[:2])
-    return [(engine, is_above) for _, _, engine, is_above in found]
-
-
 def _thinnest(
     group: list[PlannedEngine],
-    held: dict[str, model_layers.LayerRange | None],
+    held: Holdings,
     engine: PlannedEngine,
     spec: engine_specs.EngineSpec,
 ) -> model_layers.LayerRange | None:
@@ -422,3 +380,117 @@
     """Returns an engine's share of the layers by memory, at least one."""
     memory = sum(e.memory_mb for e in group)
     return max(1, math.ceil(1.5 * spec.layers * engine.memory_mb / memory))
+
+
+def _layer_rooms(
+    group: list[PlannedEngine], held: Holdings, spec: engine_specs.EngineSpec
+) -> list[float]:
+    """Returns the memory for requests at each layer, in MB a layer."""
+    rooms = [0.0] * spec.layers
+    for engine in group:
+        layers = held[engine.instance]
+        if layers is None:
+            continue
+        free = engine.memory_mb - layers.count * spec.layer_mb
+        for layer in range(layers.start, min(layers.end, spec.layers)):
+            rooms[layer] += max(0.0, free) / layers.count
+    return rooms
+
+
+def _targets(
+    group: list[PlannedEngine], held: Holdings, spec: engine_specs.EngineSpec
+) -> Holdings:
+    """Returns an even spread that keeps the engines' order, or nothing.
+
+    The order is that of the layers they hold, so that each loads little.
+    """
+    placed = [(held[e.instance], e) for e in group]
+    chain = [
+        engine
+        for layers, engine in sorted(
+            placed,
+            key=lambda p: (p[0].start + p[0].end if p[0] else 0, p[1].instance),
+        )
+        if layers is not None
+    ]
+    counts = proportional_counts(
+        [e.memory_mb for e in chain],
+        [_most_layers(e, spec, EXTEND_SHARE) for e in chain],
+        spec.layers,
+    )
+    if sum(counts) < spec.layers:
+        return {}
+    targets: Holdings = {}
+    position = 0
+    for engine, count in zip(chain, counts, strict=True):
+        if count:
+            targets[engine.instance] = model_layers.LayerRange(
+                position, position + count
+            )
+        position += count
+    return targets
+
+
+def _is_uneven(
+    group: list[PlannedEngine], held: Holdings, spec: engine_specs.EngineSpec
+) -> bool:
+    targets = _targets(group, held, spec)
+    if not targets:
+        return False
+    wanted: Holdings = {e.instance: targets.get(e.instance) for e in group}
+    present = min(_layer_rooms(group, held, spec))
+    return present < UNEVEN_SHARE * min(_layer_rooms(group, wanted, spec))
+
+
+def _rebalanced(
+    group: list[PlannedEngine],
+    held: Holdings,
+    spec: engine_specs.EngineSpec,
+    is_broken: bool,
+) -> dict[str, model_layers.LayerRange]:
+    """Returns the next orders towards an even spread.
+
+    An engine first holds its new layers besides the old ones, and gives the
+    old ones up in a later plan, when others hold them. Only in a chain that
+    lacks layers, and so serves nobody by itself, may it give them up at once.
+    """
+    orders: dict[str, model_layers.LayerRange] = {}
+    targets = _targets(group, held, spec)
+    for engine in group:
+        present, target = held[engine.instance], targets.get(engine.instance)
+        if present is None or target is None or present == target:
+            continue
+        both = model_layers.LayerRange(
+            min(present.start, target.start), max(present.end, target.end)
+        )
+        fits = both.count <= _most_layers(engine, spec, EXTEND_SHARE)
+        if fits and both != present:
+            orders[engine.instance] = both
+        elif is_broken or _may_shrink(held, targets, present, target):
+            orders[engine.instance] = target
+    return orders
+
+
+def _may_shrink(
+    held: Holdings,
+    targets: Holdings,
+    present: model_layers.LayerRange,
+    target: model_layers.LayerRange,
+) -> bool:
+    """Returns whether those that should hold what is given up do so already.
+
+    That any other engine holds it is not enough: two could give the same
+    layers up at once, each since the other has them.
+    """
+    if not present.covers(target):
+        return False
+    return all(
+        any(
+            wanted.start <= layer < wanted.end
+            and (has := held[instance]) is not None
+            and has.start <= layer < has.end
+            for instance, wanted in targets.items()
+            if wanted is not None
+        )
+        for layer in range(present.start, present.end)
+    )
--- a/tests/policy/test_layer_plan.py
+++ b/tests/policy/test_layer_plan.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from almondshift.model import engine_specs
@@ -185,3 +187,83 @@
     weights: list[float], limits: list[int], total: int, expected: list[int]
 ) -> None:
     assert layer_plan.proportional_counts(weights, limits, total) == expected
+
+
+class Fleet:
+    """Engines that die, come back empty and load at once."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.engines = _fleet()
+        self.serial = 0
+
+    def kill(self) -> None:
+        index = self.rng.randrange(len(self.engines))
+        self.engines.pop(index)
+
+    def add(self) -> None:
+        self.serial += 1
+        zone = self.rng.choice("abc")
+        memory = self.rng.choice([LARGE, MIDDLE, SMALL, SMALL])
+        self.engines.append(
+            layer_plan.PlannedEngine(f"new{self.serial}", zone, memory, None)
+        )
+
+    def settle(self) -> int:
+        """Carries out plans until there are no orders; returns how many."""
+        for rounds in range(30):
+            orders = layer_plan.plan_orders(self.engines, SPEC)
+            if not orders:
+                return rounds
+            self.engines = _after(self.engines, orders)
+            assert _fits(self.engines)
+        raise AssertionError("the plan does not settle")
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_losses_and_returns_in_any_order_leave_whole_even_chains(
+    seed: int,
+) -> None:
+    """Callers of a zone wait or are refused though its cards would do.
+
+    Engines die and come empty, one after another, in all zones. What each
+    loss mends by itself may leave a hole with no neighbour to fill it, or
+    one card full of layers that lets few requests in; the plan has to come
+    back from there, in few steps and to an end.
+    """
+    fleet = Fleet(random.Random(seed))
+    fleet.settle()
+    for _ in range(20):
+        if fleet.rng.random() < 0.5 and len(fleet.engines) > 27:
+            fleet.kill()
+        else:
+            fleet.add()
+        assert fleet.settle() <= 12
+        for zone in "abc":
+            group = [e for e in fleet.engines if e.zone == zone]
+            memory = sum(e.memory_mb for e in group)
+            if memory * 0.8 < SPEC.layers * SPEC.layer_mb:
+                continue
+            assert min(_copies(group, zone)) >= 1
+
+
+def test_an_uneven_chain_is_spread_anew_without_giving_layers_up() -> None:
+    """One small card full of layers lets in few requests for its whole zone.
+
+    The others take layers of it first, and it gives them up only then.
+    """
+    held = model_layers.LayerRange
+    engines = [
+        layer_plan.PlannedEngine("a", "z", SMALL, held(0, 12)),
+        layer_plan.PlannedEngine("b", "z", LARGE, held(12, 30)),
+        layer_plan.PlannedEngine("c", "z", LARGE, held(30, 50)),
+        layer_plan.PlannedEngine("d", "z", LARGE, held(50, 70)),
+        layer_plan.PlannedEngine("e", "z", SMALL, held(70, 80)),
+    ]
+    for _ in range(6):
+        orders = layer_plan.plan_orders(engines, SPEC)
+        engines = _after(engines, orders)
+        assert min(_copies(engines, "z")) >= 1
+    assert not orders
+    first = engines[0].held
+    assert first is not None and first.count <= 8
