Move streams off slow engines once, and pass slow engines over

Change: only the news that an engine is slow moves streams; paths use slow engines only where nothing else holds the layers; the plan does without them up to three tenths of a zone's memory; a move keeps the parts that live; an engine that broke a request off is not its first again.

--- a/src/almondshift/policy/engine_book.py
+++ b/src/almondshift/policy/engine_book.py
@@ -19,6 +19,10 @@
 PACE_MEMORY_S = 4.0
 """A report of slowness is believed for so long; slow spells last seconds."""
 
+SLOW_PACE = 4.0
+"""An engine that is so much slower holds up all behind it: a stage that was
+a fifth busy is then nearly saturated, and its queue grows while it lasts."""
+
 FULL_S = 0.4
 """An engine that refused for want of memory is passed over for so long, twice
 the usual delay of reports."""
@@ -160,6 +164,14 @@
             return 1.0
         return state.pace
 
+    def is_slow(self, instance: str, now: float) -> bool:
+        """Returns whether an engine should be passed over if others can."""
+        return self.pace(instance, now) >= SLOW_PACE
+
+    def slow_engines(self, now: float) -> list[str]:
+        """Returns the engines that are believed to be slow."""
+        return [i for i in self.states if self.is_slow(i, now)]
+
     def forget(self, instance: str) -> None:
         """Drops an engine that is gone."""
         if self.states.pop(instance, None) is not None:
--- a/src/almondshift/policy/layer_plan.py
+++ b/src/almondshift/policy/layer_plan.py
@@ -45,6 +45,10 @@
 the memory for requests that an even spread would give it: after some losses
 a zone of 288 GB let in as many requests as one of half its size."""
 
+SLOW_SHARE = 0.3
+"""Slow engines are planned without up to this share of a zone's memory;
+beyond it the others could not hold all layers and still serve requests."""
+
 Holdings = dict[str, "model_layers.LayerRange | None"]
 """Layers by engine, with the orders of the present plan."""
 
@@ -56,6 +60,7 @@
     Attributes:
         held: The layers that it holds, or was ordered to hold.
         is_busy: Whether it is carrying out an order, and takes no other.
+        is_slow: Whether it is much slower than its kind.
     """
 
     instance: str
@@ -63,6 +68,7 @@
     memory_mb: float
     held: model_layers.LayerRange | None
     is_busy: bool = False
+    is_slow: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,7 +89,8 @@
         spec: Figures of the model.
     """
     orders: list[LayerOrder] = []
-    for group in _groups(engines, spec):
+    for whole in _groups(engines, spec):
+        group = _without_slow(whole)
         if all(engine.held is None for engine in group):
             orders += _fresh(group, spec)
         else:
@@ -91,6 +98,15 @@
     return orders
 
 
+def _without_slow(group: list[PlannedEngine]) -> list[PlannedEngine]:
+    """Leaves out slow engines, unless they are too many to do without."""
+    memory = sum(e.memory_mb for e in group)
+    slow = sum(e.memory_mb for e in group if e.is_slow)
+    if slow > SLOW_SHARE * memory:
+        return group
+    return [e for e in group if not e.is_slow]
+
+
 def _groups(
     engines: Sequence[PlannedEngine], spec: engine_specs.EngineSpec
 ) -> list[list[PlannedEngine]]:
--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -92,14 +92,25 @@
         self.cached: dict[str, _Cached] = {}
 
     def choose(
-        self, view: FleetView, tokens: float, now: float
+        self,
+        view: FleetView,
+        tokens: float,
+        now: float,
+        avoid: frozenset[str] = frozenset(),
     ) -> ChosenPath | None:
-        """Returns a path with room for a request, or None."""
+        """Returns a path with room for a request, or None.
+
+        Args:
+            view: The engines.
+            tokens: Memory that the request needs, in tokens.
+            now: Monotonic seconds.
+            avoid: Engines that may not be first.
+        """
         best: ChosenPath | None = None
         best_score = 0.0
         for found in self._paths(view, now):
             chosen = self._fitting(found, view.spec, tokens)
-            if chosen is None:
+            if chosen is None or chosen.path[0].instance in avoid:
                 continue
             score = found.cost_ms * (1.0 + LOAD_WEIGHT * chosen.load)
             score *= self.rng.uniform(1.0, 1.0 + JITTER)
@@ -121,18 +132,23 @@
         """Returns another path with the same first part, or None."""
         candidates = self.candidates(view, now)
         first = path[0]
-        for candidate in candidates:
-            if candidate.instance == first.instance:
-                start = path_search.FoundPart(candidate, first.start, first.end)
-                break
-        else:
-            return None
-        found = path_search.find_path(
-            candidates, view.spec.layers, tokens, first=start
+        start = next(
+            (c for c in candidates if c.instance == first.instance), None
         )
-        if found is None:
+        if start is None:
             return None
-        return _chosen(found, 0.0)
+        part = path_search.FoundPart(start, first.start, first.end)
+        kept = frozenset(p.instance for p in path)
+        quick = [
+            c for c in candidates if not self.book.is_slow(c.instance, now)
+        ]
+        for usable in (quick, candidates):
+            found = path_search.find_path(
+                usable, view.spec.layers, tokens, first=part, kept=kept
+            )
+            if found is not None:
+                return _chosen(found, 0.0)
+        return None
 
     def candidates(
         self, view: FleetView, now: float
@@ -201,14 +217,17 @@
     ) -> list[path_search.FoundPath]:
         tokens = view.spec.usual_prompt + view.spec.usual_answer
         candidates = self.candidates(view, now)
+        quick = [
+            c for c in candidates if not self.book.is_slow(c.instance, now)
+        ]
         paths: list[path_search.FoundPath] = []
         for zone in sorted({c.zone for c in candidates}):
-            within = [c for c in candidates if c.zone == zone]
-            found = path_search.find_path(within, view.spec.layers, tokens)
+            found = _zone_path(quick, zone, view.spec.layers, tokens)
             if found is None:
-                found = path_search.find_path(
-                    candidates, view.spec.layers, tokens, first_zone=zone
-                )
+                found = _zone_path(candidates, zone, view.spec.layers, tokens)
+                if found is not None:
+                    cost_ms = found.cost_ms * engine_book.SLOW_PACE
+                    found = path_search.FoundPath(found.parts, cost_ms)
             if found is not None:
                 paths.append(found)
         return paths
@@ -234,6 +253,20 @@
         return _chosen(found, load)
 
 
+def _zone_path(
+    candidates: list[path_search.Candidate],
+    zone: str,
+    layers: int,
+    tokens: float,
+) -> path_search.FoundPath | None:
+    """Returns a path within a zone, or else one that begins there."""
+    within = [c for c in candidates if c.zone == zone]
+    found = path_search.find_path(within, layers, tokens)
+    if found is not None:
+        return found
+    return path_search.find_path(candidates, layers, tokens, first_zone=zone)
+
+
 def _chosen(found: path_search.FoundPath, load: float) -> ChosenPath:
     return ChosenPath(
         path=tuple(
--- a/src/almondshift/policy/path_search.py
+++ b/src/almondshift/policy/path_search.py
@@ -27,6 +27,10 @@
 """Charge for each change of zone: its delay of under a millisecond, and the
 use of a link that all requests share."""
 
+REREAD_MS = 25.0
+"""Charge for an engine that has to read a moved request's tokens: more than
+a change of zone, so that a move replaces what was lost and little else."""
+
 MAX_PARTS = 32
 """Engines refuse longer paths."""
 
@@ -46,6 +50,7 @@
         room: Memory for requests, in tokens times layers.
         used: What is believed to be in use of it.
         may_be_first: Whether it takes requests from nodes.
+        entry_ms: Added once where a path enters it.
     """
 
     instance: str
@@ -57,6 +62,7 @@
     room: float
     used: float
     may_be_first: bool
+    entry_ms: float = 0.0
 
     def fits(self, tokens: float, layers: int) -> bool:
         """Returns whether a request's memory fits."""
@@ -97,6 +103,7 @@
     tokens: float,
     first_zone: str = "",
     first: FoundPart | None = None,
+    kept: frozenset[str] = frozenset(),
 ) -> FoundPath | None:
     """Returns the path with the least expected time of a step.
 
@@ -106,8 +113,17 @@
         tokens: Memory that the request needs, in tokens.
         first_zone: Only engines there may be first; empty for any.
         first: The part to begin with; None for any.
+        kept: Engines that hold the request's memory already; any other one
+            has to read all its tokens again. Only with ``first``.
     """
     usable = list(candidates)
+    if first is not None:
+        usable = [
+            c
+            if c.instance in kept
+            else dataclasses.replace(c, entry_ms=c.entry_ms + REREAD_MS)
+            for c in usable
+        ]
     found = _search(usable, layers, tokens, first_zone, first, split=True)
     if found is not None and _is_valid(found):
         return found
@@ -180,7 +196,7 @@
             item[1].cost + (CROSSING_MS if item[0] not in ("", zone) else 0.0)
         ),
     )
-    base = before[1].cost + HOP_MS
+    base = before[1].cost + HOP_MS + candidate.entry_ms
     if before[0] not in ("", zone):
         base += CROSSING_MS
     ends = [candidate.end]
--- a/src/almondshift/relay/layer_keeper.py
+++ b/src/almondshift/relay/layer_keeper.py
@@ -187,7 +187,12 @@
                 held = pending.layers
             found.append(
                 layer_plan.PlannedEngine(
-                    engine.instance, engine.zone, kind.memory_mb, held, is_busy
+                    engine.instance,
+                    engine.zone,
+                    kind.memory_mb,
+                    held,
+                    is_busy,
+                    self.shared.book.is_slow(engine.instance, now),
                 )
             )
         return found
--- a/src/almondshift/relay/silence_watch.py
+++ b/src/almondshift/relay/silence_watch.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from almondshift import log_events
+from almondshift.model import relayed
 from almondshift.policy import engine_book
 from almondshift.relay import stream_run
 
@@ -22,7 +23,6 @@
     from collections.abc import Coroutine
     from typing import Any
 
-    from almondshift.model import relayed
     from almondshift.relay import context
 
 TICK_S = 0.05
@@ -44,10 +44,9 @@
 """Unanswered questions until an engine counts as lost; one may be lost with
 its connection."""
 
-SLOW_PACE = 1.5
-MOVE_AWAY_PACE = 4.0
-"""Streams leave an engine that says it is so much slower: a stage in ten
-then takes as long as four."""
+SLOW_AGAIN_S = 2.0
+"""Pause between questions to an engine that is known to be slow: half of
+the time for which its word is believed."""
 
 SLOW_GAP_S = 1.0
 """Pause between questions about slowness to one engine."""
@@ -208,14 +207,30 @@
         if report is None:
             return
         now = self.shared.clock.monotonic()
+        was_slow = self.shared.book.is_slow(part.instance, now)
         self.shared.book.note_pace(part.instance, report.pace, now)
-        if report.pace < MOVE_AWAY_PACE:
-            return
-        self.move_from(part.instance)
+        is_slow = self.shared.book.is_slow(part.instance, now)
+        if is_slow and not was_slow:
+            self.note_slow(part.instance, report.pace)
+
+    def note_slow(self, instance: str, pace: float) -> None:
+        """Moves streams off an engine that has turned slow, once.
+
+        Only its first report does so: with several slow engines, streams
+        that were moved at each report went to and fro and read all their
+        tokens again each time.
+        """
+        self.shared.observer.emit(
+            log_events.EndpointEjected(
+                instance, f"slow by {pace:.1f}", engine_book.PACE_MEMORY_S
+            )
+        )
+        self.move_from(instance)
 
     def try_suspects(self) -> None:
         """Asks suspects whose time is over whether they live."""
         now = self.shared.clock.monotonic()
+        self.ask_slow_again(now)
         for instance in self.shared.book.due_for_trial(now):
             engine = self.shared.catalogue.engines.get(instance)
             if engine is None:
@@ -224,6 +239,18 @@
             self.shared.book.state(instance).suspect_until = now + 1.0
             self.spawn(self.try_suspect(instance, engine.address))
 
+    def ask_slow_again(self, now: float) -> None:
+        """Asks slow engines again before what they said is forgotten."""
+        loop_now = asyncio.get_running_loop().time()
+        for instance in self.shared.book.slow_engines(now):
+            engine = self.shared.catalogue.engines.get(instance)
+            asked_at = self.paced_at.get(instance, -SLOW_AGAIN_S)
+            if engine is None or loop_now - asked_at < SLOW_AGAIN_S:
+                continue
+            self.paced_at[instance] = loop_now
+            part = relayed.PathPart(instance, engine.address, 0, 0)
+            self.spawn(self.note_pace(part))
+
     async def try_suspect(self, instance: str, address: str) -> None:
         """Trusts a suspect again if it answers."""
         report = await self.shared.engines.report(address, REPORT_TIMEOUT_S)
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -108,6 +108,8 @@
         last_id: Last event that the caller has; None for none.
         events_sent: Events passed on.
         progress_at: Loop time of the last event, or of the arrival.
+        broken: First engines that broke off: one that is crashing resets
+            each connection that it gets, and would use up all attempts.
     """
 
     def __init__(self, *args, **kwargs) -> None:  # type: ignore[no-untyped-def]
@@ -117,6 +119,7 @@
         self.retry: asyncio.TimerHandle | None = None
         self.events_sent = 0
         self.progress_at = self.started_at
+        self.broken: frozenset[str] = frozenset()
         self.last_id: int | None = None
         if request.last_event_id.isdigit():
             self.last_id = int(request.last_event_id)
@@ -133,7 +136,9 @@
         now = self.shared.clock.monotonic()
         chosen = None
         if view is not None:
-            chosen = self.shared.paths.choose(view, self.tokens, now)
+            chosen = self.shared.paths.choose(
+                view, self.tokens, now, self.broken
+            )
         if chosen is None:
             self.lack_path()
             return
@@ -232,6 +237,7 @@
         if whole:
             reason = "the stream ended in the middle of an event"
         is_not_run = ending is path_engines.Ending.NOT_SENT
+        self.broken |= {attempt.first.instance}
         if ending in (path_engines.Ending.NOT_SENT, path_engines.Ending.BROKEN):
             self.note_unreachable(attempt, ending)
         self.go_on(attempt, reason, is_not_run)
--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -247,10 +247,15 @@
 
     async def wait_for_path(self, run: RunningStream) -> None:
         while True:
-            status, address = self.engine.refusal(run.path)
-            if not status and not self.engine.is_dead:
+            # Layers that an engine gives up wait for what passes through.
+            dead = [
+                address
+                for address, _, _ in run.path
+                if self.engine.world.engines[address].is_dead
+            ]
+            if not dead and not self.engine.is_dead:
                 return
-            run.stalled_on = address
+            run.stalled_on = dead[0] if dead else ""
             await asyncio.sleep(0.01)
 
 
--- a/tests/policy/test_layer_plan.py
+++ b/tests/policy/test_layer_plan.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import dataclasses
 import random
 
 import pytest
@@ -267,3 +268,22 @@
     assert not orders
     first = engines[0].held
     assert first is not None and first.count <= 8
+
+
+@pytest.mark.parametrize(
+    ("slow", "is_taken_over"), [(["a5"], True), (["a0", "a1", "a2"], False)]
+)
+def test_layers_of_slow_engines_are_taken_over_unless_they_are_many(
+    slow: list[str], is_taken_over: bool
+) -> None:
+    """A stage that is twelve times slower stops its whole zone."""
+    fleet = _fleet()
+    planned = [
+        dataclasses.replace(e, is_slow=e.instance in slow)
+        for e in _after(fleet, layer_plan.plan_orders(fleet, SPEC))
+    ]
+    orders = layer_plan.plan_orders(planned, SPEC)
+    assert bool(orders) is is_taken_over
+    mended = _after(planned, orders)
+    quick = [e for e in mended if e.instance not in slow]
+    assert (min(_copies(quick, "a")) >= 1) is is_taken_over
--- a/tests/policy/test_path_choice.py
+++ b/tests/policy/test_path_choice.py
@@ -116,3 +116,31 @@
     for state in chooser.book.states.values():
         assert (state.running, state.first_running) == (0, 0)
         assert state.layer_tokens == 0
+
+
+def test_slow_engines_serve_only_where_nothing_else_holds_the_layers() -> None:
+    """Four engines turn twelve times slower, one in each place of a chain.
+
+    Streams through them stand for seconds. Paths pass them over while each
+    layer is held elsewhere too; when it is not, slow is better than refused.
+    """
+    chooser = _chooser()
+    for name in ("a0", "b1", "c2"):
+        chooser.book.note_pace(name, 12.0, 0.0)
+    for _ in range(10):
+        chosen = chooser.choose(_view(), TOKENS, 0.0)
+        assert chosen is not None
+        used = {part.instance for part in chosen.path}
+        assert not used & {"a0", "b1", "c2"}
+    for name in ("a1", "c1"):
+        chooser.book.note_pace(name, 12.0, 0.0)
+    assert chooser.choose(_view(), TOKENS, 0.0) is not None
+
+
+def test_engines_that_broke_a_request_off_are_not_its_first_again() -> None:
+    chooser = _chooser()
+    for _ in range(20):
+        chosen = chooser.choose(_view(), TOKENS, 0.0, frozenset({"a0", "b0"}))
+        assert chosen is not None and chosen.path[0].instance == "c0"
+    none = chooser.choose(_view(), TOKENS, 0.0, frozenset({"a0", "b0", "c0"}))
+    assert none is None
