--- a/src/almondshift/adapters/http_channels.py
+++ b/src/almondshift/adapters/http_channels.py
@@ -24,8 +24,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-"""A connection that went silent is found within three seconds, the time in
-which the platform expects a machine to be back in contact."""
+"""A connection that went silent is found within three seconds, so that a
+node is back in contact with the store as soon as it is expected to be."""
 
 USER_TIMEOUT_MS = 1500
 """Unacknowledged bytes for so long mean that the path is gone; some five
--- a/src/almondshift/policy/layer_plan.py
+++ b/src/almondshift/policy/layer_plan.py
@@ -20,6 +20,8 @@
 from typing import TYPE_CHECKING
 
 from almondshift.model import layers as model_layers
+from almondshift.policy import layer_holdings
+from almondshift.policy import layer_spread
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -31,45 +33,14 @@
 Two copies in the smallest zone of a fleet with 338 to 439 GB a zone and a
 model of 140 GB left memory for 31,000 tokens and served 0.74 (trial)."""
 
-EXTEND_SHARE = 0.85
-"""Share of a card that its layers may take when it stands in for a dead
-neighbour; the rest still holds some requests. At 0.8 the last engine of a
-chain, which has one neighbour, left a layer that nobody took."""
-
 NEW_SHARE = 0.55
 """Share of a card that layers take on an engine that came empty."""
 
 
-UNEVEN_SHARE = 0.5
-"""A chain is spread anew when its fullest layer has less than this share of
-the memory for requests that an even spread would give it: after some losses
-a zone of 288 GB let in as many requests as one of half its size."""
-
 SLOW_SHARE = 0.3
 """Slow engines are planned without up to this share of a zone's memory;
 beyond it the others could not hold all layers and still serve requests."""
 
-Holdings = dict[str, "model_layers.LayerRange | None"]
-"""Layers by engine, with the orders of the present plan."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlannedEngine:
-    """An engine as the plan sees it.
-
-    Attributes:
-        held: The layers that it holds, or was ordered to hold.
-        is_busy: Whether it is carrying out an order, and takes no other.
-        is_slow: Whether it is much slower than its kind.
-    """
-
-    instance: str
-    zone: str
-    memory_mb: float
-    held: model_layers.LayerRange | None
-    is_busy: bool = False
-    is_slow: bool = False
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LayerOrder:
@@ -80,7 +51,8 @@
 
 
 def plan_orders(
-    engines: Sequence[PlannedEngine], spec: engine_specs.EngineSpec
+    engines: Sequence[layer_holdings.PlannedEngine],
+    spec: engine_specs.EngineSpec,
 ) -> list[LayerOrder]:
     """Returns the orders that bring a fleet nearer to whole chains.
 
@@ -98,7 +70,9 @@
     return orders
 
 
-def _without_slow(group: list[PlannedEngine]) -> list[PlannedEngine]:
+def _without_slow(
+    group: list[layer_holdings.PlannedEngine],
+) -> list[layer_holdings.PlannedEngine]:
     """Leaves out slow engines, unless they are too many to do without."""
     memory = sum(e.memory_mb for e in group)
     slow = sum(e.memory_mb for e in group if e.is_slow)
@@ -108,22 +82,28 @@
 
 
 def _groups(
-    engines: Sequence[PlannedEngine], spec: engine_specs.EngineSpec
-) -> list[list[PlannedEngine]]:
+    engines: Sequence[layer_holdings.PlannedEngine],
+    spec: engine_specs.EngineSpec,
+) -> list[list[layer_holdings.PlannedEngine]]:
     """Returns the engines by zone; zones too small for a copy are joined."""
-    by_zone: dict[str, list[PlannedEngine]] = {}
+    by_zone: dict[str, list[layer_holdings.PlannedEngine]] = {}
     for engine in sorted(engines, key=lambda e: e.instance):
         by_zone.setdefault(engine.zone, []).append(engine)
-    groups: list[list[PlannedEngine]] = []
-    small: list[PlannedEngine] = []
+    groups: list[list[layer_holdings.PlannedEngine]] = []
+    small: list[layer_holdings.PlannedEngine] = []
     for zone in sorted(by_zone):
         group = by_zone[zone]
-        if _layers_within(group, spec, EXTEND_SHARE) >= spec.layers:
+        if (
+            _layers_within(group, spec, layer_holdings.EXTEND_SHARE)
+            >= spec.layers
+        ):
             groups.append(group)
         else:
             small += group
     if small and (
-        not groups or _layers_within(small, spec, EXTEND_SHARE) >= spec.layers
+        not groups
+        or _layers_within(small, spec, layer_holdings.EXTEND_SHARE)
+        >= spec.layers
     ):
         groups.append(small)
     elif small:
@@ -132,27 +112,23 @@
 
 
 def _layers_within(
-    engines: Sequence[PlannedEngine],
+    engines: Sequence[layer_holdings.PlannedEngine],
     spec: engine_specs.EngineSpec,
     share: float,
 ) -> int:
-    return sum(_most_layers(e, spec, share) for e in engines)
-
-
-def _most_layers(
-    engine: PlannedEngine, spec: engine_specs.EngineSpec, share: float
-) -> int:
-    return min(spec.layers, int(engine.memory_mb * share / spec.layer_mb))
+    return sum(layer_holdings.most_layers(e, spec, share) for e in engines)
 
 
 def _fresh(
-    group: list[PlannedEngine], spec: engine_specs.EngineSpec
+    group: list[layer_holdings.PlannedEngine], spec: engine_specs.EngineSpec
 ) -> list[LayerOrder]:
     """Returns whole chains for engines that hold nothing."""
     model_mb = spec.layers * spec.layer_mb
     memory = sum(e.memory_mb for e in group)
     chains = max(1, int(memory * WEIGHTS_SHARE / model_mb))
-    dealt: list[list[PlannedEngine]] = [[] for _ in range(chains)]
+    dealt: list[list[layer_holdings.PlannedEngine]] = [
+        [] for _ in range(chains)
+    ]
     ranked = sorted(group, key=lambda e: (-e.memory_mb, e.instance))
     for engine in ranked:
         # The largest go round; later ones even the chains' memory out.
@@ -164,14 +140,18 @@
     return orders
 
 
-def _arranged(chain: list[PlannedEngine]) -> list[PlannedEngine]:
+def _arranged(
+    chain: list[layer_holdings.PlannedEngine],
+) -> list[layer_holdings.PlannedEngine]:
     """Returns a chain with the largest in the middle, smaller ones outwards.
 
     So the neighbours of each engine are about its size, and the two can take
     over its layers; at the ends, with one neighbour, stand the smallest.
     """
     ranked = sorted(chain, key=lambda e: (-e.memory_mb, e.instance))
-    arranged: collections.deque[PlannedEngine] = collections.deque()
+    arranged: collections.deque[layer_holdings.PlannedEngine] = (
+        collections.deque()
+    )
     for index, engine in enumerate(ranked):
         if index % 2:
             arranged.appendleft(engine)
@@ -181,12 +161,12 @@
 
 
 def _spread(
-    chain: list[PlannedEngine], spec: engine_specs.EngineSpec
+    chain: list[layer_holdings.PlannedEngine], spec: engine_specs.EngineSpec
 ) -> list[LayerOrder]:
     """Spreads all layers over a chain, in proportion to memory."""
-    counts = proportional_counts(
+    counts = layer_holdings.proportional_counts(
         [e.memory_mb for e in chain],
-        [_most_layers(e, spec, 1.0) for e in chain],
+        [layer_holdings.most_layers(e, spec, 1.0) for e in chain],
         spec.layers,
     )
     orders: list[LayerOrder] = []
@@ -200,31 +180,8 @@
     return orders
 
 
-def proportional_counts(
-    weights: Sequence[float], limits: Sequence[int], total: int
-) -> list[int]:
-    """Returns whole numbers that sum to ``total``, in proportion to weights.
-
-    No number is over its limit; the sum falls short if the limits do.
-    """
-    counts = [0] * len(weights)
-    if not counts:
-        return counts
-    for _ in range(total):
-        best = max(
-            range(len(weights)),
-            key=lambda i: (
-                weights[i] / (counts[i] + 1) if counts[i] < limits[i] else -1.0
-            ),
-        )
-        if counts[best] >= limits[best]:
-            break
-        counts[best] += 1
-    return counts
-
-
 def _mend(
-    group: list[PlannedEngine], spec: engine_specs.EngineSpec
+    group: list[layer_holdings.PlannedEngine], spec: engine_specs.EngineSpec
 ) -> list[LayerOrder]:
     """Fills holes by neighbours, and gives empty engines thin layers."""
     held = {e.instance: e.held for e in group}
@@ -240,13 +197,17 @@
             orders[engine.instance] = layers
     if not any(engine.is_busy for engine in group):
         is_broken = bool(_holes(group, held, spec.layers))
-        if is_broken or (not orders and _is_uneven(group, held, spec)):
-            orders.update(_rebalanced(group, held, spec, is_broken))
+        if is_broken or (
+            not orders and layer_spread.is_uneven(group, held, spec)
+        ):
+            orders.update(layer_spread.rebalanced(group, held, spec, is_broken))
     return [LayerOrder(name, layers) for name, layers in orders.items()]
 
 
 def _holes(
-    group: list[PlannedEngine], held: Holdings, layers: int
+    group: list[layer_holdings.PlannedEngine],
+    held: layer_holdings.Holdings,
+    layers: int,
 ) -> list[tuple[int, int]]:
     covered = [False] * layers
     for engine in group:
@@ -270,8 +231,8 @@
 
 
 def _fill(
-    group: list[PlannedEngine],
-    held: Holdings,
+    group: list[layer_holdings.PlannedEngine],
+    held: layer_holdings.Holdings,
     orders: dict[str, model_layers.LayerRange],
     start: int,
     end: int,
@@ -284,20 +245,24 @@
     below = _neighbour(group, held, spec, start, is_below=True)
     above = _neighbour(group, held, spec, end, is_below=False)
     empty = [e for e in group if held[e.instance] is None]
-    takers: list[tuple[PlannedEngine, int]] = []
+    takers: list[tuple[layer_holdings.PlannedEngine, int]] = []
     if below is not None:
         takers.append(below)
-    takers += [(e, _most_layers(e, spec, NEW_SHARE)) for e in empty]
+    takers += [
+        (e, layer_holdings.most_layers(e, spec, NEW_SHARE)) for e in empty
+    ]
     if above is not None:
         takers.append(above)
-    counts = proportional_counts(
+    counts = layer_holdings.proportional_counts(
         [1.0] * len(takers), [limit for _, limit in takers], end - start
     )
     position = start
     for (engine, _), count in zip(takers, counts, strict=True):
         if count == 0:
             continue
-        most = _most_layers(engine, spec, EXTEND_SHARE)
+        most = layer_holdings.most_layers(
+            engine, spec, layer_holdings.EXTEND_SHARE
+        )
         former = held[engine.instance]
         if former is None:
             layers = model_layers.LayerRange(position, position + count)
@@ -313,24 +278,29 @@
 
 
 def _neighbour(
-    group: list[PlannedEngine],
-    held: Holdings,
+    group: list[layer_holdings.PlannedEngine],
+    held: layer_holdings.Holdings,
     spec: engine_specs.EngineSpec,
     edge: int,
     is_below: bool,
-) -> tuple[PlannedEngine, int] | None:
+) -> tuple[layer_holdings.PlannedEngine, int] | None:
     """Returns the neighbour that can take most layers of a hole, and how many.
 
     It may give up layers at its far side that another engine holds too.
     """
-    best: tuple[PlannedEngine, int] | None = None
+    best: tuple[layer_holdings.PlannedEngine, int] | None = None
     for engine in group:
         layers = held[engine.instance]
         if layers is None or engine.is_busy:
             continue
         if (layers.end if is_below else layers.start) != edge:
             continue
-        room = _most_layers(engine, spec, EXTEND_SHARE) - layers.count
+        room = (
+            layer_holdings.most_layers(
+                engine, spec, layer_holdings.EXTEND_SHARE
+            )
+            - layers.count
+        )
         room += _spare(group, held, engine, layers, at_start=is_below)
         if room > 0 and (best is None or room > best[1]):
             best = (engine, room)
@@ -338,9 +308,9 @@
 
 
 def _spare(
-    group: list[PlannedEngine],
-    held: Holdings,
-    engine: PlannedEngine,
+    group: list[layer_holdings.PlannedEngine],
+    held: layer_holdings.Holdings,
+    engine: layer_holdings.PlannedEngine,
     layers: model_layers.LayerRange,
     at_start: bool,
 ) -> int:
@@ -362,15 +332,15 @@
 
 
 def _thinnest(
-    group: list[PlannedEngine],
-    held: Holdings,
-    engine: PlannedEngine,
+    group: list[layer_holdings.PlannedEngine],
+    held: layer_holdings.Holdings,
+    engine: layer_holdings.PlannedEngine,
     spec: engine_specs.EngineSpec,
 ) -> model_layers.LayerRange | None:
     """Returns the range where an engine adds most."""
-    count = max(1, _most_layers(engine, spec, NEW_SHARE))
+    count = max(1, layer_holdings.most_layers(engine, spec, NEW_SHARE))
     count = min(count, _fair_count(group, engine, spec))
-    if count > _most_layers(engine, spec, 1.0):
+    if count > layer_holdings.most_layers(engine, spec, 1.0):
         return None
     memory = [0.0] * spec.layers
     for other in group:
@@ -389,124 +359,10 @@
 
 
 def _fair_count(
-    group: list[PlannedEngine],
-    engine: PlannedEngine,
+    group: list[layer_holdings.PlannedEngine],
+    engine: layer_holdings.PlannedEngine,
     spec: engine_specs.EngineSpec,
 ) -> int:
     """Returns an engine's share of the layers by memory, at least one."""
     memory = sum(e.memory_mb for e in group)
     return max(1, math.ceil(1.5 * spec.layers * engine.memory_mb / memory))
-
-
-def _layer_rooms(
-    group: list[PlannedEngine], held: Holdings, spec: engine_specs.EngineSpec
-) -> list[float]:
-    """Returns the memory for requests at each layer, in MB a layer."""
-    rooms = [0.0] * spec.layers
-    for engine in group:
-        layers = held[engine.instance]
-        if layers is None:
-            continue
-        free = engine.memory_mb - layers.count * spec.layer_mb
-        for layer in range(layers.start, min(layers.end, spec.layers)):
-            rooms[layer] += max(0.0, free) / layers.count
-    return rooms
-
-
-def _targets(
-    group: list[PlannedEngine], held: Holdings, spec: engine_specs.EngineSpec
-) -> Holdings:
-    """Returns an even spread that keeps the engines' order, or nothing.
-
-    The order is that of the layers they hold, so that each loads little.
-    """
-    placed = [(held[e.instance], e) for e in group]
-    chain = [
-        engine
-        for layers, engine in sorted(
-            placed,
-            key=lambda p: (p[0].start + p[0].end if p[0] else 0, p[1].instance),
-        )
-        if layers is not None
-    ]
-    counts = proportional_counts(
-        [e.memory_mb for e in chain],
-        [_most_layers(e, spec, EXTEND_SHARE) for e in chain],
-        spec.layers,
-    )
-    if sum(counts) < spec.layers:
-        return {}
-    targets: Holdings = {}
-    position = 0
-    for engine, count in zip(chain, counts, strict=True):
-        if count:
-            targets[engine.instance] = model_layers.LayerRange(
-                position, position + count
-            )
-        position += count
-    return targets
-
-
-def _is_uneven(
-    group: list[PlannedEngine], held: Holdings, spec: engine_specs.EngineSpec
-) -> bool:
-    targets = _targets(group, held, spec)
-    if not targets:
-        return False
-    wanted: Holdings = {e.instance: targets.get(e.instance) for e in group}
-    present = min(_layer_rooms(group, held, spec))
-    return present < UNEVEN_SHARE * min(_layer_rooms(group, wanted, spec))
-
-
-def _rebalanced(
-    group: list[PlannedEngine],
-    held: Holdings,
-    spec: engine_specs.EngineSpec,
-    is_broken: bool,
-) -> dict[str, model_layers.LayerRange]:
-    """Returns the next orders towards an even spread.
-
-    An engine first holds its new layers besides the old ones, and gives the
-    old ones up in a later plan, when others hold them. Only in a chain that
-    lacks layers, and so serves nobody by itself, may it give them up at once.
-    """
-    orders: dict[str, model_layers.LayerRange] = {}
-    targets = _targets(group, held, spec)
-    for engine in group:
-        present, target = held[engine.instance], targets.get(engine.instance)
-        if present is None or target is None or present == target:
-            continue
-        both = model_layers.LayerRange(
-            min(present.start, target.start), max(present.end, target.end)
-        )
-        fits = both.count <= _most_layers(engine, spec, EXTEND_SHARE)
-        if fits and both != present:
-            orders[engine.instance] = both
-        elif is_broken or _may_shrink(held, targets, present, target):
-            orders[engine.instance] = target
-    return orders
-
-
-def _may_shrink(
-    held: Holdings,
-    targets: Holdings,
-    present: model_layers.LayerRange,
-    target: model_layers.LayerRange,
-) -> bool:
-    """Returns whether those that should hold what is given up do so already.
-
-    That any other engine holds it is not enough: two could give the same
-    layers up at once, each since the other has them.
-    """
-    if not present.covers(target):
-        return False
-    return all(
-        any(
-            wanted.start <= layer < wanted.end
-            and (has := held[instance]) is not None
-            and has.start <= layer < has.end
-            for instance, wanted in targets.items()
-            if wanted is not None
-        )
-        for layer in range(present.start, present.end)
-    )
--- a/src/almondshift/relay/layer_keeper.py
+++ b/src/almondshift/relay/layer_keeper.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from almondshift import log_events
+from almondshift.policy import layer_holdings
 from almondshift.policy import layer_plan
 from almondshift.ports import path_engines
 from almondshift.relay import background
@@ -173,7 +174,7 @@
 
     def planned(
         self, view: path_choice.FleetView, now: float
-    ) -> list[layer_plan.PlannedEngine]:
+    ) -> list[layer_holdings.PlannedEngine]:
         """Returns the engines that the plan may count on."""
         found = []
         for engine in view.engines:
@@ -188,7 +189,7 @@
             if pending is not None and is_busy:
                 held = pending.layers
             found.append(
-                layer_plan.PlannedEngine(
+                layer_holdings.PlannedEngine(
                     engine.instance,
                     engine.zone,
                     kind.memory_mb,
--- a/tests/policy/test_layer_plan.py
+++ b/tests/policy/test_layer_plan.py
@@ -7,6 +7,7 @@
 
 from almondshift.model import engine_specs
 from almondshift.model import layers as model_layers
+from almondshift.policy import layer_holdings
 from almondshift.policy import layer_plan
 
 SPEC = engine_specs.EngineSpec(
@@ -33,28 +34,28 @@
 
 def _fleet(
     zones: dict[str, list[float]] = ZONES,
-) -> list[layer_plan.PlannedEngine]:
+) -> list[layer_holdings.PlannedEngine]:
     return [
-        layer_plan.PlannedEngine(f"{zone}{index}", zone, memory, None)
+        layer_holdings.PlannedEngine(f"{zone}{index}", zone, memory, None)
         for zone, memories in zones.items()
         for index, memory in enumerate(memories)
     ]
 
 
 def _after(
-    fleet: list[layer_plan.PlannedEngine],
+    fleet: list[layer_holdings.PlannedEngine],
     orders: list[layer_plan.LayerOrder],
-) -> list[layer_plan.PlannedEngine]:
+) -> list[layer_holdings.PlannedEngine]:
     held = {order.instance: order.layers for order in orders}
     return [
-        layer_plan.PlannedEngine(
+        layer_holdings.PlannedEngine(
             e.instance, e.zone, e.memory_mb, held.get(e.instance, e.held)
         )
         for e in fleet
     ]
 
 
-def _copies(fleet: list[layer_plan.PlannedEngine], zone: str) -> list[int]:
+def _copies(fleet: list[layer_holdings.PlannedEngine], zone: str) -> list[int]:
     counts = [0] * SPEC.layers
     for engine in fleet:
         if engine.zone == zone and engine.held is not None:
@@ -63,7 +64,7 @@
     return counts
 
 
-def _fits(fleet: list[layer_plan.PlannedEngine]) -> bool:
+def _fits(fleet: list[layer_holdings.PlannedEngine]) -> bool:
     return all(
         e.held is None or e.held.count * SPEC.layer_mb <= e.memory_mb
         for e in fleet
@@ -111,7 +112,7 @@
 def test_an_engine_that_came_back_empty_gets_layers(index: int) -> None:
     fleet = _fleet()
     planned = _after(fleet, layer_plan.plan_orders(fleet, SPEC))
-    planned[index] = layer_plan.PlannedEngine(
+    planned[index] = layer_holdings.PlannedEngine(
         "new", "a", planned[index].memory_mb, None
     )
     mended = _after(planned, layer_plan.plan_orders(planned, SPEC))
@@ -167,9 +168,13 @@
     """
     held = model_layers.LayerRange
     fleet = [
-        layer_plan.PlannedEngine("a", "z", LARGE, held(0, 30), is_busy=True),
-        layer_plan.PlannedEngine("b", "z", LARGE, held(50, 80), is_busy=True),
-        layer_plan.PlannedEngine("c", "z", LARGE, held(0, 34)),
+        layer_holdings.PlannedEngine(
+            "a", "z", LARGE, held(0, 30), is_busy=True
+        ),
+        layer_holdings.PlannedEngine(
+            "b", "z", LARGE, held(50, 80), is_busy=True
+        ),
+        layer_holdings.PlannedEngine("c", "z", LARGE, held(0, 34)),
     ]
     assert layer_plan.plan_orders(fleet, SPEC) == []
 
@@ -187,7 +192,9 @@
 def test_proportional_counts(
     weights: list[float], limits: list[int], total: int, expected: list[int]
 ) -> None:
-    assert layer_plan.proportional_counts(weights, limits, total) == expected
+    assert (
+        layer_holdings.proportional_counts(weights, limits, total) == expected
+    )
 
 
 class Fleet:
@@ -207,7 +214,9 @@
         zone = self.rng.choice("abc")
         memory = self.rng.choice([LARGE, MIDDLE, SMALL, SMALL])
         self.engines.append(
-            layer_plan.PlannedEngine(f"new{self.serial}", zone, memory, None)
+            layer_holdings.PlannedEngine(
+                f"new{self.serial}", zone, memory, None
+            )
         )
 
     def settle(self) -> int:
@@ -255,11 +264,11 @@
     """
     held = model_layers.LayerRange
     engines = [
-        layer_plan.PlannedEngine("a", "z", SMALL, held(0, 12)),
-        layer_plan.PlannedEngine("b", "z", LARGE, held(12, 30)),
-        layer_plan.PlannedEngine("c", "z", LARGE, held(30, 50)),
-        layer_plan.PlannedEngine("d", "z", LARGE, held(50, 70)),
-        layer_plan.PlannedEngine("e", "z", SMALL, held(70, 80)),
+        layer_holdings.PlannedEngine("a", "z", SMALL, held(0, 12)),
+        layer_holdings.PlannedEngine("b", "z", LARGE, held(12, 30)),
+        layer_holdings.PlannedEngine("c", "z", LARGE, held(30, 50)),
+        layer_holdings.PlannedEngine("d", "z", LARGE, held(50, 70)),
+        layer_holdings.PlannedEngine("e", "z", SMALL, held(70, 80)),
     ]
     for _ in range(6):
         orders = layer_plan.plan_orders(engines, SPEC)
--- a/tests/policy/test_path_choice.py
+++ b/tests/policy/test_path_choice.py
@@ -173,7 +173,7 @@
     """With 73 nodes most have no request on any engine when one comes.
 
     A zone holds three like chains. If all nodes took the one that is
-    cheapest by a hair, its callers would wait while two chains stand idle.
+    slightly cheaper, its callers would wait while two chains stand idle.
     """
     engines = [
         registered_engines.RegisteredEngine(
