Bound what callers, engines, peers and the store may send

Change: endless heads of engines are given up at 64 KiB; idle time and head size follow the configuration; numbers out of range are refused with 400; an unreadable row is passed on empty and logged by its reader; a peer's answer is taken whole or not at all, with AS7004; answers to HEAD have no body. The header timeout of operators is not decoded any more: the server has one limit for idle connections and slow heads, and its idle part is kept.

Ruled out: dropping unreadable rows in the store client: their readers log what is wrong with which row.

--- a/src/almondshift/adapters/http_channels.py
+++ b/src/almondshift/adapters/http_channels.py
@@ -39,7 +39,8 @@
 request that meets the close may or may not have run."""
 
 MAX_HEAD_BYTES = 65_536
-"""An answer's head above this is taken for garbage."""
+"""An answer's head above this is taken for garbage: endless field lines would
+grow in memory until the call's timeout. Heads have some hundred bytes."""
 
 
 class Outcome(enum.Enum):
@@ -142,6 +143,7 @@
         self.idle_until = 0.0
         self.head: AnswerHead | None = None
         self.head_done = False
+        self.head_bytes = 0
         self.complete = False
         self.framed = False
         self.may_keep = False
@@ -161,6 +163,7 @@
         self.calls += 1
         self.head = None
         self.head_done = False
+        self.head_bytes = 0
         self.complete = False
         self.framed = False
         self.may_keep = False
@@ -193,6 +196,10 @@
             return
         if self.complete and self.call is call:
             self.finish()
+        elif not self.head_done:
+            self.head_bytes += len(data)
+            if self.head_bytes > MAX_HEAD_BYTES:
+                self.fail(Outcome.SPOILT, "head over the limit")
 
     def eof_received(self) -> bool:
         """Ends an answer that has no length of its own."""
@@ -261,6 +268,10 @@
             or head.status in (204, 304)
         )
         call.listener.on_head(head)
+        if call.payload.startswith(b"HEAD "):
+            # Its answer names the length of a body that never comes, for
+            # which the parser would wait until the call's timeout.
+            self.complete = True
 
     def on_body(self, body: bytes) -> None:
         """Hands a part of the body on (called by the parser)."""
--- a/src/almondshift/adapters/http_listener.py
+++ b/src/almondshift/adapters/http_listener.py
@@ -60,6 +60,15 @@
         """Listens."""
         self.server.listen(self.port, self.host)
 
+    def limit(self, idle_s: float, header_bytes: int) -> None:
+        """Sets limits that hold from each connection's next request on.
+
+        The server has one limit for the time until a whole head has come,
+        which holds for idle connections and slow heads alike.
+        """
+        self.server.conn_params.header_timeout = idle_s * IDLE_FACTOR
+        self.server.conn_params.max_header_size = header_bytes
+
     def keep_no_connections(self) -> None:
         """Ends each connection with the answer to its next request."""
         self.server.conn_params.no_keep_alive = True
--- a/src/almondshift/daemons/relay.py
+++ b/src/almondshift/daemons/relay.py
@@ -74,6 +74,7 @@
         self.front = front.create_front(
             relay, entry.address, limits.idle_timeout_s, limits.header_bytes
         )
+        self.node.catalogue.on_config.append(self.limit_callers)
         self.listeners = [
             front.create_directory(relay, address, entry.directory_hold_s)
             for address in {entry.ready_address, entry.directory_address}
@@ -90,6 +91,11 @@
         host, _, port = self.settings.peers.address.rpartition(":")
         return peer_link.create_peer_link(host, int(port), secret)
 
+    def limit_callers(self) -> None:
+        """Puts the operators' limits of callers in force."""
+        limits = self.node.gateway.limits()
+        self.front.limit(limits.idle_timeout_s, limits.header_bytes)
+
     def metrics(self, target: str) -> http_listener.ShortAnswer:
         """Answers Prometheus."""
         del target
--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -514,6 +514,18 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerRowsUnreadable(Event):
+    """A peer's answer about rows of the store can't be read; it is dropped."""
+
+    number = 7004
+    level = logging.WARNING
+    message = "peer rows unreadable"
+
+    table: str
+    detail: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuarantineSuspect(Event):
     """A request was in flight where an endpoint crashed."""
--- a/src/almondshift/model/routing_config.py
+++ b/src/almondshift/model/routing_config.py
@@ -43,11 +43,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """What a caller may send, and how long it may take or stay idle."""
+    """What a caller may send, and how long a connection may stay idle.
+
+    The time that a head may take is not among them: the server bounds it by
+    the idle time.
+    """
 
     header_bytes: int
     body_bytes: int
-    header_timeout_s: float
     idle_timeout_s: float
 
 
--- a/src/almondshift/platform/decode.py
+++ b/src/almondshift/platform/decode.py
@@ -111,7 +111,6 @@
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 1_048_576
-    header_timeout_ms: float = 3_000
     idle_timeout_ms: float = 15_000
 
 
@@ -210,7 +209,6 @@
         limits=routing_config.CallerLimits(
             header_bytes=limits.max_header_bytes,
             body_bytes=limits.max_body_bytes,
-            header_timeout_s=limits.header_timeout_ms / 1000,
             idle_timeout_s=limits.idle_timeout_ms / 1000,
         ),
     )
--- a/src/almondshift/platform/front.py
+++ b/src/almondshift/platform/front.py
@@ -19,19 +19,32 @@
 REQUEST_FIELDS_DROPPED = engines.HOP_BY_HOP | engines.OWN_FIELDS
 ANSWER_FIELDS_DROPPED = engines.HOP_BY_HOP | {"content-length"}
 
+MAX_TOKENS_DIGITS = 9
+"""Longest number taken for a count of tokens: a thousand times the largest
+context of today's models. Longer ones overflow floats, and beyond 4,300
+digits Python refuses to read them."""
+
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
 HTTP_NOT_FOUND = 404
 
 
 class ConnectionResponder(relays.Responder):
-    """Writes an answer to a connection of the server."""
+    """Writes an answer to a connection of the server.
+
+    Attributes:
+        has_body: Whether the answer may have one; not to HEAD.
+    """
 
     def __init__(
-        self, connection: http1connection.HTTP1Connection, request_id: str
+        self,
+        connection: http1connection.HTTP1Connection,
+        request_id: str,
+        has_body: bool,
     ) -> None:
         self.connection = connection
         self.request_id = request_id
+        self.has_body = has_body
         self.head_sent = False
         self.ended = False
 
@@ -47,7 +60,7 @@
 
     def send_data(self, data: bytes) -> None:
         """Sends a part of the body."""
-        if not self.ended and data:
+        if not self.ended and data and self.has_body:
             self.connection.write(data)
 
     def send_whole(
@@ -97,7 +110,9 @@
             # The server turns Nagle's algorithm on again after each answer;
             # with it an event would wait for the one before to be acked.
             self.connection.stream.set_nodelay(True)
-        self.connection.write_headers(line, fields, body)
+        self.connection.write_headers(
+            line, fields, body if self.has_body else b""
+        )
 
 
 class RequestReader(httputil.HTTPMessageDelegate):
@@ -135,7 +150,9 @@
         """Hands the whole request on."""
         assert self.start_line is not None and self.headers is not None
         request_id = self.headers.get(names.REQUEST_ID, "")
-        responder = ConnectionResponder(self.connection, request_id)
+        responder = ConnectionResponder(
+            self.connection, request_id, self.start_line.method != "HEAD"
+        )
         try:
             request = decode_request(
                 self.start_line, self.headers, b"".join(self.parts)
@@ -251,7 +268,9 @@
         last_event_id=headers.get(names.LAST_EVENT_ID, ""),
         prompt_tokens=prompt,
         output_tokens=output,
-        expected_tokens=_whole_number(headers.get(names.LENGTH_HINT, "")),
+        expected_tokens=_token_count(
+            headers.get(names.LENGTH_HINT, ""), "X-Length-Hint"
+        ),
     )
 
 
@@ -281,9 +300,15 @@
 
 def _token_counts(usage: str) -> tuple[int, int]:
     prompt, _, output = usage.partition(",")
-    return _whole_number(prompt), _whole_number(output)
+    field = "X-Token-Usage"
+    return _token_count(prompt, field), _token_count(output, field)
 
 
-def _whole_number(text: str) -> int:
+def _token_count(text: str, field: str) -> int:
+    """Returns a count; 0 for what is no number, since it only estimates."""
     text = text.strip()
-    return int(text) if text.isascii() and text.isdecimal() else 0
+    if not text.isascii() or not text.isdecimal():
+        return 0
+    if len(text) > MAX_TOKENS_DIGITS:
+        raise errors.MalformedRequest(f"{field} is out of range.")
+    return int(text)
--- a/src/almondshift/platform/store.py
+++ b/src/almondshift/platform/store.py
@@ -139,7 +139,7 @@
             # again from the first page's revision.
             revision = revision or page.ver
             if not page.truncated or not page.rows:
-                return _change(rows, revision)
+                return expression.Ok(decode_change(rows, revision))
             query["from"] = page.rows[-1].key + "\0"
 
     async def wait_for_changes(
@@ -153,7 +153,7 @@
             if isinstance(answer.error, HistoryGone):
                 return expression.Ok(None)
             return expression.Error(answer.error)
-        return _change(answer.ok.rows, answer.ok.ver)
+        return expression.Ok(decode_change(answer.ok.rows, answer.ok.ver))
 
     async def _rows(
         self, path: str, query: dict[str, Any], timeout_s: float
@@ -229,20 +229,22 @@
     return stores.Row(table, row.key, content, row.ver)
 
 
-def _change(
-    rows: list[WireRow], revision: int
-) -> expression.Result[row_feeds.TableChange, stores.StoreError]:
-    try:
-        decoded = tuple(_feed_row(row) for row in rows)
-    except (binascii.Error, ValueError) as error:
-        return expression.Error(_unreadable(f"a row: {error}"))
-    return expression.Ok(row_feeds.TableChange(decoded, revision))
+def decode_change(rows: list[WireRow], revision: int) -> row_feeds.TableChange:
+    """Decodes the rows of an answer."""
+    return row_feeds.TableChange(
+        tuple(_feed_row(row) for row in rows), revision
+    )
 
 
 def _feed_row(row: WireRow) -> row_feeds.FeedRow:
     if row.tombstone or row.value is None:
         return row_feeds.FeedRow(row.key, None, row.ver)
-    content = base64.b64decode(row.value)
+    try:
+        content = base64.b64decode(row.value, validate=True)
+    except (binascii.Error, ValueError):
+        # Whoever reads the row logs an empty one as unreadable. If it failed
+        # the whole answer, no later change of any row would ever arrive.
+        content = b""
     return row_feeds.FeedRow(row.key, content, row.ver)
 
 
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -79,6 +79,9 @@
 
 STOP_TICK_S = 0.05
 
+REVISION_DIGITS = 20
+"""Digits of the largest revision, a number of 64 bits."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -200,6 +203,7 @@
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await task
+        await self.gateway.close()
         await self.keeper.close()
         await self.silence.close()
         if self.group is not None:
@@ -345,7 +349,8 @@
     async def answer(sender: str, body: bytes) -> bytes:
         del sender
         text = body.decode("ascii", "replace")
-        return watch.rows_after(int(text) if text.isdecimal() else 0)
+        is_number = text.isdecimal() and len(text) <= REVISION_DIGITS
+        return watch.rows_after(int(text) if is_number else 0)
 
     return answer
 
--- a/src/almondshift/relay/gateway.py
+++ b/src/almondshift/relay/gateway.py
@@ -25,7 +25,6 @@
 DEFAULT_LIMITS = routing_config.CallerLimits(
     header_bytes=65_536,
     body_bytes=16_000_000,
-    header_timeout_s=10.0,
     idle_timeout_s=60.0,
 )
 """Until a configuration is known; generous, since nothing is served yet."""
@@ -77,6 +76,10 @@
         self.refuses = False
         self.work = background.Background()
 
+    async def close(self) -> None:
+        """Stops what waits for the store."""
+        await self.work.close()
+
     def limits(self) -> routing_config.CallerLimits:
         """Returns what callers may send."""
         config = self.shared.catalogue.config
--- a/src/almondshift/relay/table_watch.py
+++ b/src/almondshift/relay/table_watch.py
@@ -143,20 +143,21 @@
 
     async def _follow(self) -> None:
         while True:
+            pause_s = self.rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
             try:
-                is_ok = await self._step()
+                if await self._step():
+                    self._note_back()
+                    pause_s = self.pause_s
+                else:
+                    self._note_away()
+                    await self._learn_from_peers()
             except Exception:
                 # What rows bring about must not end the watch: the node
-                # would act on old rows for the rest of its life.
+                # would act on old rows for the rest of its life. The next
+                # step reads the table whole, since rows may be half taken.
                 logger.exception("rows of %s could not be taken", self.table)
-                is_ok = False
-            if is_ok:
-                self._note_back()
-                await asyncio.sleep(self.pause_s)
-                continue
-            self._note_away()
-            await self._learn_from_peers()
-            await asyncio.sleep(self.rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
+                self._note_away()
+            await asyncio.sleep(pause_s)
 
     async def _step(self) -> bool:
         sent_at = self.clock.monotonic()
@@ -220,17 +221,18 @@
         question = str(self.revision or 0).encode()
         for answer in await self.ask_peers(self.table, question):
             try:
-                decoded = PEER_ROWS.decode(answer)
-            except msgspec.DecodeError:
+                rows = _peer_rows(answer)
+            except ValueError as error:
+                log_events.emit(
+                    logger,
+                    log_events.PeerRowsUnreadable(self.table, str(error)),
+                )
                 continue
-            self._take_peer_rows(decoded)
+            self._take_peer_rows(rows)
 
-    def _take_peer_rows(self, decoded: PeerRows) -> None:
+    def _take_peer_rows(self, rows: list[row_feeds.FeedRow]) -> None:
         fresh = []
-        for peer_row in decoded.rows:
-            row = row_feeds.FeedRow(
-                peer_row.key, _decoded(peer_row.value), peer_row.revision
-            )
+        for row in rows:
             if self._is_news(row):
                 self.rows[row.key] = row
                 fresh.append(row)
@@ -274,5 +276,19 @@
     return None if value is None else base64.b64encode(value).decode()
 
 
+def _peer_rows(answer: bytes) -> list[row_feeds.FeedRow]:
+    """Decodes a peer's answer.
+
+    Raises:
+        ValueError: It can't be read, whole or in a row.
+    """
+    return [
+        row_feeds.FeedRow(row.key, _decoded(row.value), row.revision)
+        for row in PEER_ROWS.decode(answer).rows
+    ]
+
+
 def _decoded(value: str | None) -> bytes | None:
-    return None if value is None else base64.b64decode(value)
+    if value is None:
+        return None
+    return base64.b64decode(value, validate=True)
--- a/tests/adapters/test_http_channels.py
+++ b/tests/adapters/test_http_channels.py
@@ -224,3 +224,22 @@
         http_channels.request_bytes("GET", "/", [("X", value)], b"")
     with pytest.raises(ValueError, match="line break"):
         http_channels.request_bytes("GET", "/" + value, [], b"")
+
+
+@asynchronous.run
+async def test_the_answer_to_head_has_no_body() -> None:
+    """A caller's HEAD would hang until its timeout.
+
+    The answer names a length, as it would for GET, and nothing follows.
+    """
+    server = Server([LENGTH_3[:-3]])
+    await server.start()
+    pool = http_channels.create_channel_pool()
+    listener = Listener()
+    payload = http_channels.request_bytes("HEAD", "/x", [("Host", "h")], b"")
+    pool.call(server.address, payload, listener, "r1")
+    outcome = await asyncio.wait_for(listener.ended, 1)
+    assert outcome is http_channels.Outcome.WHOLE
+    assert (listener.status, listener.body) == (200, b"")
+    assert not pool.idle.get(server.address)
+    pool.close()
--- a/tests/relay/test_table_watch.py
+++ b/tests/relay/test_table_watch.py
@@ -96,7 +96,8 @@
     other.watch.rows = {"a": Row("a", b"2", 9), "c": Row("c", None, 8)}
 
     async def ask(topic: str, body: bytes) -> list[bytes]:
-        return [b"not json", other.watch.rows_after(int(body))]
+        spoilt = b'{"revision":9,"rows":[{"key":"a","value":"x","revision":9}]}'
+        return [b"not json", spoilt, other.watch.rows_after(int(body))]
 
     seen.watch.ask_peers = ask
     await seen.watch.start()
