Refuse requests that crash each endpoint that runs them

Cause: the relay sent such a request on each time that its caller repeated it, bounded by the attempts of one request only, so one caller could take down endpoint after endpoint.

Change: policy/crash_strikes.py counts, by a fingerprint of account, method, target and body, the endpoints that broke off while it was in flight and were gone within ten seconds; the third is the last. Peers are told in quarantine facts, in lots of fifty fingerprints. A request that is answered well clears its fingerprint here and at peers, so that what many callers send alike is never refused for crashes of other causes. The refusal is 503 crashes_endpoints, not run, with Retry-After.

Ruled out: the product's quarantine with trials alone (coordination/quarantine): some sixty streams are in flight on each engine of a zone's chain, and each of them would have to wait for a trial of its own after every crash. 422 was ruled out since callers take it for a fault of an allowed request.

Tests: tests/policy/test_crash_strikes.py, tests/platform/test_crashing_requests.py (two nodes, plain and stream).

--- a/src/almondshift/errors.py
+++ b/src/almondshift/errors.py
@@ -175,6 +175,14 @@
     default_remedy = "Change the request; this one is refused until expiry."
 
 
+class CrashesEndpoints(Refusal):
+    """Endpoints crashed while they ran the same request before."""
+
+    kind = "crashes_endpoints"
+    status = 503
+    default_remedy = "Change the request, or ask after the time given."
+
+
 class OutcomeUnknown(AlmondshiftError):
     """Whether the non-idempotent request ran cannot be known."""
 
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -17,6 +17,7 @@
 from almondshift.policy import repeat_budget
 from almondshift.relay import catalogue
 from almondshift.relay import context
+from almondshift.relay import crash_watch
 from almondshift.relay import gateway
 from almondshift.relay import group
 from almondshift.relay import layer_keeper
@@ -141,6 +142,7 @@
                     repeats.ratio, repeats.window_s, repeats.allowance
                 )
             ),
+            crashes=crash_watch.create_crash_watch(ports.clock),
             observer=observer.create_relay_observer(),
             registry_age_s=self.engine_watch.age_s,
         )
@@ -234,6 +236,7 @@
         for watch in (self.config_watch, self.engine_watch):
             joined.answer(watch.table, answering(watch))
             watch.ask_peers = joined.ask
+        self.shared.crashes.join(joined)
         await joined.start()
         self.group = joined
         self.gateway.group = joined
@@ -260,6 +263,7 @@
         if paused_s > PAUSED_S:
             log_events.emit(logger, log_events.NodeWoke(round(paused_s, 2)))
         self.catalogue.expire_removals(now)
+        self.shared.crashes.strikes.forget_old(now)
         if self.group is not None:
             self.group.log_changes()
             nodes = 1 + len(self.group.serving())
@@ -303,6 +307,7 @@
         """
         self.silence.moves.engine_leaving(engine.instance)
         self.silence.forget(engine.instance)
+        self.shared.crashes.endpoint_gone(engine.instance, engine.leaving)
         self.book.forget(engine.instance)
         self.shared.endpoints.forget(engine.instance)
         if self.catalogue.by_address(engine.address) is None:
--- a/src/almondshift/relay/context.py
+++ b/src/almondshift/relay/context.py
@@ -16,6 +16,7 @@
     from almondshift.ports import clocks
     from almondshift.ports import path_engines
     from almondshift.relay import catalogue
+    from almondshift.relay import crash_watch
     from almondshift.relay import observer
     from almondshift.relay import runs
 
@@ -39,6 +40,7 @@
     paths: path_choice.PathChooser
     endpoints: endpoint_choice.EndpointChooser
     budget: repeat_budget.RepeatBudget
+    crashes: crash_watch.CrashWatch
     observer: observer.RelayObserver
     registry_age_s: Callable[[], float]
     running: set[runs.Run] = dataclasses.field(default_factory=set)
--- a/src/almondshift/relay/gateway.py
+++ b/src/almondshift/relay/gateway.py
@@ -152,6 +152,7 @@
             errors.AlmondshiftError: The request is not served.
         """
         routed = self.route(request)
+        self.shared.crashes.check(routed)
         self.shared.budget.note_request(
             routed.service, self.shared.clock.monotonic()
         )
--- a/src/almondshift/relay/group.py
+++ b/src/almondshift/relay/group.py
@@ -143,8 +143,7 @@
 
         All nodes that see the same peers agree on which are first.
         """
-        name = self.members.node.name
-        before = sum(peer.name < name for peer in self.serving())
+        before = sum(peer.name < self.name for peer in self.serving())
         return before < count
 
     async def ask(self, topic: str, body: bytes) -> list[bytes]:
@@ -165,9 +164,18 @@
         """Answers peers' questions on a topic."""
         self.members.answer(topic, handler)
 
+    @property
+    def name(self) -> str:
+        """This node's name."""
+        return self.members.node.name
+
     def tell(self, key: str, value: bytes, ttl_s: float) -> None:
-        """Tells peers that an engine seems dead, or leaves."""
-        self.members.publish(peer_port.FactKind.LEAVING, key, value, ttl_s)
+        """Tells all peers of requests that endpoints crashed under."""
+        self.members.publish(peer_port.FactKind.QUARANTINE, key, value, ttl_s)
+
+    def on_told(self, callback: membership.Callback) -> None:
+        """Calls back with what peers say of such requests."""
+        self.members.subscribe(peer_port.FactKind.QUARANTINE, callback)
 
     def log_changes(self) -> None:
         """Logs peers that came, fell silent or went since the last call."""
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -179,6 +179,7 @@
             seconds = self.loop.time() - attempt.sent_at
             if head.status < SERVER_ERROR and head.genuine:
                 self.shared.endpoints.answered(instance, seconds, now)
+                self.shared.crashes.note_answered(self.routed)
                 self.pass_on(attempt, head)
                 return
             self.shared.endpoints.failed(instance, now)
@@ -189,6 +190,8 @@
             self.go_on(attempt, reason, is_not_run=True)
             return
         self.shared.endpoints.failed(instance, now)
+        if ending is path_engines.Ending.BROKEN:
+            self.shared.crashes.note_broken(self.routed, instance)
         self.go_on(attempt, reason, is_not_run=False)
 
     def take_refusal(
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -211,6 +211,8 @@
         route = self.routed.route
         if self.sends >= MAX_SENDS:
             return False
+        if self.shared.crashes.is_refused(self.routed):
+            return False
         if not is_not_run and not route.may_repeat:
             return False
         if not is_not_run and self.ran_on >= route.max_attempts:
--- a/src/almondshift/relay/stream_moves.py
+++ b/src/almondshift/relay/stream_moves.py
@@ -55,7 +55,11 @@
             )
         for run in self.streams():
             attempt = run.attempt
-            if attempt is not None and attempt.first.instance == instance:
+            if attempt is None:
+                continue
+            if any(part.instance == instance for part in attempt.path):
+                self.shared.crashes.note_broken(run.routed, instance)
+            if attempt.first.instance == instance:
                 run.resume_elsewhere("first engine lost")
         self.move_from(instance, must=True)
 
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -245,8 +245,12 @@
             reason = "the stream ended in the middle of an event"
         is_not_run = ending is path_engines.Ending.NOT_SENT
         self.broken |= {attempt.first.instance}
-        if ending in (path_engines.Ending.NOT_SENT, path_engines.Ending.BROKEN):
-            self.note_unreachable(attempt, ending)
+        if ending is path_engines.Ending.BROKEN:
+            self.shared.crashes.note_broken(self.routed, attempt.first.instance)
+        elif ending is path_engines.Ending.NOT_SENT:
+            self.suspect(
+                attempt.first.instance, engine_book.Suspicion.UNREACHABLE
+            )
         self.go_on(attempt, reason, is_not_run)
 
     def finish(self, attempt: StreamAttempt) -> None:
@@ -255,18 +259,10 @@
             assert attempt.head is not None
             self.responder.send_head(attempt.head.status, attempt.head.headers)
         self.shared.observer.attempts.labels("answered").inc()
+        self.shared.crashes.note_answered(self.routed)
         self.responder.finish()
         self.answered()
 
-    def note_unreachable(
-        self, attempt: StreamAttempt, ending: path_engines.Ending
-    ) -> None:
-        """Passes an engine over that can't be reached at all."""
-        if ending is path_engines.Ending.NOT_SENT:
-            self.suspect(
-                attempt.first.instance, engine_book.Suspicion.UNREACHABLE
-            )
-
     def suspect(self, instance: str, reason: engine_book.Suspicion) -> None:
         """Gives an engine no new work for a while."""
         now = self.shared.clock.monotonic()
--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -54,6 +54,8 @@
         is_dead: Nothing that it does goes on; connections stay open.
         cut_after: A stream's connection is cut after so many events.
         status: Status that plain requests get.
+        crashing_body: A request with it crashes the engine; empty for none.
+        on_crash: Called when that happens.
     """
 
     def __init__(
@@ -76,6 +78,8 @@
         self.status = 200
         self.hold_s = 0.0
         self.resets = False
+        self.crashing_body = b""
+        self.on_crash = lambda: None
         self.cancelled: list[str] = []
         self.address = ""
         self.on_change = lambda: None
@@ -216,12 +220,25 @@
         if self.engine.resets:
             self.detach().close()
             return
+        if self.crashes():
+            return
         self.set_header(SIGNATURE, f"sig-{self.engine.instance}")
         self.set_status(self.engine.status)
         self.write(b"done " + self.request.body)
 
+    def crashes(self) -> bool:
+        """Crashes the engine if the request is one that does so."""
+        wanted = self.engine.crashing_body
+        if not wanted or self.request.body != wanted:
+            return False
+        self.detach().close()
+        self.engine.on_crash()
+        return True
+
     async def stream(self, path: list[tuple[str, int, int]]) -> None:
         self.engine.ran.append(self.request_id)
+        if self.crashes():
+            return
         run = RunningStream(path)
         self.engine.running[self.request_id] = run
         self.set_header(SIGNATURE, f"sig-{self.engine.instance}")
--- /dev/null
+++ b/tests/platform/test_crashing_requests.py
@@ -0,0 +1,105 @@
+"""A request that crashes each endpoint that runs it, sent again and again."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from almondshift.policy import crash_strikes
+from tests.platform import standin_system as system
+
+BAD = b"crashes"
+
+
+async def ask(
+    running: system.StandinSystem, path: str, request_id: str, node: int
+) -> tuple[int, dict[str, str], bytes]:
+    entry = running.nodes[node].settings.entry.address
+    body = BAD if request_id.startswith("bad") else b"fine"
+    return await system.send(entry, system.request(path, request_id), body)
+
+
+def times_run(running: system.StandinSystem, request_id: str) -> int:
+    return sum(e.ran.count(request_id) for e in running.engines.values())
+
+
+def crashed(running: system.StandinSystem) -> list[str]:
+    return [e.instance for e in running.engines.values() if e.ran and e.is_dead]
+
+
+def arm(running: system.StandinSystem) -> None:
+    """Lets each endpoint crash under the request, and leave the registry."""
+    for engine in running.engines.values():
+        engine.crashing_body = BAD
+
+        def fall(engine: system.standin_engines.StandinEngine = engine) -> None:
+            engine.is_dead = True
+            running.store.remove("servers", engine.instance)
+
+        engine.on_crash = fall
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/chat/x"])
+def test_no_more_endpoints_fall_after_the_third(path: str) -> None:
+    """A caller's request crashes whoever runs it, and comes again.
+
+    It is sent to two nodes in turn. After three lost endpoints both nodes
+    refuse it as not run, and other requests are served.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=2, zones="ab") as running:
+            for index in range(5):
+                await running.add_engine(f"q{index}", system.PLAIN_SERVICE, "a")
+            await running.until(
+                lambda: all(
+                    process.node.group is not None
+                    and process.node.group.serving()
+                    and "q4" in process.node.catalogue.engines
+                    for process in running.nodes
+                )
+            )
+            arm(running)
+            number = 0
+            while len(crashed(running)) < crash_strikes.MAX_STRIKES:
+                status, _, _ = await ask(
+                    running, path, f"bad{number}", number % 2
+                )
+                assert status in (0, 502, 503)
+                number += 1
+                gone = crashed(running)
+                await running.until(
+                    lambda gone=gone: (
+                        not any(
+                            name in process.node.catalogue.engines
+                            for process in running.nodes
+                            for name in gone
+                        )
+                    )
+                )
+            lost = len(crashed(running))
+            await running.until(
+                lambda: all(
+                    any(
+                        len(known) >= crash_strikes.MAX_STRIKES
+                        for known in (
+                            process.node.shared.crashes.strikes.strikes.values()
+                        )
+                    )
+                    for process in running.nodes
+                )
+            )
+            for node in (0, 1):
+                for again in range(3):
+                    request_id = f"bad-{node}-{again}"
+                    answer = await ask(running, path, request_id, node)
+                    assert answer[0] == 503
+                    assert json.loads(answer[2])["kind"] == "crashes_endpoints"
+                    assert float(answer[1]["retry-after"]) > 1
+                    assert times_run(running, request_id) == 0
+            assert len(crashed(running)) == lost
+            assert (await ask(running, "/once/x", "good", 0))[0] == 200
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/policy/test_crash_strikes.py
@@ -0,0 +1,90 @@
+"""One request that crashes its endpoints, among many that don't."""
+
+from __future__ import annotations
+
+import pytest
+
+from almondshift.policy import crash_strikes
+
+
+def crash(
+    strikes: crash_strikes.CrashStrikes, instance: str, *running: str, at: float
+) -> crash_strikes.Crash:
+    for fingerprint in running:
+        strikes.broke(fingerprint, instance, at)
+    return strikes.crashed(instance, at + 4.0)
+
+
+def test_the_third_endpoint_is_the_last() -> None:
+    """A caller sends the same request again after each crash.
+
+    Each endpoint that runs it is gone some seconds later. The request is
+    refused from the third on, and its neighbours on those endpoints aren't.
+    """
+    strikes = crash_strikes.CrashStrikes()
+    for number in range(3):
+        assert not strikes.is_refused("bad", 10.0 * number)
+        other = f"innocent-{number}"
+        found = crash(strikes, f"e{number}", "bad", other, at=10.0 * number)
+        assert set(found.fingerprints) == {"bad", other}
+    assert found.convicted == ("bad",)
+    assert strikes.is_refused("bad", 30.0)
+    assert not any(strikes.is_refused(f"innocent-{n}", 30.0) for n in range(3))
+
+
+@pytest.mark.parametrize("gone_after_s", [None, 11.0])
+def test_a_reset_of_an_endpoint_that_lives_is_no_strike(
+    gone_after_s: float | None,
+) -> None:
+    strikes = crash_strikes.CrashStrikes()
+    for number in range(5):
+        strikes.broke("request", f"e{number}", 0.0)
+        if gone_after_s is not None:
+            strikes.crashed(f"e{number}", gone_after_s)
+    assert not strikes.is_refused("request", 12.0)
+    strikes.forget_old(12.0)
+    assert not strikes.breaks
+
+
+@pytest.mark.parametrize("answered_at", ["before", "between", "after"])
+def test_what_is_answered_well_is_not_to_blame(answered_at: str) -> None:
+    """Many callers send the same request without a body.
+
+    Three endpoints crash for reasons of their own within a minute, each with
+    one of these in flight; all others are answered.
+    """
+    strikes = crash_strikes.CrashStrikes()
+    for number in range(3):
+        if (answered_at, number) in (("before", 0), ("between", 2)):
+            strikes.note_answered("common", 10.0 * number)
+        crash(strikes, f"e{number}", "common", at=10.0 * number)
+    if answered_at == "after":
+        assert strikes.is_refused("common", 30.0)
+        strikes.note_answered("common", 30.0)
+    assert not strikes.is_refused("common", 30.0)
+    assert strikes.known_good(("common", "other")) == ("common",)
+
+
+def test_strikes_end_and_are_bounded() -> None:
+    strikes = crash_strikes.CrashStrikes()
+    names = tuple(f"f{n}" for n in range(crash_strikes.STRUCK_KEPT + 10))
+    for instance in ("a", "b", "c"):
+        strikes.strike(names, instance, 0.0)
+    assert len(strikes.strikes) == crash_strikes.STRUCK_KEPT
+    assert strikes.is_refused(names[-1], 1.0)
+    later = crash_strikes.STRIKE_S + 1.0
+    assert not strikes.is_refused(names[-1], later)
+    strikes.forget_old(later)
+    assert not strikes.strikes
+    for name in names:
+        strikes.note_answered(name, 0.0)
+    assert len(strikes.answered) == crash_strikes.ANSWERED_KEPT
+
+
+def test_strikes_from_peers_count_once_an_endpoint() -> None:
+    strikes = crash_strikes.CrashStrikes()
+    for _ in range(3):
+        assert strikes.strike(("bad",), "e0", 0.0) == ()
+    assert strikes.strike(("bad",), "e1", 1.0) == ()
+    assert strikes.strike(("bad",), "e2", 2.0) == ("bad",)
+    assert strikes.strike(("bad",), "e3", 3.0) == ()
