One copy of what plain requests and streams log; one place for repeated work

The plan of layers is not made again for a fleet that it had no orders for. Dead names are gone: DEFAULT_PRIORITY, WEIGHT_VERSIONS, NodeRows.withdraw, PathChooser.has_path.

The one change of behaviour: a slow idempotent request is no longer sent on to an endpoint that is suspect.

--- a/src/almondshift/platform/names.py
+++ b/src/almondshift/platform/names.py
@@ -18,7 +18,6 @@
 NOT_RUN = "x-not-executed"
 FAULTY_ADDRESS = "at-server"
 SIGNATURE = "x-engine-signature"
-WEIGHT_VERSIONS = "x-weight-versions"
 
 # Tables that the platform and its operators write.
 OPERATOR_TABLE = "op"
--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -136,10 +136,6 @@
                 best, best_score = chosen, score
         return best
 
-    def has_path(self, view: FleetView, now: float) -> bool:
-        """Returns whether all layers are covered at all."""
-        return bool(self._paths(view, now))
-
     def move(
         self,
         view: FleetView,
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import logging
 from typing import TYPE_CHECKING
@@ -15,6 +14,7 @@
 from almondshift.policy import engine_book
 from almondshift.policy import path_choice
 from almondshift.policy import repeat_budget
+from almondshift.relay import background
 from almondshift.relay import catalogue
 from almondshift.relay import context
 from almondshift.relay import crash_watch
@@ -163,7 +163,7 @@
         )
         self.rows = group.NodeRows(ports.table, ports.clock)
         self.group: group.Group | None = None
-        self.tasks: list[asyncio.Task[None]] = []
+        self.work = background.Background()
         self.woke_at = ports.clock.monotonic()
         self.wire()
 
@@ -184,11 +184,8 @@
         await self.engine_watch.start()
         await self.silence.start()
         await self.keeper.start()
-        loop = asyncio.get_running_loop()
-        self.tasks = [
-            loop.create_task(self.join()),
-            loop.create_task(self.tick_forever()),
-        ]
+        self.work.run(self.join())
+        self.work.repeat(TICK_S, self.tick, "the node's periodic work failed")
         log_events.emit(
             logger,
             log_events.NodeStarted(
@@ -201,10 +198,7 @@
 
     async def close(self) -> None:
         """Stops all parts."""
-        for task in self.tasks:
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await self.work.close()
         await self.gateway.close()
         await self.keeper.close()
         await self.silence.close()
@@ -245,16 +239,6 @@
             CONTENDERS
         )
 
-    async def tick_forever(self) -> None:
-        """Does what time alone brings."""
-        while True:
-            await asyncio.sleep(TICK_S)
-            try:
-                self.tick()
-            except Exception:
-                # Removals that are due would never be carried out.
-                logger.exception("the node's periodic work failed")
-
     def tick(self) -> None:
         """Notes pauses of the process, peers, and removals that are due."""
         now = self.ports.clock.monotonic()
--- a/src/almondshift/relay/group.py
+++ b/src/almondshift/relay/group.py
@@ -74,10 +74,6 @@
         write = stores.Write(TABLE, name, value, None)
         return (await self.store.transact([write])).is_ok()
 
-    async def withdraw(self, name: str) -> None:
-        """Removes a node's row."""
-        await self.store.transact([stores.Write(TABLE, name, None, None)])
-
     async def peer_addresses(self) -> list[str]:
         """Returns addresses to find peers by; those known last on failure."""
         if self.clock.monotonic() < self.next_read_at():
--- a/src/almondshift/relay/layer_keeper.py
+++ b/src/almondshift/relay/layer_keeper.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import contextlib
 import dataclasses
 import logging
 from typing import TYPE_CHECKING
@@ -60,7 +58,14 @@
 
 
 class LayerKeeper:
-    """Sends the orders of the plan."""
+    """Sends the orders of the plan.
+
+    Attributes:
+        pending: Orders that were sent, by instance.
+        expected: How many orders each engine has accepted, where known.
+        settled: The fleet for which the last plan had no orders, by service;
+            it is not planned again until it changes.
+    """
 
     def __init__(
         self,
@@ -73,7 +78,7 @@
         self.expected: dict[str, int] = {}
         self.newest_at = shared.clock.monotonic()
         self.had_grant = False
-        self.task: asyncio.Task[None] | None = None
+        self.settled: dict[str, list[layer_holdings.PlannedEngine]] = {}
         self.orders = background.Background()
 
     async def start(self) -> None:
@@ -81,14 +86,10 @@
         self.shared.catalogue.on_engine.append(self.engine_changed)
         self.shared.catalogue.on_gone.append(self.engine_gone)
         await self.lease.start()
-        self.task = asyncio.get_running_loop().create_task(self._keep())
+        self.orders.repeat(TICK_S, self.tick, "layers could not be placed")
 
     async def close(self) -> None:
         """Stops, and gives the lease back."""
-        if self.task is not None:
-            self.task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.task
         await self.orders.close()
         await self.lease.close()
 
@@ -108,16 +109,6 @@
         self.pending.pop(engine.instance, None)
         self.expected.pop(engine.instance, None)
 
-    async def _keep(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            try:
-                self.tick()
-            except Exception:
-                # One fleet that the plan can't handle must not end all
-                # placing: engines that die later would stay unreplaced.
-                logger.exception("layers could not be placed")
-
     def tick(self) -> None:
         """Sends what the plan asks for, if this node may."""
         grant = self.lease.grant()
@@ -158,13 +149,16 @@
     ) -> None:
         """Plans a service's layers and sends the orders."""
         planned = self.planned(view, now)
-        if not planned:
+        if not planned or planned == self.settled.get(view.service):
             return
         is_fresh = all(engine.held is None for engine in planned)
         if is_fresh and now - self.newest_at < SETTLED_S:
             return
+        orders = layer_plan.plan_orders(planned, view.spec)
+        if not orders:
+            self.settled[view.service] = planned
         engines = {engine.instance: engine for engine in view.engines}
-        for order in layer_plan.plan_orders(planned, view.spec):
+        for order in orders:
             load_s = view.spec.load_s * order.layers.count / view.spec.layers
             until = now + load_s * LOAD_FACTOR + LOAD_EXTRA_S
             self.pending[order.instance] = PendingOrder(
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from almondshift import errors
-from almondshift import log_events
 from almondshift.model import relayed
 from almondshift.policy import engine_book
 from almondshift.ports import path_engines
@@ -83,13 +82,9 @@
     def begin(self) -> None:
         """Sends the request to an endpoint."""
         now = self.shared.clock.monotonic()
-        endpoints = [
-            e
-            for e in self.shared.catalogue.of_service(self.routed.service)
-            if not e.leaving and not self.shared.book.is_suspect(e.instance)
-        ]
-        fresh = [e for e in endpoints if e.instance not in self.tried]
-        chosen = self.shared.endpoints.choose(fresh, self.shared.zone, now)
+        chosen = self.shared.endpoints.choose(
+            self.untried(), self.shared.zone, now
+        )
         if chosen is None:
             self.give_up("No endpoint of the service can take the request.")
             return
@@ -97,17 +92,10 @@
         self.sends += 1
         self.shared.endpoints.started(chosen.instance)
         self.attempt = PlainAttempt(self, chosen)
-        self.shared.observer.emit(
-            log_events.RequestForwarded(
-                request_id=self.routed.request.request_id,
-                service=self.routed.service,
-                path=chosen.address,
-                instances=chosen.instance,
-                attempt=self.sends,
-                load=self.shared.endpoints.record(chosen.instance).in_flight,
-                config_version=self.routed.config_version,
-                registry_age_s=round(self.shared.registry_age_s(), 2),
-            )
+        self.note_forwarded(
+            chosen.address,
+            chosen.instance,
+            self.shared.endpoints.record(chosen.instance).in_flight,
         )
         self.attempt.forwarded = self.shared.engines.forward(
             self.routed.request,
@@ -125,6 +113,16 @@
         self.may_have_run = True
         self.watch_patience()
 
+    def untried(self) -> list[registered_engines.RegisteredEngine]:
+        """Returns the endpoints that the request may be sent to yet."""
+        return [
+            e
+            for e in self.shared.catalogue.of_service(self.routed.service)
+            if not e.leaving
+            and e.instance not in self.tried
+            and not self.shared.book.is_suspect(e.instance)
+        ]
+
     def watch_patience(self) -> None:
         """Sets a limit for an idempotent request's first endpoint."""
         route = self.routed.route
@@ -141,14 +139,11 @@
         attempt = self.attempt
         if attempt is None or self.ended or attempt.over:
             return
-        others = [
-            e
-            for e in self.shared.catalogue.of_service(self.routed.service)
-            if not e.leaving and e.instance not in self.tried
-        ]
-        if not others or not self.may_repeat_after(False):
+        if not self.untried() or not self.may_repeat_after(False):
             return
-        self.note_failed(attempt, "too slow", False, "sent elsewhere")
+        self.note_failed(
+            attempt.endpoint.instance, "too slow", False, runs.SENT_ELSEWHERE
+        )
         self.drop_attempt(failed=True)
         self.begin()
 
@@ -211,7 +206,9 @@
         assert head is not None
         if self.routed.route.may_repeat and self.may_repeat_after(False):
             self.last_failure = attempt
-            self.note_failed(attempt, reason, False, "sent elsewhere")
+            self.note_failed(
+                attempt.endpoint.instance, reason, False, runs.SENT_ELSEWHERE
+            )
             self.begin()
             return
         if head.status < SERVER_ERROR or not head.genuine:
@@ -225,11 +222,12 @@
         """Sends elsewhere if that is allowed, else gives up."""
         if is_not_run and self.ran_on == 0:
             self.may_have_run = False
+        instance = attempt.endpoint.instance
         if self.may_repeat_after(is_not_run):
-            self.note_failed(attempt, reason, is_not_run, "sent elsewhere")
+            self.note_failed(instance, reason, is_not_run, runs.SENT_ELSEWHERE)
             self.begin()
             return
-        self.note_failed(attempt, reason, is_not_run, "given up")
+        self.note_failed(instance, reason, is_not_run, runs.GIVEN_UP)
         if is_not_run and self.ran_on == 0:
             self.give_up(reason)
             return
@@ -264,26 +262,6 @@
         )
         self.answered()
 
-    def note_failed(
-        self,
-        attempt: PlainAttempt,
-        reason: str,
-        is_not_run: bool,
-        next_step: str,
-    ) -> None:
-        """Logs a send that brought no answer."""
-        self.shared.observer.attempts.labels("failed").inc()
-        self.shared.observer.emit(
-            log_events.AttemptFailed(
-                request_id=self.routed.request.request_id,
-                endpoint=attempt.endpoint.instance,
-                reason=reason,
-                not_run=is_not_run,
-                events_sent=0,
-                next_step=next_step,
-            )
-        )
-
     def stop_patience(self) -> None:
         """Ends the wait for the first endpoint."""
         if self.patience is not None:
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -27,6 +27,8 @@
 so that those refused together don't return together."""
 
 ANSWERED = "ok"
+SENT_ELSEWHERE = "sent elsewhere"
+GIVEN_UP = "given up"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -184,6 +186,37 @@
         else:
             self.refuse(errors.DeadlinePast(detail))
 
+    def note_forwarded(self, path: str, instances: str, load: float) -> None:
+        """Logs that the request is sent to an endpoint or over a path."""
+        self.shared.observer.emit(
+            log_events.RequestForwarded(
+                request_id=self.routed.request.request_id,
+                service=self.routed.service,
+                path=path,
+                instances=instances,
+                attempt=self.sends,
+                load=load,
+                config_version=self.routed.config_version,
+                registry_age_s=round(self.shared.registry_age_s(), 2),
+            )
+        )
+
+    def note_failed(
+        self, instance: str, reason: str, is_not_run: bool, next_step: str
+    ) -> None:
+        """Logs and counts a send that brought no answer."""
+        self.shared.observer.attempts.labels("failed").inc()
+        self.shared.observer.emit(
+            log_events.AttemptFailed(
+                request_id=self.routed.request.request_id,
+                endpoint=instance,
+                reason=reason,
+                not_run=is_not_run,
+                events_sent=self.size(),
+                next_step=next_step,
+            )
+        )
+
     def elapsed_s(self) -> float:
         """Returns seconds since the arrival, for the log."""
         return round(self.loop.time() - self.started_at, 4)
--- a/src/almondshift/relay/silence_watch.py
+++ b/src/almondshift/relay/silence_watch.py
@@ -9,8 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import logging
 from typing import TYPE_CHECKING
 
 from almondshift.policy import engine_book
@@ -38,8 +36,6 @@
 """Unanswered questions until an engine counts as lost; one may be lost with
 its connection."""
 
-logger = logging.getLogger(__name__)
-
 
 class SilenceWatch:
     """Looks at all streams of a node in turn.
@@ -58,18 +54,15 @@
         )
         self.asked_at: dict[str, float] = {}
         self.lost: dict[str, int] = {}
-        self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Starts to look."""
-        self.task = asyncio.get_running_loop().create_task(self._watch())
+        self.work.repeat(
+            TICK_S, self.look_at_all, "silent streams could not be looked at"
+        )
 
     async def close(self) -> None:
         """Stops."""
-        if self.task is not None:
-            self.task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.task
         await self.work.close()
 
     def forget(self, instance: str) -> None:
@@ -78,16 +71,11 @@
         self.lost.pop(instance, None)
         self.questions.forget(instance)
 
-    async def _watch(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            try:
-                self.look()
-                self.moves.leave_in_time()
-                self.questions.ask_again()
-            except Exception:
-                # Streams would stand still behind dead engines for good.
-                logger.exception("silent streams could not be looked at")
+    def look_at_all(self) -> None:
+        """Looks at streams and engines, and begins what is due."""
+        self.look()
+        self.moves.leave_in_time()
+        self.questions.ask_again()
 
     def look(self) -> None:
         """Asks the first engines of silent streams how these are."""
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -32,7 +32,6 @@
 MOVE_TIMEOUT_S = 0.4
 """An engine that lives answers an order within some ms."""
 
-DEFAULT_PRIORITY = 5
 HIGHEST_PRIORITY = 9
 
 
@@ -168,17 +167,10 @@
         attempt = StreamAttempt(self, chosen)
         self.attempt = attempt
         self.shared.book.add(attempt.used, self.tokens)
-        self.shared.observer.emit(
-            log_events.RequestForwarded(
-                request_id=self.routed.request.request_id,
-                service=self.routed.service,
-                path=shown(chosen.path),
-                instances=",".join(part.instance for part in chosen.path),
-                attempt=self.sends,
-                load=round(chosen.load, 3),
-                config_version=self.routed.config_version,
-                registry_age_s=round(self.shared.registry_age_s(), 2),
-            )
+        self.note_forwarded(
+            shown(chosen.path),
+            ",".join(part.instance for part in chosen.path),
+            round(chosen.load, 3),
         )
         self.may_have_run = True
         attempt.forwarded = self.shared.engines.forward(
@@ -315,16 +307,11 @@
         ):
             self.ran_on += 1
         allowed = self.may_repeat(is_not_run)
-        self.shared.observer.attempts.labels("failed").inc()
-        self.shared.observer.emit(
-            log_events.AttemptFailed(
-                request_id=self.routed.request.request_id,
-                endpoint=attempt.first.instance,
-                reason=reason,
-                not_run=is_not_run,
-                events_sent=self.events_sent,
-                next_step="sent elsewhere" if allowed else "given up",
-            )
+        self.note_failed(
+            attempt.first.instance,
+            reason,
+            is_not_run,
+            runs.SENT_ELSEWHERE if allowed else runs.GIVEN_UP,
         )
         if allowed:
             self.begin()
--- a/tests/platform/standin_system.py
+++ b/tests/platform/standin_system.py
@@ -156,7 +156,7 @@
             shared = process.node.shared
             view = shared.catalogue.view(MODEL_SERVICE)
             now = shared.clock.monotonic()
-            if view is None or not shared.paths.has_path(view, now):
+            if view is None or shared.paths.choose(view, 1.0, now) is None:
                 return False
         return True
 
