Renew the lease by one call; remove rows of nodes that are gone

Rows of replaced nodes stayed in the store for ever.

Change: a holder renews on the revision of its own last write and reads only after a write of unknown outcome.

--- a/src/almondshift/coordination/lease.py
+++ b/src/almondshift/coordination/lease.py
@@ -110,6 +110,8 @@
     """One process's part in a lease.
 
     Attributes:
+        own_revision: Revision of this process's last write, while no write
+            since is of unknown outcome; None makes the next step read.
         holder: Name of the last known holder, ``""`` if none; for people.
         may_contend: Whether this process takes part at present; a few of many
             are enough, and each costs reads.
@@ -137,6 +139,7 @@
         self.held: LeaseGrant | None = None
         self.sighting: Sighting | None = None
         self.renewal = 0
+        self.own_revision: int | None = None
         self.sent_at: dict[int, float] = {}
         self.closing = False
         self.read_at = -math.inf
@@ -171,7 +174,16 @@
         return self.held
 
     async def step(self) -> None:
-        """Reads the row once and acquires or renews if that is possible."""
+        """Acquires or renews if that is possible.
+
+        A holder renews by one conditional write on its own last revision:
+        a read before it would double the holder's calls, and the condition
+        fails if anybody else wrote meanwhile.
+        """
+        grant = self.grant()
+        if grant is not None and self.own_revision is not None:
+            await self._write(self.own_revision, grant.fencing)
+            return
         read = await self.store.read(TABLE, self.name)
         if read.is_error():
             return
@@ -220,11 +232,17 @@
     async def _write(self, revision: int, fencing: int) -> None:
         self.renewal += 1
         renewal = self.renewal
+        self.own_revision = None
         self.sent_at[renewal] = self.clock.monotonic()
         row = self._row(renewal, fencing, released=False)
         write = stores.Write(TABLE, self.name, row.to_value(), revision)
         written = await self.store.transact([write])
-        if written.is_ok():
+        if self._has_lapsed(fencing):
+            # Held again under the same number, orders from before and after
+            # the gap could not be told apart. The next step takes a new one.
+            self.sent_at.pop(renewal, None)
+        elif written.is_ok():
+            self.own_revision = written.ok[0]
             self.holder = self.owner
             self._hold(fencing, renewal)
         elif written.is_error() and isinstance(
@@ -232,6 +250,15 @@
         ):
             self.sent_at.pop(renewal, None)
 
+    def _has_lapsed(self, fencing: int) -> bool:
+        """Returns whether the grant with this number has ended."""
+        held = self.held
+        return (
+            held is not None
+            and held.fencing == fencing
+            and self.grant() is None
+        )
+
     def _hold(self, fencing: int, renewal: int) -> None:
         sent_at = self.sent_at.get(renewal)
         if sent_at is None or self.closing:
--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -526,6 +526,16 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeRowRemoved(Event):
+    """The row of a node that is gone was removed from the store."""
+
+    number = 7005
+    message = "node row removed"
+
+    peer: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuarantineSuspect(Event):
     """A request was in flight where an endpoint crashed."""
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -234,11 +234,24 @@
         await joined.start()
         self.group = joined
         self.gateway.group = joined
+        self.work.run(self.sweep_rows(joined))
         self.keeper.lease.is_holder_alive = joined.is_alive
         self.keeper.lease.may_contend = lambda: joined.is_among_first(
             CONTENDERS
         )
 
+    async def sweep_rows(self, joined: group.Group) -> None:
+        """Removes rows of nodes that are gone, while this node has the lease.
+
+        One node does it, so that the rows of many are not read by all.
+        """
+        while True:
+            await asyncio.sleep(group.SWEEP_EACH_S)
+            if self.keeper.lease.grant() is None:
+                continue
+            for name in await self.rows.sweep(joined.names()):
+                log_events.emit(logger, log_events.NodeRowRemoved(name))
+
     def tick(self) -> None:
         """Notes pauses of the process, peers, and removals that are due."""
         now = self.ports.clock.monotonic()
--- a/src/almondshift/relay/group.py
+++ b/src/almondshift/relay/group.py
@@ -39,6 +39,10 @@
 theirs within a second of each other, and who read before would not find
 them. Afterwards every ``READ_EACH_S``."""
 
+SWEEP_EACH_S = 120.0
+"""Nodes are replaced a few times a day; a node that starts is known to its
+peers within seconds."""
+
 READ_EACH_S = 60.0
 """New nodes call those whose rows they find; reading again only helps groups
 that lost each other."""
@@ -47,11 +51,19 @@
 
 
 class NodeRows:
-    """Rows in the store by which nodes find each other."""
+    """Rows in the store by which nodes find each other.
+
+    Attributes:
+        stale: Rows of nodes that no peer knew at the last sweep, with their
+            revisions.
+    """
 
     def __init__(self, store: stores.TableStore, clock: clocks.Clock) -> None:
         self.store = store
         self.clock = clock
+        self.name = ""
+        self.peer_address = ""
+        self.stale: dict[str, int] = {}
         self.found: list[str] = []
         self.started_at = clock.monotonic()
         self.reads = 0
@@ -70,6 +82,7 @@
 
     async def announce(self, name: str, peer_address: str) -> bool:
         """Writes this node's row; returns whether that is known to be done."""
+        self.name, self.peer_address = name, peer_address
         value = {"peer": peer_address}
         write = stores.Write(TABLE, name, value, None)
         return (await self.store.transact([write])).is_ok()
@@ -83,8 +96,35 @@
         if rows.is_ok():
             found = [str(row.value.get("peer", "")) for row in rows.ok]
             self.found = [address for address in found if address]
+            if self.name and all(row.key != self.name for row in rows.ok):
+                await self.announce(self.name, self.peer_address)
         return self.found
 
+    async def sweep(self, known: frozenset[str]) -> list[str]:
+        """Removes the rows of nodes that are gone; returns their names.
+
+        Each node that is replaced leaves a row, and all others try to reach
+        it each second for ever. A row goes if no peer knew its node at two
+        sweeps and nobody wrote it in between. A node that was only cut off
+        finds its row missing and writes it anew.
+
+        Args:
+            known: Names of this node and of all that it knows.
+        """
+        read = await self.store.scan(TABLE, "", SEEDS_READ)
+        if read.is_error():
+            return []
+        unknown = {r.key: r.revision for r in read.ok if r.key not in known}
+        removed = []
+        for name, revision in unknown.items():
+            if self.stale.get(name) != revision:
+                continue
+            write = stores.Write(TABLE, name, None, revision)
+            if (await self.store.transact([write])).is_ok():
+                removed.append(name)
+        self.stale = unknown
+        return removed
+
     def next_read_at(self) -> float:
         """Returns when the rows are due to be read again."""
         if self.reads < len(READ_AT_S):
@@ -125,6 +165,11 @@
         """Leaves the exchange."""
         await self.members.close()
 
+    def names(self) -> frozenset[str]:
+        """Returns this node and all peers that are not taken for gone."""
+        peers = self.members.peers()
+        return frozenset({self.name, *(peer.name for peer in peers)})
+
     def serving(self) -> list[membership.PeerInfo]:
         """Returns the peers that callers may be sent to."""
         alive = membership.PeerState.ALIVE
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -81,6 +81,32 @@
     asyncio.run(case())
 
 
+def test_a_holder_renews_by_one_call() -> None:
+    """A holder's reads would be half of what the lease costs the store.
+
+    The holder renews on its own last revision; a renewal whose answer is
+    lost is read back, and the grant goes on with the same fencing number.
+    """
+
+    async def case() -> None:
+        cluster = Cluster()
+        first, store = cluster.leases[0], cluster.stores[0]
+        await first.step()
+        reads, writes = store.reads, store.writes
+        for _ in range(3):
+            await cluster.clock.advance(1.0)
+            await first.step()
+        assert (store.reads, store.writes) == (reads, writes + 3)
+        store.outcomes.append(Outcome.LOST)
+        await first.step()
+        await cluster.clock.advance(1.0)
+        await first.step()
+        assert (store.reads, store.writes) == (reads + 1, writes + 5)
+        assert cluster.fencing(0) == 1
+
+    asyncio.run(case())
+
+
 def test_renewal_restarts_the_wait() -> None:
     async def case() -> None:
         cluster = Cluster()
--- /dev/null
+++ b/tests/relay/test_group.py
@@ -0,0 +1,60 @@
+from __future__ import annotations
+
+import pytest
+
+from almondshift.ports import stores
+from almondshift.relay import group
+from tests import asynchronous
+from tests.coordination import network
+from tests.fakes import tables
+
+
+async def announced(
+    *names: str,
+) -> tuple[tables.FakeTableStore, group.NodeRows]:
+    store = tables.FakeTableStore()
+    rows = group.NodeRows(store, network.ManualClock())
+    for name in names:
+        other = group.NodeRows(store, network.ManualClock())
+        assert await other.announce(name, f"{name}:1")
+    return store, rows
+
+
+@pytest.mark.parametrize(
+    ("known", "written_between", "removed"),
+    [
+        (("a", "b"), "", []),
+        (("a",), "", ["b"]),
+        (("a",), "b", []),
+    ],
+)
+@asynchronous.run
+async def test_rows_of_gone_nodes_are_removed(
+    known: tuple[str, ...], written_between: str, removed: list[str]
+) -> None:
+    """Nodes would try to reach each node that was ever replaced, for ever.
+
+    Nobody knows a node at two sweeps. A node that started in between has
+    written its row again, and stays.
+    """
+    store, rows = await announced("a", "b")
+    assert await rows.sweep(frozenset(known)) == []
+    if written_between:
+        other = group.NodeRows(store, network.ManualClock())
+        assert await other.announce(written_between, "new:1")
+    assert await rows.sweep(frozenset(known)) == removed
+    left = await store.scan(group.TABLE, "", 10)
+    assert [r.key for r in left.ok] == [
+        name for name in ("a", "b") if name not in removed
+    ]
+
+
+@asynchronous.run
+async def test_a_node_whose_row_was_removed_writes_it_anew() -> None:
+    """A node that was cut off for long would not be found by new nodes."""
+    store, rows = await announced()
+    assert await rows.announce("a", "a:1")
+    await store.transact([stores.Write(group.TABLE, "a", None, None)])
+    await rows.peer_addresses()
+    left = await store.scan(group.TABLE, "", 10)
+    assert [r.key for r in left.ok] == ["a"]
