Let a few nodes of a large group follow the store for the others

Change: above 16 nodes two of each zone follow the store's tables; the others ask them over the peers' link and get rows with their age. A reader that is silent or whose news is over 1.6 s old is passed over for another one, and then for the store itself; a store that is away for both is asked by all nodes together some 20 times a second. A copy knows since which revision it is complete, and gives all rows to a peer that knows less. Denials that wait for confirmation share one question. Nodes read each other's rows once, since each writes before it reads; six nodes watch the lease's row instead of ten.

Ruled out: pushing rows as facts of the exchange, which take a second and more to reach all of 76 nodes, and go to each of them several times.

Small groups work as before.

Tests: tests/relay/test_shared_feed.py.

--- a/src/almondshift/ports/row_feeds.py
+++ b/src/almondshift/ports/row_feeds.py
@@ -33,10 +33,14 @@
     Attributes:
         rows: In the order of their changes; for a whole read, by key.
         revision: The newest revision of the store that is covered.
+        is_whole: Whether these are all rows: what is missing was removed.
+        age_s: Since the store confirmed this; over 0 if it comes from a copy.
     """
 
     rows: tuple[FeedRow, ...]
     revision: int
+    is_whole: bool = False
+    age_s: float = 0.0
 
 
 class RowFeed(abc.ABC):
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -12,6 +12,7 @@
 from almondshift.coordination import membership
 from almondshift.policy import endpoint_choice
 from almondshift.policy import engine_book
+from almondshift.policy import feed_readers
 from almondshift.policy import path_choice
 from almondshift.policy import repeat_budget
 from almondshift.relay import background
@@ -22,6 +23,7 @@
 from almondshift.relay import group
 from almondshift.relay import layer_keeper
 from almondshift.relay import observer
+from almondshift.relay import shared_feed
 from almondshift.relay import silence_watch
 from almondshift.relay import table_watch
 
@@ -63,14 +65,10 @@
 must get no more. Without it a start of 33 engines costs each node as many
 calls of the store."""
 
-ENGINE_PAUSE_MOST_S = 0.6
-"""With over 16 nodes they bunch more: at 73 nodes these calls were some four
-in ten of all. A fifth of the shortest time within which an engine that
-leaves must get no more there."""
-
-CONTENDERS = 10
+CONTENDERS = 6
 """Nodes that watch the lease's row. That all of them lose the store while
-others reach it is unlikely: the store turned away a third at the most."""
+others reach it is unlikely, once in five hundred outages: the store turned
+away a third of the nodes at the most."""
 
 PAUSED_S = 1.0
 """The loop stood still for so long: the process was suspended or starved."""
@@ -80,9 +78,6 @@
 
 STOP_TICK_S = 0.05
 
-REVISION_DIGITS = 20
-"""Digits of the largest revision, a number of 64 bits."""
-
 logger = logging.getLogger(__name__)
 
 
@@ -124,6 +119,9 @@
         self.ports = ports
         self.catalogue = catalogue.Catalogue(ports.decoders, ports.config_key)
         self.book = engine_book.EngineBook()
+        self.feed = shared_feed.create_shared_feed(
+            ports.feed, ports.clock, ports.rng
+        )
         self.config_watch = self._watch(ports.config_table)
         self.engine_watch = self._watch(ports.engine_table)
         self.engine_watch.pause_s = ENGINE_PAUSE_S
@@ -230,6 +228,7 @@
         for watch in (self.config_watch, self.engine_watch):
             joined.answer(watch.table, answering(watch))
             watch.ask_peers = joined.ask
+        self.feed.group = joined
         self.shared.crashes.join(joined)
         await joined.start()
         self.group = joined
@@ -265,9 +264,11 @@
             self.group.log_changes()
             nodes = 1 + len(self.group.serving())
             self.shared.paths.nodes = nodes
-            self.engine_watch.pause_s = min(
-                ENGINE_PAUSE_MOST_S, ENGINE_PAUSE_S * max(1.0, nodes / 16)
-            )
+            wait_s = table_watch.WAIT_S
+            if nodes > feed_readers.FEW_NODES:
+                wait_s = feed_readers.READER_WAIT_S
+            for watch in (self.config_watch, self.engine_watch):
+                watch.wait_s = wait_s
 
     def take_config(
         self, rows: list[row_feeds.FeedRow], verified: bool
@@ -339,7 +340,7 @@
 
     def _watch(self, table: str) -> table_watch.TableWatch:
         return table_watch.create_table_watch(
-            self.ports.feed, table, self.ports.clock, self.ports.rng
+            self.feed, table, self.ports.clock, self.ports.rng
         )
 
 
@@ -350,9 +351,7 @@
 
     async def answer(sender: str, body: bytes) -> bytes:
         del sender
-        text = body.decode("ascii", "replace")
-        is_number = text.isdecimal() and len(text) <= REVISION_DIGITS
-        return watch.rows_after(int(text) if is_number else 0)
+        return await watch.answer_peer(body)
 
     return answer
 
--- a/src/almondshift/relay/group.py
+++ b/src/almondshift/relay/group.py
@@ -9,6 +9,7 @@
 
 from almondshift import log_events
 from almondshift.coordination import membership
+from almondshift.policy import feed_readers
 from almondshift.ports import peers as peer_port
 from almondshift.ports import stores
 
@@ -34,17 +35,13 @@
 RETRY_S = 0.3
 SEEDS_READ = 500
 
-READ_AT_S = (0.0, 1.0, 3.0, 7.0)
-"""When the rows are read after the start: nodes that start together write
-theirs within a second of each other, and who read before would not find
-them. Afterwards every ``READ_EACH_S``."""
-
 SWEEP_EACH_S = 120.0
 """Nodes are replaced a few times a day; a node that starts is known to its
 peers within seconds."""
 
 READ_EACH_S = 60.0
-"""New nodes call those whose rows they find; reading again only helps groups
+"""A node writes its row before it reads, so that of any two that start
+together one finds the other, and calls it. Reading again only helps groups
 that lost each other."""
 
 logger = logging.getLogger(__name__)
@@ -65,8 +62,7 @@
         self.peer_address = ""
         self.stale: dict[str, int] = {}
         self.found: list[str] = []
-        self.started_at = clock.monotonic()
-        self.reads = 0
+        self.next_read_at = 0.0
 
     async def shared_secret(self) -> str:
         """Returns the secret that all nodes share, made by the first.
@@ -89,11 +85,11 @@
 
     async def peer_addresses(self) -> list[str]:
         """Returns addresses to find peers by; those known last on failure."""
-        if self.clock.monotonic() < self.next_read_at():
+        if self.clock.monotonic() < self.next_read_at:
             return self.found
-        self.reads += 1
         rows = await self.store.scan(TABLE, "", SEEDS_READ)
         if rows.is_ok():
+            self.next_read_at = self.clock.monotonic() + READ_EACH_S
             found = [str(row.value.get("peer", "")) for row in rows.ok]
             self.found = [address for address in found if address]
             if self.name and all(row.key != self.name for row in rows.ok):
@@ -125,13 +121,6 @@
         self.stale = unknown
         return removed
 
-    def next_read_at(self) -> float:
-        """Returns when the rows are due to be read again."""
-        if self.reads < len(READ_AT_S):
-            return self.started_at + READ_AT_S[self.reads]
-        later = self.reads - len(READ_AT_S) + 1
-        return self.started_at + READ_AT_S[-1] + later * READ_EACH_S
-
     async def _secret_once(self) -> str:
         read = await self.store.read(SECRET_TABLE, SECRET_KEY)
         if read.is_error():
@@ -165,6 +154,20 @@
         """Leaves the exchange."""
         await self.members.close()
 
+    @property
+    def zone(self) -> str:
+        """This node's availability zone."""
+        return self.members.node.zone
+
+    def readers(self) -> tuple[feed_readers.GroupNode, ...]:
+        """Returns the nodes that follow the store's tables for all."""
+        nodes = [feed_readers.GroupNode(self.name, self.zone)]
+        nodes += [
+            feed_readers.GroupNode(peer.name, peer.zone)
+            for peer in self.serving()
+        ]
+        return feed_readers.chosen_readers(nodes)
+
     def names(self) -> frozenset[str]:
         """Returns this node and all peers that are not taken for gone."""
         peers = self.members.peers()
--- a/src/almondshift/relay/table_watch.py
+++ b/src/almondshift/relay/table_watch.py
@@ -8,15 +8,13 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import contextlib
 import logging
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from almondshift import log_events
 from almondshift.ports import row_feeds
+from almondshift.relay import peer_rows
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -34,30 +32,15 @@
 """Pause after a failure, drawn between the two: within the second that a
 change may take, and not in step with the other nodes."""
 
+CONFIRM_AGE_S = 0.5
+"""Age up to which a copy passes on as fresh to a peer that asks for it."""
+
 TOMBSTONES_KEPT = 512
 """Removed rows that peers are told of; some hours of replaced engines."""
 
 logger = logging.getLogger(__name__)
 
 
-class PeerRow(msgspec.Struct):
-    """A row on its way between nodes; ``value`` is base64, None if gone."""
-
-    key: str
-    value: str | None
-    revision: int
-
-
-class PeerRows(msgspec.Struct):
-    """Rows changed after the revision that was asked for."""
-
-    revision: int
-    rows: list[PeerRow]
-
-
-PEER_ROWS = msgspec.json.Decoder(PeerRows)
-
-
 class TableWatch:
     """Keeps a copy of a table.
 
@@ -66,6 +49,10 @@
             first read.
         confirmed_at: When the store last answered; monotonic seconds.
         back_at: When the store came back after it was away.
+        complete_since: All changes after this revision are in the copy,
+            removals too; who knows less has to read the table whole.
+        newest_row: Revision of the newest change in the copy.
+        wait_s: How long the store holds a question for changes.
         on_rows: Called with changed rows, and whether they came from the
             store itself.
         on_whole: Called with all rows of a whole read.
@@ -88,6 +75,11 @@
         self.revision: int | None = None
         self.confirmed_at = -1e9
         self.back_at = -1e9
+        self.complete_since = 0
+        self.newest_row = 0
+        self.wait_s = WAIT_S
+        self.changed = asyncio.Event()
+        self.confirming: asyncio.Task[bool] | None = None
         self.away_since: float | None = None
         self.on_rows: Callable[[list[row_feeds.FeedRow], bool], None] = (
             lambda rows, verified: None
@@ -124,22 +116,59 @@
             return True
         if self.revision is None or self.away_since is not None:
             return False
+        if self.confirming is None or self.confirming.done():
+            # Many denials at once, here or at peers, need but one question.
+            loop = asyncio.get_running_loop()
+            self.confirming = loop.create_task(self._confirm(max_age_s))
+        return await asyncio.shield(self.confirming)
+
+    async def _confirm(self, max_age_s: float) -> bool:
+        assert self.revision is not None
         sent_at = self.clock.monotonic()
         answer = await self.feed.wait_for_changes(self.table, self.revision, 0)
         if answer.is_error() or answer.ok is None:
             return False
-        self._take_changes(answer.ok)
-        self.confirmed_at = max(self.confirmed_at, sent_at)
-        return True
+        self._take(answer.ok)
+        confirmed_at = sent_at - answer.ok.age_s
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        return answer.ok.age_s <= max_age_s
+
+    async def answer_peer(self, body: bytes) -> bytes:
+        """Answers a peer's question for rows, once there are some."""
+        question = peer_rows.decode_question(body)
+        if self.revision is None or self.away_since is not None:
+            return self.rows_after(question.after)
+        if question.is_fresh:
+            await self.confirm(CONFIRM_AGE_S)
+        until = self.clock.monotonic() + min(question.wait_s, WAIT_S)
+        while self.newest_row <= question.after and self.away_since is None:
+            left_s = until - self.clock.monotonic()
+            if left_s <= 0:
+                break
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await self.changed.wait()
+        return self.rows_after(question.after)
 
     def rows_after(self, revision: int) -> bytes:
-        """Returns the rows that changed after a revision, for a peer."""
-        rows = [
-            PeerRow(r.key, _encoded(r.value), r.revision)
-            for r in self.rows.values()
-            if r.revision > revision
-        ]
-        return msgspec.json.encode(PeerRows(self.revision or 0, rows))
+        """Returns the rows that changed after a revision, for a peer.
+
+        All rows, if changes after that revision may be missing here: a peer
+        would keep for ever what was removed before this copy began.
+        """
+        is_whole = self.revision is not None and revision < self.complete_since
+        if is_whole:
+            rows = [row for row in self.rows.values() if row.value is not None]
+        else:
+            rows = [r for r in self.rows.values() if r.revision > revision]
+        is_away = self.revision is None or self.away_since is not None
+        age_s = self.clock.monotonic() - self.confirmed_at
+        return peer_rows.encode_answer(
+            rows,
+            self.revision or 0,
+            is_whole,
+            peer_rows.NEVER_S if is_away else max(0.0, age_s),
+        )
 
     async def _follow(self) -> None:
         while True:
@@ -164,14 +193,14 @@
         if self.revision is None or self.away_since is not None:
             return await self._read_whole(sent_at)
         answer = await self.feed.wait_for_changes(
-            self.table, self.revision, WAIT_S
+            self.table, self.revision, self.wait_s
         )
         if answer.is_error():
             return False
         if answer.ok is None:
             return await self._read_whole(sent_at)
-        self.confirmed_at = self.clock.monotonic()
-        self._take_changes(answer.ok)
+        self.confirmed_at = self.clock.monotonic() - answer.ok.age_s
+        self._take(answer.ok)
         return True
 
     async def _read_whole(self, sent_at: float) -> bool:
@@ -179,11 +208,21 @@
         answer = await self.feed.read_whole(self.table)
         if answer.is_error():
             return False
-        self.confirmed_at = sent_at
+        self.confirmed_at = sent_at - answer.ok.age_s
         self._note_back()
-        change = answer.ok
+        self._take_whole(answer.ok)
+        return True
+
+    def _take(self, change: row_feeds.TableChange) -> None:
+        if change.is_whole:
+            self._take_whole(change)
+        else:
+            self._take_changes(change)
+
+    def _take_whole(self, change: row_feeds.TableChange) -> None:
+        """Takes all rows: what is missing among them was removed."""
         if self.revision is not None and change.revision < self.revision:
-            return True
+            return
         present = {row.key for row in change.rows}
         for key, row in list(self.rows.items()):
             if key not in present and row.value is not None:
@@ -191,8 +230,15 @@
         for row in change.rows:
             self.rows[row.key] = row
         self.revision = change.revision
+        self.complete_since = change.revision
+        self._note_changed(change.revision)
         self.on_whole(change.rows)
-        return True
+
+    def _note_changed(self, revision: int) -> None:
+        """Wakes peers that wait for a change."""
+        self.newest_row = max(self.newest_row, revision)
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def _take_changes(self, change: row_feeds.TableChange) -> None:
         fresh = [row for row in change.rows if self._is_news(row)]
@@ -201,6 +247,7 @@
         self.revision = max(self.revision or 0, change.revision)
         self._drop_tombstones()
         if fresh:
+            self._note_changed(max(row.revision for row in fresh))
             self.on_rows(fresh, True)
 
     def _is_news(self, row: row_feeds.FeedRow) -> bool:
@@ -214,14 +261,16 @@
         removed.sort(key=lambda row: row.revision)
         for row in removed[: len(removed) - TOMBSTONES_KEPT]:
             del self.rows[row.key]
+            self.complete_since = max(self.complete_since, row.revision)
 
     async def _learn_from_peers(self) -> None:
         if self.ask_peers is None:
             return
-        question = str(self.revision or 0).encode()
-        for answer in await self.ask_peers(self.table, question):
+        question = peer_rows.RowQuestion(self.revision or 0)
+        body = peer_rows.encode_question(question)
+        for answer in await self.ask_peers(self.table, body):
             try:
-                rows = _peer_rows(answer)
+                rows = peer_rows.decode_answer(answer).rows
             except ValueError as error:
                 log_events.emit(
                     logger,
@@ -230,7 +279,7 @@
                 continue
             self._take_peer_rows(rows)
 
-    def _take_peer_rows(self, rows: list[row_feeds.FeedRow]) -> None:
+    def _take_peer_rows(self, rows: tuple[row_feeds.FeedRow, ...]) -> None:
         fresh = []
         for row in rows:
             if self._is_news(row):
@@ -245,6 +294,7 @@
         if self.away_since is not None:
             return
         self.away_since = self.clock.monotonic()
+        self._note_changed(0)
         log_events.emit(
             logger,
             log_events.StoreOutageBegan(
@@ -270,25 +320,3 @@
 ) -> TableWatch:
     """Creates a watch; ``start`` begins to follow the table."""
     return TableWatch(feed, table, clock, rng)
-
-
-def _encoded(value: bytes | None) -> str | None:
-    return None if value is None else base64.b64encode(value).decode()
-
-
-def _peer_rows(answer: bytes) -> list[row_feeds.FeedRow]:
-    """Decodes a peer's answer.
-
-    Raises:
-        ValueError: It can't be read, whole or in a row.
-    """
-    return [
-        row_feeds.FeedRow(row.key, _decoded(row.value), row.revision)
-        for row in PEER_ROWS.decode(answer).rows
-    ]
-
-
-def _decoded(value: str | None) -> bytes | None:
-    if value is None:
-        return None
-    return base64.b64decode(value, validate=True)
--- a/tests/platform/test_whole_system.py
+++ b/tests/platform/test_whole_system.py
@@ -327,7 +327,7 @@
                 )
             )
             cut.store_pool.close()
-            cut.node.config_watch.feed.address = "127.0.0.1:9"  # type: ignore[attr-defined]
+            cut.node.feed.direct.address = "127.0.0.1:9"  # type: ignore[attr-defined]
             changed = system.config(
                 2, tenants=[{"name": "account", "apiKeys": ["key-2"]}]
             )
--- /dev/null
+++ b/tests/relay/test_shared_feed.py
@@ -0,0 +1,236 @@
+"""Many nodes that follow the store's tables through a few readers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+from typing import Any
+
+import expression
+import pytest
+
+from almondshift import errors
+from almondshift.policy import feed_readers
+from almondshift.ports import row_feeds
+from almondshift.relay import peer_rows
+from almondshift.relay import shared_feed
+from almondshift.relay import table_watch
+from tests import asynchronous
+from tests.coordination import network
+
+if TYPE_CHECKING:
+    from almondshift.ports import stores
+
+ZONES = ("a", "b", "c", "d")
+MANY = [feed_readers.GroupNode(f"n{i:02}", ZONES[i % 4]) for i in range(76)]
+ROW = row_feeds.FeedRow("k", b"v", 7)
+
+
+class CountingFeed(row_feeds.RowFeed):
+    """A store that counts its calls."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.is_away = False
+
+    async def read_whole(
+        self, table: str
+    ) -> expression.Result[row_feeds.TableChange, stores.StoreError]:
+        self.calls += 1
+        if self.is_away:
+            return expression.Error(errors.StoreUnavailable("away"))
+        return expression.Ok(row_feeds.TableChange((ROW,), 7))
+
+    async def wait_for_changes(
+        self, table: str, after: int, wait_s: float
+    ) -> expression.Result[row_feeds.TableChange | None, stores.StoreError]:
+        self.calls += 1
+        if self.is_away:
+            return expression.Error(errors.StoreUnavailable("away"))
+        return expression.Ok(row_feeds.TableChange((), 8))
+
+
+class FakeGroup:
+    """The group as one node sees it; ``answers`` by reader, in age."""
+
+    def __init__(self, name: str, nodes: list[feed_readers.GroupNode]) -> None:
+        self.name = name
+        self.zone = next(n.zone for n in nodes if n.name == name)
+        self.nodes = nodes
+        self.members = self
+        self.ages: dict[str, float | None] = {}
+        self.asked: list[str] = []
+
+    def readers(self) -> tuple[feed_readers.GroupNode, ...]:
+        return feed_readers.chosen_readers(self.nodes)
+
+    def names(self) -> frozenset[str]:
+        return frozenset(node.name for node in self.nodes)
+
+    async def ask(
+        self, name: str, topic: str, body: bytes, timeout_s: float
+    ) -> expression.Result[bytes, errors.PeerUnreachable]:
+        self.asked.append(name)
+        age_s = self.ages.get(name, 0.1)
+        if age_s is None:
+            return expression.Error(errors.PeerUnreachable("silent"))
+        answer = peer_rows.encode_answer([ROW], 7, False, age_s)
+        return expression.Ok(answer)
+
+
+class Asker:
+    def __init__(
+        self, name: str, nodes: list[feed_readers.GroupNode] = MANY
+    ) -> None:
+        self.store = CountingFeed()
+        self.clock = network.ManualClock()
+        self.feed = shared_feed.create_shared_feed(
+            self.store, self.clock, random.Random(name)
+        )
+        self.group = FakeGroup(name, nodes)
+        group: Any = self.group
+        self.feed.group = group
+
+    async def ask(self) -> bool:
+        answer = await self.feed.wait_for_changes("t", 3, 1.0)
+        return answer.is_ok()
+
+
+def test_all_nodes_of_a_small_group_are_readers() -> None:
+    few = MANY[: feed_readers.FEW_NODES]
+    assert feed_readers.chosen_readers(few) == tuple(few)
+    chosen = feed_readers.chosen_readers(reversed(MANY))
+    assert [node.name for node in chosen] == [f"n{i:02}" for i in range(8)]
+
+
+@pytest.mark.parametrize(
+    ("ages", "asked", "store_calls"),
+    [
+        ({}, 1, 0),
+        ({"n00": None}, 2, 0),
+        ({"n00": 5.0}, 2, 0),
+        ({"n00": 5.0, "n04": None}, 2, 1),
+    ],
+)
+@asynchronous.run
+async def test_a_node_asks_readers_of_its_zone_and_then_the_store(
+    ages: dict[str, float | None], asked: int, store_calls: int
+) -> None:
+    """A reader that lost the store would keep changes from other nodes.
+
+    It says how old its copy is, or says nothing; the node asks the zone's
+    other reader, and if that can't help the store itself, at once.
+    """
+    asker = Asker("n40")
+    asker.group.ages = {"n00": 0.1, "n04": 0.1, **ages}
+    if asked == 2:
+        # Both orders occur; the one is taken in which the first one fails.
+        asker.feed.rng = NoShuffle()
+    assert await asker.ask()
+    assert len(asker.group.asked) == asked
+    assert set(asker.group.asked) <= {"n00", "n04"}
+    assert asker.store.calls == store_calls
+
+
+class NoShuffle(random.Random):
+    def shuffle(self, x: Any) -> None:
+        del x
+
+
+def test_an_absent_store_is_not_overrun_by_many_nodes() -> None:
+    """Load: 76 nodes lose the store at once, and all try again for 10 s.
+
+    Each follows two tables and tries some 2.5 times a second, which would be
+    380 calls a second, each of them paid for. Eight readers go on so; the
+    others together make some 20 calls a second, and hear from the readers
+    when the store is back.
+    """
+
+    async def scenario() -> None:
+        askers = [Asker(node.name) for node in MANY]
+        ages: dict[str, float | None] = {n.name: 9.0 for n in MANY}
+        for asker in askers:
+            asker.store.is_away = True
+            asker.group.ages = ages
+        for step in range(25):
+            for asker in askers:
+                asker.clock.now = 100.0 + 0.4 * step
+                assert not await asker.ask()
+        readers = sum(a.store.calls for a in askers if a.feed.is_reader())
+        others = sum(a.store.calls for a in askers) - readers
+        assert readers == 8 * 25
+        assert others <= 68 + 25 * 0.4 * feed_readers.PROBES_PER_S * 1.5
+        ages.clear()
+        for asker in askers:
+            asker.clock.now += feed_readers.BAD_S
+            is_served = await asker.ask()
+            assert is_served != asker.feed.is_reader()
+
+    asyncio.run(scenario())
+
+
+@asynchronous.run
+async def test_a_node_that_alone_reaches_the_store_goes_on_with_it() -> None:
+    asker = Asker("n40")
+    asker.group.ages = {n.name: 9.0 for n in MANY}
+    for _ in range(3):
+        assert await asker.ask()
+    assert asker.store.calls == 3
+
+
+@pytest.mark.parametrize(
+    ("after", "is_whole", "keys"),
+    [(40, True, ["live"]), (100, False, ["gone"]), (120, False, [])],
+)
+@asynchronous.run
+async def test_a_peer_that_knows_less_than_the_copy_gets_all_rows(
+    after: int, is_whole: bool, keys: list[str]
+) -> None:
+    """A node would send work for ever to what was removed before.
+
+    A reader started at revision 100 and has no trace of what was removed
+    earlier; a peer at 40 gets all rows, and drops what is not among them.
+    """
+    watch = table_watch.create_table_watch(
+        CountingFeed(), "t", network.ManualClock(), random.Random(1)
+    )
+    live = row_feeds.FeedRow("live", b"1", 30)
+    gone = row_feeds.FeedRow("gone", b"1", 60)
+    watch._take_whole(row_feeds.TableChange((live, gone), 100))
+    removed = row_feeds.FeedRow("gone", None, 110)
+    watch._take_changes(row_feeds.TableChange((removed,), 115))
+    watch.confirmed_at = watch.clock.monotonic()
+    change = peer_rows.decode_answer(watch.rows_after(after))
+    assert change.is_whole is is_whole
+    assert [row.key for row in change.rows] == keys
+    assert change.revision == 115
+    assert change.age_s == 0.0
+
+
+@asynchronous.run
+async def test_a_peers_question_waits_for_a_change() -> None:
+    watch = table_watch.create_table_watch(
+        CountingFeed(), "t", network.ManualClock(), random.Random(1)
+    )
+    watch._take_whole(row_feeds.TableChange((ROW,), 7))
+    watch.confirmed_at = watch.clock.monotonic()
+    body = peer_rows.encode_question(peer_rows.RowQuestion(7, 1.0))
+    question = asyncio.create_task(watch.answer_peer(body))
+    await asyncio.sleep(0.02)
+    assert not question.done()
+    newer = row_feeds.FeedRow("k", b"w", 9)
+    watch._take_changes(row_feeds.TableChange((newer,), 9))
+    change = peer_rows.decode_answer(await question)
+    assert change.rows == (newer,)
+
+
+@asynchronous.run
+async def test_many_denials_ask_the_store_once() -> None:
+    feed = CountingFeed()
+    clock = network.ManualClock()
+    watch = table_watch.create_table_watch(feed, "t", clock, random.Random(1))
+    watch._take_whole(row_feeds.TableChange((ROW,), 7))
+    answers = await asyncio.gather(*(watch.confirm(0.5) for _ in range(9)))
+    assert answers == [True] * 9
+    assert feed.calls == 1
