--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -138,7 +138,8 @@
             budget=repeat_budget.RepeatBudget(
                 repeat_budget.RepeatLimits(
                     repeats.ratio, repeats.window_s, repeats.allowance
-                )
+                ),
+                ports.clock.monotonic(),
             ),
             crashes=crash_watch.create_crash_watch(ports.clock),
             observer=observer.create_relay_observer(),
@@ -264,6 +265,8 @@
             self.group.log_changes()
             nodes = 1 + len(self.group.serving())
             self.shared.paths.nodes = nodes
+            written = len(self.rows.found)
+            self.shared.budget.note_nodes(max(nodes, written), now)
             wait_s = table_watch.WAIT_S
             if nodes > feed_readers.FEW_NODES:
                 wait_s = feed_readers.READER_WAIT_S
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -229,9 +229,7 @@
             and self.sends < MAX_SENDS
             and self.ran_on + 1 < route.max_attempts
             and self.shared.budget.has_room(
-                self.routed.service,
-                self.shared.clock.monotonic(),
-                self.shared.paths.nodes,
+                self.routed.service, self.shared.clock.monotonic()
             )
         )
 
@@ -251,7 +249,5 @@
         if not is_not_run and self.ran_on >= route.max_attempts:
             return False
         return self.shared.budget.spend(
-            self.routed.service,
-            self.shared.clock.monotonic(),
-            self.shared.paths.nodes,
+            self.routed.service, self.shared.clock.monotonic()
         )
