Pool a node's requests where many nodes have few each

Cause: a node takes the others for like it, engine by engine. With 76 nodes one own request on an engine counted as 76: three on a chain whose first engine has 192 places made it full, and memory that was a fifth full looked 0.95 full.

Change: policy/pooled_load.py judges the other nodes' part from the own total, spread over the engines that hold a layer. Up to 16 nodes count engine by engine as before.

Tests: tests/policy/test_pooled_load.py (76 nodes with three requests each refuse nothing; requests without end stop at the memory).

--- a/src/almondshift/policy/engine_book.py
+++ b/src/almondshift/policy/engine_book.py
@@ -160,19 +160,25 @@
         state.reported_at = now
         state.own_at_report = state.layer_tokens
 
-    def used(self, instance: str, nodes: int, now: float) -> float:
+    def used(
+        self, instance: str, estimate: float, alike: int, now: float
+    ) -> float:
         """Returns the memory believed in use, in tokens times layers.
 
-        This node's own share, taken for all nodes alike, or a fresh report
-        with what was added here since, again for all alike. The own count
-        alone is off by a third where a few requests stand for each node.
+        An estimate from own requests is off by a third where a few of them
+        stand for each node; a fresh report with what was added here since
+        goes before it.
+
+        Args:
+            instance: The engine.
+            estimate: What all nodes together seem to have there.
+            alike: Nodes that are taken to have added as much as this one.
+            now: Monotonic seconds.
         """
         state = self.states.get(instance)
-        if state is None:
-            return 0.0
-        if now - state.reported_at >= USED_S:
-            return state.layer_tokens * nodes
-        added = (state.layer_tokens - state.own_at_report) * nodes
+        if state is None or now - state.reported_at >= USED_S:
+            return estimate
+        added = (state.layer_tokens - state.own_at_report) * alike
         return max(state.layer_tokens, state.reported + added)
 
     def note_full(self, instance: str, now: float) -> None:
--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -21,6 +21,7 @@
 from almondshift.model import relayed
 from almondshift.policy import engine_book
 from almondshift.policy import path_search
+from almondshift.policy import pooled_load
 
 if TYPE_CHECKING:
     import random
@@ -41,9 +42,8 @@
 zone with the fastest cards takes most requests, and its first events come
 late in each small burst, while a slower zone stands empty."""
 
-MANY_NODES = 16
 SPREAD = 0.5
-"""With more nodes than this, a node has too few requests on an engine to see
+"""Where a node pools its requests, it has too few requests on an engine to see
 which is busy, and all would choose the same of several like chains: with 73
 nodes one first engine got 815 of 4,236 requests and another 181. Costs are
 then drawn up to a half higher for each engine anew, which spreads requests
@@ -60,6 +60,12 @@
     version: tuple[int, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Shares:
+    shares: dict[str, pooled_load.EngineShare]
+    version: tuple[int, int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetView:
     """The engines of a service as registered.
@@ -108,6 +114,7 @@
         self.nodes = 1
         self.tight: dict[str, str] = {}
         self.cached: dict[str, _Cached] = {}
+        self.shares: dict[str, _Shares] = {}
 
     def choose(
         self,
@@ -126,8 +133,9 @@
         """
         best: ChosenPath | None = None
         best_score = 0.0
+        load = self._load(view, now)
         for found in self._paths(view, now):
-            chosen = self._fitting(found, view.spec, tokens, now)
+            chosen = self._fitting(found, view.spec, tokens, load)
             if chosen is None or chosen.path[0].instance in avoid:
                 continue
             score = found.cost_ms * (1.0 + LOAD_WEIGHT * chosen.load)
@@ -168,29 +176,49 @@
         self, view: FleetView, now: float
     ) -> list[path_search.Candidate]:
         """Returns the engines that may take work."""
-        made: list[path_search.Candidate] = []
-        for engine in view.engines:
-            if engine.layers is None or engine.leaving:
-                continue
-            if self.book.is_suspect(engine.instance):
-                continue
-            if self.book.is_full(engine.instance, now):
-                continue
-            made.append(self._candidate(engine, view.spec, now))
-        return made
+        load = self._load(view, now)
+        return [
+            self._candidate(engine, view.spec, load)
+            for engine in self._usable(view)
+            if not self.book.is_full(engine.instance, now)
+        ]
+
+    def _usable(
+        self, view: FleetView
+    ) -> list[registered_engines.RegisteredEngine]:
+        """Returns the engines that hold layers and live, full or not."""
+        return [
+            engine
+            for engine in view.engines
+            if engine.layers is not None
+            and not engine.leaving
+            and not self.book.is_suspect(engine.instance)
+        ]
+
+    def _load(self, view: FleetView, now: float) -> pooled_load.FleetLoad:
+        version = (view.version, self.book.changes)
+        kept = self.shares.get(view.service)
+        if kept is None or kept.version != version:
+            holdings = [
+                pooled_load.Holding(e.instance, e.layers.start, e.layers.end)
+                for e in self._usable(view)
+                if e.layers is not None
+            ]
+            shares = pooled_load.engine_shares(holdings, view.spec.layers)
+            kept = self.shares[view.service] = _Shares(shares, version)
+        return pooled_load.FleetLoad(
+            self.book, kept.shares, view.spec.layers, self.nodes, now
+        )
 
     def _candidate(
         self,
         engine: registered_engines.RegisteredEngine,
         spec: engine_specs.EngineSpec,
-        now: float,
+        load: pooled_load.FleetLoad,
     ) -> path_search.Candidate:
         assert engine.layers is not None
         held = engine.layers.count
-        state = self.book.states.get(engine.instance)
-        running = state.running * self.nodes if state else 0
-        used = self.book.used(engine.instance, self.nodes, now)
-        first = state.first_running * self.nodes if state else 0
+        running = load.running(engine.instance)
         kind = spec.kinds.get(engine.kind)
         factor = kind.step_factor if kind else 1.0
         batch = running * held / spec.layers * BATCH_SHARE
@@ -198,7 +226,7 @@
         per_request = spec.step_ms_per_request
         per_request += spec.step_ms_per_kilotoken * context_k
         step_ms = spec.step_ms + per_request * batch
-        pace = self.book.pace(engine.instance, now)
+        pace = self.book.pace(engine.instance, load.now)
         return path_search.Candidate(
             instance=engine.instance,
             address=engine.address,
@@ -207,12 +235,12 @@
             end=engine.layers.end,
             layer_ms=factor * pace * step_ms / spec.layers * self._spread(),
             room=spec.layer_token_room(engine.kind, held),
-            used=used,
-            may_be_first=first < engine.slots,
+            used=load.used(engine.instance, held),
+            may_be_first=load.first(engine.instance) < engine.slots,
         )
 
     def _spread(self) -> float:
-        if self.nodes <= MANY_NODES:
+        if self.nodes <= pooled_load.MANY_NODES:
             return 1.0
         return self.rng.uniform(1.0, 1.0 + SPREAD)
 
@@ -256,25 +284,24 @@
         found: path_search.FoundPath,
         spec: engine_specs.EngineSpec,
         tokens: float,
-        now: float,
+        load: pooled_load.FleetLoad,
     ) -> ChosenPath | None:
-        load = 0.0
-        for index, part in enumerate(found.parts):
-            instance = part.candidate.instance
-            state = self.book.states.get(instance)
-            need = self.book.used(instance, self.nodes, now)
+        fullest = 0.0
+        for part in found.parts:
+            candidate = part.candidate
+            held = candidate.end - candidate.start
+            need = load.used(candidate.instance, held)
             need += tokens * (part.end - part.start)
-            share = need / max(1.0, part.candidate.room)
-            load = max(load, share)
+            share = need / max(1.0, candidate.room)
+            fullest = max(fullest, share)
             if share > TIGHT_SHARE:
-                self.tight[instance] = part.candidate.address
-            if index == 0 and state is not None:
-                first = state.first_running * self.nodes
-                if first >= spec.slots:
-                    return None
-        if load > path_search.FULL_SHARE:
+                self.tight[candidate.instance] = candidate.address
+        first = found.parts[0].candidate.instance
+        if load.first(first) >= spec.slots:
+            return None
+        if fullest > path_search.FULL_SHARE:
             return None
-        return _chosen(found, load)
+        return _chosen(found, fullest)
 
 
 def _zone_path(
--- /dev/null
+++ b/src/almondshift/policy/pooled_load.py
@@ -0,0 +1,149 @@
+"""What the other nodes have on an engine, judged from the own requests.
+
+Load pattern: with many nodes each has a few requests in all. If a node takes
+the others for like it engine by engine, one own request on an engine of 192
+places stands for 76, and three for an engine that is full: a node of 76
+refused requests, or passed over whole chains, while a fifth of the engines'
+memory was in use.
+
+Here the own requests are pooled over all engines before they are taken for
+every node: callers choose nodes at random, so a node's total is a fair sample
+of all, and other nodes spread theirs over the engines that hold a layer. With
+seven own requests the error is some 40%, of a load that is itself spread;
+engine by engine it is over 100%.
+
+Grounds: few nodes have enough requests on each engine to see which are full,
+and keep counting engine by engine.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from almondshift.policy import engine_book
+
+MANY_NODES = 16
+"""Beyond this many nodes a node pools its requests."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holding:
+    """An engine that takes work, and its layers."""
+
+    instance: str
+    start: int
+    end: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineShare:
+    """What part of all requests an engine gets if they spread evenly.
+
+    Attributes:
+        running: Share of all requests that use it.
+        first: Share of all requests that it is first for.
+    """
+
+    running: float
+    first: float
+
+
+NO_SHARE = EngineShare(0.0, 0.0)
+
+
+def engine_shares(
+    holdings: Iterable[Holding], layers: int
+) -> dict[str, EngineShare]:
+    """Returns the shares of a model's engines, by instance."""
+    known = list(holdings)
+    copies = [0] * layers
+    for holding in known:
+        for layer in range(holding.start, min(holding.end, layers)):
+            copies[layer] += 1
+    shares = {}
+    for holding in known:
+        held = range(holding.start, min(holding.end, layers))
+        if not held:
+            continue
+        running = sum(1.0 / copies[layer] for layer in held) / len(held)
+        first = 1.0 / copies[0] if holding.start == 0 else 0.0
+        shares[holding.instance] = EngineShare(running, first)
+    return shares
+
+
+def expected(
+    own_here: float, own_total: float, share: float, nodes: int
+) -> float:
+    """Returns what all nodes together have on an engine.
+
+    Args:
+        own_here: What this node has there.
+        own_total: What it has on all engines.
+        share: The engine's share of all.
+        nodes: All nodes, this one included.
+    """
+    if nodes <= MANY_NODES:
+        return own_here * nodes
+    return own_here + own_total * share * (nodes - 1)
+
+
+class FleetLoad:
+    """What all nodes together are believed to have on a service's engines.
+
+    Attributes:
+        own_tokens: This node's memory over all engines, in tokens.
+        own_requests: This node's requests.
+    """
+
+    def __init__(
+        self,
+        book: engine_book.EngineBook,
+        shares: Mapping[str, EngineShare],
+        layers: int,
+        nodes: int,
+        now: float,
+    ) -> None:
+        self.book = book
+        self.shares = shares
+        self.layers = layers
+        self.nodes = nodes
+        self.now = now
+        states = [book.states[i] for i in shares if i in book.states]
+        self.own_tokens = sum(s.layer_tokens for s in states) / layers
+        self.own_requests = sum(s.first_running for s in states)
+
+    def running(self, instance: str) -> float:
+        """Returns the requests that use an engine."""
+        state = self.book.states.get(instance)
+        here = state.running if state else 0
+        share = self._share(instance).running
+        return expected(here, self.own_requests, share, self.nodes)
+
+    def first(self, instance: str) -> float:
+        """Returns the requests that an engine is first for."""
+        state = self.book.states.get(instance)
+        here = state.first_running if state else 0
+        share = self._share(instance).first
+        return expected(here, self.own_requests, share, self.nodes)
+
+    def used(self, instance: str, held: int) -> float:
+        """Returns the memory in use, in tokens times layers.
+
+        Args:
+            instance: The engine.
+            held: Layers that it holds.
+        """
+        state = self.book.states.get(instance)
+        here = state.layer_tokens if state else 0.0
+        share = self._share(instance).running * held
+        estimate = expected(here, self.own_tokens, share, self.nodes)
+        alike = self.nodes if self.nodes <= MANY_NODES else 1
+        return self.book.used(instance, estimate, alike, self.now)
+
+    def _share(self, instance: str) -> EngineShare:
+        return self.shares.get(instance, NO_SHARE)
--- /dev/null
+++ b/tests/policy/test_pooled_load.py
@@ -0,0 +1,76 @@
+"""Few requests at each of many nodes, and what they say of the fleet."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from almondshift.policy import engine_book
+from almondshift.policy import path_choice
+from almondshift.policy import pooled_load
+from tests.policy import test_path_choice as fleets
+
+NODES = 76
+
+
+def test_shares_follow_the_copies_of_each_layer() -> None:
+    holdings = [
+        pooled_load.Holding("a", 0, 4),
+        pooled_load.Holding("b", 0, 8),
+        pooled_load.Holding("c", 4, 8),
+    ]
+    shares = pooled_load.engine_shares(holdings, 8)
+    assert shares["a"] == pooled_load.EngineShare(0.5, 0.5)
+    assert shares["b"] == pooled_load.EngineShare(0.5, 0.5)
+    assert shares["c"] == pooled_load.EngineShare(0.5, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("nodes", "found"), [(7, 21.0), (16, 48.0), (76, 3.0 + 6 * 0.5 * 75)]
+)
+def test_few_nodes_count_engine_by_engine(nodes: int, found: float) -> None:
+    assert pooled_load.expected(3.0, 6.0, 0.5, nodes) == found
+
+
+def test_a_few_requests_of_many_nodes_fill_no_engine() -> None:
+    """Load: 76 nodes with 3 requests each, on three chains of four engines.
+
+    An engine has room for 82 requests and 96 places as the first; 228
+    requests are 76 on each. Engine by engine a node with its three on one
+    chain would count 228 there, and refuse what all nodes have room for.
+    """
+    refused = 0
+    for seed in range(40):
+        chooser = path_choice.create_path_chooser(
+            engine_book.EngineBook(), random.Random(seed)
+        )
+        chooser.nodes = NODES
+        for number in range(4):
+            chosen = chooser.choose(fleets._view(), fleets.TOKENS, 0.3 * number)
+            if chosen is None:
+                refused += 1
+            elif number < 3:
+                chooser.book.add(chosen.used, fleets.TOKENS)
+    assert refused == 0
+
+
+def test_many_nodes_still_stop_at_the_memory() -> None:
+    """Load: requests keep coming to 76 nodes until all are refused.
+
+    Each node lets in what the fleet has room for, by its own total: engines
+    are not filled far beyond their memory, nor left half empty.
+    """
+    let_in = 0
+    for seed in range(NODES):
+        chooser = path_choice.create_path_chooser(
+            engine_book.EngineBook(), random.Random(seed)
+        )
+        chooser.nodes = NODES
+        for number in range(60):
+            chosen = chooser.choose(fleets._view(), fleets.TOKENS, 0.3 * number)
+            if chosen is not None:
+                chooser.book.add(chosen.used, fleets.TOKENS)
+                let_in += 1
+    room = 3 * fleets.SPEC.layer_token_room("k", 20) / 20 / fleets.TOKENS
+    assert 0.7 * room <= let_in <= 1.35 * room
