Try the next engine at once when one refuses a moved stream

Change: a move that a named engine refuses is ordered again at once without it, up to four times, and the engine is asked whether it lives: one that does not answer twice is taken for lost by all streams. AS5010 names who refused.

Test: test_a_move_goes_on_past_engines_that_died_together fails without it (0.2 s and more between the first refusal and the move).

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -452,6 +452,7 @@
     away_from: str
     path: str
     outcome: str
+    refused_by: str
     silent_s: float
 
 
--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -150,9 +150,12 @@
         path: relayed.Path,
         tokens: float,
         now: float,
+        avoid: frozenset[str] = frozenset(),
     ) -> ChosenPath | None:
         """Returns another path with the same first part, or None."""
-        candidates = self.candidates(view, now)
+        candidates = [
+            c for c in self.candidates(view, now) if c.instance not in avoid
+        ]
         first = path[0]
         start = next(
             (c for c in candidates if c.instance == first.instance), None
--- a/src/almondshift/relay/engine_questions.py
+++ b/src/almondshift/relay/engine_questions.py
@@ -114,6 +114,10 @@
         """Notes how much memory an engine uses."""
         report = await self.report(address)
         if report is None:
+            # Asked again at once: an answer may be lost with its connection.
+            report = await self.report(address)
+        if report is None:
+            self.moves.engine_lost(instance, engine_book.Suspicion.UNREACHABLE)
             return
         now = self.shared.clock.monotonic()
         self.shared.book.note_used(instance, report.used, now)
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -29,6 +29,10 @@
 RESUME_RETRY_S = 0.15
 """Pause between looks for a path for a broken stream; loads take a second."""
 
+MOVE_TRIES = 4
+"""Orders for one move: an engine that died with others, or is full, is found
+only by its refusal; three of a rack may die at once."""
+
 MOVE_TIMEOUT_S = 0.4
 """An engine that lives answers an order within some ms."""
 
@@ -362,26 +366,60 @@
         view = self.shared.catalogue.view(self.routed.service)
         if view is None:
             return
-        now = self.shared.clock.monotonic()
-        chosen = self.shared.paths.move(view, attempt.path, self.tokens, now)
-        if chosen is None or chosen.crossings:
-            if not must:
+        avoid: frozenset[str] = frozenset()
+        for _ in range(MOVE_TRIES):
+            now = self.shared.clock.monotonic()
+            chosen = self.shared.paths.move(
+                view, attempt.path, self.tokens, now, avoid
+            )
+            if chosen is None or chosen.crossings:
+                if not must:
+                    return
+                if self.has_whole_path(view, away_from, now):
+                    self.note_move(attempt, away_from, "resumed elsewhere")
+                    self.resume_elsewhere("its path lost an engine")
+                    return
+            if chosen is None:
+                self.note_move(attempt, away_from, "no path")
                 return
-            if self.has_whole_path(view, away_from, now):
-                self.note_move(attempt, away_from, "", "resumed elsewhere")
-                self.resume_elsewhere("its path lost an engine")
+            refused_by = await self.repath(attempt, away_from, chosen)
+            if not refused_by:
                 return
-        if chosen is None:
-            self.note_move(attempt, away_from, "", "no path")
-            return
+            avoid |= {refused_by}
+
+    async def repath(
+        self,
+        attempt: StreamAttempt,
+        away_from: str,
+        chosen: path_choice.ChosenPath,
+    ) -> str:
+        """Orders one move; returns the engine that has no room, if that is so.
+
+        Engines that died together are found one after another in this way,
+        and one that is full is passed over, within some ms each.
+        """
         answer = await self.shared.engines.repath(
             self.routed.request.request_id, chosen.path, MOVE_TIMEOUT_S
         )
+        refused_by = ""
+        if answer.outcome is path_engines.OrderOutcome.CONFLICT:
+            refused_by = next(
+                (
+                    part.instance
+                    for part in chosen.path[1:]
+                    if part.address == answer.faulty_address
+                ),
+                "",
+            )
         self.note_move(
-            attempt, away_from, shown(chosen.path), answer.outcome.value
+            attempt,
+            away_from,
+            answer.outcome.value,
+            shown(chosen.path),
+            refused_by,
         )
         if attempt.over or attempt is not self.attempt:
-            return
+            return ""
         if answer.outcome in (
             path_engines.OrderOutcome.DONE,
             path_engines.OrderOutcome.BEGUN,
@@ -390,10 +428,11 @@
             attempt.path, attempt.used = chosen.path, chosen.used
             self.shared.book.add(attempt.used, self.tokens)
             attempt.active_at = self.loop.time()
-        elif answer.outcome is path_engines.OrderOutcome.CONFLICT:
-            for part in chosen.path[1:]:
-                if part.address == answer.faulty_address:
-                    self.shared.book.note_full(part.instance, now)
+        if refused_by:
+            now = self.shared.clock.monotonic()
+            self.shared.book.note_full(refused_by, now)
+            self.shared.paths.tight[refused_by] = answer.faulty_address
+        return refused_by
 
     def has_whole_path(
         self, view: path_choice.FleetView, away_from: str, now: float
@@ -409,7 +448,12 @@
         )
 
     def note_move(
-        self, attempt: StreamAttempt, away_from: str, path: str, outcome: str
+        self,
+        attempt: StreamAttempt,
+        away_from: str,
+        outcome: str,
+        path: str = "",
+        refused_by: str = "",
     ) -> None:
         """Logs and counts a move."""
         self.shared.observer.moves.labels(outcome).inc()
@@ -419,6 +463,7 @@
                 away_from=away_from,
                 path=path,
                 outcome=outcome,
+                refused_by=refused_by,
                 silent_s=round(self.loop.time() - attempt.active_at, 3),
             )
         )
--- a/tests/platform/test_whole_system.py
+++ b/tests/platform/test_whole_system.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from almondshift import log_events
+from almondshift.policy import engine_book
 from tests.platform import standin_system as system
 
 WHOLE = [f"token {number}" for number in range(1, 21)]
@@ -390,3 +392,58 @@
             assert (await chat(running, "r1"))[0] == 200
 
     asyncio.run(scenario())
+
+
+def test_a_move_goes_on_past_engines_that_died_together() -> None:
+    """A rack dies with a stream's engine and two of its stand-ins.
+
+    The stand-ins look alive until they refuse the move. The next one is
+    tried at once, so that the caller's pause is that of one dead engine.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system() as running:
+            for name in ("a7", "a8", "a9"):
+                spare = await running.add_engine(name, "model", "a", "big")
+                await running.until(lambda spare=spare: spare.layers)
+                spare.layers = (20, 60)
+                spare.on_change()
+            for engine in running.engines.values():
+                engine.gap_s = 0.05
+            shared = running.nodes[0].node.shared
+            await running.until(
+                lambda: all(
+                    (layers := shared.catalogue.engines[name].layers)
+                    and (layers.start, layers.end) == (20, 60)
+                    for name in ("a7", "a8", "a9")
+                )
+            )
+            for zone_b in ("b0", "b1", "b2", "b3"):
+                shared.book.suspect(zone_b, engine_book.Suspicion.GONE, 1e12)
+            stream = asyncio.create_task(chat(running, "r1"))
+            await running.until(lambda: times_run(running, "r1") == 1)
+            await asyncio.sleep(0.2)
+            [run] = shared.running
+            used = run.attempt.path[1].instance  # type: ignore[attr-defined]
+            middle = [e for e in running.engines if e in ("a7", "a8", "a9")]
+            others = [e for e in middle if e != used]
+            for name in [used, *others[:2]]:
+                running.engines[name].is_dead = True
+            moves: list[log_events.RequestMoved] = []
+            emit = shared.observer.emit
+
+            def record(event: log_events.Event) -> None:
+                if isinstance(event, log_events.RequestMoved):
+                    moves.append(event)
+                emit(event)
+
+            shared.observer.emit = record  # type: ignore[method-assign]
+            status, _, body = await stream
+            assert status == 200
+            assert tokens(body) == WHOLE
+            assert times_run(running, "r1") == 1
+            assert moves[-1].outcome == "done"
+            assert {m.refused_by for m in moves[:-1]} <= set(others[:2])
+            assert moves[-1].silent_s - moves[0].silent_s < 0.15
+
+    asyncio.run(scenario())
