--- a/src/almondshift/console/commands/status.py
+++ b/src/almondshift/console/commands/status.py
@@ -15,8 +15,12 @@
 One node is enough: it names the others. Nodes that do not answer are listed,
 and the exit code is then 4.
 
+Relay nodes are asked at their metrics addresses, which need no secret, and
+name no others: give each with --node.
+
 examples:
   almondshift status --node 10.0.0.1:8080
+  almondshift status --relay --node 10.0.0.1:9464 --node 10.0.0.2:9464
   almondshift status --node 10.0.0.1:8080 --json
 """
 HEADS = ("node", "zone", "address", "config", "verified", "lease", "answer")
@@ -36,6 +40,11 @@
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     nodes.add_options(parser)
+    parser.add_argument(
+        "--relay",
+        action="store_true",
+        help="the nodes are relay nodes, named by their metrics addresses",
+    )
     parser.add_argument("--json", action="store_true", help="print JSON")
     parser.set_defaults(run=run)
 
@@ -54,7 +63,7 @@
 
 async def _ask(args: argparse.Namespace) -> Answers:
     seeds = nodes.addresses(args)
-    client = nodes.create_client(args)
+    client = nodes.create_client(args, needs_secret=not args.relay)
     try:
         return await nodes.statuses(client, seeds)
     finally:
--- a/src/almondshift/console/nodes.py
+++ b/src/almondshift/console/nodes.py
@@ -79,14 +79,20 @@
 
 
 def create_client(
-    args: argparse.Namespace,
+    args: argparse.Namespace, needs_secret: bool = True
 ) -> http_operations_client.NodeClient:
     """Returns a client with the operators' secret; needs a running loop.
 
+    Args:
+        args: The command's options.
+        needs_secret: Whether the nodes ask for it.
+
     Raises:
         Usage: No file with the secret is named.
         errors.ConfigInvalid: The file cannot be read.
     """
+    if not needs_secret:
+        return http_operations_client.create_node_client(keys.Secret(""))
     if not args.secret_file:
         raise Usage(
             "No file with the operators' secret is named.",
--- a/src/almondshift/daemons/relay.py
+++ b/src/almondshift/daemons/relay.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import json
 import logging
 import os
 import random
@@ -26,6 +27,7 @@
 from almondshift.relay import application
 from almondshift.relay import catalogue
 from almondshift.relay import gateway
+from almondshift.relay import status
 
 if TYPE_CHECKING:
     from almondshift.ports import peers
@@ -34,6 +36,10 @@
 ENGINE_CONNECT_S = 0.4
 """A live engine in the region accepts within some ms."""
 
+STATUS_PATH = "/v1/admin/status"
+"""Where ``almondshift status`` asks; the same as of the product's own nodes."""
+
+JSON_TYPE = "application/json"
 METRICS_TYPE = "text/plain; version=0.0.4"
 
 logger = logging.getLogger(__name__)
@@ -97,8 +103,10 @@
         self.front.limit(limits.idle_timeout_s, limits.header_bytes)
 
     def metrics(self, target: str) -> http_listener.ShortAnswer:
-        """Answers Prometheus."""
-        del target
+        """Answers Prometheus, and operators that ask for the status."""
+        if target.partition("?")[0] == STATUS_PATH:
+            described = json.dumps(status.describe(self.node)).encode()
+            return http_listener.ShortAnswer(200, JSON_TYPE, described)
         body = self.node.shared.observer.expose()
         return http_listener.ShortAnswer(200, METRICS_TYPE, body)
 
--- /dev/null
+++ b/src/almondshift/relay/status.py
@@ -0,0 +1,95 @@
+"""Describes a relay node for operators, as a JSON object."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+if TYPE_CHECKING:
+    from almondshift.model import registered_engines
+    from almondshift.relay import application
+
+
+def describe(node: application.RelayNode) -> dict[str, Any]:
+    """Returns what a node knows of itself, its peers and endpoints."""
+    shared = node.shared
+    now = shared.clock.monotonic()
+    config = node.catalogue.config
+    grant = node.keeper.lease.grant()
+    strikes = shared.crashes.strikes
+    return {
+        "node": node.settings.node.name,
+        "zone": node.settings.node.zone,
+        "drain": {
+            "leaving": node.gateway.leaving,
+            "in_flight": len(shared.running),
+        },
+        "config": {
+            "version": config.version if config else 0,
+            "verified": node.config_watch.away_since is None,
+            "age_s": round(node.config_watch.age_s(), 2),
+        },
+        "lease": {
+            "holder": node.settings.node.name if grant else None,
+            "fencing": grant.fencing if grant else None,
+        },
+        "nodes": _node_rows(node),
+        "endpoints": [
+            _endpoint_row(node, engine, now)
+            for _, engine in sorted(node.catalogue.engines.items())
+        ],
+        "services": _service_rows(node, now),
+        "quarantine": [
+            {"fingerprint": fingerprint, "strikes": len(known)}
+            for fingerprint, known in strikes.strikes.items()
+            if strikes.is_refused(fingerprint, now)
+        ],
+    }
+
+
+def _node_rows(node: application.RelayNode) -> list[dict[str, Any]]:
+    """Returns nodes without entry addresses: callers' are not asked here."""
+    own = node.settings.node
+    rows = [{"name": own.name, "zone": own.zone, "state": "alive"}]
+    if node.group is not None:
+        rows += [
+            {"name": p.name, "zone": p.zone, "state": p.state.value}
+            for p in node.group.members.peers()
+        ]
+    return rows
+
+
+def _endpoint_row(
+    node: application.RelayNode,
+    engine: registered_engines.RegisteredEngine,
+    now: float,
+) -> dict[str, Any]:
+    book = node.shared.book
+    state = book.states.get(engine.instance)
+    layers = engine.layers
+    return {
+        "name": engine.instance,
+        "service": engine.service,
+        "kind": engine.kind,
+        "zone": engine.zone,
+        "leaving": engine.leaving,
+        "layers": f"{layers.start}-{layers.end}" if layers else "",
+        "suspect": state.reason if state and state.reason else "",
+        "pace": round(book.pace(engine.instance, now), 1),
+        "own_requests": state.running if state else 0,
+    }
+
+
+def _service_rows(
+    node: application.RelayNode, now: float
+) -> list[dict[str, Any]]:
+    config = node.catalogue.config
+    rows = []
+    for name in sorted(config.services if config else {}):
+        view = node.catalogue.view(name)
+        if view is None:
+            ready = bool(node.catalogue.of_service(name))
+        else:
+            ready = node.shared.paths.choose(view, 1.0, now) is not None
+        rows.append({"name": name, "ready": ready})
+    return rows
--- a/tests/platform/standin_system.py
+++ b/tests/platform/standin_system.py
@@ -137,6 +137,7 @@
             ),
             peers=relay_settings.PeersSection(free_address()),
             platform=relay_settings.PlatformSection(self.store.address),
+            metrics=relay_settings.MetricsSection(free_address()),
             drain=relay_settings.DrainSection(hold_s=0.2, grace_s=3.0),
             repeats=relay_settings.RepeatsSection(0.2, 10.0, 100.0),
         )
--- /dev/null
+++ b/tests/platform/test_restarts_and_clocks.py
@@ -0,0 +1,203 @@
+"""Nodes that all start again, stand still, or whose time of day jumps."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import time
+
+import pytest
+
+from almondshift.adapters import system_clock
+from almondshift.console import nodes as console_nodes
+from almondshift.console.commands import status
+from tests.platform import standin_system as system
+from tests.platform import test_whole_system as whole
+
+
+def orders(running: system.StandinSystem) -> int:
+    return sum(engine.orders for engine in running.engines.values())
+
+
+async def kill(running: system.StandinSystem) -> None:
+    """Ends all nodes as a loss of power does: nobody is told anything."""
+    for process in running.nodes:
+        await process.close()
+    running.nodes.clear()
+
+
+@pytest.mark.parametrize("has_new_config", [False, True])
+def test_nodes_that_all_start_again_serve_from_what_is_stored(
+    has_new_config: bool,
+) -> None:
+    """All nodes lose power, and callers ask again when they are back.
+
+    What lasts is in the store and at the engines. New processes read it:
+    they serve by the newest configuration, also one that was acknowledged
+    while none of them ran, and load no layers again.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=2) as running:
+            assert (await whole.chat(running, "r1"))[0] == 200
+            before = orders(running)
+            await kill(running)
+            key = "key-1"
+            if has_new_config:
+                key = "key-2"
+                accounts = [{"name": "account", "apiKeys": [key]}]
+                changed = system.config(2, tenants=accounts)
+                running.store.put("op", "config", changed)
+            for _ in range(2):
+                await running.add_node()
+            await running.until(running.serves, 4.0)
+            for node in (0, 1):
+                answer = await whole.chat(
+                    running, f"n{node}", node, Authorization=f"Bearer {key}"
+                )
+                assert answer[0] == 200
+            if has_new_config:
+                assert (await whole.chat(running, "old"))[0] == 401
+                assert whole.times_run(running, "old") == 0
+            await asyncio.sleep(1.5)
+            assert orders(running) == before
+
+    asyncio.run(scenario())
+
+
+def test_a_node_that_starts_before_the_store_refuses_and_then_serves() -> None:
+    """A caller must not hear that its key is wrong from a node without any.
+
+    The store is away while a node starts: it answers 503 with when to come
+    back. The store returns, and the node serves within a second or two.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=1) as running:
+            running.store.faults.refuses = 503
+            await running.add_node()
+            status_code, fields, _ = await whole.chat(running, "early", 1)
+            assert status_code == 503
+            assert 0 < float(fields["retry-after"]) < 2
+            running.store.faults.refuses = 0
+            await running.until(running.serves, 3.0)
+            assert (await whole.chat(running, "late", 1))[0] == 200
+            assert whole.times_run(running, "early") == 0
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("jump_s", [-5.0, 5.0])
+def test_the_time_of_day_decides_nothing(
+    jump_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A caller's deadline, leases and peers count on the steady clock.
+
+    The time of day jumps by seconds while a stream runs and a request with a
+    short deadline waits: the stream ends whole, the deadline is kept, and
+    nodes go on serving with each other.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=2) as running:
+            await running.until(
+                lambda: all(
+                    process.node.group and process.node.group.serving()
+                    for process in running.nodes
+                )
+            )
+            for engine in running.engines.values():
+                engine.gap_s = 0.05
+            running.engines["pa"].hold_s = running.engines["pb"].hold_s = 3.0
+            stream = asyncio.create_task(whole.chat(running, "r1"))
+            await asyncio.sleep(0.2)
+            real = time.time
+            monkeypatch.setattr(time, "time", lambda: real() + jump_s)
+            entry = running.nodes[0].settings.entry.address
+            started = time.monotonic()
+            head = system.request("/once/x", "r2", X_Deadline_Ms="300")
+            assert (await system.send(entry, head))[0] == 504
+            assert 0.25 < time.monotonic() - started < 0.8
+            assert whole.tokens((await stream)[2]) == whole.WHOLE
+            await asyncio.sleep(1.0)
+            for process in running.nodes:
+                assert process.node.group is not None
+                assert process.node.group.serving()
+            grants = [p.node.keeper.lease.grant() for p in running.nodes]
+            assert sum(grant is not None for grant in grants) == 1
+
+    asyncio.run(scenario())
+
+
+def test_a_node_that_stood_still_acts_on_no_old_lease() -> None:
+    """A machine is suspended for longer than a grant lasts.
+
+    Its monotonic clock went on meanwhile, so that its grant is over when it
+    wakes, before it has asked anybody; another node has the lease.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=2) as running:
+
+            def holders() -> list[int]:
+                return [
+                    index
+                    for index, process in enumerate(running.nodes)
+                    if process.node.keeper.lease.grant() is not None
+                ]
+
+            await running.until(lambda: len(holders()) == 1)
+            [holder] = holders()
+            lease = running.nodes[holder].node.keeper.lease
+            clock = lease.clock
+            offset = 0.0
+
+            class Suspended(system_clock.SystemClock):
+                def monotonic(self) -> float:
+                    return clock.monotonic() + offset
+
+            lease.clock = Suspended()
+            assert lease.grant() is not None
+            offset = 30.0
+            assert lease.grant() is None
+
+    asyncio.run(scenario())
+
+
+def test_the_steady_clock_counts_the_time_of_a_suspended_machine() -> None:
+    """``CLOCK_MONOTONIC`` stops with the machine; a lease would live on."""
+    clock = system_clock.create_system_clock()
+    before = time.clock_gettime(time.CLOCK_BOOTTIME)
+    assert before <= clock.monotonic()
+    assert clock.monotonic() <= time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def test_operators_see_what_each_relay_node_believes() -> None:
+    """On-call asks which engines a node passes over, and why."""
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=2) as running:
+            shared = running.nodes[1].node.shared
+            now = shared.clock.monotonic()
+            shared.book.suspect("a1", whole.engine_book.Suspicion.STALLED, now)
+            addresses = [p.settings.metrics.address for p in running.nodes]
+            client = console_nodes.create_client(
+                argparse.Namespace(), needs_secret=False
+            )
+            answers = await console_nodes.statuses(client, addresses)
+            client.close()
+            assert [a.error for a in answers] == [None, None]
+            seen = [a.value or {} for a in answers]
+            assert {s["node"] for s in seen} == {"node-0", "node-1"}
+            suspects = [
+                [e["name"] for e in s["endpoints"] if e["suspect"]]
+                for s in sorted(seen, key=lambda s: str(s["node"]))
+            ]
+            assert suspects == [[], ["a1"]]
+            assert all(s["config"]["version"] == 1 for s in seen)
+            [second] = [a for a in answers if a.address == addresses[1]]
+            text = status.render_text([second])
+            assert "stalled" in text
+            assert "node-1" in text
+
+    asyncio.run(scenario())
