--- a/bench/answer_parsers.py
+++ b/bench/answer_parsers.py
@@ -3,9 +3,10 @@
     python -m bench.answer_parsers
 
 A sender in a process of its own writes events of 120 bytes in chunks, one at
-a time, as engines do. Two clients read them: ``adapters/http_channels``
-(``httptools`` over asyncio's transport) and tornado's HTTP/1 connection over
-its stream. Only the reader's processor time counts.
+a time, as engines do. Three clients read them: ``adapters/http_channels``
+(``httptools`` over asyncio's transport), ``h11`` over the same transport, and
+tornado's HTTP/1 connection over its stream. Only the reader's processor time
+counts.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 import socket
 import time
 
+import h11
 from tornado import http1connection
 from tornado import httputil
 from tornado import iostream
@@ -23,6 +25,7 @@
 
 EVENTS = 20_000
 BURSTS = 3
+CLIENTS = 3
 EVENT = b"id: 123\ndata: " + b"x" * 104 + b"\n\n"
 CHUNK = b"%x\r\n%s\r\n" % (len(EVENT), EVENT)
 HEAD = (
@@ -33,7 +36,7 @@
 
 def send(listener: socket.socket) -> None:
     """Writes streams to whoever connects, an event at a time."""
-    for _ in range(2 * BURSTS):
+    for _ in range(CLIENTS * BURSTS):
         connection, _ = listener.accept()
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection.recv(65_536)
@@ -79,6 +82,46 @@
     assert outcome is http_channels.Outcome.WHOLE
 
 
+class H11Protocol(asyncio.Protocol):
+    """Reads a stream with ``h11``; asks for the next event after each."""
+
+    def __init__(self) -> None:
+        self.connection = h11.Connection(our_role=h11.CLIENT)
+        self.done = asyncio.get_running_loop().create_future()
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Sends the request."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        headers = [("Host", "h"), ("Content-Length", "0")]
+        request = h11.Request(method="POST", target="/", headers=headers)
+        head = self.connection.send(request) or b""
+        end = self.connection.send(h11.EndOfMessage()) or b""
+        transport.write(head + end)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what came."""
+        assert self.transport is not None
+        self.connection.receive_data(data)
+        while True:
+            event = self.connection.next_event()
+            if isinstance(event, h11.Data):
+                self.transport.write(b"n")
+            elif isinstance(event, h11.EndOfMessage):
+                self.done.set_result(None)
+                return
+            elif event is h11.NEED_DATA:
+                return
+
+
+async def read_h11(port: int) -> None:
+    """Reads a stream with ``h11``."""
+    loop = asyncio.get_running_loop()
+    _, protocol = await loop.create_connection(H11Protocol, "127.0.0.1", port)
+    await protocol.done
+
+
 class Delegate(httputil.HTTPMessageDelegate):
     """Asks for the next event after each."""
 
@@ -114,6 +157,7 @@
     try:
         for name, read in (
             ("httptools over asyncio", read_channels),
+            ("h11 over asyncio", read_h11),
             ("tornado's connection", read_tornado),
         ):
             costs = []
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -64,10 +64,15 @@
 the store was away, or that lost each other, find together within seconds."""
 
 TICK_S = 0.25
+
 ENGINE_PAUSE_S = 0.2
-"""Engines change in groups; a tenth of the time within which one that leaves
-must get no more. Without it a start of 33 engines costs each node as many
-calls of the store."""
+"""Pause after changes of engines, which come in groups; a tenth of the time
+within which one that leaves must get no more. Without it a start of 33 engines
+costs each node as many calls of the store."""
+
+FIRST_PAUSE_S = 0.8
+"""The same until the node has met the others: all engines of a fleet register
+within seconds of the nodes' start, when no node reads for others yet."""
 
 CONTENDERS = 6
 """Nodes that watch the lease's row. That all of them lose the store while
@@ -128,7 +133,7 @@
         )
         self.config_watch = self._watch(ports.config_table)
         self.engine_watch = self._watch(ports.engine_table)
-        self.engine_watch.pause_s = ENGINE_PAUSE_S
+        self.engine_watch.pause_s = FIRST_PAUSE_S
         repeats = settings.repeats
         self.shared = context.RelayContext(
             zone=settings.node.zone,
@@ -276,6 +281,7 @@
                 wait_s = feed_readers.READER_WAIT_S
             for watch in (self.config_watch, self.engine_watch):
                 watch.wait_s = wait_s
+            self.engine_watch.pause_s = ENGINE_PAUSE_S
 
     def take_config(
         self, rows: list[row_feeds.FeedRow], verified: bool
