Spread a node's requests by its own counts, admit them by pooled ones

Change: the score of a path counts the own requests for all nodes alike, as before, which sends a node's next request where it has none; whether there is room is judged from the pooled count.

--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -85,7 +85,8 @@
     """A path, and what to count for it.
 
     Attributes:
-        load: Fullest engine's share of memory in use, with the request.
+        load: Fullest engine's share of memory in use, with the request; by
+            the own requests alone if that is more, and then over 1 at times.
         crossings: How often the path changes the availability zone.
     """
 
@@ -221,7 +222,7 @@
     ) -> path_search.Candidate:
         assert engine.layers is not None
         held = engine.layers.count
-        running = load.running(engine.instance)
+        running = load.own_running(engine.instance)
         kind = spec.kinds.get(engine.kind)
         factor = kind.step_factor if kind else 1.0
         batch = running * held / spec.layers * BATCH_SHARE
@@ -289,14 +290,16 @@
         tokens: float,
         load: pooled_load.FleetLoad,
     ) -> ChosenPath | None:
-        fullest = 0.0
+        fullest = own = 0.0
         for part in found.parts:
             candidate = part.candidate
             held = candidate.end - candidate.start
             need = load.used(candidate.instance, held)
             need += tokens * (part.end - part.start)
-            share = need / max(1.0, candidate.room)
+            room = max(1.0, candidate.room)
+            share = need / room
             fullest = max(fullest, share)
+            own = max(own, load.own_share(candidate.instance, room))
             if share > TIGHT_SHARE:
                 self.tight[candidate.instance] = candidate.address
         first = found.parts[0].candidate.instance
@@ -304,7 +307,7 @@
             return None
         if fullest > path_search.FULL_SHARE:
             return None
-        return _chosen(found, fullest)
+        return _chosen(found, max(fullest, own))
 
 
 def _zone_path(
--- a/src/almondshift/policy/pooled_load.py
+++ b/src/almondshift/policy/pooled_load.py
@@ -117,12 +117,20 @@
         self.own_tokens = sum(s.layer_tokens for s in states) / layers
         self.own_requests = sum(s.first_running for s in states)
 
-    def running(self, instance: str) -> float:
-        """Returns the requests that use an engine."""
+    def own_share(self, instance: str, room: float) -> float:
+        """Returns the own part of an engine's memory, for all nodes alike.
+
+        Too coarse to tell whether an engine is full, but it sends a node's
+        next request to engines that have none of it. By pooled loads alone
+        like engines look alike, and all nodes would take the cheapest.
+        """
         state = self.book.states.get(instance)
-        here = state.running if state else 0
-        share = self._share(instance).running
-        return expected(here, self.own_requests, share, self.nodes)
+        return state.layer_tokens * self.nodes / room if state else 0.0
+
+    def own_running(self, instance: str) -> float:
+        """Returns the own requests that use an engine, for all nodes alike."""
+        state = self.book.states.get(instance)
+        return state.running * self.nodes if state else 0.0
 
     def first(self, instance: str) -> float:
         """Returns the requests that an engine is first for."""
