--- a/tests/adapters/test_relay_settings.py
+++ b/tests/adapters/test_relay_settings.py
@@ -4,6 +4,8 @@
 import os
 import pathlib
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from almondshift.adapters import relay_settings
@@ -96,3 +98,18 @@
     handler.credit = 5.0
     handler.emit(_record())
     assert b"log lines dropped" in os.read(reading, 100_000)
+
+
+LINES = strategies.sampled_from([*TEXT.splitlines(), "[x", "=", "a", "%(b)s"])
+
+
+@hypothesis.given(
+    strategies.one_of(
+        strategies.text(max_size=200),
+        strategies.lists(LINES, max_size=20).map("\n".join),
+    )
+)
+def test_no_settings_bring_a_fault(text: str) -> None:
+    """An operator's slip must be an error that names the remedy."""
+    parsed = relay_settings.parse(text)
+    assert parsed.is_ok() or parsed.error.remedy
