Tell an engine's starts apart; rows that can't be right name no engine

Cause: engines may start again under their name. All beliefs were kept by that name, so a restarted engine kept the layers, counts, suspicion and load of the start before, and its streams waited for layers that nobody held. An entry that could not be read left the former one in force. Change: an engine stands for one start (name and the start it tells of) in all that is kept; the platform's adapter calls it by its own name. A newer start ends the former: streams go on elsewhere, kept connections are closed. Rows and reports of earlier starts are dropped. Entries with fields missing, mistyped or out of range name no engine; the rows beside them hold. Ruled out: clearing each book at a restart; requests of the former start end later and would be taken off the counts of the new one.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -302,7 +302,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointUnreadable(Event):
-    """An endpoint's entry can't be read; what was known of it stays."""
+    """An endpoint's entry can't be read; it gets no work until it can."""
 
     number = 4006
     level = logging.ERROR
@@ -312,6 +312,30 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointRowLate(Event):
+    """An entry of an earlier start of an endpoint came late; it is dropped."""
+
+    number = 4007
+    message = "endpoint row late"
+
+    endpoint: str
+    born_ms: int
+    newest_born_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointRestarted(Event):
+    """An endpoint started again under its name; it knows nothing of before."""
+
+    number = 4008
+    level = logging.WARNING
+    message = "endpoint restarted"
+
+    endpoint: str
+    told_by: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestReceived(Event):
     """A request passed authentication."""
--- a/src/almondshift/model/registered_engines.py
+++ b/src/almondshift/model/registered_engines.py
@@ -14,11 +14,12 @@
     """One start of an endpoint.
 
     Attributes:
-        instance: Unique to this start.
+        instance: Unique to this start, see ``lifetimes``.
         address: ``host:port``; may be another endpoint's later.
         leaving: Whether it gets no new work.
         kind: Its kind of accelerator; empty for a plain service.
         layers: The layers that it holds; None for none.
+        born_ms: Unix milliseconds of its start; 0 if it does not say.
     """
 
     instance: str
@@ -29,3 +30,4 @@
     leaving: bool
     kind: str = ""
     layers: model_layers.LayerRange | None = None
+    born_ms: int = 0
--- a/src/almondshift/model/relayed.py
+++ b/src/almondshift/model/relayed.py
@@ -110,6 +110,7 @@
         busy: Whether an order is being carried out.
         orders: Number of orders accepted.
         stalled: Requests that stand still, if it is first of their paths.
+        born_ms: Unix milliseconds of its start; 0 if it does not say.
     """
 
     pace: float
@@ -120,3 +121,4 @@
     busy: bool
     orders: int
     stalled: tuple[StalledRequest, ...]
+    born_ms: int = 0
--- a/src/almondshift/platform/decode.py
+++ b/src/almondshift/platform/decode.py
@@ -10,11 +10,22 @@
 from almondshift import errors
 from almondshift.model import engine_specs
 from almondshift.model import layers as model_layers
+from almondshift.model import lifetimes
 from almondshift.model import registered_engines
 from almondshift.model import routes as model_routes
 from almondshift.model import routing_config
 
 SECTION = "configuration"
+READY_STATE = "ready"
+LEAVING_STATE = "draining"
+MAX_PORT = 65_535
+MAX_SLOTS = 1_000_000
+MAX_LAYERS = 10_000
+"""Bounds far beyond any accelerator and model."""
+
+MAX_UNIX_MS = 10**14
+"""The year 5138."""
+
 DEFAULT_GAP_S = 0.2
 """Longest pause between events where a route names none."""
 
@@ -133,7 +144,7 @@
 
 
 class WireEntry(msgspec.Struct):
-    """An engine's entry.
+    """An engine's entry; ``born`` is its start in Unix milliseconds.
 
     Its ``seq`` is left out: it counts heartbeats, not the accepted orders
     that the field of the same name counts in a report.
@@ -141,11 +152,12 @@
 
     service: str
     address: str
+    state: str
     zone: str = ""
     slots: int = 1
-    state: str = "ready"
     kind: str = ""
     layers: WireLayers | None = None
+    born: int = 0
 
 
 CONFIG_DECODER = msgspec.json.Decoder(WireConfig)
@@ -171,24 +183,50 @@
     """Decodes an engine's entry."""
     try:
         wire = ENTRY_DECODER.decode(content)
-    except msgspec.DecodeError as error:
+        _check_entry(wire)
+    except (msgspec.DecodeError, ValueError) as error:
         return expression.Error(
             _invalid(f"has an unreadable entry {instance[:64]}: {error}.")
         )
     return expression.Ok(
         registered_engines.RegisteredEngine(
-            instance=instance,
+            instance=lifetimes.lifetime_name(instance, wire.born),
             service=wire.service,
             address=wire.address,
             zone=wire.zone,
             slots=wire.slots,
-            leaving=wire.state != "ready",
+            leaving=wire.state == LEAVING_STATE,
             kind=wire.kind,
             layers=decode_layers(wire.layers),
+            born_ms=wire.born,
         )
     )
 
 
+def _check_entry(wire: WireEntry) -> None:
+    """Refuses entries that name no engine to use.
+
+    Others may write to the registry too. What such a row would do here is
+    worse than to miss an engine: a path over layers that nobody holds, or a
+    connection to no address at all.
+
+    Raises:
+        ValueError: A field is out of its range.
+    """
+    if wire.state not in (READY_STATE, LEAVING_STATE):
+        raise ValueError("its state is none that is known")
+    host, _, port = wire.address.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port[:6]) <= MAX_PORT:
+        raise ValueError("its address is not host:port")
+    if not 0 < wire.slots <= MAX_SLOTS:
+        raise ValueError("its number of places is out of range")
+    if not 0 <= wire.born <= MAX_UNIX_MS:
+        raise ValueError("its start is out of range")
+    held = wire.layers
+    if held is not None and not 0 <= held.start <= held.end <= MAX_LAYERS:
+        raise ValueError("its layers are out of range")
+
+
 def decode_layers(wire: WireLayers | None) -> model_layers.LayerRange | None:
     """Returns the range, or None for no layers."""
     if wire is None or wire.end <= wire.start:
--- a/src/almondshift/platform/engines.py
+++ b/src/almondshift/platform/engines.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from almondshift.adapters import http_channels
+from almondshift.model import lifetimes
 from almondshift.model import relayed
 from almondshift.platform import names
 from almondshift.ports import path_engines
@@ -79,6 +80,7 @@
     busy: bool = False
     seq: int = 0
     stalled: list[WireStalled] = []
+    born: int = 0
 
 
 REPORT_DECODER = msgspec.json.Decoder(WireReport)
@@ -204,7 +206,7 @@
         headers = [
             ("Host", address),
             ("Content-Type", "application/json"),
-            ("X-Expect-Instance", instance),
+            ("X-Expect-Instance", lifetimes.engine_name(instance)),
         ]
         payload = http_channels.request_bytes(
             "POST", names.ENGINE_ORDER, headers, json.dumps(order).encode()
@@ -244,7 +246,8 @@
     headers = list(request.headers)
     left_ms = max(1, int(forwarding.remaining_s * 1000))
     headers.append(("X-Deadline-Ms", str(left_ms)))
-    headers.append(("X-Expect-Instance", forwarding.instance))
+    engine = lifetimes.engine_name(forwarding.instance)
+    headers.append(("X-Expect-Instance", engine))
     if forwarding.account:
         headers.append(("X-Tenant", forwarding.account))
     if forwarding.priority is not None:
@@ -288,6 +291,7 @@
         stalled=tuple(
             relayed.StalledRequest(s.id, s.address) for s in wire.stalled
         ),
+        born_ms=wire.born,
     )
 
 
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -185,6 +185,7 @@
         self.engine_watch.on_whole = self.take_registry
         self.catalogue.on_leaving.append(self.engine_leaving)
         self.catalogue.on_gone.append(self.engine_gone)
+        self.catalogue.on_restarted.append(self.engine_restarted)
 
     async def start(self) -> None:
         """Starts all parts; joins the group as soon as the store answers."""
@@ -310,6 +311,23 @@
         """Moves streams away from an engine that leaves."""
         self.silence.moves.engine_leaving(engine.instance)
 
+    def engine_restarted(
+        self, engine: registered_engines.RegisteredEngine
+    ) -> None:
+        """Takes everything off a start of an engine that has ended.
+
+        Its kept connections lead nowhere, also where no reset has come yet;
+        what is sent on one of them is lost, and may not be sent again if it
+        is not idempotent.
+        """
+        log_events.emit(
+            logger, log_events.EndpointRestarted(engine.instance, "registry")
+        )
+        self.silence.moves.engine_lost(
+            engine.instance, engine_book.Suspicion.GONE
+        )
+        self.ports.engines.forget(engine.address)
+
     def engine_gone(self, engine: registered_engines.RegisteredEngine) -> None:
         """Forgets an engine, and its connections: its address is reused.
 
--- a/src/almondshift/relay/catalogue.py
+++ b/src/almondshift/relay/catalogue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import logging
 from typing import TYPE_CHECKING
@@ -24,6 +25,10 @@
 seconds of its return; a removal is believed just before, so that an engine
 that left gets nothing beyond the same two seconds."""
 
+STARTS_KEPT = 4_096
+"""Newest starts that are remembered, also of engines that are gone; five times
+the engines of the largest fleet."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -53,11 +58,14 @@
 
     Attributes:
         config: The newest known; None before the first.
-        engines: By instance.
+        engines: By instance, which tells one start of an engine from the next.
+        lifetimes: The instance that stands for each row of the registry.
         version: Grows with each change of the engines.
         on_config: Called with each new configuration.
         on_leaving: Called with an engine that begins to leave.
         on_gone: Called with an engine that is gone.
+        on_restarted: Called with an engine that ended and started again under
+            its name, before ``on_gone``.
         on_engine: Called with an engine that is new or changed.
     """
 
@@ -66,6 +74,10 @@
         self.config_key = config_key
         self.config: routing_config.RoutingConfig | None = None
         self.engines: dict[str, registered_engines.RegisteredEngine] = {}
+        self.lifetimes: dict[str, str] = {}
+        self.newest_born: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self.version = 0
         self.removals: dict[str, float] = {}
         self.views: dict[str, path_choice.FleetView] = {}
@@ -76,6 +88,9 @@
         self.on_gone: list[
             Callable[[registered_engines.RegisteredEngine], None]
         ] = []
+        self.on_restarted: list[
+            Callable[[registered_engines.RegisteredEngine], None]
+        ] = []
         self.on_engine: list[
             Callable[[registered_engines.RegisteredEngine], None]
         ] = []
@@ -128,8 +143,11 @@
             log_events.emit(
                 logger, log_events.EndpointUnreadable(row.key, detail)
             )
+            # What can't be read names no engine to use, also if it did.
+            self._drop(row.key)
             return
-        self._put(decoded.ok)
+        if self._is_newest_start(row.key, decoded.ok):
+            self._put(row.key, decoded.ok)
 
     def take_whole_registry(
         self,
@@ -141,13 +159,13 @@
         present = {row.key for row in rows}
         for row in rows:
             self.take_engine_row(row, now, store_back_at)
-        for instance in [i for i in self.engines if i not in present]:
-            self._take_removal(instance, now, store_back_at)
+        for key in [key for key in self.lifetimes if key not in present]:
+            self._take_removal(key, now, store_back_at)
 
     def expire_removals(self, now: float) -> None:
         """Drops engines whose removal was held back for long enough."""
-        for instance in [i for i, at in self.removals.items() if at <= now]:
-            self._drop(instance)
+        for key in [key for key, at in self.removals.items() if at <= now]:
+            self._drop(key)
 
     def of_service(
         self, service: str
@@ -184,10 +202,41 @@
         self.views[service] = made
         return made
 
-    def _put(self, engine: registered_engines.RegisteredEngine) -> None:
+    def _is_newest_start(
+        self, key: str, engine: registered_engines.RegisteredEngine
+    ) -> bool:
+        """Returns whether a row is not of an earlier start than one known.
+
+        A write of the former start may reach the store after the first of the
+        new one, and a peer may still hold the former row. Taken, it would
+        bring back layers that the new start doesn't hold.
+        """
+        newest = self.newest_born.get(key, 0)
+        if engine.born_ms < newest:
+            log_events.emit(
+                logger,
+                log_events.EndpointRowLate(key, engine.born_ms, newest),
+            )
+            return False
+        if engine.born_ms:
+            self.newest_born[key] = engine.born_ms
+            self.newest_born.move_to_end(key)
+            while len(self.newest_born) > STARTS_KEPT:
+                self.newest_born.popitem(last=False)
+        return True
+
+    def _put(
+        self, key: str, engine: registered_engines.RegisteredEngine
+    ) -> None:
         former = self.engines.get(engine.instance)
         if former == engine:
             return
+        ended = self.engines.get(self.lifetimes.get(key, ""))
+        if ended is not None and ended.instance != engine.instance:
+            for callback in self.on_restarted:
+                callback(ended)
+            self._drop(key)
+        self.lifetimes[key] = engine.instance
         self.engines[engine.instance] = engine
         self._changed()
         if former is None:
@@ -206,19 +255,18 @@
         for callback in self.on_engine:
             callback(engine)
 
-    def _take_removal(
-        self, instance: str, now: float, store_back_at: float
-    ) -> None:
-        if instance not in self.engines:
+    def _take_removal(self, key: str, now: float, store_back_at: float) -> None:
+        if key not in self.lifetimes:
             return
         held_until = store_back_at + RETURN_GRACE_S
         if now < held_until:
-            self.removals.setdefault(instance, held_until)
+            self.removals.setdefault(key, held_until)
             return
-        self._drop(instance)
+        self._drop(key)
 
-    def _drop(self, instance: str) -> None:
-        self.removals.pop(instance, None)
+    def _drop(self, key: str) -> None:
+        self.removals.pop(key, None)
+        instance = self.lifetimes.pop(key, "")
         engine = self.engines.pop(instance, None)
         if engine is None:
             return
--- a/src/almondshift/relay/engine_questions.py
+++ b/src/almondshift/relay/engine_questions.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import TYPE_CHECKING
 
 from almondshift import log_events
@@ -39,6 +40,9 @@
 """Questions and moves under way at once; more wait for the next look."""
 
 
+logger = logging.getLogger(__name__)
+
+
 class EngineQuestions:
     """Asks engines and notes what they say."""
 
@@ -59,9 +63,29 @@
         self.paced_at.pop(instance, None)
         self.used_at.pop(instance, None)
 
-    async def report(self, address: str) -> relayed.EngineReport | None:
-        """Asks one engine how it is; None if it does not say."""
-        return await self.shared.engines.report(address, REPORT_TIMEOUT_S)
+    async def report(
+        self, instance: str, address: str
+    ) -> relayed.EngineReport | None:
+        """Asks one engine how it is; None if this start does not say.
+
+        What answers at the address may be a later start of the engine, of
+        which the registry has not told yet. Taken for an answer of the former
+        one, a restart would go unnoticed and the streams wait for nothing.
+        """
+        report = await self.shared.engines.report(address, REPORT_TIMEOUT_S)
+        if report is None or not report.born_ms:
+            return report
+        known = self.shared.catalogue.engines.get(instance)
+        if known is None or known.born_ms == report.born_ms:
+            return report
+        if known.born_ms < report.born_ms and not self.shared.book.is_suspect(
+            instance
+        ):
+            log_events.emit(
+                logger, log_events.EndpointRestarted(instance, "report")
+            )
+            self.moves.engine_lost(instance, engine_book.Suspicion.GONE)
+        return None
 
     def ask_paces(self, parts: dict[str, relayed.PathPart]) -> None:
         """Asks the engines of silent streams how slow they are."""
@@ -88,7 +112,7 @@
 
     async def note_pace(self, instance: str, address: str) -> None:
         """Notes how slow an engine is; streams leave one that turned slow."""
-        report = await self.report(address)
+        report = await self.report(instance, address)
         if report is None:
             return
         now = self.shared.clock.monotonic()
@@ -112,10 +136,10 @@
 
     async def note_used(self, instance: str, address: str) -> None:
         """Notes how much memory an engine uses."""
-        report = await self.report(address)
+        report = await self.report(instance, address)
         if report is None:
             # Asked again at once: an answer may be lost with its connection.
-            report = await self.report(address)
+            report = await self.report(instance, address)
         if report is None:
             self.moves.engine_lost(instance, engine_book.Suspicion.UNREACHABLE)
             return
@@ -135,7 +159,7 @@
 
     async def try_suspect(self, instance: str, address: str) -> None:
         """Trusts a suspect again if it answers."""
-        if await self.report(address) is None:
+        if await self.report(instance, address) is None:
             return
         self.shared.book.trust(instance)
         self.shared.observer.emit(
--- a/src/almondshift/relay/layer_keeper.py
+++ b/src/almondshift/relay/layer_keeper.py
@@ -275,7 +275,9 @@
         report = await self.shared.engines.report(
             engine.address, ORDER_TIMEOUT_S
         )
-        if report is not None and not report.busy:
+        if report is None or report.born_ms not in (0, engine.born_ms):
+            return
+        if not report.busy:
             self.expected[engine.instance] = report.orders
 
 
--- a/src/almondshift/relay/silence_watch.py
+++ b/src/almondshift/relay/silence_watch.py
@@ -95,7 +95,7 @@
 
     async def ask(self, first: relayed.PathPart) -> None:
         """Asks an engine about its streams, and acts on what it says."""
-        report = await self.questions.report(first.address)
+        report = await self.questions.report(first.instance, first.address)
         if report is None:
             self.not_answered(first)
             return
--- /dev/null
+++ b/tests/relay/test_lifetimes.py
@@ -0,0 +1,223 @@
+"""Engines that start again under the name that they had."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from almondshift.model import lifetimes
+from almondshift.model import registered_engines
+from almondshift.platform import decode
+from almondshift.ports import row_feeds
+from almondshift.relay import catalogue
+
+AWAY = -1e9
+GOOD = {
+    "service": "model",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "slots": 96,
+    "state": "ready",
+    "kind": "big",
+    "layers": {"from": 0, "to": 9},
+    "born": 1_700_000_000_000,
+}
+
+
+def _catalogue() -> catalogue.Catalogue:
+    decoders = catalogue.Decoders(decode.decode_config, decode.decode_engine)
+    return catalogue.Catalogue(decoders, "config")
+
+
+def _row(key: str, value: Any, revision: int = 1) -> row_feeds.FeedRow:
+    return row_feeds.FeedRow(key, json.dumps(value).encode(), revision)
+
+
+def _born(born: int, **changes: Any) -> dict[str, Any]:
+    return {**GOOD, "born": born, **changes}
+
+
+def _instances(known: catalogue.Catalogue) -> list[str]:
+    return sorted(known.engines)
+
+
+@pytest.mark.parametrize(
+    ("engine", "born"),
+    [("i-1", 0), ("i-1", 17), ("a@b", 0), ("a@b", 3), ("@", 0), ("", 5)],
+)
+def test_an_engine_is_called_by_its_own_name(engine: str, born: int) -> None:
+    """Expecting a name with its start would be refused by the engine."""
+    lifetime = lifetimes.lifetime_name(engine, born)
+    assert lifetimes.engine_name(lifetime) == engine or not engine
+
+
+@pytest.mark.parametrize(
+    ("starts", "expected"),
+    [
+        ([5], "i@5"),
+        ([5, 9], "i@9"),
+        ([9, 5], "i@9"),
+        ([5, 9, 5], "i@9"),
+        ([5, None, 9], "i@9"),
+        ([9, None, 5], None),
+        ([0], "i"),
+        ([0, 7], "i@7"),
+    ],
+)
+def test_the_newest_start_stands(
+    starts: list[int | None], expected: str | None
+) -> None:
+    """A caller's stream would wait for layers that nobody holds.
+
+    An engine starts again under its name. Its former entry comes late, from
+    the store or a peer, also after the new start is gone: it must not stand.
+    """
+    known = _catalogue()
+    for revision, born in enumerate(starts, start=1):
+        if born is None:
+            removal = row_feeds.FeedRow("i", None, revision)
+            known.take_engine_row(removal, 0.0, AWAY)
+        else:
+            known.take_engine_row(_row("i", _born(born), revision), 0.0, AWAY)
+    assert _instances(known) == ([expected] if expected else [])
+
+
+def test_a_restart_ends_what_was_believed_before_the_new_start_is_seen() -> (
+    None
+):
+    """Streams go on elsewhere, and beliefs end with the start they are of.
+
+    The order matters: what is told of the former start, after the new one is
+    known, would be noted for the new one.
+    """
+    known = _catalogue()
+    told: list[tuple[str, str]] = []
+
+    def note(
+        what: str,
+    ) -> Any:
+        def callback(engine: registered_engines.RegisteredEngine) -> None:
+            told.append((what, engine.instance))
+
+        return callback
+
+    known.on_restarted.append(note("restarted"))
+    known.on_gone.append(note("gone"))
+    known.on_engine.append(note("engine"))
+    known.take_engine_row(_row("i", _born(5)), 0.0, AWAY)
+    known.take_engine_row(_row("i", _born(9, layers=None), 2), 0.0, AWAY)
+    assert told == [
+        ("engine", "i@5"),
+        ("restarted", "i@5"),
+        ("gone", "i@5"),
+        ("engine", "i@9"),
+    ]
+    assert known.engines["i@9"].layers is None
+
+
+def test_a_removal_takes_the_start_that_stands() -> None:
+    known = _catalogue()
+    known.take_engine_row(_row("i", _born(5)), 0.0, AWAY)
+    known.take_engine_row(_row("i", _born(9), 2), 0.0, AWAY)
+    known.take_whole_registry((), 1.0, AWAY)
+    assert _instances(known) == []
+
+
+BAD = [
+    *({k: v for k, v in GOOD.items() if k != gone} for gone in
+      ("service", "address", "state")),
+    *({**GOOD, **change} for change in (
+        {"service": 3},
+        {"address": None},
+        {"address": "10.0.0.1"},
+        {"address": "10.0.0.1:x"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:99999"},
+        {"state": "resting"},
+        {"state": 1},
+        {"slots": "96"},
+        {"slots": 0},
+        {"slots": -5},
+        {"slots": 1e300},
+        {"layers": []},
+        {"layers": {"from": -3, "to": 9}},
+        {"layers": {"from": 9, "to": 3}},
+        {"layers": {"from": 0, "to": 10**9}},
+        {"layers": {"from": "0", "to": 9}},
+        {"born": 1.5},
+        {"born": True},
+        {"born": "now"},
+        {"born": -1},
+        {"born": 10**30},
+    )),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("entry", BAD)
+@pytest.mark.parametrize("whole", [False, True])
+def test_an_entry_that_cannot_be_right_names_no_engine(
+    entry: dict[str, Any], whole: bool
+) -> None:
+    """Others write to the registry too; their rows must not draw requests.
+
+    The rows beside it hold. An engine whose own row turns so gets nothing
+    until the row can be read again.
+    """
+    known = _catalogue()
+    known.take_engine_row(_row("i", GOOD), 0.0, AWAY)
+    rows = (_row("i", entry, 3), _row("other", GOOD, 4))
+    if whole:
+        known.take_whole_registry(rows, 0.0, AWAY)
+    else:
+        for row in rows:
+            known.take_engine_row(row, 0.0, AWAY)
+    born = GOOD["born"]
+    assert _instances(known) == [f"other@{born}"]
+    known.take_engine_row(_row("i", GOOD, 5), 0.0, AWAY)
+    assert _instances(known) == [f"i@{born}", f"other@{born}"]
+
+
+VALUES = [
+    None, True, -1, 0, 7, 10**20, 1.5, float("nan"), "", "ready", "resting",
+    "1.2.3.4:5", "1.2.3.4", "big", [], {}, {"from": 0, "to": 5},
+    {"from": -1, "to": 200_000}, {"from": "0"},
+]  # fmt: skip
+CHANGES = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(sorted(GOOD)), strategies.sampled_from(VALUES)
+    ),
+    max_size=4,
+)
+CONTENTS = strategies.one_of(
+    CHANGES.map(lambda changes: json.dumps(dict(changes)).encode()),
+    CHANGES.map(lambda changes: json.dumps({**GOOD, **dict(changes)}).encode()),
+    strategies.binary(max_size=20),
+)
+
+
+@hypothesis.settings(
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
+)
+@hypothesis.given(strategies.lists(CONTENTS, max_size=4))
+def test_good_rows_hold_beside_whatever_others_write(
+    contents: list[bytes],
+) -> None:
+    """Some row of another writer would stop a node from reading the rest."""
+    known = _catalogue()
+    rows = [row_feeds.FeedRow("good", json.dumps(GOOD).encode(), 1)]
+    rows += [
+        row_feeds.FeedRow(f"x{index}", content, index + 2)
+        for index, content in enumerate(contents)
+    ]
+    known.take_whole_registry(tuple(rows), 0.0, AWAY)
+    assert f"good@{GOOD['born']}" in known.engines
+    for engine in known.engines.values():
+        host, _, port = engine.address.rpartition(":")
+        assert host and 0 < int(port) <= 65_535 and engine.slots > 0
+        if engine.layers is not None:
+            assert 0 <= engine.layers.start < engine.layers.end
