--- a/src/almondshift/policy/engine_book.py
+++ b/src/almondshift/policy/engine_book.py
@@ -176,11 +176,16 @@
             now: Monotonic seconds.
         """
         state = self.states.get(instance)
-        if state is None or now - state.reported_at >= USED_S:
+        if state is None or not self.is_reported(instance, now):
             return estimate
         added = (state.layer_tokens - state.own_at_report) * alike
         return max(state.layer_tokens, state.reported + added)
 
+    def is_reported(self, instance: str, now: float) -> bool:
+        """Returns whether an engine's own word of its memory is believed."""
+        state = self.states.get(instance)
+        return state is not None and now - state.reported_at < USED_S
+
     def note_full(self, instance: str, now: float) -> None:
         """Notes that an engine had no room."""
         self.state(instance).full_until = now + FULL_S
--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -49,6 +49,14 @@
 then drawn up to a half higher for each engine anew, which spreads requests
 evenly over like engines while those twice as slow stay behind."""
 
+GUESS_DOUBT = 2.0
+"""A guess of an engine's memory in use refuses only from so many times full.
+Six nodes with three requests each on a chain take each other for like them and
+are off by a half: they refused one request in ten while memory was half full,
+and a refused caller is late for sure. An engine that is asked meanwhile, or
+refuses for want of room, ends the doubt within milliseconds. Over fifteen
+played days 1.0% of the requests were refused for good with it, 1.5% without."""
+
 BATCH_SHARE = 2.0
 """A request waits for passes about as long as it is worked on."""
 
@@ -239,10 +247,15 @@
             end=engine.layers.end,
             layer_ms=factor * pace * step_ms / spec.layers * self._spread(),
             room=spec.layer_token_room(engine.kind, held),
-            used=load.used(engine.instance, held),
+            used=load.used(engine.instance, held)
+            / self._doubt(engine.instance, load.now),
             may_be_first=load.first(engine.instance) < engine.slots,
         )
 
+    def _doubt(self, instance: str, now: float) -> float:
+        """Returns how far a belief of an engine's memory in use may be off."""
+        return 1.0 if self.book.is_reported(instance, now) else GUESS_DOUBT
+
     def _spread(self) -> float:
         if self.nodes <= pooled_load.MANY_NODES:
             return 1.0
@@ -279,8 +292,12 @@
                 if found is not None:
                     cost_ms = found.cost_ms * engine_book.SLOW_PACE
                     found = path_search.FoundPath(found.parts, cost_ms)
-            if found is not None:
-                paths.append(found)
+            if found is None:
+                continue
+            paths.append(found)
+            other = _apart_from(found, quick, zone, view.spec.layers, tokens)
+            if other is not None:
+                paths.append(other)
         return paths
 
     def _fitting(
@@ -290,7 +307,7 @@
         tokens: float,
         load: pooled_load.FleetLoad,
     ) -> ChosenPath | None:
-        fullest = own = 0.0
+        fullest = own = over = 0.0
         for part in found.parts:
             candidate = part.candidate
             held = candidate.end - candidate.start
@@ -300,12 +317,14 @@
             share = need / room
             fullest = max(fullest, share)
             own = max(own, load.own_share(candidate.instance, room))
+            doubt = self._doubt(candidate.instance, load.now)
+            over = max(over, share / doubt)
             if share > TIGHT_SHARE:
                 self.tight[candidate.instance] = candidate.address
         first = found.parts[0].candidate.instance
         if load.first(first) >= spec.slots:
             return None
-        if fullest > path_search.FULL_SHARE:
+        if over > path_search.FULL_SHARE:
             return None
         return _chosen(found, max(fullest, own))
 
@@ -324,6 +343,23 @@
     return path_search.find_path(candidates, layers, tokens, first_zone=zone)
 
 
+def _apart_from(
+    found: path_search.FoundPath,
+    candidates: list[path_search.Candidate],
+    zone: str,
+    layers: int,
+    tokens: float,
+) -> path_search.FoundPath | None:
+    """Returns a path in the same zone that shares no engine, if there is one.
+
+    Second copies of a zone's layers stand idle while the engines that carry
+    its streams fill up; requests would be refused beside them.
+    """
+    used = {part.candidate.instance for part in found.parts}
+    rest = [c for c in candidates if c.zone == zone and c.instance not in used]
+    return path_search.find_path(rest, layers, tokens)
+
+
 def _chosen(found: path_search.FoundPath, load: float) -> ChosenPath:
     return ChosenPath(
         path=tuple(
