Standbys fill holes before the cards that carry; copies spread

Change: holes go to empty engines and standbys, each a part; neighbours only if these can't take all. An engine that comes empty takes its full length around the layers that it makes faster. Standbys whose copies are worth half again as much elsewhere are sent there, one at a time.

--- a/src/almondshift/policy/layer_copies.py
+++ b/src/almondshift/policy/layer_copies.py
@@ -36,6 +36,14 @@
 """Value of a third copy of a layer beside that of a second one: an engine goes
 anywhere rather than nowhere."""
 
+GAIN_FIRST = 1_000.0
+"""Weight of a faster layer beside a second copy: streams are slowed all the
+time, and struck by a loss now and then."""
+
+MIN_SPREAD = 1.5
+"""A standby goes elsewhere for so many times what its layers are worth, and a
+hole of one layer more: loads cost, and each move must leave less at risk."""
+
 MIN_GAIN = 0.15
 """Share of a token's time that a move of a standby engine has to save; it costs
 a load of seconds."""
@@ -65,12 +73,15 @@
 ) -> model_layers.LayerRange | None:
     """Returns the range that an empty engine should hold, if any fits."""
     gains = _gains(group, held, engine, spec.layers)
-    if sum(gains) > 0.0:
-        most = layer_holdings.most_layers(engine, spec, CARRY_SHARE)
-        found = best_range(gains, max(1, most))
-        if found.count <= layer_holdings.most_layers(engine, spec, 1.0):
-            return found
-    return second_copy(group, held, engine, spec)
+    most = layer_holdings.most_layers(engine, spec, CARRY_SHARE)
+    if sum(gains) <= 0.0 or most < 1:
+        return second_copy(group, held, engine, spec)
+    copies = _copy_values(group, held, spec.layers)
+    values = [
+        gain * GAIN_FIRST + copy
+        for gain, copy in zip(gains, copies, strict=True)
+    ]
+    return best_range(values, most)
 
 
 def second_copy(
@@ -83,8 +94,7 @@
     most = layer_holdings.most_layers(engine, spec, layer_holdings.EXTEND_SHARE)
     if most < 1:
         return None
-    values = _copy_values(group, held, spec.layers)
-    return best_range(values, most, is_whole=True)
+    return best_range(_copy_values(group, held, spec.layers), most)
 
 
 def promoted(
@@ -98,48 +108,83 @@
     A faster engine that stands by elsewhere takes its place; nothing that
     only it holds is given up.
     """
-    for engine in sorted(group, key=lambda e: (e.step_factor, e.instance)):
-        present = held[engine.instance]
-        if present is None or not _stands_by(group, held, engine, spec.layers):
-            continue
+    total = sum(layer_factors(group, held, spec.layers))
+    for engine in standbys(group, held, spec.layers):
         others = [e for e in group if e.instance != engine.instance]
         gains = _gains(others, held, engine, spec.layers)
-        most = layer_holdings.most_layers(engine, spec, CARRY_SHARE)
-        if most < 1:
+        found = placed_empty(others, held, engine, spec)
+        if found is None or found == held[engine.instance]:
+            continue
+        if sum(gains[found.start : found.end]) >= MIN_GAIN * total:
+            return engine.instance, found
+    return None
+
+
+def spread(
+    group: Sequence[layer_holdings.PlannedEngine],
+    held: layer_holdings.Holdings,
+    spec: engine_specs.EngineSpec,
+) -> tuple[str, model_layers.LayerRange] | None:
+    """Returns a standby engine that is worth more elsewhere, and where.
+
+    Engines that filled a hole stay with the few layers that it needed, and
+    others gather beside what is held twice already.
+    """
+    for engine in standbys(group, held, spec.layers):
+        present = held[engine.instance]
+        others = [e for e in group if e.instance != engine.instance]
+        found = second_copy(others, held, engine, spec)
+        if found is None or present is None:
             continue
-        found = best_range(gains, most)
-        gain = sum(gains[found.start : found.end])
-        total = sum(layer_factors(group, held, spec.layers))
-        if gain >= MIN_GAIN * total and found != present:
+        values = _copy_values(others, held, spec.layers)
+        worth = sum(values[present.start : present.end])
+        better = sum(values[found.start : found.end])
+        if better > worth * MIN_SPREAD + spec.layers:
             return engine.instance, found
     return None
 
 
-def best_range(
-    values: Sequence[float], most: int, is_whole: bool = False
-) -> model_layers.LayerRange:
-    """Returns the range of the greatest sum, of at most ``most`` layers.
+def standbys(
+    group: Sequence[layer_holdings.PlannedEngine],
+    held: layer_holdings.Holdings,
+    layers: int,
+) -> list[layer_holdings.PlannedEngine]:
+    """Returns engines whose layers others as fast hold, the fastest first."""
+    ranked = sorted(group, key=lambda e: (e.step_factor, e.instance))
+    return [e for e in ranked if _stands_by(group, held, e, layers)]
+
+
+def spare_standbys(
+    group: Sequence[layer_holdings.PlannedEngine],
+    held: layer_holdings.Holdings,
+    layers: int,
+    most: int,
+) -> list[layer_holdings.PlannedEngine]:
+    """Returns up to ``most`` standbys that can all leave their layers at once.
 
-    Args:
-        values: Value of each layer.
-        most: Longest range.
-        is_whole: Whether the range has its full length also where layers at
-            its ends are worth nothing.
+    Two that hold the same second copies each stand by for the other; taken one
+    by one, the second sees that the first is gone.
     """
+    left = dict(held)
+    found: list[layer_holdings.PlannedEngine] = []
+    while len(found) < most:
+        ready = standbys(group, left, layers)
+        if not ready:
+            break
+        found.append(ready[0])
+        left[ready[0].instance] = None
+    return found
+
+
+def best_range(values: Sequence[float], most: int) -> model_layers.LayerRange:
+    """Returns the range of ``most`` layers, or of all, of the greatest sum."""
     count = min(most, len(values))
     sums = [0.0, *itertools.accumulate(values)]
     start = max(
         range(len(values) - count + 1),
         key=lambda s: (sums[s + count] - sums[s], -s),
     )
-    end = start + count
-    if is_whole:
-        return model_layers.LayerRange(start, end)
-    while end - start > 1 and values[start] <= 0.0:
-        start += 1
-    while end - start > 1 and values[end - 1] <= 0.0:
-        end -= 1
-    return model_layers.LayerRange(start, end)
+    return model_layers.LayerRange(start, start + count)
 
 
 def _gains(
--- a/src/almondshift/policy/layer_plan.py
+++ b/src/almondshift/policy/layer_plan.py
@@ -33,6 +33,10 @@
 
     from almondshift.model import engine_specs
 
+MAX_TAKERS = 3
+"""Standbys that share a hole: three parts load in half a second where one
+engine would take a second and a half, and each leaves second copies behind."""
+
 SLOW_SHARE = 0.3
 """Slow engines are planned without up to this share of a zone's memory;
 beyond it the others could not hold all layers and still serve requests."""
@@ -224,9 +228,10 @@
         ):
             orders.update(layer_spread.rebalanced(group, held, spec, is_broken))
         elif not orders:
-            promotion = layer_copies.promoted(group, held, spec)
-            if promotion is not None:
-                orders[promotion[0]] = promotion[1]
+            change = layer_copies.promoted(group, held, spec)
+            change = change or layer_copies.spread(group, held, spec)
+            if change is not None:
+                orders[change[0]] = change[1]
     return [LayerOrder(name, layers) for name, layers in orders.items()]
 
 
@@ -264,22 +269,28 @@
     end: int,
     spec: engine_specs.EngineSpec,
 ) -> None:
-    """Extends the neighbours on both sides, and fills empty engines between.
+    """Fills a hole with empty engines and standbys, else with neighbours.
 
     Each takes an even part: the hole is mended when the slowest load ends.
+    Neighbours carry streams; one that takes more than its share fills up, and
+    its zone then refuses requests for long after the hole is mended.
     """
-    below = _neighbour(group, held, spec, start, is_below=True)
-    above = _neighbour(group, held, spec, end, is_below=False)
-    empty = [e for e in group if held[e.instance] is None]
-    takers: list[tuple[layer_holdings.PlannedEngine, int]] = []
-    if below is not None:
-        takers.append(below)
-    takers += [
+    free = [e for e in group if held[e.instance] is None]
+    free += layer_copies.spare_standbys(group, held, spec.layers, MAX_TAKERS)
+    takers = [
         (e, layer_holdings.most_layers(e, spec, layer_copies.CARRY_SHARE))
-        for e in empty
+        for e in free
     ]
-    if above is not None:
-        takers.append(above)
+    if sum(limit for _, limit in takers) < end - start:
+        below = _neighbour(group, held, spec, start, is_below=True)
+        above = _neighbour(group, held, spec, end, is_below=False)
+        known = {e.instance for e in free}
+        if below is not None and below[0].instance not in known:
+            takers.insert(0, below)
+            known.add(below[0].instance)
+        if above is not None and above[0].instance not in known:
+            takers.append(above)
+    free_names = {e.instance for e in free}
     counts = layer_holdings.proportional_counts(
         [1.0] * len(takers), [limit for _, limit in takers], end - start
     )
@@ -291,7 +302,7 @@
             engine, spec, layer_holdings.EXTEND_SHARE
         )
         former = held[engine.instance]
-        if former is None:
+        if former is None or engine.instance in free_names:
             layers = model_layers.LayerRange(position, position + count)
         elif former.end == start:
             first = max(former.start, start + count - most)
