Ask all engines behind silent streams at once

Hypothesis: a dead engine is found 0.28 s after its streams stand still, since its first engine's reports are 200 ms old; found sooner, streams pause for less than the 200 ms that make them late. Change: after two to three usual pauses all engines of silent streams' paths are asked; one that fails two questions while another answers counts as lost. Rounds that find nothing back off to 2.4 s. Engines that hold a moved stream already are kept on its path also when they are full.

--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -162,17 +162,19 @@
         avoid: frozenset[str] = frozenset(),
     ) -> ChosenPath | None:
         """Returns another path with the same first part, or None."""
+        first = path[0]
+        kept = frozenset(p.instance for p in path)
         candidates = [
-            c for c in self.candidates(view, now) if c.instance not in avoid
+            c
+            for c in self.candidates(view, now, kept)
+            if c.instance not in avoid
         ]
-        first = path[0]
         start = next(
             (c for c in candidates if c.instance == first.instance), None
         )
         if start is None:
             return None
         part = path_search.FoundPart(start, first.start, first.end)
-        kept = frozenset(p.instance for p in path)
         quick = [
             c for c in candidates if not self.book.is_slow(c.instance, now)
         ]
@@ -185,15 +187,31 @@
         return None
 
     def candidates(
-        self, view: FleetView, now: float
+        self,
+        view: FleetView,
+        now: float,
+        kept: frozenset[str] = frozenset(),
     ) -> list[path_search.Candidate]:
-        """Returns the engines that may take work."""
+        """Returns the engines that may take work.
+
+        Args:
+            view: The engines.
+            now: Monotonic seconds.
+            kept: Engines that hold a request already. They have its memory
+                also when they are full; left out, a request that lost one
+                engine would have to leave the others too.
+        """
         load = self._load(view, now)
-        return [
-            self._candidate(engine, view.spec, load)
-            for engine in self._usable(view)
-            if not self.book.is_full(engine.instance, now)
-        ]
+        found = []
+        for engine in self._usable(view):
+            is_kept = engine.instance in kept
+            if self.book.is_full(engine.instance, now) and not is_kept:
+                continue
+            candidate = self._candidate(engine, view.spec, load)
+            if is_kept:
+                candidate = dataclasses.replace(candidate, used=0.0)
+            found.append(candidate)
+        return found
 
     def _usable(
         self, view: FleetView
--- a/src/almondshift/relay/engine_questions.py
+++ b/src/almondshift/relay/engine_questions.py
@@ -64,7 +64,7 @@
         self.used_at.pop(instance, None)
 
     async def report(
-        self, instance: str, address: str
+        self, instance: str, address: str, timeout_s: float = REPORT_TIMEOUT_S
     ) -> relayed.EngineReport | None:
         """Asks one engine how it is; None if this start does not say.
 
@@ -72,7 +72,7 @@
         which the registry has not told yet. Taken for an answer of the former
         one, a restart would go unnoticed and the streams wait for nothing.
         """
-        report = await self.shared.engines.report(address, REPORT_TIMEOUT_S)
+        report = await self.shared.engines.report(address, timeout_s)
         if report is None or not report.born_ms:
             return report
         known = self.shared.catalogue.engines.get(instance)
--- /dev/null
+++ b/src/almondshift/relay/path_probe.py
@@ -0,0 +1,172 @@
+"""Finds the dead engine behind streams that fall silent, within their pause.
+
+A stream whose engine died stands still; its first engine says for whom it
+waits, but its reports are 200 ms old, and a pause of 200 ms already makes the
+stream late. So as soon as streams are silent for a few times their usual
+pause, all engines of their paths are asked at once. A crashed one refuses, a
+dark one is the one that says nothing while the others answer within
+milliseconds.
+
+A question may be lost with its packet, and this node itself may stand still.
+Two questions in a row must fail, while another engine answers in the same
+round, and the round must not have taken longer than its timeouts: two losses
+of one packet in forty are one round in 1,600.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from almondshift.policy import engine_book
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from almondshift.model import relayed
+    from almondshift.relay import background
+    from almondshift.relay import context
+    from almondshift.relay import engine_questions
+    from almondshift.relay import stream_moves
+    from almondshift.relay import stream_run
+
+LEAST_SILENT_S = 0.05
+"""Shortest pause that brings a round: two events of a stream at usual load."""
+
+SILENT_EVENTS = 3.0
+"""The same in usual pauses of the stream itself."""
+
+FIRST_SILENT_S = 0.2
+"""The same before the first event, when prompts are read and wait."""
+
+ANSWER_S = 0.05
+"""A live engine in the region answers within 5 ms."""
+
+STARVED_S = 0.04
+"""A round that took so much longer than its timeouts says nothing."""
+
+ROUND_GAP_S = 0.15
+"""Least pause between two rounds of a node."""
+
+LONGEST_GAP_S = 2.4
+"""Rounds that find nothing come half as often each time, down to this: engines
+under load are slow, not dead, and more questions don't help them."""
+
+
+class PathProbe:
+    """Asks the engines behind silent streams whether they live.
+
+    Attributes:
+        gap_s: Present pause between two rounds.
+        next_at: Loop time of the next one, at the earliest.
+    """
+
+    def __init__(
+        self,
+        shared: context.RelayContext,
+        work: background.Background,
+        moves: stream_moves.StreamMoves,
+        questions: engine_questions.EngineQuestions,
+    ) -> None:
+        self.shared = shared
+        self.work = work
+        self.moves = moves
+        self.questions = questions
+        self.gap_s = ROUND_GAP_S
+        self.next_at = 0.0
+
+    def look(self, now: float) -> None:
+        """Begins a round if streams are silent and one is due."""
+        if now < self.next_at:
+            return
+        parts = self.silent_parts(self.moves.streams(), now)
+        if not parts:
+            return
+        self.next_at = now + self.gap_s
+        self.work.run(self.probe(parts))
+
+    def silent_parts(
+        self, streams: Iterable[stream_run.StreamRun], now: float
+    ) -> dict[str, relayed.PathPart]:
+        """Returns the engines behind silent streams, by instance."""
+        parts: dict[str, relayed.PathPart] = {}
+        for run in streams:
+            attempt = run.attempt
+            if attempt is None or attempt.moving:
+                continue
+            if now - attempt.active_at < patience_s(run):
+                continue
+            parts.update({part.instance: part for part in attempt.path})
+        return {
+            instance: part
+            for instance, part in parts.items()
+            if not self.shared.book.is_suspect(instance)
+        }
+
+    async def probe(self, parts: dict[str, relayed.PathPart]) -> None:
+        """Asks engines, those that don't answer twice, and acts on it."""
+        probed = ProbeRound(self.shared, self.questions, self.moves)
+        await probed.run(list(parts.values()))
+        if probed.lost:
+            self.gap_s = ROUND_GAP_S
+        else:
+            self.gap_s = min(LONGEST_GAP_S, self.gap_s * 2)
+
+
+class ProbeRound:
+    """One round of questions.
+
+    Attributes:
+        lost: Engines that were found dead.
+    """
+
+    def __init__(
+        self,
+        shared: context.RelayContext,
+        questions: engine_questions.EngineQuestions,
+        moves: stream_moves.StreamMoves,
+    ) -> None:
+        self.shared = shared
+        self.questions = questions
+        self.moves = moves
+        self.loop = asyncio.get_running_loop()
+        self.started_at = self.loop.time()
+        self.answered = asyncio.Event()
+        self.lost: list[str] = []
+
+    async def run(self, parts: list[relayed.PathPart]) -> None:
+        """Asks all engines beside each other."""
+        await asyncio.gather(*(self.check(part) for part in parts))
+
+    async def check(self, part: relayed.PathPart) -> None:
+        """Asks one engine, twice if need be; acts as soon as it is clear.
+
+        A refused connection is known within milliseconds, and its streams do
+        not wait for the answers of the other engines.
+        """
+        for _ in range(2):
+            report = await self.questions.report(
+                part.instance, part.address, ANSWER_S
+            )
+            if report is not None:
+                now = self.shared.clock.monotonic()
+                self.shared.book.note_pace(part.instance, report.pace, now)
+                self.answered.set()
+                return
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                await self.answered.wait()
+        except TimeoutError:
+            return
+        if self.loop.time() - self.started_at > 3 * ANSWER_S + STARVED_S:
+            return
+        self.lost.append(part.instance)
+        self.moves.engine_lost(part.instance, engine_book.Suspicion.UNREACHABLE)
+
+
+def patience_s(run: stream_run.StreamRun) -> float:
+    """Returns after which silence a stream brings a round."""
+    if not run.events_sent:
+        return FIRST_SILENT_S
+    usual_s = (run.progress_at - run.first_at) / max(1, run.events_sent - 1)
+    return max(LEAST_SILENT_S, SILENT_EVENTS * usual_s)
--- a/src/almondshift/relay/silence_watch.py
+++ b/src/almondshift/relay/silence_watch.py
@@ -14,13 +14,16 @@
 from almondshift.policy import engine_book
 from almondshift.relay import background
 from almondshift.relay import engine_questions
+from almondshift.relay import path_probe
 from almondshift.relay import stream_moves
 
 if TYPE_CHECKING:
     from almondshift.model import relayed
     from almondshift.relay import context
 
-TICK_S = 0.05
+TICK_S = 0.02
+"""Well below the shortest pause that means something; a look at some twenty
+streams takes some ten microseconds."""
 
 SILENT_S = 0.25
 """Pause that brings a question: above the pauses that count as on time,
@@ -43,6 +46,7 @@
     Attributes:
         moves: Takes streams off engines.
         questions: Asks engines how they are.
+        probe: Asks the engines behind silent streams whether they live.
     """
 
     def __init__(self, shared: context.RelayContext) -> None:
@@ -52,6 +56,9 @@
         self.questions = engine_questions.EngineQuestions(
             shared, self.work, self.moves
         )
+        self.probe = path_probe.PathProbe(
+            shared, self.work, self.moves, self.questions
+        )
         self.asked_at: dict[str, float] = {}
         self.lost: dict[str, int] = {}
 
@@ -73,6 +80,7 @@
 
     def look_at_all(self) -> None:
         """Looks at streams and engines, and begins what is due."""
+        self.probe.look(asyncio.get_running_loop().time())
         self.look()
         self.moves.leave_in_time()
         self.questions.ask_again()
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -112,6 +112,7 @@
     Attributes:
         last_id: Last event that the caller has; None for none.
         events_sent: Events passed on.
+        first_at: Loop time of the first event, or of the arrival.
         progress_at: Loop time of the last event, or of the arrival.
         broken: First engines that broke off: one that is crashing resets
             each connection that it gets, and would use up all attempts.
@@ -128,6 +129,7 @@
         self.attempt: StreamAttempt | None = None
         self.retry: asyncio.TimerHandle | None = None
         self.events_sent = 0
+        self.first_at = self.started_at
         self.progress_at = self.started_at
         self.broken: frozenset[str] = frozenset()
         self.last_id: int | None = None
@@ -210,6 +212,7 @@
         now = self.loop.time()
         if not self.responder.head_sent:
             assert attempt.head is not None
+            self.first_at = now
             self.shared.observer.first_seconds.observe(now - self.started_at)
             self.responder.send_head(attempt.head.status, attempt.head.headers)
         elif now - self.progress_at > self.routed.route.event_gap_s:
