Log events as structs: a node that starts again serves sooner

Cause: of the time from a node's start to its listeners 60 ms went into defining 48 data classes of log events. Change: they are msgspec structs, which the node loads anyway; 6 ms. Ruled out: loading events lazily; most are needed in the first second. The test of field names reads a struct's fields; its check is the same.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -7,14 +7,19 @@
 
 from __future__ import annotations
 
-import dataclasses
 import logging
 from typing import ClassVar
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Event:
-    """The base of events; fields become members of the JSON line."""
+
+class Event(msgspec.Struct, frozen=True):
+    """The base of events; fields become members of the JSON line.
+
+    All of them are defined in each process, and a node that starts again
+    serves nobody until they are: as structs they take 6 ms, as data classes
+    they took 60 ms of the 430 ms from a node's start to its first answer.
+    """
 
     number: ClassVar[int]
     level: ClassVar[int] = logging.INFO
@@ -30,14 +35,11 @@
     """Writes an event to the log, if its level is enabled."""
     if not logger.isEnabledFor(event.level):
         return
-    extra = {f.name: getattr(event, f.name) for f in dataclasses.fields(event)}
-    logger.log(
-        event.level, event.message, extra={"event": event.code(), **extra}
-    )
+    extra = {"event": event.code(), **msgspec.structs.asdict(event)}
+    logger.log(event.level, event.message, extra=extra)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NodeStarted(Event):
+class NodeStarted(Event, frozen=True):
     """The node listens for callers and peers."""
 
     number = 1001
@@ -49,8 +51,7 @@
     release: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NodeReady(Event):
+class NodeReady(Event, frozen=True):
     """The node has a configuration and answers callers."""
 
     number = 1002
@@ -60,8 +61,7 @@
     verified: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NodeDraining(Event):
+class NodeDraining(Event, frozen=True):
     """The node takes leave; requests in flight go on."""
 
     number = 1003
@@ -72,8 +72,7 @@
     in_flight: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NodeStopped(Event):
+class NodeStopped(Event, frozen=True):
     """The node has closed; ``cut`` requests got no whole answer."""
 
     number = 1004
@@ -83,8 +82,7 @@
     cut: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NodeReloaded(Event):
+class NodeReloaded(Event, frozen=True):
     """The settings were read again; `changed` names what differs."""
 
     number = 1005
@@ -93,8 +91,7 @@
     changed: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NodeWoke(Event):
+class NodeWoke(Event, frozen=True):
     """The process stood still; what it knew may be old."""
 
     number = 1006
@@ -104,8 +101,7 @@
     seconds: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LogLinesDropped(Event):
+class LogLinesDropped(Event, frozen=True):
     """Lines were left out to keep the log's volume bounded."""
 
     number = 1007
@@ -115,8 +111,7 @@
     lines: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigAccepted(Event):
+class ConfigAccepted(Event, frozen=True):
     """The platform keeps a new version that came through this node."""
 
     number = 2001
@@ -127,8 +122,7 @@
     author: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigApplied(Event):
+class ConfigApplied(Event, frozen=True):
     """This node acts on a newer version."""
 
     number = 2002
@@ -139,8 +133,7 @@
     verified: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigRejected(Event):
+class ConfigRejected(Event, frozen=True):
     """A proposed text is invalid, or a race was lost."""
 
     number = 2003
@@ -153,8 +146,7 @@
     detail: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigUnverified(Event):
+class ConfigUnverified(Event, frozen=True):
     """The version in force is known through peers only."""
 
     number = 2004
@@ -165,8 +157,7 @@
     origin: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigUnreadable(Event):
+class ConfigUnreadable(Event, frozen=True):
     """An accepted version cannot be parsed by this release."""
 
     number = 2005
@@ -177,8 +168,7 @@
     detail: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LeaseGained(Event):
+class LeaseGained(Event, frozen=True):
     """This node may give orders."""
 
     number = 3001
@@ -188,8 +178,7 @@
     fencing: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LeaseLost(Event):
+class LeaseLost(Event, frozen=True):
     """This node gives no more orders."""
 
     number = 3002
@@ -201,8 +190,7 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderSent(Event):
+class OrderSent(Event, frozen=True):
     """An endpoint took an order."""
 
     number = 3003
@@ -213,8 +201,7 @@
     fencing: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderRefused(Event):
+class OrderRefused(Event, frozen=True):
     """An endpoint refused an order, or its outcome is unknown."""
 
     number = 3004
@@ -228,8 +215,7 @@
     detail: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderAnswered(Event):
+class OrderAnswered(Event, frozen=True):
     """An endpoint answered an order, or its outcome is unknown."""
 
     number = 3005
@@ -241,8 +227,7 @@
     seconds: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndpointSeen(Event):
+class EndpointSeen(Event, frozen=True):
     """An endpoint is new, or came back as a new instance."""
 
     number = 4001
@@ -253,8 +238,7 @@
     kind: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndpointLeaving(Event):
+class EndpointLeaving(Event, frozen=True):
     """An endpoint gets no new work."""
 
     number = 4002
@@ -264,8 +248,7 @@
     source: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndpointGone(Event):
+class EndpointGone(Event, frozen=True):
     """An endpoint left the list, or does not answer any more."""
 
     number = 4003
@@ -276,8 +259,7 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndpointEjected(Event):
+class EndpointEjected(Event, frozen=True):
     """An endpoint gets no work for a time, for errors or slowness."""
 
     number = 4004
@@ -289,8 +271,7 @@
     seconds: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndpointRestored(Event):
+class EndpointRestored(Event, frozen=True):
     """An ejected endpoint answered trials and gets work again."""
 
     number = 4005
@@ -300,8 +281,7 @@
     ejected_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndpointUnreadable(Event):
+class EndpointUnreadable(Event, frozen=True):
     """An endpoint's entry can't be read; it gets no work until it can."""
 
     number = 4006
@@ -312,8 +292,7 @@
     detail: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndpointRowLate(Event):
+class EndpointRowLate(Event, frozen=True):
     """An entry of an earlier start of an endpoint came late; it is dropped."""
 
     number = 4007
@@ -324,8 +303,7 @@
     newest_born_ms: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndpointRestarted(Event):
+class EndpointRestarted(Event, frozen=True):
     """An endpoint started again under its name; it knows nothing of before."""
 
     number = 4008
@@ -336,8 +314,7 @@
     told_by: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestReceived(Event):
+class RequestReceived(Event, frozen=True):
     """A request passed authentication."""
 
     number = 5001
@@ -349,8 +326,7 @@
     service: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestAnswered(Event):
+class RequestAnswered(Event, frozen=True):
     """A request got its whole answer."""
 
     number = 5002
@@ -364,8 +340,7 @@
     recoveries: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestRefused(Event):
+class RequestRefused(Event, frozen=True):
     """A request got a final answer without being run whole."""
 
     number = 5003
@@ -379,8 +354,7 @@
     seconds: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestRecovered(Event):
+class RequestRecovered(Event, frozen=True):
     """A running request went on with other endpoints."""
 
     number = 5004
@@ -393,8 +367,7 @@
     replayed_positions: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestAbandoned(Event):
+class RequestAbandoned(Event, frozen=True):
     """The caller went away, or the node gave up after tokens were sent."""
 
     number = 5005
@@ -407,8 +380,7 @@
     tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EchoMismatch(Event):
+class EchoMismatch(Event, frozen=True):
     """An answer named another step than the one asked; it was dropped."""
 
     number = 5006
@@ -421,8 +393,7 @@
     received: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestFault(Event):
+class RequestFault(Event, frozen=True):
     """A fault in this program ended a request."""
 
     number = 5007
@@ -433,8 +404,7 @@
     error: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestForwarded(Event):
+class RequestForwarded(Event, frozen=True):
     """A request was sent to an endpoint, along a path if there is one."""
 
     number = 5008
@@ -450,8 +420,7 @@
     registry_age_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AttemptFailed(Event):
+class AttemptFailed(Event, frozen=True):
     """An endpoint did not answer a request whole."""
 
     number = 5009
@@ -465,8 +434,7 @@
     next_step: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestMoved(Event):
+class RequestMoved(Event, frozen=True):
     """A running request was moved to other engines, or that failed."""
 
     number = 5010
@@ -480,8 +448,7 @@
     silent_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreOutageBegan(Event):
+class StoreOutageBegan(Event, frozen=True):
     """The platform's store does not answer."""
 
     number = 6001
@@ -493,8 +460,7 @@
     detail: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreOutageEnded(Event):
+class StoreOutageEnded(Event, frozen=True):
     """The platform's store answers again."""
 
     number = 6002
@@ -503,8 +469,7 @@
     seconds: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerJoined(Event):
+class PeerJoined(Event, frozen=True):
     """A node was heard of for the first time."""
 
     number = 7001
@@ -515,8 +480,7 @@
     address: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerSuspect(Event):
+class PeerSuspect(Event, frozen=True):
     """A node has not been heard of for a time."""
 
     number = 7002
@@ -527,8 +491,7 @@
     silent_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerGone(Event):
+class PeerGone(Event, frozen=True):
     """A node left, or is taken for gone."""
 
     number = 7003
@@ -539,8 +502,7 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerRowsUnreadable(Event):
+class PeerRowsUnreadable(Event, frozen=True):
     """A peer's answer about rows of the store can't be read; it is dropped."""
 
     number = 7004
@@ -551,8 +513,7 @@
     detail: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NodeRowRemoved(Event):
+class NodeRowRemoved(Event, frozen=True):
     """The row of a node that is gone was removed from the store."""
 
     number = 7005
@@ -561,8 +522,7 @@
     peer: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class QuarantineSuspect(Event):
+class QuarantineSuspect(Event, frozen=True):
     """A request was in flight where an endpoint crashed."""
 
     number = 8001
@@ -574,8 +534,7 @@
     endpoint: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class QuarantineConvicted(Event):
+class QuarantineConvicted(Event, frozen=True):
     """A request crashed a second endpoint and is refused for a time."""
 
     number = 8002
@@ -587,8 +546,7 @@
     expires_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class QuarantineExpired(Event):
+class QuarantineExpired(Event, frozen=True):
     """A fingerprint is no longer refused."""
 
     number = 8003
@@ -597,8 +555,7 @@
     fingerprint: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimTaken(Event):
+class ClaimTaken(Event, frozen=True):
     """A non-idempotent request may be dispatched by this node, once."""
 
     number = 9001
@@ -610,8 +567,7 @@
     service: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimRepeated(Event):
+class ClaimRepeated(Event, frozen=True):
     """A non-idempotent request came again and was not run again."""
 
     number = 9002
@@ -624,8 +580,7 @@
     state: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimUnknown(Event):
+class ClaimUnknown(Event, frozen=True):
     """Whether a non-idempotent request ran cannot be known."""
 
     number = 9003
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import dataclasses
 import io
 import json
 import logging
@@ -35,7 +34,7 @@
 def test_fields_hide_nothing_of_the_line(
     event: type[log_events.Event],
 ) -> None:
-    names = {field.name for field in dataclasses.fields(event)}
+    names = set(event.__struct_fields__)
     assert not names & RESERVED
 
 
