--- a/src/almondshift/policy/layer_copies.py
+++ b/src/almondshift/policy/layer_copies.py
@@ -28,9 +28,9 @@
 
 CARRY_SHARE = 0.72
 """Share of its cards that the weights of a chain which carries streams may
-take. What is left holds 67,000 tokens in a fleet of 200 GB a chain, three
-times what its usual streams need; a chain of fewer, faster cards would be
-faster still and refuse in a burst."""
+take. What is left holds 30,000 tokens where a chain has 200 GB and a token
+takes 1.8 MB; three such chains with 39 streams a second were three quarters
+full. A chain of fewer, faster cards would be faster still and refuse."""
 
 SECOND_COPY_VALUE = 0.01
 """Value of a third copy of a layer beside that of a second one: an engine goes
@@ -195,8 +195,8 @@
 ) -> list[float]:
     """Returns what an engine would save at each layer, in step factors.
 
-    A layer that nobody holds counts as if the slowest engine held it, so that
-    holes go before all else without hiding other differences.
+    A layer that nobody holds counts as slower than the slowest engine, so that
+    holes go first without hiding other differences.
     """
     factors = layer_factors(others, held, layers)
     slowest = max([e.step_factor for e in others] or [engine.step_factor])
--- /dev/null
+++ b/tests/policy/test_layer_copies.py
@@ -0,0 +1,64 @@
+"""Where an engine that came empty, or stands by, helps most."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from almondshift.model import layers as model_layers
+from almondshift.policy import layer_copies
+from almondshift.policy import layer_holdings
+from tests.policy import test_layer_plan as fleets
+
+
+def _held(
+    name: str, memory: float, start: int, end: int
+) -> layer_holdings.PlannedEngine:
+    engine = fleets._engine(name, "z", memory)
+    return dataclasses.replace(engine, held=model_layers.LayerRange(start, end))
+
+
+@pytest.mark.parametrize(
+    ("values", "most", "expected"),
+    [
+        ([0.0, 1.0, 1.0, 0.0], 2, (1, 3)),
+        ([1.0, 0.0, 0.0, 1.0], 2, (0, 2)),
+        ([0.0, 0.0, 0.0, 5.0], 2, (2, 4)),
+        ([1.0, 1.0], 9, (0, 2)),
+        ([3.0], 1, (0, 1)),
+    ],
+)
+def test_the_range_of_the_greatest_sum(
+    values: list[float], most: int, expected: tuple[int, int]
+) -> None:
+    found = layer_copies.best_range(values, most)
+    assert (found.start, found.end) == expected
+
+
+def test_a_fast_engine_goes_where_only_slow_ones_hold_layers() -> None:
+    """Callers' streams are slowed all the time by the slowest layers."""
+    group = [
+        _held("fast", fleets.LARGE, 0, 30),
+        *(_held(f"slow{i}", fleets.SMALL, 30 + 10 * i, 40 + 10 * i)
+          for i in range(5)),
+    ]  # fmt: skip
+    held = {e.instance: e.held for e in group}
+    new = fleets._engine("new", "z", fleets.MIDDLE)
+    found = layer_copies.placed_empty(group, held, new, fleets.SPEC)
+    assert found is not None
+    assert found.start >= 30 and found.count == 17
+
+
+def test_a_slow_engine_copies_what_the_largest_loss_would_take() -> None:
+    """Callers wait longest where one engine alone holds the most layers."""
+    group = [
+        _held("large", fleets.LARGE, 0, 34),
+        *(_held(f"small{i}", fleets.MIDDLE, 34 + 12 * i, min(80, 46 + 12 * i))
+          for i in range(4)),
+    ]  # fmt: skip
+    held = {e.instance: e.held for e in group}
+    new = fleets._engine("new", "z", fleets.SMALL)
+    found = layer_copies.placed_empty(group, held, new, fleets.SPEC)
+    assert found is not None
+    assert found.end <= 34 and found.count == 10
