Plan layers from one table of holders; one recorder of moves; log why engines go

Behaviour of plans stays as it was. - The plan looked up anew, for each engine, who else holds its layers: 2.14 s of processor time for 822 engines in which nothing changes, on a node's only thread.

--- a/src/almondshift/policy/layer_copies.py
+++ b/src/almondshift/policy/layer_copies.py
@@ -14,6 +14,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+import heapq
 import itertools
 import math
 from typing import TYPE_CHECKING
@@ -49,20 +51,74 @@
 a load of seconds."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LayerHolders:
+    """Who holds each layer of a model.
+
+    It answers what would be left without any one engine. Looked up anew for
+    each engine, a plan for 822 engines kept a node's only thread for 2.1 s.
+
+    Attributes:
+        fastest: Step factor of the fastest holder; infinite for none.
+        second: That of the next one, which may be as fast.
+        copies: Number of holders.
+        counts: Sum of how many layers the holders hold.
+        slowest: Greatest step factors of the engines, two at the most.
+    """
+
+    fastest: list[float]
+    second: list[float]
+    copies: list[int]
+    counts: list[int]
+    slowest: tuple[float, ...]
+
+    def without(
+        self,
+        engine: layer_holdings.PlannedEngine,
+        present: model_layers.LayerRange,
+    ) -> LayerHolders:
+        """Returns what is left without an engine; its ``second`` is unknown."""
+        fastest, copies = list(self.fastest), list(self.copies)
+        counts = list(self.counts)
+        for layer in layer_holdings.within(present, len(fastest)):
+            if fastest[layer] == engine.step_factor:
+                fastest[layer] = self.second[layer]
+            copies[layer] -= 1
+            counts[layer] -= present.count
+        others = list(self.slowest)
+        if engine.step_factor in others:
+            others.remove(engine.step_factor)
+        return LayerHolders(fastest, [], copies, counts, tuple(others))
+
+
+def layer_holders(
+    engines: Sequence[layer_holdings.PlannedEngine],
+    held: layer_holdings.Holdings,
+    layers: int,
+) -> LayerHolders:
+    """Returns who holds each layer."""
+    fastest, second = [math.inf] * layers, [math.inf] * layers
+    copies, counts = [0] * layers, [0] * layers
+    for engine, present in layer_holdings.holding(engines, held):
+        factor = engine.step_factor
+        for layer in layer_holdings.within(present, layers):
+            copies[layer] += 1
+            counts[layer] += present.count
+            if factor < fastest[layer]:
+                fastest[layer], second[layer] = factor, fastest[layer]
+            elif factor < second[layer]:
+                second[layer] = factor
+    slowest = heapq.nlargest(2, (e.step_factor for e in engines))
+    return LayerHolders(fastest, second, copies, counts, tuple(slowest))
+
+
 def layer_factors(
     engines: Sequence[layer_holdings.PlannedEngine],
     held: layer_holdings.Holdings,
     layers: int,
 ) -> list[float]:
     """Returns each layer's step factor on its fastest holder."""
-    factors = [math.inf] * layers
-    for engine in engines:
-        present = held[engine.instance]
-        if present is None:
-            continue
-        for layer in range(present.start, min(present.end, layers)):
-            factors[layer] = min(factors[layer], engine.step_factor)
-    return factors
+    return layer_holders(engines, held, layers).fastest
 
 
 def placed_empty(
@@ -72,16 +128,8 @@
     spec: engine_specs.EngineSpec,
 ) -> model_layers.LayerRange | None:
     """Returns the range that an empty engine should hold, if any fits."""
-    gains = _gains(group, held, engine, spec.layers)
-    most = layer_holdings.most_layers(engine, spec, CARRY_SHARE)
-    if sum(gains) <= 0.0 or most < 1:
-        return second_copy(group, held, engine, spec)
-    copies = _copy_values(group, held, spec.layers)
-    values = [
-        gain * GAIN_FIRST + copy
-        for gain, copy in zip(gains, copies, strict=True)
-    ]
-    return best_range(values, most)
+    holders = layer_holders(group, held, spec.layers)
+    return _placed(holders, engine, spec)
 
 
 def second_copy(
@@ -91,10 +139,8 @@
     spec: engine_specs.EngineSpec,
 ) -> model_layers.LayerRange | None:
     """Returns the range where a second copy spares the longest holes."""
-    most = layer_holdings.most_layers(engine, spec, layer_holdings.EXTEND_SHARE)
-    if most < 1:
-        return None
-    return best_range(_copy_values(group, held, spec.layers), most)
+    holders = layer_holders(group, held, spec.layers)
+    return _copied(holders, engine, spec)
 
 
 def promoted(
@@ -108,13 +154,14 @@
     A faster engine that stands by elsewhere takes its place; nothing that
     only it holds is given up.
     """
-    total = sum(layer_factors(group, held, spec.layers))
-    for engine in standbys(group, held, spec.layers):
-        others = [e for e in group if e.instance != engine.instance]
-        gains = _gains(others, held, engine, spec.layers)
-        found = placed_empty(others, held, engine, spec)
+    holders = layer_holders(group, held, spec.layers)
+    total = sum(holders.fastest)
+    for engine, present in _standby_layers(group, held, spec.layers):
+        others = holders.without(engine, present)
+        found = _placed(others, engine, spec)
         if found is None or found == held[engine.instance]:
             continue
+        gains = _gains(others, engine)
         if sum(gains[found.start : found.end]) >= MIN_GAIN * total:
             return engine.instance, found
     return None
@@ -130,13 +177,13 @@
     Engines that filled a hole stay with the few layers that it needed, and
     others gather beside what is held twice already.
     """
-    for engine in standbys(group, held, spec.layers):
-        present = held[engine.instance]
-        others = [e for e in group if e.instance != engine.instance]
-        found = second_copy(others, held, engine, spec)
-        if found is None or present is None:
+    holders = layer_holders(group, held, spec.layers)
+    for engine, present in _standby_layers(group, held, spec.layers):
+        others = holders.without(engine, present)
+        found = _copied(others, engine, spec)
+        if found is None:
             continue
-        values = _copy_values(others, held, spec.layers)
+        values = _copy_values(others)
         worth = sum(values[present.start : present.end])
         better = sum(values[found.start : found.end])
         if better > worth * MIN_SPREAD + spec.layers:
@@ -150,8 +197,7 @@
     layers: int,
 ) -> list[layer_holdings.PlannedEngine]:
     """Returns engines whose layers others as fast hold, the fastest first."""
-    ranked = sorted(group, key=lambda e: (e.step_factor, e.instance))
-    return [e for e in ranked if _stands_by(group, held, e, layers)]
+    return [engine for engine, _ in _standby_layers(group, held, layers)]
 
 
 def spare_standbys(
@@ -187,65 +233,79 @@
     return model_layers.LayerRange(start, start + count)
 
 
-def _gains(
-    others: Sequence[layer_holdings.PlannedEngine],
+def _standby_layers(
+    group: Sequence[layer_holdings.PlannedEngine],
     held: layer_holdings.Holdings,
-    engine: layer_holdings.PlannedEngine,
     layers: int,
+) -> list[tuple[layer_holdings.PlannedEngine, model_layers.LayerRange]]:
+    """Returns the standbys, the fastest first, with what they hold.
+
+    An engine that is carrying out an order is none, and may not hold yet what
+    others would rely on.
+    """
+    ready = [e for e in group if not e.is_busy]
+    ready.sort(key=lambda e: (e.step_factor, e.instance))
+    holders = layer_holders(ready, held, layers)
+    found = []
+    for engine, present in layer_holdings.holding(ready, held):
+        others = holders.without(engine, present).fastest
+        own = layer_holdings.within(present, layers)
+        if all(others[layer] <= engine.step_factor for layer in own):
+            found.append((engine, present))
+    return found
+
+
+def _placed(
+    holders: LayerHolders,
+    engine: layer_holdings.PlannedEngine,
+    spec: engine_specs.EngineSpec,
+) -> model_layers.LayerRange | None:
+    gains = _gains(holders, engine)
+    most = layer_holdings.most_layers(engine, spec, CARRY_SHARE)
+    if sum(gains) <= 0.0 or most < 1:
+        return _copied(holders, engine, spec)
+    values = [
+        gain * GAIN_FIRST + copy
+        for gain, copy in zip(gains, _copy_values(holders), strict=True)
+    ]
+    return best_range(values, most)
+
+
+def _copied(
+    holders: LayerHolders,
+    engine: layer_holdings.PlannedEngine,
+    spec: engine_specs.EngineSpec,
+) -> model_layers.LayerRange | None:
+    most = layer_holdings.most_layers(engine, spec, layer_holdings.EXTEND_SHARE)
+    if most < 1:
+        return None
+    return best_range(_copy_values(holders), most)
+
+
+def _gains(
+    holders: LayerHolders, engine: layer_holdings.PlannedEngine
 ) -> list[float]:
     """Returns what an engine would save at each layer, in step factors.
 
     A layer that nobody holds counts as slower than the slowest engine, so that
     holes go first without hiding other differences.
     """
-    factors = layer_factors(others, held, layers)
-    slowest = max([e.step_factor for e in others] or [engine.step_factor])
+    slowest = max(holders.slowest, default=engine.step_factor)
     hole = slowest + engine.step_factor
     return [
         max(0.0, (hole if math.isinf(f) else f) - engine.step_factor)
-        for f in factors
+        for f in holders.fastest
     ]
 
 
-def _copy_values(
-    group: Sequence[layer_holdings.PlannedEngine],
-    held: layer_holdings.Holdings,
-    layers: int,
-) -> list[float]:
-    copies = [0] * layers
-    lost = [0] * layers
-    for engine in group:
-        present = held[engine.instance]
-        if present is None:
-            continue
-        for layer in range(present.start, min(present.end, layers)):
-            copies[layer] += 1
-            lost[layer] = present.count
+def _copy_values(holders: LayerHolders) -> list[float]:
+    """Returns what one more copy of each layer is worth, in layers to load."""
+    layers = float(len(holders.copies))
     return [
-        float(layers)
+        layers
         if not count
         else float(alone)
         if count == 1
         else SECOND_COPY_VALUE / count
-        for count, alone in zip(copies, lost, strict=True)
+        for count, alone in zip(holders.copies, holders.counts, strict=True)
     ]
-
-
-def _stands_by(
-    group: Sequence[layer_holdings.PlannedEngine],
-    held: layer_holdings.Holdings,
-    engine: layer_holdings.PlannedEngine,
-    layers: int,
-) -> bool:
-    """Returns whether each layer of an engine is held by one as fast."""
-    present = held[engine.instance]
-    if present is None or engine.is_busy:
-        return False
-    others = [
-        e for e in group if e.instance != engine.instance and not e.is_busy
-    ]
-    factors = layer_factors(others, held, layers)
-    return all(
-        factors[layer] <= engine.step_factor
-        for layer in range(present.start, min(present.end, layers))
-    )
--- a/src/almondshift/policy/layer_holdings.py
+++ b/src/almondshift/policy/layer_holdings.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
     from collections.abc import Sequence
 
     from almondshift.model import engine_specs
@@ -40,6 +42,25 @@
     step_factor: float = 1.0
 
 
+def holding(
+    engines: Iterable[PlannedEngine], held: Holdings
+) -> Iterator[tuple[PlannedEngine, model_layers.LayerRange]]:
+    """Yields the engines that hold something, and what they hold."""
+    for engine in engines:
+        present = held[engine.instance]
+        if present is not None:
+            yield engine, present
+
+
+def within(present: model_layers.LayerRange, layers: int) -> range:
+    """Returns the layers of a range that a model has.
+
+    An entry may name more: it was written by another writer, or for another
+    model.
+    """
+    return range(present.start, min(present.end, layers))
+
+
 def most_layers(
     engine: PlannedEngine, spec: engine_specs.EngineSpec, share: float
 ) -> int:
--- a/src/almondshift/policy/layer_plan.py
+++ b/src/almondshift/policy/layer_plan.py
@@ -209,7 +209,7 @@
 def _mend(
     group: list[layer_holdings.PlannedEngine], spec: engine_specs.EngineSpec
 ) -> list[LayerOrder]:
-    """Fills holes by neighbours, and places empty engines, then improves."""
+    """Fills holes, places empty engines, and else improves what is held."""
     held = {e.instance: e.held for e in group}
     orders: dict[str, model_layers.LayerRange] = {}
     for start, end in _holes(group, held, spec.layers):
@@ -241,11 +241,8 @@
     layers: int,
 ) -> list[tuple[int, int]]:
     covered = [False] * layers
-    for engine in group:
-        present = held[engine.instance]
-        if present is None:
-            continue
-        for layer in range(present.start, min(present.end, layers)):
+    for _, present in layer_holdings.holding(group, held):
+        for layer in layer_holdings.within(present, layers):
             covered[layer] = True
     holes: list[tuple[int, int]] = []
     start = 0
@@ -277,6 +274,7 @@
     """
     free = [e for e in group if held[e.instance] is None]
     free += layer_copies.spare_standbys(group, held, spec.layers, MAX_TAKERS)
+    free_names = {e.instance for e in free}
     takers = [
         (e, layer_holdings.most_layers(e, spec, layer_copies.CARRY_SHARE))
         for e in free
@@ -284,13 +282,10 @@
     if sum(limit for _, limit in takers) < end - start:
         below = _neighbour(group, held, spec, start, is_below=True)
         above = _neighbour(group, held, spec, end, is_below=False)
-        known = {e.instance for e in free}
-        if below is not None and below[0].instance not in known:
+        if below is not None and below[0].instance not in free_names:
             takers.insert(0, below)
-            known.add(below[0].instance)
-        if above is not None and above[0].instance not in known:
+        if above is not None and above[0].instance not in free_names:
             takers.append(above)
-    free_names = {e.instance for e in free}
     counts = layer_holdings.proportional_counts(
         [1.0] * len(takers), [limit for _, limit in takers], end - start
     )
--- a/src/almondshift/policy/layer_spread.py
+++ b/src/almondshift/policy/layer_spread.py
@@ -33,12 +33,9 @@
 ) -> list[float]:
     """Returns the memory for requests at each layer, in MB a layer."""
     rooms = [0.0] * spec.layers
-    for engine in group:
-        layers = held[engine.instance]
-        if layers is None:
-            continue
+    for engine, layers in layer_holdings.holding(group, held):
         free = engine.memory_mb - layers.count * spec.layer_mb
-        for layer in range(layers.start, min(layers.end, spec.layers)):
+        for layer in layer_holdings.within(layers, spec.layers):
             rooms[layer] += max(0.0, free) / layers.count
     return rooms
 
--- a/src/almondshift/relay/catalogue.py
+++ b/src/almondshift/relay/catalogue.py
@@ -29,6 +29,11 @@
 """Newest starts that are remembered, also of engines that are gone; five times
 the engines of the largest fleet."""
 
+LEFT = "left the registry"
+UNREADABLE = "its entry can't be read"
+RESTARTED = "started again"
+"""Why an engine is gone, for the log."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -144,7 +149,7 @@
                 logger, log_events.EndpointUnreadable(row.key, detail)
             )
             # What can't be read names no engine to use, also if it did.
-            self._drop(row.key)
+            self._drop(row.key, UNREADABLE)
             return
         if self._is_newest_start(row.key, decoded.ok):
             self._put(row.key, decoded.ok)
@@ -235,7 +240,7 @@
         if ended is not None and ended.instance != engine.instance:
             for callback in self.on_restarted:
                 callback(ended)
-            self._drop(key)
+            self._drop(key, RESTARTED)
         self.lifetimes[key] = engine.instance
         self.engines[engine.instance] = engine
         self._changed()
@@ -264,16 +269,14 @@
             return
         self._drop(key)
 
-    def _drop(self, key: str) -> None:
+    def _drop(self, key: str, reason: str = LEFT) -> None:
         self.removals.pop(key, None)
         instance = self.lifetimes.pop(key, "")
         engine = self.engines.pop(instance, None)
         if engine is None:
             return
         self._changed()
-        log_events.emit(
-            logger, log_events.EndpointGone(instance, "left the registry")
-        )
+        log_events.emit(logger, log_events.EndpointGone(instance, reason))
         for callback in self.on_gone:
             callback(engine)
 
--- a/tests/platform/standin_system.py
+++ b/tests/platform/standin_system.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from almondshift import log_events
 from almondshift.adapters import relay_settings
 from almondshift.daemons import relay
 from tests.platform import standin_engines
@@ -17,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from almondshift.relay import context
+
 MODEL_SERVICE = "model"
 PLAIN_SERVICE = "plain"
 HOST = "chat.example"
@@ -171,6 +174,22 @@
         await self.store.close()
 
 
+def record_moves(
+    shared: context.RelayContext,
+) -> list[log_events.RequestMoved]:
+    """Returns a list that the moves of a node's streams are added to."""
+    moves: list[log_events.RequestMoved] = []
+    emit = shared.observer.emit
+
+    def record(event: log_events.Event) -> None:
+        if isinstance(event, log_events.RequestMoved):
+            moves.append(event)
+        emit(event)
+
+    shared.observer.emit = record  # type: ignore[method-assign]
+    return moves
+
+
 @contextlib.asynccontextmanager
 async def running_system(
     nodes: int = 1, zones: str = "ab"
--- a/tests/platform/test_whole_system.py
+++ b/tests/platform/test_whole_system.py
@@ -8,7 +8,6 @@
 
 import pytest
 
-from almondshift import log_events
 from almondshift.policy import engine_book
 from tests.platform import standin_system as system
 
@@ -425,15 +424,7 @@
             others = [e for e in middle if e != used]
             for name in [used, *others[:2]]:
                 running.engines[name].is_dead = True
-            moves: list[log_events.RequestMoved] = []
-            emit = shared.observer.emit
-
-            def record(event: log_events.Event) -> None:
-                if isinstance(event, log_events.RequestMoved):
-                    moves.append(event)
-                emit(event)
-
-            shared.observer.emit = record  # type: ignore[method-assign]
+            moves = system.record_moves(shared)
             status, _, body = await stream
             assert status == 200
             assert tokens(body) == WHOLE
--- a/tests/policy/test_layer_copies.py
+++ b/tests/policy/test_layer_copies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 
 import pytest
 
@@ -36,6 +37,33 @@
     assert (found.start, found.end) == expected
 
 
+@pytest.mark.parametrize("seed", range(40))
+def test_what_is_left_without_an_engine_is_what_the_others_hold(
+    seed: int,
+) -> None:
+    """A wrong answer would send away the only holder of some layer."""
+    rng = random.Random(seed)
+    group = []
+    for index in range(rng.randint(1, 8)):
+        start = rng.randrange(80)
+        end = rng.randint(start + 1, 90)
+        memory = rng.choice([fleets.LARGE, fleets.MIDDLE, fleets.SMALL])
+        group.append(_held(f"e{index}", memory, start, end))
+    held = {e.instance: e.held for e in group}
+    holders = layer_copies.layer_holders(group, held, 80)
+    for engine in group:
+        assert engine.held is not None
+        others = [e for e in group if e is not engine]
+        left = holders.without(engine, engine.held)
+        expected = layer_copies.layer_holders(others, held, 80)
+        assert left.fastest == expected.fastest
+        assert left.copies == expected.copies
+        assert left.counts == expected.counts
+        assert max(left.slowest, default=0.0) == max(
+            expected.slowest, default=0.0
+        )
+
+
 def test_a_fast_engine_goes_where_only_slow_ones_hold_layers() -> None:
     """Callers' streams are slowed all the time by the slowest layers."""
     group = [
--- a/tests/relay/test_catalogue.py
+++ b/tests/relay/test_catalogue.py
@@ -98,3 +98,22 @@
     known.take_engine_row(_row("i", _engine()), 0.0, AWAY)
     known.take_engine_row(row_feeds.FeedRow("i", b"{", 2), 0.0, AWAY)
     assert "i" not in known.engines
+
+
+@pytest.mark.parametrize(
+    ("later", "reason"),
+    [
+        (None, catalogue.LEFT),
+        ({"service": 1}, catalogue.UNREADABLE),
+        ({**_engine(), "born": 5}, catalogue.RESTARTED),
+    ],
+)
+def test_the_log_tells_why_an_engine_is_gone(
+    later: Any, reason: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """On-call would look for an engine that left, while it lives."""
+    known = _catalogue()
+    known.take_engine_row(_row("i", _engine()), 0.0, AWAY)
+    known.take_engine_row(_row("i", later, 2), 0.0, AWAY)
+    told = [r.reason for r in caplog.records if hasattr(r, "reason")]
+    assert told == [reason]
--- a/tests/relay/test_path_probe.py
+++ b/tests/relay/test_path_probe.py
@@ -8,7 +8,6 @@
 
 import pytest
 
-from almondshift import log_events
 from almondshift.model import relayed
 from almondshift.policy import engine_book
 from almondshift.relay import path_probe
@@ -41,15 +40,7 @@
             for engine in running.engines.values():
                 engine.gap_s = 0.02
                 engine.events = 60
-            moves: list[log_events.RequestMoved] = []
-            emit = shared.observer.emit
-
-            def record(event: log_events.Event) -> None:
-                if isinstance(event, log_events.RequestMoved):
-                    moves.append(event)
-                emit(event)
-
-            shared.observer.emit = record  # type: ignore[method-assign]
+            moves = system.record_moves(shared)
             # What the first engine says comes late, as reports do.
             running.nodes[0].node.silence.look = lambda: None  # type: ignore[method-assign]
             stream = asyncio.create_task(whole.chat(running, "r1"))
