Log how late callers came to a leaving node, and what its end cut

An answer that a planned stop cuts left one line in the log: a count. Whether the node had taken the request before or after the stop, on an open connection or from a list of addresses, and whether peers had heard, could not be told, so hypotheses on the cause of such cuts could not be told apart.

AS5011 notes each request that comes to a node that takes leave, with the age of its connection and the time left; AS5012 each answer that the end of the stop cuts, with its age; AS7006 when a peer hears that a node leaves. What the node does is unchanged. The time of a stop has a class of its own, so that requests can ask for what is left.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -448,6 +448,37 @@
     silent_s: float
 
 
+class RequestWhileDraining(Event, frozen=True):
+    """A caller came to a node that takes leave.
+
+    `connection_s` over `draining_s` tells a connection that was open before;
+    else the caller had an address that the node's peers give out no longer,
+    or, see AS7006, that one of them gave out before it had heard.
+    """
+
+    number = 5011
+    message = "request while draining"
+
+    request_id: str
+    draining_s: float
+    connection_s: float
+    left_s: float
+
+
+class AnswerCut(Event, frozen=True):
+    """The end of a stop ended a request that had no whole answer."""
+
+    number = 5012
+    level = logging.WARNING
+    message = "answer cut"
+
+    request_id: str
+    service: str
+    age_s: float
+    draining_s: float
+    tokens: int
+
+
 class StoreOutageBegan(Event, frozen=True):
     """The platform's store does not answer."""
 
@@ -522,6 +553,15 @@
     peer: str
 
 
+class PeerLeaving(Event, frozen=True):
+    """A node told that it takes leave; callers are not sent there any more."""
+
+    number = 7006
+    message = "peer leaving"
+
+    peer: str
+
+
 class QuarantineSuspect(Event, frozen=True):
     """A request was in flight where an endpoint crashed."""
 
--- a/src/almondshift/model/relayed.py
+++ b/src/almondshift/model/relayed.py
@@ -20,6 +20,7 @@
         prompt_tokens: Length of the prompt; 0 if not given.
         output_tokens: Most tokens that may be generated; 0 if not given.
         expected_tokens: The caller's estimate of the output; 0 for none.
+        connection_s: Age of the connection that it came on.
     """
 
     request_id: str
@@ -35,6 +36,7 @@
     prompt_tokens: int
     output_tokens: int
     expected_tokens: int
+    connection_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/almondshift/platform/front.py
+++ b/src/almondshift/platform/front.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+import time
 from urllib import parse
+import weakref
 
 from tornado import http1connection
 from tornado import httputil
@@ -122,9 +124,11 @@
         self,
         relay: relays.Relay,
         connection: http1connection.HTTP1Connection,
+        opened_at: float,
     ) -> None:
         self.relay = relay
         self.connection = connection
+        self.opened_at = opened_at
         self.start_line: httputil.RequestStartLine | None = None
         self.headers: httputil.HTTPHeaders | None = None
         self.parts: list[bytes] = []
@@ -155,7 +159,10 @@
         )
         try:
             request = decode_request(
-                self.start_line, self.headers, b"".join(self.parts)
+                self.start_line,
+                self.headers,
+                b"".join(self.parts),
+                time.monotonic() - self.opened_at,
             )
         except errors.MalformedRequest as error:
             responder.fail(error)
@@ -171,17 +178,25 @@
 
 
 class FrontDelegate(httputil.HTTPServerConnectionDelegate):
-    """Makes a reader for each request."""
+    """Makes a reader for each request.
+
+    Attributes:
+        opened_at: When each open connection was accepted.
+    """
 
     def __init__(self, relay: relays.Relay) -> None:
         self.relay = relay
+        self.opened_at: weakref.WeakKeyDictionary[object, float] = (
+            weakref.WeakKeyDictionary()
+        )
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         """Returns the reader of a request."""
         assert isinstance(request_conn, http1connection.HTTP1Connection)
-        return RequestReader(self.relay, request_conn)
+        opened_at = self.opened_at.setdefault(server_conn, time.monotonic())
+        return RequestReader(self.relay, request_conn, opened_at)
 
 
 class Directory:
@@ -239,9 +254,16 @@
     start_line: httputil.RequestStartLine,
     headers: httputil.HTTPHeaders,
     body: bytes,
+    connection_s: float = 0.0,
 ) -> relayed.RelayedRequest:
     """Decodes a caller's request.
 
+    Args:
+        start_line: Method and target.
+        headers: As they came.
+        body: The whole body.
+        connection_s: Seconds since its connection was accepted.
+
     Raises:
         errors.MalformedRequest: It has no id, or a field can't be read.
     """
@@ -271,6 +293,7 @@
         expected_tokens=_token_count(
             headers.get(names.LENGTH_HINT, ""), "X-Length-Hint"
         ),
+        connection_s=connection_s,
     )
 
 
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -19,6 +19,7 @@
 from almondshift.relay import catalogue
 from almondshift.relay import context
 from almondshift.relay import crash_watch
+from almondshift.relay import drain
 from almondshift.relay import gateway
 from almondshift.relay import group
 from almondshift.relay import layer_keeper
@@ -152,6 +153,7 @@
             ),
             crashes=crash_watch.create_crash_watch(ports.clock),
             observer=observer.create_relay_observer(),
+            drain=drain.NodeDrain(ports.clock),
             registry_age_s=self.engine_watch.age_s,
         )
         self.gateway = gateway.Gateway(
@@ -344,29 +346,28 @@
 
     async def stop_gracefully(self) -> None:
         """Takes leave: callers go elsewhere, what is in flight ends here."""
-        started = self.ports.clock.monotonic()
-        drain = self.settings.drain
+        stop = self.shared.drain
+        settings = self.settings.drain
+        stop.begin(settings.grace_s - STOP_MARGIN_S)
         self.gateway.leaving = True
         log_events.emit(
             logger,
             log_events.NodeDraining(
-                drain.hold_s, drain.grace_s, len(self.shared.running)
+                settings.hold_s, settings.grace_s, len(self.shared.running)
             ),
         )
         if self.group is not None:
             await self.group.members.announce_leaving()
-        while True:
-            elapsed = self.ports.clock.monotonic() - started
-            self.gateway.refuses = elapsed >= drain.hold_s
-            if elapsed >= drain.grace_s - STOP_MARGIN_S:
-                break
+        while stop.left_s() > 0:
+            self.gateway.refuses = stop.since_s() >= settings.hold_s
             if self.gateway.refuses and not self.shared.running:
                 break
             await asyncio.sleep(STOP_TICK_S)
-        elapsed = self.ports.clock.monotonic() - started
+        cut = list(self.shared.running)
+        for run in cut:
+            run.note_cut()
         log_events.emit(
-            logger,
-            log_events.NodeStopped(round(elapsed, 3), len(self.shared.running)),
+            logger, log_events.NodeStopped(round(stop.since_s(), 3), len(cut))
         )
 
     def _watch(self, table: str) -> table_watch.TableWatch:
--- a/src/almondshift/relay/context.py
+++ b/src/almondshift/relay/context.py
@@ -17,6 +17,7 @@
     from almondshift.ports import path_engines
     from almondshift.relay import catalogue
     from almondshift.relay import crash_watch
+    from almondshift.relay import drain
     from almondshift.relay import observer
     from almondshift.relay import runs
 
@@ -42,5 +43,6 @@
     budget: repeat_budget.RepeatBudget
     crashes: crash_watch.CrashWatch
     observer: observer.RelayObserver
+    drain: drain.NodeDrain
     registry_age_s: Callable[[], float]
     running: set[runs.Run] = dataclasses.field(default_factory=set)
--- a/src/almondshift/relay/gateway.py
+++ b/src/almondshift/relay/gateway.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from almondshift import errors
+from almondshift import log_events
 from almondshift.model import routing_config
 from almondshift.ports import relays
 from almondshift.relay import background
@@ -102,6 +103,8 @@
         self, request: relayed.RelayedRequest, responder: relays.Responder
     ) -> relays.Relaying:
         """Serves a request or refuses it."""
+        if self.leaving:
+            self.note_late(request)
         try:
             return self.serve(request, responder)
         except (errors.MissingKey, errors.WrongKey, errors.UnknownService):
@@ -112,6 +115,18 @@
             self.refuse(responder, error)
             return Denied()
 
+    def note_late(self, request: relayed.RelayedRequest) -> None:
+        """Logs how a caller came to a node that takes leave."""
+        stop = self.shared.drain
+        self.shared.observer.emit(
+            log_events.RequestWhileDraining(
+                request_id=request.request_id,
+                draining_s=round(stop.since_s(), 3),
+                connection_s=round(request.connection_s, 3),
+                left_s=round(stop.left_s(), 3),
+            )
+        )
+
     async def confirm_denial(
         self,
         request: relayed.RelayedRequest,
--- a/src/almondshift/relay/group.py
+++ b/src/almondshift/relay/group.py
@@ -268,6 +268,11 @@
                     name, peer.zone, peer.peer_address
                 )
                 log_events.emit(logger, event)
+            if (
+                peer.state is membership.PeerState.LEAVING
+                and former is not membership.PeerState.LEAVING
+            ):
+                log_events.emit(logger, log_events.PeerLeaving(name))
             if (
                 peer.state is membership.PeerState.SUSPECT
                 and former is not membership.PeerState.SUSPECT
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -186,6 +186,18 @@
         else:
             self.refuse(errors.DeadlinePast(detail))
 
+    def note_cut(self) -> None:
+        """Logs that the node stops before this run has ended."""
+        self.shared.observer.emit(
+            log_events.AnswerCut(
+                request_id=self.routed.request.request_id,
+                service=self.routed.service,
+                age_s=self.elapsed_s(),
+                draining_s=round(self.shared.drain.since_s(), 3),
+                tokens=self.size(),
+            )
+        )
+
     def note_forwarded(self, path: str, instances: str, load: float) -> None:
         """Logs that the request is sent to an endpoint or over a path."""
         self.shared.observer.emit(
