Answer what a stop cuts while nothing of an answer has left

What callers saw: a request whose endpoint sat on it when its node's grace time ended got a closed connection without a byte, and an order's caller could not tell whether it was carried out; the other one found out by its timeout.

Cause: the stop only waited, and left the runs to the closing of all connections, which treats each caller as gone. The node knew all the while what it could say.

Change: at the end of the stop each run ends itself: with an error that says that the request may have run, or, within an answer, by breaking it off as before.

--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -367,7 +367,7 @@
             await asyncio.sleep(STOP_TICK_S)
         cut = list(self.shared.running)
         for run in cut:
-            run.note_cut()
+            run.cut()
         log_events.emit(
             logger, log_events.NodeStopped(round(stop.since_s(), 3), len(cut))
         )
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -246,12 +246,6 @@
         self.may_have_run = False
         self.refuse_full(reason)
 
-    def unknown_error(self, reason: str) -> errors.AlmondshiftError:
-        """Returns the error of a request that may have run."""
-        if self.routed.route.may_repeat:
-            return errors.UpstreamFailed(reason)
-        return errors.OutcomeUnknown(reason)
-
     def pass_on(
         self, attempt: PlainAttempt, head: relayed.ForwardedHead
     ) -> None:
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -235,6 +235,22 @@
         else:
             self.refuse(errors.DeadlinePast(detail))
 
+    def cut(self) -> None:
+        """Ends the run, since the node stops before it has ended.
+
+        While nothing of an answer has left, the caller is told that the
+        request may have run. A connection that closes without a word leaves
+        it to guess whether an order was carried out.
+        """
+        self.note_cut()
+        self.refuse(self.unknown_error("This node stopped before the answer."))
+
+    def unknown_error(self, reason: str) -> errors.AlmondshiftError:
+        """Returns the error of a request that may have run."""
+        if self.routed.route.may_repeat:
+            return errors.UpstreamFailed(reason)
+        return errors.OutcomeUnknown(reason)
+
     def note_cut(self) -> None:
         """Logs that the node stops before this run has ended."""
         self.shared.observer.emit(
