End a stop only when no request waits for the store either

What callers saw: a closed connection without an answer, if they came with an unknown key or path in the last 0.4 s before a stopping node ended.

Cause: before it denies a request, a node asks the store whether its configuration is current. Such requests are in no list of what runs, and the stop ended as soon as that list was empty; the question was dropped with them. Found by looking for other work that the end of a stop does not count.

Change: the stop waits for these as well, 0.4 s at the most (the question's own timeout). Test first: status 0 before, 503 now.

--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -362,7 +362,7 @@
             await self.group.members.announce_leaving()
         while stop.left_s() > 0:
             self.gateway.refuses = stop.since_s() >= settings.hold_s
-            if self.gateway.refuses and not self.shared.running:
+            if self.gateway.refuses and self.is_idle():
                 break
             await asyncio.sleep(STOP_TICK_S)
         cut = list(self.shared.running)
@@ -372,6 +372,15 @@
             logger, log_events.NodeStopped(round(stop.since_s(), 3), len(cut))
         )
 
+    def is_idle(self) -> bool:
+        """Returns whether no caller waits for an answer of this node.
+
+        Requests that wait for the store to confirm that they are to be
+        denied run nowhere yet; a node that ended without a look at them
+        closed their connections in silence.
+        """
+        return not self.shared.running and not self.gateway.work
+
     def _watch(self, table: str) -> table_watch.TableWatch:
         return table_watch.create_table_watch(
             self.feed, table, self.ports.clock, self.ports.rng
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from almondshift import errors
 from almondshift.model import relayed
 from almondshift.policy import engine_book
 from almondshift.ports import path_engines
