Refuse as not run what each engine refused, however often it was sent

Cause: whether a request may have run was one flag, set at each send and taken back only for the first. Since a send may follow one that did run, taking it back later would have been wrong as well: the flag can't hold both.

Change: sends of which no engine said that it ran nothing are counted; a request may have run if there is one. Streams and plain requests use the same count.

--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -96,6 +96,7 @@
             chosen.instance,
             self.shared.endpoints.record(chosen.instance).in_flight,
         )
+        self.unrefused += 1
         self.attempt.forwarded = self.shared.engines.forward(
             self.routed.request,
             relayed.Forwarding(
@@ -109,7 +110,6 @@
             ),
             self.attempt,
         )
-        self.may_have_run = True
         self.watch_patience()
 
     def untried(self) -> list[registered_engines.RegisteredEngine]:
@@ -220,8 +220,8 @@
         self, attempt: PlainAttempt, reason: str, is_not_run: bool
     ) -> None:
         """Sends elsewhere if that is allowed, else gives up."""
-        if is_not_run and self.ran_on == 0:
-            self.may_have_run = False
+        if is_not_run:
+            self.unrefused -= 1
         instance = attempt.endpoint.instance
         if self.may_repeat_after(is_not_run):
             self.note_failed(instance, reason, is_not_run, runs.SENT_ELSEWHERE)
@@ -242,7 +242,6 @@
         if self.ran_on:
             self.refuse(self.unknown_error(reason))
             return
-        self.may_have_run = False
         self.refuse_full(reason)
 
     def pass_on(
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -60,7 +60,7 @@
         deadline_at: Loop time at which its answer is due.
         sends: How often it was sent.
         ran_on: Live endpoints that may have run it.
-        may_have_run: Whether any endpoint may have begun to run it.
+        unrefused: Sends of which no endpoint has said that it ran nothing.
     """
 
     def __init__(
@@ -83,11 +83,16 @@
         )
         self.sends = 0
         self.ran_on = 0
-        self.may_have_run = False
+        self.unrefused = 0
         self.ended = False
         self.timer = self.loop.call_at(self.deadline_at, self.time_out)
         shared.running.add(self)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any endpoint may have begun to run it."""
+        return self.unrefused > 0
+
     def begin(self) -> None:
         """Sends the request, unless this node ends before its answer does.
 
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -178,7 +178,7 @@
             ",".join(part.instance for part in chosen.path),
             round(chosen.load, 3),
         )
-        self.may_have_run = True
+        self.unrefused += 1
         attempt.forwarded = self.shared.engines.forward(
             self.routed.request,
             relayed.Forwarding(
@@ -312,11 +312,9 @@
         self, attempt: StreamAttempt, reason: str, is_not_run: bool
     ) -> None:
         """Sends the request over another path if that is allowed."""
-        if is_not_run and self.ran_on == 0 and self.sends == 1:
-            self.may_have_run = False
-        if not is_not_run and not self.shared.book.is_suspect(
-            attempt.first.instance
-        ):
+        if is_not_run:
+            self.unrefused -= 1
+        elif not self.shared.book.is_suspect(attempt.first.instance):
             self.ran_on += 1
         allowed = self.may_repeat(is_not_run)
         self.note_failed(
