--- a/src/almondshift/policy/answer_times.py
+++ b/src/almondshift/policy/answer_times.py
@@ -35,6 +35,9 @@
 estimates that are too low."""
 
 PERCENTILE = 0.95
+"""Of 3,412 streams in a crowd with 4.2 s left 1,465 would have been taken and
+39 of them cut; at 0.9 it is 2,020 and 101, at 0.99 573 and 10. Each answer that
+is not cut costs some eight callers a second try elsewhere."""
 
 
 class AnswerTimes:
