Say who calls an engine leaving, and what a wait for holdings saw

When a system was not whole again in time, the message named the condition only, and a node wrote nothing when it stopped giving an engine new work: a word of the engine, of a peer and of the VM list could not be told apart. - A node writes AS4002 with the sources when it begins to pass an engine over. - A wait that is given up says what its last look saw; the one for holdings names each engine that a node can't use, with that node's row of it. Nothing else changes.

--- a/src/almondshift/coordination/leaving.py
+++ b/src/almondshift/coordination/leaving.py
@@ -111,6 +111,11 @@
         """Returns the names of all leaving endpoints."""
         return frozenset(n for n in list(self.leaving) if self.is_leaving(n))
 
+    def source(self, endpoint: str) -> str:
+        """Returns who calls an endpoint leaving, for logs."""
+        known = self.leaving.get(endpoint)
+        return ", ".join(sorted(known.sources)) if known else ""
+
     def instance_seen(self, endpoint: str, instance: str) -> None:
         """Notes the instance that an endpoint reports of itself.
 
--- a/src/almondshift/node/directory.py
+++ b/src/almondshift/node/directory.py
@@ -14,6 +14,7 @@
 import expression
 
 from almondshift import errors
+from almondshift import log_events
 from almondshift.model import endpoints
 from almondshift.node import coalescer
 from almondshift.node import step_queue
@@ -179,13 +180,17 @@
         for name, known in self.endpoints.items():
             leaving = self.leaving.is_leaving(name)
             if leaving and not known.is_told:
-                self.driver.tell(
-                    events.EndpointLeaving(self.clock.monotonic(), name)
-                )
+                self._tell_leaving(name)
             elif known.is_told and not leaving:
                 self._tell_staying(name, known)
             known.is_told = leaving
 
+    def _tell_leaving(self, name: str) -> None:
+        log_events.emit(
+            logger, log_events.EndpointLeaving(name, self.leaving.source(name))
+        )
+        self.driver.tell(events.EndpointLeaving(self.clock.monotonic(), name))
+
     def _tell_staying(self, name: str, known: Endpoint) -> None:
         """Tells the router that an endpoint stays after all."""
         now = self.clock.monotonic()
--- a/tests/faults/systems.py
+++ b/tests/faults/systems.py
@@ -326,13 +326,22 @@
         condition: Callable[[], Awaitable[bool]],
         what: str,
         seconds: float = READY_S,
+        seen: Callable[[], object] = lambda: "",
     ) -> float:
-        """Waits for a condition; returns the seconds that it took."""
+        """Waits for a condition; returns the seconds that it took.
+
+        Args:
+            condition: Looked at again and again.
+            what: Said of it when the wait is given up.
+            seconds: Longest wait.
+            seen: Returns what the last look saw; said then too.
+        """
         loop = asyncio.get_running_loop()
         started = loop.time()
         while not await condition():
             if loop.time() - started > seconds:
-                raise AssertionError(f"not within {seconds} s: {what}")
+                said = f"not within {seconds} s: {what} {seen()}"
+                raise AssertionError(said.rstrip())
             await asyncio.sleep(processes.POLL_S)
         return loop.time() - started
 
--- a/tests/scenarios/datapath/paths.py
+++ b/tests/scenarios/datapath/paths.py
@@ -35,6 +35,8 @@
             new instance of such an engine is used again.
         tasks: Faults that wait for their moment.
         full_backlogs: Sockets that listen in place of proxies.
+        unusable: Engines that a node could not use at the last look, by
+            node and engine, with what the node said of them.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         self.listed_leaving: set[str] = set()
         self.tasks: list[asyncio.Task[None]] = []
         self.full_backlogs: list[backlogs.FullBacklog] = []
+        self.unusable: dict[tuple[str, str], object] = {}
 
     async def start_platform(self, *arguments: str) -> None:
         """Starts the platform with a VM list that lags."""
@@ -177,7 +180,11 @@
     async def wait_whole(self) -> None:
         """Waits until all engines hold layers and the nodes know it."""
         await self.wait_for(self._engines_hold, "all engines hold layers")
-        await self.wait_for(self._nodes_know, "the nodes know all holdings")
+        await self.wait_for(
+            self._nodes_know,
+            "the nodes know all holdings",
+            seen=lambda: self.unusable,
+        )
         await self.wait_ready("chat")
 
     async def load(self, engine: str) -> dict[str, Any]:
@@ -193,12 +200,14 @@
         return True
 
     async def _nodes_know(self) -> bool:
-        for name in self.nodes:
-            status = await self.status(name)
+        self.unusable = {}
+        for node in self.nodes:
+            status = await self.status(node)
             rows = {row["name"]: row for row in status.get("endpoints", ())}
-            if not all(_is_usable(rows.get(name)) for name in self.engines):
-                return False
-        return True
+            for engine in self.engines:
+                if not _is_usable(rows.get(engine)):
+                    self.unusable[node, engine] = rows.get(engine)
+        return not self.unusable
 
 
 def _is_usable(row: dict[str, Any] | None) -> bool:
