Take only an engine's own refusal for its word that it is leaving

Seen: after a planned stop and a restart under the same name, nodes gave the new engine no new work for five minutes, though the VM list had long called it live; callers had its layers from fewer engines. In the tests: the clean-up of two scenarios, "nodes did not know all engines' layers again within 30 s".

Cause: the list lags and calls the new instance leaving while it still shows the former one. That word ends with the list. But a stage that runs on the engine is moved off meanwhile, and the move was noted as the engine's own word on its present instance, which stands 300 s, and was told to the peers.

Ruled out: orders and leases. The engine holds its layers, and both nodes know that (`leaving: True` with ready holdings in both nodes' rows; AS4002 says source `vm_list`, then nothing more).

Change: a step that the engine itself answers with `leaving` is its word; a move is none.

--- a/src/almondshift/node/stage_calls.py
+++ b/src/almondshift/node/stage_calls.py
@@ -9,6 +9,7 @@
 import expression
 
 from almondshift import errors
+from almondshift.model import steps
 from almondshift.node import directory
 from almondshift.node import pipeline
 from almondshift.node import refusals
@@ -20,7 +21,6 @@
     from typing import Any
 
     from almondshift.model import chains
-    from almondshift.model import steps
     from almondshift.node import coalescer
     from almondshift.node import crash_guard
     from almondshift.node import router_driver
@@ -59,16 +59,29 @@
         except asyncio.CancelledError:
             self.guard.gave_up(endpoint, item.request_id)
             raise
+        self._note_leaving(endpoint, outcome)
         await self.guard.ended(endpoint, item, outcome)
         return outcome
 
+    def _note_leaving(
+        self,
+        endpoint: str,
+        outcome: expression.Result[steps.StepResult, engines.EngineError],
+    ) -> None:
+        """Takes an endpoint's own word that it is leaving.
+
+        Only its own refusal is that. A stage is also moved off an endpoint
+        that only the VM list or a peer calls leaving; taken for the
+        endpoint's word, that kept a new instance, which the late list
+        called leaving, without work long after the list was right again.
+        """
+        if outcome.is_ok() and outcome.ok.status is steps.StepStatus.LEAVING:
+            self.directory.said_leaving(endpoint)
+
     async def replace(
         self, failure: events.StageFailed
     ) -> expression.Result[tuple[chains.Stage, ...], errors.AlmondshiftError]:
         """Asks the router which stages take over."""
-        endpoint = failure.chain.stages[failure.index].endpoint
-        if failure.reason is events.FailureReason.LEAVING:
-            self.directory.said_leaving(endpoint)
         allowed = await self.guard.may_go_on(failure.request_id)
         if allowed.is_error():
             return expression.Error(allowed.error)
--- a/tests/node/test_directory.py
+++ b/tests/node/test_directory.py
@@ -42,17 +42,21 @@
     "",
     endpoints.VmState.LIVE,
 )
-READ_S = 2.0
-"""Longer than the pause between two reads of the list or of an engine."""
+REPORT_S = 1.0
+"""Longer than the pause between two reports of an engine."""
 
 
 class FakeList(vm_lists.VmList):
+    """Shows one engine in a state; None for a list without it."""
+
     def __init__(self) -> None:
-        self.state = endpoints.VmState.LIVE
+        self.state: endpoints.VmState | None = endpoints.VmState.LIVE
 
     async def list(
         self,
     ) -> expression.Result[list[endpoints.Vm], errors.StoreUnavailable]:
+        if self.state is None:
+            return expression.Ok([])
         return expression.Ok([dataclasses.replace(LISTED, state=self.state)])
 
 
@@ -103,13 +107,13 @@
     async def start(self) -> None:
         config = fleets.make_fleet()
         self.driver.tell(events.FleetChanged(self.clock.now, config))
-        await self.directory.start()
-        await self.clock.advance(READ_S)
+        await self.show(endpoints.VmState.LIVE)
 
-    async def show(self, state: endpoints.VmState) -> None:
-        """Has the list show a state, and lets it be read."""
+    async def show(self, state: endpoints.VmState | None) -> None:
+        """Has the list show a state once, and the engine report."""
         self.list.state = state
-        await self.clock.advance(READ_S)
+        await self.directory.refresh()
+        await self.clock.advance(REPORT_S)
 
     async def move_stage_away(self) -> None:
         """Moves a running stage off the engine, as it is leaving."""
