--- a/tests/node/test_directory.py
+++ b/tests/node/test_directory.py
@@ -180,3 +180,58 @@
     assert rig.router.service_ready("chat") is not is_leaving
     assert rig.publish.called is is_leaving
     await rig.directory.close()
+
+
+@pytest.mark.parametrize(
+    "shown",
+    [
+        (endpoints.VmState.LEAVING, None, endpoints.VmState.LIVE),
+        (endpoints.VmState.LEAVING, "i2"),
+        (endpoints.VmState.LEAVING, "i2", endpoints.VmState.LIVE),
+        (
+            endpoints.VmState.LEAVING,
+            "i2",
+            endpoints.VmState.LEAVING,
+            endpoints.VmState.LIVE,
+        ),
+        (endpoints.VmState.LEAVING, "i2", None, endpoints.VmState.LIVE),
+        (endpoints.VmState.LEAVING, "i2", None, None, endpoints.VmState.LIVE),
+        ("i2", endpoints.VmState.LEAVING, None, endpoints.VmState.LIVE),
+    ],
+)
+@asynchronous.run
+async def test_the_router_takes_up_an_engine_that_came_back(
+    shown: tuple[endpoints.VmState | str | None, ...],
+) -> None:
+    """An engine comes back under its name while the list is behind.
+
+    The list shows the former one leaving, perhaps a gap, then the new one.
+    Callers were refused for want of a whole chain, without end, though the
+    node knew that the engine stays: it went on telling its router the
+    state that the list had last shown before the gap.
+    """
+    rig = Rig()
+    await rig.start()
+    for state in shown:
+        if isinstance(state, endpoints.VmState | None):
+            await rig.show(state)
+        else:
+            rig.run_as(state)
+            await rig.clock.advance(REPORT_S)
+    assert not rig.directory.is_leaving("e")
+    assert rig.router.service_ready("chat")
+    await rig.directory.close()
+
+
+@asynchronous.run
+async def test_an_endpoint_first_seen_as_leaving_gets_no_work() -> None:
+    """A node starts and reads a list that calls an engine leaving.
+
+    No request may go there, also before the engine has said so itself.
+    """
+    rig = Rig()
+    await rig.show(endpoints.VmState.LEAVING)
+    rig.driver.tell(events.FleetChanged(rig.clock.now, fleets.make_fleet()))
+    assert rig.directory.is_leaving("e")
+    assert not rig.router.service_ready("chat")
+    await rig.directory.close()
