Tell the router of an endpoint what the node knows, not the list's row

Seen: callers were refused for want of a whole chain (503 service_not_ready), without end, after an engine had stopped and come back under its name, while the node's status showed the engine whole and not leaving.

Cause: the node told its router of an engine that stays by the row that the lagging VM list had last shown, which called the former instance leaving; the router keeps that for the new instance, and a later live row is not told. Also told so: an engine that missed in one read of the list, and any whose new instance was described before its word was dropped.

Change: the router is told the state that the node's own set of leaving endpoints gives; the list's word is noted there before the first telling. A report that replaces an instance is told at once, so that an engine that comes back is used also while the list can't be read.

--- a/src/almondshift/node/directory.py
+++ b/src/almondshift/node/directory.py
@@ -178,12 +178,15 @@
     def tell_leaving(self) -> None:
         """Tells the router of each endpoint that began to leave."""
         for name, known in self.endpoints.items():
-            leaving = self.leaving.is_leaving(name)
-            if leaving and not known.is_told:
-                self._tell_leaving(name)
-            elif known.is_told and not leaving:
-                self._tell_staying(name, known)
-            known.is_told = leaving
+            self._tell_change(name, known)
+
+    def _tell_change(self, name: str, known: Endpoint) -> None:
+        leaving = self.leaving.is_leaving(name)
+        if leaving and not known.is_told:
+            self._tell_leaving(name)
+        elif known.is_told and not leaving:
+            self._tell_staying(name, known)
+        known.is_told = leaving
 
     def _tell_leaving(self, name: str) -> None:
         log_events.emit(
@@ -252,6 +255,8 @@
     async def _add(self, vm: endpoints.Vm) -> None:
         known = Endpoint(vm)
         self.endpoints[vm.name] = known
+        if vm.state is endpoints.VmState.LEAVING:
+            self.leaving.listed_leaving(vm.name)
         self._tell_seen(known)
         if vm.kind is not endpoints.EndpointKind.ENGINE:
             return
@@ -272,11 +277,19 @@
         self.driver.tell(events.EndpointGone(self.clock.monotonic(), name))
 
     def _tell_seen(self, known: Endpoint) -> None:
-        self.driver.tell(
-            events.EndpointSeen(
-                self.clock.monotonic(), known.vm, known.description
-            )
-        )
+        """Tells the router of an endpoint, leaving or not as known here.
+
+        The row's own state is only the list's word, and may be of a former
+        instance. The router keeps what it was told of an instance: with the
+        row's state it refused callers for want of a whole chain, without
+        end, after an engine had come back while the list was behind.
+        """
+        is_leaving = self.leaving.is_leaving(known.vm.name)
+        states = endpoints.VmState
+        state = states.LEAVING if is_leaving else states.LIVE
+        vm = dataclasses.replace(known.vm, state=state)
+        now = self.clock.monotonic()
+        self.driver.tell(events.EndpointSeen(now, vm, known.description))
 
     async def _watch_engine(self, known: Endpoint) -> None:
         while True:
@@ -358,6 +371,7 @@
         engine: engines.Engine,
         report: endpoints.LoadReport,
     ) -> None:
+        self.leaving.instance_seen(known.vm.name, report.instance)
         described = known.description
         if described is not None and described.instance != report.instance:
             known.description = None
@@ -365,7 +379,7 @@
             await self._describe(known, engine)
         known.report = report
         known.reported_at = self.clock.monotonic()
-        self.leaving.instance_seen(known.vm.name, report.instance)
+        self._tell_change(known.vm.name, known)
         self.driver.tell(events.LoadReported(self.clock.monotonic(), report))
         if report.leaving:
             self.said_leaving(known.vm.name, report.instance)
