Show that a stopping node takes what it must cut

The front tells the node what is to be taken (service, tokens, deadline), and the drain is given the expected seconds; it does not look at them yet. No estimate is joined to it so far: the node answers 0.0, which takes all. Command: python -m pytest -q tests/coordination/test_drain.py; 2 failed.

--- a/src/almondshift/adapters/http_front/base.py
+++ b/src/almondshift/adapters/http_front/base.py
@@ -22,6 +22,7 @@
     from almondshift.adapters import request_observer
     from almondshift.adapters.http_front import contexts
     from almondshift.model import fleet
+    from almondshift.ports import gateway
 
 DEFAULT_BODY_LIMIT = 1_000_000
 DEFAULT_DEADLINE_MS = 60_000
@@ -186,13 +187,15 @@
             self.chunks.append(chunk)
         return None
 
-    async def run_admitted(self, work: Callable[[], Awaitable[None]]) -> None:
+    async def run_admitted(
+        self, wanted: gateway.Admission, work: Callable[[], Awaitable[None]]
+    ) -> None:
         """Runs a request's work, unless the node is leaving.
 
         The work ends early when the caller goes away, or when the node
         closes before the request has ended.
         """
-        match self.node.begin(self.request_id, self._cut):
+        match self.node.begin(wanted, self._cut):
             case expression.Result(tag="ok"):
                 pass
             case expression.Result(error=error):
--- a/src/almondshift/adapters/http_front/completions.py
+++ b/src/almondshift/adapters/http_front/completions.py
@@ -18,12 +18,11 @@
 from almondshift.adapters.http_front import base
 from almondshift.model import completions
 from almondshift.model import fleet
+from almondshift.ports import gateway
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from almondshift.ports import gateway
-
 DONE = b"data: [DONE]\n\n"
 
 LATE_RETRY_S = 1.0
@@ -38,7 +37,13 @@
     async def post(self) -> None:
         """Answers whole, or as server-sent events with ``stream: true``."""
         request = self._request()
-        await self.run_admitted(lambda: self._serve_in_time(request))
+        wanted = gateway.Admission(
+            request.request_id,
+            request.service,
+            request.max_tokens,
+            request.deadline,
+        )
+        await self.run_admitted(wanted, lambda: self._serve_in_time(request))
 
     async def _serve_in_time(
         self, request: completions.CompletionRequest
--- a/src/almondshift/adapters/http_front/plain.py
+++ b/src/almondshift/adapters/http_front/plain.py
@@ -31,7 +31,10 @@
 
     async def _pass_on(self, name: str, path: str) -> None:
         request = self._request(name, path)
-        await self.run_admitted(lambda: self._call(request))
+        wanted = gateway.Admission(
+            request.request_id, request.service, 0, request.deadline
+        )
+        await self.run_admitted(wanted, lambda: self._call(request))
 
     async def _call(self, request: gateway.PlainRequest) -> None:
         match await self.node.call_plain(request):
--- a/src/almondshift/coordination/drain.py
+++ b/src/almondshift/coordination/drain.py
@@ -15,6 +15,7 @@
 import asyncio
 import dataclasses
 import enum
+import math
 from typing import TYPE_CHECKING
 
 import expression
@@ -112,10 +113,19 @@
         return self.state is DrainState.SERVING
 
     def begin(
-        self, request_id: str
+        self,
+        request_id: str,
+        expected_s: float = 0.0,
+        deadline: float = math.inf,
     ) -> expression.Result[None, errors.NodeLeaving]:
         """Takes a request, or refuses it before anything is run.
 
+        Args:
+            request_id: The request.
+            expected_s: Seconds that it will most likely take; 0.0 while
+                that is not known.
+            deadline: Monotonic time at which it ends in any case.
+
         Returns:
             ``NodeLeaving`` with ``not_run`` once callers can know better.
         """
--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -279,6 +279,7 @@
             self.once,
             self.entries,
             self.drain,
+            _no_estimate,
         )
 
     async def start(self, entry_address: str) -> None:
@@ -371,6 +372,12 @@
     )
 
 
+def _no_estimate(service: str, tokens: float) -> float:
+    """Knows of no answer's time; a stopping node then takes all."""
+    del service, tokens
+    return 0.0
+
+
 def create_node(
     settings: node_settings.NodeSettings,
     ports: NodePorts,
--- a/src/almondshift/node/gateway.py
+++ b/src/almondshift/node/gateway.py
@@ -25,11 +25,15 @@
     from almondshift.node import entries
     from almondshift.node import plain_calls
 
+    ExpectedSeconds = Callable[[str, float], float]
+
 
 class NodeGateway(gateway.Gateway):
     """Serves callers with what the node's parts know.
 
     Attributes:
+        expected_s: Returns how long an answer of a service with so many
+            tokens will most likely take; 0.0 while that is not known.
         current: The configuration in force.
         key_table: Bearer keys of ``current``.
     """
@@ -41,12 +45,14 @@
         once: at_most_once.AtMostOnce,
         entry_list: entries.EntryList,
         drain: drains.Drain,
+        expected_s: ExpectedSeconds,
     ) -> None:
         self.completion_service = completion_service
         self.plain_service = plain_service
         self.at_most_once = once
         self.entry_list = entry_list
         self.drain = drain
+        self.expected_s = expected_s
         self.current: fleets.Fleet | None = None
         self.key_table: keys.KeyTable | None = None
         self._cuts: dict[str, Callable[[errors.NodeLeaving], None]] = {}
@@ -64,13 +70,19 @@
         return self.drain.is_listed and self.current is not None
 
     def begin(
-        self, request_id: str, cut: Callable[[errors.NodeLeaving], None]
+        self,
+        wanted: gateway.Admission,
+        cut: Callable[[errors.NodeLeaving], None],
     ) -> expression.Result[None, errors.NodeLeaving]:
         """Takes a request, or refuses it and says where to go."""
-        taken = self.drain.begin(request_id)
+        taken = self.drain.begin(
+            wanted.request_id,
+            self.expected_s(wanted.service, wanted.tokens),
+            wanted.deadline,
+        )
         if taken.is_error():
             return expression.Error(self._elsewhere(taken.error))
-        self._cuts[request_id] = cut
+        self._cuts[wanted.request_id] = cut
         return taken
 
     def end(self, request_id: str) -> None:
--- a/src/almondshift/ports/gateway.py
+++ b/src/almondshift/ports/gateway.py
@@ -59,6 +59,21 @@
     idempotency_key: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admission:
+    """A request that asks to be taken.
+
+    Attributes:
+        tokens: Length of its answer at most; 0 if it has none.
+        deadline: Monotonic time.
+    """
+
+    request_id: str
+    service: str
+    tokens: int
+    deadline: float
+
+
 class CompletionStream(abc.ABC):
     """The tokens of one completion."""
 
@@ -104,12 +119,12 @@
 
     @abc.abstractmethod
     def begin(
-        self, request_id: str, cut: Callable[[errors.NodeLeaving], None]
+        self, wanted: Admission, cut: Callable[[errors.NodeLeaving], None]
     ) -> expression.Result[None, errors.NodeLeaving]:
         """Takes a request, or refuses it while the node is leaving.
 
         Args:
-            request_id: The request.
+            wanted: The request.
             cut: Called if the node closes before the request has ended.
         """
 
--- a/tests/coordination/test_drain.py
+++ b/tests/coordination/test_drain.py
@@ -148,6 +148,49 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("stopped_s", "expected_s", "deadline_s", "accepts"),
+    [
+        (None, 60.0, 60.0, True),
+        (1.0, 0.0, 60.0, True),
+        (1.0, 28.5, 60.0, True),
+        (1.0, 29.5, 60.0, False),
+        (1.0, 29.5, 28.5, True),
+        (5.0, 24.5, 60.0, True),
+        (5.0, 25.5, 60.0, False),
+        (5.0, 25.5, 24.5, True),
+    ],
+)
+def test_what_can_not_end_before_the_node_is_not_taken(
+    stopped_s: float | None,
+    expected_s: float,
+    deadline_s: float,
+    accepts: bool,
+) -> None:
+    """A caller comes to a node that stops, with a request that takes long.
+
+    It came in time to be taken, ran until the end of the grace time and was
+    cut there: its caller got a part of the answer and an error that leaves
+    open whether it may be sent again. Told at once that nothing was run, it
+    has the whole answer from another node. A request whose own deadline
+    comes first is not cut by the node, and is taken.
+    """
+
+    async def scenario() -> None:
+        node = Stopping()
+        if stopped_s is not None:
+            await node.stop(stopped_s)
+        deadline = node.clock.monotonic() + deadline_s
+        result = node.drain.begin("late", expected_s, deadline)
+        assert result.is_ok() is accepts
+        if not accepts:
+            assert result.error.execution is errors.Execution.NOT_RUN
+            assert "/v1/entries" in result.error.remedy
+            assert not node.drain.in_flight
+
+    asyncio.run(scenario())
+
+
 def test_request_accepted_after_the_announcement_is_finished() -> None:
     async def scenario() -> None:
         node = Stopping()
