Refuse at a stop what can't end before the node does

A node that is told to stop took every request for `drain.hold_s` and cut at the end of `drain.grace_s` what still ran, with an error after a part of the answer.

Cause: the hold time says how long callers may come; nothing asked whether the rest of the time would do for what they bring.

Ruled out: who names the node. It leaves its own list of entries at the announcement, and peers leave it out once they hear that it is leaving.

Change: in the hold time the drain refuses, as not run and with other addresses, what by the expected seconds and by its deadline ends after the cut.

--- a/src/almondshift/coordination/drain.py
+++ b/src/almondshift/coordination/drain.py
@@ -5,6 +5,8 @@
 every such answer is old; only then it refuses, saying that nothing was run
 and where to go; then it waits for what is in flight. If it refused at once,
 callers would meet errors on an address that they were given a second ago.
+What most likely can't end before the node does is refused at once all the
+same: an error now costs its caller less than a part of an answer later.
 
 Work that is longer than the grace time is handed to a hook, which gives the
 caller a final error; a stream that just breaks looks like an answer to come.
@@ -127,16 +129,35 @@
             deadline: Monotonic time at which it ends in any case.
 
         Returns:
-            ``NodeLeaving`` with ``not_run`` once callers can know better.
+            ``NodeLeaving`` with ``not_run`` once callers can know better,
+            and before that for what can't end before the node does.
         """
         if self.state in (DrainState.REFUSING, DrainState.CLOSED):
-            self.refused += 1
-            return expression.Error(
-                errors.NodeLeaving("This node is shutting down.")
-            )
-        self.in_flight[request_id] = self.clock.monotonic()
+            return self.refuse("This node is shutting down.")
+        now = self.clock.monotonic()
+        if self.is_too_late(min(now + expected_s, deadline)):
+            return self.refuse("This node closes before the request ends.")
+        self.in_flight[request_id] = now
         return expression.Ok(None)
 
+    def is_too_late(self, end: float) -> bool:
+        """Returns whether what ends then would be cut.
+
+        The hold time says how long callers may come, not that there is time
+        for what they bring. Without this look, a caller got a part of its
+        answer and an error that left open what had run. It is enough, as
+        what is taken ends by itself or by its deadline, as far as the
+        estimate is right; the rest gets the final error.
+        """
+        return self.state is not DrainState.SERVING and end > self.gives_up_at()
+
+    def refuse(
+        self, detail: str
+    ) -> expression.Result[None, errors.NodeLeaving]:
+        """Refuses a request; nothing was run."""
+        self.refused += 1
+        return expression.Error(errors.NodeLeaving(detail))
+
     def end(self, request_id: str) -> None:
         """Notes that a request ended, in whatever way."""
         if self.in_flight.pop(request_id, None) is None:
