Let callers go from a stopping node with their next answer

Seen: a stopping node answered on kept connections as ever, so that a caller that had one sent on it until it was refused; the last request could meet the close of the listener, after which its caller can't know whether it ran.

Cause: the front keeps idle connections for an hour, and nothing told it of the stop; only a request for /v1/entries showed it.

Ruled out: who names the node (its own list and the peers' leave it out).

Change: with the stop the front ends each connection with the answer to its next request, as the relay's does; new connections are still taken in the hold time.

--- a/src/almondshift/adapters/http_front/server.py
+++ b/src/almondshift/adapters/http_front/server.py
@@ -54,6 +54,16 @@
         self._server.add_sockets(sockets)
         self.address = f"{self.host}:{sockets[0].getsockname()[1]}"
 
+    def keep_no_connections(self) -> None:
+        """Ends each connection with the answer to its next request.
+
+        A caller on a kept connection asks for no other address. It sent
+        request after request to a node that was leaving, the last one just
+        as the node closed, and could not know whether that one ran.
+        """
+        if self._server is not None:
+            self._server.conn_params.no_keep_alive = True
+
     async def close(self) -> None:
         """Stops listening and closes the connections that are idle."""
         if self._server is None:
--- a/src/almondshift/daemons/node.py
+++ b/src/almondshift/daemons/node.py
@@ -113,6 +113,11 @@
                 self.node.membership.node.peer_address,
             )
 
+    async def stop_gracefully(self) -> None:
+        """Tells callers to go, and waits for what is in flight."""
+        self.front.keep_no_connections()
+        await self.node.stop_gracefully()
+
     async def close(self) -> None:
         """Closes all, listeners last."""
         await self.node.close()
@@ -200,7 +205,7 @@
         loop.add_signal_handler(number, stop.set)
     await process.start()
     await stop.wait()
-    await process.node.stop_gracefully()
+    await process.stop_gracefully()
     await process.close()
 
 
