--- a/tests/platform/test_restarts_and_clocks.py
+++ b/tests/platform/test_restarts_and_clocks.py
@@ -11,9 +11,13 @@
 from almondshift.adapters import system_clock
 from almondshift.console import nodes as console_nodes
 from almondshift.console.commands import status
+from almondshift.relay import group
 from tests.platform import standin_system as system
 from tests.platform import test_whole_system as whole
 
+OTHERS = 40
+"""Other nodes of a group that is large enough to pool its counts."""
+
 
 def orders(running: system.StandinSystem) -> int:
     return sum(engine.orders for engine in running.engines.values())
@@ -65,6 +69,29 @@
     asyncio.run(scenario())
 
 
+def test_a_node_that_starts_again_counts_on_the_others() -> None:
+    """All callers come back at once, and most are refused for want of room.
+
+    All nodes of a group lose power and start within a second. Each serves
+    before it has met the others; one that takes itself for the only one sees
+    empty engines, sends all to the same few, and these refuse. The rows of
+    the group are in the store, and it reads them when it joins.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=1) as running:
+            rows = running.nodes[0].node.rows
+            for number in range(OTHERS):
+                other = group.NodeRows(rows.store, rows.clock)
+                assert await other.announce(f"other-{number}", "127.0.0.1:1")
+            await kill(running)
+            node = (await running.add_node()).node
+            await running.until(lambda: node.group is not None, 4.0)
+            assert node.shared.paths.nodes == 1 + OTHERS
+
+    asyncio.run(scenario())
+
+
 def test_a_node_that_starts_before_the_store_refuses_and_then_serves() -> None:
     """A caller must not hear that its key is wrong from a node without any.
 
