Count a group by its rows until its nodes have met

What callers saw: after all nodes lost power at once, 326 requests were refused within two seconds though engines beside had room. Cause: a node takes the others for like it to judge loads. One that has just started had met nobody, took itself for the only one of 73, saw engines 4% full (median of the believed loads) and sent all to the cheapest paths; what engines refused could not be sent elsewhere, since a fresh node has few repeats. Ruled out: lost layers (no engine was ejected or told to load after the restart) and callers' number (the same requests are served with the change). Change: for the first 6 s nodes are counted by their rows too, which a node reads as it joins; the budget of repeats already did so. Rows alone would count nodes that are gone for minutes.

--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -13,6 +13,7 @@
 from almondshift.policy import endpoint_choice
 from almondshift.policy import engine_book
 from almondshift.policy import feed_readers
+from almondshift.policy import group_size
 from almondshift.policy import path_choice
 from almondshift.policy import repeat_budget
 from almondshift.relay import background
@@ -171,6 +172,7 @@
         )
         self.rows = group.NodeRows(ports.table, ports.clock)
         self.group: group.Group | None = None
+        self.size = group_size.GroupSize(ports.clock.monotonic())
         self.work = background.Background()
         self.woke_at = ports.clock.monotonic()
         self.wire()
@@ -241,8 +243,12 @@
             watch.ask_peers = joined.ask
         self.feed.group = joined
         self.shared.crashes.join(joined)
+        # Read before the first exchange, which takes longer: callers that
+        # come back at once are spread by how many nodes there are.
+        await self.rows.peer_addresses()
         await joined.start()
         self.group = joined
+        self.note_group(joined)
         self.gateway.group = joined
         self.work.run(self.sweep_rows(joined))
         self.keeper.lease.is_holder_alive = joined.is_alive
@@ -273,10 +279,7 @@
         self.shared.crashes.strikes.forget_old(now)
         if self.group is not None:
             self.group.log_changes()
-            nodes = 1 + len(self.group.serving())
-            self.shared.paths.nodes = nodes
-            written = len(self.rows.found)
-            self.shared.budget.note_nodes(max(nodes, written), now)
+            nodes = self.note_group(self.group)
             wait_s = table_watch.WAIT_S
             if nodes > feed_readers.FEW_NODES:
                 wait_s = feed_readers.READER_WAIT_S
@@ -284,6 +287,15 @@
                 watch.wait_s = wait_s
             self.engine_watch.pause_s = ENGINE_PAUSE_S
 
+    def note_group(self, joined: group.Group) -> int:
+        """Tells who shares engines and repeats; returns the nodes met."""
+        now = self.ports.clock.monotonic()
+        serving = len(joined.serving())
+        written = len(self.rows.found)
+        self.shared.paths.nodes = self.size.nodes(serving, written, now)
+        self.shared.budget.note_nodes(max(1 + serving, written), now)
+        return 1 + serving
+
     def take_config(
         self, rows: list[row_feeds.FeedRow], verified: bool
     ) -> None:
