--- a/tests/policy/test_layer_plan.py
+++ b/tests/policy/test_layer_plan.py
@@ -35,6 +35,13 @@
     "c": [LARGE] * 2 + [MIDDLE] * 2 + [SMALL] * 5,
 }
 
+LARGE_ZONES = {
+    "a": [LARGE] * 2 + [MIDDLE] * 9 + [SMALL] * 22,
+    "b": [LARGE] * 2 + [MIDDLE] * 15 + [SMALL] * 12,
+    "c": [LARGE] * 4 + [MIDDLE] * 6 + [SMALL] * 14,
+}
+"""A fleet of many small, slow cards; each zone holds several chains."""
+
 
 def _engine(
     instance: str, zone: str, memory: float
@@ -114,6 +121,23 @@
             assert weights < 0.76 * engine.memory_mb
 
 
+@pytest.mark.parametrize("zone", LARGE_ZONES)
+def test_streams_of_a_large_fleet_run_on_its_fast_cards(zone: str) -> None:
+    """Callers of long answers wait, then are refused, long after a fault.
+
+    Engines of three chains die. Chains spread evenly over all cards run most
+    layers on the slowest; the streams of the lost ones fill the others, all
+    take longer and hold memory for longer, so that new ones are refused for
+    want of it and come back. The longest answers are struck first.
+    """
+    fleet = _fleet(LARGE_ZONES)
+    planned = _after(fleet, layer_plan.plan_orders(fleet, SPEC))
+    cards = LARGE_ZONES[zone]
+    over_all = sum(FACTORS[card] * card for card in cards) / sum(cards)
+    assert _token_ms(planned, zone) < over_all * SPEC.step_ms / 2
+    assert min(_copies(planned, zone)) >= 2
+
+
 def test_a_settled_fleet_gets_no_orders() -> None:
     fleet = _fleet()
     planned = _after(fleet, layer_plan.plan_orders(fleet, SPEC))
