Soak of relay processes under seeded faults: thin end-to-end run

Real relay programs, a store and engines run as separate processes on loopback, behind proxies; faults come in overlapping series drawn from a seed; a judge holds callers' answers against engines' ledgers.

--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,328 @@
+"""Faults from outside, drawn from a seed as overlapping series."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import dataclasses
+import signal
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
+
+from tests.faults import proxy as fault_proxy
+from tests.soak import disturbances
+from tests.soak import engine_process
+from tests.soak import layout
+from tests.soak import store_process
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    import random
+
+    from tests.soak import system as soak_system
+
+T = TypeVar("T")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault(abc.ABC):
+    """Something that happens once.
+
+    Attributes:
+        at_s: Seconds after the start of the faults.
+        pick: Which target, as a share of those that there are then.
+        lasts_s: How long, if it lasts.
+        shape: Draws the variant, as a share of those that there are.
+    """
+
+    at_s: float
+    pick: float
+    lasts_s: float
+    shape: float
+
+    @abc.abstractmethod
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        """Injects the fault and takes it back when its time is over."""
+
+    def node(self, system: soak_system.SoakSystem) -> soak_system.NodePart:
+        return chosen(system.nodes, self.pick)
+
+    def engine(self, system: soak_system.SoakSystem) -> soak_system.EnginePart:
+        return chosen(system.engines, self.pick)
+
+
+def chosen(options: Sequence[T], share: float) -> T:
+    return options[int(share * len(options))]
+
+
+class StopNode(Fault):
+    """SIGTERM; the process is started again after it ended."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        node = self.node(system)
+        stop = system.disturbances.begin(node.name, "stop", is_planned=True)
+        node.terminate()
+        await asyncio.sleep(layout.GRACE_S)
+        stop.end = time.monotonic()
+
+
+class KillNode(Fault):
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        kill_node(system, self.node(system))
+
+
+class KillNodes(Fault):
+    """Many processes end at the same moment."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        count = max(1, int(self.shape * len(system.nodes) + 1))
+        for node in system.nodes[:count]:
+            kill_node(system, node)
+
+
+def kill_node(
+    system: soak_system.SoakSystem, node: soak_system.NodePart
+) -> None:
+    system.disturbances.note(node.name, "kill")
+    node.kill()
+
+
+class PauseNode(Fault):
+    """SIGSTOP and later SIGCONT."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        await pause(system, self.node(system), self.lasts_s)
+
+
+class PauseEngine(Fault):
+    """An engine falls silent and comes back as it was."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        await pause(system, self.engine(system), self.lasts_s)
+
+
+class PauseStore(Fault):
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        await pause(system, system.store, self.lasts_s)
+
+
+async def pause(
+    system: soak_system.SoakSystem, part: soak_system.Part, seconds: float
+) -> None:
+    with system.disturbances.during(part.name, "pause"):
+        part.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        part.signal(signal.SIGCONT)
+
+
+class ReloadNode(Fault):
+    """The settings change and SIGHUP says so."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        node = self.node(system)
+        node.settings["log_lines"] = chosen([100, 400, 1000], self.shape)
+        system.write_settings(node)
+        node.signal(signal.SIGHUP)
+
+
+class LinkFault(Fault):
+    """A connection is reset, delayed or silent, both ways or one way."""
+
+    @abc.abstractmethod
+    def link(
+        self, system: soak_system.SoakSystem
+    ) -> tuple[str, fault_proxy.FaultProxy | None]:
+        """Returns whom it disturbs, and the proxy."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        name, link = self.link(system)
+        assert link is not None
+        effect = chosen(["reset", "delay", "up", "down", "both"], self.shape)
+        with system.disturbances.during(name, f"link {effect}"):
+            if effect == "reset":
+                link.cut()
+            elif effect == "delay":
+                link.delay_s = 0.05 + self.pick / 2
+                await asyncio.sleep(self.lasts_s)
+                link.delay_s = 0.0
+            else:
+                await self.silence(link, effect)
+
+    async def silence(self, link: fault_proxy.FaultProxy, effect: str) -> None:
+        both = set(fault_proxy.Direction)
+        silent = both if effect == "both" else {fault_proxy.Direction(effect)}
+        link.silent |= silent
+        await asyncio.sleep(self.lasts_s)
+        link.silent -= silent
+
+
+class FrontLinkFault(LinkFault):
+    def link(
+        self, system: soak_system.SoakSystem
+    ) -> tuple[str, fault_proxy.FaultProxy | None]:
+        node = self.node(system)
+        return node.name, node.front
+
+
+class StoreLinkFault(LinkFault):
+    def link(
+        self, system: soak_system.SoakSystem
+    ) -> tuple[str, fault_proxy.FaultProxy | None]:
+        node = self.node(system)
+        return node.name, node.store_link
+
+
+class EngineLinkFault(LinkFault):
+    def link(
+        self, system: soak_system.SoakSystem
+    ) -> tuple[str, fault_proxy.FaultProxy | None]:
+        engine = self.engine(system)
+        return engine.name, engine.link
+
+
+class StoreFault(Fault):
+    """The store turns all away, is silent, loses answers or history."""
+
+    VARIANTS: tuple[dict[str, Any], ...] = (
+        {"refuses": 503},
+        {"refuses": 429},
+        {"is_silent": True},
+        {"loses_writes": True},
+        {"forgets": True},
+    )
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        switches = chosen(self.VARIANTS, self.shape)
+        await self.switch(system, switches)
+        with system.disturbances.during(disturbances.STORE, str(switches)):
+            await asyncio.sleep(self.lasts_s)
+            await self.switch(system, {})
+
+    async def switch(
+        self, system: soak_system.SoakSystem, switches: dict[str, Any]
+    ) -> None:
+        address = system.network.store()
+        await system.post(address, store_process.FAULTS_PATH, switches)
+
+
+class SlowStore(Fault):
+    """All nodes' calls of the store take long."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        links = [node.store_link for node in system.nodes if node.store_link]
+        with system.disturbances.during(disturbances.STORE, "slow"):
+            for link in links:
+                link.delay_s = 0.05 + self.shape / 2
+            await asyncio.sleep(self.lasts_s)
+            for link in links:
+                link.delay_s = 0.0
+
+
+class KillEngine(Fault):
+    """The engine starts again under its name, empty."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        engine = self.engine(system)
+        system.disturbances.note(engine.name, "kill")
+        engine.kill()
+
+
+class LeavingEngine(Fault):
+    """An engine leaves, with or without saying so; another one comes."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        engine = self.engine(system)
+        if engine.leaves_at:
+            return
+        engine.leaves_at = time.monotonic()
+        state = chosen(["draining", "gone"], self.shape)
+        serves_on_s = layout.DRAIN_S + 0.5 + self.lasts_s
+        told = {"state": state, "serves_on_s": serves_on_s}
+        await control(system, engine, told)
+
+
+class FailingEngine(Fault):
+    """An engine cuts streams inside events, or loses answers."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        engine = self.engine(system)
+        failing = {"cut_after": int(1 + self.shape * 30), "resets": True}
+        with system.disturbances.during(engine.name, "fails"):
+            await control(system, engine, failing)
+            await asyncio.sleep(self.lasts_s)
+            await control(system, engine, {"cut_after": -1, "resets": False})
+
+
+async def control(
+    system: soak_system.SoakSystem,
+    engine: soak_system.EnginePart,
+    attributes: dict[str, Any],
+) -> None:
+    await system.post(engine.listen, engine_process.CONTROL_PATH, attributes)
+
+
+PLANNED: tuple[type[Fault], ...] = (
+    StopNode,
+    StopNode,
+    ReloadNode,
+    LeavingEngine,
+)
+"""What operators do; it must harm no request."""
+
+UNPLANNED: tuple[type[Fault], ...] = (
+    KillNode,
+    KillNodes,
+    PauseNode,
+    PauseEngine,
+    PauseStore,
+    FrontLinkFault,
+    StoreLinkFault,
+    EngineLinkFault,
+    EngineLinkFault,
+    StoreFault,
+    StoreFault,
+    SlowStore,
+    KillEngine,
+    KillEngine,
+    FailingEngine,
+)
+
+PLANNED_ONLY = 0.3
+"""Share of seeds without unplanned faults, so that what a node promises
+beside planned work is checked undisturbed."""
+
+SECONDS_PER_SERIES = 4.0
+PROCESSES_PER_SERIES = 14
+MOST_IN_SERIES = 4
+
+
+def draw(rng: random.Random, options: layout.SoakOptions) -> list[Fault]:
+    """Draws all faults of a soak, in series that overlap."""
+    is_planned_only = rng.random() < PLANNED_ONLY
+    kinds = PLANNED if is_planned_only else PLANNED + UNPLANNED
+    size = (options.nodes + options.engines) / PROCESSES_PER_SERIES
+    count = max(3, round(options.seconds / SECONDS_PER_SERIES * size))
+    found: list[Fault] = []
+    for _ in range(count):
+        found += draw_series(rng, kinds, options.seconds)
+    return sorted(found, key=lambda fault: fault.at_s)
+
+
+def draw_series(
+    rng: random.Random, kinds: tuple[type[Fault], ...], seconds: float
+) -> list[Fault]:
+    """Draws faults of one kind that follow each other."""
+    kind = rng.choice(kinds)
+    at_s = rng.uniform(0.0, seconds)
+    gap_s = rng.choice([0.05, 0.5, 1.0, 3.0])
+    pick = rng.random()
+    stays = rng.random() < 0.4
+    series = []
+    for _ in range(rng.randint(1, MOST_IN_SERIES)):
+        lasts_s = rng.choice([0.2, 0.8, 2.0, 4.0, 7.0])
+        series.append(kind(at_s, pick, lasts_s, rng.random()))
+        at_s += gap_s * rng.uniform(0.5, 1.5)
+        pick = pick if stays else rng.random()
+    return [fault for fault in series if fault.at_s < seconds]
--- /dev/null
+++ b/tests/soak/judge.py
@@ -0,0 +1,344 @@
+"""Checks the promises to callers and engines while a soak runs."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+import time
+from typing import TYPE_CHECKING
+
+from tests.soak import callers
+from tests.soak import engine_process
+from tests.soak import layout
+from tests.soak import ledger
+from tests.soak import system as soak_system
+
+if TYPE_CHECKING:
+    from tests.soak import disturbances
+
+NOT_RUN = frozenset({408, 421, 429, 503})
+"""Answers that promise that the request has not run and never will."""
+
+UNREAD_S = 0.5
+"""A node has read a request surely after so long: the promise is 0.2 s, the
+rest is for a loaded machine. A close that crosses a request is no fault."""
+
+USED_SHARE = 0.7
+"""A request that has used this share of its time may be broken off."""
+
+LATE_IN_GRACE = 5 / 6
+EARLY_IN_GRACE_S = 3.0
+"""A stopping node may cut what still runs in the last sixth of its grace, if
+it was sent within the first seconds of it; later ones it must not take."""
+
+
+class Promise(enum.StrEnum):
+    """What a soak checks."""
+
+    ANSWER = "an answer is the request's own, whole or visibly broken"
+    STREAM = "events come once each, in order, without a gap"
+    ONCE = "a request that is not idempotent runs at most once"
+    REFUSED = "a refused request has not run and never will"
+    UNCHANGED = "engines get only what callers sent, and no key"
+    ALLOWED = "what the configuration allows is not denied"
+    CONFIG = "a configuration is in force in time"
+    LEAVING = "an engine that leaves gets no new work"
+    LAYERS = "a path runs every layer once and in order"
+    ORDERS = "an engine is never ordered to hold more than fits"
+    CUT = "an undisturbed node ends each answer that it began"
+    HANGS = "an undisturbed node answers within the deadline"
+    STOP = "a stopping node exits before its grace ends"
+    ENDS = "no process ends by itself"
+    MEMORY = "memory is bounded"
+    RECOVERS = "requests are served again after the last fault"
+    INTERNAL = "no internal error reaches a caller"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Violation:
+    """A promise that was seen broken.
+
+    Attributes:
+        at_s: Seconds since the start of the soak.
+    """
+
+    promise: Promise
+    at_s: float
+    detail: str
+
+
+@dataclasses.dataclass(slots=True)
+class Work:
+    """What engines saw of one request."""
+
+    arrived: list[ledger.Row] = dataclasses.field(default_factory=list)
+    ran: list[ledger.Row] = dataclasses.field(default_factory=list)
+
+
+class Judge:
+    """Holds all requests against all ledgers.
+
+    Attributes:
+        counts: Requests by how they ended.
+        refused_after_run: Idempotent requests that ran and were refused.
+    """
+
+    def __init__(self, system: soak_system.SoakSystem) -> None:
+        self.system = system
+        self.started = time.monotonic()
+        self.violations: list[Violation] = []
+        self.requests: dict[str, callers.SentRequest] = {}
+        self.work: dict[str, Work] = collections.defaultdict(Work)
+        self.left: dict[str, float] = {}
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.refused_after_run = 0
+        system.on_end = self.ended
+
+    def found(self, promise: Promise, detail: str, at: float = 0.0) -> None:
+        at_s = round((at or time.monotonic()) - self.started, 3)
+        self.violations.append(Violation(promise, at_s, detail))
+
+    def history(self) -> disturbances.Disturbances:
+        return self.system.disturbances
+
+    def sending(self, request: callers.SentRequest) -> None:
+        self.requests[request.request_id] = request
+
+    def resolved(self, node: str, addresses: list[str]) -> None:
+        entries = {part.entry for part in self.system.nodes}
+        unknown = set(addresses) - entries
+        if unknown:
+            self.found(Promise.ANSWER, f"{node} named {unknown}")
+
+    def stray_bytes(self, node: str, content: bytes) -> None:
+        self.found(Promise.ANSWER, f"{node} sent {content!r} unasked")
+
+    def answered(self, request: callers.SentRequest) -> None:
+        """Checks an answer as far as it came."""
+        self.counts[outcome(request)] += 1
+        if request.status == 0:
+            return
+        echoed = request.fields.get("x-request-id", request.request_id)
+        if echoed != request.request_id:
+            self.found(Promise.ANSWER, f"{shown(request)} got that of {echoed}")
+        if request.status == 200:
+            self.check_success(request)
+        else:
+            self.check_failure(request)
+
+    def check_success(self, request: callers.SentRequest) -> None:
+        if "x-engine-signature" not in request.fields:
+            self.found(Promise.ANSWER, f"{shown(request)} has no signature")
+        expected = expected_body(request)
+        is_whole = request.ending is callers.Ending.WHOLE
+        if is_whole and request.body == expected:
+            return
+        if not is_whole and expected.startswith(request.body):
+            return
+        promise = Promise.STREAM if request.is_stream() else Promise.ANSWER
+        seen = f"{len(request.body)} of {len(expected)} bytes"
+        tail = request.body[-80:]
+        self.found(promise, f"{shown(request)}: {seen}, end {tail!r}")
+
+    def check_failure(self, request: callers.SentRequest) -> None:
+        if "x-engine-signature" in request.fields:
+            self.found(Promise.ANSWER, f"{shown(request)} bears a signature")
+        if request.status in NOT_RUN:
+            self.check_refusal(request)
+        elif request.status == 500:
+            self.found(Promise.INTERNAL, shown(request))
+        elif request.status < 500 and request.expected == "allowed":
+            self.found(Promise.ALLOWED, shown(request))
+
+    def check_refusal(self, request: callers.SentRequest) -> None:
+        """Holds a refusal against what has run, now or later."""
+        if request.status not in NOT_RUN:
+            return
+        if not self.work[request.request_id].ran:
+            return
+        if request.is_idempotent():
+            self.refused_after_run += 1
+        else:
+            self.found(Promise.REFUSED, f"{shown(request)} ran")
+
+    def take_rows(self, rows: list[ledger.Row]) -> None:
+        for row in rows:
+            if row.what is ledger.What.LEFT:
+                self.left.setdefault(row.engine, row.at)
+            elif row.what is ledger.What.ORDERED:
+                self.check_order(row)
+            else:
+                self.take_work(row)
+
+    def check_order(self, row: ledger.Row) -> None:
+        if row.layers * layout.LAYER_MB > layout.ENGINE_MB:
+            detail = f"{row.engine}: {row.layers} layers"
+            self.found(Promise.ORDERS, detail, row.at)
+
+    def take_work(self, row: ledger.Row) -> None:
+        request = self.requests.get(row.request_id)
+        if request is None:
+            detail = f"{row.engine} got {row.request_id!r} of nobody"
+            self.found(Promise.UNCHANGED, detail, row.at)
+            return
+        work = self.work[row.request_id]
+        if row.what is ledger.What.ARRIVED:
+            work.arrived.append(row)
+            self.check_arrival(request, row)
+            return
+        work.ran.append(row)
+        if len(work.ran) > 1 and not request.is_idempotent():
+            where = [run.engine for run in work.ran]
+            self.found(Promise.ONCE, f"{shown(request)} ran on {where}", row.at)
+        self.check_refusal(request)
+        self.check_path(request, row)
+
+    def check_arrival(
+        self, request: callers.SentRequest, row: ledger.Row
+    ) -> None:
+        wanted = (
+            *("POST", request.target()),
+            *(request.account, False, request.digest()),
+        )
+        got = (row.method, row.target, row.account, row.has_key, row.body)
+        if got != wanted:
+            detail = f"{row.engine} got {got}, sent was {wanted}"
+            self.found(Promise.UNCHANGED, detail, row.at)
+
+    def check_path(self, request: callers.SentRequest, row: ledger.Row) -> None:
+        if not request.is_stream():
+            return
+        following = 0
+        for _, start, end in row.parts:
+            if start != following:
+                break
+            following = end
+        if following != layout.LAYERS:
+            detail = f"{shown(request)} over {row.parts}"
+            self.found(Promise.LAYERS, detail, row.at)
+
+    def ended(self, part: soak_system.Part, code: int) -> None:
+        """Judges the end of a process."""
+        if isinstance(part, soak_system.EnginePart) and part.leaves_at:
+            return
+        if not part.ends:
+            assert part.process is not None
+            detail = f"{part.name} ended with {code}: {part.process.log()}"
+            self.found(Promise.ENDS, detail)
+            return
+        if not isinstance(part, soak_system.NodePart) or not part.stopped_at:
+            return
+        now = time.monotonic()
+        if not self.history().in_touch(part.name, part.stopped_at, now, True):
+            return
+        took_s = round(now - part.stopped_at, 2)
+        if part.was_killed or code:
+            detail = f"{part.name} ended with {code} after {took_s} s"
+            self.found(Promise.STOP, detail)
+
+    def check_memory(self) -> None:
+        for node in self.system.nodes:
+            held_mb = node.resident_mb()
+            is_new = held_mb > layout.NODE_MEMORY_MB >= node.peak_mb
+            node.peak_mb = max(node.peak_mb, held_mb)
+            if is_new:
+                detail = f"{node.name} holds {held_mb:.0f} MB"
+                self.found(Promise.MEMORY, detail)
+
+    def finish(self) -> None:
+        """Checks what needs the whole history of disturbances."""
+        for request in list(self.requests.values()):
+            if request.ending is callers.Ending.CUT:
+                self.check_cut(request)
+            elif request.ending is callers.Ending.UNANSWERED:
+                self.check_hang(request)
+            self.check_leaving(request)
+
+    def check_hang(self, request: callers.SentRequest) -> None:
+        if self.history().in_touch(
+            request.node, request.sent_at, request.ended_at
+        ):
+            waited_s = request.ended_at - request.sent_at
+            detail = f"{shown(request)} after {waited_s:.1f} s"
+            self.found(Promise.HANGS, detail, request.ended_at)
+
+    def check_cut(self, request: callers.SentRequest) -> None:
+        took_s = request.ended_at - request.sent_at
+        if took_s >= USED_SHARE * request.deadline_s:
+            return
+        work = self.work[request.request_id]
+        if not work.arrived and took_s < UNREAD_S:
+            return
+        history = self.history()
+        span = (request.sent_at, request.ended_at, True)
+        if not history.in_touch(request.node, *span):
+            return
+        if not history.calm(self.engines_of(work), *span):
+            return
+        stops = self.stops_before(request)
+        if any(may_cut(request, stop) for stop in stops):
+            return
+        sent = [round(request.sent_at - stop, 2) for stop in stops[-1:]]
+        detail = (
+            f"{shown(request)} cut after {took_s:.2f} s, sent so long after "
+            f"SIGTERM: {sent}, arrived {len(work.arrived)} times"
+        )
+        self.found(Promise.CUT, detail, request.ended_at)
+
+    def stops_before(self, request: callers.SentRequest) -> list[float]:
+        """Returns when the node was asked to stop shortly before the end."""
+        return [
+            d.start
+            for d in self.history().all
+            if d.target == request.node
+            and d.is_planned
+            and 0 <= request.ended_at - d.start <= layout.GRACE_S + 1.0
+        ]
+
+    def engines_of(self, work: Work) -> set[str]:
+        addresses = {part[0] for row in work.arrived for part in row.parts}
+        engines = self.system.engines + self.system.former
+        named = {row.engine for row in work.arrived}
+        return named | {
+            e.name for e in engines if e.link and e.link.address in addresses
+        }
+
+    def check_leaving(self, request: callers.SentRequest) -> None:
+        for row in self.work[request.request_id].arrived:
+            left_at = self.left.get(row.engine, float("inf"))
+            late_s = row.at - left_at
+            if late_s <= layout.DRAIN_S:
+                continue
+            if self.history().in_touch(request.node, left_at, row.at):
+                detail = f"{row.engine} got {shown(request)} {late_s:.2f} s"
+                self.found(Promise.LEAVING, f"{detail} after it left", row.at)
+
+    def served(self) -> int:
+        return self.counts["200 whole"]
+
+
+def may_cut(request: callers.SentRequest, stop: float) -> bool:
+    """Returns whether a stop excuses that an answer was cut."""
+    is_late = request.ended_at >= stop + layout.GRACE_S * LATE_IN_GRACE
+    return is_late and request.sent_at <= stop + EARLY_IN_GRACE_S
+
+
+def expected_body(request: callers.SentRequest) -> bytes:
+    if not request.is_stream():
+        return b"done " + request.payload
+    numbers = range(1, request.events + 1)
+    return b"".join(
+        engine_process.event(request.request_id, number) for number in numbers
+    )
+
+
+def outcome(request: callers.SentRequest) -> str:
+    return f"{request.status} {request.ending}"
+
+
+def shown(request: callers.SentRequest) -> str:
+    return (
+        f"{request.request_id} /{request.route}/ at {request.node} "
+        f"({request.status} {request.ending})"
+    )
--- /dev/null
+++ b/tests/soak/layout.py
@@ -0,0 +1,205 @@
+"""Size of a soak, the addresses of its processes and its configuration."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+from typing import Any
+
+MODEL_SERVICE = "model"
+PLAIN_SERVICE = "plain"
+HOST = "chat.example"
+STEADY_ACCOUNT = "steady"
+STEADY_KEY = "key-steady"
+ROTATING_ACCOUNT = "rotating"
+ZONES = ("za", "zb")
+
+GRACE_S = 8.0
+HOLD_S = 3.5
+"""Defaults of the settings: a stopping node serves for so long."""
+
+DRAIN_S = 2.0
+"""An engine gets nothing new so long after the store knows that it leaves."""
+
+CONFIG_APPLY_S = 2.0
+"""A configuration is in force everywhere so long after its ack."""
+
+CONTACT_S = 3.0
+"""Bounds in time hold for nodes that were undisturbed for so long."""
+
+RECOVER_S = 12.0
+"""Requests are served again so long after the last fault."""
+
+NODE_MEMORY_MB = 300
+"""What a VM gives to a node; more than that ends it there."""
+
+EVENT_S = 0.02
+"""Pause between two events of a stream, which hold one token each."""
+
+LAYERS = 80
+LAYER_MB = 1750.0
+ENGINE_MB = 72_000.0
+"""Two engines of this size hold the model; a zone of four has a spare copy."""
+
+MAX_NODES = 100
+MAX_ENGINES = 150
+"""Each process has an address of its own in one network of 254."""
+
+NODE_PORT = 8227
+READY_PORT = 8220
+DIRECTORY_PORT = 8224
+PEERS_PORT = 8230
+METRICS_PORT = 8231
+STORE_PORT = 8223
+ENGINE_PORT = 9000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SoakOptions:
+    """How large a soak is, and its seed.
+
+    Attributes:
+        seconds: How long faults are injected.
+        engines: Engines of both services; a fifth of them are plain.
+        clients: Callers, each with one request at a time.
+    """
+
+    seed: int
+    seconds: float = 30.0
+    nodes: int = 4
+    engines: int = 10
+    clients: int = 16
+
+    def plain_engines(self) -> int:
+        """Returns how many endpoints serve plain requests."""
+        return max(2, self.engines // 5)
+
+    def model_engines(self) -> int:
+        """Returns how many engines hold layers."""
+        return self.engines - self.plain_engines()
+
+
+class Network:
+    """Loopback addresses of one soak.
+
+    Soaks that run at once differ in the harness's process id, and so in
+    their network; other tests stay below 127.201.
+    """
+
+    def __init__(self, pid: int | None = None) -> None:
+        pid = os.getpid() if pid is None else pid
+        self.prefix = f"127.{201 + pid % 54}.{pid // 54 % 256}"
+
+    def node(self, index: int, port: int) -> str:
+        return f"{self.prefix}.{1 + index}:{port}"
+
+    def engine(self, index: int, generation: int) -> str:
+        host = f"{self.prefix}.{1 + MAX_NODES + index}"
+        return f"{host}:{ENGINE_PORT + generation}"
+
+    def store(self) -> str:
+        return f"{self.prefix}.254:{STORE_PORT}"
+
+
+SETTINGS = """
+[node]
+name = {name}
+zone = {zone}
+log_lines_per_s = {log_lines}
+[entry]
+address = {entry}
+ready_address = {ready}
+directory_address = {directory}
+directory_hold_s = 1
+[peers]
+address = {peers}
+[platform]
+address = {store}
+[metrics]
+address = {metrics}
+[drain]
+hold_s = {hold_s}
+grace_s = {grace_s}
+[repeats]
+ratio = 0.2
+window_s = 10
+allowance = 200
+"""
+
+
+@dataclasses.dataclass(slots=True)
+class Configuration:
+    """The operator's configuration, which changes during a soak.
+
+    Attributes:
+        extra_routes: Numbers of the routes that come and go.
+        key_number: The number of the rotating account's key.
+    """
+
+    version: int = 1
+    extra_routes: list[int] = dataclasses.field(default_factory=list)
+    key_number: int = 0
+
+    def rotating_key(self) -> str:
+        return f"key-rotating-{self.key_number}"
+
+    def wire(self) -> dict[str, Any]:
+        """Returns what the operator writes to the store."""
+        streams = {"kind": "streaming", "service": MODEL_SERVICE}
+        plain = {"service": PLAIN_SERVICE}
+        made = [
+            route("chat", **streams, canResume=True, maxAttempts=2),
+            route("talk", **streams),
+            route("once", kind="unsafe", **plain),
+            route("look", kind="safe", maxAttempts=2, **plain),
+        ]
+        for number in self.extra_routes:
+            made.append(route(f"extra{number}", kind="safe", **plain))
+        return {
+            "version": self.version,
+            "routes": made,
+            "services": [model_service(), plain_service()],
+            "limits": {"maxBodyBytes": 100_000, "idleTimeoutMs": 15_000},
+            "tenants": [
+                {"name": STEADY_ACCOUNT, "apiKeys": [STEADY_KEY]},
+                {"name": ROTATING_ACCOUNT, "apiKeys": [self.rotating_key()]},
+            ],
+        }
+
+
+def route(name: str, **more: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "timeoutMs": 20_000,
+        "targetLatencyMs": 500,
+        "gapAimMs": 200,
+        "maxAttempts": 1,
+        **more,
+    }
+
+
+def plain_service() -> dict[str, Any]:
+    return {"name": PLAIN_SERVICE, "maxConnections": 200}
+
+
+def model_service() -> dict[str, Any]:
+    step_ms = EVENT_S * 1000 / 2
+    return {
+        "name": MODEL_SERVICE,
+        "maxConnections": 400,
+        "engine": {
+            "slots": 96,
+            "kvTokenBytes": 1_836_000,
+            "models": [{"name": "m", "loadS": 1.0}],
+            "step_ms": step_ms,
+            "per_seq_ms": 0.01,
+            "context_per_k": 0.01,
+            "read_per_s": 100_000.0,
+            "usual": {"prompt": 100, "answer": 50},
+            "layers": LAYERS,
+            "layerMb": LAYER_MB,
+            "kinds": [{"name": "big", "mb": ENGINE_MB, "pace": 2.0}],
+        },
+    }
--- /dev/null
+++ b/tests/soak/report.py
@@ -0,0 +1,95 @@
+"""The report of a soak, as JSON and as text."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+if TYPE_CHECKING:
+    import pathlib
+
+    from tests.soak import faults as soak_faults
+    from tests.soak import judge as soak_judge
+    from tests.soak import layout
+    from tests.soak import system as soak_system
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What a soak did and saw.
+
+    Attributes:
+        faults: Injected faults: time, kind, how long.
+        requests: Requests by how they ended.
+        peak_node_mb: Largest resident memory of a node.
+    """
+
+    options: dict[str, Any]
+    faults: list[str]
+    requests: dict[str, int]
+    runs: int
+    refused_after_run: int
+    node_starts: int
+    engine_starts: int
+    peak_node_mb: float
+    violations: list[soak_judge.Violation]
+    disturbances: list[str]
+
+
+def create_report(
+    options: layout.SoakOptions,
+    faults: list[soak_faults.Fault],
+    system: soak_system.SoakSystem,
+    judge: soak_judge.Judge,
+) -> Report:
+    engines = system.engines + system.former
+    return Report(
+        options=dataclasses.asdict(options),
+        faults=[
+            f"{f.at_s:.2f} {type(f).__name__} {f.lasts_s} s, "
+            f"pick {f.pick:.3f}, shape {f.shape:.3f}"
+            for f in faults
+        ],
+        requests=dict(sorted(judge.counts.items())),
+        runs=sum(len(work.ran) for work in judge.work.values()),
+        refused_after_run=judge.refused_after_run,
+        node_starts=sum(node.starts for node in system.nodes),
+        engine_starts=sum(engine.starts for engine in engines),
+        peak_node_mb=round(max(node.peak_mb for node in system.nodes), 1),
+        violations=judge.violations,
+        disturbances=[
+            f"{d.start - judge.started:.2f} to {d.end - judge.started:.2f} "
+            f"{d.target}: {d.what}"
+            for d in system.disturbances.all
+        ],
+    )
+
+
+def write(report: Report, folder: pathlib.Path) -> None:
+    """Writes ``report.json`` and ``report.txt``."""
+    content = json.dumps(dataclasses.asdict(report), indent=1)
+    (folder / "report.json").write_text(content + "\n")
+    (folder / "report.txt").write_text(render_text(report) + "\n")
+
+
+def render_text(report: Report) -> str:
+    requests = ", ".join(f"{k}: {v}" for k, v in report.requests.items())
+    lines = [
+        f"options: {report.options}",
+        f"faults: {len(report.faults)}",
+        f"requests: {requests}",
+        f"runs at engines: {report.runs}",
+        f"idempotent requests that ran and were refused: "
+        f"{report.refused_after_run}",
+        f"starts: nodes {report.node_starts}, engines {report.engine_starts}",
+        f"largest node: {report.peak_node_mb} MB",
+        f"violations: {len(report.violations)}",
+    ]
+    for violation in report.violations:
+        lines.append(
+            f"  {violation.at_s:.2f} s {violation.promise.name}: "
+            f"{violation.detail}"
+        )
+    return "\n".join(lines)
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,187 @@
+"""Runs a soak: ``python -m tests.soak.run --seed N --seconds S``."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+from tests.soak import callers
+from tests.soak import faults
+from tests.soak import judge as soak_judge
+from tests.soak import layout
+from tests.soak import report as soak_report
+from tests.soak import system as soak_system
+
+READY_S = 40.0
+"""Python starts slowly on a loaded machine; no promise is meant by it."""
+
+PROGRESS_S = 5.0
+READ_S = 0.2
+PROBE_S = 0.2
+LAST_LOOK_S = 1.0
+ROUTES = {"chat": 5, "talk": 5, "once": 0, "look": 0}
+
+
+class Soak:
+    """One soak."""
+
+    def __init__(
+        self, options: layout.SoakOptions, folder: pathlib.Path
+    ) -> None:
+        self.options = options
+        self.system = soak_system.SoakSystem(options, folder)
+        self.judge = soak_judge.Judge(self.system)
+        self.rng = random.Random(options.seed)
+        self.faults = faults.draw(self.rng, options)
+        self.injected = 0
+        self.prober = callers.SoakCaller(-1, self.system, self.judge)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> soak_report.Report:
+        try:
+            await self.system.start()
+            if await self.served_by_all(READY_S):
+                await self.play()
+            else:
+                self.judge.found(soak_judge.Promise.RECOVERS, "no start")
+        finally:
+            for task in self.tasks:
+                task.cancel()
+            await self.system.close()
+        return soak_report.create_report(
+            self.options, self.faults, self.system, self.judge
+        )
+
+    async def play(self) -> None:
+        sending = [
+            callers.SoakCaller(number, self.system, self.judge)
+            for number in range(self.options.clients)
+        ]
+        self.tasks = [asyncio.create_task(self.look())]
+        running = [asyncio.create_task(caller.run()) for caller in sending]
+        await self.inject_all()
+        await self.recover()
+        for caller in sending:
+            caller.stopping = True
+        await asyncio.gather(*running)
+        await asyncio.sleep(LAST_LOOK_S)
+        self.judge.take_rows(self.system.new_rows())
+        self.judge.finish()
+
+    async def inject_all(self) -> None:
+        started = time.monotonic()
+        injecting = []
+        for fault in self.faults:
+            await asyncio.sleep(started + fault.at_s - time.monotonic())
+            injecting.append(asyncio.create_task(fault.inject(self.system)))
+            self.injected += 1
+        await asyncio.sleep(started + self.options.seconds - time.monotonic())
+        await asyncio.gather(*injecting)
+
+    async def recover(self) -> None:
+        """Waits until all run again; then they must serve in time."""
+        nodes = self.system.nodes
+        while not all(node.is_running() for node in nodes):
+            await asyncio.sleep(PROBE_S)
+        if not await self.served_by_all(layout.RECOVER_S):
+            self.judge.found(soak_judge.Promise.RECOVERS, "not all nodes")
+
+    async def served_by_all(self, seconds: float) -> bool:
+        """Returns whether each node serves each route in time."""
+        probes = [
+            self.served(node, route, seconds)
+            for node in self.system.nodes
+            for route in ROUTES
+        ]
+        return all(await asyncio.gather(*probes))
+
+    async def served(
+        self, node: soak_system.NodePart, route: str, seconds: float
+    ) -> bool:
+        end = time.monotonic() + seconds
+        assert node.front is not None
+        while time.monotonic() < end:
+            try:
+                channel = await callers.open_channel(
+                    node.name, node.front.address
+                )
+            except OSError:
+                await asyncio.sleep(PROBE_S)
+                continue
+            self.prober.sent += 1
+            request = self.prober.make(node.name, route, ROUTES[route])
+            self.judge.sending(request)
+            await channel.exchange(request)
+            channel.close()
+            self.judge.answered(request)
+            if request.status == 200:
+                return True
+            await asyncio.sleep(PROBE_S)
+        return False
+
+    async def look(self) -> None:
+        """Reads what engines noted, and says how far the soak is."""
+        next_line = 0.0
+        while True:
+            await asyncio.sleep(READ_S)
+            self.judge.take_rows(self.system.new_rows())
+            if time.monotonic() >= next_line:
+                next_line = time.monotonic() + PROGRESS_S
+                self.judge.check_memory()
+                self.say_progress()
+
+    def say_progress(self) -> None:
+        seconds = time.monotonic() - self.judge.started
+        print(
+            f"soak seed {self.options.seed}: {seconds:.0f} s, "
+            f"{self.injected} of {len(self.faults)} faults, "
+            f"{self.judge.counts.total()} requests, "
+            f"{self.judge.served()} served, "
+            f"{len(self.judge.violations)} violations",
+            flush=True,
+        )
+
+
+async def run(
+    options: layout.SoakOptions, folder: pathlib.Path
+) -> soak_report.Report:
+    """Runs a soak with logs and ledgers in a folder."""
+    return await Soak(options, folder).run()
+
+
+def main() -> int:
+    """Runs one soak; returns 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(prog="tests.soak.run")
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--seconds", type=float, default=60.0)
+    parser.add_argument("--nodes", type=int, default=4)
+    parser.add_argument("--engines", type=int, default=10)
+    parser.add_argument("--clients", type=int, default=0)
+    parser.add_argument("--folder", type=pathlib.Path)
+    args = parser.parse_args()
+    seed = args.seed
+    if seed is None:
+        seed = random.SystemRandom().randrange(1_000_000)
+    options = layout.SoakOptions(
+        seed=seed,
+        seconds=args.seconds,
+        nodes=args.nodes,
+        engines=args.engines,
+        clients=args.clients or 4 * args.nodes,
+    )
+    folder = args.folder or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    print(f"soak seed {seed}, logs in {folder}", flush=True)
+    report = asyncio.run(run(options, folder))
+    soak_report.write(report, folder)
+    print(soak_report.render_text(report))
+    return 1 if report.violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
