--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,8 @@
 from typing import TypeVar
 
 from tests.faults import proxy as fault_proxy
+from tests.soak import callers
+from tests.soak import config_probes
 from tests.soak import disturbances
 from tests.soak import engine_process
 from tests.soak import layout
@@ -263,11 +265,62 @@
     await system.post(engine.listen, engine_process.CONTROL_PATH, attributes)
 
 
+class ChangeConfiguration(Fault):
+    """The operator adds a route, drops one or gives an account another key."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        async with system.writing:
+            alter = chosen([add_route, drop_route, rotate_key], self.shape)
+            expected = alter(system.configuration)
+            system.configuration.version += 1 + int(self.pick * 5)
+            acked_at = await system.write_configuration()
+        version = system.configuration.version
+        for route, key, verdict in expected:
+            account = layout.ROTATING_ACCOUNT
+            if key == layout.STEADY_KEY:
+                account = layout.STEADY_ACCOUNT
+            system.on_change(
+                config_probes.ConfigChange(
+                    version, acked_at, route, key, account, verdict
+                )
+            )
+
+
+ExpectedOf = list[tuple[str, str, callers.Expected]]
+"""Routes and keys, with what is expected of requests with them."""
+
+
+def add_route(configuration: layout.Configuration) -> ExpectedOf:
+    configuration.routes_made += 1
+    number = configuration.routes_made
+    configuration.extra_routes.append(number)
+    return [(f"extra{number}", layout.STEADY_KEY, callers.Expected.ADDED)]
+
+
+def drop_route(configuration: layout.Configuration) -> ExpectedOf:
+    if not configuration.extra_routes:
+        return add_route(configuration)
+    number = configuration.extra_routes.pop(0)
+    return [(f"extra{number}", layout.STEADY_KEY, callers.Expected.DENIED)]
+
+
+def rotate_key(configuration: layout.Configuration) -> ExpectedOf:
+    former = configuration.rotating_key()
+    configuration.key_number += 1
+    present = configuration.rotating_key()
+    return [
+        ("look", former, callers.Expected.DENIED),
+        ("look", present, callers.Expected.ADDED),
+    ]
+
+
 PLANNED: tuple[type[Fault], ...] = (
     StopNode,
     StopNode,
     ReloadNode,
     LeavingEngine,
+    ChangeConfiguration,
+    ChangeConfiguration,
 )
 """What operators do; it must harm no request."""
 
--- a/tests/soak/layout.py
+++ b/tests/soak/layout.py
@@ -139,6 +139,7 @@
     version: int = 1
     extra_routes: list[int] = dataclasses.field(default_factory=list)
     key_number: int = 0
+    routes_made: int = 0
 
     def rotating_key(self) -> str:
         return f"key-rotating-{self.key_number}"
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from tests.soak import disturbances
+
 if TYPE_CHECKING:
     import pathlib
 
@@ -24,6 +26,7 @@
         faults: Injected faults: time, kind, how long.
         requests: Requests by how they ended.
         peak_node_mb: Largest resident memory of a node.
+        pauses: When the harness, and all links with it, stood still.
     """
 
     options: dict[str, Any]
@@ -34,6 +37,7 @@
     node_starts: int
     engine_starts: int
     peak_node_mb: float
+    pauses: list[str]
     violations: list[soak_judge.Violation]
     disturbances: list[str]
 
@@ -58,6 +62,11 @@
         node_starts=sum(node.starts for node in system.nodes),
         engine_starts=sum(engine.starts for engine in engines),
         peak_node_mb=round(max(node.peak_mb for node in system.nodes), 1),
+        pauses=[
+            f"{d.start - judge.started:.2f} {d.what}"
+            for d in system.disturbances.all
+            if d.target == disturbances.HARNESS
+        ],
         violations=judge.violations,
         disturbances=[
             f"{d.start - judge.started:.2f} to {d.end - judge.started:.2f} "
@@ -85,6 +94,7 @@
         f"{report.refused_after_run}",
         f"starts: nodes {report.node_starts}, engines {report.engine_starts}",
         f"largest node: {report.peak_node_mb} MB",
+        f"pauses of the harness: {len(report.pauses)}",
         f"violations: {len(report.violations)}",
     ]
     for violation in report.violations:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,6 +11,7 @@
 import time
 
 from tests.soak import callers
+from tests.soak import config_probes
 from tests.soak import faults
 from tests.soak import judge as soak_judge
 from tests.soak import layout
@@ -40,6 +41,7 @@
         self.faults = faults.draw(self.rng, options)
         self.injected = 0
         self.prober = callers.SoakCaller(-1, self.system, self.judge)
+        self.probes = config_probes.ConfigProbes(self.system, self.judge)
         self.tasks: list[asyncio.Task[None]] = []
 
     async def run(self) -> soak_report.Report:
@@ -66,6 +68,7 @@
         running = [asyncio.create_task(caller.run()) for caller in sending]
         await self.inject_all()
         await self.recover()
+        await self.probes.finish()
         for caller in sending:
             caller.stopping = True
         await asyncio.gather(*running)
