Ignore signals from the end of a relay node's stop on

What was seen: a node that was asked to stop exited with -1 or -15 instead of 0, so that supervisors count a crash. Cause: asyncio gives signals back to their default action when its loop closes; SIGHUP or a second SIGTERM in the tens of milliseconds until the interpreter's end then end the process. Ruled out: the stop itself (AS1004 was logged, nothing was cut). Change: the signals are blocked and then ignored once all is closed. Not mended: SIGHUP before the handlers are set, while modules are imported (about 0.4 s), still ends the process.

--- a/src/almondshift/daemons/relay.py
+++ b/src/almondshift/daemons/relay.py
@@ -42,6 +42,8 @@
 JSON_TYPE = "application/json"
 METRICS_TYPE = "text/plain; version=0.0.4"
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 logger = logging.getLogger(__name__)
 
 
@@ -153,13 +155,30 @@
     process = RelayProcess(settings)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, path, process)
     await process.start()
     await stop.wait()
     await process.stop_gracefully()
     await process.close()
+    _ignore_signals(loop)
+
+
+def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Lets the process end by itself from here on.
+
+    The loop's end gives signals back to their default action. A reload or a
+    second stop in the tens of milliseconds until the interpreter's end would
+    then end the process with the signal's exit code, which supervisors take
+    for a crash. The signals are blocked meanwhile, so that there is no moment
+    at which the default action is in force.
+    """
+    handled = (*STOP_SIGNALS, signal.SIGHUP)
+    signal.pthread_sigmask(signal.SIG_BLOCK, handled)
+    for number in handled:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
 
 
 def _reload(path: str, process: RelayProcess) -> None:
