Test: a reload that comes while a relay node starts

Operators see a node crash at its start: SIGHUP ends it while Python still imports the program. The test starts the node by the command of the deploy file.

--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import pathlib
 import signal
 import subprocess
 import sys
 import time
+import tomllib
 from typing import TYPE_CHECKING
 
 import pytest
@@ -13,7 +15,10 @@
 from tests.platform import standin_system as system
 
 if TYPE_CHECKING:
-    import pathlib
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+DEPLOY_FILE = pathlib.Path(__file__).parents[2] / "deploy" / "system.toml"
 
 START_S = 20.0
 END_S = 10.0
@@ -37,30 +42,76 @@
 """
 
 
-def launch(folder: pathlib.Path) -> subprocess.Popen[bytes]:
-    path = folder / "n1.ini"
-    addresses = [system.free_address() for _ in range(3)]
-    path.write_text(SETTINGS.format(*addresses))
-    command = [sys.executable, "-m", "almondshift.daemons.relay"]
-    return subprocess.Popen(
-        [*command, "--settings", str(path)],
-        stdout=subprocess.PIPE,
-        stderr=subprocess.STDOUT,
-    )
+class Node:
+    """A relay process, started as on a VM."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        settings = folder / "n1.ini"
+        addresses = [system.free_address() for _ in range(3)]
+        settings.write_text(SETTINGS.format(*addresses))
+        deployed = tomllib.loads(DEPLOY_FILE.read_text())
+        words = deployed["roles"]["node"]["run"].split()
+        self.log = folder / "n1.log"
+        with self.log.open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, *words[1:-1], str(settings)],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def close(self) -> None:
+        self.process.kill()
+        self.process.wait()
+
+    def is_running(self) -> bool:
+        return self.process.poll() is None
 
+    def has_started(self) -> bool:
+        return b"AS1001" in self.log.read_bytes()
 
-def wait_started(process: subprocess.Popen[bytes]) -> None:
-    assert process.stdout is not None
-    end = time.monotonic() + START_S
-    while time.monotonic() < end:
-        if b"AS1001" in process.stdout.readline():
-            return
-    raise AssertionError("the node did not start")
+    def is_importing(self) -> bool:
+        """Returns whether it has begun to import the program's libraries."""
+        maps = pathlib.Path(f"/proc/{self.process.pid}/maps")
+        return b"msgspec" in maps.read_bytes()
+
+    def until(self, condition: Callable[[], bool], seconds: float) -> None:
+        end = time.monotonic() + seconds
+        while self.is_running() and not condition():
+            assert time.monotonic() < end, self.log.read_text()
+            time.sleep(PAUSE_S)
+
+    def flood(
+        self, number: signal.Signals, until: Callable[[], bool], seconds: float
+    ) -> None:
+        """Sends a signal again and again until the process ends or so."""
+        end = time.monotonic() + seconds
+        while self.is_running() and not until():
+            assert time.monotonic() < end, self.log.read_text()
+            self.process.send_signal(number)
+            time.sleep(PAUSE_S)
+
+
+@pytest.fixture
+def node(tmp_path: pathlib.Path) -> Iterator[Node]:
+    started = Node(tmp_path)
+    yield started
+    started.close()
+
+
+def test_a_reload_does_not_end_a_node_that_starts(node: Node) -> None:
+    """Operators see a node crash at its start, and callers miss it longer.
+
+    A VM starts; while the process still imports its program the settings
+    are written again and SIGHUP says so. The node goes on and starts.
+    """
+    node.until(node.is_importing, START_S)
+    node.flood(signal.SIGHUP, node.has_started, START_S)
+    assert node.is_running(), node.process.returncode
 
 
 @pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
 def test_signals_do_not_change_how_a_stopping_node_ends(
-    number: signal.Signals, tmp_path: pathlib.Path
+    number: signal.Signals, node: Node
 ) -> None:
     """Operators see a planned stop as a crash, with an exit code of a signal.
 
@@ -68,15 +119,8 @@
     ends, further signals come, as from a reload of all settings or a second
     stop. Its handlers are gone by then, and the default ends the process.
     """
-    process = launch(tmp_path)
-    try:
-        wait_started(process)
-        process.send_signal(signal.SIGTERM)
-        end = time.monotonic() + END_S
-        while process.poll() is None and time.monotonic() < end:
-            process.send_signal(number)
-            time.sleep(PAUSE_S)
-        assert process.poll() == 0
-    finally:
-        process.kill()
-        process.communicate()
+    node.until(node.has_started, START_S)
+    assert node.is_running()
+    node.process.send_signal(signal.SIGTERM)
+    node.flood(number, lambda: False, END_S)
+    assert node.process.returncode == 0
