Hold reloads back until a relay node that starts can take them

What was seen: a node that got SIGHUP within half a second of its start ended with -1 and was started again. Cause: the default action of SIGHUP holds until the program's modules are imported (0.38 s here) and its loop has handlers. Ruled out: its own handler, which was not set yet.

--- a/src/almondshift/daemons/relay.py
+++ b/src/almondshift/daemons/relay.py
@@ -158,6 +158,8 @@
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, path, process)
+    # One that came during the start was held back by the launcher.
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     await process.start()
     await stop.wait()
     await process.stop_gracefully()
--- /dev/null
+++ b/src/almondshift/daemons/start_relay.py
@@ -0,0 +1,28 @@
+"""Starts the relay node so that no early signal ends it.
+
+A reload of the settings that comes while Python imports the program, for
+about half a second, would meet the default action of SIGHUP and end the
+process; supervisors count a crash, and the VM is back a second later. So
+the signal is held back until the program can take it, and none is lost.
+Nothing is imported here before; only the interpreter's own start, some 20 ms,
+is left.
+"""
+
+from __future__ import annotations
+
+import importlib
+import signal
+import sys
+
+PROGRAM = "almondshift.daemons.relay"
+
+
+def main() -> int:
+    """Runs ``python -m almondshift.daemons.start_relay --settings FILE``."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    code: int = importlib.import_module(PROGRAM).main()
+    return code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -203,7 +203,7 @@
         path = self.folder / f"{name}.ini"
         node = NodePart(
             name,
-            ["almondshift.daemons.relay", "--settings", str(path)],
+            ["almondshift.daemons.start_relay", "--settings", str(path)],
             entry=network.node(index, layout.NODE_PORT),
             directory=network.node(index, layout.DIRECTORY_PORT),
             front=front,
