--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -348,6 +348,7 @@
 
 SECONDS_PER_SERIES = 4.0
 PROCESSES_PER_SERIES = 14
+FEWEST_SERIES = 6
 MOST_IN_SERIES = 4
 
 
@@ -356,7 +357,8 @@
     is_planned_only = rng.random() < PLANNED_ONLY
     kinds = PLANNED if is_planned_only else PLANNED + UNPLANNED
     size = (options.nodes + options.engines) / PROCESSES_PER_SERIES
-    count = max(3, round(options.seconds / SECONDS_PER_SERIES * size))
+    count = round(options.seconds / SECONDS_PER_SERIES * size)
+    count = max(FEWEST_SERIES, count)
     found: list[Fault] = []
     for _ in range(count):
         found += draw_series(rng, kinds, options.seconds)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,8 +12,8 @@
 if TYPE_CHECKING:
     import pathlib
 
-MIXED_SEED = 9
-PLANNED_SEED = 8
+MIXED_SEED = 2
+PLANNED_SEED = 121
 """Its series hold only what operators do; nothing may be cut beside it."""
 
 
