Test: a stream that may not run again, before a silent engine

The caller loses its answer though the engine goes on 0.4 s later: nodes take an engine for lost after two unanswered questions of 50 ms and cut its streams, also those that can go on nowhere else.

--- /dev/null
+++ b/tests/platform/test_unrepeatable_streams.py
@@ -0,0 +1,63 @@
+"""Streams that may not be sent again, before engines that fall silent."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.platform import standin_system as system
+from tests.platform import test_whole_system as whole
+
+
+def unrepeatable() -> dict[str, object]:
+    """Returns a configuration whose streams can't be resumed."""
+    chat = system.route("chat", "/chat/", "streaming", system.MODEL_SERVICE)
+    return system.config(2, routes=[chat])
+
+
+async def chat_before(
+    running: system.StandinSystem, silent_s: float
+) -> tuple[bytes, bool]:
+    """Sends a stream whose first engine falls silent in the middle."""
+    running.store.put("op", "config", unrepeatable())
+    catalogue = running.nodes[0].node.catalogue
+    await running.until(
+        lambda: catalogue.config is not None and catalogue.config.version == 2
+    )
+    for engine in running.engines.values():
+        engine.gap_s = 0.03
+    # The other stream keeps showing that the node's own link works.
+    other = asyncio.create_task(whole.chat(running, "r0"))
+    stream = asyncio.create_task(whole.chat(running, "r1"))
+    await running.until(lambda: whole.times_run(running, "r1") == 1)
+    await asyncio.sleep(0.15)
+    [engine] = [e for e in running.engines.values() if "r1" in e.ran]
+    engine.is_dead = True
+    await asyncio.sleep(silent_s)
+    engine.is_dead = False
+    status, _, body = await stream
+    await other
+    return body, status == 200
+
+
+@pytest.mark.parametrize("silent_s", [0.4, 1.2])
+def test_a_stream_that_may_not_run_again_waits_for_a_silent_engine(
+    silent_s: float,
+) -> None:
+    """The caller gets its whole answer, late; a cut would lose it for good.
+
+    The first engine of a stream says nothing for a while, as a paused process
+    or a link that loses packets does, and is suspected. The stream can't go
+    on anywhere else, so that to leave the engine could only lose the answer;
+    the engine goes on, and so does the stream.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system() as running:
+            body, is_whole = await chat_before(running, silent_s)
+            assert is_whole
+            assert whole.tokens(body) == whole.WHOLE
+            assert whole.times_run(running, "r1") == 1
+
+    asyncio.run(scenario())
