Keep a stream that may not run again on an engine that only seems dead

What callers saw: streams of routes that can't be resumed broke off after some events, at nodes and engines that nothing had happened to; the engines went on producing them. Cause: a first engine that leaves two questions of 50 ms unanswered is taken for lost, and all its streams leave it; one that may not run again has nowhere to go and was given up at once. Ruled out: the caller, the connection and the engine (it wrote on; its own connection was closed by the node, AS5009 'first engine lost'). Change: such a stream stays until the engine is surely gone (a new start is known), the connection ends, the caller leaves or the time is over. The engine is suspected as before and gets no new work.

--- a/src/almondshift/relay/stream_moves.py
+++ b/src/almondshift/relay/stream_moves.py
@@ -60,7 +60,8 @@
             if any(part.instance == instance for part in attempt.path):
                 self.shared.crashes.note_broken(run.routed, run.sends, instance)
             if attempt.first.instance == instance:
-                run.resume_elsewhere("first engine lost")
+                is_gone = reason is engine_book.Suspicion.GONE
+                run.resume_elsewhere("first engine lost", is_gone)
         self.move_from(instance, must=True)
 
     def engine_slow(self, instance: str, pace: float) -> None:
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -329,11 +329,24 @@
         else:
             self.refuse_full(reason)
 
-    def resume_elsewhere(self, reason: str) -> None:
-        """Leaves the present path, whose first engine is lost."""
+    def resume_elsewhere(self, reason: str, is_gone: bool = False) -> None:
+        """Leaves the present path, whose first engine is lost.
+
+        A stream that may not run again stays unless that engine is gone. A
+        live engine is taken for lost when it says nothing for a tenth of a
+        second; the caller would lose an answer that goes on a moment later,
+        and there is none to win. If the engine is dead, the caller's own
+        patience, the connection's end or the route's timeout ends the wait.
+
+        Args:
+            reason: For the log.
+            is_gone: Whether the engine surely runs the stream no more.
+        """
         attempt = self.attempt
         if attempt is None or self.ended or attempt.over:
             return
+        if not is_gone and not self.routed.route.may_repeat:
+            return
         attempt.over = True
         if attempt.forwarded is not None:
             attempt.forwarded.cancel()
