--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -122,7 +122,13 @@
         self.writer.close()
 
     async def idle(self, seconds: float) -> bytes:
-        """Waits; returns bytes that came with no request waiting."""
+        """Waits; returns bytes that came with no request waiting.
+
+        What is left of an answer that the caller left early is none of them.
+        """
+        if not self.is_open:
+            await asyncio.sleep(seconds)
+            return b""
         try:
             found = await asyncio.wait_for(self.reader.read(1), seconds)
         except TimeoutError:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -60,10 +60,16 @@
 
 
 class StopNode(Fault):
-    """SIGTERM; the process is started again after it ended."""
+    """SIGTERM; the process is started again after it ended.
+
+    The first one counts: a node that is asked again has no more time.
+    """
 
     async def inject(self, system: soak_system.SoakSystem) -> None:
         node = self.node(system)
+        if node.stopped_at:
+            node.terminate()
+            return
         stop = system.disturbances.begin(node.name, "stop", is_planned=True)
         node.terminate()
         await asyncio.sleep(layout.GRACE_S)
