--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -89,6 +89,7 @@
         counts: Requests by how they ended.
         refused: Requests that were called not run, by their id.
         refused_after_run: Idempotent requests that ran and were refused.
+        undisturbed: Requests at nodes for which all bounds held.
     """
 
     def __init__(self, system: soak_system.SoakSystem) -> None:
@@ -101,6 +102,7 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self.refused: set[str] = set()
         self.refused_after_run = 0
+        self.undisturbed = 0
         system.on_end = self.ended
 
     def found(self, promise: Promise, detail: str, at: float = 0.0) -> None:
@@ -265,6 +267,9 @@
     def finish(self) -> None:
         """Checks what needs the whole history of disturbances."""
         for request in list(self.requests.values()):
+            self.undisturbed += self.history().in_touch(
+                request.node, request.sent_at, request.ended_at, True
+            )
             if request.ending is callers.Ending.CUT:
                 self.check_cut(request)
             elif request.ending is callers.Ending.UNANSWERED:
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -32,6 +32,7 @@
     options: dict[str, Any]
     faults: list[str]
     requests: dict[str, int]
+    undisturbed: int
     runs: int
     refused_after_run: int
     node_starts: int
@@ -57,6 +58,7 @@
             for f in faults
         ],
         requests=dict(sorted(judge.counts.items())),
+        undisturbed=judge.undisturbed,
         runs=sum(len(work.ran) for work in judge.work.values()),
         refused_after_run=judge.refused_after_run,
         node_starts=sum(node.starts for node in system.nodes),
@@ -89,6 +91,7 @@
         f"options: {report.options}",
         f"faults: {len(report.faults)}",
         f"requests: {requests}",
+        f"requests at undisturbed nodes: {report.undisturbed}",
         f"runs at engines: {report.runs}",
         f"idempotent requests that ran and were refused: "
         f"{report.refused_after_run}",
