Let the start of an engine stand whose rows go on

Callers got no answer from an engine, for as long as it lived, after another writer had put one row under its name with a later start, for instance one in the far future: that start stood for the newest, and the engine's own rows were dropped as late ones of a former start (AS4007 at each heartbeat).

Cause: the catalogue kept the greatest start that it had ever read.

Ruled out: a bound on starts in the future by the node's time of day; that jumps, and one that jumped back would drop all engines. A start that lies only a little ahead would pass such a bound besides.

Change: policy/engine_starts.py decides. A later start still stands at once. One that does not stand proves itself by four rows, each of a new revision, over four seconds in which the standing one was not written; AS4009 says so. A start that was overturned has to prove itself likewise, and so has each later one, so that the other writer's next row changes nothing.

Conclusion: shut out for some four heartbeats rather than for ever.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -314,6 +314,18 @@
     told_by: str
 
 
+class EndpointStartFalse(Event, frozen=True):
+    """A start of an endpoint stood and was false; another one is written."""
+
+    number = 4009
+    level = logging.WARNING
+    message = "endpoint start false"
+
+    endpoint: str
+    born_ms: int
+    false_born_ms: int
+
+
 class RequestReceived(Event, frozen=True):
     """A request passed authentication."""
 
--- a/src/almondshift/relay/catalogue.py
+++ b/src/almondshift/relay/catalogue.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import logging
 from typing import TYPE_CHECKING
 
 from almondshift import log_events
+from almondshift.policy import engine_starts
 from almondshift.policy import path_choice
 
 if TYPE_CHECKING:
@@ -25,10 +25,6 @@
 seconds of its return; a removal is believed just before, so that an engine
 that left gets nothing beyond the same two seconds."""
 
-STARTS_KEPT = 4_096
-"""Newest starts that are remembered, also of engines that are gone; five times
-the engines of the largest fleet."""
-
 LEFT = "left the registry"
 UNREADABLE = "its entry can't be read"
 RESTARTED = "started again"
@@ -80,9 +76,7 @@
         self.config: routing_config.RoutingConfig | None = None
         self.engines: dict[str, registered_engines.RegisteredEngine] = {}
         self.lifetimes: dict[str, str] = {}
-        self.newest_born: collections.OrderedDict[str, int] = (
-            collections.OrderedDict()
-        )
+        self.starts = engine_starts.create_engine_starts()
         self.version = 0
         self.removals: dict[str, float] = {}
         self.views: dict[str, path_choice.FleetView] = {}
@@ -151,7 +145,7 @@
             # What can't be read names no engine to use, also if it did.
             self._drop(row.key, UNREADABLE)
             return
-        if self._is_newest_start(row.key, decoded.ok):
+        if self._stands(row, decoded.ok, now):
             self._put(row.key, decoded.ok)
 
     def take_whole_registry(
@@ -207,27 +201,29 @@
         self.views[service] = made
         return made
 
-    def _is_newest_start(
-        self, key: str, engine: registered_engines.RegisteredEngine
+    def _stands(
+        self,
+        row: row_feeds.FeedRow,
+        engine: registered_engines.RegisteredEngine,
+        now: float,
     ) -> bool:
-        """Returns whether a row is not of an earlier start than one known.
+        """Returns whether a row is of the start that stands.
 
-        A write of the former start may reach the store after the first of the
+        A write of a former start may reach the store after the first of the
         new one, and a peer may still hold the former row. Taken, it would
         bring back layers that the new start doesn't hold.
         """
-        newest = self.newest_born.get(key, 0)
-        if engine.born_ms < newest:
+        former = self.starts.standing(row.key)
+        verdict = self.starts.judge(row.key, engine.born_ms, row.revision, now)
+        if verdict is engine_starts.StartVerdict.LATE:
+            event = log_events.EndpointRowLate(row.key, engine.born_ms, former)
+            log_events.emit(logger, event)
+            return False
+        if verdict is engine_starts.StartVerdict.OVERTURNS:
             log_events.emit(
                 logger,
-                log_events.EndpointRowLate(key, engine.born_ms, newest),
+                log_events.EndpointStartFalse(row.key, engine.born_ms, former),
             )
-            return False
-        if engine.born_ms:
-            self.newest_born[key] = engine.born_ms
-            self.newest_born.move_to_end(key)
-            while len(self.newest_born) > STARTS_KEPT:
-                self.newest_born.popitem(last=False)
         return True
 
     def _put(
--- a/tests/relay/test_lifetimes.py
+++ b/tests/relay/test_lifetimes.py
@@ -127,6 +127,84 @@
     assert _instances(known) == []
 
 
+HEARTBEAT_S = 1.2
+FUTURE = 4_000_000_000_000
+
+
+def _heartbeats(
+    known: catalogue.Catalogue, born: int, count: int, revision: int
+) -> None:
+    """Takes rows that an engine writes one after the other."""
+    for index in range(count):
+        row = _row("i", _born(born), revision + index)
+        known.take_engine_row(row, (revision + index) * HEARTBEAT_S, AWAY)
+
+
+@pytest.mark.parametrize("foreign", [9, FUTURE])
+def test_a_start_that_nobody_goes_on_writing_shuts_no_engine_out(
+    foreign: int,
+) -> None:
+    """The engine would get no request until it starts again after that time.
+
+    It writes its row each heartbeat. Another writer puts a row under its name
+    with a later start, once; the engine's own rows then count as late ones of
+    a former start. They go on, the other's don't, so they stand again. The
+    other's row written once more, with any start from then on, changes nothing.
+    """
+    known = _catalogue()
+    _heartbeats(known, 5, 3, 1)
+    known.take_engine_row(_row("i", _born(foreign), 4), 4 * HEARTBEAT_S, AWAY)
+    assert _instances(known) == [f"i@{foreign}"]
+    _heartbeats(known, 5, 6, 5)
+    assert _instances(known) == ["i@5"]
+    for revision, start in ((20, foreign), (21, foreign + 1)):
+        row = _row("i", _born(start), revision)
+        known.take_engine_row(row, revision * HEARTBEAT_S, AWAY)
+        assert _instances(known) == ["i@5"]
+
+
+def test_a_late_row_that_is_told_again_brings_no_former_start_back() -> None:
+    """A stream would wait for layers that the new start doesn't hold.
+
+    One late write of the former start reaches the store. Each peer tells the
+    same row again, and whole reads do: it is one write all the same.
+    """
+    known = _catalogue()
+    _heartbeats(known, 5, 1, 1)
+    _heartbeats(known, 9, 1, 2)
+    late = _row("i", _born(5), 3)
+    for index in range(20):
+        known.take_engine_row(late, 4.0 + index, AWAY)
+    assert _instances(known) == ["i@9"]
+
+
+def test_two_that_write_under_one_name_end_with_the_later_start() -> None:
+    """Streams would be moved to and fro with each row.
+
+    A former start that stood still wakes and writes beside the new one.
+    """
+    known = _catalogue()
+    _heartbeats(known, 5, 1, 1)
+    for revision in range(2, 30, 2):
+        _heartbeats(known, 9, 1, revision)
+        _heartbeats(known, 5, 1, revision + 1)
+        assert _instances(known) == ["i@9"]
+
+
+def test_an_engine_that_restarts_after_a_false_start_is_known_at_once() -> None:
+    """Its layers are gone: what is sent for them would be refused.
+
+    A start from the far future was given up. The engine then starts again,
+    later than before and earlier than that one.
+    """
+    known = _catalogue()
+    _heartbeats(known, 5, 1, 1)
+    _heartbeats(known, FUTURE, 1, 2)
+    _heartbeats(known, 5, 6, 3)
+    _heartbeats(known, 7, 1, 9)
+    assert _instances(known) == ["i@7"]
+
+
 BAD = [
     *({k: v for k, v in GOOD.items() if k != gone} for gone in
       ("service", "address", "state")),
