Order layers elsewhere when an engine does not answer

Callers of a zone were refused until one engine answered: layers that it was ordered to hold counted as held, so that the order was repeated to it alone, each 1.8 to 2.6 s, and nobody else got them until the order's time was over (4 s and three times the load).

Cause: the plan takes an order that was sent for carried out.

Ruled out: leaving the silent engine out of the plan altogether. What it holds whether or not it took the order (of an order that extends its layers) would be loaded again; and a chain that lacks layers is spread anew at once, for one lost answer.

Change: an engine that said nothing, or that it did not take the order, is counted on for the layers that it holds either way and for no others; its layers go to others at the next look. The order is repeated as before. A chain is not spread anew while such an order may be under way, and with more than 0.3 of a zone's memory silent the orders are waited for as before: then it is rather the holder's own link, and all other engines would load for nothing.

Tests: tests/relay/test_layer_keeper.py::test_layers_go_to_others_when_an_ engine_does_not_answer failed before (layers 45 to 53 missing 1.5 s after the loss) and passes; the three others there hold what must not change and passed before. The two in tests/policy/test_layer_plan.py use new fields and could not run before; each fails if its part of the change is taken out (tried for the share, the certain layers, the wait).

--- a/src/almondshift/policy/layer_holdings.py
+++ b/src/almondshift/policy/layer_holdings.py
@@ -31,6 +31,8 @@
         is_busy: Whether it is carrying out an order, and takes no other.
         is_slow: Whether it is much slower than its kind.
         step_factor: Time of a step of its kind relative to the published.
+        is_unanswered: Whether it said nothing to the order that it has.
+        certain: If so, what it holds whether it took the order or not.
     """
 
     instance: str
@@ -40,6 +42,8 @@
     is_busy: bool = False
     is_slow: bool = False
     step_factor: float = 1.0
+    is_unanswered: bool = False
+    certain: model_layers.LayerRange | None = None
 
 
 def holding(
--- a/src/almondshift/policy/layer_plan.py
+++ b/src/almondshift/policy/layer_plan.py
@@ -41,6 +41,12 @@
 """Slow engines are planned without up to this share of a zone's memory;
 beyond it the others could not hold all layers and still serve requests."""
 
+UNANSWERED_SHARE = 0.3
+"""Engines that left an order without an answer are planned without up to this
+share of a zone's memory. Beyond it the others could not hold all layers, and it
+is rather the link of the node that gives the orders than the engines: all that
+are well would load for nothing."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LayerOrder:
@@ -62,11 +68,13 @@
     """
     orders: list[LayerOrder] = []
     for whole in _groups(engines, spec):
-        group = _without_slow(whole)
-        if all(engine.held is None for engine in group):
+        quick = _without_slow(whole)
+        group = _without_unanswered(quick)
+        if all(engine.held is None for engine in quick):
             orders += _fresh(group, spec)
         else:
-            orders += _mend(group, spec)
+            is_busy = any(engine.is_busy for engine in quick)
+            orders += _mend(group, spec, is_busy)
     return orders
 
 
@@ -81,6 +89,28 @@
     return [e for e in group if not e.is_slow]
 
 
+def _without_unanswered(
+    group: list[layer_holdings.PlannedEngine],
+) -> list[layer_holdings.PlannedEngine]:
+    """Counts on engines that did not answer only for what they hold for sure.
+
+    One that says nothing may have taken its order or not, and may take it
+    seconds later. Counted as obedient, it left its layers without any holder
+    until it answered; what it may have given up could be given up by others.
+    """
+    memory = sum(e.memory_mb for e in group)
+    unanswered = sum(e.memory_mb for e in group if e.is_unanswered)
+    if unanswered > UNANSWERED_SHARE * memory:
+        return group
+    counted = []
+    for engine in group:
+        if not engine.is_unanswered:
+            counted.append(engine)
+        elif engine.certain is not None:
+            counted.append(dataclasses.replace(engine, held=engine.certain))
+    return counted
+
+
 def _groups(
     engines: Sequence[layer_holdings.PlannedEngine],
     spec: engine_specs.EngineSpec,
@@ -207,9 +237,18 @@
 
 
 def _mend(
-    group: list[layer_holdings.PlannedEngine], spec: engine_specs.EngineSpec
+    group: list[layer_holdings.PlannedEngine],
+    spec: engine_specs.EngineSpec,
+    is_busy: bool,
 ) -> list[LayerOrder]:
-    """Fills holes, places empty engines, and else improves what is held."""
+    """Fills holes, places empty engines, and else improves what is held.
+
+    Args:
+        group: Engines of a chain or more.
+        spec: Figures of the model.
+        is_busy: Whether an order is under way. What it brings is not known
+            yet, so that nothing but holes is mended meanwhile.
+    """
     held = {e.instance: e.held for e in group}
     orders: dict[str, model_layers.LayerRange] = {}
     for start, end in _holes(group, held, spec.layers):
@@ -221,7 +260,7 @@
         if layers is not None:
             held[engine.instance] = layers
             orders[engine.instance] = layers
-    if not any(engine.is_busy for engine in group):
+    if not is_busy:
         is_broken = bool(_holes(group, held, spec.layers))
         if is_broken or (
             not orders and layer_spread.is_uneven(group, held, spec)
--- a/src/almondshift/relay/layer_keeper.py
+++ b/src/almondshift/relay/layer_keeper.py
@@ -50,11 +50,15 @@
     Attributes:
         until: It counts as held until then, also before it shows.
         again_at: When to send it again; None if it was begun.
+        is_unanswered: Whether the engine said nothing, or that it did not
+            take it. The plan then gives its layers to others too, while it
+            is sent again: that engine may not answer for long.
     """
 
     layers: model_layers.LayerRange
     until: float
-    again_at: float | None
+    again_at: float | None = None
+    is_unanswered: bool = False
 
 
 class LayerKeeper:
@@ -161,9 +165,7 @@
         for order in orders:
             load_s = view.spec.load_s * order.layers.count / view.spec.layers
             until = now + load_s * LOAD_FACTOR + LOAD_EXTRA_S
-            self.pending[order.instance] = PendingOrder(
-                order.layers, until, None
-            )
+            self.pending[order.instance] = PendingOrder(order.layers, until)
             self.send(engines[order.instance], order.layers, grant)
 
     def planned(
@@ -177,24 +179,39 @@
                 continue
             if self.shared.book.is_suspect(engine.instance):
                 continue
-            held = engine.layers
-            pending = self.pending.get(engine.instance)
-            is_busy = pending is not None and now < pending.until
-            if pending is not None and is_busy:
-                held = pending.layers
             found.append(
-                layer_holdings.PlannedEngine(
-                    engine.instance,
-                    engine.zone,
-                    kind.memory_mb,
-                    held,
-                    is_busy,
-                    self.shared.book.is_slow(engine.instance, now),
-                    kind.step_factor,
+                self.planned_engine(
+                    layer_holdings.PlannedEngine(
+                        engine.instance,
+                        engine.zone,
+                        kind.memory_mb,
+                        engine.layers,
+                        is_slow=self.shared.book.is_slow(engine.instance, now),
+                        step_factor=kind.step_factor,
+                    ),
+                    now,
                 )
             )
         return found
 
+    def planned_engine(
+        self, engine: layer_holdings.PlannedEngine, now: float
+    ) -> layer_holdings.PlannedEngine:
+        """Returns an engine with the order that it has, if any."""
+        pending = self.pending.get(engine.instance)
+        if pending is None or now >= pending.until:
+            return engine
+        certain = None
+        if pending.is_unanswered and engine.held is not None:
+            certain = engine.held.shared_with(pending.layers)
+        return dataclasses.replace(
+            engine,
+            held=pending.layers,
+            is_busy=True,
+            is_unanswered=pending.is_unanswered,
+            certain=certain,
+        )
+
     def send_again(
         self, now: float, grant: coordination_lease.LeaseGrant
     ) -> None:
@@ -232,7 +249,9 @@
     ) -> None:
         """Sends an order and notes what came of it."""
         if engine.layers is not None and engine.instance not in self.expected:
-            await self.learn_orders(engine)
+            answers = await self.learn_orders(engine)
+            if not answers:
+                self.note_unanswered(engine.instance, layers)
         expected = self.expected.get(engine.instance, NO_ORDERS)
         sent_at = self.shared.clock.monotonic()
         answer = await self.shared.engines.place(
@@ -264,22 +283,37 @@
             path_engines.OrderOutcome.REFUSED,
         ):
             pending.again_at = now + AGAIN_S
+            pending.is_unanswered = True
+        else:
+            pending.is_unanswered = False
+
+    def note_unanswered(
+        self, instance: str, layers: model_layers.LayerRange
+    ) -> None:
+        """Notes that an engine says nothing, before its order times out."""
+        pending = self.pending.get(instance)
+        if pending is not None and pending.layers == layers:
+            pending.is_unanswered = True
 
     async def learn_orders(
         self, engine: registered_engines.RegisteredEngine
-    ) -> None:
+    ) -> bool:
         """Asks an engine how many orders it has accepted.
 
         An order whose answer was lost may have been counted, and another
         node may have held the lease before.
+
+        Returns:
+            Whether this start of the engine answered.
         """
         report = await self.shared.engines.report(
             engine.address, ORDER_TIMEOUT_S
         )
         if report is None or report.born_ms not in (0, engine.born_ms):
-            return
+            return False
         if not report.busy:
             self.expected[engine.instance] = report.orders
+        return True
 
 
 def create_layer_keeper(
--- a/tests/policy/test_layer_plan.py
+++ b/tests/policy/test_layer_plan.py
@@ -402,3 +402,64 @@
     mended = _after(planned, orders)
     quick = [e for e in mended if e.instance not in slow]
     assert (min(_copies(quick, zone)) >= 1) is is_taken_over
+
+
+def _unanswered(
+    engine: layer_holdings.PlannedEngine,
+    certain: model_layers.LayerRange | None,
+) -> layer_holdings.PlannedEngine:
+    return dataclasses.replace(
+        engine, is_busy=True, is_unanswered=True, certain=certain
+    )
+
+
+@pytest.mark.parametrize(
+    ("certain", "missing"),
+    [(None, range(27, 54)), ((27, 40), range(40, 54)), ((27, 54), range(0))],
+)
+def test_layers_that_an_engine_may_not_hold_are_placed_elsewhere(
+    certain: tuple[int, int] | None, missing: range
+) -> None:
+    """A zone would refuse its callers until the engine answers its order.
+
+    What it holds whether it took the order or not is not loaded again.
+    """
+    held = [(0, 27), (27, 54), (54, 80), (0, 27), (54, 80)]
+    chain = [
+        dataclasses.replace(
+            _engine(f"a{index}", "a", LARGE), held=model_layers.LayerRange(*h)
+        )
+        for index, h in enumerate(held)
+    ]
+    known = model_layers.LayerRange(*certain) if certain else None
+    chain[1] = _unanswered(chain[1], known)
+    orders = layer_plan.plan_orders(chain, SPEC)
+    assert "a1" not in {order.instance for order in orders}
+    ordered = {
+        layer
+        for order in orders
+        for layer in range(order.layers.start, order.layers.end)
+    }
+    assert set(missing) <= ordered
+    assert bool(orders) is bool(missing)
+
+
+def test_an_order_under_way_lets_no_other_engine_be_moved() -> None:
+    """A lost answer would make a chain load anew what it holds already.
+
+    Nobody can take the hole that the order is to mend. A chain that lacks
+    layers is spread anew, but not while its order may be under way.
+    """
+    held = [(0, 20), (20, 26), (26, 60), (60, 80)]
+    chain = [
+        dataclasses.replace(
+            _engine(f"a{index}", "a", LARGE), held=model_layers.LayerRange(*h)
+        )
+        for index, h in enumerate(held)
+    ]
+    chain[3] = _unanswered(chain[3], None)
+    orders = layer_plan.plan_orders(chain, SPEC)
+    moved = {o.instance: o.layers for o in orders}
+    for engine in chain[:3]:
+        assert engine.held is not None
+        assert moved.get(engine.instance, engine.held).covers(engine.held)
--- /dev/null
+++ b/tests/relay/test_layer_keeper.py
@@ -0,0 +1,243 @@
+"""Orders to engines that leave them without an answer."""
+
+from __future__ import annotations
+
+import json
+import types
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import cast
+
+from almondshift.coordination import lease as coordination_lease
+from almondshift.model import relayed
+from almondshift.platform import decode
+from almondshift.policy import engine_book
+from almondshift.ports import path_engines
+from almondshift.ports import row_feeds
+from almondshift.relay import catalogue
+from almondshift.relay import layer_keeper
+from tests import asynchronous
+from tests.fakes import clocks
+from tests.platform import standin_system
+
+if TYPE_CHECKING:
+    from almondshift.relay import context
+
+LAYERS = 80
+GRANT = coordination_lease.LeaseGrant(1, 1e12)
+AWAY = -1e9
+
+Held = tuple[int, int] | None
+
+
+class FakeLease:
+    """A lease that this node holds."""
+
+    owner = holder = "node"
+
+    def grant(self) -> coordination_lease.LeaseGrant:
+        return GRANT
+
+
+class FakeEngines(path_engines.PathEngines):
+    """Engines that carry orders out at once, or answer nothing.
+
+    Attributes:
+        silent: Engines that answer nothing and do nothing.
+        placed: Orders that were sent, also to silent ones.
+        taken: Orders that were carried out.
+    """
+
+    def __init__(self, clock: clocks.VirtualClock) -> None:
+        self.clock = clock
+        self.silent: set[str] = set()
+        self.placed: list[tuple[str, int, int]] = []
+        self.taken: list[tuple[str, int, int]] = []
+        self.on_placed = lambda instance, start, end: None
+
+    async def place(
+        self,
+        address: str,
+        instance: str,
+        start: int,
+        end: int,
+        expected_orders: int | None,
+        timeout_s: float,
+    ) -> path_engines.OrderAnswer:
+        self.placed.append((instance, start, end))
+        if instance in self.silent:
+            await self.clock.sleep(timeout_s)
+            return path_engines.OrderAnswer(path_engines.OrderOutcome.UNKNOWN)
+        self.taken.append((instance, start, end))
+        self.on_placed(instance, start, end)
+        return path_engines.OrderAnswer(path_engines.OrderOutcome.BEGUN)
+
+    async def report(
+        self, address: str, timeout_s: float
+    ) -> relayed.EngineReport | None:
+        if address.partition(":")[0] in self.silent:
+            await self.clock.sleep(timeout_s)
+            return None
+        return relayed.EngineReport(1.0, 0.0, 1.0, 0, 0, False, 0, ())
+
+    def forward(self, *values: Any) -> path_engines.ForwardedRequest:
+        raise NotImplementedError
+
+    async def repath(self, *values: Any) -> path_engines.OrderAnswer:
+        raise NotImplementedError
+
+    def forget(self, address: str) -> None:
+        raise NotImplementedError
+
+
+class Fleet:
+    """Engines of one zone, and a keeper that places their layers."""
+
+    def __init__(self, held: dict[str, Held]) -> None:
+        self.clock = clocks.VirtualClock()
+        self.engines = FakeEngines(self.clock)
+        self.engines.on_placed = self.tell
+        decoders = catalogue.Decoders(
+            decode.decode_config, decode.decode_engine
+        )
+        self.known = catalogue.Catalogue(decoders, "config")
+        config = json.dumps(standin_system.config()).encode()
+        self.known.take_config_row(
+            row_feeds.FeedRow("config", config, 1), verified=True
+        )
+        self.revision = 1
+        shared = types.SimpleNamespace(
+            clock=self.clock,
+            catalogue=self.known,
+            engines=self.engines,
+            book=engine_book.EngineBook(),
+        )
+        self.keeper = layer_keeper.create_layer_keeper(
+            cast("context.RelayContext", shared),
+            cast("coordination_lease.Lease", FakeLease()),
+        )
+        self.known.on_engine.append(self.keeper.engine_changed)
+        self.known.on_gone.append(self.keeper.engine_gone)
+        for instance, layers in held.items():
+            self.tell(instance, *(layers or (0, 0)))
+
+    def tell(self, instance: str, start: int, end: int) -> None:
+        """Lets the registry say what an engine holds."""
+        entry = {
+            "service": standin_system.MODEL_SERVICE,
+            "address": f"{instance}:1",
+            "state": "ready",
+            "zone": "a",
+            "kind": "big",
+            "layers": {"from": start, "to": end},
+        }
+        self.take(instance, json.dumps(entry).encode())
+
+    def lose(self, instance: str) -> None:
+        """Takes an engine out of the registry."""
+        self.take(instance, None)
+
+    def take(self, instance: str, value: bytes | None) -> None:
+        self.revision += 1
+        row = row_feeds.FeedRow(instance, value, self.revision)
+        self.known.take_engine_row(row, self.clock.now, AWAY)
+
+    async def run(self, seconds: float) -> None:
+        """Lets the keeper work for a while."""
+        until = self.clock.now + seconds
+        while self.clock.now < until:
+            self.keeper.tick()
+            await self.clock.advance(layer_keeper.TICK_S)
+
+    def missing(self) -> list[int]:
+        """Returns the layers that no engine holds."""
+        held = [e.layers for e in self.known.engines.values() if e.layers]
+        return [
+            layer
+            for layer in range(LAYERS)
+            if not any(r.start <= layer < r.end for r in held)
+        ]
+
+
+def _fleet() -> Fleet:
+    """Returns a chain of three with three standbys."""
+    return Fleet(
+        {
+            "e0": (0, 27),
+            "e1": (27, 54),
+            "e2": (54, 80),
+            "s0": (0, 27),
+            "s1": (0, 27),
+            "s2": (54, 80),
+        }
+    )
+
+
+@asynchronous.run
+async def test_layers_go_to_others_when_an_engine_does_not_answer() -> None:
+    """All callers of a zone would be refused until the silent one answers.
+
+    An engine is gone, and standbys are ordered to share its layers. One of
+    them says nothing. Its share is ordered from others within a second and a
+    half of the loss, though the silent engine stays in the registry.
+    """
+    fleet = _fleet()
+    fleet.engines.silent.add("s0")
+    fleet.lose("e1")
+    assert fleet.missing() == list(range(27, 54))
+    await fleet.run(1.5)
+    assert "s0" in {instance for instance, _, _ in fleet.engines.placed}
+    assert fleet.missing() == []
+
+
+@asynchronous.run
+async def test_what_a_silent_engine_may_have_given_up_is_kept_by_others() -> (
+    None
+):
+    """Callers would be refused once the late order is carried out.
+
+    A standby says nothing to an order by which it gives up its layers; it
+    may do so at any time. Until it answers, none of the others that hold
+    these layers counts on it.
+    """
+    fleet = _fleet()
+    fleet.engines.silent.add("s0")
+    fleet.lose("e1")
+    await fleet.run(6.0)
+    [ordered] = {o for o in fleet.engines.placed if o[0] == "s0"}
+    fleet.tell(*ordered)
+    assert fleet.missing() == []
+
+
+@asynchronous.run
+async def test_an_order_without_an_answer_is_sent_again() -> None:
+    """An engine whose answer was lost would stay without its layers.
+
+    A standby says nothing for two seconds and then answers. The same order
+    is sent again, and it takes it, though others hold the layers by then.
+    """
+    fleet = _fleet()
+    fleet.engines.silent.add("s0")
+    fleet.lose("e1")
+    await fleet.run(2.0)
+    fleet.engines.silent.clear()
+    await fleet.run(2.0)
+    sent = [order for order in fleet.engines.placed if order[0] == "s0"]
+    assert sent[0] == sent[1]
+    assert sent[0] in fleet.engines.taken
+
+
+@asynchronous.run
+async def test_no_layers_are_moved_when_most_engines_are_silent() -> None:
+    """Engines that are well would load for nothing, and refuse meanwhile.
+
+    The holder's own link is cut: none of its orders is answered. It repeats
+    them, and sends no others.
+    """
+    fleet = _fleet()
+    fleet.engines.silent.update(fleet.known.engines)
+    fleet.lose("e1")
+    await fleet.run(1.0)
+    first = set(fleet.engines.placed)
+    await fleet.run(2.5)
+    assert first and set(fleet.engines.placed) == first
