Measure a relay node's decisions at three sizes

`python -m bench.decisions` takes the processor time of each decision without sockets: per arrival (kept paths, paths searched anew), per event and look at streams, per row of the registry and change of an engine, per lost engine with its streams moved, and of the lease holder's plan. Fleets of 33, 86 and 820 engines, placed by the plan itself.

--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,469 @@
+"""Measures what a relay node decides: per arrival, event, change and fault.
+
+    python -m bench.decisions           # the table, about a minute
+    python -m bench.decisions --nodes 80 --profile
+
+Processor time of one process, without sockets: the choice of paths, the
+passing on of events, the looks at streams, rows of the registry, and what the
+loss of an engine brings about. The engines are of three kinds as published,
+placed by the plan itself until it asks for nothing. Each figure is the median
+of some repetitions, and the least of some rounds: a busy machine makes a round
+up to twice as long.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import cProfile
+import dataclasses
+import json
+import logging
+import pstats
+import random
+import statistics
+import time
+import types
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import cast
+
+from almondshift.adapters import system_clock
+from almondshift.model import relayed
+from almondshift.model import routes as model_routes
+from almondshift.platform import decode
+from almondshift.policy import engine_book
+from almondshift.policy import layer_holdings
+from almondshift.policy import layer_plan
+from almondshift.policy import path_choice
+from almondshift.ports import path_engines
+from almondshift.ports import relays
+from almondshift.ports import row_feeds
+from almondshift.relay import catalogue
+from almondshift.relay import context
+from almondshift.relay import observer
+from almondshift.relay import runs
+from almondshift.relay import silence_watch
+from almondshift.relay import stream_run
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SERVICE = "model"
+KINDS = {"a": (72_000.0, 2.4), "b": (43_200.0, 5.6), "c": (21_600.0, 16.0)}
+"""Memory and step factor by kind, as one fleet publishes them."""
+
+SHARES = (("a", 0.1), ("b", 0.35), ("c", 0.55))
+"""Part of each kind among the engines."""
+
+MAX_PLANS = 200
+ROUNDS = 5
+TOKENS = 900.0
+ARRIVALS = 500
+SEARCHES = 20
+EVENTS = 5_000
+LOOKS = 500
+FAULTS = 8
+PLANS = 3
+US, MS = 1e6, 1e3
+FAR = -1e9
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """A deployment.
+
+    Attributes:
+        streams: Streams of one node at the same time, as far as the engines'
+            memory allows all nodes as many.
+    """
+
+    nodes: int
+    engines: int
+    zones: int
+    streams: int
+
+
+SIZES = (Size(6, 33, 3, 30), Size(80, 86, 3, 10), Size(390, 820, 6, 10))
+
+
+class SilentResponder(relays.Responder):
+    """An answer that nobody reads."""
+
+    head_sent = ended = False
+
+    def send_head(self, *values: Any) -> None:
+        """Notes that the answer has begun."""
+        self.head_sent = True
+
+    def send_data(self, data: bytes) -> None:
+        """Drops a part."""
+
+    def send_whole(self, *values: Any) -> None:
+        """Drops an answer."""
+
+    def finish(self) -> None:
+        """Ends nothing."""
+
+    def break_off(self) -> None:
+        """Ends nothing."""
+
+    def fail(self, error: Exception) -> None:
+        """Drops an error."""
+
+
+class SilentEngines(path_engines.PathEngines):
+    """Engines that obey every move at once and send nothing by themselves."""
+
+    def forward(self, *values: Any) -> path_engines.ForwardedRequest:
+        """Takes a request."""
+        return cast(
+            "path_engines.ForwardedRequest",
+            types.SimpleNamespace(cancel=lambda: None),
+        )
+
+    async def report(
+        self, address: str, timeout_s: float
+    ) -> relayed.EngineReport | None:
+        """Says that all is well."""
+        return relayed.EngineReport(1.0, 0.0, 1.0, 0, 0, False, 0, ())
+
+    async def place(self, *values: Any) -> path_engines.OrderAnswer:
+        """Obeys."""
+        return path_engines.OrderAnswer(path_engines.OrderOutcome.BEGUN)
+
+    async def repath(self, *values: Any) -> path_engines.OrderAnswer:
+        """Obeys."""
+        return path_engines.OrderAnswer(path_engines.OrderOutcome.DONE)
+
+    def forget(self, address: str) -> None:
+        """Closes nothing."""
+
+
+def config() -> bytes:
+    """Returns a configuration with one service."""
+    kinds = [
+        {"name": name, "mb": mb, "pace": factor}
+        for name, (mb, factor) in KINDS.items()
+    ]
+    engine = {
+        "slots": 96,
+        "kvTokenBytes": 1_836_000,
+        "models": [{"name": "m", "loadS": 14.0}],
+        "step_ms": 1.02,
+        "per_seq_ms": 0.014,
+        "context_per_k": 0.019,
+        "read_per_s": 105_000.0,
+        "usual": {"prompt": 774.0, "answer": 200.0},
+        "layers": 80,
+        "layerMb": 1750.0,
+        "kinds": kinds,
+    }
+    service = {"name": SERVICE, "engine": engine}
+    return json.dumps({"version": 1, "services": [service]}).encode()
+
+
+def planned(size: Size) -> list[layer_holdings.PlannedEngine]:
+    """Returns empty engines, their kinds spread evenly over the zones."""
+    found = []
+    for name, share in SHARES:
+        memory_mb, factor = KINDS[name]
+        for index in range(round(size.engines * share)):
+            found.append(
+                layer_holdings.PlannedEngine(
+                    f"{name}-{index}",
+                    f"z{index % size.zones}",
+                    memory_mb,
+                    None,
+                    step_factor=factor,
+                )
+            )
+    return found
+
+
+def obeyed(
+    engines: list[layer_holdings.PlannedEngine],
+    orders: list[layer_plan.LayerOrder],
+) -> list[layer_holdings.PlannedEngine]:
+    """Returns the engines with what they were ordered to hold."""
+    layers = {order.instance: order.layers for order in orders}
+    return [
+        dataclasses.replace(e, held=layers.get(e.instance, e.held))
+        for e in engines
+    ]
+
+
+def entry(
+    engine: layer_holdings.PlannedEngine, number: int, state: str = "ready"
+) -> bytes:
+    """Returns the engine's row."""
+    layers = None
+    if engine.held is not None:
+        layers = {"from": engine.held.start, "to": engine.held.end}
+    row = {
+        "service": SERVICE,
+        "address": f"10.0.{number // 250}.{number % 250}:80",
+        "state": state,
+        "zone": engine.zone,
+        "slots": 96,
+        "kind": engine.instance[0],
+        "layers": layers,
+        "born": 1_700_000_000_000,
+    }
+    return json.dumps(row).encode()
+
+
+class MeasuredNode:
+    """The parts of one node that decide, over a placed fleet."""
+
+    def __init__(self, size: Size) -> None:
+        self.size = size
+        self.clock = system_clock.create_system_clock()
+        self.known = catalogue.Catalogue(
+            catalogue.Decoders(decode.decode_config, decode.decode_engine),
+            "config",
+        )
+        self.known.take_config_row(
+            row_feeds.FeedRow("config", config(), 1), verified=True
+        )
+        self.book = engine_book.EngineBook()
+        self.paths = path_choice.create_path_chooser(
+            self.book, random.Random(1)
+        )
+        self.paths.nodes = size.nodes
+        self.shared = context.RelayContext(
+            zone="z0",
+            clock=self.clock,
+            rng=random.Random(1),
+            catalogue=self.known,
+            engines=SilentEngines(),
+            book=self.book,
+            paths=self.paths,
+            endpoints=cast("Any", None),
+            budget=cast("Any", types.SimpleNamespace(
+                spend=lambda *v: True, has_room=lambda *v: True
+            )),
+            crashes=cast("Any", types.SimpleNamespace(
+                note_broken=lambda *v: None, is_refused=lambda *v: False
+            )),
+            observer=observer.create_relay_observer(),
+            registry_age_s=lambda: 0.0,
+        )  # fmt: skip
+        self.watch = silence_watch.SilenceWatch(self.shared)
+        self.engines = planned(size)
+        for _ in range(MAX_PLANS):
+            orders = layer_plan.plan_orders(self.engines, self.view().spec)
+            if not orders:
+                break
+            self.engines = obeyed(self.engines, orders)
+        self.revision = 1
+        for number in range(len(self.engines)):
+            self.tell(number)
+
+    def view(self) -> path_choice.FleetView:
+        """Returns the fleet."""
+        found = self.known.view(SERVICE)
+        assert found is not None
+        return found
+
+    def tell(self, number: int, state: str = "ready") -> None:
+        """Takes an engine's row."""
+        self.revision += 1
+        engine = self.engines[number]
+        row = row_feeds.FeedRow(
+            engine.instance, entry(engine, number, state), self.revision
+        )
+        self.known.take_engine_row(row, self.clock.monotonic(), FAR)
+
+    def choose(self) -> path_choice.ChosenPath:
+        """Chooses a path for a request."""
+        now = self.clock.monotonic()
+        found = self.paths.choose(self.view(), TOKENS, now)
+        assert found is not None
+        return found
+
+    def streams(self) -> list[stream_run.StreamRun]:
+        """Begins as many streams as the node usually has."""
+        begun = []
+        for number in range(self.size.streams):
+            run = stream_run.StreamRun(
+                _routed(number), SilentResponder(), self.shared
+            )
+            run.begin()
+            assert run.attempt is not None
+            head = relayed.ForwardedHead(200, (), True, False, "")
+            run.attempt.on_head(head)
+            begun.append(run)
+        return begun
+
+
+def _routed(number: int) -> runs.RoutedRequest:
+    request = relayed.RelayedRequest(
+        f"r{number}", "POST", "h", "/", "/", (), b"", 1e6, "", "", 774, 200, 126
+    )
+    route = model_routes.Route(
+        name="chat",
+        host="h",
+        prefix="/",
+        repeat=model_routes.RepeatRule.STREAM,
+        timeout_s=1e6,
+        objective_s=0.5,
+        event_gap_s=0.2,
+        priority=1,
+        shares=(model_routes.ServiceShare(SERVICE, 1.0),),
+        max_attempts=2,
+        public=True,
+        resumable=True,
+    )
+    return runs.RoutedRequest(request, route, SERVICE, "", 1, 1)
+
+
+def timed(work: Callable[[], object]) -> float:
+    """Returns the processor time of some work, in seconds."""
+    start = time.process_time()
+    work()
+    return time.process_time() - start
+
+
+def per_arrival(node: MeasuredNode) -> dict[str, float]:
+    """Measures the choice of a path, over kept paths and searched anew."""
+    node.choose()
+    kept = []
+    for _ in range(ARRIVALS):
+        node.paths.cached[SERVICE].at = node.clock.monotonic()
+        kept.append(timed(node.choose))
+    searched = []
+    for _ in range(SEARCHES):
+        node.paths.cached.clear()
+        searched.append(timed(node.choose))
+    return {
+        "arrival_us": statistics.median(kept) * US,
+        "search_ms": statistics.median(searched) * MS,
+    }
+
+
+def per_event(
+    node: MeasuredNode, streams: list[stream_run.StreamRun]
+) -> dict[str, float]:
+    """Measures an event of a stream, and a look at all streams."""
+    costs = []
+    for number in range(1, EVENTS // len(streams) + 1):
+        event = f"id: {number}\ndata: {'x' * 100}\n\n".encode()
+        for run in streams:
+            assert run.attempt is not None
+            costs.append(timed(lambda a=run.attempt, e=event: a.on_data(e)))  # type: ignore[misc]
+    looks = []
+    for _ in range(LOOKS):
+        now = asyncio.get_running_loop().time()
+        for run in streams:
+            assert run.attempt is not None
+            run.attempt.active_at = now
+        node.watch.ask_again_at = 0.0
+        looks.append(timed(node.watch.look_at_all))
+    return {
+        "event_us": statistics.median(costs) * US,
+        "look_us": statistics.median(looks) * US,
+    }
+
+
+def per_change(node: MeasuredNode) -> dict[str, float]:
+    """Measures rows that say nothing new, and a change of one engine."""
+    count = len(node.engines)
+    same = [timed(lambda n=n: node.tell(n)) for n in range(count)]  # type: ignore[misc]
+    changed = []
+    for number in range(SEARCHES):
+        for state in ("draining", "ready"):
+            node.tell(number % count, state)
+            changed.append(timed(node.choose))
+    return {
+        "row_us": statistics.median(same) * US,
+        "change_ms": statistics.median(changed) * MS,
+    }
+
+
+async def per_fault(
+    node: MeasuredNode, streams: list[stream_run.StreamRun]
+) -> dict[str, float]:
+    """Measures the loss of the engine that most streams use, all moved."""
+    costs, moved = [], 0
+    for _ in range(FAULTS):
+        used: dict[str, int] = {}
+        for run in streams:
+            if run.attempt is not None:
+                for part in run.attempt.path[1:]:
+                    used[part.instance] = used.get(part.instance, 0) + 1
+        lost = max(sorted(used), key=lambda instance: used[instance])
+        moved += used[lost]
+        start = time.process_time()
+        node.watch.moves.engine_lost(lost, engine_book.Suspicion.GONE)
+        while len(node.watch.work):
+            await asyncio.sleep(0)
+        node.choose()
+        costs.append(time.process_time() - start)
+        node.book.trust(lost)
+    return {
+        "fault_ms": statistics.median(costs) * MS,
+        "moved_by_a_fault": moved / FAULTS,
+    }
+
+
+def per_plan(node: MeasuredNode) -> dict[str, float]:
+    """Measures the lease holder's plans: at rest, and after a loss."""
+    spec = node.view().spec
+
+    def plan(engines: list[layer_holdings.PlannedEngine]) -> float:
+        return statistics.median(
+            timed(lambda: layer_plan.plan_orders(engines, spec))
+            for _ in range(PLANS)
+        )
+
+    return {
+        "plan_ms": plan(node.engines) * MS,
+        "plan_after_loss_ms": plan(node.engines[1:]) * MS,
+    }
+
+
+async def measure(size: Size) -> dict[str, float]:
+    """Measures all paths of decision at one size."""
+    node = MeasuredNode(size)
+    streams = node.streams()
+    found = per_arrival(node)
+    found.update(per_event(node, streams))
+    found.update(per_change(node))
+    found.update(await per_fault(node, streams))
+    found.update(per_plan(node))
+    for run in streams:
+        run.close()
+    return {name: round(value, 2) for name, value in found.items()}
+
+
+def least(rounds: list[dict[str, float]]) -> dict[str, float]:
+    """Returns each figure's least value."""
+    return {name: min(found[name] for found in rounds) for name in rounds[0]}
+
+
+def main() -> list[dict[str, Any]]:
+    """Prints a line for each size."""
+    logging.getLogger("almondshift").addHandler(logging.NullHandler())
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--nodes", type=int, help="only this size")
+    parser.add_argument("--profile", action="store_true")
+    arguments = parser.parse_args()
+    lines = []
+    profile = cProfile.Profile()
+    for size in SIZES:
+        if arguments.nodes not in (None, size.nodes):
+            continue
+        if arguments.profile:
+            profile.enable()
+        found = least([asyncio.run(measure(size)) for _ in range(ROUNDS)])
+        profile.disable()
+        lines.append({**dataclasses.asdict(size), **found})
+        print(json.dumps(lines[-1]))
+    if arguments.profile:
+        pstats.Stats(profile).sort_stats("cumulative").print_stats(40)
+    return lines
+
+
+if __name__ == "__main__":
+    main()
