--- a/src/almondshift/node/completions.py
+++ b/src/almondshift/node/completions.py
@@ -10,7 +10,7 @@
 import expression
 
 from almondshift import errors
-from almondshift.coordination import quarantine
+from almondshift.coordination import quarantine_verdicts
 from almondshift.node import pipeline
 from almondshift.node import refusals
 from almondshift.policy import actions
@@ -185,7 +185,7 @@
 
 def _fingerprint(request: completions.CompletionRequest) -> str:
     content = struct.pack(f"<{len(request.prompt)}Q", *request.prompt)
-    return quarantine.fingerprint_of(request.service, content)
+    return quarantine_verdicts.fingerprint_of(request.service, content)
 
 
 def _arrival(
--- a/src/almondshift/node/crash_guard.py
+++ b/src/almondshift/node/crash_guard.py
@@ -21,6 +21,7 @@
 from almondshift import errors
 from almondshift import log_events
 from almondshift.coordination import quarantine as quarantines
+from almondshift.coordination import quarantine_verdicts
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -84,10 +85,10 @@
 
         Args:
             request_id: The request; ``forget`` has to follow.
-            fingerprint: From ``quarantine.fingerprint_of``.
+            fingerprint: From ``quarantine_verdicts.fingerprint_of``.
         """
         verdict = self.quarantine.may_run(fingerprint)
-        if verdict.kind is quarantines.VerdictKind.REFUSED:
+        if verdict.kind is quarantine_verdicts.VerdictKind.REFUSED:
             return expression.Error(_refusal(verdict))
         self._fingerprints[request_id] = fingerprint
         return expression.Ok(None)
@@ -169,7 +170,7 @@
             verdict = self.quarantine.may_run(fingerprint)
             if verdict.convicted:
                 return expression.Error(self._convicted(request_id, verdict))
-            if verdict.kind is not quarantines.VerdictKind.REFUSED:
+            if verdict.kind is not quarantine_verdicts.VerdictKind.REFUSED:
                 break
             await self.clock.sleep(min(verdict.retry_after_s, LOOK_AROUND_S))
         verdict = self.quarantine.may_run(fingerprint)
@@ -206,7 +207,7 @@
         await asyncio.gather(*(self._crashed(name) for name in names))
 
     def _convicted(
-        self, request_id: str, verdict: quarantines.Verdict
+        self, request_id: str, verdict: quarantine_verdicts.Verdict
     ) -> errors.Quarantined:
         log_events.emit(
             logger,
@@ -308,7 +309,7 @@
     )
 
 
-def _refusal(verdict: quarantines.Verdict) -> errors.Quarantined:
+def _refusal(verdict: quarantine_verdicts.Verdict) -> errors.Quarantined:
     if verdict.convicted:
         detail = "This request crashed two endpoints."
     else:
--- a/src/almondshift/node/plain_calls.py
+++ b/src/almondshift/node/plain_calls.py
@@ -9,7 +9,7 @@
 import expression
 
 from almondshift import errors
-from almondshift.coordination import quarantine
+from almondshift.coordination import quarantine_verdicts
 from almondshift.node import refusals
 from almondshift.policy import actions
 from almondshift.policy import events
@@ -181,7 +181,7 @@
 
 def _fingerprint(request: gateway.PlainRequest) -> str:
     content = f"{request.method} {request.path}\n".encode() + request.body
-    return quarantine.fingerprint_of(request.service, content)
+    return quarantine_verdicts.fingerprint_of(request.service, content)
 
 
 def _may_repeat(error: errors.AlmondshiftError, idempotent: bool) -> bool:
--- a/tests/coordination/crashing.py
+++ b/tests/coordination/crashing.py
@@ -10,6 +10,7 @@
 
 from almondshift.coordination import quarantine
 from almondshift.coordination import quarantine_trials
+from almondshift.coordination import quarantine_verdicts
 from almondshift.ports import peers
 from tests.coordination import network
 from tests.coordination import tables
@@ -139,9 +140,9 @@
             verdict = state.may_run(name)
             if verdict.convicted:
                 return "convicted"
-            if verdict.kind is quarantine.VerdictKind.REFUSED:
+            if verdict.kind is quarantine_verdicts.VerdictKind.REFUSED:
                 await self.clock.sleep(verdict.retry_after_s)
-            elif verdict.kind is quarantine.VerdictKind.ALONE:
+            elif verdict.kind is quarantine_verdicts.VerdictKind.ALONE:
                 if await self.run_alone(node, name):
                     return "answered"
             elif await self.run_free(node, name):
--- a/tests/coordination/test_quarantine.py
+++ b/tests/coordination/test_quarantine.py
@@ -12,6 +12,7 @@
 from almondshift import errors
 from almondshift.coordination import quarantine
 from almondshift.coordination import quarantine_trials
+from almondshift.coordination import quarantine_verdicts
 from almondshift.ports import peers
 from tests.coordination import crashing
 from tests.coordination import network
@@ -23,7 +24,7 @@
 
 NODES = ["n0", "n1", "n2"]
 POISON = crashing.POISON
-CONVICTION_S = quarantine.QuarantineSettings().conviction_s
+CONVICTION_S = quarantine_verdicts.QuarantineSettings().conviction_s
 
 
 @pytest.mark.parametrize("seed", range(8))
@@ -154,7 +155,7 @@
             self.state.in_flight(endpoint, name)
         self.state.crashed(endpoint, self.clock.now, zone)
 
-    def verdict(self, name: str) -> quarantine.VerdictKind:
+    def verdict(self, name: str) -> quarantine_verdicts.VerdictKind:
         return self.state.may_run(name).kind
 
 
@@ -189,7 +190,7 @@
 
 def conviction_expired(harness: Harness) -> None:
     twice(harness)
-    assert harness.verdict("f") is quarantine.VerdictKind.REFUSED
+    assert harness.verdict("f") is quarantine_verdicts.VerdictKind.REFUSED
     harness.clock.now += 1_801.0
 
 
@@ -290,14 +291,14 @@
     key = f"{subject}/f/n1"
     fact = peers.Fact(peers.FactKind.QUARANTINE, key, 1, "n1", 60.0, value)
     harness.state.merge(key, fact)
-    assert harness.verdict("f") is quarantine.VerdictKind.FREE
+    assert harness.verdict("f") is quarantine_verdicts.VerdictKind.FREE
 
 
 def test_fingerprint_separates_service_and_content() -> None:
     fingerprints = {
-        quarantine.fingerprint_of("a", b"bc"),
-        quarantine.fingerprint_of("ab", b"c"),
-        quarantine.fingerprint_of("a", b"bd"),
+        quarantine_verdicts.fingerprint_of("a", b"bc"),
+        quarantine_verdicts.fingerprint_of("ab", b"c"),
+        quarantine_verdicts.fingerprint_of("a", b"bd"),
     }
     assert len(fingerprints) == 3
 
@@ -369,7 +370,7 @@
         await system.clock.advance(3.1)
         await finish
         assert not system.table.rows
-        assert state.may_run("f").kind is quarantine.VerdictKind.ALONE
+        assert state.may_run("f").kind is quarantine_verdicts.VerdictKind.ALONE
         await system.close()
 
     asyncio.run(scenario())
