Move routed requests to the model

relay's crash_watch needed runs only for the class of a routed request, and runs needs the context, which needs crash_watch: a circle of three. A request with what the configuration says of it is plain data and stands in model/routed_requests.py now. No behaviour changes; tests are untouched.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -30,6 +30,7 @@
 
 from almondshift.adapters import system_clock
 from almondshift.model import relayed
+from almondshift.model import routed_requests
 from almondshift.model import routes as model_routes
 from almondshift.platform import decode
 from almondshift.policy import engine_book
@@ -42,7 +43,6 @@
 from almondshift.relay import catalogue
 from almondshift.relay import context
 from almondshift.relay import observer
-from almondshift.relay import runs
 from almondshift.relay import silence_watch
 from almondshift.relay import stream_run
 
@@ -297,7 +297,7 @@
         return begun
 
 
-def _routed(number: int) -> runs.RoutedRequest:
+def _routed(number: int) -> routed_requests.RoutedRequest:
     request = relayed.RelayedRequest(
         f"r{number}", "POST", "h", "/", "/", (), b"", 1e6, "", "", 774, 200, 126
     )
@@ -315,7 +315,7 @@
         public=True,
         resumable=True,
     )
-    return runs.RoutedRequest(request, route, SERVICE, "", 1, 1)
+    return routed_requests.RoutedRequest(request, route, SERVICE, "", 1, 1)
 
 
 def timed(work: Callable[[], object]) -> float:
--- a/src/almondshift/relay/crash_watch.py
+++ b/src/almondshift/relay/crash_watch.py
@@ -20,10 +20,10 @@
 from almondshift.policy import crash_strikes
 
 if TYPE_CHECKING:
+    from almondshift.model import routed_requests
     from almondshift.ports import clocks
     from almondshift.ports import peers
     from almondshift.relay import group as relay_group
-    from almondshift.relay import runs
 
 FINGERPRINT_BYTES = 8
 """Two of a million requests share a fingerprint once in thirty million days
@@ -67,7 +67,7 @@
         self.group = joined
         joined.on_told(self.take_fact)
 
-    def check(self, routed: runs.RoutedRequest) -> None:
+    def check(self, routed: routed_requests.RoutedRequest) -> None:
         """Lets a request pass.
 
         Raises:
@@ -81,7 +81,7 @@
                 retry_after_s=RETRY_AFTER_S,
             )
 
-    def is_refused(self, routed: runs.RoutedRequest) -> bool:
+    def is_refused(self, routed: routed_requests.RoutedRequest) -> bool:
         """Returns whether a request may reach no endpoint any more."""
         if not self.strikes.strikes:
             return False
@@ -89,7 +89,7 @@
         return self.strikes.is_refused(fingerprint_of(routed), now)
 
     def note_broken(
-        self, routed: runs.RoutedRequest, sends: int, instance: str
+        self, routed: routed_requests.RoutedRequest, sends: int, instance: str
     ) -> None:
         """Notes that an endpoint broke off while it ran a request.
 
@@ -102,7 +102,7 @@
         attempt = f"{routed.request.request_id}/{sends}"
         self.strikes.broke(fingerprint_of(routed), attempt, instance, now)
 
-    def note_answered(self, routed: runs.RoutedRequest) -> None:
+    def note_answered(self, routed: routed_requests.RoutedRequest) -> None:
         """Notes that an endpoint ran a request to a good end."""
         now = self.clock.monotonic()
         self.strikes.note_answered(fingerprint_of(routed), now)
@@ -169,7 +169,7 @@
             )
 
 
-def fingerprint_of(routed: runs.RoutedRequest) -> str:
+def fingerprint_of(routed: routed_requests.RoutedRequest) -> str:
     """Returns what a request has in common with its repeats."""
     request = routed.request
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
--- a/src/almondshift/relay/gateway.py
+++ b/src/almondshift/relay/gateway.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from almondshift import errors
+from almondshift.model import routed_requests
 from almondshift.model import routing_config
 from almondshift.ports import relays
 from almondshift.relay import background
@@ -163,7 +164,9 @@
         run.begin()
         return run
 
-    def route(self, request: relayed.RelayedRequest) -> runs.RoutedRequest:
+    def route(
+        self, request: relayed.RelayedRequest
+    ) -> routed_requests.RoutedRequest:
         """Decides route, account and service.
 
         Raises:
@@ -186,7 +189,7 @@
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
-        return runs.RoutedRequest(
+        return routed_requests.RoutedRequest(
             request=request,
             route=route,
             service=self.service(route),
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -14,6 +14,7 @@
     import asyncio
 
     from almondshift.model import registered_engines
+    from almondshift.model import routed_requests
     from almondshift.ports import relays
     from almondshift.relay import context
 
@@ -69,7 +70,7 @@
 
     def __init__(
         self,
-        routed: runs.RoutedRequest,
+        routed: routed_requests.RoutedRequest,
         responder: relays.Responder,
         shared: context.RelayContext,
     ) -> None:
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -4,7 +4,6 @@
 
 import abc
 import asyncio
-import dataclasses
 from typing import TYPE_CHECKING
 
 from almondshift import errors
@@ -12,8 +11,7 @@
 from almondshift.ports import relays
 
 if TYPE_CHECKING:
-    from almondshift.model import relayed
-    from almondshift.model import routes
+    from almondshift.model import routed_requests
     from almondshift.relay import context
 
 MAX_SENDS = 4
@@ -31,24 +29,6 @@
 GIVEN_UP = "given up"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RoutedRequest:
-    """A request with what was decided from the configuration.
-
-    Attributes:
-        account: Name of the client account; empty for none.
-        priority: 0 is the most urgent.
-        config_version: The configuration that decided.
-    """
-
-    request: relayed.RelayedRequest
-    route: routes.Route
-    service: str
-    account: str
-    priority: int
-    config_version: int
-
-
 class Run(relays.Relaying):
     """A request that is being served.
 
@@ -62,7 +42,7 @@
 
     def __init__(
         self,
-        routed: RoutedRequest,
+        routed: routed_requests.RoutedRequest,
         responder: relays.Responder,
         shared: context.RelayContext,
     ) -> None:
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     import asyncio
 
+    from almondshift.model import routed_requests
     from almondshift.policy import path_choice
     from almondshift.ports import relays
     from almondshift.relay import context
@@ -120,7 +121,7 @@
 
     def __init__(
         self,
-        routed: runs.RoutedRequest,
+        routed: routed_requests.RoutedRequest,
         responder: relays.Responder,
         shared: context.RelayContext,
     ) -> None:
