Let the relay's context know requests in service by their port

The context needed runs only for the type of the requests that have not ended, and runs needs the context. It names ports/relays.Relaying now, whose classes runs are. With it no module of relay imports itself by way of another; a script over all imports, those for types included, found a circle of three before and none in relay after (left: node.status and node.application, two pairs in the stand-ins).

--- a/src/almondshift/relay/context.py
+++ b/src/almondshift/relay/context.py
@@ -15,10 +15,10 @@
     from almondshift.policy import repeat_budget
     from almondshift.ports import clocks
     from almondshift.ports import path_engines
+    from almondshift.ports import relays
     from almondshift.relay import catalogue
     from almondshift.relay import crash_watch
     from almondshift.relay import observer
-    from almondshift.relay import runs
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,4 +43,4 @@
     crashes: crash_watch.CrashWatch
     observer: observer.RelayObserver
     registry_age_s: Callable[[], float]
-    running: set[runs.Run] = dataclasses.field(default_factory=set)
+    running: set[relays.Relaying] = dataclasses.field(default_factory=set)
