--- a/src/almondshift/ports/relays.py
+++ b/src/almondshift/ports/relays.py
@@ -58,6 +58,10 @@
     def caller_gone(self) -> None:
         """Stops the work: nobody waits for the answer any more."""
 
+    @abc.abstractmethod
+    def cut(self) -> None:
+        """Ends the request, since the node stops before it has ended."""
+
 
 class Relay(abc.ABC):
     """Serves requests."""
--- a/src/almondshift/relay/context.py
+++ b/src/almondshift/relay/context.py
@@ -16,11 +16,11 @@
     from almondshift.policy import repeat_budget
     from almondshift.ports import clocks
     from almondshift.ports import path_engines
+    from almondshift.ports import relays
     from almondshift.relay import catalogue
     from almondshift.relay import crash_watch
     from almondshift.relay import drain
     from almondshift.relay import observer
-    from almondshift.relay import runs
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,4 +47,4 @@
     times: answer_times.AnswerTimes
     drain: drain.NodeDrain
     registry_age_s: Callable[[], float]
-    running: set[runs.Run] = dataclasses.field(default_factory=set)
+    running: set[relays.Relaying] = dataclasses.field(default_factory=set)
--- a/src/almondshift/relay/gateway.py
+++ b/src/almondshift/relay/gateway.py
@@ -7,6 +7,7 @@
 
 from almondshift import errors
 from almondshift import log_events
+from almondshift.model import routed_requests
 from almondshift.model import routing_config
 from almondshift.ports import relays
 from almondshift.relay import background
@@ -52,6 +53,11 @@
         if self.run is not None:
             self.run.caller_gone()
 
+    def cut(self) -> None:
+        """Ends the run that followed, if there is one."""
+        if self.run is not None:
+            self.run.cut()
+
 
 class Gateway(relays.Relay):
     """Serves requests by the configuration in force.
@@ -176,7 +182,9 @@
         run.begin()
         return run
 
-    def route(self, request: relayed.RelayedRequest) -> runs.RoutedRequest:
+    def route(
+        self, request: relayed.RelayedRequest
+    ) -> routed_requests.RoutedRequest:
         """Decides route, account and service.
 
         Raises:
@@ -200,7 +208,7 @@
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
-        return runs.RoutedRequest(
+        return routed_requests.RoutedRequest(
             request=request,
             route=route,
             service=self.service(route),
--- a/tests/platform/test_fuzzed_borders.py
+++ b/tests/platform/test_fuzzed_borders.py
@@ -60,6 +60,9 @@
     def caller_gone(self) -> None:
         return
 
+    def cut(self) -> None:
+        return
+
 
 async def exchange(raw: bytes) -> tuple[RecordingRelay, bytes]:
     """Sends bytes to a front, then a proper request on a new connection."""
