--- a/tests/platform/test_cold_review.py
+++ b/tests/platform/test_cold_review.py
@@ -21,7 +21,10 @@
 from tests.platform import test_whole_system as whole
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from almondshift.relay import gateway as gateways
+    from tests.platform import standin_engines
 
 BIG_BYTES = 12_000_000
 SMALL_WINDOW = 16_384
@@ -395,3 +398,41 @@
         return listed
 
     assert not asyncio.run(scenario())
+
+
+def test_a_begun_stream_outlives_refusals_of_full_engines() -> None:
+    """A stream that was refused once and then ran for a while loses its engine.
+
+    All other engines are full for a moment and refuse it two times. That made
+    four sends with the refusal before it began, and its answer was broken
+    off at once, though its caller waits two seconds for the next event and
+    the engines had room before that. No stop was needed for it.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(zones="abc") as running:
+            sheds = iter([True, False, True, True])
+            for engine in running.engines.values():
+                shed_in_turn(engine, sheds)
+            status, _, body = await whole.chat(running, "r1")
+            assert (status, whole.tokens(body)) == (200, whole.WHOLE)
+
+    asyncio.run(scenario())
+
+
+def shed_in_turn(
+    engine: standin_engines.StandinEngine, sheds: Iterator[bool]
+) -> None:
+    """Lets an engine refuse a send, or break a stream after five events."""
+    runs = engine.refusal
+
+    def refusal(path: list[tuple[str, int, int]]) -> tuple[int, str]:
+        engine.cut_after = -1
+        is_shed = next(sheds, None)
+        if is_shed:
+            return 503, engine.address
+        if is_shed is False:
+            engine.cut_after = 5
+        return runs(path)
+
+    engine.refusal = refusal  # type: ignore[method-assign]
