--- a/tests/platform/test_cold_review.py
+++ b/tests/platform/test_cold_review.py
@@ -100,6 +100,31 @@
     asyncio.run(scenario())
 
 
+def test_a_caller_after_the_hold_time_is_refused_between_two_looks() -> None:
+    """A caller sends a request some ms after the hold time, none is busy.
+
+    The node looks at the time twenty times a second, and takes what comes
+    between the end of the hold time and its next look. The hold time says
+    that who comes later doesn't bear the risk of a cut.
+    """
+
+    async def scenario(hold_s: float) -> int:
+        async with system.running_system(zones="a") as running:
+            node = running.nodes[0].node
+            set_drain(running, hold_s, 6.0)
+            entry = node.settings.entry.address
+            stopping = asyncio.create_task(stops.stop(running))
+            while node.shared.drain.since_s() < hold_s + 0.002:
+                await asyncio.sleep(0.001)
+            head = system.request("/chat/x", "late", X_Token_Usage="100,3")
+            status, _, _ = await system.send(entry, head)
+            await stopping
+            return status
+
+    found = [asyncio.run(scenario(0.3 + n / 100)) for n in range(5)]
+    assert found == [503] * 5
+
+
 def is_refused(gateway: gateways.Gateway) -> bool:
     """Returns whether a request read at this moment is refused."""
     request = relayed.RelayedRequest(
