Estimate answers of a stop also from those that have not ended

Cause: only whole answers were noted. Under a crowd that grows, the ones that end are the short ones.

Change: answers that run longer already than the percentile join it; they can only raise it. Without answers a crowd's percentile is assumed (0.02 s a token).

The figure assumed for few answers was 3 s whatever the length; its test now expects 4 s for 100 tokens, as strict. Left: callers who went, and answers that were cut, are not noted.

--- a/src/almondshift/policy/answer_times.py
+++ b/src/almondshift/policy/answer_times.py
@@ -19,6 +19,11 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 KEPT = 100
 """Answers remembered for each service: with a dozen a second they tell of the
@@ -27,8 +32,9 @@
 FEWEST = 10
 """Answers below which a percentile says nothing."""
 
-UNKNOWN_S = 3.0
-"""Assumed until so many were given: what a stream takes in quiet times."""
+UNKNOWN_S_PER_TOKEN = 0.02
+"""Assumed until so many were given: the percentile of a crowd. A node that has
+just started does not know whether there is one."""
 
 EQUAL_TOKENS = 100.0
 """Added to the tokens of each answer, for its wait until it begins and for
@@ -40,6 +46,23 @@
 is not cut costs some eight callers a second try elsewhere."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnfinishedAnswer:
+    """An answer that is being given.
+
+    Attributes:
+        tokens: How long it is expected to be.
+        seconds: Since its request arrived.
+    """
+
+    tokens: float
+    seconds: float
+
+    def rate(self) -> float:
+        """Returns its seconds per token so far."""
+        return self.seconds / (self.tokens + EQUAL_TOKENS)
+
+
 class AnswerTimes:
     """Durations of the last answers of each service.
 
@@ -64,13 +87,33 @@
             self.seconds_per_token[service] = kept
         kept.append(seconds / (tokens + EQUAL_TOKENS))
 
-    def expected_s(self, service: str, tokens: float) -> float:
-        """Returns in how many seconds an answer will most likely be whole."""
-        kept = self.seconds_per_token.get(service, ())
-        if len(kept) < FEWEST:
-            return UNKNOWN_S
-        high = sorted(kept)[int(PERCENTILE * len(kept))]
-        return high * (tokens + EQUAL_TOKENS)
+    def expected_s(
+        self,
+        service: str,
+        tokens: float,
+        unfinished: Sequence[UnfinishedAnswer] = (),
+    ) -> float:
+        """Returns in how many seconds an answer will most likely be whole.
+
+        Args:
+            service: What gives it.
+            tokens: How long it is expected to be.
+            unfinished: Answers of the service that are being given. Those
+                that took longer already than such answers most likely do
+                show a crowd before any of its answers has ended; the others
+                say nothing yet.
+        """
+        kept = list(self.seconds_per_token.get(service, ()))
+        high = high_rate(kept)
+        longer = [rate for a in unfinished if (rate := a.rate()) > high]
+        return high_rate(kept + longer) * (tokens + EQUAL_TOKENS)
+
+
+def high_rate(rates: Sequence[float]) -> float:
+    """Returns the percentile of seconds per token, or what is assumed."""
+    if len(rates) < FEWEST:
+        return UNKNOWN_S_PER_TOKEN
+    return sorted(rates)[int(PERCENTILE * len(rates))]
 
 
 def create_answer_times() -> AnswerTimes:
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -8,6 +8,7 @@
 
 from almondshift import errors
 from almondshift import log_events
+from almondshift.policy import answer_times
 from almondshift.ports import relays
 
 if TYPE_CHECKING:
@@ -105,8 +106,14 @@
         left_s = self.shared.drain.left_s()
         if self.deadline_at - self.loop.time() <= left_s:
             return True
+        unfinished = [
+            answer_times.UnfinishedAnswer(run.length(), run.elapsed_s())
+            for run in self.shared.running
+            if isinstance(run, Run)
+            and run.routed.service == self.routed.service
+        ]
         expected_s = self.shared.times.expected_s(
-            self.routed.service, self.length()
+            self.routed.service, self.length(), unfinished
         )
         return expected_s <= left_s
 
