Let a stop wait for callers in the middle of a message

Cause: the stop looked at what the relay runs. An answer leaves that list when it is handed to the connection, a request joins it when it is whole.

Change: the front tells whether a message is half read or half written, and the stop ends early only when none is.

--- a/src/almondshift/daemons/relay.py
+++ b/src/almondshift/daemons/relay.py
@@ -82,6 +82,7 @@
         self.front = front.create_front(
             relay, entry.address, limits.idle_timeout_s, limits.header_bytes
         )
+        self.node.is_front_idle = self.front.is_idle
         self.node.catalogue.on_config.append(self.limit_callers)
         self.listeners = [
             front.create_directory(relay, address, entry.directory_hold_s)
--- a/src/almondshift/platform/front.py
+++ b/src/almondshift/platform/front.py
@@ -125,10 +125,12 @@
         relay: relays.Relay,
         connection: http1connection.HTTP1Connection,
         opened_at: float,
+        half_read: weakref.WeakSet[RequestReader],
     ) -> None:
         self.relay = relay
         self.connection = connection
         self.opened_at = opened_at
+        self.half_read = half_read
         self.start_line: httputil.RequestStartLine | None = None
         self.headers: httputil.HTTPHeaders | None = None
         self.parts: list[bytes] = []
@@ -143,6 +145,7 @@
         assert isinstance(start_line, httputil.RequestStartLine)
         self.start_line = start_line
         self.headers = headers
+        self.half_read.add(self)
         limits = self.relay.limits()
         self.connection.set_max_body_size(limits.body_bytes)
 
@@ -153,6 +156,7 @@
     def finish(self) -> None:
         """Hands the whole request on."""
         assert self.start_line is not None and self.headers is not None
+        self.half_read.discard(self)
         request_id = self.headers.get(names.REQUEST_ID, "")
         responder = ConnectionResponder(
             self.connection, request_id, self.start_line.method != "HEAD"
@@ -173,6 +177,7 @@
 
     def on_connection_close(self) -> None:
         """Stops the work for a caller that left."""
+        self.half_read.discard(self)
         if self.relaying is not None:
             self.relaying.caller_gone()
 
@@ -182,12 +187,25 @@
 
     Attributes:
         opened_at: When each open connection was accepted.
+        half_read: Readers whose requests are not whole.
     """
 
     def __init__(self, relay: relays.Relay) -> None:
         self.relay = relay
-        self.opened_at: weakref.WeakKeyDictionary[object, float] = (
-            weakref.WeakKeyDictionary()
+        self.opened_at: weakref.WeakKeyDictionary[
+            http1connection.HTTP1ServerConnection, float
+        ] = weakref.WeakKeyDictionary()
+        self.half_read: weakref.WeakSet[RequestReader] = weakref.WeakSet()
+
+    def is_idle(self) -> bool:
+        """Returns whether no caller is in the middle of a message.
+
+        An answer is whole for the relay as soon as it is handed over, though
+        a slow caller may have most of it to read yet; a request is nothing
+        to the relay until its body is whole. Closing would cut both.
+        """
+        return not self.half_read and not any(
+            connection.stream.writing() for connection in self.opened_at
         )
 
     def start_request(
@@ -195,8 +213,11 @@
     ) -> httputil.HTTPMessageDelegate:
         """Returns the reader of a request."""
         assert isinstance(request_conn, http1connection.HTTP1Connection)
+        assert isinstance(server_conn, http1connection.HTTP1ServerConnection)
         opened_at = self.opened_at.setdefault(server_conn, time.monotonic())
-        return RequestReader(self.relay, request_conn, opened_at)
+        return RequestReader(
+            self.relay, request_conn, opened_at, self.half_read
+        )
 
 
 class Directory:
@@ -226,13 +247,29 @@
         )
 
 
+class Front(http_listener.Listener):
+    """The listener for callers' requests."""
+
+    def __init__(
+        self,
+        address: str,
+        delegate: FrontDelegate,
+        idle_s: float,
+        header_bytes: int,
+    ) -> None:
+        super().__init__(address, delegate, idle_s, header_bytes)
+        self.delegate = delegate
+
+    def is_idle(self) -> bool:
+        """Returns whether no caller is in the middle of a message."""
+        return self.delegate.is_idle()
+
+
 def create_front(
     relay: relays.Relay, address: str, idle_s: float, header_bytes: int
-) -> http_listener.Listener:
+) -> Front:
     """Creates the listener for callers' requests."""
-    return http_listener.Listener(
-        address, FrontDelegate(relay), idle_s, header_bytes
-    )
+    return Front(address, FrontDelegate(relay), idle_s, header_bytes)
 
 
 def create_directory(
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -125,6 +125,8 @@
     Attributes:
         gateway: Takes callers' requests.
         shared: What all requests use.
+        is_front_idle: Returns whether no caller is in the middle of a
+            message; a stop waits for that.
     """
 
     def __init__(
@@ -182,6 +184,7 @@
         self.size = group_size.GroupSize(ports.clock.monotonic())
         self.work = background.Background()
         self.woke_at = ports.clock.monotonic()
+        self.is_front_idle: Callable[[], bool] = lambda: True
         self.wire()
 
     def wire(self) -> None:
@@ -392,7 +395,11 @@
         denied run nowhere yet; a node that ended without a look at them
         closed their connections in silence.
         """
-        return not self.shared.running and not self.gateway.work
+        return (
+            not self.shared.running
+            and not self.gateway.work
+            and self.is_front_idle()
+        )
 
     def _watch(self, table: str) -> table_watch.TableWatch:
         return table_watch.create_table_watch(
