Tell peers of a stop also when it began before they were met

Cause: a stop tells the peers that are known when it begins; a node whose store answered only then joined them as one that stays. Change: a node that joins during its stop says so at once.

--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -258,6 +258,10 @@
         await self.rows.peer_addresses()
         await joined.start()
         self.group = joined
+        if self.shared.drain.is_begun:
+            # The stop began before there was anybody to tell. Peers took a
+            # node that joins for one that stays, and sent callers to it.
+            await members.announce_leaving()
         self.note_group(joined)
         self.gateway.group = joined
         self.work.run(self.sweep_rows(joined))
