Repeat nothing at a stop that could not be answered before its end

Cause: the look at the time that is left stands before the first send only; what may have run is sent on without it, rightly if the endpoint is lost, wrongly if a node has just lost patience with it. Change: patience asks for the time too. Another test expected the second run (two runs of a request that is cut at the end): it was this fault, and now expects one run.

--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -139,6 +139,10 @@
         attempt = self.attempt
         if attempt is None or self.ended or attempt.over:
             return
+        if not self.can_end_in_time():
+            # This node stops before a repeat would be answered; the first
+            # endpoint, which has had its second, may answer yet.
+            return
         if not self.untried() or not self.may_repeat_after(False):
             return
         self.note_failed(
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -81,12 +81,10 @@
 
 
 @pytest.mark.parametrize(
-    ("path", "kind", "runs"),
-    [("/once/x", "outcome_unknown", 1), ("/look/x", "upstream_failed", 2)],
+    ("path", "kind"),
+    [("/once/x", "outcome_unknown"), ("/look/x", "upstream_failed")],
 )
-def test_what_can_not_end_gets_a_final_answer(
-    path: str, kind: str, runs: int
-) -> None:
+def test_what_can_not_end_gets_a_final_answer(path: str, kind: str) -> None:
     """A caller must hear what became of its order, also from a node that goes.
 
     An endpoint sits on a request; the node that sent it is asked to stop and
@@ -107,7 +105,7 @@
             status, _, body = await held
             assert status == 502
             assert json.loads(body)["kind"] == kind
-            assert whole.times_run(running, "held") == runs
+            assert whole.times_run(running, "held") == 1
 
     asyncio.run(scenario())
 
