Tell callers of answers in flight that their node leaves

Cause: the server decides whether to keep a connection when it has read a request. Change: the head of each answer says Connection: close once the node leaves.

--- a/src/almondshift/platform/front.py
+++ b/src/almondshift/platform/front.py
@@ -108,6 +108,11 @@
         self.head_sent = True
         reason = http_listener.reason_of(status)
         line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        if self.connection.params.no_keep_alive:
+            # The server has decided when it read the request, perhaps before
+            # this node was asked to stop. Callers that kept the connection
+            # sent their next request to a node that was about to end.
+            fields["Connection"] = "close"
         if not self.connection.stream.closed():
             # The server turns Nagle's algorithm on again after each answer;
             # with it an event would wait for the one before to be acked.
