Refuse what waits for the store when the grace time ends

Cause: requests that wait for their denial to be confirmed were no part of what the end of a stop ends. Change: they are among what runs until they have an answer; at the end they are refused as not run. The stop needs no look of its own at them any more.

--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -393,17 +393,8 @@
         )
 
     def is_idle(self) -> bool:
-        """Returns whether no caller waits for an answer of this node.
-
-        Requests that wait for the store to confirm that they are to be
-        denied run nowhere yet; a node that ended without a look at them
-        closed their connections in silence.
-        """
-        return (
-            not self.shared.running
-            and not self.gateway.work
-            and self.is_front_idle()
-        )
+        """Returns whether no caller waits for an answer of this node."""
+        return not self.shared.running and self.is_front_idle()
 
     def _watch(self, table: str) -> table_watch.TableWatch:
         return table_watch.create_table_watch(
--- a/src/almondshift/relay/gateway.py
+++ b/src/almondshift/relay/gateway.py
@@ -41,9 +41,14 @@
 
 
 class Denied(relays.Relaying):
-    """A request that waits for the store to confirm what is known."""
+    """A request that waits for the store to confirm what is known.
 
-    def __init__(self) -> None:
+    Attributes:
+        gone: Whether its caller left, or has its answer.
+    """
+
+    def __init__(self, refuse: Callable[[], None]) -> None:
+        self.refuse = refuse
         self.gone = False
         self.run: relays.Relaying | None = None
 
@@ -54,9 +59,20 @@
             self.run.caller_gone()
 
     def cut(self) -> None:
-        """Ends the run that followed, if there is one."""
-        if self.run is not None:
-            self.run.cut()
+        """Refuses the request, which ran nowhere yet."""
+        if self.run is None and not self.gone:
+            self.gone = True
+            self.refuse()
+
+
+class Refused(relays.Relaying):
+    """A request that has its answer."""
+
+    def caller_gone(self) -> None:
+        """Does nothing: there is no work to stop."""
+
+    def cut(self) -> None:
+        """Does nothing: it has ended."""
 
 
 class Gateway(relays.Relay):
@@ -114,12 +130,13 @@
         try:
             return self.serve(request, responder)
         except (errors.MissingKey, errors.WrongKey, errors.UnknownService):
-            denied = Denied()
+            denied = Denied(lambda: self.refuse(responder, leaving()))
+            self.shared.running.add(denied)
             self.work.run(self.confirm_denial(request, responder, denied))
             return denied
         except errors.AlmondshiftError as error:
             self.refuse(responder, error)
-            return Denied()
+            return Refused()
 
     def note_late(self, request: relayed.RelayedRequest) -> None:
         """Logs how a caller came to a node that takes leave."""
@@ -150,6 +167,8 @@
                 is_current = await self.config_watch.confirm(DENY_AGE_S)
         except TimeoutError:
             is_current = False
+        finally:
+            self.shared.running.discard(denied)
         if denied.gone:
             return
         try:
@@ -199,10 +218,7 @@
                 retry_after_s=STARTING_RETRY_S,
             )
         if self.shared.drain.refuses_new():
-            raise errors.NodeLeaving(
-                "This node is shutting down.",
-                retry_after_s=runs.LEAVING_RETRY_S,
-            )
+            raise leaving()
         route = config.table.find(request.host, request.path)
         if route is None:
             raise errors.UnknownService("No route leads from this path.")
@@ -249,6 +265,13 @@
         return self.shared.rng.choices(shares, weights)[0].service
 
 
+def leaving() -> errors.AlmondshiftError:
+    """Returns the refusal of a node that takes leave."""
+    return errors.NodeLeaving(
+        "This node is shutting down.", retry_after_s=runs.LEAVING_RETRY_S
+    )
+
+
 def out_of_date() -> errors.AlmondshiftError:
     """Returns the refusal of a node whose configuration may be old."""
     return errors.ServiceNotReady(
