Call a stream that all engines refused not run, with 503

Callers saw 502 for streams that two or more full engines had refused as not run. 502 promises nothing, so that they did not come back. Cause: each send sets 'may have run'; only the refusal of the first send took that back. Plain requests did not have the fault. Ruled out: engines that began to run them. Change: a refusal leaves the belief as it was before that send. What broke off once is still never called not run, also when the next engine refuses.

--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -44,6 +44,7 @@
 
     Attributes:
         active_at: Loop time of the last sign of life.
+        ran_before: Whether an earlier send may have run.
         stream: Whether the answer is the stream that was asked for.
         moving: Whether an order to move it is on its way.
     """
@@ -52,6 +53,7 @@
         self.run = run
         self.path = chosen.path
         self.used = chosen.used
+        self.ran_before = run.may_have_run
         self.sent_at = run.loop.time()
         self.active_at = self.sent_at
         self.head: relayed.ForwardedHead | None = None
@@ -310,9 +312,14 @@
     def go_on(
         self, attempt: StreamAttempt, reason: str, is_not_run: bool
     ) -> None:
-        """Sends the request over another path if that is allowed."""
-        if is_not_run and self.ran_on == 0 and self.sends == 1:
-            self.may_have_run = False
+        """Sends the request over another path if that is allowed.
+
+        A refusal leaves it as it was before that send. Were a request that
+        several engines refused taken for one that may have run, its caller
+        would get 502, which promises nothing, and would not come back.
+        """
+        if is_not_run:
+            self.may_have_run = attempt.ran_before
         if not is_not_run and not self.shared.book.is_suspect(
             attempt.first.instance
         ):
--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -54,6 +54,7 @@
         events: Length of a stream.
         gap_s: Pause between events.
         is_dead: Nothing that it does goes on; connections stay open.
+        is_full: It refuses all new work for want of memory.
         cut_after: A stream's connection is cut after so many events.
         status: Status that plain requests get.
         crashing_body: A request with it crashes the engine; empty for none.
@@ -77,6 +78,7 @@
         self.events = 20
         self.gap_s = 0.01
         self.is_dead = False
+        self.is_full = False
         self.cut_after = -1
         self.status = 200
         self.hold_s = 0.0
@@ -161,7 +163,7 @@
         """Returns status and address at fault; 0 if the path can run."""
         for address, start, end in path:
             other = self.world.engines.get(address)
-            if other is None or other.is_dead:
+            if other is None or other.is_dead or other.is_full:
                 return 503, address
             held = other.layers
             if held is None or start < held[0] or end > held[1]:
