Let a begun stream wait for room when refusals used up its sends

Callers saw begun streams broken off within 20 ms of their engine's end. Cause: four sends in all end a request, and refusals that ran nothing count as sends. On a node 0.7 to 1.7 s old the small first budget of repeats was used up by refusals of new requests, with the same end after one break (32 requests, 9 repeats of which 8 refusals, 9.6 allowed). Ruled out: too many live engines that ran it (that still ends a stream). Change: a begun stream that may go on looks again each 0.15 s, within the budget, until its caller would leave; the log says 'waits for room'. A new request is refused at once as before.

--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -28,6 +28,7 @@
 
 ANSWERED = "ok"
 SENT_ELSEWHERE = "sent elsewhere"
+WAITS = "waits for room"
 GIVEN_UP = "given up"
 
 
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Callable
 
     from almondshift.policy import path_choice
     from almondshift.ports import relays
@@ -163,11 +164,43 @@
         if not self.responder.head_sent:
             self.refuse_full("No path with room runs all layers now.")
             return
+        self.look_later(self.begin)
+
+    def look_later(self, look: Callable[[], None]) -> None:
+        """Looks for a path again in a moment, while the caller waits."""
         waited_s = self.loop.time() - self.progress_at
         if waited_s + RESUME_RETRY_S >= CALLER_PATIENCE_S:
             self.refuse(errors.UpstreamFailed("No path can go on with it."))
             return
-        self.retry = self.loop.call_later(RESUME_RETRY_S, self.begin)
+        self.retry = self.loop.call_later(RESUME_RETRY_S, look)
+
+    def look_again(self) -> None:
+        """Sends a begun stream once more as soon as repeats may be sent."""
+        if self.ended:
+            return
+        if self.shared.budget.spend(
+            self.routed.service, self.shared.clock.monotonic()
+        ):
+            self.begin()
+        else:
+            self.look_later(self.look_again)
+
+    def may_wait(self, is_not_run: bool) -> bool:
+        """Returns whether a begun stream may go on when there is room.
+
+        Engines that are full refuse within some ms and run nothing, and on a
+        node that has just started such refusals use up the budget of repeats.
+        Had they ended the stream, its caller would lose what it has waited
+        for, with an answer that is cut. A look each 0.15 s until callers
+        leave is a dozen sends at the most, each within the budget.
+        """
+        route = self.routed.route
+        return (
+            self.responder.head_sent
+            and route.may_repeat
+            and (is_not_run or self.ran_on < route.max_attempts)
+            and not self.shared.crashes.is_refused(self.routed)
+        )
 
     def send(self, chosen: path_choice.ChosenPath) -> None:
         """Sends the request over a path."""
@@ -325,14 +358,17 @@
         ):
             self.ran_on += 1
         allowed = self.may_repeat(is_not_run)
-        self.note_failed(
-            attempt.first.instance,
-            reason,
-            is_not_run,
-            runs.SENT_ELSEWHERE if allowed else runs.GIVEN_UP,
-        )
+        waits = not allowed and self.may_wait(is_not_run)
+        next_step = runs.GIVEN_UP
+        if allowed:
+            next_step = runs.SENT_ELSEWHERE
+        elif waits:
+            next_step = runs.WAITS
+        self.note_failed(attempt.first.instance, reason, is_not_run, next_step)
         if allowed:
             self.begin()
+        elif waits:
+            self.look_later(self.look_again)
         else:
             self.refuse_full(reason)
 
