--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -30,6 +30,7 @@
 
 ANSWERED = "ok"
 SENT_ELSEWHERE = "sent elsewhere"
+WAITS = "waits for room"
 GIVEN_UP = "given up"
 
 
