--- a/bench/exchange.py
+++ b/bench/exchange.py
@@ -26,6 +26,7 @@
 from almondshift import errors
 from almondshift.adapters import peer_codec
 from almondshift.coordination import membership
+from almondshift.coordination import peer_types
 from almondshift.model import endpoints
 from almondshift.model import fleet as fleets
 from almondshift.model import layers
@@ -55,7 +56,7 @@
 ACCOUNTS = 20
 WARM_ROUNDS = 60
 ROUNDS = 20
-GAP_S = membership.MembershipSettings().urgent_gap_s
+GAP_S = peer_types.MembershipSettings().urgent_gap_s
 MAX_FRAME_BYTES = 1_048_576
 FRAME_HEADER_BYTES = 4
 PACKET_BYTES = 66
@@ -262,7 +263,7 @@
         """Starts all nodes."""
         for number in range(self.size):
             name = f"node-{number}"
-            identity = membership.NodeIdentity(
+            identity = peer_types.NodeIdentity(
                 name, f"{name}:1", f"10.0.{number // 250}.{number}:80", "zone"
             )
             link = CodecLink(self.links, f"{name}:1", self.traffic)
--- a/bench/watching.py
+++ b/bench/watching.py
@@ -20,6 +20,7 @@
 from almondshift.adapters import system_clock
 from almondshift.coordination import leaving
 from almondshift.coordination import membership as memberships
+from almondshift.coordination import peer_types
 from almondshift.model import endpoints
 from almondshift.node import directory
 from almondshift.node import load_exchange
@@ -100,14 +101,14 @@
     """Returns a membership that knows so many nodes, all heard from."""
     found = exchange.System(nodes)
     link = exchange.CodecLink({}, "node-0:1", exchange.Traffic())
-    identity = memberships.NodeIdentity("node-0", "node-0:1", "", "zone")
+    identity = peer_types.NodeIdentity("node-0", "node-0:1", "", "zone")
     made = memberships.create_membership(
         link, CLOCK, random.Random(1), identity, found.seeds
     )
     made.settings = dataclasses.replace(made.settings, silent_beats=10_000)
     made.join()
     for number in range(1, nodes):
-        value = memberships.NodeValue(peer="p:1", entry="e:1", zone="zone")
+        value = peer_types.NodeValue(peer="p:1", entry="e:1", zone="zone")
         made.publish(
             exchange.peers.FactKind.NODE,
             f"node-{number}",
--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -17,6 +17,7 @@
 from almondshift.coordination import lease as leases
 from almondshift.coordination import leaving
 from almondshift.coordination import membership as memberships
+from almondshift.coordination import peer_types
 from almondshift.coordination import quarantine as quarantines
 from almondshift.coordination import versioned_config
 from almondshift.node import at_most_once
@@ -157,7 +158,7 @@
             ports.link,
             ports.clock,
             rng,
-            memberships.NodeIdentity(
+            peer_types.NodeIdentity(
                 settings.name, settings.peer_advertise, "", settings.zone
             ),
             self.seeds.addresses,
--- a/src/almondshift/node/entries.py
+++ b/src/almondshift/node/entries.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from almondshift.coordination import membership as memberships
+from almondshift.coordination import peer_types
 from almondshift.policy import entries
 from almondshift.ports import gateway
 
@@ -72,7 +73,7 @@
                 name=peer.name,
                 address=peer.entry_address,
                 zone=peer.zone,
-                leaving=peer.state is memberships.PeerState.LEAVING,
+                leaving=peer.state is peer_types.PeerState.LEAVING,
                 age_s=_age_s(peer),
                 load=self.loads.peer_loads.get(peer.name, 0.0),
             )
@@ -88,12 +89,12 @@
         return described.accounts[account].weight / total
 
 
-def _age_s(peer: memberships.PeerInfo) -> float:
+def _age_s(peer: peer_types.PeerInfo) -> float:
     """Returns an age past the bound for suspects only.
 
     How often a node is heard of grows with their number, so that the
     membership's own judgement counts, not the seconds.
     """
-    if peer.state is memberships.PeerState.SUSPECT:
+    if peer.state is peer_types.PeerState.SUSPECT:
         return 2 * entries.STALE_S
     return 0.0
--- a/src/almondshift/node/load_exchange.py
+++ b/src/almondshift/node/load_exchange.py
@@ -25,6 +25,7 @@
 
 from almondshift.adapters import engine_messages
 from almondshift.coordination import membership as memberships
+from almondshift.coordination import peer_types
 from almondshift.node import load_rows
 from almondshift.policy import events
 from almondshift.ports import peers
@@ -59,7 +60,7 @@
 
 ALIVE_S = 0.5
 MAX_ROWS = 20
-MAX_VALUE_BYTES = memberships.MembershipSettings().max_value_bytes
+MAX_VALUE_BYTES = peer_types.MembershipSettings().max_value_bytes
 LOADS_SHARE = 0.5
 """Most of the bytes that go to loads; what they leave is for use."""
 
@@ -200,7 +201,7 @@
         alive = frozenset(
             peer.name
             for peer in self.membership.peers()
-            if peer.state is memberships.PeerState.ALIVE
+            if peer.state is peer_types.PeerState.ALIVE
         )
         came, went = alive - self._alive, self._alive - alive
         self._alive = alive
--- a/src/almondshift/node/status.py
+++ b/src/almondshift/node/status.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 if TYPE_CHECKING:
-    from almondshift.coordination import membership as memberships
+    from almondshift.coordination import peer_types
     from almondshift.model import endpoints
     from almondshift.node import application
     from almondshift.node import directory
@@ -51,7 +51,7 @@
     }
 
 
-def _peer_row(peer: memberships.PeerInfo) -> dict[str, Any]:
+def _peer_row(peer: peer_types.PeerInfo) -> dict[str, Any]:
     return {
         "name": peer.name,
         "entry": peer.entry_address,
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -10,6 +10,7 @@
 from almondshift import log_events
 from almondshift.coordination import lease as coordination_lease
 from almondshift.coordination import membership
+from almondshift.coordination import peer_types
 from almondshift.policy import endpoint_choice
 from almondshift.policy import engine_book
 from almondshift.policy import feed_readers
@@ -48,7 +49,7 @@
 others read it once in three seconds: with seven nodes that spares 300 calls
 a minute."""
 
-MEMBERS = membership.MembershipSettings(
+MEMBERS = peer_types.MembershipSettings(
     interval_s=1.0,
     call_timeout_s=0.4,
     silent_beats=2,
@@ -226,7 +227,7 @@
             self.ports.create_link(secret),
             self.ports.clock,
             self.ports.rng,
-            membership.NodeIdentity(
+            peer_types.NodeIdentity(
                 name,
                 self.settings.peers.address,
                 self.settings.entry.address,
--- a/src/almondshift/relay/group.py
+++ b/src/almondshift/relay/group.py
@@ -10,6 +10,8 @@
 
 from almondshift import log_events
 from almondshift.coordination import membership
+from almondshift.coordination import peer_types
+from almondshift.coordination import shared_facts
 from almondshift.policy import feed_readers
 from almondshift.ports import peers as peer_port
 from almondshift.ports import stores
@@ -157,8 +159,8 @@
 
     def __init__(self, members: membership.Membership) -> None:
         self.members = members
-        self.states: dict[str, membership.PeerState] = {}
-        self.known: list[membership.PeerInfo] = []
+        self.states: dict[str, peer_types.PeerState] = {}
+        self.known: list[peer_types.PeerInfo] = []
         self.known_readers: tuple[feed_readers.GroupNode, ...] = ()
         self.known_until = -math.inf
 
@@ -186,7 +188,7 @@
             self.known_readers = feed_readers.chosen_readers(nodes)
         return self.known_readers
 
-    def peers(self) -> list[membership.PeerInfo]:
+    def peers(self) -> list[peer_types.PeerInfo]:
         """Returns all peers, as of a moment ago."""
         now = self.members.clock.monotonic()
         if now >= self.known_until:
@@ -199,12 +201,12 @@
         """Returns this node and all peers that are not taken for gone."""
         return frozenset({self.name, *(peer.name for peer in self.peers())})
 
-    def serving(self) -> list[membership.PeerInfo]:
+    def serving(self) -> list[peer_types.PeerInfo]:
         """Returns the peers that callers may be sent to."""
-        alive = membership.PeerState.ALIVE
+        alive = peer_types.PeerState.ALIVE
         return [peer for peer in self.peers() if peer.state is alive]
 
-    def named(self) -> list[membership.PeerInfo]:
+    def named(self) -> list[peer_types.PeerInfo]:
         """Returns the peers that callers are told of.
 
         Those heard of lately, if there are some: in a large group heartbeats
@@ -254,7 +256,7 @@
         """Tells all peers of requests that endpoints crashed under."""
         self.members.publish(peer_port.FactKind.QUARANTINE, key, value, ttl_s)
 
-    def on_told(self, callback: membership.Callback) -> None:
+    def on_told(self, callback: shared_facts.Callback) -> None:
         """Calls back with what peers say of such requests."""
         self.members.subscribe(peer_port.FactKind.QUARANTINE, callback)
 
@@ -269,8 +271,8 @@
                 )
                 log_events.emit(logger, event)
             if (
-                peer.state is membership.PeerState.SUSPECT
-                and former is not membership.PeerState.SUSPECT
+                peer.state is peer_types.PeerState.SUSPECT
+                and former is not peer_types.PeerState.SUSPECT
             ):
                 log_events.emit(
                     logger, log_events.PeerSuspect(name, round(peer.heard_s, 2))
--- a/tests/coordination/network.py
+++ b/tests/coordination/network.py
@@ -12,6 +12,7 @@
 from almondshift import errors
 from almondshift.adapters import peer_codec
 from almondshift.coordination import membership
+from almondshift.coordination import peer_types
 from almondshift.ports import clocks
 from almondshift.ports import peers
 
@@ -168,7 +169,7 @@
     """
 
     def __init__(
-        self, seed: int, settings: membership.MembershipSettings | None = None
+        self, seed: int, settings: peer_types.MembershipSettings | None = None
     ) -> None:
         self.rng = random.Random(seed)
         self.switchboard = Switchboard(self.rng)
@@ -194,7 +195,7 @@
             MemoryLink(self.switchboard, address),
             self.clock,
             random.Random(self.rng.random()),
-            membership.NodeIdentity(name, address, f"{name}:80", zone),
+            peer_types.NodeIdentity(name, address, f"{name}:80", zone),
             self.seed_addresses,
             self.settings,
         )
@@ -256,7 +257,7 @@
 async def create_cluster(
     size: int,
     seed: int = 1,
-    settings: membership.MembershipSettings | None = None,
+    settings: peer_types.MembershipSettings | None = None,
 ) -> Cluster:
     """Creates a cluster whose nodes know each other."""
     cluster = Cluster(seed, settings)
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -7,7 +7,7 @@
 
 from almondshift import errors
 from almondshift.coordination import drafts
-from almondshift.coordination import membership
+from almondshift.coordination import peer_types
 from almondshift.ports import peers
 from tests.coordination import network
 
@@ -72,16 +72,16 @@
 @pytest.mark.parametrize(
     ("silent_s", "state"),
     [
-        (2, membership.PeerState.ALIVE),
-        (7, membership.PeerState.SUSPECT),
+        (2, peer_types.PeerState.ALIVE),
+        (7, peer_types.PeerState.SUSPECT),
         (20, None),
     ],
 )
 def test_silent_node_is_suspect_then_dropped(
-    silent_s: int, state: membership.PeerState | None
+    silent_s: int, state: peer_types.PeerState | None
 ) -> None:
     async def scenario() -> None:
-        settings = membership.MembershipSettings(failed_calls=1_000)
+        settings = peer_types.MembershipSettings(failed_calls=1_000)
         cluster = await network.create_cluster(9, settings=settings)
         cluster.freeze("node-8")
         await cluster.run(silent_s)
@@ -101,15 +101,15 @@
     """
 
     async def scenario() -> None:
-        settings = membership.MembershipSettings(failed_calls=1_000)
+        settings = peer_types.MembershipSettings(failed_calls=1_000)
         cluster = await network.create_cluster(5, settings=settings)
         cluster.freeze("node-4")
         await cluster.run(6)
         late = await cluster.add("late")
         await cluster.run(1)
         states = {peer.name: peer.state for peer in late.peers()}
-        assert states["node-0"] is membership.PeerState.ALIVE
-        assert states.get("node-4") is not membership.PeerState.ALIVE
+        assert states["node-0"] is peer_types.PeerState.ALIVE
+        assert states.get("node-4") is not peer_types.PeerState.ALIVE
 
     asyncio.run(scenario())
 
@@ -121,7 +121,7 @@
         for _ in range(2):
             await cluster.nodes["node-0"].ask("node-2", "t", b"", 1.0)
         [_, peer] = cluster.nodes["node-0"].peers()
-        assert peer.state is membership.PeerState.SUSPECT
+        assert peer.state is peer_types.PeerState.SUSPECT
 
     asyncio.run(scenario())
 
@@ -133,7 +133,7 @@
         await leaver.announce_leaving()
         for name in ("node-0", "node-1"):
             state = cluster.nodes[name].peers()[1].state
-            assert state is membership.PeerState.LEAVING
+            assert state is peer_types.PeerState.LEAVING
 
     asyncio.run(scenario())
 
@@ -237,7 +237,9 @@
         suspended = cluster.nodes["node-2"]
         own_clock = network.ManualClock()
         own_clock.now = cluster.clock.now
-        suspended.clock = own_clock
+        parts = (suspended.table, suspended.shared, suspended.messages)
+        for part in (suspended, *parts):
+            part.clock = own_clock
         cluster.freeze("node-2")
         await cluster.run(100)
         cluster.switchboard.waiting.clear()
@@ -443,6 +445,6 @@
             await node.run_round(urgent=True)
         sent = cluster.switchboard.sent_bytes[network.address_of("node-0")]
         heads = 3 * 50 * drafts.MESSAGE_BYTES
-        assert sent < node.budget.burst + heads
+        assert sent < node.messages.budget.burst + heads
 
     asyncio.run(scenario())
--- a/tests/coordination/test_membership_machine.py
+++ b/tests/coordination/test_membership_machine.py
@@ -11,7 +11,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from almondshift.coordination import membership
+from almondshift.coordination import peer_types
 from almondshift.ports import peers
 from tests.coordination import network
 
@@ -22,7 +22,7 @@
 KINDS = [peers.FactKind.LEAVING, peers.FactKind.CONFIG]
 SETTLE_ROUNDS = 45
 
-WAITED_S = membership.MembershipSettings().paused_s + 1.0
+WAITED_S = peer_types.MembershipSettings().paused_s + 1.0
 """Time that a message may wait for a frozen node and still be taken."""
 
 names = st.sampled_from(NAMES)
--- a/tests/coordination/test_membership_tcp.py
+++ b/tests/coordination/test_membership_tcp.py
@@ -10,6 +10,7 @@
 
 from almondshift.adapters import peer_link
 from almondshift.coordination import membership
+from almondshift.coordination import peer_types
 from almondshift.ports import clocks
 from almondshift.ports import peers
 from tests.faults import processes
@@ -20,7 +21,7 @@
     from collections.abc import Callable
 
 CONFIG = peers.FactKind.CONFIG
-FAST = membership.MembershipSettings(
+FAST = peer_types.MembershipSettings(
     interval_s=0.2, urgent_gap_s=0.05, call_timeout_s=0.2, spread_s=0.5
 )
 
@@ -47,7 +48,7 @@
         link,
         LoopClock(),
         random.Random(name),
-        membership.NodeIdentity(name, peer_address, f"{name}:80", "a"),
+        peer_types.NodeIdentity(name, peer_address, f"{name}:80", "a"),
         seed_addresses,
         FAST,
     )
@@ -114,11 +115,11 @@
             fourth = await start_node("node-3", seeds, proxy.address)
             proxy.upstream = fourth.link.address
 
-            def state() -> membership.PeerState | None:
+            def state() -> peer_types.PeerState | None:
                 found = {peer.name: peer.state for peer in nodes[0].peers()}
                 return found.get("node-3")
 
-            alive = membership.PeerState.ALIVE
+            alive = peer_types.PeerState.ALIVE
             await processes.wait_until(
                 lambda: state() is alive, 3.0, "the node is known"
             )
@@ -126,7 +127,7 @@
             for _ in range(2):
                 result = await nodes[0].ask("node-3", "t", b"", 0.1)
                 assert result.is_error()
-            assert nodes[0].failures["node-3"] >= 1
+            assert nodes[0].table.failures["node-3"] >= 1
             proxy.heal()
             await processes.wait_until(
                 lambda: state() is alive, 3.0, "the node is trusted again"
--- a/tests/node/test_load_exchange.py
+++ b/tests/node/test_load_exchange.py
@@ -8,6 +8,7 @@
 import pytest
 
 from almondshift.coordination import membership as memberships
+from almondshift.coordination import peer_types
 from almondshift.model import endpoints
 from almondshift.model import layers
 from almondshift.node import directory
@@ -33,11 +34,11 @@
 
 def _exchange(node: str, others: list[str]) -> load_exchange.LoadExchange:
     membership = mock.create_autospec(memberships.Membership, instance=True)
-    membership.node = memberships.NodeIdentity(node, "", "", "z")
+    membership.node = peer_types.NodeIdentity(node, "", "", "z")
     membership.peers.return_value = [
-        memberships.PeerInfo(name, "", "", "z", state, 0.0)
+        peer_types.PeerInfo(name, "", "", "z", state, 0.0)
         for name in others
-        for state in [memberships.PeerState.ALIVE]
+        for state in [peer_types.PeerState.ALIVE]
     ]
     known = mock.create_autospec(directory.Directory, instance=True)
     known.endpoints = {
--- a/tests/relay/test_group.py
+++ b/tests/relay/test_group.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from almondshift.coordination import membership
+from almondshift.coordination import peer_types
 from almondshift.ports import stores
 from almondshift.relay import group
 from tests import asynchronous
@@ -70,10 +70,10 @@
         self.heard = heard
         self.clock = network.ManualClock()
 
-    def peers(self) -> list[membership.PeerInfo]:
+    def peers(self) -> list[peer_types.PeerInfo]:
         return [
-            membership.PeerInfo(
-                f"n{i}", "", f"n{i}:80", "a", membership.PeerState.ALIVE, heard
+            peer_types.PeerInfo(
+                f"n{i}", "", f"n{i}:80", "a", peer_types.PeerState.ALIVE, heard
             )
             for i, heard in enumerate(self.heard)
         ]
