Let a stop begin with the signal, not with the lease's return

Seen: with a store that hangs, a node that was told to stop went on being named to callers, and counted its grace time from up to two calls' timeouts (2 s) later than the platform does.

Cause: the stop first gave the control lease back and waited for the store.

Ruled out: orders given meanwhile. The reconciler is closed before, and a lease that is being closed grants nothing.

Change: the lease goes back beside the drain; the stop ends after both.

Before: 1 of 2 tests of tests/node/test_stop.py failed. After: both pass, with tests/node, tests/coordination, tests/policy and the scenarios of graceful stop, leases, platform outage, kept connections and control.

--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -312,14 +312,17 @@
     async def stop_gracefully(self) -> drains.DrainReport:
         """Leaves the entries and waits for what is in flight.
 
-        The control lease is given up first, so that another node gives
-        orders while this one drains.
+        The control lease is given up at once, so that another node gives
+        orders while this one drains. Leaving doesn't wait for that: with a
+        store that hung, peers went on naming this node, and its grace time
+        began later than the platform counts it.
         """
         await self.reconciler.close()
-        await self.lease.close()
+        given_back = asyncio.ensure_future(self.lease.close())
         report = await self.drain.run()
         if self.once.running:
             await asyncio.wait(self.once.running, timeout=SETTLE_S)
+        await given_back
         return report
 
     async def close(self) -> None:
