--- a/tests/node/test_directory.py
+++ b/tests/node/test_directory.py
@@ -115,14 +115,16 @@
         await self.directory.refresh()
         await self.clock.advance(REPORT_S)
 
+    def move(self) -> events.StageFailed:
+        """Returns the wish to move a stage off the engine, as it leaves."""
+        reason = events.FailureReason.LEAVING
+        return events.StageFailed(self.clock.now, "r1", CHAIN, 0, reason, 9)
+
     async def move_stage_away(self) -> None:
         """Moves a running stage off the engine, as it is leaving."""
-        failure = events.StageFailed(
-            self.clock.now, "r1", CHAIN, 0, events.FailureReason.LEAVING, 9
-        )
         decided = actions.Replace("r1", 0, CHAIN.stages)
         with mock.patch.object(self.driver, "decide", return_value=decided):
-            await self.calls.replace(failure)
+            await self.calls.replace(self.move())
 
     async def answer_step(self, status: steps.StepStatus) -> None:
         calls = mock.create_autospec(coalescer.Coalescer, instance=True)
@@ -223,6 +225,25 @@
     await rig.directory.close()
 
 
+@asynchronous.run
+async def test_a_move_decided_late_keeps_no_engine_out_of_use() -> None:
+    """A stage is to be moved off an engine as the list takes its word back.
+
+    The move waits for leave to go on, and the router hears of it after it
+    was told that the engine stays. It took the move for news of the engine
+    and passed it over without end, and callers were refused.
+    """
+    rig = Rig()
+    await rig.start()
+    await rig.show(endpoints.VmState.LEAVING)
+    await rig.show(endpoints.VmState.LIVE)
+    await rig.calls.replace(rig.move())
+    await rig.show(endpoints.VmState.LIVE)
+    assert not rig.directory.is_leaving("e")
+    assert rig.router.service_ready("chat")
+    await rig.directory.close()
+
+
 @asynchronous.run
 async def test_an_endpoint_first_seen_as_leaving_gets_no_work() -> None:
     """A node starts and reads a list that calls an engine leaving.
