Have the router take up an engine after a late move

Cause: the router takes a move off a leaving engine for news of that engine. The move waits before it is decided; if the engine is found to stay meanwhile, the router hears the two in the wrong order, and nothing tells it again.

Change: the directory notes that the router heard of leaving so, and its next look at the engine (a report or a read of the list) tells the router what is known. The router's own rule (a failure for leaving marks the engine) stays as it is.

Before: 1 of 13 tests of tests/node/test_directory.py failed. After: all pass, with tests/node, tests/policy, tests/scenarios/datapath, test_lost_stage, test_fleet_change and test_graceful_stop.

--- a/src/almondshift/node/directory.py
+++ b/src/almondshift/node/directory.py
@@ -73,7 +73,7 @@
         calls: Coalescer, for engines that described themselves.
         report: The newest load report seen here.
         reported_at: Monotonic time at which it was received.
-        is_told: Whether the router was told that it is leaving.
+        is_told: Whether the router takes it for leaving.
         missing: Reads of the VM list in a row without it.
         watched: Whether this node asks the engine itself for its load.
     """
@@ -175,6 +175,17 @@
         self.leaving.endpoint_said(endpoint, instance)
         self.tell_leaving()
 
+    def router_hears_leaving(self, endpoint: str) -> None:
+        """Notes that the router takes an endpoint for leaving by a move.
+
+        A move may be decided after the endpoint was found to stay; the
+        router would pass it over without end. The next look at the endpoint
+        tells the router that it stays.
+        """
+        known = self.endpoints.get(endpoint)
+        if known is not None:
+            known.is_told = True
+
     def tell_leaving(self) -> None:
         """Tells the router of each endpoint that began to leave."""
         for name, known in self.endpoints.items():
--- a/src/almondshift/node/stage_calls.py
+++ b/src/almondshift/node/stage_calls.py
@@ -85,6 +85,9 @@
         allowed = await self.guard.may_go_on(failure.request_id)
         if allowed.is_error():
             return expression.Error(allowed.error)
+        if failure.reason is events.FailureReason.LEAVING:
+            endpoint = failure.chain.stages[failure.index].endpoint
+            self.directory.router_hears_leaving(endpoint)
         decision = await self.driver.decide(failure)
         if isinstance(decision, actions.Replace):
             return expression.Ok(decision.replacement)
