--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -17,6 +17,7 @@
 from almondshift.coordination import lease as leases
 from almondshift.coordination import leaving
 from almondshift.coordination import membership as memberships
+from almondshift.coordination import peer_types
 from almondshift.coordination import quarantine as quarantines
 from almondshift.coordination import versioned_config
 from almondshift.node import at_most_once
@@ -157,7 +158,7 @@
             ports.link,
             ports.clock,
             rng,
-            memberships.NodeIdentity(
+            peer_types.NodeIdentity(
                 settings.name, settings.peer_advertise, "", settings.zone
             ),
             self.seeds.addresses,
@@ -311,14 +312,17 @@
     async def stop_gracefully(self) -> drains.DrainReport:
         """Leaves the entries and waits for what is in flight.
 
-        The control lease is given up first, so that another node gives
-        orders while this one drains.
+        The control lease is given up at once, so that another node gives
+        orders while this one drains. Leaving doesn't wait for that: with a
+        store that hung, peers went on naming this node, and its grace time
+        began later than the platform counts it.
         """
         await self.reconciler.close()
-        await self.lease.close()
+        given_back = asyncio.ensure_future(self.lease.close())
         report = await self.drain.run()
         if self.once.running:
             await asyncio.wait(self.once.running, timeout=SETTLE_S)
+        await given_back
         return report
 
     async def close(self) -> None:
