--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -164,6 +164,7 @@
         self.writing = asyncio.Lock()
         self.http = httpclient.AsyncHTTPClient(max_clients=100)
         self.watching: asyncio.Task[None] | None = None
+        self.is_closing = False
 
     async def start(self) -> None:
         """Starts all and returns while nodes still find together."""
@@ -178,6 +179,7 @@
 
     async def close(self) -> None:
         """Ends every process that it started, also a stopped one."""
+        self.is_closing = True
         if self.watching is not None:
             self.watching.cancel()
         for part in self.parts():
@@ -269,6 +271,9 @@
         await self.add_engine(engine.index, generation)
 
     def launch(self, part: Part) -> None:
+        if self.is_closing:
+            # A restart that was due would leave a process behind.
+            return
         log_file = self.folder / f"{part.name}.log"
         with log_file.open("ab") as log:
             popen = subprocess.Popen(
