--- a/tests/platform/test_unrepeatable_streams.py
+++ b/tests/platform/test_unrepeatable_streams.py
@@ -3,28 +3,39 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 import pytest
 
 from tests.platform import standin_system as system
 from tests.platform import test_whole_system as whole
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
 
-def unrepeatable() -> dict[str, object]:
-    """Returns a configuration whose streams can't be resumed."""
+
+async def forbid_repeats(running: system.StandinSystem) -> None:
+    """Puts a configuration in force whose streams can't be resumed."""
     chat = system.route("chat", "/chat/", "streaming", system.MODEL_SERVICE)
-    return system.config(2, routes=[chat])
+    running.store.put("op", "config", system.config(2, routes=[chat]))
+    catalogue = running.nodes[0].node.catalogue
+    await running.until(
+        lambda: catalogue.config is not None and catalogue.config.version == 2
+    )
+
+
+async def spend_budget(running: system.StandinSystem) -> None:
+    """Uses up all repeats that the node has for some seconds."""
+    shared = running.nodes[0].node.shared
+    while shared.budget.spend(system.MODEL_SERVICE, shared.clock.monotonic()):
+        pass
 
 
 async def chat_before(
     running: system.StandinSystem, silent_s: float
 ) -> tuple[bytes, bool]:
     """Sends a stream whose first engine falls silent in the middle."""
-    running.store.put("op", "config", unrepeatable())
-    catalogue = running.nodes[0].node.catalogue
-    await running.until(
-        lambda: catalogue.config is not None and catalogue.config.version == 2
-    )
     for engine in running.engines.values():
         engine.gap_s = 0.03
     # The other stream keeps showing that the node's own link works.
@@ -41,20 +52,23 @@
     return body, status == 200
 
 
+@pytest.mark.parametrize("hinder", [forbid_repeats, spend_budget])
 @pytest.mark.parametrize("silent_s", [0.4, 1.2])
 def test_a_stream_that_may_not_run_again_waits_for_a_silent_engine(
     silent_s: float,
+    hinder: Callable[[system.StandinSystem], Awaitable[None]],
 ) -> None:
     """The caller gets its whole answer, late; a cut would lose it for good.
 
     The first engine of a stream says nothing for a while, as a paused process
-    or a link that loses packets does, and is suspected. The stream can't go
-    on anywhere else, so that to leave the engine could only lose the answer;
-    the engine goes on, and so does the stream.
+    or a link that loses packets does, and is suspected. The stream's route or
+    the spent budget of repeats lets it go on nowhere else, so that to leave
+    the engine could only lose the answer; the engine goes on, and so does it.
     """
 
     async def scenario() -> None:
         async with system.running_system() as running:
+            await hinder(running)
             body, is_whole = await chat_before(running, silent_s)
             assert is_whole
             assert whole.tokens(body) == whole.WHOLE
