Keep a stream without repeats left on an engine that only seems dead

Cause: a node that takes engines for lost resumes their streams; once the budget of repeats is spent, or the attempts, it gave them up at once. Ruled out: the connection and the engine (closed by the node, AS5009 'first engine lost', 'given up' with attempt 1 of 2 allowed). Change: a stream leaves a first engine that only seems dead only if it may run again now.

--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -332,7 +332,7 @@
     def resume_elsewhere(self, reason: str, is_gone: bool = False) -> None:
         """Leaves the present path, whose first engine is lost.
 
-        A stream that may not run again stays unless that engine is gone. A
+        A stream that can go on nowhere stays unless that engine is gone. A
         live engine is taken for lost when it says nothing for a tenth of a
         second; the caller would lose an answer that goes on a moment later,
         and there is none to win. If the engine is dead, the caller's own
@@ -345,7 +345,7 @@
         attempt = self.attempt
         if attempt is None or self.ended or attempt.over:
             return
-        if not is_gone and not self.routed.route.may_repeat:
+        if not is_gone and not self.has_repeats():
             return
         attempt.over = True
         if attempt.forwarded is not None:
@@ -353,6 +353,21 @@
         self.release()
         self.go_on(attempt, reason, is_not_run=False)
 
+    def has_repeats(self) -> bool:
+        """Returns whether the stream may run again after a lost engine.
+
+        Spends nothing of the budget, and does not count the lost engine.
+        """
+        route = self.routed.route
+        return (
+            route.may_repeat
+            and self.sends < runs.MAX_SENDS
+            and self.ran_on < route.max_attempts
+            and self.shared.budget.has_room(
+                self.routed.service, self.shared.clock.monotonic()
+            )
+        )
+
     async def move(self, away_from: str, must: bool) -> None:
         """Moves the running request to engines other than the named one.
 
