--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -52,4 +52,14 @@
     large(204, GIVEN_UP),
     large(208, GIVEN_UP),
     large(209, GIVEN_UP),
+    small(303, TAKEN_LATE),
+    small(305, TAKEN_LATE),
+    small(309, TAKEN_LATE),
+    small(314, TAKEN_LATE),
+    Regression(
+        layout.SoakOptions(
+            seed=501, seconds=60.0, nodes=40, engines=80, clients=100
+        ),
+        "Streams without repeats left left an engine that was alive.",
+    ),
 )
