--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -60,6 +60,6 @@
         layout.SoakOptions(
             seed=501, seconds=60.0, nodes=40, engines=80, clients=100
         ),
-        "Streams without repeats left left an engine that was alive.",
+        "Streams without repeats left gave up an engine that was alive.",
     ),
 )
