Give the product's own node the estimate of its answers

The rule that refuses such requests stood in the drain already and was given 0.0 s for each. Change: whole answers are noted as the relay notes them.

--- a/src/almondshift/adapters/request_observer.py
+++ b/src/almondshift/adapters/request_observer.py
@@ -10,10 +10,14 @@
 from almondshift.adapters import metrics as metric_parts
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from almondshift.model import completions
     from almondshift.node import objectives
     from almondshift.ports import clocks
 
+    NoteAnswer = Callable[[str, float, float], None]
+
 logger = logging.getLogger(__name__)
 
 CALLERS_OWN = (
@@ -81,6 +85,7 @@
         if not self._end(metric_parts.OK):
             return
         self.observer.counts.record_whole(self.service, self.account)
+        self.observer.note_answer(self.service, self.tokens, self._seconds())
         log_events.emit(
             logger,
             log_events.RequestAnswered(
@@ -159,6 +164,8 @@
 
     Attributes:
         in_flight: Requests that were taken and have not ended.
+        note_answer: Called with the service, tokens and seconds of each
+            whole answer.
     """
 
     def __init__(
@@ -166,10 +173,12 @@
         metrics: metric_parts.Metrics,
         counts: objectives.ObjectiveCounts,
         clock: clocks.Clock,
+        note_answer: NoteAnswer,
     ) -> None:
         self.metrics = metrics
         self.counts = counts
         self.clock = clock
+        self.note_answer = note_answer
         self.in_flight = 0
 
     def begin(
@@ -197,6 +206,7 @@
     metrics: metric_parts.Metrics,
     counts: objectives.ObjectiveCounts,
     clock: clocks.Clock,
+    note_answer: NoteAnswer,
 ) -> RequestObserver:
     """Builds an observer."""
-    return RequestObserver(metrics, counts, clock)
+    return RequestObserver(metrics, counts, clock, note_answer)
--- a/src/almondshift/daemons/node.py
+++ b/src/almondshift/daemons/node.py
@@ -83,6 +83,7 @@
             metrics.create_metrics(prometheus_client.CollectorRegistry()),
             self.node.counts,
             clock,
+            self.node.answer_times.note,
         )
         self.node.config.subscribe(
             lambda _, value: self.observer.metrics.use(value)
--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -39,6 +39,7 @@
 from almondshift.node import stage_calls
 from almondshift.node import status
 from almondshift.node import sweeper
+from almondshift.policy import answer_times
 from almondshift.policy import events
 from almondshift.policy import step_timeouts
 from almondshift.ports import peers
@@ -108,6 +109,7 @@
     Attributes:
         gateway: Where the HTTP front sends callers.
         operations: Where the HTTP front sends operators.
+        answer_times: How long answers took lately; the front notes them.
         entry_address: Where callers reach this node.
     """
 
@@ -249,6 +251,7 @@
             self.rng,
         )
         self.once = at_most_once.AtMostOnce(self.claims)
+        self.answer_times = answer_times.create_answer_times()
         self.drain = drains.create_drain(
             ports.clock,
             drains.DrainSettings(
@@ -280,7 +283,7 @@
             self.once,
             self.entries,
             self.drain,
-            _no_estimate,
+            self.answer_times.expected_s,
         )
 
     async def start(self, entry_address: str) -> None:
@@ -376,12 +379,6 @@
     )
 
 
-def _no_estimate(service: str, tokens: float) -> float:
-    """Knows of no answer's time; a stopping node then takes all."""
-    del service, tokens
-    return 0.0
-
-
 def create_node(
     settings: node_settings.NodeSettings,
     ports: NodePorts,
