--- a/src/almondshift/coordination/lease.py
+++ b/src/almondshift/coordination/lease.py
@@ -153,7 +153,9 @@
         self.loop_task = asyncio.create_task(self._loop())
 
     async def close(self) -> None:
-        """Ends the grant and then gives the lease back."""
+        """Ends the grant and then gives the lease back; once."""
+        if self.closing:
+            return
         self.closing = True
         if self.loop_task is not None:
             self.loop_task.cancel()
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -380,6 +380,10 @@
                 settings.hold_s, settings.grace_s, len(self.shared.running)
             ),
         )
+        # Another node gives orders while this one takes leave. The lease
+        # used to go back at the end, when a store that was silent for a
+        # second kept the node from closing before it was killed.
+        self.work.run(self.keeper.close())
         if self.group is not None:
             await self.group.members.announce_leaving()
         while stop.left_s() > 0:
