--- a/tests/soak/engine_process.py
+++ b/tests/soak/engine_process.py
@@ -38,6 +38,7 @@
     """What an engine knows of another on the path of its streams."""
 
     is_dead: bool = False
+    is_full: bool = False
     layers: tuple[int, int] | None = None
     born: int = 0
 
@@ -135,10 +136,10 @@
             )
             said = json.loads(response.body)
             layers = tuple(said["layers"]) if said["layers"] else None
-            known = OtherEngine(False, layers, said["born"])
+            known = OtherEngine(layers=layers, born=said["born"])
         except (OSError, httpclient.HTTPError):
             former = self.world.engines.get(address)
-            known = OtherEngine(True, None, former.born if former else 0)
+            known = OtherEngine(True, born=former.born if former else 0)
         self.world.engines[address] = known  # type: ignore[assignment]
 
 
