--- a/tests/platform/test_stop_edges.py
+++ b/tests/platform/test_stop_edges.py
@@ -1,4 +1,4 @@
-"""Planned stops looked at by somebody who had not written them."""
+"""Planned stops at their edges: half-read messages, crowds, silent stores."""
 
 from __future__ import annotations
 
