--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -380,9 +380,9 @@
                 settings.hold_s, settings.grace_s, len(self.shared.running)
             ),
         )
-        # Another node gives orders while this one takes leave. The lease
-        # used to go back at the end, when a store that was silent for a
-        # second kept the node from closing before it was killed.
+        # Another node gives orders while this one takes leave. Given back
+        # at the end, the lease would keep the node from closing before it is
+        # killed, if the store is silent for a second.
         self.work.run(self.keeper.close())
         if self.group is not None:
             await self.group.members.announce_leaving()
