Choose the store's readers by nodes, not by zones

Two readers a zone are ten of 22 nodes with five zones, and each asks twice a second; callers gain nothing by the seventh. Ruled out: one reader a zone (a zone whose reader goes has none), longer questions alone (a lost reader is noticed later).

--- a/src/almondshift/relay/group.py
+++ b/src/almondshift/relay/group.py
@@ -161,7 +161,7 @@
         self.members = members
         self.states: dict[str, peer_types.PeerState] = {}
         self.known: list[peer_types.PeerInfo] = []
-        self.known_readers: tuple[feed_readers.GroupNode, ...] = ()
+        self.known_readers: feed_readers.Readers | None = None
         self.known_until = -math.inf
 
     async def start(self) -> None:
@@ -177,10 +177,10 @@
         """This node's availability zone."""
         return self.members.node.zone
 
-    def readers(self) -> tuple[feed_readers.GroupNode, ...]:
+    def readers(self) -> feed_readers.Readers:
         """Returns the nodes that follow the store's tables for all."""
         serving = self.serving()
-        if not self.known_readers:
+        if self.known_readers is None:
             nodes = [feed_readers.GroupNode(self.name, self.zone)]
             nodes += [
                 feed_readers.GroupNode(peer.name, peer.zone) for peer in serving
@@ -193,7 +193,7 @@
         now = self.members.clock.monotonic()
         if now >= self.known_until:
             self.known = self.members.peers()
-            self.known_readers = ()
+            self.known_readers = None
             self.known_until = now + PEERS_FRESH_S
         return self.known
 
--- a/src/almondshift/relay/shared_feed.py
+++ b/src/almondshift/relay/shared_feed.py
@@ -23,7 +23,9 @@
 """Time for a reader's answer beyond the wait that it was asked for."""
 
 READERS_TRIED = 2
-"""Readers asked until the store itself is; a third would only add delay."""
+"""Readers asked until the store itself is; a third would only add delay. These
+two change places at random: one that lost the store without a word delays news
+by one question, as the other has it."""
 
 T = TypeVar("T")
 Change = expression.Result["row_feeds.TableChange", "stores.StoreError"]
@@ -64,7 +66,8 @@
         self, table: str, after: int, wait_s: float
     ) -> expression.Result[row_feeds.TableChange | None, stores.StoreError]:
         """Waits until a table has changed since a revision."""
-        question = peer_rows.RowQuestion(after, wait_s, is_fresh=wait_s <= 0)
+        asked_s = min(wait_s, feed_readers.ASKED_WAIT_S)
+        question = peer_rows.RowQuestion(after, asked_s, is_fresh=wait_s <= 0)
         found = await self._ask_readers(table, question)
         if found is not None:
             return expression.Ok(found)
@@ -76,10 +79,9 @@
 
     def is_reader(self) -> bool:
         """Returns whether this node follows the store itself."""
-        if self.group is None:
-            return True
-        name = self.group.name
-        return any(reader.name == name for reader in self.group.readers())
+        return self.group is None or _has(
+            self.group.readers().chosen, self.group.name
+        )
 
     async def _ask_readers(
         self, table: str, question: peer_rows.RowQuestion
@@ -87,35 +89,42 @@
         if self.group is None or self.is_reader():
             return None
         body = peer_rows.encode_question(question)
-        for name in self._readers(self.group)[:READERS_TRIED]:
+        for name in self._readers(self.group):
             answer = await self.group.members.ask(
                 name, table, body, question.wait_s + ANSWER_S
             )
-            if answer.is_ok():
-                try:
-                    change = peer_rows.decode_answer(answer.ok)
-                except ValueError:
-                    change = None
-                if (
-                    change is not None
-                    and change.age_s <= feed_readers.MAX_AGE_S
-                ):
-                    return change
-            now = self.clock.monotonic()
-            self.bad_until[name] = now + feed_readers.BAD_S
+            change = _change_in(answer.ok) if answer.is_ok() else None
+            if change is not None and change.age_s <= feed_readers.MAX_AGE_S:
+                return change
+            pause_s = feed_readers.AWAY_S
+            if answer.is_error():
+                pause_s = feed_readers.SILENT_S
+            self.bad_until[name] = self.clock.monotonic() + pause_s
         return None
 
     def _readers(self, joined: relay_group.Group) -> list[str]:
-        """Returns readers to ask, those of the own zone first."""
+        """Returns the readers to ask, in that order.
+
+        Stand-ins only where no reader is left; these ask nobody but readers,
+        and have what the store itself told them.
+        """
+        readers = joined.readers()
+        usable = self._usable(joined.name, readers.chosen)
+        if not usable and not _has(readers.stand_ins, joined.name):
+            usable = self._usable(joined.name, readers.stand_ins)
+        own = usable[:READERS_TRIED]
+        self.rng.shuffle(own)
+        return own
+
+    def _usable(
+        self, name: str, readers: tuple[feed_readers.GroupNode, ...]
+    ) -> list[str]:
         now = self.clock.monotonic()
-        usable = [
+        return [
             reader
-            for reader in joined.readers()
-            if self.bad_until.get(reader.name, 0.0) <= now
+            for reader in feed_readers.own_order(name, readers)
+            if self.bad_until.get(reader, 0.0) <= now
         ]
-        self.rng.shuffle(usable)
-        usable.sort(key=lambda reader: reader.zone != joined.zone)
-        return [reader.name for reader in usable]
 
     def _must_wait(self) -> bool:
         """Returns whether a call to the store would only add to its load.
@@ -147,6 +156,18 @@
     return SharedFeed(direct, clock, rng)
 
 
+def _has(nodes: tuple[feed_readers.GroupNode, ...], name: str) -> bool:
+    return any(node.name == name for node in nodes)
+
+
+def _change_in(body: bytes) -> row_feeds.TableChange | None:
+    """Returns what a reader answered; None if it can't be read."""
+    try:
+        return peer_rows.decode_answer(body)
+    except ValueError:
+        return None
+
+
 def _away() -> expression.Result[row_feeds.TableChange, stores.StoreError]:
     detail = "The store does not answer, nor do the nodes that read it."
     return expression.Error(errors.StoreUnavailable(detail))
