Tell peers of nodes that fall silent, and check what they tell

Cause: with 82 nodes a heartbeat is two seconds apart, with 195 five, and a node without power is named to callers for 3.5 s, and suspect after 4.8 and 10.8 s. Each caller who takes its address waits a second. Ruled out: more heartbeats (bytes and processor time grow with them), one failed call alone (slow nodes would take live ones from callers). Change: the first node whose call to a peer fails states so as an urgent fact; each other node calls the peer itself, and the two failed calls make it suspect. A node that reached nobody lately says nothing. Failed calls count until the peer is heard of again by any way: by its heartbeat, not only when it calls this very node, which takes a minute with 195. Refusals name the engine at fault in the log (AS5009).

--- a/src/almondshift/coordination/facts.py
+++ b/src/almondshift/coordination/facts.py
@@ -30,6 +30,7 @@
         peers.FactKind.CONFIG,
         peers.FactKind.QUARANTINE,
         peers.FactKind.ENGINE_LOST,
+        peers.FactKind.NODE_SILENT,
     }
 )
 BULK_KINDS = frozenset({peers.FactKind.ENGINE_LOAD, peers.FactKind.ACCOUNT_USE})
--- a/src/almondshift/coordination/membership.py
+++ b/src/almondshift/coordination/membership.py
@@ -24,6 +24,7 @@
 from almondshift.coordination import peer_table
 from almondshift.coordination import peer_types
 from almondshift.coordination import shared_facts
+from almondshift.coordination import silent_peers
 from almondshift.ports import peers as peer_port
 
 if TYPE_CHECKING:
@@ -76,6 +77,9 @@
         )
         self.wake = self.shared.wake
         self.is_leaving = False
+        self.silent = silent_peers.SilentPeers(
+            self.shared, self.table, clock, self.ask, self.spawn
+        )
         self.handlers: dict[str, Handler] = {}
         self.outside: list[str] = []
         self.tasks: set[asyncio.Task[None]] = set()
@@ -339,9 +343,10 @@
             address, message, self.settings.call_timeout_s
         )
         if result.is_error() or not isinstance(result.ok, peer_port.Exchange):
-            self.table.note_failed_address(address)
+            self.silent.note_failed(address)
             return None
         now = self.clock.monotonic()
+        self.silent.reached(now)
         reply = result.ok
         self.table.heard_from(reply.sender, now)
         return drafts.aged(reply, now - sent_at)
--- a/src/almondshift/coordination/peer_table.py
+++ b/src/almondshift/coordination/peer_table.py
@@ -28,6 +28,7 @@
 
     Attributes:
         failures: Calls failed in a row, by name.
+        failed_at: When the last of them failed, by name.
         direct: When a peer last spoke to this node itself, by name.
         remembered: Addresses of dropped nodes, by name.
         parsed: Values of nodes' facts with their generation, by name.
@@ -45,6 +46,7 @@
         self.name = name
         self.settings = settings
         self.failures: dict[str, int] = {}
+        self.failed_at: dict[str, float] = {}
         self.direct: dict[str, float] = {}
         self.remembered: dict[str, str] = {}
         self.parsed: dict[str, tuple[int, peer_types.NodeValue | None]] = {}
@@ -98,18 +100,30 @@
             peer_address=value.peer,
             entry_address=value.entry,
             zone=value.zone,
-            state=self.state(entry.key, value, now - heard_at),
+            state=self.state(entry.key, value, now - heard_at, now),
             heard_s=now - heard_at,
         )
 
     def state(
-        self, name: str, value: peer_types.NodeValue, silent_s: float
+        self,
+        name: str,
+        value: peer_types.NodeValue,
+        silent_s: float,
+        now: float,
     ) -> peer_types.PeerState:
-        """Returns the state of a peer that was silent for a time."""
+        """Returns the state of a peer that was silent for a time.
+
+        Failed calls count until the peer is heard of again, by whatever way:
+        in a large group it calls this node itself once in a minute, and a
+        node that lives would stay suspect for so long.
+        """
         if value.leaving:
             return peer_types.PeerState.LEAVING
         is_failing = self.failures.get(name, 0) >= self.settings.failed_calls
-        if is_failing or silent_s > self.suspect_after_s():
+        since_s = now - self.failed_at.get(name, -math.inf)
+        if is_failing and silent_s >= since_s:
+            return peer_types.PeerState.SUSPECT
+        if silent_s > self.suspect_after_s():
             return peer_types.PeerState.SUSPECT
         return peer_types.PeerState.ALIVE
 
@@ -132,6 +146,7 @@
         """Notes that a peer spoke to this node itself."""
         self.direct[name] = now
         self.failures.pop(name, None)
+        self.failed_at.pop(name, None)
 
     def address_of(self, peer_name: str) -> str | None:
         """Returns the peer address of a node that is known."""
@@ -144,14 +159,28 @@
     def note_failure(self, name: str) -> None:
         """Counts a failed call to a peer."""
         self.failures[name] = self.failures.get(name, 0) + 1
+        self.failed_at[name] = self.clock.monotonic()
+
+    def is_suspect(self, name: str) -> bool:
+        """Returns whether a peer is suspect, or not known."""
+        now = self.clock.monotonic()
+        entry = self.store.get(peer_port.FactKind.NODE, name)
+        if entry is None or not entry.value or now >= entry.expires_at:
+            return True
+        value = self.node_value(entry)
+        if value is None:
+            return True
+        state = self.info(entry, value, now).state
+        return state is peer_types.PeerState.SUSPECT
 
-    def note_failed_address(self, address: str) -> None:
-        """Counts a failed exchange with the peer at an address."""
+    def name_at(self, address: str) -> str:
+        """Returns the name of the peer at an address, ``""`` if unknown."""
         now = self.clock.monotonic()
         for entry in self.store.live(peer_port.FactKind.NODE, now):
             value = self.node_value(entry)
             if value is not None and value.peer == address:
-                self.note_failure(entry.key)
+                return entry.key
+        return ""
 
     def addresses(self, now: float) -> list[str]:
         """Returns the peer addresses of all peers, in no order."""
@@ -170,6 +199,7 @@
         """
         known = self.parsed.pop(name, None)
         self.failures.pop(name, None)
+        self.failed_at.pop(name, None)
         self.direct.pop(name, None)
         if known is not None and known[1] is not None:
             self.remembered[name] = known[1].peer
--- a/src/almondshift/ports/peers.py
+++ b/src/almondshift/ports/peers.py
@@ -26,6 +26,7 @@
     ENGINE_LOAD = "engine_load"
     ACCOUNT_USE = "account_use"
     ENGINE_LOST = "engine_lost"
+    NODE_SILENT = "node_silent"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -305,7 +305,10 @@
         """Goes on after a refusal; passes another failure on."""
         if head.not_run:
             self.blame(attempt, head)
-            self.go_on(attempt, f"refused with {head.status}", is_not_run=True)
+            reason = f"refused with {head.status}"
+            if head.faulty_address:
+                reason += f" for {head.faulty_address}"
+            self.go_on(attempt, reason, is_not_run=True)
             return
         if self.responder.head_sent or not head.genuine:
             self.go_on(attempt, f"status {head.status}", is_not_run=False)
--- a/tests/adapters/test_peer_codec.py
+++ b/tests/adapters/test_peer_codec.py
@@ -106,4 +106,5 @@
         "engine_load",
         "account_use",
         "engine_lost",
+        "node_silent",
     ]
