Share requests of many nodes out by what paths have room for

Four of seventeen first engines got 75 in 100 requests, 350 in eight seconds where others got 19 to 50; 243 and 265 were on the way at once to two engines of 96 places, and an event took 50 to 87 ms there against 43 to 50 on slower, idle chains. A node counts its own requests, times the nodes: one on a chain makes that seem full, so that each node takes the best chain that it has none on, and the best chain gets one of each of 195 nodes. Ruled out, each by plays of small twins: engines' loads asked by few and told to all, and chains drawn by chance in proportion to a power of their cost (docs/design/many-nodes.md). Change: where one request of each node is more than a path's places, the requests of all nodes are estimated by the own mean, shared out so that paths cost the same, each within its room (of engines that several paths use, their part), and drawn by what the own ones fall short of that.

--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -15,16 +15,19 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import itertools
 from typing import TYPE_CHECKING
 
 from almondshift.model import relayed
+from almondshift.policy import capacity_shares
 from almondshift.policy import engine_book
 from almondshift.policy import path_search
 from almondshift.policy import pooled_load
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     import random
 
     from almondshift.model import engine_specs
@@ -99,6 +102,7 @@
         load: Fullest engine's share of memory in use, with the request; by
             the own requests alone if that is more, and then over 1 at times.
         crossings: How often the path changes the availability zone.
+        rooms: Tokens that fit on each part beside nothing else.
     """
 
     path: relayed.Path
@@ -107,6 +111,7 @@
     cost_ms: float
     load: float
     crossings: int
+    rooms: tuple[float, ...]
 
 
 class PathChooser:
@@ -124,6 +129,7 @@
         self.book = book
         self.rng = rng
         self.nodes = 1
+        self.usual: dict[str, pooled_load.UsualRequests] = {}
         self.tight: dict[str, str] = {}
         self.cached: dict[str, _Cached] = {}
         self.shares: dict[str, _Shares] = {}
@@ -143,14 +149,19 @@
             now: Monotonic seconds.
             avoid: Engines that may not be first.
         """
+        load = self._load(view, now)
+        fitting = [
+            chosen
+            for found in self._paths(view, now)
+            if (chosen := self._fitting(found, view.spec, tokens, load))
+            and chosen.path[0].instance not in avoid
+        ]
+        if fitting and self._draws(view.spec):
+            return self._drawn(fitting, view.spec, tokens, load)
         best: ChosenPath | None = None
         best_rank = (False, 0.0)
-        load = self._load(view, now)
-        for found in self._paths(view, now):
-            chosen = self._fitting(found, view.spec, tokens, load)
-            if chosen is None or chosen.path[0].instance in avoid:
-                continue
-            score = found.cost_ms * (1.0 + LOAD_WEIGHT * chosen.load)
+        for chosen in fitting:
+            score = chosen.cost_ms * (1.0 + LOAD_WEIGHT * chosen.load)
             score *= self.rng.uniform(1.0, 1.0 + JITTER)
             # Only put behind the others: refused, its places might stay free.
             is_crowded = load.first_soon(chosen.path[0].instance) > (
@@ -160,6 +171,35 @@
                 best, best_rank = chosen, (is_crowded, score)
         return best
 
+    def _draws(self, spec: engine_specs.EngineSpec) -> bool:
+        """Returns whether one request of each node is too much for a path."""
+        return self.nodes > spec.slots
+
+    def _drawn(
+        self,
+        fitting: list[ChosenPath],
+        spec: engine_specs.EngineSpec,
+        tokens: float,
+        load: pooled_load.FleetLoad,
+    ) -> ChosenPath:
+        """Returns a path by its share of what all nodes send."""
+        uses = collections.Counter(
+            part.instance for chosen in fitting for part in chosen.path
+        )
+        offers = [
+            capacity_shares.PathOffer(
+                chosen.cost_ms,
+                _capacity(chosen, spec, tokens, uses),
+                load.own_first(chosen.path[0].instance),
+            )
+            for chosen in fitting
+        ]
+        own = load.own_requests
+        demand = max(load.usual.mean, own + 1.0) * self.nodes
+        wanted = capacity_shares.shares(offers, demand, LOAD_WEIGHT)
+        index = capacity_shares.drawn(offers, wanted, self.nodes, self.rng)
+        return fitting[index]
+
     def move(
         self,
         view: FleetView,
@@ -248,8 +288,9 @@
             ]
             shares = pooled_load.engine_shares(holdings, view.spec.layers)
             kept = self.shares[view.service] = _Shares(shares, version)
+        usual = self.usual.setdefault(view.service, pooled_load.UsualRequests())
         return pooled_load.FleetLoad(
-            self.book, kept.shares, view.spec.layers, self.nodes, now
+            self.book, kept.shares, view.spec.layers, self.nodes, usual, now
         )
 
     def _candidate(
@@ -261,6 +302,8 @@
         assert engine.layers is not None
         held = engine.layers.count
         running = load.own_running(engine.instance)
+        if self._draws(spec):
+            running = load.running(engine.instance)
         factor = _step_factor(engine.kind, spec)
         batch = running * held / spec.layers * BATCH_SHARE
         context_k = (spec.usual_prompt + spec.usual_answer / 2) / 1000
@@ -402,6 +445,25 @@
     return others
 
 
+def _capacity(
+    chosen: ChosenPath,
+    spec: engine_specs.EngineSpec,
+    tokens: float,
+    uses: Mapping[str, int],
+) -> float:
+    """Returns how many requests of a size a path has room for.
+
+    After losses several zones' paths lead through the same engines, which have
+    their room only once.
+    """
+    places = spec.slots / uses[chosen.path[0].instance]
+    rooms = (
+        room / tokens / uses[part.instance]
+        for part, room in zip(chosen.path, chosen.rooms, strict=True)
+    )
+    return min(places, *rooms)
+
+
 def _chosen(found: path_search.FoundPath, load: float) -> ChosenPath:
     return ChosenPath(
         path=tuple(
@@ -421,6 +483,7 @@
             a.candidate.zone != b.candidate.zone
             for a, b in itertools.pairwise(found.parts)
         ),
+        rooms=tuple(p.candidate.room / (p.end - p.start) for p in found.parts),
     )
 
 
--- a/src/almondshift/policy/pooled_load.py
+++ b/src/almondshift/policy/pooled_load.py
@@ -18,6 +18,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -112,12 +113,39 @@
     return own_here + own_total * share * (nodes - 1)
 
 
+MEMORY_S = 5.0
+"""Over which a node's requests are averaged: about as long as they last."""
+
+
+class UsualRequests:
+    """The mean number of a node's requests over the last seconds.
+
+    Each of many nodes has three requests at a time, give or take two: what it
+    has at a moment says little of what all have.
+
+    Attributes:
+        mean: The mean.
+        at: When it was last brought up to date; monotonic seconds.
+    """
+
+    def __init__(self) -> None:
+        self.mean = 0.0
+        self.at = -math.inf
+
+    def note(self, requests: float, now: float) -> None:
+        """Takes what the node has now."""
+        kept = math.exp(-max(0.0, now - self.at) / MEMORY_S)
+        self.mean += (1.0 - kept) * (requests - self.mean)
+        self.at = now
+
+
 class FleetLoad:
     """What all nodes together are believed to have on a service's engines.
 
     Attributes:
         own_tokens: This node's memory over all engines, in tokens.
         own_requests: This node's requests.
+        usual: The mean of the requests, brought up to date.
     """
 
     def __init__(
@@ -126,6 +154,7 @@
         shares: Mapping[str, EngineShare],
         layers: int,
         nodes: int,
+        usual: UsualRequests,
         now: float,
     ) -> None:
         self.book = book
@@ -136,6 +165,8 @@
         states = [book.states[i] for i in shares if i in book.states]
         self.own_tokens = sum(s.layer_tokens for s in states) / layers
         self.own_requests = sum(s.first_running for s in states)
+        self.usual = usual
+        usual.note(self.own_requests, now)
 
     def own_share(self, instance: str, room: float) -> float:
         """Returns the own part of an engine's memory, for all nodes alike.
@@ -152,6 +183,13 @@
         state = self.book.states.get(instance)
         return state.running * self.nodes if state else 0.0
 
+    def running(self, instance: str) -> float:
+        """Returns the requests that use an engine, by the usual own total."""
+        state = self.book.states.get(instance)
+        here = state.running if state else 0
+        share = self._share(instance).running
+        return expected(here, self.usual.mean, share, self.nodes)
+
     def first(self, instance: str) -> float:
         """Returns the requests that an engine is first for."""
         state = self.book.states.get(instance)
@@ -169,11 +207,15 @@
         """
         if self.nodes <= MANY_NODES:
             return self.first(instance)
-        state = self.book.states.get(instance)
-        here = state.first_running if state else 0
+        here = self.own_first(instance)
         share = self._share(instance).first
         return expected(here + 1, self.own_requests + 1, share, self.nodes)
 
+    def own_first(self, instance: str) -> int:
+        """Returns the own requests that an engine is first for."""
+        state = self.book.states.get(instance)
+        return state.first_running if state else 0
+
     def used(self, instance: str, held: int) -> float:
         """Returns the memory in use, in tokens times layers.
 
--- a/tests/policy/test_pooled_load.py
+++ b/tests/policy/test_pooled_load.py
@@ -72,7 +72,9 @@
         here = "a" if number % 2 == 0 or nodes == 8 else "b"
         book.add((engine_book.UsedPart(here, 4),), 100.0)
     shares = dict.fromkeys("ab", pooled_load.EngineShare(0.5, 0.5))
-    load = pooled_load.FleetLoad(book, shares, 4, nodes, 0.0)
+    load = pooled_load.FleetLoad(
+        book, shares, 4, nodes, pooled_load.UsualRequests(), 0.0
+    )
     assert load.first_soon("a") == soon
 
 
