Date a node's heartbeat by how long its own statement holds

Cause: a node starts alone and states that its fact holds for as long as a small group keeps facts, 11 s; peers that know 195 nodes dated its heartbeat as if it held for 50. Ruled out: one lifetime for all sizes (dead nodes would be called for minutes in small groups), dating by the size when the fact was taken (a node that starts late would name dead ones). Change: the fact says for how long it holds; heartbeats prolong it by as much, and the node states it anew when its group has grown by half. Test: no live node of 60 that start together is suspect in 20 s (fails before).

--- a/src/almondshift/coordination/fact_exchange.py
+++ b/src/almondshift/coordination/fact_exchange.py
@@ -24,6 +24,11 @@
     from almondshift.coordination import shared_facts
 
 
+GROWN = 1.5
+"""A node states anew for how long its fact holds when its group has grown by
+so much: heartbeats come less often then, and the fact would end between two."""
+
+
 class FactExchange:
     """Writes and reads one node's messages.
 
@@ -120,8 +125,12 @@
         if entry is not None and drafts.knows_more(entry, digest, now):
             self.draft_newer(entry, digest, draft, now)
             return
-        if digest.kind is peer_port.FactKind.NODE and self.store.beat(
-            digest, now, self.table.dropped_after_s(), self.beat_sends()
+        if (
+            digest.kind is peer_port.FactKind.NODE
+            and entry is not None
+            and self.store.beat(
+                digest, now, self.table.holds_s(entry), self.beat_sends()
+            )
         ):
             return
         if self.store.lacks(digest):
@@ -210,13 +219,16 @@
         if entry is None or not entry.value:
             self.rejoin()
             return
+        ttl_s = self.table.holds_s(entry)
+        if self.table.dropped_after_s() > GROWN * ttl_s:
+            self.rejoin()
+            return
         if now < self.beat_at:
             return
         self.beat_at = now + self.table.beat_s() - self.settings.interval_s / 2
         digest = dataclasses.replace(
             entry.digest(), version=entry.version + 1, origin=self.table.name
         )
-        ttl_s = self.table.dropped_after_s()
         if not self.store.beat(digest, now, ttl_s, self.beat_sends()):
             self.rejoin()
 
--- a/src/almondshift/coordination/membership.py
+++ b/src/almondshift/coordination/membership.py
@@ -115,12 +115,13 @@
             entry=self.node.entry_address,
             zone=self.node.zone,
             leaving=self.is_leaving,
+            holds_s=self.table.dropped_after_s(),
         )
         self.publish(
             peer_port.FactKind.NODE,
             self.node.name,
             msgspec.json.encode(value),
-            self.table.dropped_after_s(),
+            value.holds_s,
         )
 
     def leave(self) -> None:
--- a/src/almondshift/coordination/peer_table.py
+++ b/src/almondshift/coordination/peer_table.py
@@ -19,6 +19,9 @@
 if TYPE_CHECKING:
     from almondshift.ports import clocks
 
+LONGEST_HOLD_S = 600.0
+"""A fact that says more was written by another release, or by mistake."""
+
 MAX_REMEMBERED = 500
 """Addresses of dropped nodes that are kept, to find them again."""
 
@@ -71,6 +74,13 @@
         beats = self.settings.dropped_beats * self.beat_s()
         return beats + self.settings.spread_s
 
+    def holds_s(self, entry: fact_store.Entry) -> float:
+        """Returns for how long a node's fact holds after each heartbeat."""
+        value = self.node_value(entry) if entry.value else None
+        if value is None or not 0.0 < value.holds_s <= LONGEST_HOLD_S:
+            return self.dropped_after_s()
+        return value.holds_s
+
     def peers(self) -> list[peer_types.PeerInfo]:
         """Returns all peers but this node, by name."""
         now = self.clock.monotonic()
@@ -92,7 +102,7 @@
         after another died would give out the dead one's address for as long
         as it takes to call a peer silent.
         """
-        beat_at = entry.expires_at - self.dropped_after_s()
+        beat_at = entry.expires_at - self.holds_s(entry)
         heard_at = min(entry.heard_at, beat_at)
         heard_at = max(heard_at, self.direct.get(entry.key, -math.inf))
         return peer_types.PeerInfo(
--- a/src/almondshift/coordination/peer_types.py
+++ b/src/almondshift/coordination/peer_types.py
@@ -90,9 +90,18 @@
 
 
 class NodeValue(msgspec.Struct):
-    """The value of a fact about a node."""
+    """The value of a fact about a node.
+
+    Attributes:
+        holds_s: Seconds for which the fact holds after the node stated it or
+            beat, by the size of the group as that node knew it; 0 if it does
+            not say. Peers date its last heartbeat by it: by their own view of
+            the size they would take nodes for silent that started in a group
+            which was still small.
+    """
 
     peer: str
     entry: str
     zone: str
     leaving: bool = False
+    holds_s: float = 0.0
--- a/tests/coordination/test_silent_peers.py
+++ b/tests/coordination/test_silent_peers.py
@@ -108,3 +108,25 @@
     later = set(cut.facts(peers.FactKind.NODE_SILENT))
     assert len(told) <= 4
     assert not later
+
+
+@asynchronous.run
+async def test_no_live_node_is_taken_for_silent_while_a_group_grows() -> None:
+    """Callers are named few nodes after all of a group have started again.
+
+    Each of 60 nodes starts alone, and states for how long its fact holds in a
+    group that small. Peers that know all 60 dated its heartbeat by theirs.
+    """
+    cluster = await network.create_cluster(1)
+    for number in range(1, 60):
+        await cluster.add(f"node-{number}")
+    suspects = 0
+    for _ in range(20):
+        await _run(cluster, 1)
+        suspects += sum(
+            peer.state is SUSPECT
+            for node in cluster.running()
+            for peer in node.peers()
+        )
+    assert cluster.is_joined()
+    assert suspects == 0
