--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -25,6 +25,7 @@
 from almondshift.policy import engine_book
 from almondshift.policy import path_search
 from almondshift.policy import pooled_load
+from almondshift.policy import zone_paths
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -46,10 +47,6 @@
 zone with the fastest cards takes most requests, and its first events come
 late in each small burst, while a slower zone stands empty."""
 
-MOST_APART = 4
-"""Paths looked at in a zone beside the best; a zone of 33 engines holds five
-chains."""
-
 SPREAD = 0.5
 """Where a node pools its requests, it has too few requests on an engine to see
 which is busy, and all would choose the same of several like chains. Costs are
@@ -359,19 +356,7 @@
             if not self.book.is_slow(c.instance, now)
             and not self.book.is_unheard(c.instance, now)
         ]
-        paths: list[path_search.FoundPath] = []
-        for zone in sorted({c.zone for c in candidates}):
-            found = _zone_path(quick, zone, view.spec.layers, tokens)
-            if found is None:
-                found = _zone_path(candidates, zone, view.spec.layers, tokens)
-                if found is not None:
-                    cost_ms = found.cost_ms * engine_book.SLOW_PACE
-                    found = path_search.FoundPath(found.parts, cost_ms)
-            if found is None:
-                continue
-            paths.append(found)
-            paths += _apart_from(found, quick, zone, view.spec.layers, tokens)
-        return paths
+        return zone_paths.found(candidates, quick, view.spec.layers, tokens)
 
     def _fitting(
         self,
@@ -402,49 +387,11 @@
         return _chosen(found, max(fullest, own))
 
 
-def _zone_path(
-    candidates: list[path_search.Candidate],
-    zone: str,
-    layers: int,
-    tokens: float,
-) -> path_search.FoundPath | None:
-    """Returns a path within a zone, or else one that begins there."""
-    within = [c for c in candidates if c.zone == zone]
-    found = path_search.find_path(within, layers, tokens)
-    if found is not None:
-        return found
-    return path_search.find_path(candidates, layers, tokens, first_zone=zone)
-
-
 def _step_factor(kind: str, spec: engine_specs.EngineSpec) -> float:
     known = spec.kinds.get(kind)
     return known.step_factor if known is not None else 1.0
 
 
-def _apart_from(
-    found: path_search.FoundPath,
-    candidates: list[path_search.Candidate],
-    zone: str,
-    layers: int,
-    tokens: float,
-) -> list[path_search.FoundPath]:
-    """Returns paths in the same zone that share no engine with each other.
-
-    Second copies of a zone's layers stand idle while the engines that carry
-    its streams fill up; requests would be refused beside them.
-    """
-    rest = [c for c in candidates if c.zone == zone]
-    others: list[path_search.FoundPath] = []
-    last: path_search.FoundPath | None = found
-    while last is not None and len(others) < MOST_APART:
-        used = {part.candidate.instance for part in last.parts}
-        rest = [c for c in rest if c.instance not in used]
-        last = path_search.find_path(rest, layers, tokens)
-        if last is not None:
-            others.append(last)
-    return others
-
-
 def _capacity(
     chosen: ChosenPath,
     spec: engine_specs.EngineSpec,
