--- a/src/almondshift/policy/pooled_load.py
+++ b/src/almondshift/policy/pooled_load.py
@@ -192,8 +192,7 @@
 
     def first(self, instance: str) -> float:
         """Returns the requests that an engine is first for."""
-        state = self.book.states.get(instance)
-        here = state.first_running if state else 0
+        here = self.own_first(instance)
         share = self._share(instance).first
         return expected(here, self.own_requests, share, self.nodes)
 
