--- /dev/null
+++ b/bench/compare/differences.py
@@ -0,0 +1,102 @@
+"""Paired differences between two variants, with confidence intervals."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from scipy import stats
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from bench.compare import measurements
+
+CONFIDENCE = 0.95
+ALL_DEPLOYMENTS = "all"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Difference:
+    """A figure of a variant, less that of the baseline on the same plays.
+
+    Attributes:
+        pairs: Plays that both variants finished.
+        baseline: The baseline's mean.
+        mean: Mean difference.
+        low: Lower end of the 95% interval; equal to ``mean`` for one pair.
+        high: Upper end.
+    """
+
+    deployment: str
+    variant: str
+    figure: str
+    pairs: int
+    baseline: float
+    mean: float
+    low: float
+    high: float
+
+    @property
+    def is_clear(self) -> bool:
+        """Whether the interval excludes zero."""
+        return self.pairs > 1 and (self.low > 0 or self.high < 0)
+
+
+def paired(
+    measured: Iterable[measurements.Measurement], baseline: str
+) -> list[Difference]:
+    """Returns the differences of all variants to a baseline.
+
+    Args:
+        measured: Finished plays; those without a counterpart are left out.
+        baseline: Name of the variant that others are compared to.
+    """
+    plays = list(measured)
+    standing = {m.play.pair: m for m in plays if m.play.variant == baseline}
+    samples: dict[tuple[str, str, str], list[tuple[float, float]]]
+    samples = collections.defaultdict(list)
+    for other in plays:
+        counterpart = standing.get(other.play.pair)
+        if other.play.variant == baseline or counterpart is None:
+            continue
+        for name, before, after in _shared_figures(counterpart, other):
+            for deployment in (other.play.deployment, ALL_DEPLOYMENTS):
+                key = (deployment, other.play.variant, name)
+                samples[key].append((before, after))
+    return [_difference(*key, pairs) for key, pairs in samples.items()]
+
+
+def _shared_figures(
+    before: measurements.Measurement, after: measurements.Measurement
+) -> Iterator[tuple[str, float, float]]:
+    for name, value in before.figures.items():
+        if name in after.figures:
+            yield name, value, after.figures[name]
+
+
+def _difference(
+    deployment: str,
+    variant: str,
+    figure: str,
+    pairs: list[tuple[float, float]],
+) -> Difference:
+    changes = [after - before for before, after in pairs]
+    mean = sum(changes) / len(changes)
+    low = high = mean
+    if len(changes) > 1:
+        error = float(stats.sem(changes))
+        reach = float(stats.t.ppf((1 + CONFIDENCE) / 2, len(changes) - 1))
+        low, high = mean - reach * error, mean + reach * error
+    return Difference(
+        deployment=deployment,
+        variant=variant,
+        figure=figure,
+        pairs=len(pairs),
+        baseline=sum(before for before, _ in pairs) / len(pairs),
+        mean=mean,
+        low=low,
+        high=high,
+    )
--- /dev/null
+++ b/bench/compare/report.py
@@ -0,0 +1,58 @@
+"""Shows differences as a table and as CSV."""
+
+from __future__ import annotations
+
+import csv
+import dataclasses
+from typing import TYPE_CHECKING
+
+from bench.compare import differences
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    import pathlib
+
+    from bench.compare import measurements
+
+ALWAYS_SHOWN = ("worth", "served", "refused", "failed")
+LEAST_SHOWN = 0.002
+"""Other figures are left out of the table if they change by less."""
+
+
+def table(found: Iterable[differences.Difference]) -> str:
+    """Returns a table for the terminal; a star marks a clear difference."""
+    lines = [
+        f"{'deployment':<16} {'variant':<20} {'figure':<44} "
+        f"{'pairs':>5} {'before':>8} {'change':>8}  95% interval"
+    ]
+    for row in found:
+        is_small = abs(row.mean) < LEAST_SHOWN
+        if row.figure not in ALWAYS_SHOWN and is_small:
+            continue
+        lines.append(
+            f"{row.deployment:<16} {row.variant:<20} {row.figure:<44} "
+            f"{row.pairs:>5} {row.baseline:>8.4f} {row.mean:>+8.4f}  "
+            f"{row.low:+.4f} to {row.high:+.4f}{' *' if row.is_clear else ''}"
+        )
+    return "\n".join(lines)
+
+
+def broken(measured: Iterable[measurements.Measurement]) -> list[str]:
+    """Returns a line for each play that broke a rule or does not count."""
+    return [
+        f"{m.play.deployment} {m.play.day} seed {m.play.seed}, "
+        f"{m.play.variant}: {', '.join(m.broken_rules) or m.fault}"
+        for m in measured
+        if m.broken_rules or m.fault
+    ]
+
+
+def write_csv(
+    path: pathlib.Path, found: Iterable[differences.Difference]
+) -> None:
+    """Writes all differences, with one column per attribute."""
+    names = [field.name for field in dataclasses.fields(differences.Difference)]
+    with path.open("w", newline="", encoding="utf-8") as file:
+        writer = csv.DictWriter(file, names)
+        writer.writeheader()
+        writer.writerows(dataclasses.asdict(row) for row in found)
--- /dev/null
+++ b/bench/platform/__init__.py
@@ -0,0 +1,1 @@
+"""What the measurements speak to the users' bench."""
