--- a/bench/platform/day_player.py
+++ b/bench/platform/day_player.py
@@ -12,6 +12,7 @@
 from bench.compare import measurements
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     import pathlib
 
 JOURNAL = "journal"
@@ -46,9 +47,10 @@
             DayNotPlayed: The bench failed or was ended.
         """
         journal = worktree / JOURNAL
+        reason = f"{why}: {play.variant} ({play.day}, {play.seed})"
         before = {path.name for path in journal.glob("*.json")}
         process = await asyncio.create_subprocess_exec(
-            *self._command(play, why),
+            *self._command(play, reason),
             cwd=worktree,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
@@ -56,15 +58,16 @@
         output, _ = await process.communicate()
         fresh = [p for p in journal.glob("*.json") if p.name not in before]
         self._keep(journal, fresh)
-        if len(fresh) != 1:
+        entry = find_entry(fresh, reason)
+        if entry is None:
             detail = output.decode(errors="replace").strip().splitlines()
             raise DayNotPlayed(detail[-1] if detail else "no output")
-        return read_entry(json.loads(fresh[0].read_text()), play)
+        return read_entry(entry, play)
 
-    def _command(self, play: measurements.Play, why: str) -> list[str]:
+    def _command(self, play: measurements.Play, reason: str) -> list[str]:
         command = [str(self.program), "run", play.site, play.day]
         command += ["--seed", str(play.seed), "--jobs", "1"]
-        command += ["--why", f"{why}: {play.variant} ({play.day}, {play.seed})"]
+        command += ["--why", reason]
         if play.is_small_twin:
             command.append("--small")
         if not self.charges_processor:
@@ -81,6 +84,24 @@
                 shutil.copy2(blob, kept)
 
 
+def find_entry(
+    paths: Iterable[pathlib.Path], reason: str
+) -> dict[str, Any] | None:
+    """Returns the ended entry with a reason.
+
+    The bench copies entries between worktrees of one repository, so that
+    those of other jobs appear here too.
+    """
+    for path in paths:
+        try:
+            entry: dict[str, Any] = json.loads(path.read_text())
+        except ValueError:
+            continue
+        if entry.get("why") == reason and entry.get("days"):
+            return entry
+    return None
+
+
 def read_entry(
     entry: dict[str, Any], play: measurements.Play
 ) -> measurements.Measurement:
--- a/tests/bench/test_compare.py
+++ b/tests/bench/test_compare.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import textwrap
 from typing import TYPE_CHECKING
 
@@ -149,3 +150,18 @@
     play = measured("other", 1, 0.0).play
     with pytest.raises(day_player.DayNotPlayed):
         day_player.read_entry(entry, play)
+
+
+def test_entries_of_other_jobs_are_passed_over(tmp_path: pathlib.Path) -> None:
+    """A play would be measured by another variant's entry, or lost."""
+    ours: dict[str, object] = {"why": "ours", "days": [{"G": 0.5}]}
+    for name, entry in {
+        "a": {"why": "theirs", "days": [{"G": 0.9}]},
+        "b": {"why": "ours", "days": []},
+        "c": ours,
+    }.items():
+        (tmp_path / f"{name}.json").write_text(json.dumps(entry))
+    (tmp_path / "d.json").write_text("{")
+    paths = sorted(tmp_path.glob("*.json"))
+    assert day_player.find_entry(paths, "ours") == ours
+    assert day_player.find_entry(paths, "nobody's") is None
