Let nodes that start together meet sooner, and read the store less meanwhile

Cause: 75 nodes that start together met over three seconds, in rounds of one second.

Change: rounds come each 0.3 s for two seconds after the start; the lease is contended for by the first rows in the store until peers are known; the first question for changes waits until nodes have met.

--- a/src/almondshift/coordination/lease.py
+++ b/src/almondshift/coordination/lease.py
@@ -28,6 +28,10 @@
 TABLE = "leases"
 TOKEN_BITS = 64
 
+FIRST_LOOK_S = 0.1
+"""Pause while this process has not read the row yet: whether it may contend is
+known some tenths of a second after its start."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseSettings:
@@ -322,6 +326,8 @@
     def _pause_s(self) -> float:
         if self.grant() is not None:
             return self.settings.renew_s
+        if self.read_at == -math.inf:
+            return FIRST_LOOK_S
         return self.settings.watch_s * self.rng.uniform(0.5, 1.5)
 
 
--- a/src/almondshift/coordination/membership.py
+++ b/src/almondshift/coordination/membership.py
@@ -47,6 +47,7 @@
         store: The facts that it holds.
         table: What it believes of its peers.
         wake: Set when an extra round is due.
+        meets_until: Rounds come more often until then; monotonic seconds.
         is_leaving: Whether this node told that it is leaving.
     """
 
@@ -85,6 +86,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.seeds_at = 0.0
         self.round_at: float | None = None
+        self.meets_until = 0.0
 
     # Life.
 
@@ -96,6 +98,7 @@
                 self.node, peer_address=self.link.address
             )
         self.join()
+        self.meets_until = self.clock.monotonic() + self.settings.meeting_s
         self.spawn(self.exchange_forever())
         self.spawn(self.refresh_forever())
 
@@ -148,9 +151,19 @@
             self.wake.clear()
             self.spawn(self.run_round(urgent=urgent))
             await self.clock.sleep(self.settings.urgent_gap_s)
-            rest = self.settings.interval_s - self.settings.urgent_gap_s
+            rest = self.interval_s() - self.settings.urgent_gap_s
             await self.wait_for_wake(rest * self.rng.uniform(0.9, 1.1))
 
+    def interval_s(self) -> float:
+        """Returns the time between rounds; shorter just after the start.
+
+        Nodes that start together, each knowing none of the others, need as
+        many rounds to meet as the group has doublings.
+        """
+        if self.clock.monotonic() < self.meets_until:
+            return self.settings.meeting_interval_s
+        return self.settings.interval_s
+
     async def wait_for_wake(self, seconds: float) -> None:
         """Waits until an urgent fact wakes this node, or for a time."""
         waits = [
@@ -310,7 +323,7 @@
         chosen = self.rng.sample(known, min(self.settings.fan_out, len(known)))
         is_due = not urgent and now >= self.seeds_at
         if is_due or not known:
-            self.seeds_at = now + self.settings.seeds_s
+            self.seeds_at = now + min(self.settings.seeds_s, self.interval_s())
             chosen += self.outside_target(known)
         return chosen
 
--- a/src/almondshift/coordination/peer_types.py
+++ b/src/almondshift/coordination/peer_types.py
@@ -69,6 +69,8 @@
         paused_s: Time without a round after which this process must have
             been frozen, and messages that waited meanwhile are stale.
         seeds_s: Time between calls to an address outside the membership.
+        meeting_s: Time after the start in which rounds come more often.
+        meeting_interval_s: Time between rounds then.
         max_value_bytes: Longest value of a published fact.
     """
 
@@ -86,6 +88,8 @@
     failed_calls: int = 2
     paused_s: float = 5.0
     seeds_s: float = 10.0
+    meeting_s: float = 0.0
+    meeting_interval_s: float = 0.3
     max_value_bytes: int = 1_500
 
 
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 from typing import TYPE_CHECKING
 
 from almondshift import log_events
@@ -58,6 +59,7 @@
     silent_beats=2,
     spread_s=1.0,
     seeds_s=1.0,
+    meeting_s=2.0,
     beats_per_s=40.0,
 )
 """A node that fell silent is suspect after three seconds, in a group of more
@@ -76,6 +78,10 @@
 """The same until the node has met the others: all engines of a fleet register
 within seconds of the nodes' start, when no node reads for others yet."""
 
+SETTLE_S = 3.0
+"""Nodes that start together know each other by then. Until then each sees few
+peers, and the rows in the store tell better which nodes come first."""
+
 CONTENDERS = 6
 """Nodes that watch the lease's row. That all of them lose the store while
 others reach it is unlikely, once in five hundred outages: the store turned
@@ -140,7 +146,8 @@
         )
         self.config_watch = self._watch(ports.config_table)
         self.engine_watch = self._watch(ports.engine_table)
-        self.engine_watch.pause_s = FIRST_PAUSE_S
+        for watch in (self.config_watch, self.engine_watch):
+            watch.pause_s = FIRST_PAUSE_S
         repeats = settings.repeats
         seen = observer.create_relay_observer()
         self.shared = context.RelayContext(
@@ -183,8 +190,10 @@
             ),
         )
         self.rows = group.NodeRows(ports.table, ports.clock)
+        self.keeper.lease.may_contend = self.may_contend
         self.group: group.Group | None = None
         self.size = group_size.GroupSize(ports.clock.monotonic())
+        self.joined_at = math.inf
         self.work = background.Background()
         self.woke_at = ports.clock.monotonic()
         self.is_front_idle: Callable[[], bool] = lambda: True
@@ -262,6 +271,7 @@
         await self.rows.peer_addresses()
         await joined.start()
         self.group = joined
+        self.joined_at = self.ports.clock.monotonic()
         if self.shared.drain.is_begun:
             # The stop began before there was anybody to tell. Peers took a
             # node that joins for one that stays, and sent callers to it.
@@ -270,9 +280,17 @@
         self.gateway.group = joined
         self.work.run(self.sweep_rows(joined))
         self.keeper.lease.is_holder_alive = joined.is_alive
-        self.keeper.lease.may_contend = lambda: joined.is_among_first(
-            CONTENDERS
-        )
+
+    def may_contend(self) -> bool:
+        """Returns whether this node takes part in the lease at present.
+
+        If all nodes that start together did, each would read the lease's row
+        until it knows its peers.
+        """
+        settled_at = self.joined_at + SETTLE_S
+        if self.group is None or self.ports.clock.monotonic() < settled_at:
+            return self.rows.is_among_first(CONTENDERS)
+        return self.group.is_among_first(CONTENDERS)
 
     async def sweep_rows(self, joined: group.Group) -> None:
         """Removes rows of nodes that are gone, while this node has the lease.
@@ -303,6 +321,7 @@
                 wait_s = feed_readers.READER_WAIT_S
             for watch in (self.config_watch, self.engine_watch):
                 watch.wait_s = wait_s
+            self.config_watch.pause_s = 0.0
             self.engine_watch.pause_s = ENGINE_PAUSE_S
 
     def note_group(self, joined: group.Group) -> int:
--- a/src/almondshift/relay/group.py
+++ b/src/almondshift/relay/group.py
@@ -66,6 +66,8 @@
     """Rows in the store by which nodes find each other.
 
     Attributes:
+        names: Names in the rows that were read last; empty before the first
+            read.
         stale: Rows of nodes that no peer knew at the last sweep, with their
             revisions.
     """
@@ -77,6 +79,7 @@
         self.peer_address = ""
         self.stale: dict[str, int] = {}
         self.found: list[str] = []
+        self.names: list[str] = []
         self.next_read_at = 0.0
 
     async def shared_secret(self) -> str:
@@ -105,12 +108,21 @@
         rows = await self.store.scan(TABLE, "", SEEDS_READ)
         if rows.is_ok():
             self.next_read_at = self.clock.monotonic() + READ_EACH_S
+            self.names = [row.key for row in rows.ok]
             found = [str(row.value.get("peer", "")) for row in rows.ok]
             self.found = [address for address in found if address]
-            if self.name and all(row.key != self.name for row in rows.ok):
+            if self.name and self.name not in self.names:
                 await self.announce(self.name, self.peer_address)
         return self.found
 
+    def is_among_first(self, count: int) -> bool:
+        """Returns whether few rows have names before this node's.
+
+        False before the rows were read.
+        """
+        before = sum(name < self.name for name in self.names)
+        return bool(self.names) and before < count
+
     async def sweep(self, known: frozenset[str]) -> list[str]:
         """Removes the rows of nodes that are gone; returns their names.
 
--- /dev/null
+++ b/tests/coordination/test_starting_together.py
@@ -0,0 +1,70 @@
+"""All nodes of a group start at once, as after a loss of power."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from almondshift.coordination import membership
+from almondshift.coordination import peer_types
+from tests.coordination import network
+
+STEP_S = 0.1
+MEET_WITHIN_S = 2.0
+"""Callers that lost their node come back within a second or two."""
+
+SETTINGS = peer_types.MembershipSettings(
+    interval_s=1.0, seeds_s=1.0, beats_per_s=40.0, meeting_s=MEET_WITHIN_S
+)
+
+
+async def started_together(size: int, seed: int) -> network.Cluster:
+    """Starts nodes that know all addresses and none of the others."""
+    cluster = network.Cluster(seed, SETTINGS)
+    names = [f"node-{number}" for number in range(size)]
+    cluster.seeds = [network.address_of(name) for name in names]
+    for name in names:
+        address = network.address_of(name)
+        cluster.nodes[name] = membership.create_membership(
+            network.MemoryLink(cluster.switchboard, address),
+            cluster.clock,
+            random.Random(cluster.rng.random()),
+            peer_types.NodeIdentity(name, address, f"{name}:80", "a"),
+            cluster.seed_addresses,
+            SETTINGS,
+        )
+    await asyncio.gather(*(node.start() for node in cluster.nodes.values()))
+    return cluster
+
+
+@pytest.mark.parametrize(("size", "seed"), [(6, 1), (75, 1), (75, 2)])
+def test_nodes_that_start_together_meet_before_callers_come_back(
+    size: int, seed: int
+) -> None:
+    """Each node would follow the store, and be named to callers, alone."""
+
+    async def scenario() -> None:
+        cluster = await started_together(size, seed)
+        for _ in range(round(MEET_WITHIN_S / STEP_S)):
+            await cluster.clock.advance(STEP_S)
+        seen = [len(peers) for peers in cluster.views().values()]
+        assert min(seen) >= 0.9 * (size - 1)
+        await asyncio.gather(*(n.close() for n in cluster.nodes.values()))
+
+    asyncio.run(scenario())
+
+
+def test_rounds_are_as_seldom_as_ever_after_the_start() -> None:
+    """Frequent rounds for good would cost each node its byte budget."""
+
+    async def scenario() -> None:
+        cluster = await started_together(6, 1)
+        node = cluster.nodes["node-0"]
+        assert node.interval_s() == SETTINGS.meeting_interval_s
+        await cluster.clock.advance(MEET_WITHIN_S)
+        assert node.interval_s() == SETTINGS.interval_s
+        await asyncio.gather(*(n.close() for n in cluster.nodes.values()))
+
+    asyncio.run(scenario())
--- a/tests/relay/test_group.py
+++ b/tests/relay/test_group.py
@@ -101,3 +101,25 @@
     assert len(found) == named
     if named < len(heard):
         assert max(peer.heard_s for peer in found) <= group.NAMED_S
+
+
+@pytest.mark.parametrize(
+    ("name", "rows", "takes_part"),
+    [
+        ("n03", 75, True),
+        ("n70", 75, False),
+        ("n3", 4, True),
+    ],
+    ids=["among the first", "one of many", "small group"],
+)
+@asynchronous.run
+async def test_few_of_many_nodes_that_start_together_are_first(
+    name: str, rows: int, takes_part: bool
+) -> None:
+    """75 nodes that know no peers yet would all read the lease's row."""
+    width = len(name) - 1
+    store, own = await announced(*(f"n{i:0{width}}" for i in range(rows)))
+    own.name, own.peer_address = name, "a:1"
+    assert not own.is_among_first(6)
+    await own.peer_addresses()
+    assert own.is_among_first(6) is takes_part
