Take an engine that drains for leaving before the registry says so

Ruled out: a longer pause after each refusal, since a node sends a request a second and meets each engine anew; believing the peer that was refused, since the engine may be cut off from it alone.

Change: a refusal brings a look at the engine's health check, which fails while it drains. Such an engine gets no new work, keeps its streams, and peers are told; each checks it.

Tests: tests/platform/test_draining_engines.py; the first fails without it.

--- a/src/almondshift/platform/engines.py
+++ b/src/almondshift/platform/engines.py
@@ -61,6 +61,9 @@
     409: path_engines.OrderOutcome.CONFLICT,
 }
 
+HEALTH = {200: True, 503: False}
+"""What the status of a health check's answer says."""
+
 
 class WireStalled(msgspec.Struct):
     """A request that stands still; ``address`` is the silent engine's."""
@@ -159,6 +162,22 @@
             return None
         return decode_report(fetched.body)
 
+    async def is_healthy(
+        self, address: str, health_path: str, timeout_s: float
+    ) -> bool | None:
+        """Asks a health check; a rejection for want of a slot says nothing."""
+        payload = http_channels.request_bytes(
+            "GET", health_path, [("Host", address)], b""
+        )
+        fetched = await http_channels.fetch(
+            self.pool, address, payload, timeout_s, MAX_REPORT_BYTES
+        )
+        if fetched.outcome is not http_channels.Outcome.WHOLE:
+            return None
+        if fetched.head is None or fetched.head.get(names.NOT_RUN) is not None:
+            return None
+        return HEALTH.get(fetched.head.status)
+
     async def place(
         self,
         address: str,
--- a/src/almondshift/policy/engine_book.py
+++ b/src/almondshift/policy/engine_book.py
@@ -48,6 +48,7 @@
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
     GONE = "gone"
+    DRAINING = "draining"
 
 
 @dataclasses.dataclass(slots=True)
@@ -133,7 +134,9 @@
     def suspect(self, instance: str, reason: Suspicion, now: float) -> bool:
         """Notes that an engine seems dead; returns whether that is news."""
         state = self.state(instance)
-        is_news = state.reason is None
+        is_news = state.reason is None or (
+            state.reason is Suspicion.DRAINING and reason is not state.reason
+        )
         state.reason = reason
         state.suspect_until = now + SUSPECT_S
         if is_news:
@@ -152,6 +155,14 @@
         state = self.states.get(instance)
         return state is not None and state.reason is not None
 
+    def is_lost(self, instance: str) -> bool:
+        """Returns whether an engine seems dead; one that drains still runs."""
+        state = self.states.get(instance)
+        return state is not None and state.reason not in (
+            None,
+            Suspicion.DRAINING,
+        )
+
     def due_for_trial(self, now: float) -> list[str]:
         """Returns suspects that may be asked whether they live."""
         return [
--- a/src/almondshift/ports/path_engines.py
+++ b/src/almondshift/ports/path_engines.py
@@ -85,6 +85,17 @@
     ) -> relayed.EngineReport | None:
         """Asks an engine how it is; None if it does not answer in time."""
 
+    @abc.abstractmethod
+    async def is_healthy(
+        self, address: str, health_path: str, timeout_s: float
+    ) -> bool | None:
+        """Asks an endpoint's health check.
+
+        Returns:
+            Whether it takes new work; None if it does not answer in time, or
+            is too busy to say.
+        """
+
     @abc.abstractmethod
     async def place(
         self,
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -29,6 +29,7 @@
 from almondshift.relay import layer_keeper
 from almondshift.relay import lost_engines
 from almondshift.relay import observer
+from almondshift.relay import refusing_engines
 from almondshift.relay import shared_feed
 from almondshift.relay import silence_watch
 from almondshift.relay import table_watch
@@ -169,6 +170,9 @@
             lost=lost_engines.create_lost_engines(
                 ports.clock, self.catalogue, self.book, seen
             ),
+            refusing=refusing_engines.create_refusing_engines(
+                ports.clock, self.catalogue, self.book, ports.engines, seen
+            ),
             observer=seen,
             times=answer_times.create_answer_times(),
             drain=drain.NodeDrain(ports.clock),
@@ -235,6 +239,7 @@
         await self.gateway.close()
         await self.keeper.close()
         await self.silence.close()
+        await self.shared.refusing.close()
         if self.group is not None:
             await self.group.close()
         await self.engine_watch.close()
@@ -266,6 +271,7 @@
         self.feed.group = joined
         self.shared.crashes.join(joined)
         self.shared.lost.join(joined)
+        self.shared.refusing.join(joined)
         # Read before the first exchange, which takes longer: callers that
         # come back at once are spread by how many nodes there are.
         await self.rows.peer_addresses()
@@ -385,6 +391,7 @@
         """
         self.silence.moves.engine_leaving(engine.instance)
         self.silence.forget(engine.instance)
+        self.shared.refusing.forget(engine.instance)
         self.shared.crashes.endpoint_gone(engine.instance, engine.leaving)
         self.book.forget(engine.instance)
         self.shared.endpoints.forget(engine.instance)
--- a/src/almondshift/relay/context.py
+++ b/src/almondshift/relay/context.py
@@ -22,6 +22,7 @@
     from almondshift.relay import drain
     from almondshift.relay import lost_engines
     from almondshift.relay import observer
+    from almondshift.relay import refusing_engines
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,6 +46,7 @@
     budget: repeat_budget.RepeatBudget
     crashes: crash_watch.CrashWatch
     lost: lost_engines.LostEngines
+    refusing: refusing_engines.RefusingEngines
     observer: observer.RelayObserver
     times: answer_times.AnswerTimes
     drain: drain.NodeDrain
--- a/src/almondshift/relay/engine_questions.py
+++ b/src/almondshift/relay/engine_questions.py
@@ -16,6 +16,7 @@
 from almondshift.policy import pooled_load
 
 if TYPE_CHECKING:
+    from almondshift.model import registered_engines
     from almondshift.model import relayed
     from almondshift.relay import background
     from almondshift.relay import context
@@ -80,7 +81,7 @@
         known = self.shared.catalogue.engines.get(instance)
         if known is None or known.born_ms == report.born_ms:
             return report
-        if known.born_ms < report.born_ms and not self.shared.book.is_suspect(
+        if known.born_ms < report.born_ms and not self.shared.book.is_lost(
             instance
         ):
             log_events.emit(
@@ -157,13 +158,28 @@
             if engine is None:
                 self.shared.book.forget(instance)
                 continue
-            self.shared.book.state(instance).suspect_until = now + TRIAL_GAP_S
+            state = self.shared.book.state(instance)
+            state.suspect_until = now + TRIAL_GAP_S
+            if state.reason is engine_book.Suspicion.DRAINING:
+                state.suspect_until = now + engine_book.SUSPECT_S
+                self.work.run(self.try_draining(engine))
+                continue
             self.work.run(self.try_suspect(instance, engine.address))
 
     async def try_suspect(self, instance: str, address: str) -> None:
         """Trusts a suspect again if it answers."""
-        if await self.report(instance, address) is None:
-            return
+        if await self.report(instance, address) is not None:
+            self.trust(instance)
+
+    async def try_draining(
+        self, engine: registered_engines.RegisteredEngine
+    ) -> None:
+        """Trusts an engine again whose health check succeeds."""
+        if await self.shared.refusing.is_healthy(engine):
+            self.trust(engine.instance)
+
+    def trust(self, instance: str) -> None:
+        """Gives an engine work again."""
         self.shared.book.trust(instance)
         self.shared.observer.emit(
             log_events.EndpointRestored(instance, engine_book.SUSPECT_S)
--- a/src/almondshift/relay/lost_engines.py
+++ b/src/almondshift/relay/lost_engines.py
@@ -84,7 +84,7 @@
         """Takes what a peer says of an engine."""
         if fact is None or self.group is None:
             return
-        if fact.origin == self.group.name or self.book.is_suspect(key):
+        if fact.origin == self.group.name or self.book.is_lost(key):
             return
         engine = self.catalogue.engines.get(key)
         if engine is not None:
--- a/src/almondshift/relay/path_probe.py
+++ b/src/almondshift/relay/path_probe.py
@@ -126,7 +126,7 @@
             for _, attempt in silent
             for part in attempt.path
             if part.instance not in alive
-            and not self.shared.book.is_suspect(part.instance)
+            and not self.shared.book.is_lost(part.instance)
         }
 
     async def probe(self, parts: dict[str, relayed.PathPart]) -> None:
--- /dev/null
+++ b/src/almondshift/relay/refusing_engines.py
@@ -0,0 +1,145 @@
+"""Engines that refuse new work before the registry says that they leave.
+
+Load pattern: engines are drained while the store is away. The registry still
+lists them, and each node offers them its requests: a refusal costs a request
+one of the few endpoints that it may be sent to, and after some of them its
+caller is refused though other engines have room.
+
+An engine without memory refuses in the same way and has room again within
+half a second. So a refusal brings a question to the engine's health check,
+which fails while it drains. Such an engine gets no new work, and peers are
+told; each asks the engine itself, since the path to it may differ.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from almondshift import log_events
+from almondshift.policy import engine_book
+from almondshift.ports import peers
+from almondshift.relay import background
+
+if TYPE_CHECKING:
+    from almondshift.model import registered_engines
+    from almondshift.ports import clocks
+    from almondshift.ports import path_engines
+    from almondshift.relay import catalogue
+    from almondshift.relay import group as relay_group
+    from almondshift.relay import observer
+
+HEALTH_TIMEOUT_S = 0.3
+CHECK_GAP_S = 0.5
+"""Minimum time between health checks of one engine."""
+
+MAX_CHECKS = 24
+"""Checks in flight; further refusals bring checks of their own."""
+
+
+class RefusingEngines:
+    """Checks engines that refuse work.
+
+    Attributes:
+        group: The other nodes; None before they are known.
+        checked_at: When an engine was last checked, by instance.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        registry: catalogue.Catalogue,
+        book: engine_book.EngineBook,
+        engines: path_engines.PathEngines,
+        seen: observer.RelayObserver,
+    ) -> None:
+        self.clock = clock
+        self.catalogue = registry
+        self.book = book
+        self.engines = engines
+        self.observer = seen
+        self.group: relay_group.Group | None = None
+        self.checked_at: dict[str, float] = {}
+        self.work = background.Background()
+
+    def join(self, joined: relay_group.Group) -> None:
+        """Begins to tell peers, and to hear from them."""
+        self.group = joined
+        joined.on_told(peers.FactKind.LEAVING, self.take_fact)
+
+    async def close(self) -> None:
+        """Stops the checks."""
+        await self.work.close()
+
+    def note_refusal(self, instance: str) -> None:
+        """Checks an engine that refused a request of this node."""
+        self.check(instance)
+
+    def take_fact(self, key: str, fact: peers.Fact | None) -> None:
+        """Checks an engine that drains according to a peer."""
+        if fact is None or self.group is None:
+            return
+        if fact.origin != self.group.name:
+            self.check(key)
+
+    def check(self, instance: str) -> None:
+        """Begins a check unless one was begun lately."""
+        engine = self.catalogue.engines.get(instance)
+        if engine is None or engine.leaving or self.book.is_suspect(instance):
+            return
+        now = self.clock.monotonic()
+        if now - self.checked_at.get(instance, -math.inf) < CHECK_GAP_S:
+            return
+        if len(self.work) >= MAX_CHECKS:
+            return
+        self.checked_at[instance] = now
+        self.work.run(self.ask(engine))
+
+    async def ask(self, engine: registered_engines.RegisteredEngine) -> None:
+        """Gives an engine no new work if its health check fails."""
+        if await self.is_healthy(engine) is not False:
+            return
+        if self.book.is_suspect(engine.instance):
+            return
+        reason = engine_book.Suspicion.DRAINING
+        self.book.suspect(engine.instance, reason, self.clock.monotonic())
+        self.observer.emit(
+            log_events.EndpointEjected(
+                engine.instance, reason.value, engine_book.SUSPECT_S
+            )
+        )
+        self.tell(engine.instance)
+
+    def tell(self, instance: str) -> None:
+        """Tells peers of an engine, unless one of them did."""
+        kind = peers.FactKind.LEAVING
+        if self.group is None or self.group.is_told(kind, instance):
+            return
+        self.group.tell(kind, instance, b"true", engine_book.SUSPECT_S)
+
+    async def is_healthy(
+        self, engine: registered_engines.RegisteredEngine
+    ) -> bool | None:
+        """Returns what the health check says; None if it says nothing."""
+        config = self.catalogue.config
+        service = config.services.get(engine.service) if config else None
+        if service is None:
+            return None
+        return await self.engines.is_healthy(
+            engine.address, service.health_path, HEALTH_TIMEOUT_S
+        )
+
+    def forget(self, instance: str) -> None:
+        """Drops an engine that is gone."""
+        self.checked_at.pop(instance, None)
+
+
+def create_refusing_engines(
+    clock: clocks.Clock,
+    registry: catalogue.Catalogue,
+    book: engine_book.EngineBook,
+    engines: path_engines.PathEngines,
+    seen: observer.RelayObserver,
+) -> RefusingEngines:
+    """Creates the checks; they tell peers once they have joined them."""
+    return RefusingEngines(clock, registry, book, engines, seen)
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -336,8 +336,9 @@
                     part.instance, engine_book.Suspicion.REFUSED
                 )
             else:
-                # It is full, or dead; a question tells which.
+                # It is full, drains or is dead; questions tell which.
                 self.shared.book.note_full(part.instance, now)
+                self.shared.refusing.note_refusal(part.instance)
                 self.shared.paths.tight[part.instance] = part.address
 
     def go_on(
@@ -351,7 +352,7 @@
         """
         if is_not_run:
             self.unrefused -= 1
-        elif not self.shared.book.is_suspect(attempt.first.instance):
+        elif not self.shared.book.is_lost(attempt.first.instance):
             self.ran_on += 1
         allowed = self.may_repeat(is_not_run)
         waits = not allowed and self.may_wait(is_not_run)
--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -21,6 +21,7 @@
 from almondshift.platform import names
 
 SIGNATURE = "X-Engine-Signature"
+HEALTH_PATH = "/health"
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,6 +56,7 @@
         gap_s: Pause between events.
         is_dead: Nothing that it does goes on; connections stay open.
         is_full: It refuses all new work for want of memory.
+        is_draining: It refuses all new work, and its health check fails.
         cut_after: A stream's connection is cut after so many events.
         status: Status that plain requests get.
         crashing_body: A request with it crashes the engine; empty for none.
@@ -80,6 +82,7 @@
         self.first_s = 0.0
         self.is_dead = False
         self.is_full = False
+        self.is_draining = False
         self.cut_after = -1
         self.status = 200
         self.hold_s = 0.0
@@ -97,6 +100,7 @@
             [
                 (names.ENGINE_REPORT, ReportHandler, {"engine": self}),
                 (names.ENGINE_ORDER, OrderHandler, {"engine": self}),
+                (HEALTH_PATH, HealthHandler, {"engine": self}),
                 (r"/.*", WorkHandler, {"engine": self}),
             ],
             log_function=lambda handler: None,
@@ -166,6 +170,8 @@
             other = self.world.engines.get(address)
             if other is None or other.is_dead or other.is_full:
                 return 503, address
+            if other.is_draining:
+                return 503, address
             held = other.layers
             if held is None or start < held[0] or end > held[1]:
                 return 421, address
@@ -196,6 +202,11 @@
         self.write({**report, **self.engine.said_start()})
 
 
+class HealthHandler(EngineHandler):
+    def get(self) -> None:
+        self.set_status(503 if self.engine.is_draining else 200)
+
+
 class OrderHandler(EngineHandler):
     def post(self) -> None:
         order = json.loads(self.request.body)
--- a/tests/platform/standin_system.py
+++ b/tests/platform/standin_system.py
@@ -45,6 +45,7 @@
         "services": [
             {
                 "name": MODEL_SERVICE,
+                "healthPath": standin_engines.HEALTH_PATH,
                 "maxConnections": 100,
                 "engine": {
                     "slots": 96,
--- /dev/null
+++ b/tests/platform/test_draining_engines.py
@@ -0,0 +1,117 @@
+"""Engines that drain while the store can't tell of it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from almondshift.policy import engine_book
+from tests.platform import standin_system as system
+from tests.platform import test_whole_system as whole
+
+REQUESTS = 12
+
+
+def offers(running: system.StandinSystem, instance: str) -> int:
+    """Returns how many requests were sent over paths through an engine."""
+    address = running.engines[instance].address
+    heads = [head for e in running.engines.values() for head in e.seen]
+    return sum(address in head.get("X-Hop-Count", "") for head in heads)
+
+
+async def _meet(running: system.StandinSystem) -> None:
+    await running.until(
+        lambda: all(
+            process.node.group and process.node.group.serving()
+            for process in running.nodes
+        )
+    )
+
+
+@pytest.mark.parametrize("drained", ["a0", "a1"], ids=["first", "later"])
+def test_a_draining_engine_gets_requests_of_one_node_only(drained: str) -> None:
+    """Callers are refused since each node offers requests to drained engines.
+
+    The registry goes on listing an engine that drains. The first refusal
+    brings a look at its health check, and the other nodes are told.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=3) as running:
+            await _meet(running)
+            books = [process.node.shared.book for process in running.nodes]
+            running.engines[drained].is_draining = True
+            for number in range(REQUESTS):
+                await whole.chat(running, f"r{number}")
+                if books[0].is_suspect(drained):
+                    break
+                await asyncio.sleep(0.05)
+            await running.until(
+                lambda: all(book.is_suspect(drained) for book in books), 1.5
+            )
+            before = offers(running, drained)
+            for number in range(REQUESTS):
+                answer = await whole.chat(running, f"s{number}", number % 3)
+                assert answer[0] == 200
+            assert offers(running, drained) == before
+
+    asyncio.run(scenario())
+
+
+def test_an_engine_that_is_only_full_gets_requests_again_at_once() -> None:
+    """Room that a full engine frees would stay unused for seconds."""
+
+    async def scenario() -> None:
+        async with system.running_system(zones="a") as running:
+            for engine in running.engines.values():
+                engine.is_full = True
+            assert (await whole.chat(running, "r1"))[0] == 503
+            for engine in running.engines.values():
+                engine.is_full = False
+            await asyncio.sleep(2 * engine_book.FULL_S)
+            book = running.nodes[0].node.shared.book
+            assert not any(book.is_suspect(name) for name in running.engines)
+            assert (await whole.chat(running, "r2"))[0] == 200
+
+    asyncio.run(scenario())
+
+
+def test_streams_of_a_draining_engine_go_on() -> None:
+    """An engine that drains finishes what it runs; moved, streams falter."""
+
+    async def scenario() -> None:
+        async with system.running_system(zones="a", nodes=1) as running:
+            for engine in running.engines.values():
+                engine.gap_s = 0.03
+            shared = running.nodes[0].node.shared
+            moves = system.record_moves(shared)
+            stream = asyncio.create_task(whole.chat(running, "r1"))
+            await running.until(lambda: whole.times_run(running, "r1") == 1)
+            running.engines["a1"].is_draining = True
+            await whole.chat(running, "r2")
+            await running.until(lambda: shared.book.is_suspect("a1"), 1.0)
+            status, _, body = await stream
+            assert (status, whole.tokens(body)) == (200, whole.WHOLE)
+            assert not moves
+            assert whole.times_run(running, "r1") == 1
+
+    asyncio.run(scenario())
+
+
+def test_an_engine_whose_health_check_succeeds_again_gets_work() -> None:
+    """An engine that failed its check for a moment would be lost for good."""
+
+    async def scenario() -> None:
+        async with system.running_system(zones="a") as running:
+            book = running.nodes[0].node.shared.book
+            running.engines["a1"].is_draining = True
+            await whole.chat(running, "r1")
+            await running.until(lambda: book.is_suspect("a1"), 1.0)
+            running.engines["a1"].is_draining = False
+            book.state("a1").suspect_until = 0.0
+            await running.until(lambda: not book.is_suspect("a1"), 1.0)
+            await asyncio.sleep(engine_book.FULL_S)
+            assert (await whole.chat(running, "r2"))[0] == 200
+
+    asyncio.run(scenario())
--- a/tests/relay/test_layer_keeper.py
+++ b/tests/relay/test_layer_keeper.py
@@ -83,6 +83,9 @@
     def forward(self, *values: Any) -> path_engines.ForwardedRequest:
         raise NotImplementedError
 
+    async def is_healthy(self, *values: Any) -> bool | None:
+        raise NotImplementedError
+
     async def repath(self, *values: Any) -> path_engines.OrderAnswer:
         raise NotImplementedError
 
