--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import os
 import pathlib
 import signal
 import subprocess
 import sys
+import sysconfig
 import time
 import tomllib
 from typing import TYPE_CHECKING
@@ -18,7 +20,9 @@
     from collections.abc import Callable
     from collections.abc import Iterator
 
-DEPLOY_FILE = pathlib.Path(__file__).parents[2] / "deploy" / "system.toml"
+ROOT = pathlib.Path(__file__).parents[2]
+DEPLOY_FILE = ROOT / "deploy" / "system.toml"
+SOURCES = ROOT / "src"
 
 START_S = 20.0
 END_S = 10.0
@@ -52,9 +56,12 @@
         deployed = tomllib.loads(DEPLOY_FILE.read_text())
         words = deployed["roles"]["node"]["run"].split()
         self.log = folder / "n1.log"
+        # Libraries are found as on a VM, where no site module names them.
+        paths = [sysconfig.get_path("purelib"), str(SOURCES)]
         with self.log.open("wb") as log:
             self.process = subprocess.Popen(
                 [sys.executable, *words[1:-1], str(settings)],
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(paths)},
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
