Take callers' patience from the route

Cause: a broken stream was given up two seconds after its last event.

Change: Route.patience_s, set where the configuration is decoded. Nothing changes where objectives are 0.5 s and pauses 0.25 s or less.

--- a/src/almondshift/model/routes.py
+++ b/src/almondshift/model/routes.py
@@ -40,6 +40,7 @@
         max_attempts: Endpoints that one request may be run by.
         public: Whether callers need no key.
         resumable: Whether a stream may go on at another endpoint.
+        patience_s: Silence after which callers abandon a stream.
     """
 
     name: str
@@ -54,6 +55,7 @@
     max_attempts: int
     public: bool
     resumable: bool
+    patience_s: float
 
     @property
     def is_stream(self) -> bool:
--- a/src/almondshift/platform/decode.py
+++ b/src/almondshift/platform/decode.py
@@ -29,6 +29,12 @@
 DEFAULT_GAP_S = 0.2
 """Longest pause between events where a route names none."""
 
+LEAST_PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_GAPS = 8.0
+"""Callers abandon a silent stream after the longest of these: a time, and
+multiples of the route's objective and of its pause between events."""
+
 REPEAT_RULES = {
     "safe": model_routes.RepeatRule.IDEMPOTENT,
     "unsafe": model_routes.RepeatRule.AT_MOST_ONCE,
@@ -254,6 +260,8 @@
 
 def _route(wire: WireRoute) -> model_routes.Route:
     gap_ms = wire.gap_aim_ms
+    objective_s = wire.target_latency_ms / 1000
+    event_gap_s = DEFAULT_GAP_S if gap_ms is None else gap_ms / 1000
     shares = [
         model_routes.ServiceShare(s.service, _weight(s.weight))
         for s in wire.traffic_split
@@ -268,13 +276,18 @@
             wire.kind, model_routes.RepeatRule.AT_MOST_ONCE
         ),
         timeout_s=wire.timeout_ms / 1000,
-        objective_s=wire.target_latency_ms / 1000,
-        event_gap_s=DEFAULT_GAP_S if gap_ms is None else gap_ms / 1000,
+        objective_s=objective_s,
+        event_gap_s=event_gap_s,
         priority=wire.priority,
         shares=tuple(shares),
         max_attempts=max(1, wire.max_attempts),
         public=wire.public,
         resumable=wire.can_resume,
+        patience_s=max(
+            LEAST_PATIENCE_S,
+            PATIENCE_OBJECTIVES * objective_s,
+            PATIENCE_GAPS * event_gap_s,
+        ),
     )
 
 
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -25,14 +25,12 @@
 MAX_FAILURE_BYTES = 100_000
 """Body of an answer that is no stream; engines' refusals are short."""
 
-CALLER_PATIENCE_S = 2.0
-"""Callers leave a stream after so long without an event."""
-
 RESUME_RETRY_S = 0.15
 """Pause between looks for a path for a broken stream; loads take a second."""
 
-UNHEARD_S = 1.5
-"""A caller who leaves sooner has other reasons than the wait."""
+UNHEARD_SHARE = 0.75
+"""Share of the callers' patience after which an abandoned stream counts against
+its first engine; earlier disconnects have other reasons."""
 
 MOVE_TRIES = 4
 """Orders for one move: an engine that died with others, or is full, is found
@@ -171,7 +169,7 @@
     def look_later(self, look: Callable[[], None]) -> None:
         """Looks for a path again in a moment, while the caller waits."""
         waited_s = self.loop.time() - self.progress_at
-        if waited_s + RESUME_RETRY_S >= CALLER_PATIENCE_S:
+        if waited_s + RESUME_RETRY_S >= self.routed.route.patience_s:
             self.refuse(errors.UpstreamFailed("No path can go on with it."))
             return
         self.retry = self.loop.call_later(RESUME_RETRY_S, look)
@@ -546,7 +544,7 @@
         attempt = self.attempt
         if attempt is not None and not self.responder.head_sent:
             waited_s = self.loop.time() - attempt.sent_at
-            if waited_s >= UNHEARD_S:
+            if waited_s >= UNHEARD_SHARE * self.routed.route.patience_s:
                 now = self.shared.clock.monotonic()
                 self.shared.book.note_unheard(attempt.first.instance, now)
         super().caller_gone()
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -37,6 +37,27 @@
     assert config.account_by_key["key-1"].name == "account"
 
 
+@pytest.mark.parametrize(
+    ("objective_ms", "gap_ms", "patience_s"),
+    [(200, 200, 2.0), (500, 250, 2.0), (603, 250, 2.412), (100, 500, 4.0)],
+)
+def test_callers_patience_follows_from_the_route(
+    objective_ms: float, gap_ms: float, patience_s: float
+) -> None:
+    """A stream would be broken off under callers who still wait for it."""
+    route = standin_system.route(
+        "r",
+        "/r/",
+        "streaming",
+        "model",
+        targetLatencyMs=objective_ms,
+        gapAimMs=gap_ms,
+    )
+    config = _decoded(routes=[route]).ok
+    found = config.table.find("chat.example", "/r/")
+    assert found.patience_s == pytest.approx(patience_s)
+
+
 @pytest.mark.parametrize(
     ("prefixes", "path", "expected"),
     [
