Run a stream elsewhere whose first event is overdue

Ruled out: a fixed time, which in a burst runs each request twice.

Change: after half of the objective, or three times what first events usually take if that is longer, the stream runs over another path, once, if attempts and the budget of repeats allow it and a path has room.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -33,7 +33,9 @@
 from almondshift.model import routed_requests
 from almondshift.model import routes as model_routes
 from almondshift.platform import decode
+from almondshift.policy import answer_times
 from almondshift.policy import engine_book
+from almondshift.policy import first_event_wait
 from almondshift.policy import layer_holdings
 from almondshift.policy import layer_plan
 from almondshift.policy import path_choice
@@ -42,6 +44,8 @@
 from almondshift.ports import row_feeds
 from almondshift.relay import catalogue
 from almondshift.relay import context
+from almondshift.relay import drain
+from almondshift.relay import lost_engines
 from almondshift.relay import observer
 from almondshift.relay import silence_watch
 from almondshift.relay import stream_run
@@ -128,6 +132,10 @@
         """Says that all is well."""
         return relayed.EngineReport(1.0, 0.0, 1.0, 0, 0, False, 0, ())
 
+    async def is_healthy(self, *values: Any) -> bool | None:
+        """Says that all is well."""
+        return True
+
     async def place(self, *values: Any) -> path_engines.OrderAnswer:
         """Obeys."""
         return path_engines.OrderAnswer(path_engines.OrderOutcome.BEGUN)
@@ -231,6 +239,7 @@
             self.book, random.Random(1)
         )
         self.paths.nodes = size.nodes
+        seen = observer.create_relay_observer()
         self.shared = context.RelayContext(
             zone="z0",
             clock=self.clock,
@@ -246,8 +255,16 @@
             crashes=cast("Any", types.SimpleNamespace(
                 note_broken=lambda *v: None, is_refused=lambda *v: False
             )),
-            observer=observer.create_relay_observer(),
+            lost=lost_engines.create_lost_engines(
+                self.clock, self.known, self.book, seen
+            ),
+            refusing=cast("Any", None),
+            observer=seen,
+            times=answer_times.create_answer_times(),
+            first_waits=first_event_wait.create_first_event_wait(),
+            drain=drain.NodeDrain(self.clock),
             registry_age_s=lambda: 0.0,
+            engine_notice_s=2.0,
         )  # fmt: skip
         self.watch = silence_watch.SilenceWatch(self.shared)
         self.engines = planned(size)
@@ -314,6 +331,7 @@
         max_attempts=2,
         public=True,
         resumable=True,
+        patience_s=2.0,
     )
     return routed_requests.RoutedRequest(request, route, SERVICE, "", 1, 1)
 
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -16,6 +16,7 @@
 from almondshift.policy import endpoint_choice
 from almondshift.policy import engine_book
 from almondshift.policy import feed_readers
+from almondshift.policy import first_event_wait
 from almondshift.policy import group_size
 from almondshift.policy import path_choice
 from almondshift.policy import repeat_budget
@@ -175,6 +176,7 @@
             ),
             observer=seen,
             times=answer_times.create_answer_times(),
+            first_waits=first_event_wait.create_first_event_wait(),
             drain=drain.NodeDrain(ports.clock),
             registry_age_s=self.engine_watch.age_s,
         )
--- a/src/almondshift/relay/context.py
+++ b/src/almondshift/relay/context.py
@@ -12,6 +12,7 @@
     from almondshift.policy import answer_times
     from almondshift.policy import endpoint_choice
     from almondshift.policy import engine_book
+    from almondshift.policy import first_event_wait
     from almondshift.policy import path_choice
     from almondshift.policy import repeat_budget
     from almondshift.ports import clocks
@@ -49,6 +50,7 @@
     refusing: refusing_engines.RefusingEngines
     observer: observer.RelayObserver
     times: answer_times.AnswerTimes
+    first_waits: first_event_wait.FirstEventWait
     drain: drain.NodeDrain
     registry_age_s: Callable[[], float]
     running: set[relays.Relaying] = dataclasses.field(default_factory=set)
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -26,18 +26,18 @@
 """Body of an answer that is no stream; engines' refusals are short."""
 
 RESUME_RETRY_S = 0.15
-"""Pause between looks for a path for a broken stream; loads take a second."""
+"""Interval between searches for a path for a broken stream, in seconds."""
 
 UNHEARD_SHARE = 0.75
 """Share of the callers' patience after which an abandoned stream counts against
 its first engine; earlier disconnects have other reasons."""
 
 MOVE_TRIES = 4
-"""Orders for one move: an engine that died with others, or is full, is found
-only by its refusal; three of a rack may die at once."""
+"""Maximum orders per move. Each refusal identifies one more engine that is dead
+or full, and several of a rack may die at once."""
 
 MOVE_TIMEOUT_S = 0.4
-"""An engine that lives answers an order within some ms."""
+"""Time for the answer to an order; live engines take milliseconds."""
 
 HIGHEST_PRIORITY = 9
 
@@ -132,6 +132,7 @@
         request = self.routed.request
         self.attempt: StreamAttempt | None = None
         self.retry: asyncio.TimerHandle | None = None
+        self.overdue: asyncio.TimerHandle | None = None
         self.events_sent = 0
         self.first_at = self.started_at
         self.progress_at = self.started_at
@@ -227,6 +228,44 @@
             ),
             attempt,
         )
+        self.watch_first_event()
+
+    def watch_first_event(self) -> None:
+        """Runs the request elsewhere if its first event is overdue."""
+        route = self.routed.route
+        if not self.responder.head_sent and route.may_repeat:
+            wait_s = self.shared.first_waits.overdue_s(
+                self.routed.service, route.objective_s
+            )
+            self.overdue = self.loop.call_later(wait_s, self.leave_silent)
+
+    def leave_silent(self) -> None:
+        """Leaves an engine that lives and sends nothing.
+
+        A stream that can run nowhere else stays: it may have to wait for no
+        more than a queue.
+        """
+        attempt = self.attempt
+        if attempt is None or self.ended or attempt.over or attempt.moving:
+            return
+        if self.responder.head_sent:
+            return
+        view = self.shared.catalogue.view(self.routed.service)
+        if view is None or not self.could_run_elsewhere():
+            return
+        now = self.shared.clock.monotonic()
+        avoid = self.broken | {attempt.first.instance}
+        if self.shared.paths.choose(view, self.tokens, now, avoid) is None:
+            return
+        self.note_first_wait(attempt)
+        self.note_unheard(attempt)
+        self.broken = avoid
+        self.resume_elsewhere("no first event")
+
+    def note_first_wait(self, attempt: StreamAttempt) -> None:
+        """Notes how long a first event took, or was waited for."""
+        seconds = self.loop.time() - attempt.sent_at
+        self.shared.first_waits.note(self.routed.service, seconds)
 
     def take_events(
         self, attempt: StreamAttempt, whole: list[events.StreamEvent]
@@ -248,6 +287,7 @@
         if not self.responder.head_sent:
             assert attempt.head is not None
             self.first_at = now
+            self.note_first_wait(attempt)
             self.shared.observer.first_seconds.observe(now - self.started_at)
             self.responder.send_head(attempt.head.status, attempt.head.headers)
         elif now - self.progress_at > self.routed.route.event_gap_s:
@@ -541,18 +581,23 @@
 
     def caller_gone(self) -> None:
         """Stops the work; notes an engine under which the caller waited."""
-        attempt = self.attempt
-        if attempt is not None and not self.responder.head_sent:
-            waited_s = self.loop.time() - attempt.sent_at
-            if waited_s >= UNHEARD_SHARE * self.routed.route.patience_s:
-                now = self.shared.clock.monotonic()
-                self.shared.book.note_unheard(attempt.first.instance, now)
+        if self.attempt is not None and not self.responder.head_sent:
+            self.note_unheard(self.attempt)
         super().caller_gone()
 
+    def note_unheard(self, attempt: StreamAttempt) -> None:
+        """Notes a first engine that sent nothing for nearly too long."""
+        waited_s = self.loop.time() - attempt.sent_at
+        if waited_s >= UNHEARD_SHARE * self.routed.route.patience_s:
+            now = self.shared.clock.monotonic()
+            self.shared.book.note_unheard(attempt.first.instance, now)
+
     def release(self) -> None:
         """Takes the present attempt out of the counts."""
         attempt = self.attempt
         self.attempt = None
+        if self.overdue is not None:
+            self.overdue.cancel()
         if attempt is not None:
             self.shared.book.remove(attempt.used, self.tokens)
 
