Let operators say for how long a leaving engine serves

Cause: streams left an engine's availability zone 1.6 s after its notice, fitted to the small deployments, whose engines serve on for 2 s. The grown ones give 3 s.

Nothing changes on the small deployments.

--- a/src/almondshift/adapters/relay_settings.py
+++ b/src/almondshift/adapters/relay_settings.py
@@ -101,6 +101,17 @@
     allowance: NotNegative = 10.0
 
 
+class EnginesSection(msgspec.Struct, forbid_unknown_fields=True):
+    """``[engines]``: what operators promise of engines.
+
+    Attributes:
+        notice_ms: Time for which an engine serves at least after it was
+            registered as leaving.
+    """
+
+    notice_ms: NotNegative = 2_000.0
+
+
 class RelaySettings(msgspec.Struct, forbid_unknown_fields=True):
     """All sections."""
 
@@ -111,6 +122,7 @@
     metrics: MetricsSection = msgspec.field(default_factory=MetricsSection)
     drain: DrainSection = msgspec.field(default_factory=DrainSection)
     repeats: RepeatsSection = msgspec.field(default_factory=RepeatsSection)
+    engines: EnginesSection = msgspec.field(default_factory=EnginesSection)
 
 
 def parse(
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -99,6 +99,7 @@
 that began within the last seconds before a stop end a few a second."""
 
 STOP_TICK_S = 0.05
+MS_PER_S = 1000.0
 
 logger = logging.getLogger(__name__)
 
@@ -179,6 +180,7 @@
             first_waits=first_event_wait.create_first_event_wait(),
             drain=drain.NodeDrain(ports.clock),
             registry_age_s=self.engine_watch.age_s,
+            engine_notice_s=settings.engines.notice_ms / MS_PER_S,
         )
         self.gateway = gateway.Gateway(
             self.shared, self.config_watch, settings.entry.address
--- a/src/almondshift/relay/context.py
+++ b/src/almondshift/relay/context.py
@@ -33,6 +33,8 @@
     Attributes:
         zone: This node's availability zone.
         registry_age_s: Returns the age of what is known of engines.
+        engine_notice_s: Time for which an engine serves at least after it was
+            registered as leaving.
         running: Requests that have not ended.
     """
 
@@ -53,4 +55,5 @@
     first_waits: first_event_wait.FirstEventWait
     drain: drain.NodeDrain
     registry_age_s: Callable[[], float]
+    engine_notice_s: float
     running: set[relays.Relaying] = dataclasses.field(default_factory=set)
--- a/src/almondshift/relay/stream_moves.py
+++ b/src/almondshift/relay/stream_moves.py
@@ -14,11 +14,14 @@
     from almondshift.relay import context
 
 LEAVE_EACH_S = 0.2
-LEAVE_BY_S = 1.6
-"""An engine that leaves serves for two seconds after its notice at least;
-streams that are still on it then are cut."""
+"""Interval between moves of streams off engines that leave, in seconds."""
 
-LEAVE_FORGET_S = 2.6
+LEAVE_MARGIN_S = 0.4
+"""Time before a leaving engine may stop at which its streams move at any cost,
+in seconds; covers the delay until its notice is known."""
+
+LEAVE_FORGET_S = 1.0
+"""Time after that for which moves are still tried, in seconds."""
 
 
 class StreamMoves:
@@ -80,17 +83,18 @@
     def leave_in_time(self) -> None:
         """Takes streams off leaving engines as soon as their zone allows it.
 
-        Neighbours load a leaving engine's layers within about a second, and
-        it serves for two more; streams wait for that rather than for the
-        links between zones, until the time is nearly over.
+        Other engines of the zone load the layers while the leaving engine
+        still serves. Streams wait for that rather than move over the links
+        between zones, until the notice is nearly over.
         """
         now = asyncio.get_running_loop().time()
         if now - self.left_at < LEAVE_EACH_S:
             return
         self.left_at = now
+        due_s = max(0.0, self.shared.engine_notice_s - LEAVE_MARGIN_S)
         for instance, since in list(self.leaving.items()):
-            self.move_from(instance, must=now - since > LEAVE_BY_S)
-            if now - since > LEAVE_FORGET_S:
+            self.move_from(instance, must=now - since > due_s)
+            if now - since > due_s + LEAVE_FORGET_S:
                 del self.leaving[instance]
 
     def move_from(self, instance: str, must: bool) -> None:
