--- a/bench/compare/worktrees.py
+++ b/bench/compare/worktrees.py
@@ -30,7 +30,7 @@
     Journal entries that are not committed stay.
     """
     _git(worktree, "checkout", "--quiet", "--force", "--detach", commit)
-    _git(worktree, "clean", "--quiet", "--force", "-d", "src", "deploy")
+    _git(worktree, "clean", "--quiet", "--force", "-d", "--exclude=journal")
     if patch is not None:
         _git(worktree, "apply", str(patch.resolve()))
 
