--- a/src/almondshift/policy/engine_book.py
+++ b/src/almondshift/policy/engine_book.py
@@ -1,9 +1,9 @@
-"""What this node believes of engines: its own load on them, and their health.
+"""This node's view of engines: its own load on them, and their health.
 
-Load pattern: reports come late, so an engine that looks free in one is filled
+Load pattern: reports are delayed, so an engine that looks idle in one is filled
 by all nodes before the next; and a dead engine stays registered for seconds.
-The node counts what it sent itself at once, and takes the other nodes for
-like it: callers choose nodes at random, so each carries an even part.
+The node counts its own requests at once and assumes the same load of every
+other node, since callers choose nodes at random.
 """
 
 from __future__ import annotations
@@ -12,33 +12,30 @@
 import enum
 
 SUSPECT_S = 3.0
-"""An engine that stood still or did not answer gets no work for so long, and
-then only after it has answered: the registry takes some four seconds to drop
-a dead engine, and a restart takes a few."""
+"""Time without work for an engine that did not answer, in seconds; it must then
+answer first. Covers the delay until the registry drops a dead engine."""
 
 PACE_MEMORY_S = 4.0
-"""A report of slowness is believed for so long; slow spells last seconds."""
+"""Validity of a report of slowness, in seconds."""
 
 USED_S = 1.0
-"""A report of memory in use is believed for so long; requests last some five
-seconds, so that a fifth of them have changed by then."""
+"""Validity of a report of memory in use, in seconds; short against the duration
+of a request."""
 
 GROWTH = 1.25
-"""Memory that requests will come to use over what they use now: on average
-half of their answer, a fifth of their memory, is still to be written."""
+"""Expected final memory of running requests, relative to their present use."""
 
 SLOW_PACE = 4.0
-"""An engine that is so much slower holds up all behind it: a stage that was
-a fifth busy is then nearly saturated, and its queue grows while it lasts."""
+"""Slowdown from which an engine is avoided: a stage that was lightly loaded is
+then nearly saturated and delays the whole path."""
 
 UNHEARD_S = 4.0
-"""A first engine under which a caller waited in vain is passed over for so long
-while others can be first; a queue of some seconds has drained by then, or the
-next caller who leaves tells of it again."""
+"""Time for which a first engine is avoided after a caller abandoned a stream
+without a first event, in seconds."""
 
 FULL_S = 0.4
-"""An engine that refused for want of memory is passed over for so long, twice
-the usual delay of reports."""
+"""Time for which an engine is avoided after it refused a request because it had
+no memory, in seconds; twice the delay of reports."""
 
 
 class Suspicion(enum.StrEnum):
--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -1,16 +1,13 @@
-"""The path of a request: which zone's engines, and whether it fits at all.
+"""Path selection: which engines run a request, and whether it is admitted.
 
 Load pattern: a burst, or the loss of engines, brings more requests than
-memory holds. Engines then preempt the newest requests and read them again,
-and all streams falter. Here a request is let in only to a path whose every
-engine has room by this node's own count, taken for each node alike; what
-fits nowhere is refused at once, while the caller has time to come back.
-
-Grounds: paths of each zone are searched again when health or registrations
-change, and every quarter of a second for the load, since a search costs more
-than all else of a request's arrival, and a request lasts seconds. A choice
-among near-best zones is jittered so that nodes with the same view don't move
-together.
+engines have memory for. Engines then preempt the newest requests and prefill
+them again, and all streams stall. A request is admitted only to a path whose
+engines all have room by this node's estimate, and is refused at once if none
+has, while its caller has time to retry.
+
+Candidate paths are cached between searches, since a search costs more than
+the rest of an arrival.
 """
 
 from __future__ import annotations
@@ -35,33 +32,31 @@
     from almondshift.model import registered_engines
 
 TIGHT_SHARE = 0.6
-"""Engines that seem fuller are asked how full they are: seven nodes with two
-to four requests each on an engine differ by a third in what they believe."""
+"""Utilisation estimate above which an engine is queried for its actual load."""
 
 REFRESH_S = 0.25
+"""Maximum age of cached paths, in seconds."""
+
 JITTER = 0.1
-"""Share by which near-equal costs are told apart at random."""
+"""Random factor applied to costs so that nodes with equal views spread."""
 
 LOAD_WEIGHT = 4.0
-"""How much a full path's cost counts over an empty one's. Without it the
-zone with the fastest cards takes most requests, and its first events come
-late in each small burst, while a slower zone stands empty."""
+"""Cost of a full path relative to an empty one. Without it the zone with the
+fastest accelerators queues requests while slower zones are idle."""
 
 SPREAD = 0.5
-"""Where a node pools its requests, it has too few requests on an engine to see
-which is busy, and all would choose the same of several like chains. Costs are
-then drawn up to a half higher for each engine anew, which spreads requests
-evenly over like engines while those twice as slow stay behind."""
+"""Random factor applied to each engine's cost in large groups, where a node has
+too few requests of its own to tell busy engines from idle ones. Engines that
+are twice as slow still rank behind."""
 
 GUESS_DOUBT = 2.0
-"""A guess of an engine's memory in use refuses only from so many times full.
-Six nodes with three requests each on a chain take each other for like them and
-are off by a half: they would refuse callers while memory is half full, and a
-refused caller is late for sure. An engine that is asked meanwhile, or refuses
-for want of room, ends the doubt within milliseconds."""
+"""Estimated memory use, as a multiple of capacity, above which a request is
+refused without asking the engine. Estimates extrapolate from this node's few
+requests; a caller that is refused wrongly is late for certain, while an engine
+without room refuses within milliseconds."""
 
 BATCH_SHARE = 2.0
-"""A request waits for passes about as long as it is worked on."""
+"""Time that a request spends at an engine, relative to its time in batches."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -116,8 +111,8 @@
 
     Attributes:
         nodes: Nodes that share the engines, this one included.
-        tight: Addresses of engines that are nearly full by the own count,
-            by instance; whoever asks them takes them out.
+        tight: Addresses of engines that seem nearly full, by instance, until
+            they are queried.
     """
 
     def __init__(
@@ -160,7 +155,7 @@
         for chosen in fitting:
             score = chosen.cost_ms * (1.0 + LOAD_WEIGHT * chosen.load)
             score *= self.rng.uniform(1.0, 1.0 + JITTER)
-            # Only put behind the others: refused, its places might stay free.
+            # Ranked last and not left out, since the estimate may be wrong.
             is_crowded = load.first_soon(chosen.path[0].instance) > (
                 view.spec.slots
             )
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -51,9 +51,7 @@
 LEASE = coordination_lease.LeaseSettings(
     duration_s=3.0, renew_s=1.0, watch_s=0.8, idle_watch_s=3.0
 )
-"""A lost holder is replaced within some four seconds, one that lives but lost
-the store within seven. While peers see it live and its row changes, the
-others read it once in three seconds, which spares most of their calls."""
+"""Contenders read the row less often while peers see its holder live."""
 
 MEMBERS = peer_types.MembershipSettings(
     interval_s=1.0,
@@ -64,39 +62,33 @@
     meeting_s=2.0,
     beats_per_s=40.0,
 )
-"""A node that fell silent is suspect after three seconds, in a group of more
-than 40 nodes later, if no call to it fails. Addresses outside the
-group are tried each second: nodes that started while the store was away, or
-that lost each other, find together within seconds."""
+"""Addresses outside the group are tried each second, so that nodes that started
+while the store was away, or lost each other, meet within seconds."""
 
 TICK_S = 0.25
 
 ENGINE_PAUSE_S = 0.2
-"""Pause after changes of engines, which come in groups; a tenth of the time
-within which one that leaves must get no more. Without it each engine that
-starts costs each reader a call of the store."""
+"""Pause after changes of engines, which come in groups, in seconds. Without it
+each engine that starts costs each reader a call of the store."""
 
 FIRST_PAUSE_S = 0.8
-"""The same until the node has met the others: all engines of a fleet register
-within seconds of the nodes' start, when no node reads for others yet."""
+"""Pause after the first read, in seconds: until nodes have met, each would
+follow the store itself."""
 
 SETTLE_S = 3.0
-"""Nodes that start together know each other by then. Until then each sees few
-peers, and the rows in the store tell better which nodes come first."""
+"""Time after joining in which a node may know few of its peers, in seconds; the
+rows in the store then tell which nodes contend for the lease."""
 
 CONTENDERS = 6
-"""Nodes that watch the lease's row. That all of them lose the store while
-others reach it is unlikely, once in five hundred outages: the store turned
-away a third of the nodes at the most."""
+"""Nodes that watch the lease's row; enough that a partial outage of the store
+rarely turns all of them away."""
 
 PAUSED_S = 1.0
-"""The loop stood still for so long: the process was suspended or starved."""
+"""Delay of the loop that shows that the process was suspended, in seconds."""
 
 STOP_MARGIN_S = 0.3
-"""Before the end of the grace time, to end what has not ended. Final answers
-and breaks leave within 0.03 s; ten times that for a VM that is slow. All that
-runs longer is cut, so each tenth of a second more here cuts answers: streams
-that began within the last seconds before a stop end a few a second."""
+"""Time before the end of the grace period at which unfinished answers are cut,
+in seconds; leaves a slow VM time to send the final bytes."""
 
 STOP_TICK_S = 0.05
 MS_PER_S = 1000.0
--- a/src/almondshift/relay/engine_questions.py
+++ b/src/almondshift/relay/engine_questions.py
@@ -1,7 +1,7 @@
-"""Asks engines how they are: slow ones, nearly full ones, and suspects.
+"""Queries engines that are slow, nearly full or suspect.
 
-Nobody asks all engines all the time: at 820 engines and 390 nodes that would
-be most of the traffic. A question is brought about by what requests show.
+Polling every engine from every node would dominate the traffic of a large
+fleet, so that queries are triggered by what requests observe.
 """
 
 from __future__ import annotations
@@ -23,24 +23,24 @@
     from almondshift.relay import stream_moves
 
 REPORT_TIMEOUT_S = 0.3
-"""An engine that lives answers within some ms."""
+"""Time for an answer; live engines take milliseconds."""
 
 SLOW_GAP_S = 1.0
-"""Pause between questions about slowness to one engine."""
+"""Minimum interval between queries for one engine's slowness, in seconds."""
 
 SLOW_AGAIN_S = 2.0
-"""Pause between questions to an engine that is known to be slow: half of
-the time for which its word is believed."""
+"""The same for an engine that is known to be slow; half of the validity of its
+report."""
 
 USED_GAP_S = 0.5
-"""Pause between questions about memory to one engine: twice in the time for
-which an answer is believed."""
+"""Minimum interval between queries for one engine's memory, in seconds; half of
+the validity of its report."""
 
 TRIAL_GAP_S = 1.0
-"""Pause between trials of a suspect."""
+"""Interval between trials of a suspect, in seconds."""
 
 MAX_QUESTIONS = 24
-"""Questions and moves under way at once; more wait for the next look."""
+"""Maximum concurrent queries and moves; others wait for the next look."""
 
 
 logger = logging.getLogger(__name__)
--- a/src/almondshift/relay/path_probe.py
+++ b/src/almondshift/relay/path_probe.py
@@ -32,29 +32,30 @@
     from almondshift.relay import stream_run
 
 LEAST_SILENT_S = 0.05
-"""Shortest pause that brings a round: two events of a stream at usual load."""
+"""Minimum silence of a stream that starts a round, in seconds."""
 
 SILENT_EVENTS = 3.0
-"""The same in usual pauses of the stream itself."""
+"""Silence that starts a round, in multiples of the stream's usual interval."""
 
 FIRST_SILENT_S = 0.2
-"""The same before the first event, when prompts are read and wait."""
+"""Silence that starts a round before the first event, in seconds."""
 
 ANSWER_S = 0.05
-"""A live engine in the region answers within 5 ms."""
+"""Time for an answer; live engines in the region take milliseconds."""
 
 HEARD_S = 0.04
-"""An event so lately shows that this node's own link works."""
+"""Age up to which the latest event proves this node's own link, in seconds."""
 
 STARVED_S = 0.04
-"""A round that took so much longer than its timeouts says nothing."""
+"""Overrun of a round's timeouts from which its result is discarded: the process
+itself was not scheduled."""
 
 ROUND_GAP_S = 0.15
-"""Least pause between two rounds of a node."""
+"""Minimum interval between two rounds of a node, in seconds."""
 
 LONGEST_GAP_S = 2.4
-"""Rounds that find nothing come half as often each time, down to this: engines
-under load are slow, not dead, and more questions don't help them."""
+"""Limit of the exponential backoff between rounds that find no dead engine:
+engines under load are slow, and more probes would add to their load."""
 
 
 class PathProbe:
