--- /dev/null
+++ b/src/almondshift/relay/stream_attempt.py
@@ -0,0 +1,86 @@
+"""One send of a stream's request over a path of engines."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from almondshift.ports import path_engines
+from almondshift.relay import events
+
+if TYPE_CHECKING:
+    from almondshift.model import relayed
+    from almondshift.policy import path_choice
+    from almondshift.relay import stream_run
+
+OK = 200
+MAX_FAILURE_BYTES = 100_000
+"""Maximum body of an answer that is no stream; refusals are short."""
+
+
+class StreamAttempt(path_engines.AnswerListener):
+    """One run of a stream over a path.
+
+    Attributes:
+        active_at: Loop time of the last sign of life.
+        stream: Whether the answer is the stream that was asked for.
+        moving: Whether an order to move it is on its way.
+    """
+
+    def __init__(
+        self, run: stream_run.StreamRun, chosen: path_choice.ChosenPath
+    ) -> None:
+        self.run = run
+        self.path = chosen.path
+        self.used = chosen.used
+        self.sent_at = run.loop.time()
+        self.active_at = self.sent_at
+        self.head: relayed.ForwardedHead | None = None
+        self.stream = False
+        self.failure = bytearray()
+        self.splitter = events.EventSplitter()
+        self.forwarded: path_engines.ForwardedRequest | None = None
+        self.moving = False
+        self.over = False
+
+    @property
+    def first(self) -> relayed.PathPart:
+        """The engine that has the connection."""
+        return self.path[0]
+
+    def on_head(self, head: relayed.ForwardedHead) -> None:
+        """Keeps the head until the first event has come."""
+        self.head = head
+        self.stream = head.status == OK and head.genuine
+        self.active_at = self.run.loop.time()
+
+    def on_data(self, data: bytes) -> None:
+        """Passes whole events on."""
+        if self.over:
+            return
+        if not self.stream:
+            self.failure += data
+            if len(self.failure) > MAX_FAILURE_BYTES:
+                self.stop("failure over the limit")
+            return
+        self.active_at = self.run.loop.time()
+        try:
+            whole = self.splitter.feed(data)
+        except ValueError as error:
+            self.stop(str(error))
+            return
+        if whole and not self.run.take_events(self, whole):
+            self.stop("events out of order")
+
+    def stop(self, reason: str) -> None:
+        """Ends a run whose bytes can't be right."""
+        if self.over:
+            return
+        if self.forwarded is not None:
+            self.forwarded.cancel()
+        self.on_end(path_engines.Ending.SPOILT, reason)
+
+    def on_end(self, ending: path_engines.Ending, reason: str) -> None:
+        """Hands the end to the run."""
+        if not self.over:
+            self.over = True
+            self.run.attempt_ended(self, ending, reason)
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -9,8 +9,8 @@
 from almondshift.model import relayed
 from almondshift.policy import engine_book
 from almondshift.ports import path_engines
-from almondshift.relay import events
 from almondshift.relay import runs
+from almondshift.relay import stream_attempt
 
 if TYPE_CHECKING:
     import asyncio
@@ -20,10 +20,7 @@
     from almondshift.policy import path_choice
     from almondshift.ports import relays
     from almondshift.relay import context
-
-OK = 200
-MAX_FAILURE_BYTES = 100_000
-"""Body of an answer that is no stream; engines' refusals are short."""
+    from almondshift.relay import events
 
 RESUME_RETRY_S = 0.15
 """Interval between searches for a path for a broken stream, in seconds."""
@@ -42,73 +39,6 @@
 HIGHEST_PRIORITY = 9
 
 
-class StreamAttempt(path_engines.AnswerListener):
-    """One run of a stream over a path.
-
-    Attributes:
-        active_at: Loop time of the last sign of life.
-        stream: Whether the answer is the stream that was asked for.
-        moving: Whether an order to move it is on its way.
-    """
-
-    def __init__(self, run: StreamRun, chosen: path_choice.ChosenPath) -> None:
-        self.run = run
-        self.path = chosen.path
-        self.used = chosen.used
-        self.sent_at = run.loop.time()
-        self.active_at = self.sent_at
-        self.head: relayed.ForwardedHead | None = None
-        self.stream = False
-        self.failure = bytearray()
-        self.splitter = events.EventSplitter()
-        self.forwarded: path_engines.ForwardedRequest | None = None
-        self.moving = False
-        self.over = False
-
-    @property
-    def first(self) -> relayed.PathPart:
-        """The engine that has the connection."""
-        return self.path[0]
-
-    def on_head(self, head: relayed.ForwardedHead) -> None:
-        """Keeps the head until the first event has come."""
-        self.head = head
-        self.stream = head.status == OK and head.genuine
-        self.active_at = self.run.loop.time()
-
-    def on_data(self, data: bytes) -> None:
-        """Passes whole events on."""
-        if self.over:
-            return
-        if not self.stream:
-            self.failure += data
-            if len(self.failure) > MAX_FAILURE_BYTES:
-                self.stop("failure over the limit")
-            return
-        self.active_at = self.run.loop.time()
-        try:
-            whole = self.splitter.feed(data)
-        except ValueError as error:
-            self.stop(str(error))
-            return
-        if whole and not self.run.take_events(self, whole):
-            self.stop("events out of order")
-
-    def stop(self, reason: str) -> None:
-        """Ends a run whose bytes can't be right."""
-        if self.over:
-            return
-        if self.forwarded is not None:
-            self.forwarded.cancel()
-        self.on_end(path_engines.Ending.SPOILT, reason)
-
-    def on_end(self, ending: path_engines.Ending, reason: str) -> None:
-        """Hands the end to the run."""
-        if not self.over:
-            self.over = True
-            self.run.attempt_ended(self, ending, reason)
-
-
 class StreamRun(runs.Run):
     """A stream for a caller, over one path after another.
 
@@ -130,7 +60,7 @@
     ) -> None:
         super().__init__(routed, responder, shared)
         request = self.routed.request
-        self.attempt: StreamAttempt | None = None
+        self.attempt: stream_attempt.StreamAttempt | None = None
         self.retry: asyncio.TimerHandle | None = None
         self.overdue: asyncio.TimerHandle | None = None
         self.events_sent = 0
@@ -206,7 +136,7 @@
     def send(self, chosen: path_choice.ChosenPath) -> None:
         """Sends the request over a path."""
         self.sends += 1
-        attempt = StreamAttempt(self, chosen)
+        attempt = stream_attempt.StreamAttempt(self, chosen)
         self.attempt = attempt
         self.shared.book.add(attempt.used, self.tokens)
         self.note_forwarded(
@@ -262,13 +192,15 @@
         self.broken = avoid
         self.resume_elsewhere("no first event")
 
-    def note_first_wait(self, attempt: StreamAttempt) -> None:
+    def note_first_wait(self, attempt: stream_attempt.StreamAttempt) -> None:
         """Notes how long a first event took, or was waited for."""
         seconds = self.loop.time() - attempt.sent_at
         self.shared.first_waits.note(self.routed.service, seconds)
 
     def take_events(
-        self, attempt: StreamAttempt, whole: list[events.StreamEvent]
+        self,
+        attempt: stream_attempt.StreamAttempt,
+        whole: list[events.StreamEvent],
     ) -> bool:
         """Passes events on; returns False if one is missing before them."""
         fresh: list[bytes] = []
@@ -299,7 +231,7 @@
 
     def attempt_ended(
         self,
-        attempt: StreamAttempt,
+        attempt: stream_attempt.StreamAttempt,
         ending: path_engines.Ending,
         reason: str,
     ) -> None:
@@ -329,7 +261,7 @@
             )
         self.go_on(attempt, reason, is_not_run)
 
-    def finish(self, attempt: StreamAttempt) -> None:
+    def finish(self, attempt: stream_attempt.StreamAttempt) -> None:
         """Ends a whole stream."""
         if not self.responder.head_sent:
             assert attempt.head is not None
@@ -341,7 +273,7 @@
         self.answered()
 
     def take_failure(
-        self, attempt: StreamAttempt, head: relayed.ForwardedHead
+        self, attempt: stream_attempt.StreamAttempt, head: relayed.ForwardedHead
     ) -> None:
         """Goes on after a refusal; passes another failure on."""
         if head.not_run:
@@ -361,7 +293,7 @@
         self.answered()
 
     def blame(
-        self, attempt: StreamAttempt, head: relayed.ForwardedHead
+        self, attempt: stream_attempt.StreamAttempt, head: relayed.ForwardedHead
     ) -> None:
         """Passes over the engine that an answer names."""
         address = head.faulty_address or attempt.first.address
@@ -380,7 +312,10 @@
                 self.shared.paths.tight[part.instance] = part.address
 
     def go_on(
-        self, attempt: StreamAttempt, reason: str, is_not_run: bool
+        self,
+        attempt: stream_attempt.StreamAttempt,
+        reason: str,
+        is_not_run: bool,
     ) -> None:
         """Sends the request over another path if that is allowed.
 
@@ -464,7 +399,7 @@
             attempt.moving = False
 
     async def move_attempt(
-        self, attempt: StreamAttempt, away_from: str, must: bool
+        self, attempt: stream_attempt.StreamAttempt, away_from: str, must: bool
     ) -> None:
         """Orders the first engine to use another path.
 
@@ -500,7 +435,7 @@
 
     async def repath(
         self,
-        attempt: StreamAttempt,
+        attempt: stream_attempt.StreamAttempt,
         away_from: str,
         chosen: path_choice.ChosenPath,
     ) -> str:
@@ -560,7 +495,7 @@
 
     def note_move(
         self,
-        attempt: StreamAttempt,
+        attempt: stream_attempt.StreamAttempt,
         away_from: str,
         outcome: str,
         path: str = "",
@@ -585,7 +520,7 @@
             self.note_unheard(self.attempt)
         super().caller_gone()
 
-    def note_unheard(self, attempt: StreamAttempt) -> None:
+    def note_unheard(self, attempt: stream_attempt.StreamAttempt) -> None:
         """Notes a first engine that sent nothing for nearly too long."""
         waited_s = self.loop.time() - attempt.sent_at
         if waited_s >= UNHEARD_SHARE * self.routed.route.patience_s:
