--- a/bench/compare/measurements.py
+++ b/bench/compare/measurements.py
@@ -30,6 +30,14 @@
         """What plays of different variants have in common."""
         return (self.deployment, self.day, self.seed)
 
+    @property
+    def label(self) -> str:
+        """A text that no other play of a comparison has."""
+        return (
+            f"{self.deployment} {self.day} seed {self.seed}, "
+            f"{self.variant} ({self.source})"
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Measurement:
--- a/bench/platform/day_player.py
+++ b/bench/platform/day_player.py
@@ -47,7 +47,7 @@
             DayNotPlayed: The bench failed or was ended.
         """
         journal = worktree / JOURNAL
-        reason = f"{why}: {play.variant} ({play.day}, {play.seed})"
+        reason = f"{why}: {play.label}"
         before = {path.name for path in journal.glob("*.json")}
         process = await asyncio.create_subprocess_exec(
             *self._command(play, reason),
--- a/tests/bench/test_compare.py
+++ b/tests/bench/test_compare.py
@@ -56,6 +56,14 @@
     )
 
 
+def test_no_two_plays_are_taken_for_each_other(tmp_path: pathlib.Path) -> None:
+    """A deployment would be measured by entries of another one."""
+    text = PLAN + PLAN[PLAN.index("    [deployment") :].replace("small", "b")
+    plan = plans.load(write_plan(tmp_path, text))
+    plays = list(plan.all_plays({"standing": "a", "other": "b"}))
+    assert len({play.label for play in plays}) == len(plays) == 16
+
+
 def test_plan_puts_the_plays_of_a_pair_next_to_each_other(
     tmp_path: pathlib.Path,
 ) -> None:
