--- a/tests/soak/engine_process.py
+++ b/tests/soak/engine_process.py
@@ -39,6 +39,7 @@
 
     is_dead: bool = False
     is_full: bool = False
+    is_draining: bool = False
     layers: tuple[int, int] | None = None
     born: int = 0
 
