Search paths less often before many engines

Cause: each arrival searches paths anew if the kept ones are older than 0.25 s. A search takes 11.5 ms before 820 engines (docs/CAPACITY.md), so that with 1.2 arrivals a second a node before 3,001 engines does little else.

Ruled out: a longer age for all, since up to 312 engines a search is cheap.

Change: 0.8 ms of age for each engine; nothing changes up to 312 engines. Changes of health or registrations bring a search at once as before.

--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -37,6 +37,10 @@
 REFRESH_S = 0.25
 """Maximum age of cached paths, in seconds."""
 
+REFRESH_S_PER_ENGINE = 0.0008
+"""The same for each engine of a service, if that is longer. The cost of a
+search grows with the engines; this bounds its share of a core."""
+
 JITTER = 0.1
 """Random factor applied to costs so that nodes with equal views spread."""
 
@@ -333,7 +337,7 @@
         if (
             kept is not None
             and kept.version == version
-            and now - kept.at < REFRESH_S
+            and now - kept.at < refresh_s(len(view.engines))
         ):
             return kept.paths
         paths = self._search(view, now)
@@ -382,6 +386,15 @@
         return _chosen(found, max(fullest, own))
 
 
+def refresh_s(engines: int) -> float:
+    """Returns the maximum age of cached paths, in seconds.
+
+    Changes of health or registrations bring a new search at once, and room is
+    checked for each request, so that age only delays a better order.
+    """
+    return max(REFRESH_S, engines * REFRESH_S_PER_ENGINE)
+
+
 def _step_factor(kind: str, spec: engine_specs.EngineSpec) -> float:
     known = spec.kinds.get(kind)
     return known.step_factor if known is not None else 1.0
--- /dev/null
+++ b/tests/policy/test_path_refresh.py
@@ -0,0 +1,70 @@
+"""How often a node searches paths anew, by the size of the fleet."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from almondshift.policy import engine_book
+from almondshift.policy import path_choice
+from almondshift.policy import zone_paths
+from tests.policy import test_path_choice as small
+
+ARRIVALS_PER_S = 10
+SECONDS = 10
+
+
+def fleet(copies: int) -> path_choice.FleetView:
+    """Returns a view of the small fleet's engines, each several times."""
+    view = small._view()
+    engines = tuple(
+        dataclasses.replace(engine, instance=f"{engine.instance}-{copy}")
+        for engine in view.engines
+        for copy in range(copies)
+    )
+    return dataclasses.replace(view, engines=engines)
+
+
+@pytest.fixture
+def searches(monkeypatch: pytest.MonkeyPatch) -> list[int]:
+    """Keeps the number of candidates of each search."""
+    kept: list[int] = []
+    search = zone_paths.found
+
+    def counted(candidates: list[object], *more: object) -> object:
+        kept.append(len(candidates))
+        return search(candidates, *more)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(zone_paths, "found", counted)
+    return kept
+
+
+@pytest.mark.parametrize("copies", [1, 100])
+def test_arrivals_search_a_large_fleet_less_often(
+    copies: int, searches: list[int]
+) -> None:
+    """Nodes before thousands of engines would do nothing else."""
+    chooser = small._chooser()
+    view = fleet(copies)
+    for arrival in range(ARRIVALS_PER_S * SECONDS):
+        now = arrival / ARRIVALS_PER_S
+        assert chooser.choose(view, small.TOKENS, now) is not None
+    most = SECONDS / path_choice.refresh_s(len(view.engines)) + 1
+    assert 1 < len(searches) <= most
+
+
+def test_a_lost_engine_of_a_large_fleet_gets_no_request(
+    searches: list[int],
+) -> None:
+    """Kept paths would lead to a dead engine for seconds."""
+    chooser = small._chooser()
+    view = fleet(100)
+    chosen = chooser.choose(view, small.TOKENS, 0.0)
+    assert chosen is not None
+    lost = chosen.path[0].instance
+    chooser.book.suspect(lost, engine_book.Suspicion.UNREACHABLE, 0.0)
+    again = chooser.choose(view, small.TOKENS, 0.01)
+    assert again is not None
+    assert all(part.instance != lost for part in again.path)
+    assert len(searches) == 2
