Try addresses outside the group seldom again once nodes have met

The interval of the start bounded that of the seeds for good: with the defaults of the coordination part (rounds of 1 s, seeds each 10 s) a node tried an address outside the group each second. Relay nodes have 1 s for both, so that nothing changes there. The test fails without it.

--- a/src/almondshift/coordination/lease.py
+++ b/src/almondshift/coordination/lease.py
@@ -29,8 +29,8 @@
 TOKEN_BITS = 64
 
 FIRST_LOOK_S = 0.1
-"""Pause while this process has not read the row yet: whether it may contend is
-known some tenths of a second after its start."""
+"""Interval, in seconds, at which a process that may not contend yet checks
+whether it may; it reads nothing meanwhile."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/almondshift/coordination/membership.py
+++ b/src/almondshift/coordination/membership.py
@@ -160,10 +160,14 @@
         Nodes that start together, each knowing none of the others, need as
         many rounds to meet as the group has doublings.
         """
-        if self.clock.monotonic() < self.meets_until:
+        if self.is_meeting():
             return self.settings.meeting_interval_s
         return self.settings.interval_s
 
+    def is_meeting(self) -> bool:
+        """Returns whether this node has just started."""
+        return self.clock.monotonic() < self.meets_until
+
     async def wait_for_wake(self, seconds: float) -> None:
         """Waits until an urgent fact wakes this node, or for a time."""
         waits = [
@@ -323,7 +327,10 @@
         chosen = self.rng.sample(known, min(self.settings.fan_out, len(known)))
         is_due = not urgent and now >= self.seeds_at
         if is_due or not known:
-            self.seeds_at = now + min(self.settings.seeds_s, self.interval_s())
+            seeds_s = self.settings.seeds_s
+            if self.is_meeting():
+                seeds_s = self.settings.meeting_interval_s
+            self.seeds_at = now + seeds_s
             chosen += self.outside_target(known)
         return chosen
 
--- a/tests/coordination/test_starting_together.py
+++ b/tests/coordination/test_starting_together.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
@@ -68,3 +69,22 @@
         await asyncio.gather(*(n.close() for n in cluster.nodes.values()))
 
     asyncio.run(scenario())
+
+
+def test_addresses_outside_the_group_are_tried_seldom_after_the_start() -> None:
+    """Each node would call rows of nodes that are gone, round after round."""
+
+    async def scenario() -> None:
+        settings = dataclasses.replace(SETTINGS, seeds_s=10.0)
+        cluster = await network.create_cluster(6, 1, settings)
+        cluster.seeds.append(network.address_of("gone"))
+        node = cluster.nodes["node-0"]
+        await node.refresh_seeds()
+        tried = 0
+        for _ in range(8):
+            address = network.address_of("gone")
+            tried += address in node.targets(cluster.clock.now, urgent=False)
+            cluster.clock.now += 1.0
+        assert tried <= 1
+
+    asyncio.run(scenario())
