--- a/src/almondshift/platform/engines.py
+++ b/src/almondshift/platform/engines.py
@@ -165,7 +165,7 @@
     async def is_healthy(
         self, address: str, health_path: str, timeout_s: float
     ) -> bool | None:
-        """Asks a health check; a rejection for want of a slot says nothing."""
+        """Asks a health check; a rejection by a full engine is inconclusive."""
         payload = http_channels.request_bytes(
             "GET", health_path, [("Host", address)], b""
         )
--- a/src/almondshift/relay/gateway.py
+++ b/src/almondshift/relay/gateway.py
@@ -32,8 +32,8 @@
 """Until a configuration is known; generous, since nothing is served yet."""
 
 DENY_AGE_S = 0.5
-"""A key or route is called unknown only by a configuration that the store
-confirmed within so long; an older one may lack what was just added."""
+"""Maximum age, in seconds, of the store's confirmation of the configuration by
+which a key or route is denied; an older one may lack a recent addition."""
 
 CONFIRM_TIMEOUT_S = 0.4
 
--- a/src/almondshift/relay/group.py
+++ b/src/almondshift/relay/group.py
@@ -30,17 +30,17 @@
 SECRET_BYTES = 24
 
 ASK_TIMEOUT_S = 0.4
-"""A peer in the same region answers in a few ms, or is as badly off."""
+"""Time for a peer's answer, in seconds."""
 
 ASKED_PEERS = 2
-"""One of two is in contact with the store, unless most nodes are cut off."""
+"""Peers asked at a time; one of them is likely in contact with the store."""
 
 NAMED_S = 3.5
-"""Callers are told of peers that were heard of in so long; in a large group
-some live ones are left out for a moment, and others are named for them."""
+"""Maximum silence of a peer whose address is given to callers, in seconds."""
 
 FEWEST_NAMED = 4
-"""With fewer fresh peers this node is the one that hears badly."""
+"""Fewest fresh peers; with fewer, this node's own link is likely at fault and
+all live peers are named."""
 
 RETRY_S = 0.3
 SEEDS_READ = 500
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -19,11 +19,11 @@
 
 SERVER_ERROR = 500
 MAX_BODY_BYTES = 16_000_000
-"""Answers are kept whole before they are passed on; larger ones are none."""
+"""Maximum answer; answers are buffered whole before they are forwarded."""
 
 PATIENCE_FACTOR = 2.0
-"""An idempotent request goes to another endpoint when the first has taken so
-many times the route's objective: it hangs, or will come too late."""
+"""Multiple of the route's objective after which an idempotent request is sent
+to another endpoint."""
 
 
 class PlainAttempt(path_engines.AnswerListener):
--- a/src/almondshift/relay/refusing_engines.py
+++ b/src/almondshift/relay/refusing_engines.py
@@ -8,7 +8,7 @@
 An engine without memory refuses in the same way and has room again within
 half a second. So a refusal brings a question to the engine's health check,
 which fails while it drains. Such an engine gets no new work, and peers are
-told; each asks the engine itself, since the path to it may differ.
+notified; each checks the engine itself, since its own network path may differ.
 """
 
 from __future__ import annotations
@@ -63,7 +63,7 @@
         self.work = background.Background()
 
     def join(self, joined: relay_group.Group) -> None:
-        """Begins to tell peers, and to hear from them."""
+        """Starts to notify peers and to receive their notices."""
         self.group = joined
         joined.on_told(peers.FactKind.LEAVING, self.take_fact)
 
@@ -83,7 +83,7 @@
             self.check(key)
 
     def check(self, instance: str) -> None:
-        """Begins a check unless one was begun lately."""
+        """Starts a check unless one was started recently."""
         engine = self.catalogue.engines.get(instance)
         if engine is None or engine.leaving or self.book.is_suspect(instance):
             return
@@ -111,7 +111,7 @@
         self.tell(engine.instance)
 
     def tell(self, instance: str) -> None:
-        """Tells peers of an engine, unless one of them did."""
+        """Notifies peers of an engine, unless one of them did."""
         kind = peers.FactKind.LEAVING
         if self.group is None or self.group.is_told(kind, instance):
             return
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -16,17 +16,15 @@
     from almondshift.relay import context
 
 MAX_SENDS = 4
-"""Endpoints tried for one request that none of them ran: with four of a few
-dozen engines refusing, the service is full and says so."""
+"""Maximum endpoints tried for one request, those that refused it included."""
 
 RETRY_FLOOR_S = 0.6
 RETRY_CEILING_S = 1.6
-"""When a refused caller comes back: a lost engine's layers are loaded again
-within about two seconds, and a burst drains in a few. Drawn between the two,
-so that those refused together don't return together."""
+"""Range of Retry-After, in seconds: the time in which lost layers are loaded or
+a burst drains, randomised so that callers do not return together."""
 
 LEAVING_RETRY_S = 0.05
-"""Another node takes the request at once."""
+"""Retry-After of a node that leaves, in seconds; other nodes take requests."""
 
 ANSWERED = "ok"
 SENT_ELSEWHERE = "sent elsewhere"
--- a/src/almondshift/relay/silence_watch.py
+++ b/src/almondshift/relay/silence_watch.py
@@ -24,26 +24,26 @@
     from almondshift.relay import context
 
 TICK_S = 0.02
-"""Well below the shortest pause that means something; a look at some twenty
-streams takes some ten microseconds."""
+"""Interval between looks at all streams, in seconds; well below the shortest
+silence that is acted on."""
 
 ASK_AGAIN_S = 0.1
-"""Pause between looks at all engines' states, which grow with the fleet; what
-they bring about is due once in half a second at the most."""
+"""Interval between looks at all engines' states, in seconds; longer, since
+their cost grows with the fleet."""
 
 SILENT_S = 0.25
-"""Pause that brings a question: above the pauses that count as on time,
-since reports are 200 ms old and can't help sooner."""
+"""Silence that triggers a query, in seconds; above the delay of reports, which
+could not show a stall sooner."""
 
 FIRST_SILENT_S = 0.5
-"""The same before the first event, when prompts are read."""
+"""The same before the first event, while the prompt is prefilled."""
 
 REPORT_GAP_S = 0.2
-"""Pause between questions to one engine."""
+"""Minimum interval between queries to one engine, in seconds."""
 
 LOST_REPORTS = 2
-"""Unanswered questions until an engine counts as lost; one may be lost with
-its connection."""
+"""Unanswered queries until an engine counts as lost; a single one may be lost
+with its connection."""
 
 
 class SilenceWatch:
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -172,8 +172,7 @@
     def leave_silent(self) -> None:
         """Leaves an engine that lives and sends nothing.
 
-        A stream that can run nowhere else stays: it may have to wait for no
-        more than a queue.
+        A stream that can run nowhere else stays: it may only be queued.
         """
         attempt = self.attempt
         if attempt is None or self.ended or attempt.over or attempt.moving:
--- a/src/almondshift/relay/table_watch.py
+++ b/src/almondshift/relay/table_watch.py
@@ -24,16 +24,16 @@
     from almondshift.ports import clocks
 
 WAIT_S = 2.5
-"""How long the store holds a question for changes. An answer that was lost
-shows itself only when it is overdue, and a change may take two seconds."""
+"""Long-poll time of a question for changes, in seconds; bounds how late a lost
+answer is noticed."""
 
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 0.6
-"""Pause after a failure, drawn between the two: within the second that a
-change may take, and not in step with the other nodes."""
+"""Range of the pause after a failure, in seconds; randomised so that nodes do
+not retry together."""
 
 CONFIRM_AGE_S = 0.5
-"""Age up to which a copy passes on as fresh to a peer that asks for it."""
+"""Maximum age, in seconds, of a copy that is given to peers as fresh."""
 
 TOMBSTONES_KEPT = 512
 """Removed rows that peers are told of; some hours of replaced engines."""
