--- a/bench/compare/__main__.py
+++ b/bench/compare/__main__.py
@@ -56,7 +56,7 @@
             play = self.waiting.pop(0)
             await self.measure(worktree, play)
             left = len(self.waiting)
-            print(f"{left:>5} to go; {shown(play)}", file=sys.stderr)
+            print(f"{left:>5} to go; {play.label}", file=sys.stderr)
 
     async def measure(
         self, worktree: pathlib.Path, play: measurements.Play
@@ -86,11 +86,6 @@
     return max(1, min(plan.plays.jobs, int(plan.plays.memory_gb / largest_gb)))
 
 
-def shown(play: measurements.Play) -> str:
-    """Returns a play for the terminal."""
-    return f"{play.deployment} {play.day} seed {play.seed}, {play.variant}"
-
-
 def main() -> int:
     """Plays, then prints the differences and writes them beside the plays."""
     parser = argparse.ArgumentParser(prog="bench.compare")
@@ -112,7 +107,7 @@
     for line in report.broken(measured):
         print(f"rule broken: {line}")
     for play, reason in comparison.unfinished:
-        print(f"not finished: {shown(play)}: {reason}")
+        print(f"not finished: {play.label}: {reason}")
     return 0
 
 
--- a/bench/compare/report.py
+++ b/bench/compare/report.py
@@ -40,8 +40,7 @@
 def broken(measured: Iterable[measurements.Measurement]) -> list[str]:
     """Returns a line for each play that broke a rule or does not count."""
     return [
-        f"{m.play.deployment} {m.play.day} seed {m.play.seed}, "
-        f"{m.play.variant}: {', '.join(m.broken_rules) or m.fault}"
+        f"{m.play.label}: {', '.join(m.broken_rules) or m.fault}"
         for m in measured
         if m.broken_rules or m.fault
     ]
--- a/bench/compare/results.py
+++ b/bench/compare/results.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
-import dataclasses
-import json
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from bench.compare import measurements
 
 if TYPE_CHECKING:
     import pathlib
 
 
+DECODER = msgspec.json.Decoder(measurements.Measurement)
+
+
 class ResultFile:
     """A file with one finished play a line.
 
@@ -29,8 +32,8 @@
             return
         for line in self.path.read_text(encoding="utf-8").splitlines():
             try:
-                read = _decoded(line)
-            except (ValueError, KeyError, TypeError):
+                read = DECODER.decode(line)
+            except msgspec.DecodeError:
                 continue
             self.found[read.play] = read
 
@@ -38,15 +41,5 @@
         """Keeps a finished play."""
         self.found[measured.play] = measured
         self.path.parent.mkdir(parents=True, exist_ok=True)
-        with self.path.open("a", encoding="utf-8") as file:
-            file.write(json.dumps(dataclasses.asdict(measured)) + "\n")
-
-
-def _decoded(line: str) -> measurements.Measurement:
-    values = json.loads(line)
-    return measurements.Measurement(
-        play=measurements.Play(**values["play"]),
-        figures={k: float(v) for k, v in values["figures"].items()},
-        broken_rules=tuple(values["broken_rules"]),
-        fault=str(values["fault"]),
-    )
+        with self.path.open("ab") as file:
+            file.write(msgspec.json.encode(measured) + b"\n")
--- a/src/almondshift/platform/engines.py
+++ b/src/almondshift/platform/engines.py
@@ -150,15 +150,10 @@
         self, address: str, timeout_s: float
     ) -> relayed.EngineReport | None:
         """Asks an engine how it is."""
-        payload = http_channels.request_bytes(
-            "GET", names.ENGINE_REPORT, [("Host", address)], b""
-        )
-        fetched = await http_channels.fetch(
-            self.pool, address, payload, timeout_s, MAX_REPORT_BYTES
-        )
-        if fetched.outcome is not http_channels.Outcome.WHOLE:
+        fetched = await self._get(address, names.ENGINE_REPORT, timeout_s)
+        if fetched is None or fetched.head is None:
             return None
-        if fetched.head is None or fetched.head.status != 200:
+        if fetched.head.status != 200:
             return None
         return decode_report(fetched.body)
 
@@ -166,15 +161,10 @@
         self, address: str, health_path: str, timeout_s: float
     ) -> bool | None:
         """Asks a health check; a rejection by a full engine is inconclusive."""
-        payload = http_channels.request_bytes(
-            "GET", health_path, [("Host", address)], b""
-        )
-        fetched = await http_channels.fetch(
-            self.pool, address, payload, timeout_s, MAX_REPORT_BYTES
-        )
-        if fetched.outcome is not http_channels.Outcome.WHOLE:
+        fetched = await self._get(address, health_path, timeout_s)
+        if fetched is None or fetched.head is None:
             return None
-        if fetched.head is None or fetched.head.get(names.NOT_RUN) is not None:
+        if fetched.head.get(names.NOT_RUN) is not None:
             return None
         return HEALTH.get(fetched.head.status)
 
@@ -215,6 +205,20 @@
         """Closes kept connections to an endpoint."""
         self.pool.drop(address)
 
+    async def _get(
+        self, address: str, path: str, timeout_s: float
+    ) -> http_channels.Fetched | None:
+        """Returns the whole answer to a small call; None if none came."""
+        payload = http_channels.request_bytes(
+            "GET", path, [("Host", address)], b""
+        )
+        fetched = await http_channels.fetch(
+            self.pool, address, payload, timeout_s, MAX_REPORT_BYTES
+        )
+        if fetched.outcome is not http_channels.Outcome.WHOLE:
+            return None
+        return fetched
+
     async def _order(
         self,
         address: str,
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -145,6 +145,9 @@
             watch.pause_s = FIRST_PAUSE_S
         repeats = settings.repeats
         seen = observer.create_relay_observer()
+        lost = lost_engines.create_lost_engines(
+            ports.clock, self.catalogue, self.book, seen
+        )
         self.shared = context.RelayContext(
             zone=settings.node.zone,
             clock=ports.clock,
@@ -161,11 +164,9 @@
                 ports.clock.monotonic(),
             ),
             crashes=crash_watch.create_crash_watch(ports.clock),
-            lost=lost_engines.create_lost_engines(
-                ports.clock, self.catalogue, self.book, seen
-            ),
+            lost=lost,
             refusing=refusing_engines.create_refusing_engines(
-                ports.clock, self.catalogue, self.book, ports.engines, seen
+                ports.clock, self.catalogue, self.book, ports.engines, lost
             ),
             observer=seen,
             times=answer_times.create_answer_times(),
--- a/src/almondshift/relay/engine_questions.py
+++ b/src/almondshift/relay/engine_questions.py
@@ -159,28 +159,23 @@
                 self.shared.book.forget(instance)
                 continue
             state = self.shared.book.state(instance)
-            state.suspect_until = now + TRIAL_GAP_S
-            if state.reason is engine_book.Suspicion.DRAINING:
-                state.suspect_until = now + engine_book.SUSPECT_S
-                self.work.run(self.try_draining(engine))
-                continue
-            self.work.run(self.try_suspect(instance, engine.address))
-
-    async def try_suspect(self, instance: str, address: str) -> None:
-        """Trusts a suspect again if it answers."""
-        if await self.report(instance, address) is not None:
-            self.trust(instance)
+            drains = state.reason is engine_book.Suspicion.DRAINING
+            gap_s = engine_book.SUSPECT_S if drains else TRIAL_GAP_S
+            state.suspect_until = now + gap_s
+            self.work.run(self.try_suspect(engine, drains))
 
-    async def try_draining(
-        self, engine: registered_engines.RegisteredEngine
+    async def try_suspect(
+        self, engine: registered_engines.RegisteredEngine, drains: bool
     ) -> None:
-        """Trusts an engine again whose health check succeeds."""
-        if await self.shared.refusing.is_healthy(engine):
-            self.trust(engine.instance)
-
-    def trust(self, instance: str) -> None:
-        """Gives an engine work again."""
-        self.shared.book.trust(instance)
+        """Trusts a suspect again if it answers, or takes work again."""
+        if drains:
+            is_back = await self.shared.refusing.is_healthy(engine)
+        else:
+            report = await self.report(engine.instance, engine.address)
+            is_back = report is not None
+        if not is_back:
+            return
+        self.shared.book.trust(engine.instance)
         self.shared.observer.emit(
-            log_events.EndpointRestored(instance, engine_book.SUSPECT_S)
+            log_events.EndpointRestored(engine.instance, engine_book.SUSPECT_S)
         )
--- a/src/almondshift/relay/group.py
+++ b/src/almondshift/relay/group.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from almondshift.ports import clocks
 
@@ -120,8 +121,9 @@
 
         False before the rows were read.
         """
-        before = sum(name < self.name for name in self.names)
-        return bool(self.names) and before < count
+        return bool(self.names) and _is_among_first(
+            self.name, self.names, count
+        )
 
     async def sweep(self, known: frozenset[str]) -> list[str]:
         """Removes the rows of nodes that are gone; returns their names.
@@ -238,8 +240,8 @@
 
         All nodes that see the same peers agree on which are first.
         """
-        before = sum(peer.name < self.name for peer in self.serving())
-        return before < count
+        others = (peer.name for peer in self.serving())
+        return _is_among_first(self.name, others, count)
 
     async def ask(self, topic: str, body: bytes) -> list[bytes]:
         """Asks a few peers; returns the answers that came."""
@@ -305,3 +307,7 @@
         for name in self.states.keys() - present.keys():
             log_events.emit(logger, log_events.PeerGone(name, "silent or left"))
         self.states = {name: peer.state for name, peer in present.items()}
+
+
+def _is_among_first(name: str, others: Iterable[str], count: int) -> bool:
+    return sum(other < name for other in others) < count
--- a/src/almondshift/relay/lost_engines.py
+++ b/src/almondshift/relay/lost_engines.py
@@ -28,11 +28,13 @@
     from almondshift.relay import group as relay_group
     from almondshift.relay import observer
 
-TOLD = frozenset(
-    {engine_book.Suspicion.UNREACHABLE, engine_book.Suspicion.STALLED}
-)
-"""What the registry says too, nodes need not tell each other; and whether an
-engine refuses may depend on who asks."""
+TOLD = {
+    engine_book.Suspicion.UNREACHABLE: peers.FactKind.ENGINE_LOST,
+    engine_book.Suspicion.STALLED: peers.FactKind.ENGINE_LOST,
+    engine_book.Suspicion.DRAINING: peers.FactKind.LEAVING,
+}
+"""Kind of fact by which peers learn of a suspicion. They learn of others from
+the registry, and whether an engine refuses may depend on who asks."""
 
 
 class LostEngines:
@@ -73,9 +75,9 @@
                 instance, reason.value, engine_book.SUSPECT_S
             )
         )
-        if self.group is None or reason not in TOLD:
+        kind = TOLD.get(reason)
+        if self.group is None or kind is None:
             return
-        kind = peers.FactKind.ENGINE_LOST
         if not self.group.is_told(kind, instance):
             value = f'"{reason.value}"'.encode()
             self.group.tell(kind, instance, value, engine_book.SUSPECT_S)
--- a/src/almondshift/relay/refusing_engines.py
+++ b/src/almondshift/relay/refusing_engines.py
@@ -16,7 +16,6 @@
 import math
 from typing import TYPE_CHECKING
 
-from almondshift import log_events
 from almondshift.policy import engine_book
 from almondshift.ports import peers
 from almondshift.relay import background
@@ -27,7 +26,7 @@
     from almondshift.ports import path_engines
     from almondshift.relay import catalogue
     from almondshift.relay import group as relay_group
-    from almondshift.relay import observer
+    from almondshift.relay import lost_engines
 
 HEALTH_TIMEOUT_S = 0.3
 CHECK_GAP_S = 0.5
@@ -41,7 +40,6 @@
     """Checks engines that refuse work.
 
     Attributes:
-        group: The other nodes; None before they are known.
         checked_at: When an engine was last checked, by instance.
     """
 
@@ -51,35 +49,27 @@
         registry: catalogue.Catalogue,
         book: engine_book.EngineBook,
         engines: path_engines.PathEngines,
-        seen: observer.RelayObserver,
+        lost: lost_engines.LostEngines,
     ) -> None:
         self.clock = clock
         self.catalogue = registry
         self.book = book
         self.engines = engines
-        self.observer = seen
-        self.group: relay_group.Group | None = None
+        self.lost = lost
         self.checked_at: dict[str, float] = {}
         self.work = background.Background()
 
     def join(self, joined: relay_group.Group) -> None:
-        """Starts to notify peers and to receive their notices."""
-        self.group = joined
+        """Starts to receive notices of peers."""
         joined.on_told(peers.FactKind.LEAVING, self.take_fact)
 
     async def close(self) -> None:
         """Stops the checks."""
         await self.work.close()
 
-    def note_refusal(self, instance: str) -> None:
-        """Checks an engine that refused a request of this node."""
-        self.check(instance)
-
     def take_fact(self, key: str, fact: peers.Fact | None) -> None:
         """Checks an engine that drains according to a peer."""
-        if fact is None or self.group is None:
-            return
-        if fact.origin != self.group.name:
+        if fact is not None:
             self.check(key)
 
     def check(self, instance: str) -> None:
@@ -99,23 +89,9 @@
         """Gives an engine no new work if its health check fails."""
         if await self.is_healthy(engine) is not False:
             return
-        if self.book.is_suspect(engine.instance):
-            return
-        reason = engine_book.Suspicion.DRAINING
-        self.book.suspect(engine.instance, reason, self.clock.monotonic())
-        self.observer.emit(
-            log_events.EndpointEjected(
-                engine.instance, reason.value, engine_book.SUSPECT_S
-            )
-        )
-        self.tell(engine.instance)
-
-    def tell(self, instance: str) -> None:
-        """Notifies peers of an engine, unless one of them did."""
-        kind = peers.FactKind.LEAVING
-        if self.group is None or self.group.is_told(kind, instance):
-            return
-        self.group.tell(kind, instance, b"true", engine_book.SUSPECT_S)
+        if not self.book.is_suspect(engine.instance):
+            reason = engine_book.Suspicion.DRAINING
+            self.lost.suspect(engine.instance, reason)
 
     async def is_healthy(
         self, engine: registered_engines.RegisteredEngine
@@ -139,7 +115,7 @@
     registry: catalogue.Catalogue,
     book: engine_book.EngineBook,
     engines: path_engines.PathEngines,
-    seen: observer.RelayObserver,
+    lost: lost_engines.LostEngines,
 ) -> RefusingEngines:
-    """Creates the checks; they tell peers once they have joined them."""
-    return RefusingEngines(clock, registry, book, engines, seen)
+    """Creates the checks; what they find goes to ``lost``."""
+    return RefusingEngines(clock, registry, book, engines, lost)
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -78,18 +78,22 @@
 
     def dispatch(self) -> None:
         """Sends the request over a path with room, or refuses it."""
-        view = self.shared.catalogue.view(self.routed.service)
-        now = self.shared.clock.monotonic()
-        chosen = None
-        if view is not None:
-            chosen = self.shared.paths.choose(
-                view, self.tokens, now, self.broken
-            )
+        chosen = self.choose_path(self.broken)
         if chosen is None:
             self.lack_path()
             return
         self.send(chosen)
 
+    def choose_path(
+        self, avoid: frozenset[str]
+    ) -> path_choice.ChosenPath | None:
+        """Returns a path with room whose first engine is not avoided."""
+        view = self.shared.catalogue.view(self.routed.service)
+        if view is None:
+            return None
+        now = self.shared.clock.monotonic()
+        return self.shared.paths.choose(view, self.tokens, now, avoid)
+
     def lack_path(self) -> None:
         """Refuses a new request at once; lets a begun stream look again."""
         if not self.responder.head_sent:
@@ -179,12 +183,10 @@
             return
         if self.responder.head_sent:
             return
-        view = self.shared.catalogue.view(self.routed.service)
-        if view is None or not self.could_run_elsewhere():
+        if not self.could_run_elsewhere():
             return
-        now = self.shared.clock.monotonic()
         avoid = self.broken | {attempt.first.instance}
-        if self.shared.paths.choose(view, self.tokens, now, avoid) is None:
+        if self.choose_path(avoid) is None:
             return
         self.note_first_wait(attempt)
         self.note_unheard(attempt)
@@ -296,7 +298,6 @@
     ) -> None:
         """Passes over the engine that an answer names."""
         address = head.faulty_address or attempt.first.address
-        now = self.shared.clock.monotonic()
         for part in attempt.path:
             if part.address != address:
                 continue
@@ -306,9 +307,14 @@
                 )
             else:
                 # It is full, drains or is dead; questions tell which.
-                self.shared.book.note_full(part.instance, now)
-                self.shared.refusing.note_refusal(part.instance)
-                self.shared.paths.tight[part.instance] = part.address
+                self.note_full(part.instance, part.address)
+                self.shared.refusing.check(part.instance)
+
+    def note_full(self, instance: str, address: str) -> None:
+        """Avoids an engine without room, and has it queried."""
+        now = self.shared.clock.monotonic()
+        self.shared.book.note_full(instance, now)
+        self.shared.paths.tight[instance] = address
 
     def go_on(
         self,
@@ -420,7 +426,7 @@
             if chosen is None or chosen.crossings:
                 if not must:
                     return
-                if self.has_whole_path(view, away_from, now):
+                if self.has_whole_path(away_from):
                     self.note_move(attempt, away_from, "resumed elsewhere")
                     self.resume_elsewhere("its path lost an engine")
                     return
@@ -474,18 +480,14 @@
             self.shared.book.add(attempt.used, self.tokens)
             attempt.active_at = self.loop.time()
         if refused_by:
-            now = self.shared.clock.monotonic()
-            self.shared.book.note_full(refused_by, now)
-            self.shared.paths.tight[refused_by] = answer.faulty_address
+            self.note_full(refused_by, answer.faulty_address)
         return refused_by
 
-    def has_whole_path(
-        self, view: path_choice.FleetView, away_from: str, now: float
-    ) -> bool:
+    def has_whole_path(self, away_from: str) -> bool:
         """Returns whether another zone could run the request by itself."""
         if not self.could_run_elsewhere():
             return False
-        found = self.shared.paths.choose(view, self.tokens, now, self.broken)
+        found = self.choose_path(self.broken)
         return (
             found is not None
             and not found.crossings
--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -168,9 +168,9 @@
         """Returns status and address at fault; 0 if the path can run."""
         for address, start, end in path:
             other = self.world.engines.get(address)
-            if other is None or other.is_dead or other.is_full:
+            if other is None or other.is_dead:
                 return 503, address
-            if other.is_draining:
+            if other.is_full or other.is_draining:
                 return 503, address
             held = other.layers
             if held is None or start < held[0] or end > held[1]:
--- a/tests/platform/standin_system.py
+++ b/tests/platform/standin_system.py
@@ -155,6 +155,15 @@
             while not condition():
                 await asyncio.sleep(0.02)
 
+    async def meet(self) -> None:
+        """Waits until each node knows another."""
+        await self.until(
+            lambda: all(
+                process.node.group and process.node.group.serving()
+                for process in self.nodes
+            )
+        )
+
     def serves(self) -> bool:
         """Returns whether each node has a path over all layers."""
         for process in self.nodes:
--- a/tests/platform/test_draining_engines.py
+++ b/tests/platform/test_draining_engines.py
@@ -20,15 +20,6 @@
     return sum(address in head.get("X-Hop-Count", "") for head in heads)
 
 
-async def _meet(running: system.StandinSystem) -> None:
-    await running.until(
-        lambda: all(
-            process.node.group and process.node.group.serving()
-            for process in running.nodes
-        )
-    )
-
-
 @pytest.mark.parametrize("drained", ["a0", "a1"], ids=["first", "later"])
 def test_a_draining_engine_gets_requests_of_one_node_only(drained: str) -> None:
     """Callers are refused since each node offers requests to drained engines.
@@ -39,7 +30,7 @@
 
     async def scenario() -> None:
         async with system.running_system(nodes=3) as running:
-            await _meet(running)
+            await running.meet()
             books = [process.node.shared.book for process in running.nodes]
             running.engines[drained].is_draining = True
             for number in range(REQUESTS):
--- a/tests/relay/test_lost_engines.py
+++ b/tests/relay/test_lost_engines.py
@@ -28,7 +28,7 @@
     async def scenario() -> None:
         async with system.running_system(nodes=2) as running:
             first, second = (process.node.shared for process in running.nodes)
-            await _meet(running)
+            await running.meet()
             dead = running.engines["a0"]
             dead.is_dead = True
             await dead.close()
@@ -51,7 +51,7 @@
     async def scenario() -> None:
         async with system.running_system(nodes=2) as running:
             first, second = (process.node.shared for process in running.nodes)
-            await _meet(running)
+            await running.meet()
             seen: list[log_events.Event] = []
             second.observer.emit = seen.append  # type: ignore[method-assign]
             first.lost.suspect("a0", engine_book.Suspicion.UNREACHABLE)
@@ -66,16 +66,6 @@
     asyncio.run(scenario())
 
 
-async def _meet(running: system.StandinSystem) -> None:
-    """Waits until each node knows another."""
-    await running.until(
-        lambda: all(
-            process.node.group and process.node.group.serving()
-            for process in running.nodes
-        )
-    )
-
-
 class FakeGroup:
     """Peers that keep what they are told."""
 
