Sum engine shares once for all layers

Cause: the shares of all engines are made anew after each change of health or of the registry, and each holding summed over its own layers: some 20 ms before 3,001 engines, of 60 ms that a change and the next arrival cost. Change: running totals over the layers; a holding costs two look-ups.

--- a/src/almondshift/policy/pooled_load.py
+++ b/src/almondshift/policy/pooled_load.py
@@ -85,13 +85,18 @@
     for holding in known:
         for layer in range(holding.start, min(holding.end, layers)):
             speeds[layer] += holding.speed
+    # Running totals: a holding then costs the same however many layers it has.
+    totals = [0.0]
+    for speed in speeds:
+        totals.append(totals[-1] + (1.0 / speed if speed else 0.0))
     shares = {}
     for holding in known:
-        held = range(holding.start, min(holding.end, layers))
-        if not held:
+        end = min(holding.end, layers)
+        held = end - holding.start
+        if held <= 0:
             continue
-        running = sum(holding.speed / speeds[layer] for layer in held)
-        running /= len(held)
+        running = holding.speed * (totals[end] - totals[holding.start])
+        running /= held
         first = holding.speed / speeds[0] if holding.start == 0 else 0.0
         shares[holding.instance] = EngineShare(running, first)
     return shares
