Search paths among a sample of engines that are alike

Cause: before 3,001 engines a search takes 45 ms, and a node with 1.4 arrivals a second searches for most of them, since health changes and ages end what is kept. Ruled out: longer ages of kept paths (done before; it lowers searches only where arrivals are more frequent than changes). Change: engines of one zone, accelerator and range of layers are a group; six of each are searched, drawn at random for each search. All are searched when the sample has no path. Groups of up to six are searched whole, so that fleets of some hundred engines see no change.

--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -20,6 +20,7 @@
 from almondshift.model import relayed
 from almondshift.policy import capacity_shares
 from almondshift.policy import engine_book
+from almondshift.policy import engine_sample
 from almondshift.policy import path_search
 from almondshift.policy import pooled_load
 from almondshift.policy import zone_paths
@@ -71,7 +72,11 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Shares:
+class _Usable:
+    """The engines that hold layers and live, full or not."""
+
+    engines: list[registered_engines.RegisteredEngine]
+    groups: list[engine_sample.Group]
     shares: dict[str, pooled_load.EngineShare]
     version: tuple[int, int]
 
@@ -128,7 +133,7 @@
         self.usual: dict[str, pooled_load.UsualRequests] = {}
         self.tight: dict[str, str] = {}
         self.cached: dict[str, _Cached] = {}
-        self.shares: dict[str, _Shares] = {}
+        self.usable: dict[str, _Usable] = {}
 
     def choose(
         self,
@@ -205,13 +210,28 @@
         avoid: frozenset[str] = frozenset(),
     ) -> ChosenPath | None:
         """Returns another path with the same first part, or None."""
+        kept = frozenset(p.instance for p in path)
+        for is_sampled in (True, False):
+            candidates = [
+                c
+                for c in self.candidates(view, now, kept, is_sampled)
+                if c.instance not in avoid
+            ]
+            found = self._moved(view, path, tokens, now, candidates)
+            if found is not None or not self._is_sample(view):
+                return found
+        return None
+
+    def _moved(
+        self,
+        view: FleetView,
+        path: relayed.Path,
+        tokens: float,
+        now: float,
+        candidates: list[path_search.Candidate],
+    ) -> ChosenPath | None:
         first = path[0]
         kept = frozenset(p.instance for p in path)
-        candidates = [
-            c
-            for c in self.candidates(view, now, kept)
-            if c.instance not in avoid
-        ]
         start = next(
             (c for c in candidates if c.instance == first.instance), None
         )
@@ -234,6 +254,7 @@
         view: FleetView,
         now: float,
         kept: frozenset[str] = frozenset(),
+        is_sampled: bool = True,
     ) -> list[path_search.Candidate]:
         """Returns the engines that may take work.
 
@@ -243,10 +264,21 @@
             kept: Engines that hold a request already. They have its memory
                 also when they are full; left out, a request that lost one
                 engine would have to leave the others too.
+            is_sampled: Whether a sample of large groups will do.
         """
         load = self._load(view, now)
+        known = self._usable(view)
+        engines = known.engines
+        if is_sampled:
+            engines = engine_sample.sampled(known.groups, self.rng)
+            drawn = {engine.instance for engine in engines}
+            engines += [
+                engine
+                for engine in known.engines
+                if engine.instance in kept and engine.instance not in drawn
+            ]
         found = []
-        for engine in self._usable(view):
+        for engine in engines:
             is_kept = engine.instance in kept
             if self.book.is_full(engine.instance, now) and not is_kept:
                 continue
@@ -256,37 +288,46 @@
             found.append(candidate)
         return found
 
-    def _usable(
-        self, view: FleetView
-    ) -> list[registered_engines.RegisteredEngine]:
-        """Returns the engines that hold layers and live, full or not."""
-        return [
+    def _is_sample(self, view: FleetView) -> bool:
+        """Returns whether some group of engines is only searched in part."""
+        return any(
+            len(group) > engine_sample.MOST_ALIKE
+            for group in self._usable(view).groups
+        )
+
+    def _usable(self, view: FleetView) -> _Usable:
+        version = (view.version, self.book.changes)
+        known = self.usable.get(view.service)
+        if known is not None and known.version == version:
+            return known
+        engines = [
             engine
             for engine in view.engines
             if engine.layers is not None
             and not engine.leaving
             and not self.book.is_suspect(engine.instance)
         ]
+        holdings = [
+            pooled_load.Holding(
+                e.instance,
+                e.layers.start,
+                e.layers.end,
+                1.0 / _step_factor(e.kind, view.spec),
+            )
+            for e in engines
+            if e.layers is not None
+        ]
+        shares = pooled_load.engine_shares(holdings, view.spec.layers)
+        groups = engine_sample.grouped(engines)
+        known = _Usable(engines, groups, shares, version)
+        self.usable[view.service] = known
+        return known
 
     def _load(self, view: FleetView, now: float) -> pooled_load.FleetLoad:
-        version = (view.version, self.book.changes)
-        kept = self.shares.get(view.service)
-        if kept is None or kept.version != version:
-            holdings = [
-                pooled_load.Holding(
-                    e.instance,
-                    e.layers.start,
-                    e.layers.end,
-                    1.0 / _step_factor(e.kind, view.spec),
-                )
-                for e in self._usable(view)
-                if e.layers is not None
-            ]
-            shares = pooled_load.engine_shares(holdings, view.spec.layers)
-            kept = self.shares[view.service] = _Shares(shares, version)
+        shares = self._usable(view).shares
         usual = self.usual.setdefault(view.service, pooled_load.UsualRequests())
         return pooled_load.FleetLoad(
-            self.book, kept.shares, view.spec.layers, self.nodes, usual, now
+            self.book, shares, view.spec.layers, self.nodes, usual, now
         )
 
     def _candidate(
@@ -348,14 +389,20 @@
         self, view: FleetView, now: float
     ) -> list[path_search.FoundPath]:
         tokens = view.spec.usual_prompt + view.spec.usual_answer
-        candidates = self.candidates(view, now)
-        quick = [
-            c
-            for c in candidates
-            if not self.book.is_slow(c.instance, now)
-            and not self.book.is_unheard(c.instance, now)
-        ]
-        return zone_paths.found(candidates, quick, view.spec.layers, tokens)
+        for is_sampled in (True, False):
+            candidates = self.candidates(view, now, is_sampled=is_sampled)
+            quick = [
+                c
+                for c in candidates
+                if not self.book.is_slow(c.instance, now)
+                and not self.book.is_unheard(c.instance, now)
+            ]
+            paths = zone_paths.found(
+                candidates, quick, view.spec.layers, tokens
+            )
+            if paths or not self._is_sample(view):
+                return paths
+        return []
 
     def _fitting(
         self,
