Name rows that a node has by their keys in a whole answer

Cause: nodes that restart together read the registry whole, each at its own revision. Ruled out: asking the store for those changes (a call of each node more). Change: a question says that it takes keys for rows that are not newer; removed rows follow from what is not named. Former versions ask and answer as before.

--- a/src/almondshift/ports/row_feeds.py
+++ b/src/almondshift/ports/row_feeds.py
@@ -34,6 +34,8 @@
         rows: In the order of their changes; for a whole read, by key.
         revision: The newest revision of the store that is covered.
         is_whole: Whether these are all rows: what is missing was removed.
+        unchanged: Keys of rows that are not repeated, since the asker has
+            them; together with ``rows`` all, if ``is_whole``.
         age_s: Since the store confirmed this; over 0 if it comes from a copy.
     """
 
@@ -41,6 +43,7 @@
     revision: int
     is_whole: bool = False
     age_s: float = 0.0
+    unchanged: frozenset[str] = frozenset()
 
 
 class RowFeed(abc.ABC):
--- a/src/almondshift/relay/peer_rows.py
+++ b/src/almondshift/relay/peer_rows.py
@@ -19,11 +19,14 @@
         after: Rows changed after this revision; below 0 for all rows.
         wait_s: How long the peer may wait for a change.
         is_fresh: Whether the peer should have the store confirm its copy.
+        takes_unchanged: Whether the answer may name rows that are not newer
+            than ``after`` by their keys alone.
     """
 
     after: int
     wait_s: float = 0.0
     is_fresh: bool = False
+    takes_unchanged: bool = False
 
 
 class PeerRow(msgspec.Struct):
@@ -42,12 +45,14 @@
         rows: Changed rows, or all.
         is_whole: Whether what is missing in it was removed.
         age_s: Since the store last confirmed it.
+        unchanged: Keys of rows that were not removed and are not repeated.
     """
 
     revision: int
     rows: list[PeerRow]
     is_whole: bool = False
     age_s: float = NEVER_S
+    unchanged: list[str] = []
 
 
 QUESTIONS = msgspec.json.Decoder(RowQuestion)
@@ -67,14 +72,20 @@
         return RowQuestion(after=-1)
 
 
-def encode_answer(
-    rows: list[row_feeds.FeedRow], revision: int, is_whole: bool, age_s: float
-) -> bytes:
+def encode_answer(change: row_feeds.TableChange) -> bytes:
     """Returns an answer as it is sent."""
     encoded = [
-        PeerRow(row.key, _encoded(row.value), row.revision) for row in rows
+        PeerRow(row.key, _encoded(row.value), row.revision)
+        for row in change.rows
     ]
-    return msgspec.json.encode(PeerRows(revision, encoded, is_whole, age_s))
+    answer = PeerRows(
+        change.revision,
+        encoded,
+        change.is_whole,
+        change.age_s,
+        list(change.unchanged),
+    )
+    return msgspec.json.encode(answer)
 
 
 def decode_answer(answer: bytes) -> row_feeds.TableChange:
@@ -92,6 +103,7 @@
         revision=decoded.revision,
         is_whole=decoded.is_whole,
         age_s=decoded.age_s,
+        unchanged=frozenset(decoded.unchanged),
     )
 
 
--- a/src/almondshift/relay/shared_feed.py
+++ b/src/almondshift/relay/shared_feed.py
@@ -67,7 +67,9 @@
     ) -> expression.Result[row_feeds.TableChange | None, stores.StoreError]:
         """Waits until a table has changed since a revision."""
         asked_s = min(wait_s, feed_readers.ASKED_WAIT_S)
-        question = peer_rows.RowQuestion(after, asked_s, is_fresh=wait_s <= 0)
+        question = peer_rows.RowQuestion(
+            after, asked_s, is_fresh=wait_s <= 0, takes_unchanged=True
+        )
         found = await self._ask_readers(table, question)
         if found is not None:
             return expression.Ok(found)
--- a/src/almondshift/relay/table_watch.py
+++ b/src/almondshift/relay/table_watch.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 from typing import TYPE_CHECKING
 
@@ -137,7 +138,7 @@
         """Answers a peer's question for rows, once there are some."""
         question = peer_rows.decode_question(body)
         if self.revision is None or self.away_since is not None:
-            return self.rows_after(question.after)
+            return self.rows_after(question.after, question.takes_unchanged)
         if question.is_fresh:
             await self.confirm(CONFIRM_AGE_S)
         until = self.clock.monotonic() + min(question.wait_s, WAIT_S)
@@ -148,27 +149,38 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(left_s):
                     await self.changed.wait()
-        return self.rows_after(question.after)
+        return self.rows_after(question.after, question.takes_unchanged)
 
-    def rows_after(self, revision: int) -> bytes:
+    def rows_after(self, revision: int, takes_unchanged: bool = False) -> bytes:
         """Returns the rows that changed after a revision, for a peer.
 
         All rows, if changes after that revision may be missing here: a peer
-        would keep for ever what was removed before this copy began.
+        would keep for ever what was removed before this copy began. Nodes that
+        restart together ask for revisions just before their reader's first, so
+        rows that the peer has are then named by their keys alone.
         """
         is_whole = self.revision is not None and revision < self.complete_since
+        rows = [r for r in self.rows.values() if r.revision > revision]
+        unchanged: frozenset[str] = frozenset()
         if is_whole:
-            rows = [row for row in self.rows.values() if row.value is not None]
-        else:
-            rows = [r for r in self.rows.values() if r.revision > revision]
+            present = [r for r in self.rows.values() if r.value is not None]
+            if takes_unchanged:
+                rows = [r for r in present if r.revision > revision]
+                unchanged = frozenset(
+                    r.key for r in present if r.revision <= revision
+                )
+            else:
+                rows = present
         is_away = self.revision is None or self.away_since is not None
         age_s = self.clock.monotonic() - self.confirmed_at
-        return peer_rows.encode_answer(
-            rows,
-            self.revision or 0,
-            is_whole,
-            peer_rows.NEVER_S if is_away else max(0.0, age_s),
+        change = row_feeds.TableChange(
+            rows=tuple(rows),
+            revision=self.revision or 0,
+            is_whole=is_whole,
+            age_s=peer_rows.NEVER_S if is_away else max(0.0, age_s),
+            unchanged=unchanged,
         )
+        return peer_rows.encode_answer(change)
 
     async def _follow(self) -> None:
         while True:
@@ -214,11 +226,25 @@
         return True
 
     def _take(self, change: row_feeds.TableChange) -> None:
-        if change.is_whole:
+        if change.is_whole and change.unchanged:
+            self._take_completed(change)
+        elif change.is_whole:
             self._take_whole(change)
         else:
             self._take_changes(change)
 
+    def _take_completed(self, change: row_feeds.TableChange) -> None:
+        """Takes changes together with the keys of all other rows."""
+        present = change.unchanged.union(row.key for row in change.rows)
+        removed = (
+            row_feeds.FeedRow(key, None, change.revision)
+            for key, row in self.rows.items()
+            if key not in present and row.value is not None
+        )
+        rows = (*removed, *change.rows)
+        self._take_changes(dataclasses.replace(change, rows=rows))
+        self.complete_since = max(self.complete_since, change.revision)
+
     def _take_whole(self, change: row_feeds.TableChange) -> None:
         """Takes all rows: what is missing among them was removed."""
         if self.revision is not None and change.revision < self.revision:
--- /dev/null
+++ b/tests/relay/test_restart_of_all_nodes.py
@@ -0,0 +1,103 @@
+"""Nodes that start together before a large registry."""
+
+from __future__ import annotations
+
+import json
+import random
+
+import pytest
+
+from almondshift.ports import row_feeds
+from almondshift.relay import peer_rows
+from almondshift.relay import table_watch
+from tests.coordination import network
+from tests.relay import test_shared_feed as feeds
+
+ENGINES = 3_000
+Rows = dict[str, row_feeds.FeedRow]
+
+
+def registry() -> Rows:
+    """Returns a row for each engine."""
+    found = {}
+    for number in range(ENGINES):
+        key = f"engine-{number}"
+        entry = {"address": f"10.0.{number // 250}.{number % 250}:80",
+                 "kind": "l4", "zone": "a", "born": 1_700_000_000_000,
+                 "layers": {"from": 0, "to": 8}}  # fmt: skip
+        value = json.dumps(entry).encode()
+        found[key] = row_feeds.FeedRow(key, value, number)
+    return found
+
+
+def watch_at(rows: Rows, revision: int) -> table_watch.TableWatch:
+    """Returns a watch that read a table whole at a revision."""
+    watch = table_watch.create_table_watch(
+        feeds.CountingFeed(), "t", network.ManualClock(), random.Random(1)
+    )
+    watch._take_whole(row_feeds.TableChange(tuple(rows.values()), revision))
+    return watch
+
+
+def answer_of(
+    reader: table_watch.TableWatch, after: int
+) -> tuple[bytes, row_feeds.TableChange]:
+    """Returns what a reader answers to a node of this version."""
+    body = reader.rows_after(after, takes_unchanged=True)
+    return body, peer_rows.decode_answer(body)
+
+
+@pytest.mark.parametrize("takes_unchanged", [False, True])
+def test_rows_that_a_node_has_are_not_sent_again(takes_unchanged: bool) -> None:
+    """Readers would send the whole registry to each node that restarts.
+
+    Each node reads the store when it starts, some a moment before their
+    reader, whose copy then says nothing of changes in between.
+    """
+    before = registry()
+    node = watch_at(before, 4_000)
+    after = {k: r for k, r in before.items() if k != "engine-7"}
+    after["engine-8"] = row_feeds.FeedRow("engine-8", b"{}", 4_001)
+    reader = watch_at(after, 4_002)
+    taken: list[row_feeds.FeedRow] = []
+    node.on_rows = lambda rows, verified: taken.extend(rows)
+    body = reader.rows_after(4_000, takes_unchanged)
+    node._take(peer_rows.decode_answer(body))
+    live = {k: r for k, r in node.rows.items() if r.value is not None}
+    assert live == after
+    assert node.revision == node.complete_since == 4_002
+    if takes_unchanged:
+        whole = reader.rows_after(4_000)
+        assert len(body) < len(whole) / 10
+        assert [(r.key, r.value) for r in taken] == [
+            ("engine-7", None),
+            ("engine-8", b"{}"),
+        ]
+
+
+def test_a_row_that_is_newer_than_the_answer_stays() -> None:
+    """A node would drop an engine that a peer told it of meanwhile."""
+    node = watch_at(registry(), 4_000)
+    fresh = row_feeds.FeedRow("fresh", b"{}", 5_000)
+    node._take_peer_rows((fresh,))
+    _, change = answer_of(watch_at(registry(), 4_002), 4_000)
+    node._take(change)
+    assert node.rows["fresh"] == fresh
+
+
+def test_a_node_without_a_copy_gets_all_rows() -> None:
+    """A node would take rows for known that it never had."""
+    _, change = answer_of(watch_at(registry(), 4_002), -1)
+    assert change.is_whole
+    assert not change.unchanged
+    assert len(change.rows) == ENGINES
+
+
+def test_a_former_version_reads_an_answer_and_asks_a_question() -> None:
+    """Nodes of two versions serve together while one replaces the other."""
+    question = peer_rows.decode_question(b'{"after":4000,"wait_s":1.0}')
+    assert not question.takes_unchanged
+    body = watch_at(registry(), 4_002).rows_after(question.after)
+    assert json.loads(body)["unchanged"] == []
+    former = b'{"revision":3,"rows":[],"is_whole":false,"age_s":0.1}'
+    assert peer_rows.decode_answer(former).unchanged == frozenset()
--- a/tests/relay/test_shared_feed.py
+++ b/tests/relay/test_shared_feed.py
@@ -75,7 +75,9 @@
         age_s = self.ages.get(name, 0.1)
         if age_s is None:
             return expression.Error(errors.PeerUnreachable("silent"))
-        answer = peer_rows.encode_answer([ROW], 7, False, age_s)
+        answer = peer_rows.encode_answer(
+            row_feeds.TableChange((ROW,), 7, age_s=age_s)
+        )
         return expression.Ok(answer)
 
 
