Log a read of many engines in one line

Cause: each node that starts logs a line for each registered engine: 3,001 lines are 56 to 66 ms of processor time (offline, two runs) and use up the log's rate for seconds, so that lines on decisions are dropped. Change: over 20 new engines of one read are one line, AS4011.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -337,6 +337,16 @@
     seconds: float
 
 
+class RegistryRead(Event, frozen=True):
+    """Many endpoints became known at once."""
+
+    number = 4011
+    message = "registry read"
+
+    endpoints: int
+    new: int
+
+
 class RequestReceived(Event, frozen=True):
     """A request passed authentication."""
 
--- a/src/almondshift/relay/catalogue.py
+++ b/src/almondshift/relay/catalogue.py
@@ -25,6 +25,9 @@
 seconds of its return; a removal is believed just before, so that an engine
 that left gets nothing beyond the same two seconds."""
 
+MOST_NAMED = 20
+"""New engines of one read of the registry that get a log line each."""
+
 LEFT = "left the registry"
 UNREADABLE = "its entry can't be read"
 RESTARTED = "started again"
@@ -62,6 +65,7 @@
         engines: By instance, which tells one start of an engine from the next.
         lifetimes: The instance that stands for each row of the registry.
         version: Grows with each change of the engines.
+        names_new: Whether each new engine is logged at once.
         on_config: Called with each new configuration.
         on_leaving: Called with an engine that begins to leave.
         on_gone: Called with an engine that is gone.
@@ -78,6 +82,7 @@
         self.lifetimes: dict[str, str] = {}
         self.starts = engine_starts.create_engine_starts()
         self.version = 0
+        self.names_new = True
         self.removals: dict[str, float] = {}
         self.views: dict[str, path_choice.FleetView] = {}
         self.on_config: list[Callable[[], None]] = []
@@ -156,8 +161,14 @@
     ) -> None:
         """Takes a whole read: what is missing in it was removed."""
         present = {row.key for row in rows}
-        for row in rows:
-            self.take_engine_row(row, now, store_back_at)
+        known = set(self.engines)
+        self.names_new = False
+        try:
+            for row in rows:
+                self.take_engine_row(row, now, store_back_at)
+        finally:
+            self.names_new = True
+            self._log_new(known)
         for key in [key for key in self.lifetimes if key not in present]:
             self._take_removal(key, now, store_back_at)
 
@@ -240,13 +251,8 @@
         self.lifetimes[key] = engine.instance
         self.engines[engine.instance] = engine
         self._changed()
-        if former is None:
-            log_events.emit(
-                logger,
-                log_events.EndpointSeen(
-                    engine.instance, engine.zone, engine.kind
-                ),
-            )
+        if former is None and self.names_new:
+            log_events.emit(logger, _seen(engine))
         if engine.leaving and (former is None or not former.leaving):
             log_events.emit(
                 logger, log_events.EndpointLeaving(engine.instance, "registry")
@@ -256,6 +262,20 @@
         for callback in self.on_engine:
             callback(engine)
 
+    def _log_new(self, known: set[str]) -> None:
+        """Logs what a whole read brought: many engines in one line.
+
+        A line for each of thousands would use up the log's rate, and lines on
+        decisions would be dropped.
+        """
+        new = [e for i, e in self.engines.items() if i not in known]
+        if len(new) > MOST_NAMED:
+            event = log_events.RegistryRead(len(self.engines), len(new))
+            log_events.emit(logger, event)
+            return
+        for engine in new:
+            log_events.emit(logger, _seen(engine))
+
     def _take_removal(self, key: str, now: float, store_back_at: float) -> None:
         if key not in self.lifetimes:
             return
@@ -279,3 +299,7 @@
     def _changed(self) -> None:
         self.version += 1
         self.views.clear()
+
+
+def _seen(engine: registered_engines.RegisteredEngine) -> log_events.Event:
+    return log_events.EndpointSeen(engine.instance, engine.zone, engine.kind)
--- a/tests/relay/test_restart_of_all_nodes.py
+++ b/tests/relay/test_restart_of_all_nodes.py
@@ -7,10 +7,13 @@
 
 import pytest
 
+from almondshift import log_events
 from almondshift.ports import row_feeds
+from almondshift.relay import catalogue
 from almondshift.relay import peer_rows
 from almondshift.relay import table_watch
 from tests.coordination import network
+from tests.relay import test_catalogue as catalogues
 from tests.relay import test_shared_feed as feeds
 
 ENGINES = 3_000
@@ -101,3 +104,26 @@
     assert json.loads(body)["unchanged"] == []
     former = b'{"revision":3,"rows":[],"is_whole":false,"age_s":0.1}'
     assert peer_rows.decode_answer(former).unchanged == frozenset()
+
+
+@pytest.mark.parametrize(
+    ("engines", "codes"),
+    [(1, ["AS4001"]), (catalogue.MOST_NAMED + 1, ["AS4011"])],
+)
+def test_a_read_of_many_engines_is_one_log_line(
+    engines: int, codes: list[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Lines on decisions would be dropped for seconds after each start."""
+    seen: list[str] = []
+    monkeypatch.setattr(
+        log_events, "emit", lambda logger, event: seen.append(event.code())
+    )
+    known = catalogues._catalogue()
+    rows = [catalogues._row(f"e{i}", catalogues._engine())
+            for i in range(engines)]  # fmt: skip
+    known.take_whole_registry(tuple(rows), 0.0, catalogues.AWAY)
+    assert seen == codes
+    known.take_engine_row(
+        catalogues._row("late", catalogues._engine()), 0.0, catalogues.AWAY
+    )
+    assert seen == [*codes, "AS4001"]
