Check an engine that refuses a moved stream

Cause: a request that an engine refuses brings a look at its health check, a refused move did not: moves went on to engines that drain, each refused. Change: both take one way (note_refused). The test fails without it.

--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -306,15 +306,17 @@
                     part.instance, engine_book.Suspicion.REFUSED
                 )
             else:
-                # It is full, drains or is dead; questions tell which.
-                self.note_full(part.instance, part.address)
-                self.shared.refusing.check(part.instance)
+                self.note_refused(part.instance, part.address)
 
-    def note_full(self, instance: str, address: str) -> None:
-        """Avoids an engine without room, and has it queried."""
+    def note_refused(self, instance: str, address: str) -> None:
+        """Avoids an engine that is full, drains or is dead, and has it queried.
+
+        Its report and its health check tell which of these it is.
+        """
         now = self.shared.clock.monotonic()
         self.shared.book.note_full(instance, now)
         self.shared.paths.tight[instance] = address
+        self.shared.refusing.check(instance)
 
     def go_on(
         self,
@@ -480,7 +482,7 @@
             self.shared.book.add(attempt.used, self.tokens)
             attempt.active_at = self.loop.time()
         if refused_by:
-            self.note_full(refused_by, answer.faulty_address)
+            self.note_refused(refused_by, answer.faulty_address)
         return refused_by
 
     def has_whole_path(self, away_from: str) -> bool:
--- a/tests/platform/test_draining_engines.py
+++ b/tests/platform/test_draining_engines.py
@@ -106,3 +106,39 @@
             assert (await whole.chat(running, "r2"))[0] == 200
 
     asyncio.run(scenario())
+
+
+def test_an_engine_that_refuses_a_moved_stream_is_checked() -> None:
+    """Streams that lose an engine would all be offered to a drained one.
+
+    The middle of a path dies, and the engine that could stand in for it
+    drains. Nobody sends it a new request, so only the move finds that out.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(zones="a", nodes=1) as running:
+            node = running.nodes[0].node
+            # The plan would give the spare engine other layers meanwhile.
+            await node.keeper.close()
+            for engine in running.engines.values():
+                engine.gap_s = 0.05
+            stream = asyncio.create_task(whole.chat(running, "r1"))
+            await running.until(lambda: whole.times_run(running, "r1") == 1)
+            [run] = node.shared.running
+            lost = run.attempt.path[1]  # type: ignore[attr-defined]
+            spare = await running.add_engine("spare", "model", "a", "big")
+            spare.layers = running.engines[lost.instance].layers
+            spare.is_draining = True
+            spare.on_change()
+            known = node.shared.catalogue.engines
+            await running.until(
+                lambda: "spare" in known and known["spare"].layers is not None
+            )
+            running.engines[lost.instance].is_dead = True
+            await running.until(
+                lambda: node.shared.book.is_suspect("spare"), 2.0
+            )
+            assert not spare.ran
+            stream.cancel()
+
+    asyncio.run(scenario())
