Keep streams on an engine that closes its port and goes on with them

An engine that is emptied while the store is away closes its port. One node's connection is refused, it tells the others, each asks the engine and is refused too: all take it for dead and run its streams elsewhere, though it sends them events; runs on dead engines don't count as tries. Ruled out: counting these runs (streams would still be moved for nothing). Change: an engine that refuses connections drains, if streams that it is first for had an event from it within 40 ms. A crash ends those connections at once. Test: streams of an engine that closes its port; fails without the change.

--- a/src/almondshift/relay/lost_engines.py
+++ b/src/almondshift/relay/lost_engines.py
@@ -43,6 +43,7 @@
     Attributes:
         group: The other nodes; None before they are known.
         on_told: Called with an engine that a peer found dead, and the peer.
+        is_heard: Whether streams get answers from an engine at this moment.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self.on_told: Callable[
             [registered_engines.RegisteredEngine, str], None
         ] = lambda engine, peer: None
+        self.is_heard: Callable[[str], bool] = lambda instance: False
 
     def join(self, joined: relay_group.Group) -> None:
         """Begins to tell peers, and to hear from them."""
@@ -67,7 +69,16 @@
         joined.on_told(peers.FactKind.ENGINE_LOST, self.take_fact)
 
     def suspect(self, instance: str, reason: engine_book.Suspicion) -> None:
-        """Gives an engine no new work for a while, and tells peers."""
+        """Gives an engine no new work for a while, and tells peers.
+
+        An engine that accepts no connection and still answers streams is not
+        dead: it closed its port to drain. Peers check it for themselves.
+        """
+        kind = TOLD.get(reason)
+        if reason is engine_book.Suspicion.UNREACHABLE and self.is_heard(
+            instance
+        ):
+            reason = engine_book.Suspicion.DRAINING
         if not self.book.suspect(instance, reason, self.clock.monotonic()):
             return
         self.observer.emit(
@@ -75,7 +86,6 @@
                 instance, reason.value, engine_book.SUSPECT_S
             )
         )
-        kind = TOLD.get(reason)
         if self.group is None or kind is None:
             return
         if not self.group.is_told(kind, instance):
--- a/src/almondshift/relay/path_probe.py
+++ b/src/almondshift/relay/path_probe.py
@@ -191,8 +191,9 @@
             return
         if self.loop.time() - self.started_at > 3 * ANSWER_S + STARVED_S:
             return
-        self.lost.append(part.instance)
         self.moves.engine_lost(part.instance, engine_book.Suspicion.UNREACHABLE)
+        if self.shared.book.is_lost(part.instance):
+            self.lost.append(part.instance)
 
     async def hears_others(self) -> bool:
         """Returns whether some other engine is heard of now."""
--- a/src/almondshift/relay/silence_watch.py
+++ b/src/almondshift/relay/silence_watch.py
@@ -72,6 +72,7 @@
     async def start(self) -> None:
         """Starts to look, and to check what peers say of engines."""
         self.shared.lost.on_told = self.check_told
+        self.shared.lost.is_heard = self.moves.is_heard
         self.work.repeat(
             TICK_S, self.look_at_all, "silent streams could not be looked at"
         )
--- a/src/almondshift/relay/stream_moves.py
+++ b/src/almondshift/relay/stream_moves.py
@@ -13,6 +13,10 @@
     from almondshift.relay import background
     from almondshift.relay import context
 
+ANSWERING_S = 0.04
+"""Age up to which a stream's last event shows that its engine lives, in
+seconds; shorter than it takes to find an engine dead by its silence."""
+
 LEAVE_EACH_S = 0.2
 """Interval between moves of streams off engines that leave, in seconds."""
 
@@ -50,6 +54,8 @@
     def engine_lost(self, instance: str, reason: engine_book.Suspicion) -> None:
         """Takes all streams off an engine that seems dead."""
         self.shared.lost.suspect(instance, reason)
+        if not self.shared.book.is_lost(instance):
+            return
         for run in self.streams():
             attempt = run.attempt
             if attempt is None:
@@ -61,6 +67,21 @@
                 run.resume_elsewhere("first engine lost", is_gone)
         self.move_from(instance, must=True)
 
+    def is_heard(self, instance: str) -> bool:
+        """Returns whether streams get events from an engine at this moment.
+
+        Only streams for which it is first count: a crash ends their connections
+        at once, so that waiting for that costs nothing.
+        """
+        now = asyncio.get_running_loop().time()
+        return any(
+            attempt.first.instance == instance
+            and attempt.active_at > attempt.sent_at
+            and now - attempt.active_at < ANSWERING_S
+            for run in self.streams()
+            if (attempt := run.attempt) is not None
+        )
+
     def engine_slow(self, instance: str, pace: float) -> None:
         """Takes streams off an engine that has turned slow, once.
 
--- a/tests/platform/test_draining_engines.py
+++ b/tests/platform/test_draining_engines.py
@@ -90,6 +90,48 @@
     asyncio.run(scenario())
 
 
+def test_streams_of_an_engine_that_closes_its_port_go_on() -> None:
+    """Streams would run on more engines than their route allows.
+
+    An engine that is emptied accepts no connection and goes on with what it
+    runs. Both nodes find its port closed while it sends them events.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=2) as running:
+            await running.meet()
+            for engine in running.engines.values():
+                engine.events, engine.gap_s = 80, 0.02
+            books = [node.node.shared.book for node in running.nodes]
+            streams = [
+                asyncio.create_task(whole.chat(running, f"r{i}", node=i % 2))
+                for i in range(6)
+            ]
+            await running.until(
+                lambda: all(whole.times_run(running, f"r{i}") for i in range(6))
+            )
+            await asyncio.sleep(0.1)
+            closing = max(running.engines.values(), key=lambda e: len(e.ran))
+            assert closing.server is not None
+            closing.server.stop()
+            others = [
+                asyncio.create_task(whole.chat(running, f"n{i}", node=i % 2))
+                for i in range(16)
+            ]
+            await running.until(
+                lambda: all(b.is_suspect(closing.instance) for b in books), 1.0
+            )
+            for i, stream in enumerate(streams):
+                status, _, body = await stream
+                assert status == 200
+                assert len(whole.tokens(body)) == 80
+                assert whole.times_run(running, f"r{i}") == 1
+            assert not any(book.is_lost(closing.instance) for book in books)
+            await asyncio.gather(*others)
+
+    asyncio.run(scenario())
+
+
 def test_an_engine_whose_health_check_succeeds_again_gets_work() -> None:
     """An engine that failed its check for a moment would be lost for good."""
 
