--- a/tests/soak/layout.py
+++ b/tests/soak/layout.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 MODEL_SERVICE = "model"
+HEALTH_PATH = "/health"
 PLAIN_SERVICE = "plain"
 HOST = "chat.example"
 STEADY_ACCOUNT = "steady"
@@ -191,6 +192,7 @@
     step_ms = EVENT_S * 1000 / 2
     return {
         "name": MODEL_SERVICE,
+        "healthPath": HEALTH_PATH,
         "maxConnections": 400,
         "engine": {
             "slots": 96,
