Write the search of a sample, then of all engines, once

Cause: moves and new paths each had the loop and the check whether the sample left engines out; and each search went over all engines for kept ones where none is kept. Change: one generator of candidates; the look at all engines only if a kept one is not in the sample. Behaviour as before.

--- a/src/almondshift/policy/engine_sample.py
+++ b/src/almondshift/policy/engine_sample.py
@@ -2,11 +2,10 @@
 
 Load pattern: thousands of engines, of which dozens in each zone have the same
 accelerator and hold the same layers. A search over all of them for each arrival
-is most of a node's work, and finds hardly more than one over a few of each
-group.
+is most of a node's work.
 
-So a random few of each group are searched. Nodes draw different ones, which
-also spreads their requests.
+Engines of such a group are interchangeable, so a random few of each are
+searched. Nodes draw different ones, which also spreads their requests.
 """
 
 from __future__ import annotations
@@ -51,3 +50,8 @@
         else:
             found += group
     return found
+
+
+def leaves_out(groups: Sequence[Group]) -> bool:
+    """Returns whether a sample lacks some of the engines."""
+    return any(len(group) > MOST_ALIKE for group in groups)
--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -26,6 +26,7 @@
 from almondshift.policy import zone_paths
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from collections.abc import Mapping
     import random
 
@@ -211,14 +212,10 @@
     ) -> ChosenPath | None:
         """Returns another path with the same first part, or None."""
         kept = frozenset(p.instance for p in path)
-        for is_sampled in (True, False):
-            candidates = [
-                c
-                for c in self.candidates(view, now, kept, is_sampled)
-                if c.instance not in avoid
-            ]
-            found = self._moved(view, path, tokens, now, candidates)
-            if found is not None or not self._is_sample(view):
+        for candidates in self._candidate_sets(view, now, kept):
+            usable = [c for c in candidates if c.instance not in avoid]
+            found = self._moved(view, path, tokens, now, usable)
+            if found is not None:
                 return found
         return None
 
@@ -230,6 +227,7 @@
         now: float,
         candidates: list[path_search.Candidate],
     ) -> ChosenPath | None:
+        """Returns a path over candidates with the same first part, or None."""
         first = path[0]
         kept = frozenset(p.instance for p in path)
         start = next(
@@ -271,12 +269,9 @@
         engines = known.engines
         if is_sampled:
             engines = engine_sample.sampled(known.groups, self.rng)
-            drawn = {engine.instance for engine in engines}
-            engines += [
-                engine
-                for engine in known.engines
-                if engine.instance in kept and engine.instance not in drawn
-            ]
+            missing = kept.difference(engine.instance for engine in engines)
+            if missing:
+                engines += [e for e in known.engines if e.instance in missing]
         found = []
         for engine in engines:
             is_kept = engine.instance in kept
@@ -288,12 +283,16 @@
             found.append(candidate)
         return found
 
-    def _is_sample(self, view: FleetView) -> bool:
-        """Returns whether some group of engines is only searched in part."""
-        return any(
-            len(group) > engine_sample.MOST_ALIKE
-            for group in self._usable(view).groups
-        )
+    def _candidate_sets(
+        self,
+        view: FleetView,
+        now: float,
+        kept: frozenset[str] = frozenset(),
+    ) -> Iterator[list[path_search.Candidate]]:
+        """Yields a sample of the candidates, then all if it left some out."""
+        yield self.candidates(view, now, kept)
+        if engine_sample.leaves_out(self._usable(view).groups):
+            yield self.candidates(view, now, kept, is_sampled=False)
 
     def _usable(self, view: FleetView) -> _Usable:
         version = (view.version, self.book.changes)
@@ -389,8 +388,7 @@
         self, view: FleetView, now: float
     ) -> list[path_search.FoundPath]:
         tokens = view.spec.usual_prompt + view.spec.usual_answer
-        for is_sampled in (True, False):
-            candidates = self.candidates(view, now, is_sampled=is_sampled)
+        for candidates in self._candidate_sets(view, now):
             quick = [
                 c
                 for c in candidates
@@ -400,7 +398,7 @@
             paths = zone_paths.found(
                 candidates, quick, view.spec.layers, tokens
             )
-            if paths or not self._is_sample(view):
+            if paths:
                 return paths
         return []
 
