Keep new engines until they are logged, without a mode

Cause: a flag, a copy of the known names and a second pass told a whole read from one row. Change: new engines wait in a list that either read logs. A line on a new engine now follows those that its own row brings about (leaving); the lines are the same.

--- a/src/almondshift/relay/catalogue.py
+++ b/src/almondshift/relay/catalogue.py
@@ -65,7 +65,7 @@
         engines: By instance, which tells one start of an engine from the next.
         lifetimes: The instance that stands for each row of the registry.
         version: Grows with each change of the engines.
-        names_new: Whether each new engine is logged at once.
+        unlogged: New engines that no log line names yet.
         on_config: Called with each new configuration.
         on_leaving: Called with an engine that begins to leave.
         on_gone: Called with an engine that is gone.
@@ -82,7 +82,7 @@
         self.lifetimes: dict[str, str] = {}
         self.starts = engine_starts.create_engine_starts()
         self.version = 0
-        self.names_new = True
+        self.unlogged: list[registered_engines.RegisteredEngine] = []
         self.removals: dict[str, float] = {}
         self.views: dict[str, path_choice.FleetView] = {}
         self.on_config: list[Callable[[], None]] = []
@@ -137,6 +137,12 @@
             store_back_at: When the store last came back; entries may have
                 lapsed while it was away though their engines live.
         """
+        self._take_row(row, now, store_back_at)
+        self._log_new()
+
+    def _take_row(
+        self, row: row_feeds.FeedRow, now: float, store_back_at: float
+    ) -> None:
         if row.value is None:
             self._take_removal(row.key, now, store_back_at)
             return
@@ -161,14 +167,9 @@
     ) -> None:
         """Takes a whole read: what is missing in it was removed."""
         present = {row.key for row in rows}
-        known = set(self.engines)
-        self.names_new = False
-        try:
-            for row in rows:
-                self.take_engine_row(row, now, store_back_at)
-        finally:
-            self.names_new = True
-            self._log_new(known)
+        for row in rows:
+            self._take_row(row, now, store_back_at)
+        self._log_new()
         for key in [key for key in self.lifetimes if key not in present]:
             self._take_removal(key, now, store_back_at)
 
@@ -251,8 +252,8 @@
         self.lifetimes[key] = engine.instance
         self.engines[engine.instance] = engine
         self._changed()
-        if former is None and self.names_new:
-            log_events.emit(logger, _seen(engine))
+        if former is None:
+            self.unlogged.append(engine)
         if engine.leaving and (former is None or not former.leaving):
             log_events.emit(
                 logger, log_events.EndpointLeaving(engine.instance, "registry")
@@ -262,19 +263,24 @@
         for callback in self.on_engine:
             callback(engine)
 
-    def _log_new(self, known: set[str]) -> None:
-        """Logs what a whole read brought: many engines in one line.
+    def _log_new(self) -> None:
+        """Logs the engines that are new: many of them in one line.
 
         A line for each of thousands would use up the log's rate, and lines on
         decisions would be dropped.
         """
-        new = [e for i, e in self.engines.items() if i not in known]
+        new, self.unlogged = self.unlogged, []
         if len(new) > MOST_NAMED:
             event = log_events.RegistryRead(len(self.engines), len(new))
             log_events.emit(logger, event)
             return
         for engine in new:
-            log_events.emit(logger, _seen(engine))
+            log_events.emit(
+                logger,
+                log_events.EndpointSeen(
+                    engine.instance, engine.zone, engine.kind
+                ),
+            )
 
     def _take_removal(self, key: str, now: float, store_back_at: float) -> None:
         if key not in self.lifetimes:
@@ -299,7 +305,3 @@
     def _changed(self) -> None:
         self.version += 1
         self.views.clear()
-
-
-def _seen(engine: registered_engines.RegisteredEngine) -> log_events.Event:
-    return log_events.EndpointSeen(engine.instance, engine.zone, engine.kind)
