Tell removed rows of a whole answer in one place

Cause: both ways to take a whole answer found what is missing in it by themselves, and the rows for a peer were picked twice. Change: one function for removed rows; rows picked step by step. Behaviour as before.

--- a/src/almondshift/relay/table_watch.py
+++ b/src/almondshift/relay/table_watch.py
@@ -160,17 +160,14 @@
         rows that the peer has are then named by their keys alone.
         """
         is_whole = self.revision is not None and revision < self.complete_since
-        rows = [r for r in self.rows.values() if r.revision > revision]
+        rows = list(self.rows.values())
         unchanged: frozenset[str] = frozenset()
         if is_whole:
-            present = [r for r in self.rows.values() if r.value is not None]
-            if takes_unchanged:
-                rows = [r for r in present if r.revision > revision]
-                unchanged = frozenset(
-                    r.key for r in present if r.revision <= revision
-                )
-            else:
-                rows = present
+            rows = [row for row in rows if row.value is not None]
+        if takes_unchanged and is_whole:
+            unchanged = frozenset(r.key for r in rows if r.revision <= revision)
+        if takes_unchanged or not is_whole:
+            rows = [row for row in rows if row.revision > revision]
         is_away = self.revision is None or self.away_since is not None
         age_s = self.clock.monotonic() - self.confirmed_at
         change = row_feeds.TableChange(
@@ -235,25 +232,26 @@
 
     def _take_completed(self, change: row_feeds.TableChange) -> None:
         """Takes changes together with the keys of all other rows."""
+        rows = (*self._removed_in(change), *change.rows)
+        self._take_changes(dataclasses.replace(change, rows=rows))
+        self.complete_since = max(self.complete_since, change.revision)
+
+    def _removed_in(
+        self, change: row_feeds.TableChange
+    ) -> list[row_feeds.FeedRow]:
+        """Returns the removal of each known row that is not among all rows."""
         present = change.unchanged.union(row.key for row in change.rows)
-        removed = (
+        return [
             row_feeds.FeedRow(key, None, change.revision)
             for key, row in self.rows.items()
             if key not in present and row.value is not None
-        )
-        rows = (*removed, *change.rows)
-        self._take_changes(dataclasses.replace(change, rows=rows))
-        self.complete_since = max(self.complete_since, change.revision)
+        ]
 
     def _take_whole(self, change: row_feeds.TableChange) -> None:
         """Takes all rows: what is missing among them was removed."""
         if self.revision is not None and change.revision < self.revision:
             return
-        present = {row.key for row in change.rows}
-        for key, row in list(self.rows.items()):
-            if key not in present and row.value is not None:
-                self.rows[key] = row_feeds.FeedRow(key, None, change.revision)
-        for row in change.rows:
+        for row in (*self._removed_in(change), *change.rows):
             self.rows[row.key] = row
         self.revision = change.revision
         self.complete_since = change.revision
