--- a/tests/relay/test_restart_of_all_nodes.py
+++ b/tests/relay/test_restart_of_all_nodes.py
@@ -44,10 +44,11 @@
 
 def answer_of(
     reader: table_watch.TableWatch, after: int
-) -> tuple[bytes, row_feeds.TableChange]:
+) -> row_feeds.TableChange:
     """Returns what a reader answers to a node of this version."""
-    body = reader.rows_after(after, takes_unchanged=True)
-    return body, peer_rows.decode_answer(body)
+    return peer_rows.decode_answer(
+        reader.rows_after(after, takes_unchanged=True)
+    )
 
 
 @pytest.mark.parametrize("takes_unchanged", [False, True])
@@ -83,14 +84,14 @@
     node = watch_at(registry(), 4_000)
     fresh = row_feeds.FeedRow("fresh", b"{}", 5_000)
     node._take_peer_rows((fresh,))
-    _, change = answer_of(watch_at(registry(), 4_002), 4_000)
+    change = answer_of(watch_at(registry(), 4_002), 4_000)
     node._take(change)
     assert node.rows["fresh"] == fresh
 
 
 def test_a_node_without_a_copy_gets_all_rows() -> None:
     """A node would take rows for known that it never had."""
-    _, change = answer_of(watch_at(registry(), 4_002), -1)
+    change = answer_of(watch_at(registry(), 4_002), -1)
     assert change.is_whole
     assert not change.unchanged
     assert len(change.rows) == ENGINES
--- a/tests/soak/engine_process.py
+++ b/tests/soak/engine_process.py
@@ -76,7 +76,11 @@
                 (names.ENGINE_ORDER, OrderHandler, engine),
                 (STATE_PATH, StateHandler, engine),
                 (CONTROL_PATH, ControlHandler, engine),
-                (layout.HEALTH_PATH, standin_engines.HealthHandler, engine),
+                (
+                    standin_engines.HEALTH_PATH,
+                    standin_engines.HealthHandler,
+                    engine,
+                ),
                 (r"/.*", WorkHandler, engine),
             ],
             log_function=lambda handler: None,
--- a/tests/soak/layout.py
+++ b/tests/soak/layout.py
@@ -6,8 +6,9 @@
 import os
 from typing import Any
 
+from tests.platform import standin_engines
+
 MODEL_SERVICE = "model"
-HEALTH_PATH = "/health"
 PLAIN_SERVICE = "plain"
 HOST = "chat.example"
 STEADY_ACCOUNT = "steady"
@@ -192,7 +193,7 @@
     step_ms = EVENT_S * 1000 / 2
     return {
         "name": MODEL_SERVICE,
-        "healthPath": HEALTH_PATH,
+        "healthPath": standin_engines.HEALTH_PATH,
         "maxConnections": 400,
         "engine": {
             "slots": 96,
