Judge a closing engine by its streams' own pauses

An engine that refuses connections counted as alive only if a stream had an event from it within 40 ms. A probe of the test's scene with the process standing still for 60 ms at random moments showed ages of 63 to 90 ms at the refusal and the engine lost in 2 of 8 tries; without such moments in 0 of 4. It is no fault of the test alone: streams over the shifted deployment's slow cards have an event in 41 ms and more, and a large configuration stops a node's loop for longer.

Ruled out: that a node had no stream for which the engine is first (each had one or two in all tries).

--- a/src/almondshift/relay/silence_watch.py
+++ b/src/almondshift/relay/silence_watch.py
@@ -23,10 +23,6 @@
     from almondshift.model import registered_engines
     from almondshift.relay import context
 
-TICK_S = 0.02
-"""Interval between looks at all streams, in seconds; well below the shortest
-silence that is acted on."""
-
 ASK_AGAIN_S = 0.1
 """Interval between looks at all engines' states, in seconds; longer, since
 their cost grows with the fleet."""
@@ -74,7 +70,9 @@
         self.shared.lost.on_told = self.check_told
         self.shared.lost.is_heard = self.moves.is_heard
         self.work.repeat(
-            TICK_S, self.look_at_all, "silent streams could not be looked at"
+            stream_moves.LOOK_S,
+            self.look_at_all,
+            "silent streams could not be looked at",
         )
 
     async def close(self) -> None:
@@ -89,6 +87,7 @@
 
     def look_at_all(self) -> None:
         """Looks at streams and engines, and begins what is due."""
+        self.moves.note_look()
         self.probe.look(asyncio.get_running_loop().time())
         self.look()
         self.moves.leave_in_time()
--- a/src/almondshift/relay/stream_moves.py
+++ b/src/almondshift/relay/stream_moves.py
@@ -3,19 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from almondshift import log_events
 from almondshift.policy import engine_book
+from almondshift.relay import path_probe
 from almondshift.relay import stream_run
 
 if TYPE_CHECKING:
     from almondshift.relay import background
     from almondshift.relay import context
 
-ANSWERING_S = 0.04
-"""Age up to which a stream's last event shows that its engine lives, in
-seconds; shorter than it takes to find an engine dead by its silence."""
+ANSWERING_S = 2 * path_probe.ANSWER_S
+"""Age up to which a stream's last event proves its engine alive, in seconds; an
+engine found dead by two unanswered queries has been silent for longer."""
+
+LOOK_S = 0.02
+"""Interval between looks at all streams, in seconds; well below the shortest
+silence that is acted on."""
 
 LEAVE_EACH_S = 0.2
 """Interval between moves of streams off engines that leave, in seconds."""
@@ -33,6 +39,8 @@
 
     Attributes:
         leaving: When it became known that engines leave, by instance.
+        looked_at: Loop time of the last look at all streams.
+        late_s: By how much that look was late.
     """
 
     def __init__(
@@ -42,6 +50,8 @@
         self.work = work
         self.leaving: dict[str, float] = {}
         self.left_at = 0.0
+        self.looked_at = math.inf
+        self.late_s = 0.0
 
     def streams(self) -> list[stream_run.StreamRun]:
         """Returns the streams that have not ended."""
@@ -71,17 +81,38 @@
         """Returns whether streams get events from an engine at this moment.
 
         Only streams for which it is first count: a crash ends their connections
-        at once, so that waiting for that costs nothing.
+        at once, so that waiting for that costs nothing. Streams over slow
+        engines have long pauses; silence counts once it starts a probe.
         """
-        now = asyncio.get_running_loop().time()
-        return any(
-            attempt.first.instance == instance
-            and attempt.active_at > attempt.sent_at
-            and now - attempt.active_at < ANSWERING_S
+        now = asyncio.get_running_loop().time() - self.stalled_s()
+        heard = [
+            (now - attempt.active_at, path_probe.patience_s(run))
             for run in self.streams()
             if (attempt := run.attempt) is not None
+            and attempt.first.instance == instance
+            and attempt.active_at > attempt.sent_at
+        ]
+        if not heard:
+            return False
+        youngest_s = min(age_s for age_s, _ in heard)
+        return youngest_s < ANSWERING_S or all(
+            age_s < patience_s for age_s, patience_s in heard
         )
 
+    def note_look(self) -> None:
+        """Notes a look at all streams, which follow each other in steps."""
+        now = asyncio.get_running_loop().time()
+        self.late_s = max(0.0, now - self.looked_at - LOOK_S)
+        self.looked_at = now
+
+    def stalled_s(self) -> float:
+        """Returns for how long this process was just not scheduled.
+
+        Events that arrived meanwhile are not read yet.
+        """
+        now = asyncio.get_running_loop().time()
+        return max(self.late_s, now - self.looked_at - LOOK_S)
+
     def engine_slow(self, instance: str, pace: float) -> None:
         """Takes streams off an engine that has turned slow, once.
 
--- a/tests/relay/test_stream_moves.py
+++ b/tests/relay/test_stream_moves.py
@@ -1,4 +1,4 @@
-"""Streams on engines that leave."""
+"""Streams on engines that leave, or that seem dead."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 
 import pytest
 
+from almondshift.model import relayed
 from almondshift.relay import background
 from almondshift.relay import stream_moves
 from tests import asynchronous
@@ -37,3 +38,51 @@
     )
     moves.leave_in_time()
     assert moved == [moves_at_any_cost]
+
+
+class FakeAttempt:
+    def __init__(self, active_at: float, first: str) -> None:
+        self.sent_at = 0.0
+        self.active_at = active_at
+        self.first = relayed.PathPart(first, f"{first}:1", 0, 1)
+
+
+class FakeRun:
+    """A stream of an event in each pause, the last one some time ago."""
+
+    def __init__(self, pause_s: float, age_s: float, first: str = "e") -> None:
+        self.events_sent = 11
+        self.first_at = 0.0
+        self.progress_at = 10 * pause_s
+        now = asyncio.get_running_loop().time()
+        self.attempt = FakeAttempt(now - age_s, first)
+
+
+@pytest.mark.parametrize(
+    ("pauses_and_ages", "late_s", "is_heard"),
+    [
+        ([], 0.0, False),
+        ([(0.02, 0.03)], 0.0, True),
+        ([(0.02, 0.12)], 0.0, False),
+        ([(0.08, 0.12)], 0.0, True),
+        ([(0.08, 0.30)], 0.0, False),
+        # One waits for another engine of its path.
+        ([(0.02, 0.50), (0.02, 0.03)], 0.0, True),
+        # Two queries were not answered since the last event of any.
+        ([(0.02, 0.16), (0.08, 0.16)], 0.0, False),
+        # Nothing was read meanwhile.
+        ([(0.02, 0.22)], 0.2, True),
+    ],
+)
+@asynchronous.run
+async def test_an_engine_lives_while_its_streams_keep_their_pauses(
+    pauses_and_ages: list[tuple[float, float]], late_s: float, is_heard: bool
+) -> None:
+    """Streams would leave an engine that closed its port and serves them on."""
+    shared: Any = types.SimpleNamespace()
+    moves = stream_moves.StreamMoves(shared, background.Background())
+    runs: Any = [FakeRun(pause, age) for pause, age in pauses_and_ages]
+    runs.append(FakeRun(0.02, 0.01, first="another"))
+    moves.streams = lambda: runs  # type: ignore[method-assign]
+    moves.late_s = late_s
+    assert moves.is_heard("e") is is_heard
