Split the engines that paths may use from the choice among paths

What is believed of engines (cost, memory, who is left out) stands in path_candidates.py now; the choice keeps the search, its cache and the ranking. Random draws come in the same order, so that choices are the same.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -38,6 +38,7 @@
 from almondshift.policy import first_event_wait
 from almondshift.policy import layer_holdings
 from almondshift.policy import layer_plan
+from almondshift.policy import path_candidates
 from almondshift.policy import path_choice
 from almondshift.ports import path_engines
 from almondshift.ports import relays
@@ -277,7 +278,7 @@
         for number in range(len(self.engines)):
             self.tell(number)
 
-    def view(self) -> path_choice.FleetView:
+    def view(self) -> path_candidates.FleetView:
         """Returns the fleet."""
         found = self.known.view(SERVICE)
         assert found is not None
--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -20,18 +20,16 @@
 from almondshift.model import relayed
 from almondshift.policy import capacity_shares
 from almondshift.policy import engine_book
-from almondshift.policy import engine_sample
+from almondshift.policy import path_candidates
 from almondshift.policy import path_search
 from almondshift.policy import pooled_load
 from almondshift.policy import zone_paths
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
     from collections.abc import Mapping
     import random
 
     from almondshift.model import engine_specs
-    from almondshift.model import registered_engines
 
 TIGHT_SHARE = 0.6
 """Utilisation estimate above which an engine is queried for its actual load."""
@@ -50,20 +48,6 @@
 """Cost of a full path relative to an empty one. Without it the zone with the
 fastest accelerators queues requests while slower zones are idle."""
 
-SPREAD = 0.5
-"""Random factor applied to each engine's cost in large groups, where a node has
-too few requests of its own to tell busy engines from idle ones. Engines that
-are twice as slow still rank behind."""
-
-GUESS_DOUBT = 2.0
-"""Estimated memory use, as a multiple of capacity, above which a request is
-refused without asking the engine. Estimates extrapolate from this node's few
-requests; a caller that is refused wrongly is late for certain, while an engine
-without room refuses within milliseconds."""
-
-BATCH_SHARE = 2.0
-"""Time that a request spends at an engine, relative to its time in batches."""
-
 
 @dataclasses.dataclass(slots=True)
 class _Cached:
@@ -72,30 +56,6 @@
     version: tuple[int, int]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Usable:
-    """The engines that hold layers and live, full or not."""
-
-    engines: list[registered_engines.RegisteredEngine]
-    groups: list[engine_sample.Group]
-    shares: dict[str, pooled_load.EngineShare]
-    version: tuple[int, int]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class FleetView:
-    """The engines of a service as registered.
-
-    Attributes:
-        version: Grows with each change of registrations.
-    """
-
-    service: str
-    spec: engine_specs.EngineSpec
-    engines: tuple[registered_engines.RegisteredEngine, ...]
-    version: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChosenPath:
     """A path, and what to count for it.
@@ -120,7 +80,7 @@
     """Chooses paths.
 
     Attributes:
-        nodes: Nodes that share the engines, this one included.
+        candidates: The engines that paths may use.
         tight: Addresses of engines that seem nearly full, by instance, until
             they are queried.
     """
@@ -130,15 +90,22 @@
     ) -> None:
         self.book = book
         self.rng = rng
-        self.nodes = 1
-        self.usual: dict[str, pooled_load.UsualRequests] = {}
+        self.candidates = path_candidates.PathCandidates(book, rng)
         self.tight: dict[str, str] = {}
         self.cached: dict[str, _Cached] = {}
-        self.usable: dict[str, _Usable] = {}
+
+    @property
+    def nodes(self) -> int:
+        """Nodes that share the engines, this one included."""
+        return self.candidates.nodes
+
+    @nodes.setter
+    def nodes(self, nodes: int) -> None:
+        self.candidates.nodes = nodes
 
     def choose(
         self,
-        view: FleetView,
+        view: path_candidates.FleetView,
         tokens: float,
         now: float,
         avoid: frozenset[str] = frozenset(),
@@ -151,14 +118,14 @@
             now: Monotonic seconds.
             avoid: Engines that may not be first.
         """
-        load = self._load(view, now)
+        load = self.candidates.load(view, now)
         fitting = [
             chosen
             for found in self._paths(view, now)
             if (chosen := self._fitting(found, view.spec, tokens, load))
             and chosen.path[0].instance not in avoid
         ]
-        if fitting and self._draws(view.spec):
+        if fitting and self.candidates.draws(view.spec):
             return self._drawn(fitting, view.spec, tokens, load)
         best: ChosenPath | None = None
         best_rank = (False, 0.0)
@@ -173,10 +140,6 @@
                 best, best_rank = chosen, (is_crowded, score)
         return best
 
-    def _draws(self, spec: engine_specs.EngineSpec) -> bool:
-        """Returns whether one request of each node is too much for a path."""
-        return self.nodes > spec.slots
-
     def _drawn(
         self,
         fitting: list[ChosenPath],
@@ -204,7 +167,7 @@
 
     def move(
         self,
-        view: FleetView,
+        view: path_candidates.FleetView,
         path: relayed.Path,
         tokens: float,
         now: float,
@@ -212,7 +175,7 @@
     ) -> ChosenPath | None:
         """Returns another path with the same first part, or None."""
         kept = frozenset(p.instance for p in path)
-        for candidates in self._candidate_sets(view, now, kept):
+        for candidates in self.candidates.sets(view, now, kept):
             usable = [c for c in candidates if c.instance not in avoid]
             found = self._moved(view, path, tokens, now, usable)
             if found is not None:
@@ -221,7 +184,7 @@
 
     def _moved(
         self,
-        view: FleetView,
+        view: path_candidates.FleetView,
         path: relayed.Path,
         tokens: float,
         now: float,
@@ -247,130 +210,8 @@
                 return _chosen(found, 0.0)
         return None
 
-    def candidates(
-        self,
-        view: FleetView,
-        now: float,
-        kept: frozenset[str] = frozenset(),
-        is_sampled: bool = True,
-    ) -> list[path_search.Candidate]:
-        """Returns the engines that may take work.
-
-        Args:
-            view: The engines.
-            now: Monotonic seconds.
-            kept: Engines that hold a request already. They have its memory
-                also when they are full; left out, a request that lost one
-                engine would have to leave the others too.
-            is_sampled: Whether a sample of large groups will do.
-        """
-        load = self._load(view, now)
-        known = self._usable(view)
-        engines = known.engines
-        if is_sampled:
-            engines = engine_sample.sampled(known.groups, self.rng)
-            missing = kept.difference(engine.instance for engine in engines)
-            if missing:
-                engines += [e for e in known.engines if e.instance in missing]
-        found = []
-        for engine in engines:
-            is_kept = engine.instance in kept
-            if self.book.is_full(engine.instance, now) and not is_kept:
-                continue
-            candidate = self._candidate(engine, view.spec, load)
-            if is_kept:
-                candidate = dataclasses.replace(candidate, used=0.0)
-            found.append(candidate)
-        return found
-
-    def _candidate_sets(
-        self,
-        view: FleetView,
-        now: float,
-        kept: frozenset[str] = frozenset(),
-    ) -> Iterator[list[path_search.Candidate]]:
-        """Yields a sample of the candidates, then all if it left some out."""
-        yield self.candidates(view, now, kept)
-        if engine_sample.leaves_out(self._usable(view).groups):
-            yield self.candidates(view, now, kept, is_sampled=False)
-
-    def _usable(self, view: FleetView) -> _Usable:
-        version = (view.version, self.book.changes)
-        known = self.usable.get(view.service)
-        if known is not None and known.version == version:
-            return known
-        engines = [
-            engine
-            for engine in view.engines
-            if engine.layers is not None
-            and not engine.leaving
-            and not self.book.is_suspect(engine.instance)
-        ]
-        holdings = [
-            pooled_load.Holding(
-                e.instance,
-                e.layers.start,
-                e.layers.end,
-                1.0 / _step_factor(e.kind, view.spec),
-            )
-            for e in engines
-            if e.layers is not None
-        ]
-        shares = pooled_load.engine_shares(holdings, view.spec.layers)
-        groups = engine_sample.grouped(engines)
-        known = _Usable(engines, groups, shares, version)
-        self.usable[view.service] = known
-        return known
-
-    def _load(self, view: FleetView, now: float) -> pooled_load.FleetLoad:
-        shares = self._usable(view).shares
-        usual = self.usual.setdefault(view.service, pooled_load.UsualRequests())
-        return pooled_load.FleetLoad(
-            self.book, shares, view.spec.layers, self.nodes, usual, now
-        )
-
-    def _candidate(
-        self,
-        engine: registered_engines.RegisteredEngine,
-        spec: engine_specs.EngineSpec,
-        load: pooled_load.FleetLoad,
-    ) -> path_search.Candidate:
-        assert engine.layers is not None
-        held = engine.layers.count
-        running = load.own_running(engine.instance)
-        if self._draws(spec):
-            running = load.running(engine.instance)
-        factor = _step_factor(engine.kind, spec)
-        batch = running * held / spec.layers * BATCH_SHARE
-        context_k = (spec.usual_prompt + spec.usual_answer / 2) / 1000
-        per_request = spec.step_ms_per_request
-        per_request += spec.step_ms_per_kilotoken * context_k
-        step_ms = spec.step_ms + per_request * batch
-        pace = self.book.pace(engine.instance, load.now)
-        return path_search.Candidate(
-            instance=engine.instance,
-            address=engine.address,
-            zone=engine.zone,
-            start=engine.layers.start,
-            end=engine.layers.end,
-            layer_ms=factor * pace * step_ms / spec.layers * self._spread(),
-            room=spec.layer_token_room(engine.kind, held),
-            used=load.used(engine.instance, held)
-            / self._doubt(engine.instance, load.now),
-            may_be_first=load.first(engine.instance) < engine.slots,
-        )
-
-    def _doubt(self, instance: str, now: float) -> float:
-        """Returns how far a belief of an engine's memory in use may be off."""
-        return 1.0 if self.book.is_reported(instance, now) else GUESS_DOUBT
-
-    def _spread(self) -> float:
-        if self.nodes <= pooled_load.MANY_NODES:
-            return 1.0
-        return self.rng.uniform(1.0, 1.0 + SPREAD)
-
     def _paths(
-        self, view: FleetView, now: float
+        self, view: path_candidates.FleetView, now: float
     ) -> list[path_search.FoundPath]:
         version = (view.version, self.book.changes)
         kept = self.cached.get(view.service)
@@ -385,10 +226,10 @@
         return paths
 
     def _search(
-        self, view: FleetView, now: float
+        self, view: path_candidates.FleetView, now: float
     ) -> list[path_search.FoundPath]:
         tokens = view.spec.usual_prompt + view.spec.usual_answer
-        for candidates in self._candidate_sets(view, now):
+        for candidates in self.candidates.sets(view, now):
             quick = [
                 c
                 for c in candidates
@@ -419,7 +260,7 @@
             share = need / room
             fullest = max(fullest, share)
             own = max(own, load.own_share(candidate.instance, room))
-            doubt = self._doubt(candidate.instance, load.now)
+            doubt = self.candidates.doubt(candidate.instance, load.now)
             over = max(over, share / doubt)
             if share > TIGHT_SHARE:
                 self.tight[candidate.instance] = candidate.address
@@ -440,11 +281,6 @@
     return max(REFRESH_S, engines * REFRESH_S_PER_ENGINE)
 
 
-def _step_factor(kind: str, spec: engine_specs.EngineSpec) -> float:
-    known = spec.kinds.get(kind)
-    return known.step_factor if known is not None else 1.0
-
-
 def _capacity(
     chosen: ChosenPath,
     spec: engine_specs.EngineSpec,
--- a/src/almondshift/relay/catalogue.py
+++ b/src/almondshift/relay/catalogue.py
@@ -8,7 +8,7 @@
 
 from almondshift import log_events
 from almondshift.policy import engine_starts
-from almondshift.policy import path_choice
+from almondshift.policy import path_candidates
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -84,7 +84,7 @@
         self.version = 0
         self.unlogged: list[registered_engines.RegisteredEngine] = []
         self.removals: dict[str, float] = {}
-        self.views: dict[str, path_choice.FleetView] = {}
+        self.views: dict[str, path_candidates.FleetView] = {}
         self.on_config: list[Callable[[], None]] = []
         self.on_leaving: list[
             Callable[[registered_engines.RegisteredEngine], None]
@@ -194,7 +194,7 @@
                 found = engine
         return found
 
-    def view(self, service: str) -> path_choice.FleetView | None:
+    def view(self, service: str) -> path_candidates.FleetView | None:
         """Returns a service's engines with their figures, if it has any."""
         kept = self.views.get(service)
         if kept is not None:
@@ -204,7 +204,7 @@
         described = self.config.services.get(service)
         if described is None or described.engine is None:
             return None
-        made = path_choice.FleetView(
+        made = path_candidates.FleetView(
             service=service,
             spec=described.engine,
             engines=tuple(self.of_service(service)),
--- a/src/almondshift/relay/layer_keeper.py
+++ b/src/almondshift/relay/layer_keeper.py
@@ -16,7 +16,7 @@
     from almondshift.coordination import lease as coordination_lease
     from almondshift.model import layers as model_layers
     from almondshift.model import registered_engines
-    from almondshift.policy import path_choice
+    from almondshift.policy import path_candidates
     from almondshift.relay import context
 
 TICK_S = 0.2
@@ -147,7 +147,7 @@
 
     def place(
         self,
-        view: path_choice.FleetView,
+        view: path_candidates.FleetView,
         now: float,
         grant: coordination_lease.LeaseGrant,
     ) -> None:
@@ -169,7 +169,7 @@
             self.send(engines[order.instance], order.layers, grant)
 
     def planned(
-        self, view: path_choice.FleetView, now: float
+        self, view: path_candidates.FleetView, now: float
     ) -> list[layer_holdings.PlannedEngine]:
         """Returns the engines that the plan may count on."""
         found = []
--- a/tests/policy/test_capacity_shares.py
+++ b/tests/policy/test_capacity_shares.py
@@ -13,6 +13,7 @@
 from almondshift.model import registered_engines
 from almondshift.policy import capacity_shares
 from almondshift.policy import engine_book
+from almondshift.policy import path_candidates
 from almondshift.policy import path_choice
 from tests.policy import test_path_choice as fleets
 
@@ -114,7 +115,7 @@
     assert most <= fleets.SPEC.slots
 
 
-def _view() -> path_choice.FleetView:
+def _view() -> path_candidates.FleetView:
     """Returns five zones of three chains, in each of four engines."""
     engines = [
         registered_engines.RegisteredEngine(
@@ -125,4 +126,4 @@
         for chain in range(3)
         for i in range(4)
     ]  # fmt: skip
-    return path_choice.FleetView("s", fleets.SPEC, tuple(engines), 1)
+    return path_candidates.FleetView("s", fleets.SPEC, tuple(engines), 1)
--- a/tests/policy/test_group_size.py
+++ b/tests/policy/test_group_size.py
@@ -12,6 +12,7 @@
 from almondshift.model import registered_engines
 from almondshift.policy import engine_book
 from almondshift.policy import group_size
+from almondshift.policy import path_candidates
 from almondshift.policy import path_choice
 from tests.policy import test_path_choice as fleets
 
@@ -63,7 +64,7 @@
     assert max(firsts.values()) <= fleets.SPEC.slots
 
 
-def _view() -> path_choice.FleetView:
+def _view() -> path_candidates.FleetView:
     slow = engine_specs.AcceleratorKind("slow", 72_000.0, 5.0, 3.2)
     kinds = {"k": fleets.KIND, "slow": slow}
     spec = dataclasses.replace(fleets.SPEC, kinds=kinds)
@@ -75,4 +76,4 @@
         for zone, kind in (("a", "k"), ("b", "slow"), ("c", "slow"))
         for i in range(4)
     ]  # fmt: skip
-    return path_choice.FleetView("s", spec, tuple(engines), 1)
+    return path_candidates.FleetView("s", spec, tuple(engines), 1)
--- a/tests/policy/test_path_choice.py
+++ b/tests/policy/test_path_choice.py
@@ -8,6 +8,7 @@
 from almondshift.model import layers
 from almondshift.model import registered_engines
 from almondshift.policy import engine_book
+from almondshift.policy import path_candidates
 from almondshift.policy import path_choice
 
 KIND = engine_specs.AcceleratorKind("k", 72_000.0, 2.4, 3.2)
@@ -20,7 +21,7 @@
 TOKENS = 974.0
 
 
-def _view(version: int = 1, leaving: str = "") -> path_choice.FleetView:
+def _view(version: int = 1, leaving: str = "") -> path_candidates.FleetView:
     engines = [
         registered_engines.RegisteredEngine(
             f"{zone}{i}", "s", f"{zone}{i}:1", zone, 96,
@@ -30,7 +31,7 @@
         for zone in "abc"
         for i in range(4)
     ]  # fmt: skip
-    return path_choice.FleetView("s", SPEC, tuple(engines), version)
+    return path_candidates.FleetView("s", SPEC, tuple(engines), version)
 
 
 def _chooser(nodes: int = 7) -> path_choice.PathChooser:
@@ -200,7 +201,7 @@
         for chain in "abc"
         for i in range(4)
     ]  # fmt: skip
-    view = path_choice.FleetView("s", SPEC, tuple(engines), 1)
+    view = path_candidates.FleetView("s", SPEC, tuple(engines), 1)
     counts: dict[str, int] = {}
     for seed in range(300):
         chooser = path_choice.create_path_chooser(
--- a/tests/policy/test_path_refresh.py
+++ b/tests/policy/test_path_refresh.py
@@ -7,6 +7,7 @@
 import pytest
 
 from almondshift.policy import engine_book
+from almondshift.policy import path_candidates
 from almondshift.policy import path_choice
 from almondshift.policy import zone_paths
 from tests.policy import test_path_choice as small
@@ -15,7 +16,7 @@
 SECONDS = 10
 
 
-def fleet(copies: int) -> path_choice.FleetView:
+def fleet(copies: int) -> path_candidates.FleetView:
     """Returns a view of the small fleet's engines, each several times."""
     view = small._view()
     engines = tuple(
--- a/tests/policy/test_thousands_of_engines.py
+++ b/tests/policy/test_thousands_of_engines.py
@@ -29,7 +29,7 @@
 ) -> None:
     """The search over all engines was most of a node's processor time."""
     chooser = small._chooser()
-    found = chooser.candidates(large.fleet(copies), 0.0)
+    found = chooser.candidates.found(large.fleet(copies), 0.0)
     assert len(found) == searched
     assert len({(c.zone, c.start) for c in found}) == GROUPS
 
