Build the list of peers less often in large groups, and at less cost

Change: its age may be 1 ms a peer (as before up to 100 peers), the limit of silence is computed once instead of for each peer, the value of a fact is looked up once, and an unchanged list is not compared for the log.

--- a/src/almondshift/coordination/peer_table.py
+++ b/src/almondshift/coordination/peer_table.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+import operator
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -76,7 +77,12 @@
 
     def holds_s(self, entry: fact_store.Entry) -> float:
         """Returns for how long a node's fact holds after each heartbeat."""
-        value = self.node_value(entry) if entry.value else None
+        return self.stated_hold_s(
+            self.node_value(entry) if entry.value else None
+        )
+
+    def stated_hold_s(self, value: peer_types.NodeValue | None) -> float:
+        """Returns the same by the value of the fact, if it makes sense."""
         if value is None or not 0.0 < value.holds_s <= LONGEST_HOLD_S:
             return self.dropped_after_s()
         return value.holds_s
@@ -84,16 +90,22 @@
     def peers(self) -> list[peer_types.PeerInfo]:
         """Returns all peers but this node, by name."""
         now = self.clock.monotonic()
+        suspect_s = self.suspect_after_s()
         found = []
         for entry in self.store.live(peer_port.FactKind.NODE, now):
             value = self.node_value(entry)
             if value is None or entry.key == self.name:
                 continue
-            found.append(self.info(entry, value, now))
-        return sorted(found, key=lambda peer: peer.name)
+            found.append(self.info(entry, value, now, suspect_s))
+        found.sort(key=operator.attrgetter("name"))
+        return found
 
     def info(
-        self, entry: fact_store.Entry, value: peer_types.NodeValue, now: float
+        self,
+        entry: fact_store.Entry,
+        value: peer_types.NodeValue,
+        now: float,
+        suspect_s: float,
     ) -> peer_types.PeerInfo:
         """Returns what is believed of one peer.
 
@@ -101,8 +113,14 @@
         tells, and not from when this node learnt of it: a node that starts
         after another died would give out the dead one's address for as long
         as it takes to call a peer silent.
+
+        Args:
+            entry: Its fact, which holds now.
+            value: The value of that.
+            now: Monotonic seconds.
+            suspect_s: Silence after which a peer is suspect.
         """
-        beat_at = entry.expires_at - self.holds_s(entry)
+        beat_at = entry.expires_at - self.stated_hold_s(value)
         heard_at = min(entry.heard_at, beat_at)
         heard_at = max(heard_at, self.direct.get(entry.key, -math.inf))
         return peer_types.PeerInfo(
@@ -110,7 +128,7 @@
             peer_address=value.peer,
             entry_address=value.entry,
             zone=value.zone,
-            state=self.state(entry.key, value, now - heard_at, now),
+            state=self.state(entry.key, value, now - heard_at, now, suspect_s),
             heard_s=now - heard_at,
         )
 
@@ -120,6 +138,7 @@
         value: peer_types.NodeValue,
         silent_s: float,
         now: float,
+        suspect_s: float,
     ) -> peer_types.PeerState:
         """Returns the state of a peer that was silent for a time.
 
@@ -129,11 +148,11 @@
         """
         if value.leaving:
             return peer_types.PeerState.LEAVING
-        is_failing = self.failures.get(name, 0) >= self.settings.failed_calls
-        since_s = now - self.failed_at.get(name, -math.inf)
-        if is_failing and silent_s >= since_s:
-            return peer_types.PeerState.SUSPECT
-        if silent_s > self.suspect_after_s():
+        if self.failures.get(name, 0) >= self.settings.failed_calls:
+            since_s = now - self.failed_at.get(name, -math.inf)
+            if silent_s >= since_s:
+                return peer_types.PeerState.SUSPECT
+        if silent_s > suspect_s:
             return peer_types.PeerState.SUSPECT
         return peer_types.PeerState.ALIVE
 
@@ -180,7 +199,7 @@
         value = self.node_value(entry)
         if value is None:
             return True
-        state = self.info(entry, value, now).state
+        state = self.info(entry, value, now, self.suspect_after_s()).state
         return state is peer_types.PeerState.SUSPECT
 
     def name_at(self, address: str) -> str:
--- a/src/almondshift/relay/group.py
+++ b/src/almondshift/relay/group.py
@@ -47,9 +47,13 @@
 SEEDS_READ = 500
 
 PEERS_FRESH_S = 0.1
-"""A list of peers is used for so long. What it says changes over seconds, and
-it is asked for at each answer to callers, at each read of the store for others
-and at each tick; made anew each time it is a large part of what a node does."""
+"""Minimum age at which the list of peers is built again, in seconds. What it
+says changes over seconds, and it is used for each answer to callers, each read
+of the store for others and each tick."""
+
+PEERS_FRESH_S_PER_PEER = 0.001
+"""The same for each peer, if that is longer: building the list costs some
+microseconds a peer, and this bounds its share of a core."""
 
 SWEEP_EACH_S = 120.0
 """Nodes are replaced a few times a day; a node that starts is known to its
@@ -175,6 +179,7 @@
         self.members = members
         self.states: dict[str, peer_types.PeerState] = {}
         self.known: list[peer_types.PeerInfo] = []
+        self.logged: list[peer_types.PeerInfo] = []
         self.known_readers: feed_readers.Readers | None = None
         self.known_until = -math.inf
 
@@ -208,7 +213,8 @@
         if now >= self.known_until:
             self.known = self.members.peers()
             self.known_readers = None
-            self.known_until = now + PEERS_FRESH_S
+            per_peer_s = len(self.known) * PEERS_FRESH_S_PER_PEER
+            self.known_until = now + max(PEERS_FRESH_S, per_peer_s)
         return self.known
 
     def names(self) -> frozenset[str]:
@@ -284,7 +290,11 @@
 
     def log_changes(self) -> None:
         """Logs peers that came, fell silent or went since the last call."""
-        present = {peer.name: peer for peer in self.peers()}
+        peers = self.peers()
+        if peers is self.logged:
+            return
+        self.logged = peers
+        present = {peer.name: peer for peer in peers}
         for name, peer in present.items():
             former = self.states.get(name)
             if former is None:
