Check seldom whether a node contends for the lease

Cause: a process that may not contend has never read the lease's row, and so checked every 0.1 s for good whether it may; each check lists all peers.

Change: so often only in the first 5 s, then each 0.5 s. Test: the number of checks in a virtual half minute, and that the process still takes part within a second once it may; fails without the change.

--- a/src/almondshift/coordination/lease.py
+++ b/src/almondshift/coordination/lease.py
@@ -29,8 +29,16 @@
 TOKEN_BITS = 64
 
 FIRST_LOOK_S = 0.1
-"""Interval, in seconds, at which a process that may not contend yet checks
-whether it may; it reads nothing meanwhile."""
+"""Interval, in seconds, at which a process that has just started and may not
+contend checks whether it may; it reads nothing meanwhile."""
+
+FIRST_LOOKS_S = 5.0
+"""For how long it checks so often, in seconds; processes that start together
+know by then which of them contend."""
+
+LATER_LOOK_S = 0.5
+"""Interval of these checks afterwards, in seconds: they cost each process that
+never contends some microseconds for each other one."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -146,6 +154,7 @@
         self.own_revision: int | None = None
         self.sent_at: dict[int, float] = {}
         self.closing = False
+        self.started_at = clock.monotonic()
         self.read_at = -math.inf
         self.is_renewed = True
         self.may_contend: Callable[[], bool] = lambda: True
@@ -154,6 +163,7 @@
 
     async def start(self) -> None:
         """Starts to acquire, renew or watch the lease."""
+        self.started_at = self.clock.monotonic()
         self.loop_task = asyncio.create_task(self._loop())
 
     async def close(self) -> None:
@@ -327,7 +337,8 @@
         if self.grant() is not None:
             return self.settings.renew_s
         if self.read_at == -math.inf:
-            return FIRST_LOOK_S
+            since_s = self.clock.monotonic() - self.started_at
+            return FIRST_LOOK_S if since_s < FIRST_LOOKS_S else LATER_LOOK_S
         return self.settings.watch_s * self.rng.uniform(0.5, 1.5)
 
 
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -81,6 +81,41 @@
     asyncio.run(case())
 
 
+def test_a_process_that_does_not_contend_checks_seldom_whether_it_may() -> None:
+    """Each of hundreds of nodes would list all others ten times a second.
+
+    It checks often only while processes that start together find out which
+    of them contend, and still takes part soon after it may.
+    """
+
+    async def case() -> None:
+        cluster = Cluster(rates=(1.0,))
+        [contender] = cluster.leases
+        checks: list[float] = []
+        may_contend = False
+
+        def check() -> bool:
+            checks.append(cluster.clock.now)
+            return may_contend
+
+        contender.may_contend = check
+        await contender.start()
+        started_at = cluster.clock.now
+        for _ in range(300):
+            await cluster.clock.advance(0.1)
+        first = [at for at in checks if at - started_at < 1.0]
+        later = [at for at in checks if at - started_at >= 10.0]
+        assert len(first) >= 9
+        assert len(later) <= 20.0 / lease.LATER_LOOK_S + 1
+        may_contend = True
+        for _ in range(10):
+            await cluster.clock.advance(0.1)
+        assert cluster.fencing(0) == 1
+        await contender.close()
+
+    asyncio.run(case())
+
+
 def test_a_holder_renews_by_one_call() -> None:
     """A holder's reads would be half of what the lease costs the store.
 
