--- a/tests/relay/test_group.py
+++ b/tests/relay/test_group.py
@@ -64,13 +64,19 @@
 
 
 class FakeMembers:
-    """Peers with the seconds since they were heard of."""
+    """Peers with the seconds since they were heard of.
+
+    Attributes:
+        lists: How often they were listed.
+    """
 
     def __init__(self, heard: list[float]) -> None:
         self.heard = heard
+        self.lists = 0
         self.clock = network.ManualClock()
 
     def peers(self) -> list[peer_types.PeerInfo]:
+        self.lists += 1
         return [
             peer_types.PeerInfo(
                 f"n{i}", "", f"n{i}:80", "a", peer_types.PeerState.ALIVE, heard
@@ -103,6 +109,39 @@
         assert max(peer.heard_s for peer in found) <= group.NAMED_S
 
 
+@pytest.mark.parametrize(
+    ("peers", "most_lists"), [(5, 100), (75, 100), (300, 34)]
+)
+def test_nodes_of_large_groups_list_their_peers_seldom(
+    peers: int, most_lists: int
+) -> None:
+    """A list of hundreds of peers at each use would fill a small VM's core."""
+    members: Any = FakeMembers([0.1] * peers)
+    joined = group.Group(members)
+    for _ in range(1_000):
+        members.clock.now += 0.01
+        assert len(joined.serving()) == peers
+    assert members.lists <= most_lists
+
+
+def test_a_peer_that_came_or_went_is_logged_once_it_is_listed(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Operators would not see which nodes a node has lost."""
+    caplog.set_level("INFO")
+    members: Any = FakeMembers([0.1, 0.1])
+    joined = group.Group(members)
+    logged = []
+    for heard in ([0.1, 0.1], [0.1], [0.1], [0.1, 0.1]):
+        members.heard = heard
+        members.clock.now += 1.0
+        caplog.clear()
+        joined.log_changes()
+        joined.log_changes()
+        logged.append(len(caplog.records))
+    assert logged == [2, 1, 0, 1]
+
+
 @pytest.mark.parametrize(
     ("name", "rows", "takes_part"),
     [
