Decide when engines are probed in a module without network

What decides when a silent stream's engines are probed (usual pauses, backoff) stood beside the queries. It stands in policy/probe_timing.py now, with the load pattern that it answers and a test of that load: found before streams are late, and a busy engine is probed little by all nodes together.

--- a/src/almondshift/relay/path_probe.py
+++ b/src/almondshift/relay/path_probe.py
@@ -16,12 +16,11 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
-import math
 from typing import TYPE_CHECKING
 
 from almondshift.policy import engine_book
 from almondshift.policy import pooled_load
+from almondshift.policy import probe_timing
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -33,15 +32,6 @@
     from almondshift.relay import stream_moves
     from almondshift.relay import stream_run
 
-LEAST_SILENT_S = 0.05
-"""Minimum silence of a stream that starts a round, in seconds."""
-
-SILENT_EVENTS = 2.0
-"""Silence that starts a round, in multiples of the stream's usual interval."""
-
-FIRST_SILENT_S = 0.2
-"""Silence that starts a round before the first event, in seconds."""
-
 ANSWER_S = 0.05
 """Time for an answer; live engines in the region take milliseconds."""
 
@@ -56,43 +46,6 @@
 """Overrun of a round's timeouts from which its result is discarded: the process
 itself was not scheduled."""
 
-ROUND_GAP_S = 0.15
-"""Minimum interval between two probes of an engine, in seconds."""
-
-LONGEST_GAP_S = 2.4
-"""Limit of the exponential backoff between probes of an engine that answers:
-engines under load are slow, and more probes would add to their load."""
-
-
-@dataclasses.dataclass(slots=True)
-class ProbeBackoff:
-    """When an engine may be probed again.
-
-    Attributes:
-        gap_s: Present pause between two probes.
-        next_at: Loop time of the next one, at the earliest.
-    """
-
-    gap_s: float = ROUND_GAP_S
-    next_at: float = -math.inf
-
-    def is_due(self, now: float) -> bool:
-        """Returns whether a probe may start."""
-        return now >= self.next_at
-
-    def note_probe(self, now: float, factor: float) -> None:
-        """Notes a probe; the next pause is longer if it follows soon.
-
-        Args:
-            now: Loop time.
-            factor: How many times longer the pauses of a large group are.
-        """
-        if now >= self.next_at + self.gap_s * factor:
-            self.gap_s = ROUND_GAP_S
-        else:
-            self.gap_s = min(LONGEST_GAP_S, self.gap_s * 2)
-        self.next_at = now + self.gap_s * factor
-
 
 class PathProbe:
     """Asks the engines behind silent streams whether they live.
@@ -112,7 +65,7 @@
         self.work = work
         self.moves = moves
         self.questions = questions
-        self.backoffs: dict[str, ProbeBackoff] = {}
+        self.backoffs: dict[str, probe_timing.ProbeBackoff] = {}
 
     def look(self, now: float) -> None:
         """Begins a round if streams are silent and an engine is due.
@@ -129,9 +82,9 @@
             backoff.note_probe(now, factor)
         self.work.run(self.probe(parts))
 
-    def backoff(self, instance: str) -> ProbeBackoff:
+    def backoff(self, instance: str) -> probe_timing.ProbeBackoff:
         """Returns when an engine may be probed again."""
-        return self.backoffs.setdefault(instance, ProbeBackoff())
+        return self.backoffs.setdefault(instance, probe_timing.ProbeBackoff())
 
     def forget(self, instance: str) -> None:
         """Drops an engine that is gone."""
@@ -156,7 +109,7 @@
         silent = [
             (run, attempt)
             for run, attempt in present
-            if now - attempt.active_at >= LEAST_SILENT_S
+            if now - attempt.active_at >= probe_timing.LEAST_SILENT_S
             and now - attempt.active_at >= patience_s(run)
         ]
         if not silent:
@@ -275,11 +228,7 @@
 
 
 def patience_s(run: stream_run.StreamRun) -> float:
-    """Returns after which silence a stream brings a round.
-
-    Never less than ``LEAST_SILENT_S``.
-    """
-    if not run.events_sent:
-        return FIRST_SILENT_S
-    usual_s = (run.progress_at - run.first_at) / max(1, run.events_sent - 1)
-    return max(LEAST_SILENT_S, SILENT_EVENTS * usual_s)
+    """Returns after which silence a stream brings a round, in seconds."""
+    return probe_timing.patience_s(
+        run.events_sent, run.progress_at - run.first_at
+    )
--- /dev/null
+++ b/tests/policy/test_probe_timing.py
@@ -0,0 +1,88 @@
+"""Engines that go dark while a crowd keeps others busy."""
+
+from __future__ import annotations
+
+import pytest
+
+from almondshift.policy import pooled_load
+from almondshift.policy import probe_timing
+from almondshift.relay import path_probe
+from almondshift.relay import stream_moves
+
+LATE_S = 0.25
+"""A longer pause makes a stream late for its caller."""
+
+
+@pytest.mark.parametrize(
+    ("usual_s", "events"), [(0.02, 2), (0.03, 20), (0.06, 60)]
+)
+def test_a_dead_engine_is_found_before_its_streams_are_late(
+    usual_s: float, events: int
+) -> None:
+    """Callers of dark engines are late though other engines could go on."""
+    silent_s = probe_timing.patience_s(events, usual_s * (events - 1))
+    found_s = silent_s + stream_moves.LOOK_S
+    found_s += path_probe.SECOND_QUERY_S + path_probe.ANSWER_S
+    assert found_s < LATE_S
+
+
+@pytest.mark.parametrize(
+    ("events", "lasted_s", "patience_s"),
+    [
+        (0, 0.0, probe_timing.FIRST_SILENT_S),
+        (1, 0.0, probe_timing.LEAST_SILENT_S),
+        (11, 0.1, probe_timing.LEAST_SILENT_S),
+        (11, 1.0, 0.2),
+    ],
+)
+def test_a_stream_is_silent_by_its_own_usual_pauses(
+    events: int, lasted_s: float, patience_s: float
+) -> None:
+    """Streams over slow accelerators would be probed all the time."""
+    found_s = probe_timing.patience_s(events, lasted_s)
+    assert found_s == pytest.approx(patience_s)
+
+
+@pytest.mark.parametrize("nodes", [7, 75, 300])
+def test_a_busy_engine_is_probed_little_by_all_nodes_together(
+    nodes: int,
+) -> None:
+    """Probes of silent streams would take a busy engine's time for good.
+
+    Each node has a silent stream over the engine for ten seconds and looks at
+    it fifty times a second.
+    """
+    backoff = probe_timing.ProbeBackoff()
+    factor = pooled_load.question_gap(nodes)
+    probes = 0
+    for look in range(500):
+        now = look * stream_moves.LOOK_S
+        if backoff.is_due(now):
+            backoff.note_probe(now, factor)
+            probes += 1
+    assert probes * nodes <= 10 * max(nodes, pooled_load.MANY_NODES)
+
+
+@pytest.mark.parametrize(
+    ("looks", "probes"),
+    [
+        ([0.0, 0.1], 1),
+        ([0.0, 0.16], 2),
+        # The pause doubles while probes follow each other.
+        ([0.0, 0.16, 0.32], 2),
+        ([0.0, 0.16, 0.47], 3),
+        # It is short again after a quiet time.
+        ([0.0, 0.16, 5.0, 5.16], 4),
+    ],
+)
+def test_an_engine_that_answers_is_probed_less_and_less(
+    looks: list[float], probes: int
+) -> None:
+    """Probes of a crowd of silent streams would add to a busy engine's load."""
+    backoff = probe_timing.ProbeBackoff()
+    done = 0
+    for now in looks:
+        if backoff.is_due(now):
+            backoff.note_probe(now, 1.0)
+            done += 1
+    assert done == probes
--- a/tests/relay/test_path_probe.py
+++ b/tests/relay/test_path_probe.py
@@ -146,31 +146,6 @@
     await work.close()
 
 
-@pytest.mark.parametrize(
-    ("looks", "probes"),
-    [
-        ([0.0, 0.1], 1),
-        ([0.0, 0.16], 2),
-        # The pause doubles while probes follow each other.
-        ([0.0, 0.16, 0.32], 2),
-        ([0.0, 0.16, 0.47], 3),
-        # It is short again after a quiet time.
-        ([0.0, 0.16, 5.0, 5.16], 4),
-    ],
-)
-def test_an_engine_that_answers_is_probed_less_and_less(
-    looks: list[float], probes: int
-) -> None:
-    """Probes of a crowd of silent streams would add to a busy engine's load."""
-    backoff = path_probe.ProbeBackoff()
-    done = 0
-    for now in looks:
-        if backoff.is_due(now):
-            backoff.note_probe(now, 1.0)
-            done += 1
-    assert done == probes
-
-
 class FakeMoves:
     def __init__(self, book: engine_book.EngineBook) -> None:
         self.book = book
