Say which round a probe's backoff bounds; one line for each test of a failure

Cause: read once more as a newcomer would. The backoff of an engine bounds the rounds that it starts; a round asks all engines behind silent streams, and the docstrings said that an engine itself is asked less and less. Tests of failures told their story in paragraphs; one line says what they guard against. The lease's start time was set twice.

Ruled out: asking only the engines that are due, which would leave a round without an engine that proves the own link.

--- a/src/almondshift/coordination/lease.py
+++ b/src/almondshift/coordination/lease.py
@@ -154,7 +154,7 @@
         self.own_revision: int | None = None
         self.sent_at: dict[int, float] = {}
         self.closing = False
-        self.started_at = clock.monotonic()
+        self.started_at = -math.inf
         self.read_at = -math.inf
         self.is_renewed = True
         self.may_contend: Callable[[], bool] = lambda: True
--- a/src/almondshift/policy/probe_timing.py
+++ b/src/almondshift/policy/probe_timing.py
@@ -6,8 +6,8 @@
 engines answer little else.
 
 A stream is silent after a few of its usual pauses, which are longer over slow
-accelerators. Each engine has a backoff of its own: one that answers is probed
-less and less, and never delays the probe of another one.
+accelerators. Each engine has a backoff of its own: one that answers starts
+probes less and less often, and never delays the probe of another one.
 """
 
 from __future__ import annotations
@@ -25,11 +25,12 @@
 """Silence that starts a round before the first event, in seconds."""
 
 ROUND_GAP_S = 0.15
-"""Minimum interval between two probes of an engine, in seconds."""
+"""Minimum interval between two rounds that one engine starts, in seconds."""
 
 LONGEST_GAP_S = 2.4
-"""Limit of the exponential backoff between probes of an engine that answers:
-engines under load are slow, and more probes would add to their load."""
+"""Limit of the exponential backoff between rounds that an engine starts which
+answers: engines under load are slow, and more probes would add to their load.
+"""
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/almondshift/relay/path_probe.py
+++ b/src/almondshift/relay/path_probe.py
@@ -71,7 +71,8 @@
         """Begins a round if streams are silent and an engine is due.
 
         Backoff is per engine: a stream that waits for a busy engine must not
-        delay the probe of another stream's dead one.
+        delay the probe of another stream's dead one. A round asks all engines
+        behind silent streams, since those that answer prove the own link.
         """
         parts = self.silent_parts(self.moves.streams(), now)
         due = [b for b in map(self.backoff, parts) if b.is_due(now)]
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -82,11 +82,7 @@
 
 
 def test_a_process_that_does_not_contend_checks_seldom_whether_it_may() -> None:
-    """Each of hundreds of nodes would list all others ten times a second.
-
-    It checks often only while processes that start together find out which
-    of them contend, and still takes part soon after it may.
-    """
+    """Each of hundreds of nodes would list all others ten times a second."""
 
     async def case() -> None:
         cluster = Cluster(rates=(1.0,))
--- a/tests/platform/test_draining_engines.py
+++ b/tests/platform/test_draining_engines.py
@@ -91,11 +91,7 @@
 
 
 def test_streams_of_an_engine_that_closes_its_port_go_on() -> None:
-    """Streams would run on more engines than their route allows.
-
-    An engine that is emptied accepts no connection and goes on with what it
-    runs. Both nodes find its port closed while it sends them events.
-    """
+    """Streams would run on more engines than their route allows."""
 
     async def scenario() -> None:
         async with system.running_system(nodes=2) as running:
@@ -152,11 +148,7 @@
 
 
 def test_an_engine_that_refuses_a_moved_stream_is_checked() -> None:
-    """Streams that lose an engine would all be offered to a drained one.
-
-    The middle of a path dies, and the engine that could stand in for it
-    drains. Nobody sends it a new request, so only the move finds that out.
-    """
+    """Streams that lose an engine would all be offered to a drained one."""
 
     async def scenario() -> None:
         async with system.running_system(zones="a", nodes=1) as running:
--- a/tests/policy/test_probe_timing.py
+++ b/tests/policy/test_probe_timing.py
@@ -47,11 +47,7 @@
 def test_a_busy_engine_is_probed_little_by_all_nodes_together(
     nodes: int,
 ) -> None:
-    """Probes of silent streams would take a busy engine's time for good.
-
-    Each node has a silent stream over the engine for ten seconds and looks at
-    it fifty times a second.
-    """
+    """Probes of silent streams would take a busy engine's time for good."""
     backoff = probe_timing.ProbeBackoff()
     factor = pooled_load.question_gap(nodes)
     probes = 0
--- a/tests/relay/test_path_probe.py
+++ b/tests/relay/test_path_probe.py
@@ -100,11 +100,7 @@
 async def test_an_engine_is_queried_again_before_the_first_query_ends(
     outcomes: list[bool | None], is_lost: bool
 ) -> None:
-    """Streams are late after a pause of a quarter of a second.
-
-    Two queries one after the other take the time of two answers, and most of
-    that pause goes into finding out which engine is dead.
-    """
+    """Streams would be late before their dead engine is found."""
     shared: Any = FakeShared()
     moves: Any = FakeMoves(shared.book)
     questions = FakeQuestions()
@@ -125,11 +121,7 @@
 
 @asynchronous.run
 async def test_a_busy_engine_does_not_delay_the_probe_of_another() -> None:
-    """A stream over a dead engine would wait as long as one over a busy one.
-
-    A stream waits for a busy engine, which answers its probe. Just after that
-    another stream falls silent.
-    """
+    """A stream over a dead engine would wait as long as one over a busy one."""
     shared: Any = FakeShared()
     moves: Any = FakeMoves(shared.book)
     questions: Any = FakeQuestions()
--- a/tests/relay/test_restart_of_all_nodes.py
+++ b/tests/relay/test_restart_of_all_nodes.py
@@ -53,11 +53,7 @@
 
 @pytest.mark.parametrize("takes_unchanged", [False, True])
 def test_rows_that_a_node_has_are_not_sent_again(takes_unchanged: bool) -> None:
-    """Readers would send the whole registry to each node that restarts.
-
-    Each node reads the store when it starts, some a moment before their
-    reader, whose copy then says nothing of changes in between.
-    """
+    """Readers would send the whole registry to each node that restarts."""
     before = registry()
     node = watch_at(before, 4_000)
     after = {k: r for k, r in before.items() if k != "engine-7"}
