Ask after the hold time well between two looks of a stopping node

The node looks each 0.05 s whether it may end, and the first of the five hold times was 0.30 s, a multiple of that. A trace of the scene shows the idle node close at 0.3019 s and the caller connect at 0.3033 s; the other four hold times never meet a look. A refused connection is honest there: the node is gone and ran nothing. The name says what is meant, between two looks.

Change: five hold times of 0.31 to 0.33 s, the same expectation.

--- a/tests/platform/test_stop_edges.py
+++ b/tests/platform/test_stop_edges.py
@@ -121,7 +121,8 @@
             await stopping
             return status
 
-    found = [asyncio.run(scenario(0.3 + n / 100)) for n in range(5)]
+    # All well between two looks: right after one, an idle node is gone.
+    found = [asyncio.run(scenario(0.31 + n / 200)) for n in range(5)]
     assert found == [503] * 5
 
 
