Recover running requests with spare capacity when the retry budget is spent

Cause: a quiet node has 512 tokens of retry credit, back within a minute. Each retry after a request's first costs its replayed positions, so that four replays of 128 positions use the credit up and the fifth is refused, whatever the engines' load.

Evidence: the new scenario cuts the links to one stage seven times in one request of 100 prompt tokens. It passes now. Ruled out by it: a missing replacement (the other engine of the stage is idle) and a recovery that runs beside (there is none).

Change: without credit a stage is replaced with spare capacity only: no new request waits in the lane, and the engine is below the limit of all nodes. Plain requests that were not executed follow the same rule. Eight retries of one request stay the limit, with a reason of their own. AS5013 logs why a retry is denied, with retries, credit and waiting requests; the message names the budget, and the remedy of a stream that has begun says to discard it.

Why it works: the budget keeps retries from displacing new work. On engines below their limit, with an empty queue, there is none to displace; under overload the request ends as before (tests for a full lane and for engines filled by other nodes).

Checked: tests/policy/test_router.py: the test on idle engines failed before with the refusal; those on overload, full engines and the limit of retries failed for want of the new fields.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -513,6 +513,23 @@
     tokens: int
 
 
+class RetryDenied(Event, frozen=True):
+    """A running request failed at an endpoint and is not retried.
+
+    ``credit`` is what is left of the node's retry budget, in tokens;
+    ``waiting`` counts the requests that wait for the same engines.
+    """
+
+    number = 5013
+    message = "retry denied"
+
+    request_id: str
+    reason: str
+    retries: int
+    credit: float
+    waiting: int
+
+
 class StoreOutageBegan(Event, frozen=True):
     """The platform's store does not respond."""
 
--- a/src/almondshift/node/pipeline.py
+++ b/src/almondshift/node/pipeline.py
@@ -37,6 +37,10 @@
 REFUSED_BACKOFF_S = 0.05
 MAX_REFUSED_BACKOFF_S = 0.8
 
+PARTIAL_RESPONSE_REMEDY = (
+    "Discard the tokens received and send the request again; it is idempotent."
+)
+
 _REASONS = {
     steps.StepStatus.LEAVING: events.FailureReason.LEAVING,
     steps.StepStatus.BUSY: events.FailureReason.REFUSED,
@@ -163,10 +167,12 @@
         """
         error.execution = self.execution
         repeatable = self.request.idempotent
-        if repeatable or self.execution is errors.Execution.NOT_RUN:
-            return error
         if not isinstance(error, errors.UpstreamFailed):
             return error
+        if repeatable and self.tokens:
+            error.remedy = PARTIAL_RESPONSE_REMEDY
+        if repeatable or self.execution is errors.Execution.NOT_RUN:
+            return error
         return errors.OutcomeUnknown(error.detail, execution=self.execution)
 
     def close(self) -> None:
--- a/src/almondshift/node/refusals.py
+++ b/src/almondshift/node/refusals.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 from almondshift import errors
+from almondshift import log_events
 from almondshift.policy import actions
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+logger = logging.getLogger(__name__)
+
 _ERRORS: Mapping[
     actions.RefusalReason, tuple[type[errors.AlmondshiftError], str]
 ] = {
@@ -39,12 +43,34 @@
     ),
     actions.RefusalReason.RETRY_BUDGET: (
         errors.UpstreamFailed,
-        "A stage failed and too many recoveries are already running.",
+        "An endpoint failed, the node's retry budget is spent and no endpoint "
+        "has spare capacity.",
+    ),
+    actions.RefusalReason.MAX_RETRIES: (
+        errors.UpstreamFailed,
+        "The request failed on too many endpoints.",
     ),
 }
 
 
 def to_error(refusal: actions.Refuse) -> errors.AlmondshiftError:
-    """Returns the error reported to the caller for a refusal."""
+    """Returns the error reported to the caller; logs a denied retry."""
+    if refusal.retry_state is not None:
+        _log_denied_retry(refusal, refusal.retry_state)
     kind, detail = _ERRORS[refusal.reason]
     return kind(detail, retry_after_s=refusal.retry_after_s)
+
+
+def _log_denied_retry(
+    refusal: actions.Refuse, state: actions.RetryState
+) -> None:
+    log_events.emit(
+        logger,
+        log_events.RetryDenied(
+            request_id=refusal.request_id,
+            reason=refusal.reason.value,
+            retries=state.retries,
+            credit=round(state.credit, 1),
+            waiting=state.waiting,
+        ),
+    )
--- a/src/almondshift/policy/actions.py
+++ b/src/almondshift/policy/actions.py
@@ -20,6 +20,7 @@
     UNKNOWN_SERVICE = "unknown_service"
     NO_REPLACEMENT = "no_replacement"
     RETRY_BUDGET = "retry_budget"
+    MAX_RETRIES = "max_retries"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,17 +48,34 @@
     replacement: tuple[chains.Stage, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryState:
+    """What the refusal of a retry was decided from.
+
+    Attributes:
+        retries: Previous retries of the request.
+        credit: Tokens left in the node's retry budget.
+        waiting: Requests that wait for the same engines.
+    """
+
+    retries: int
+    credit: float
+    waiting: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refuse:
     """Refuse the request now; a refusal is never delayed.
 
     Attributes:
         retry_after_s: Jittered Retry-After; None if a retry is pointless.
+        retry_state: Set if the request was running and is not retried.
     """
 
     request_id: str
     reason: RefusalReason
     retry_after_s: float | None
+    retry_state: RetryState | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/almondshift/policy/chain_choice.py
+++ b/src/almondshift/policy/chain_choice.py
@@ -23,6 +23,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 from typing import TYPE_CHECKING
 
 from almondshift.model import chains
@@ -57,6 +58,20 @@
 """Cost factor of an engine that is used although it has no capacity left."""
 
 
+class Eligibility(enum.Enum):
+    """Which engines a chain may use.
+
+    Attributes:
+        AVAILABLE: Engines in service that this node's share has slots on.
+        BELOW_LIMIT: Engines below the limit of all nodes, even ejected ones.
+        ANY: Any engine, even a full one.
+    """
+
+    AVAILABLE = "available"
+    BELOW_LIMIT = "below_limit"
+    ANY = "any"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Job:
     """Work that a chain is chosen for.
@@ -212,7 +227,7 @@
         at: float,
         *,
         avoid: frozenset[str] = frozenset(),
-        force: bool = False,
+        eligibility: Eligibility = Eligibility.AVAILABLE,
     ) -> Choice | None:
         """Chooses stages that cover ``needed``.
 
@@ -222,14 +237,15 @@
             job: Work to run on the chain.
             at: Current time.
             avoid: Engines not to use.
-            force: Whether engines without spare capacity may be used, for
-                the recovery of a request that is already running.
+            eligibility: Which engines may be used. Recoveries of running
+                requests may use other engines than ``AVAILABLE`` ones;
+                those are preferred.
 
         Returns:
-            The choice, or None if no chain has spare capacity.
+            The choice, or None if the eligible engines form no chain.
         """
         graph = self._graph(target, needed)
-        sampled = self._sample_engines(target, job, at, avoid, force)
+        sampled = self._sample_engines(target, job, at, avoid, eligibility)
         best: dict[int, tuple[float, chains.Stage | None]] = {
             needed.end: (0.0, None)
         }
@@ -432,7 +448,7 @@
         job: Job,
         at: float,
         avoid: frozenset[str],
-        force: bool,
+        eligibility: Eligibility,
     ) -> dict[layers.LayerRange, _Cost]:
         """Chooses the cheapest of a few sampled engines for each range."""
         hinted = self.hints.holders(job.prefixes, pools.SAMPLE_SIZE)
@@ -440,10 +456,17 @@
         for span, pool in self._pools.get(target, {}).items():
             names = pool.sample(self.rng)
             names += [name for name in hinted if name in pool]
-            usable = [n for n in names if self._usable(n, job, at, avoid)]
+            usable = [
+                name
+                for name in names
+                if self._usable(name, job, at, avoid)
+                and self._is_eligible(name, eligibility)
+            ]
             factor = 1.0
-            if not usable and force:
-                usable = self._saturated_engines(target, span, avoid)
+            if not usable and eligibility is not Eligibility.AVAILABLE:
+                usable = self._unavailable_engines(
+                    target, span, avoid, eligibility
+                )
                 factor = SATURATED_COST_FACTOR
             if usable:
                 sampled[span] = self._cheapest(usable, span, job, factor)
@@ -459,14 +482,24 @@
         load = self.engines[name].load
         return load.own_long < self.long_jobs.slots(at, load.allowed)
 
-    def _saturated_engines(
+    def _is_eligible(self, name: str, eligibility: Eligibility) -> bool:
+        if eligibility is not Eligibility.BELOW_LIMIT:
+            return True
+        return self.engines[name].load.utilisation < 1.0
+
+    def _unavailable_engines(
         self,
         target: topologies.Target,
         span: layers.LayerRange,
         avoid: frozenset[str],
+        eligibility: Eligibility,
     ) -> list[str]:
         holders = self.topology.ranges.get(target, {}).get(span, {})
-        usable = [name for name in holders if name not in avoid]
+        usable = [
+            name
+            for name in holders
+            if name not in avoid and self._is_eligible(name, eligibility)
+        ]
         healthy = [
             name
             for name in usable
--- a/src/almondshift/policy/recovery.py
+++ b/src/almondshift/policy/recovery.py
@@ -19,6 +19,11 @@
 
 Replacing a stage continues the same run, so it is also done for requests that
 aren't idempotent.
+
+A recovery that the retry budget doesn't cover may only use spare capacity: it
+takes no slot while new requests wait, and no engine at its limit. The budget
+therefore still bounds retried work under overload, but doesn't end a running
+request while engines are idle.
 """
 
 from __future__ import annotations
@@ -27,11 +32,11 @@
 from typing import TYPE_CHECKING
 
 from almondshift.policy import actions
+from almondshift.policy import chain_choice
 from almondshift.policy import events
 from almondshift.policy import topology as topologies
 
 if TYPE_CHECKING:
-    from almondshift.policy import chain_choice
     from almondshift.policy import ejection
     from almondshift.policy import lanes
 
@@ -47,12 +52,26 @@
         attempted_state: Generations of topology and capacity at the last
             unsuccessful attempt, and the failed endpoints that had reported
             again by then.
+        within_budget: Whether the retry budget covers it.
     """
 
     event: events.StageFailed
     running: lanes.RunningRequest
     until: float
     attempted_state: tuple[int, int, frozenset[str]]
+    within_budget: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExpiredRecovery:
+    """A recovery that has reached its maximum wait.
+
+    Attributes:
+        reason: Why no replacement was found.
+    """
+
+    request_id: str
+    reason: actions.RefusalReason
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,11 +80,11 @@
 
     Attributes:
         replaced: Replacements that were found.
-        expired: Requests that have reached their maximum wait.
+        expired: Recoveries that have reached their maximum wait.
     """
 
     replaced: list[actions.Replace]
-    expired: list[str]
+    expired: list[ExpiredRecovery]
 
 
 class Recovery:
@@ -99,20 +118,33 @@
         self.chooser.sync()
 
     def start(
-        self, event: events.StageFailed, running: lanes.RunningRequest
+        self,
+        event: events.StageFailed,
+        running: lanes.RunningRequest,
+        *,
+        within_budget: bool = True,
     ) -> actions.Replace | None:
-        """Replaces a failed stage now, or queues it for a later attempt."""
+        """Replaces a failed stage now, or queues it for a later attempt.
+
+        Args:
+            event: The failure.
+            running: The request.
+            within_budget: False to use only spare capacity.
+        """
         failed = event.chain.stages[event.index].endpoint
         refused_as_full = event.reason is events.FailureReason.REFUSED
         if not refused_as_full:
             running.failed_endpoints.add(failed)
         avoid = frozenset(running.failed_endpoints | {failed})
-        replaced = self._replace(event, running, event.at, avoid)
+        eligibility = _eligibility(event, within_budget, is_first_attempt=True)
+        replaced = self._replace(event, running, event.at, avoid, eligibility)
         if replaced is None:
             remaining_s = running.request.arrival.deadline - event.at
             until = event.at + min(MAX_WAIT_S, remaining_s * MAX_WAIT_SHARE)
             attempted_state = self._current_state(frozenset())
-            pending = _PendingRecovery(event, running, until, attempted_state)
+            pending = _PendingRecovery(
+                event, running, until, attempted_state, within_budget
+            )
             self._pending[event.request_id] = pending
         return replaced
 
@@ -130,26 +162,33 @@
                 result.replaced.append(replaced)
             elif at >= pending.until:
                 del self._pending[request_id]
-                result.expired.append(request_id)
+                reason = (
+                    actions.RefusalReason.NO_REPLACEMENT
+                    if pending.within_budget
+                    else actions.RefusalReason.RETRY_BUDGET
+                )
+                result.expired.append(ExpiredRecovery(request_id, reason))
         return result
 
     def _retry(
         self, pending: _PendingRecovery, at: float
     ) -> actions.Replace | None:
+        running = pending.running
+        if not pending.within_budget and len(running.request.lane.queue):
+            return None
         reporting = self._reporting_again(pending)
         if pending.attempted_state == self._current_state(reporting):
             return None
-        # An engine that refused because it was full is only tried again when
-        # it has capacity. Otherwise each change elsewhere would cost a retry.
-        force = pending.event.reason is not events.FailureReason.REFUSED
-        running = pending.running
+        eligibility = _eligibility(
+            pending.event, pending.within_budget, is_first_attempt=False
+        )
         replaced = None
         for avoid in (
             frozenset(running.failed_endpoints),
             running.failed_endpoints - reporting,
         ):
             replaced = replaced or self._replace(
-                pending.event, running, at, frozenset(avoid), force=force
+                pending.event, running, at, frozenset(avoid), eligibility
             )
         pending.attempted_state = self._current_state(reporting)
         return replaced
@@ -179,8 +218,7 @@
         running: lanes.RunningRequest,
         at: float,
         avoid: frozenset[str],
-        *,
-        force: bool = True,
+        eligibility: chain_choice.Eligibility,
     ) -> actions.Replace | None:
         chain = event.chain
         job = dataclasses.replace(
@@ -192,7 +230,7 @@
             job,
             at,
             avoid=avoid,
-            force=force,
+            eligibility=eligibility,
         )
         if choice is None:
             return None
@@ -202,3 +240,19 @@
         running.stages += choice.stages
         running.chain = chain.replace(event.index, choice.stages)
         return actions.Replace(event.request_id, event.index, choice.stages)
+
+
+def _eligibility(
+    event: events.StageFailed, within_budget: bool, *, is_first_attempt: bool
+) -> chain_choice.Eligibility:
+    """Returns which engines may replace a failed stage.
+
+    An engine that refused because it was full is only tried again when it has
+    capacity. Otherwise each change elsewhere would cost a retry.
+    """
+    refused_as_full = event.reason is events.FailureReason.REFUSED
+    if refused_as_full and not is_first_attempt:
+        return chain_choice.Eligibility.AVAILABLE
+    if not within_budget:
+        return chain_choice.Eligibility.BELOW_LIMIT
+    return chain_choice.Eligibility.ANY
--- a/src/almondshift/policy/retry_budget.py
+++ b/src/almondshift/policy/retry_budget.py
@@ -10,6 +10,10 @@
 tenth of the new cost, which keeps the load below 1.1 times the requested load.
 The minimum credit lets a quiet node retry. The credit decays over a minute, so
 that quiet hours don't accumulate credit for a retry storm.
+
+Replays of long prompts can exhaust the credit of a quiet node although engines
+are idle. ``recovery`` therefore still replaces stages without credit, but only
+with spare capacity.
 """
 
 from __future__ import annotations
@@ -25,18 +29,23 @@
 
 
 class RetryBudget:
-    """Decides whether work may be retried; costs are in tokens."""
+    """Decides whether work may be retried; costs are in tokens.
+
+    Attributes:
+        share: Credit per token of new work.
+        credit: Tokens that may be retried now.
+    """
 
     def __init__(self, share: float = RETRY_SHARE) -> None:
         self.share = share
-        self._credit = MIN_CREDIT
+        self.credit = MIN_CREDIT
         self._at = 0.0
 
     def earn(self, at: float, cost: float) -> None:
         """Adds credit for new work."""
         retained = math.exp(-max(0.0, at - self._at) / TIME_CONSTANT_S)
-        self._credit = self._credit * retained + MIN_CREDIT * (1.0 - retained)
-        self._credit += cost * self.share
+        self.credit = self.credit * retained + MIN_CREDIT * (1.0 - retained)
+        self.credit += cost * self.share
         self._at = at
 
     def spend(self, retries: int, cost: float) -> bool:
@@ -51,7 +60,7 @@
         """
         if retries < FREE_RETRIES:
             return True
-        if retries >= MAX_RETRIES or self._credit < cost:
+        if retries >= MAX_RETRIES or self.credit < cost:
             return False
-        self._credit -= cost
+        self.credit -= cost
         return True
--- a/src/almondshift/policy/router.py
+++ b/src/almondshift/policy/router.py
@@ -534,15 +534,15 @@
         name = self.plain.choose(
             running.request.service.name, frozenset(running.failed_endpoints)
         )
-        allowed = self.budget.spend(running.retries, running.request.cost)
-        if name is None or not allowed:
+        reasons = actions.RefusalReason
+        denied = self._deny_retry(running, running.request.cost)
+        if denied is reasons.RETRY_BUDGET and self._has_idle_lane(running):
+            # An endpoint chosen for a plain service has spare capacity.
+            denied = None
+        if name is None or denied is not None:
             self._end(event.request_id, event.at, completed=False)
-            reasons = actions.RefusalReason
             return [
-                self._refuse_retry(
-                    event.request_id,
-                    reasons.NO_REPLACEMENT if allowed else reasons.RETRY_BUDGET,
-                )
+                self._refuse_retry(running, denied or reasons.NO_REPLACEMENT)
             ]
         self.plain.ended(failed)
         self.plain.started(name)
@@ -554,43 +554,68 @@
         failed = event.chain.stages[event.index]
         self.recovery.record_failure(event)
         running = self.running.get(event.request_id)
+        reasons = actions.RefusalReason
         if running is None:
             return [
-                self._refuse_retry(
-                    event.request_id, actions.RefusalReason.NO_REPLACEMENT
+                actions.Refuse(
+                    event.request_id,
+                    reasons.NO_REPLACEMENT,
+                    self.retry_delays.jittered(NOT_READY_RETRY_S),
                 )
             ]
         if failed in running.stages:
             self._release(running, (failed,), event.at)
             running.stages = tuple(s for s in running.stages if s != failed)
-        if not self.budget.spend(running.retries, 1.0 + event.positions):
+        denied = self._deny_retry(running, 1.0 + event.positions)
+        is_over_budget = denied is reasons.RETRY_BUDGET
+        if denied is not None and not (
+            is_over_budget and self._has_idle_lane(running)
+        ):
             self._end(event.request_id, event.at, completed=False)
-            return [
-                self._refuse_retry(
-                    event.request_id, actions.RefusalReason.RETRY_BUDGET
-                )
-            ]
+            return [self._refuse_retry(running, denied)]
         running.retries += 1
-        replaced = self.recovery.start(event, running)
+        replaced = self.recovery.start(
+            event, running, within_budget=not is_over_budget
+        )
         return [] if replaced is None else [replaced]
 
+    def _deny_retry(
+        self, running: lanes_module.RunningRequest, cost: float
+    ) -> actions.RefusalReason | None:
+        """Spends a retry; returns why the budget doesn't allow it, if so."""
+        if running.retries >= retry_budget.MAX_RETRIES:
+            return actions.RefusalReason.MAX_RETRIES
+        if self.budget.spend(running.retries, cost):
+            return None
+        return actions.RefusalReason.RETRY_BUDGET
+
+    def _has_idle_lane(self, running: lanes_module.RunningRequest) -> bool:
+        """Returns whether no new request waits for the same engines."""
+        return len(running.request.lane.queue) == 0
+
     def _process_recoveries(self, at: float) -> list[actions.Action]:
         result = self.recovery.retry_pending(at)
         decided: list[actions.Action] = list(result.replaced)
-        for request_id in result.expired:
-            self._end(request_id, at, completed=False)
-            decided.append(
-                self._refuse_retry(
-                    request_id, actions.RefusalReason.NO_REPLACEMENT
-                )
-            )
+        for expired in result.expired:
+            running = self.running[expired.request_id]
+            self._end(expired.request_id, at, completed=False)
+            decided.append(self._refuse_retry(running, expired.reason))
         return decided
 
     def _refuse_retry(
-        self, request_id: str, reason: actions.RefusalReason
+        self,
+        running: lanes_module.RunningRequest,
+        reason: actions.RefusalReason,
     ) -> actions.Refuse:
         return actions.Refuse(
-            request_id, reason, self.retry_delays.jittered(NOT_READY_RETRY_S)
+            running.request.arrival.request_id,
+            reason,
+            self.retry_delays.jittered(NOT_READY_RETRY_S),
+            actions.RetryState(
+                running.retries,
+                self.budget.credit,
+                len(running.request.lane.queue),
+            ),
         )
 
 
--- a/tests/policy/test_router.py
+++ b/tests/policy/test_router.py
@@ -354,3 +354,102 @@
     )
     (action,) = load_router.handle(fleets.arrival(at=0.2))
     assert _chain(action).stages[0].endpoint == "a"
+
+
+RETRY_POSITIONS = 200
+REPLICAS = {"a": (0, 4), **{f"b{i}": (4, 8) for i in range(8)}}
+
+
+def _fail_last_stage(
+    load_router: router.LoadRouter,
+    chain: chains.Chain,
+    times: int,
+    at: float = 1.0,
+) -> tuple[chains.Chain, list[actions.Action]]:
+    """Fails the last stage up to ``times`` times; stops if not replaced."""
+    decided: list[actions.Action] = []
+    for _ in range(times):
+        decided = load_router.handle(
+            events.StageFailed(
+                at,
+                "r1",
+                chain,
+                1,
+                events.FailureReason.BROKEN,
+                RETRY_POSITIONS,
+            )
+        )
+        if not decided or not isinstance(decided[0], actions.Replace):
+            break
+        chain = chain.replace(1, decided[0].replacement)
+    return chain, decided
+
+
+def _begun(load_router: router.LoadRouter) -> chains.Chain:
+    (action,) = load_router.handle(fleets.arrival("r1", deadline_s=60.0))
+    load_router.handle(events.Progress(0.5, "r1", 1))
+    return _chain(action)
+
+
+def test_a_spent_retry_budget_ends_no_request_while_engines_are_idle() -> None:
+    """Guards against running requests ended on a quiet node."""
+    load_router = _router(REPLICAS)
+    _, decided = _fail_last_stage(load_router, _begun(load_router), 6)
+    assert isinstance(decided[0], actions.Replace)
+    assert load_router.budget.credit < RETRY_POSITIONS
+
+
+def test_a_spent_retry_budget_ends_a_request_under_overload() -> None:
+    """Guards against retries that displace new requests."""
+    load_router = _router(REPLICAS)
+    chain = _begun(load_router)
+    _fill(load_router)
+    _, decided = _fail_last_stage(load_router, chain, 6)
+    (refusal,) = _refusals(decided)
+    assert refusal.reason is REASONS.RETRY_BUDGET
+    assert refusal.retry_state is not None
+    assert refusal.retry_state.waiting > 0
+    assert refusal.retry_state.credit < RETRY_POSITIONS
+
+
+def test_retries_without_budget_wait_for_an_engine_below_its_limit() -> None:
+    """Guards against retries on engines that other nodes filled."""
+    load_router = _router(REPLICAS)
+    chain = _begun(load_router)
+    chain, _ = _fail_last_stage(load_router, chain, 3)
+    for name, span in REPLICAS.items():
+        full = fleets.reported(name, span, at=1.0, sessions=64)
+        fleets.feed(load_router, full)
+    _, decided = _fail_last_stage(load_router, chain, 1, at=1.1)
+    assert decided == []
+    freed = fleets.reported("b7", (4, 8), at=2.0)
+    (replace,) = load_router.handle(freed)
+    assert isinstance(replace, actions.Replace)
+    assert replace.replacement[0].endpoint == "b7"
+
+
+def test_a_request_that_fails_everywhere_is_ended_on_idle_engines() -> None:
+    """Guards against a faulty request that is retried without an end."""
+    spans = {"a": (0, 4), **{f"b{i}": (4, 8) for i in range(12)}}
+    load_router = _router(spans)
+    _, decided = _fail_last_stage(load_router, _begun(load_router), 12)
+    (refusal,) = _refusals(decided)
+    assert refusal.reason is REASONS.MAX_RETRIES
+
+
+def test_a_spent_retry_budget_refuses_no_plain_request_while_idle() -> None:
+    """Guards against refusals by a quiet node with a free endpoint."""
+    portal = fleet.Service("portal", fleet.ServiceKind.PLAIN)
+    load_router = _router(services=(portal,))
+    fleets.feed(
+        load_router,
+        *(fleets.seen(n, service="portal") for n in ("p", "q", "r")),
+    )
+    load_router.budget.credit = 0.0
+    event = fleets.arrival("r1", "portal", max_tokens=0)
+    used = set()
+    for step in range(3):
+        (sent,) = load_router.handle(dataclasses.replace(event, at=0.1 * step))
+        assert isinstance(sent, actions.DispatchPlain)
+        used.add(sent.endpoint)
+    assert used == {"p", "q", "r"}
--- a/tests/scenarios/features/link_cut.feature
+++ b/tests/scenarios/features/link_cut.feature
@@ -40,3 +40,11 @@
       | swallowing answers | first  | decode  |
       | swallowing answers | middle | decode  |
       | swallowing answers | last   | decode  |
+
+  Scenario: the link to a stage is cut again and again on an idle system
+    Each recovery replays the prompt, which uses up the retry budget of a node
+    with little traffic.
+    When ann asks for an answer
+    And the links to ann's last stage are cut 7 times
+    Then ann has the right answer
+    And every layer ran once and in order for ann
