Keep live engines in service after a short stall of all links

Cause: a probe of 50 ms that times out counts if any stream had data in the last 40 ms. After a stall that data is read first, while queries wait behind what has piled up. Peers' reports were confirmed without any look at the own link, so that nodes in one stall confirmed each other.

Evidence: AS4004 names what a node went by (found_by). Each ejection traced against the stalls: nearly all within 0.25 s of a stall's end, by probes and confirmed peers' reports, with responses of other engines after 30 to 70 ms or none.

Change: a time-out counts only if data came without a gap since 0.2 s before the query, or another engine answered within 20 ms. Else the engine is queried once more, along with another one. The same rule for peers' reports, for the reports of first engines and for queries of memory. Refused connections are conclusive as before.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -259,7 +259,13 @@
 
 
 class EndpointEjected(Event, frozen=True):
-    """An endpoint gets no work for a while because of errors or slowness."""
+    """An endpoint gets no work for a while because of errors or slowness.
+
+    ``found_by`` names the evidence: a request, probes after a short silence
+    (``probe``) or queries after a long one (``silence``), a peer's report that
+    this node confirmed, a query of its memory, its health check or the
+    registry.
+    """
 
     number = 4004
     level = logging.WARNING
@@ -268,6 +274,7 @@
     endpoint: str
     reason: str
     seconds: float
+    found_by: str
 
 
 class EndpointRestored(Event, frozen=True):
--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -50,6 +50,18 @@
     DRAINING = "draining"
 
 
+class Evidence(enum.StrEnum):
+    """What a suspicion is based on."""
+
+    REQUEST = "request"
+    REGISTRY = "registry"
+    PROBE = "probe"
+    PEER = "peer"
+    SILENCE = "silence"
+    MEMORY_QUERY = "memory query"
+    HEALTH_CHECK = "health check"
+
+
 @dataclasses.dataclass(slots=True)
 class EngineState:
     """What this node knows of one start of an engine.
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -399,7 +399,9 @@
             logger, log_events.EndpointRestarted(engine.instance, "registry")
         )
         self.silence.moves.on_engine_lost(
-            engine.instance, engine_tracker.Suspicion.GONE
+            engine.instance,
+            engine_tracker.Suspicion.GONE,
+            engine_tracker.Evidence.REGISTRY,
         )
         self.ports.engines.forget(engine.address)
 
--- a/src/almondshift/relay/context.py
+++ b/src/almondshift/relay/context.py
@@ -5,6 +5,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from almondshift.relay import link_activity
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     import random
@@ -37,6 +39,7 @@
         engine_notice_s: Minimum time for which an engine keeps serving after it
             was registered as leaving, in seconds.
         running: Requests that have not ended.
+        link: Data that this node receives from engines.
     """
 
     zone: str
@@ -58,3 +61,6 @@
     registry_age_s: Callable[[], float]
     engine_notice_s: float
     running: set[relays.ActiveRequest] = dataclasses.field(default_factory=set)
+    link: link_activity.LinkActivity = dataclasses.field(
+        default_factory=link_activity.LinkActivity
+    )
--- a/src/almondshift/relay/engine_questions.py
+++ b/src/almondshift/relay/engine_questions.py
@@ -83,7 +83,10 @@
         longer runs them.
         """
         report = await self.shared.engines.report(address, timeout_s)
-        if report is None or not report.born_ms:
+        if report is None:
+            return None
+        self.shared.link.note(asyncio.get_running_loop().time())
+        if not report.born_ms:
             return report
         known = self.shared.catalogue.engines.get(instance)
         if known is None or known.born_ms == report.born_ms:
@@ -94,7 +97,11 @@
             log_events.emit(
                 logger, log_events.EndpointRestarted(instance, "report")
             )
-            self.moves.on_engine_lost(instance, engine_tracker.Suspicion.GONE)
+            self.moves.on_engine_lost(
+                instance,
+                engine_tracker.Suspicion.GONE,
+                engine_tracker.Evidence.SILENCE,
+            )
         return None
 
     def query_paces(self, parts: dict[str, relayed.PathPart]) -> None:
@@ -152,18 +159,36 @@
     async def record_memory_use(self, instance: str, address: str) -> None:
         """Records an engine's memory use."""
         report = await self.report(instance, address)
+        retried_at = asyncio.get_running_loop().time()
         if report is None:
             # Retried at once: the connection alone may have failed.
             report = await self.report(instance, address)
+        if report is None and self.may_have_stalled(retried_at):
+            return
         if report is None:
             self.moves.on_engine_lost(
-                instance, engine_tracker.Suspicion.UNREACHABLE
+                instance,
+                engine_tracker.Suspicion.UNREACHABLE,
+                engine_tracker.Evidence.MEMORY_QUERY,
             )
             return
         now = self.shared.clock.monotonic()
         self.shared.tracker.note_used(instance, report.used, now)
         self.shared.tracker.note_pace(instance, report.pace, now)
 
+    def may_have_stalled(self, queried_at: float) -> bool:
+        """Returns whether a query may be unanswered for this node's reasons.
+
+        Refused connections fail before the time-out and are conclusive.
+
+        Args:
+            queried_at: Loop time at which the query was sent.
+        """
+        now = asyncio.get_running_loop().time()
+        if now - queried_at < REPORT_TIMEOUT_S:
+            return False
+        return not self.shared.link.is_active_since(queried_at, now)
+
     def query_suspects(self, now: float) -> None:
         """Queries the suspect engines that are due for it."""
         for instance in self.shared.tracker.due_for_query(now):
--- a/src/almondshift/relay/lost_engines.py
+++ b/src/almondshift/relay/lost_engines.py
@@ -71,7 +71,12 @@
         self.group = node_group
         node_group.subscribe_facts(peers.FactKind.ENGINE_LOST, self.handle_fact)
 
-    def suspect(self, instance: str, reason: engine_tracker.Suspicion) -> None:
+    def suspect(
+        self,
+        instance: str,
+        reason: engine_tracker.Suspicion,
+        found_by: engine_tracker.Evidence = engine_tracker.Evidence.REQUEST,
+    ) -> None:
         """Ejects an engine for a while, and notifies peers.
 
         An engine that accepts no connections but still sends events is not
@@ -86,7 +91,10 @@
             return
         self.observer.emit(
             log_events.EndpointEjected(
-                instance, reason.value, engine_tracker.SUSPECT_S
+                instance,
+                reason.value,
+                engine_tracker.SUSPECT_S,
+                found_by.value,
             )
         )
         if self.group is None or kind is None:
--- a/src/almondshift/relay/path_probe.py
+++ b/src/almondshift/relay/path_probe.py
@@ -11,6 +11,10 @@
 counts as dead only if two overlapping queries fail, this node has just heard
 from another engine, and the round took no longer than its time-outs. With a
 packet loss of one in forty, both queries are lost in one round in 1,600.
+
+If this node received no data for a while during the queries, its own link or
+process may have stalled. The engine is then queried once more, along with
+another engine, and stays in service if that shows no better.
 """
 
 from __future__ import annotations
@@ -18,6 +22,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from almondshift.model import relayed
 from almondshift.policy import engine_tracker
 from almondshift.policy import pooled_load
 from almondshift.policy import probe_timing
@@ -25,7 +30,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from almondshift.model import relayed
+    from almondshift.model import registered_engines
     from almondshift.relay import background
     from almondshift.relay import context
     from almondshift.relay import engine_questions
@@ -40,9 +45,13 @@
 """Time after which a second query is sent while the first one is pending, in
 seconds."""
 
-MAX_LINK_EVIDENCE_AGE_S = 0.04
-"""Maximum age of the latest data of any stream that shows that this node's own
-link works, in seconds."""
+PROMPT_RESPONSE_S = 0.02
+"""Maximum time of a response that shows that this node's own link works, in
+seconds."""
+
+AFTER_STALL_S = 0.2
+"""Time after a stall of the link during which queries may still be late, as
+they wait behind the data that has piled up, in seconds."""
 
 MAX_OVERRUN_S = 0.04
 """Maximum overrun of a round's time-outs, in seconds. Beyond it the result is
@@ -135,7 +144,9 @@
 
     async def probe(self, parts: dict[str, relayed.PathPart]) -> None:
         """Runs a round over some engines."""
-        probe_round = ProbeRound(self.shared, self.queries, self.moves)
+        probe_round = ProbeRound(
+            self.shared, self.work, self.queries, self.moves
+        )
         await probe_round.run(list(parts.values()))
 
 
@@ -144,21 +155,25 @@
 
     Attributes:
         any_responded: Set once any engine has responded.
+        responses: Loop times at which engines responded.
         lost: Instances that were found dead.
     """
 
     def __init__(
         self,
         shared: context.RelayContext,
+        work: background.Background,
         queries: engine_questions.EngineQueries,
         moves: stream_moves.StreamMoves,
     ) -> None:
         self.shared = shared
+        self.work = work
         self.queries = queries
         self.moves = moves
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
         self.any_responded = asyncio.Event()
+        self.responses: list[float] = []
         self.lost: list[str] = []
 
     async def run(self, parts: list[relayed.PathPart]) -> None:
@@ -178,24 +193,88 @@
             is_peer_report: Whether another node found it dead too. Then this
                 node's own link is not at fault and is not checked.
         """
+        started_at = self.loop.time()
         if await self.responds(part):
-            self.any_responded.set()
             return
+        if self.may_have_stalled(started_at):
+            started_at = self.loop.time()
+            self.query_reference(part)
+            if await self.responds(part):
+                return
+            if self.may_have_stalled(started_at, self.responses):
+                return
         if not is_peer_report and not await self.is_own_link_up():
             return
         # The second query and the wait for another engine each take up to
         # ``QUERY_TIMEOUT_S``.
         limit_s = SECOND_QUERY_S + 2 * QUERY_TIMEOUT_S + MAX_OVERRUN_S
-        if self.loop.time() - self.started_at > limit_s:
+        if self.loop.time() - started_at > limit_s:
             return
         self.moves.on_engine_lost(
-            part.instance, engine_tracker.Suspicion.UNREACHABLE
+            part.instance,
+            engine_tracker.Suspicion.UNREACHABLE,
+            engine_tracker.Evidence.PEER
+            if is_peer_report
+            else engine_tracker.Evidence.PROBE,
         )
         if self.shared.tracker.is_lost(part.instance):
             self.lost.append(part.instance)
 
+    def query_reference(self, part: relayed.PathPart) -> None:
+        """Queries another engine, whose response shows that the link works."""
+        catalogue = self.shared.catalogue
+        queried = catalogue.engines.get(part.instance)
+        if queried is None:
+            return
+        others = [
+            engine
+            for engine in catalogue.of_service(queried.service)
+            if engine is not queried
+            and not self.shared.tracker.is_suspect(engine.instance)
+        ]
+        if others:
+            self.work.run(self.note_response(self.shared.rng.choice(others)))
+
+    async def note_response(
+        self, engine: registered_engines.RegisteredEngine
+    ) -> None:
+        """Queries an engine; a response counts as evidence of the link."""
+        await self.responds(
+            relayed.PathPart(engine.instance, engine.address, 0, 0)
+        )
+
+    def may_have_stalled(
+        self, started_at: float, responses: Iterable[float] = ()
+    ) -> bool:
+        """Returns whether queries may have timed out for this node's reasons.
+
+        Refused connections fail before the time-out and are conclusive.
+
+        Args:
+            started_at: Loop time of the first query.
+            responses: Loop times of responses by other engines. Prompt ones
+                show that the link works; after a stall they trickle in.
+        """
+        now = self.loop.time()
+        if now - started_at < QUERY_TIMEOUT_S:
+            return False
+        if self.shared.link.is_active_since(started_at - AFTER_STALL_S, now):
+            return False
+        return not any(
+            started_at <= at <= started_at + PROMPT_RESPONSE_S
+            for at in responses
+        )
+
     async def responds(self, part: relayed.PathPart) -> bool:
         """Returns whether an engine responds to either of two queries."""
+        if not await self.query_twice(part):
+            return False
+        self.any_responded.set()
+        self.responses.append(self.loop.time())
+        return True
+
+    async def query_twice(self, part: relayed.PathPart) -> bool:
+        """Sends two overlapping queries; returns whether one is answered."""
         pending = {asyncio.ensure_future(self.query(part))}
         try:
             done, _ = await asyncio.wait(pending, timeout=SECOND_QUERY_S)
@@ -223,14 +302,8 @@
 
     async def is_own_link_up(self) -> bool:
         """Returns whether any engine currently responds or sends events."""
-        now = self.loop.time()
-        for run in self.moves.streams():
-            attempt = run.attempt
-            if (
-                attempt is not None
-                and now - attempt.active_at < MAX_LINK_EVIDENCE_AGE_S
-            ):
-                return True
+        if self.shared.link.is_active(self.loop.time()):
+            return True
         try:
             async with asyncio.timeout(QUERY_TIMEOUT_S):
                 await self.any_responded.wait()
--- a/src/almondshift/relay/refusing_engines.py
+++ b/src/almondshift/relay/refusing_engines.py
@@ -98,7 +98,9 @@
             return
         if not self.tracker.is_suspect(engine.instance):
             reason = engine_tracker.Suspicion.DRAINING
-            self.lost.suspect(engine.instance, reason)
+            self.lost.suspect(
+                engine.instance, reason, engine_tracker.Evidence.HEALTH_CHECK
+            )
 
     async def is_healthy(
         self, engine: registered_engines.RegisteredEngine
--- a/src/almondshift/relay/silence_watch.py
+++ b/src/almondshift/relay/silence_watch.py
@@ -112,7 +112,7 @@
         """Checks an engine that a peer found dead, and logs the result."""
         part = relayed.PathPart(engine.instance, engine.address, 0, 0)
         probe_round = path_probe.ProbeRound(
-            self.shared, self.queries, self.moves
+            self.shared, self.work, self.queries, self.moves
         )
         await probe_round.check(part, is_peer_report=True)
         self.shared.observer.emit(
@@ -142,9 +142,11 @@
 
     async def query_first_engine(self, first: relayed.PathPart) -> None:
         """Queries an engine; ejects the engines that its streams wait for."""
+        queried_at = asyncio.get_running_loop().time()
         report = await self.queries.report(first.instance, first.address)
         if report is None:
-            self.count_unanswered(first)
+            if not self.queries.may_have_stalled(queried_at):
+                self.count_unanswered(first)
             return
         self.unanswered.pop(first.instance, None)
         now = self.shared.clock.monotonic()
@@ -154,7 +156,9 @@
             engine = self.shared.catalogue.by_address(address)
             if engine is not None:
                 self.moves.on_engine_lost(
-                    engine.instance, engine_tracker.Suspicion.STALLED
+                    engine.instance,
+                    engine_tracker.Suspicion.STALLED,
+                    engine_tracker.Evidence.SILENCE,
                 )
         if not addresses:
             self.queries.query_paces(self.engines_behind(first))
@@ -166,7 +170,9 @@
         if count >= MAX_UNANSWERED:
             self.unanswered.pop(first.instance, None)
             self.moves.on_engine_lost(
-                first.instance, engine_tracker.Suspicion.UNREACHABLE
+                first.instance,
+                engine_tracker.Suspicion.UNREACHABLE,
+                engine_tracker.Evidence.SILENCE,
             )
 
     def engines_behind(
--- a/src/almondshift/relay/stream_attempt.py
+++ b/src/almondshift/relay/stream_attempt.py
@@ -54,7 +54,7 @@
         """Stores the head, which is sent with the first event."""
         self.head = head
         self.is_stream = head.status == OK and head.genuine
-        self.active_at = self.run.loop.time()
+        self.note_data()
 
     def on_data(self, data: bytes) -> None:
         """Passes complete events on."""
@@ -65,7 +65,7 @@
             if len(self.failure) > MAX_FAILURE_BYTES:
                 self.abort("error response too large")
             return
-        self.active_at = self.run.loop.time()
+        self.note_data()
         try:
             complete = self.splitter.feed(data)
         except ValueError as error:
@@ -74,6 +74,11 @@
         if complete and not self.run.forward_events(self, complete):
             self.abort("events out of order")
 
+    def note_data(self) -> None:
+        """Records that data was received."""
+        self.active_at = self.run.loop.time()
+        self.run.shared.link.note(self.active_at)
+
     def abort(self, reason: str) -> None:
         """Aborts an attempt whose response is invalid."""
         if self.is_over:
--- a/src/almondshift/relay/stream_moves.py
+++ b/src/almondshift/relay/stream_moves.py
@@ -65,10 +65,13 @@
         ]
 
     def on_engine_lost(
-        self, instance: str, reason: engine_tracker.Suspicion
+        self,
+        instance: str,
+        reason: engine_tracker.Suspicion,
+        found_by: engine_tracker.Evidence,
     ) -> None:
         """Ejects an engine that seems dead, and moves all streams off it."""
-        self.shared.lost_engines.suspect(instance, reason)
+        self.shared.lost_engines.suspect(instance, reason, found_by)
         if not self.shared.tracker.is_lost(instance):
             return
         for run in self.streams():
@@ -130,7 +133,10 @@
         """
         self.shared.observer.emit(
             log_events.EndpointEjected(
-                instance, f"slow by {pace:.1f}", engine_tracker.PACE_VALID_S
+                instance,
+                f"slow by {pace:.1f}",
+                engine_tracker.PACE_VALID_S,
+                engine_tracker.Evidence.SILENCE.value,
             )
         )
         self.move_from(instance, is_forced=False)
--- a/tests/relay/test_path_probe.py
+++ b/tests/relay/test_path_probe.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import types
 from typing import TYPE_CHECKING
 from typing import Any
@@ -12,6 +13,7 @@
 from almondshift.model import relayed
 from almondshift.policy import engine_tracker
 from almondshift.relay import background
+from almondshift.relay import link_activity
 from almondshift.relay import path_probe
 from tests import asynchronous
 from tests.platform import standin_system as system
@@ -68,8 +70,11 @@
     asyncio.run(scenario())
 
 
+REFERENCE = "reference"
+
+
 class FakeQueries:
-    """Engines whose responses the test controls.
+    """Engines whose responses the test controls; one always responds.
 
     Attributes:
         queried: Outcomes of queries, set by the test, by engine.
@@ -84,6 +89,8 @@
         del address, timeout_s
         outcome = asyncio.get_running_loop().create_future()
         self.queried.setdefault(instance, []).append(outcome)
+        if instance == REFERENCE:
+            outcome.set_result(True)
         if not await outcome:
             return None
         return relayed.EngineReport(1.0, 0.0, 0.0, 0, 0, False, 0, ())
@@ -107,7 +114,8 @@
     moves: Any = FakeMoves(shared.tracker)
     fake = FakeQueries()
     queries: Any = fake
-    probe_round = path_probe.ProbeRound(shared, queries, moves)
+    work = background.Background()
+    probe_round = path_probe.ProbeRound(shared, work, queries, moves)
     probe_round.any_responded.set()
     part = relayed.PathPart("e", "e:1", 0, 1)
     checked = asyncio.create_task(probe_round.check(part))
@@ -147,8 +155,12 @@
         return self.runs
 
     def on_engine_lost(
-        self, instance: str, reason: engine_tracker.Suspicion
+        self,
+        instance: str,
+        reason: engine_tracker.Suspicion,
+        found_by: engine_tracker.Evidence,
     ) -> None:
+        assert found_by is engine_tracker.Evidence.PROBE
         self.tracker.suspect(instance, reason, 0.0)
 
 
@@ -178,6 +190,25 @@
         self.tracker = engine_tracker.EngineTracker()
         self.paths = types.SimpleNamespace(nodes=1)
         self.clock = types.SimpleNamespace(monotonic=lambda: 0.0)
+        self.link = link_activity.LinkActivity()
+        self.catalogue = FakeCatalogue()
+        self.rng = random.Random(1)
+
+
+class FakeCatalogue:
+    """Two engines of one service."""
+
+    def __init__(self) -> None:
+        self.engines = {
+            name: types.SimpleNamespace(
+                instance=name, address=f"{name}:1", service="model"
+            )
+            for name in ("e", REFERENCE)
+        }
+
+    def of_service(self, service: str) -> list[types.SimpleNamespace]:
+        assert service == "model"
+        return list(self.engines.values())
 
 
 @pytest.mark.parametrize(
@@ -206,3 +237,56 @@
     probe = path_probe.PathProbe(shared, nothing, nothing, nothing)
     streams: list[stream_run.StreamRun] = runs  # type: ignore[assignment]
     assert set(probe.silent_parts(streams, 2.0)) == set(asked)
+
+
+STALL_S = 0.1
+
+
+async def _note_data(link: link_activity.LinkActivity, stall_s: float) -> None:
+    """Receives data all the time, except for a stall."""
+    loop = asyncio.get_running_loop()
+    link.note(loop.time() - path_probe.AFTER_STALL_S)
+    link.last_at = loop.time()
+    await asyncio.sleep(stall_s)
+    while True:
+        link.note(loop.time())
+        await asyncio.sleep(link_activity.MAX_GAP_S / 4)
+
+
+@pytest.mark.parametrize(
+    ("stall_s", "outcomes", "is_lost"),
+    [
+        (STALL_S, [False, False, True], False),
+        (STALL_S, [False, False, False, False], True),
+        (0.0, [False, False], True),
+    ],
+    ids=["stalled link", "dead behind a stalled link", "dead"],
+)
+@asynchronous.run
+async def test_an_engine_is_kept_if_the_link_stalled_during_its_queries(
+    stall_s: float, outcomes: list[bool], is_lost: bool
+) -> None:
+    """Guards against ejecting all engines after a stall of the node's link.
+
+    When the stall ends, data of streams may be read before the responses.
+    """
+    shared: Any = FakeShared()
+    moves: Any = FakeMoves(shared.tracker)
+    fake = FakeQueries()
+    queries: Any = fake
+    feed = asyncio.create_task(_note_data(shared.link, stall_s))
+    work = background.Background()
+    probe_round = path_probe.ProbeRound(shared, work, queries, moves)
+    checked = asyncio.create_task(
+        probe_round.check(relayed.PathPart("e", "e:1", 0, 1))
+    )
+    for number, outcome in enumerate(outcomes):
+        await asynchronous.wait_until(
+            lambda count=number + 1: len(fake.queried.get("e", [])) >= count
+        )
+        if not outcome:
+            await asyncio.sleep(path_probe.QUERY_TIMEOUT_S)
+        fake.queried["e"][number].set_result(outcome)
+    await checked
+    feed.cancel()
+    assert probe_round.lost == (["e"] if is_lost else [])
--- a/tests/soak/layout.py
+++ b/tests/soak/layout.py
@@ -65,6 +65,7 @@
         seconds: How long faults are injected.
         engines: Engines of both services; a fifth of them are plain.
         clients: Callers, each with one request at a time.
+        stalls_per_s: Mean rate of short stalls of all links; see ``stalls``.
     """
 
     seed: int
@@ -72,6 +73,7 @@
     nodes: int = 4
     engines: int = 10
     clients: int = 16
+    stalls_per_s: float = 0.0
 
     def plain_engines(self) -> int:
         """Returns how many endpoints serve plain requests."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,6 +17,7 @@
 from tests.soak import layout
 from tests.soak import regressions
 from tests.soak import report as soak_report
+from tests.soak import stalls
 from tests.soak import system as soak_system
 
 STARTUP_TIMEOUT_S = 40.0
@@ -44,6 +45,7 @@
         self.faults = faults.draw(self.rng, options)
         self.injected = 0
         self.prober = callers.SoakCaller(-1, self.system, self.judge)
+        self.stalls = stalls.Stalls(options.seed, options.stalls_per_s)
         self.probes = config_probes.ConfigProbes(self.system, self.judge)
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -72,7 +74,10 @@
             callers.SoakCaller(number, self.system, self.judge)
             for number in range(self.options.clients)
         ]
-        self.tasks = [asyncio.create_task(self.monitor())]
+        self.tasks = [
+            asyncio.create_task(self.monitor()),
+            asyncio.create_task(self.stalls.run()),
+        ]
         running = [asyncio.create_task(caller.run()) for caller in sending]
         await self.inject_all()
         await self.recover()
@@ -177,6 +182,9 @@
     parser.add_argument("--nodes", type=int, default=4)
     parser.add_argument("--engines", type=int, default=10)
     parser.add_argument("--clients", type=int, help="default: 4 per node")
+    parser.add_argument(
+        "--stalls", type=float, default=0.0, help="stalls of all links per s"
+    )
     parser.add_argument("--folder", type=pathlib.Path)
     parser.add_argument("--regressions", action="store_true")
     args = parser.parse_args()
@@ -200,6 +208,7 @@
         nodes=min(args.nodes, layout.MAX_NODES),
         engines=min(args.engines, layout.MAX_ENGINES),
         clients=args.clients or 4 * args.nodes,
+        stalls_per_s=args.stalls,
     )
 
 
