Don't convict a request that only replayed when another crashed its endpoint

Cause: suspects of two nodes are retried 40 ms apart, whatever a step takes. If both choose one endpoint, the poisonous one crashes it while the other replays, and both have been in flight at two crashes. Nothing told them apart.

Evidence: the new scenario has one fast engine and two slow ones, so that all nodes choose the same engines.

Change: a replay ends before the step that was lost, the node records that only a replay is in flight, and crash facts carry it. A request that only replayed at one of its crashes isn't convicted if another that didn't explains all of them, also after that one was convicted and whichever node decides first. Beside requests that are new to crashes it is convicted as before.

Why it works: the steps of a replay have run before without a crash, while the poisonous request is at the step of its first crash again. Facts of older builds have no such mark and count as before; older builds ignore it.

Open: two requests that are both at the step of their first crash.

--- a/src/almondshift/coordination/quarantine.py
+++ b/src/almondshift/coordination/quarantine.py
@@ -34,6 +34,11 @@
 endpoint to the next. "In flight" means outstanding work at the endpoint, not
 an idle session there, so that a request in a chain is in flight at one
 endpoint at a time.
+
+**Two suspects at two crashes.** The embedding program may retry suspects before
+the wait of step 1 has passed, so that two of them are in flight at both
+crashes. One that only replayed earlier steps at a crash is not convicted if the
+other explains all of its crashes.
 """
 
 from __future__ import annotations
@@ -109,9 +114,18 @@
 
     # Work in flight.
 
-    def in_flight(self, endpoint: str, fingerprint: str) -> None:
-        """Records that a request has outstanding work at an endpoint."""
-        self.work.begin(endpoint, fingerprint)
+    def in_flight(
+        self, endpoint: str, fingerprint: str, *, is_replay: bool = False
+    ) -> None:
+        """Records that a request has outstanding work at an endpoint.
+
+        Args:
+            endpoint: Name of the endpoint.
+            fingerprint: The request.
+            is_replay: Whether the work only repeats what has run before, on an
+                endpoint that was lost since.
+        """
+        self.work.begin(endpoint, fingerprint, is_replay=is_replay)
 
     def done(self, endpoint: str, fingerprint: str) -> None:
         """Records that the endpoint responded, or the work was abandoned."""
@@ -135,6 +149,7 @@
             at: Monotonic time in seconds.
             zone: Availability zone, or rack if known.
         """
+        replaying = self.work.replaying_at(endpoint)
         start_times = self.work.end_all(endpoint)
         suspects = frozenset(start_times)
         implicated_again = {
@@ -152,7 +167,9 @@
             if self.implicates_requests(endpoint, alone)
             else frozenset()
         )
-        crash = quarantine_crashes.Crash(endpoint, zone, at, set(), alone)
+        crash = quarantine_crashes.Crash(
+            endpoint, zone, at, set(), alone, replaying=replaying
+        )
         keys = self.crashes.add_own(
             crash, implicated if alone else implicated - implicated_again
         )
@@ -192,7 +209,9 @@
         )
         if wait > 0:
             return quarantine_verdicts.refused(wait)
-        if quarantine_crashes.justifies_conviction(crashes):
+        if quarantine_crashes.justifies_conviction(
+            crashes
+        ) and not self.crashes.is_explained(fingerprint):
             return self.convict(fingerprint)
         return quarantine_verdicts.ALONE
 
@@ -214,7 +233,7 @@
         """Convicts a request and publishes it; returns the refusal."""
         duration_s = self.settings.conviction_s
         self.convicted[fingerprint] = self.clock.monotonic() + duration_s
-        self.crashes.drop(fingerprint)
+        self.crashes.convict(fingerprint)
         self.publisher.publish_convicted(fingerprint)
         return quarantine_verdicts.refused(duration_s, convicted=True)
 
@@ -283,7 +302,7 @@
             case "convicted" if fact is not None:
                 until = self.clock.monotonic() + fact.ttl_s
                 self.convicted[rest] = until
-                self.crashes.drop(rest)
+                self.crashes.convict(rest)
 
     def published_at(self, fact: peers.Fact) -> float:
         """Returns the time at which a fact about a suspect was published."""
--- a/src/almondshift/coordination/quarantine_crashes.py
+++ b/src/almondshift/coordination/quarantine_crashes.py
@@ -29,6 +29,9 @@
         alone: Whether the request ran alone.
         firm: Whether it counts even during a failure of a rack or zone.
         excluded: Whether it is considered a failure of a rack or zone.
+        replaying: Requests that only replayed there what had run before.
+        culprits: Requests that were convicted since; they no longer count as
+            suspects, but explain the crash.
     """
 
     endpoint: str
@@ -38,6 +41,8 @@
     alone: bool
     firm: bool = False
     excluded: bool = False
+    replaying: frozenset[str] = frozenset()
+    culprits: set[str] = dataclasses.field(default_factory=set)
 
 
 class Crashes:
@@ -74,7 +79,10 @@
             part = ordered[start : start + MAX_FINGERPRINTS_PER_FACT]
             key = f"crash/{self.node}/{next(self.key_numbers)}"
             self.by_key[key] = dataclasses.replace(
-                crash, fingerprints=set(part)
+                crash,
+                fingerprints=set(part),
+                replaying=crash.replaying & set(part),
+                culprits=set(),
             )
             keys.append(key)
         return keys
@@ -131,6 +139,31 @@
             and crash.at > since
         ]
 
+    def is_explained(self, fingerprint: str) -> bool:
+        """Returns whether another request explains a request's crashes.
+
+        Two suspects may be in flight at two crashes, because nodes retry their
+        suspects without waiting for each other. If one of them only replayed
+        steps that had run before, and the other was at the step at which it
+        was when the first endpoint crashed, the latter is at fault.
+        """
+        crashes = self.crashes_against(fingerprint)
+        if not any(fingerprint in crash.replaying for crash in crashes):
+            return False
+        present = [self._not_replaying_at(crash) for crash in crashes]
+        return bool(frozenset.intersection(*present) - {fingerprint})
+
+    def _not_replaying_at(self, reference: Crash) -> frozenset[str]:
+        """Returns the requests of all nodes that a crash may be due to."""
+        return frozenset(
+            fingerprint
+            for crash in self.by_key.values()
+            if crash.endpoint == reference.endpoint
+            and abs(crash.at - reference.at) <= self.settings.window_s
+            for fingerprint in crash.fingerprints | crash.culprits
+            if fingerprint not in crash.replaying
+        )
+
     def suspects(self) -> list[str]:
         """Returns the fingerprints that are implicated by any crash."""
         return sorted(
@@ -156,6 +189,13 @@
         self.cleared[fingerprint] = at
         self.drop(fingerprint)
 
+    def convict(self, fingerprint: str) -> None:
+        """Removes a convicted request from the suspects of its crashes."""
+        for crash in self.by_key.values():
+            if fingerprint in crash.fingerprints:
+                crash.culprits.add(fingerprint)
+        self.drop(fingerprint)
+
     def drop(self, fingerprint: str) -> None:
         """Removes a request from the crashes known here."""
         for crash in self.by_key.values():
--- a/src/almondshift/coordination/quarantine_facts.py
+++ b/src/almondshift/coordination/quarantine_facts.py
@@ -29,6 +29,7 @@
     fingerprints: list[str]
     alone: bool
     firm: bool
+    replaying: list[str] = []
 
 
 class TrialValue(pydantic.BaseModel):
@@ -67,6 +68,7 @@
             fingerprints=sorted(crash.fingerprints),
             alone=crash.alone,
             firm=crash.firm,
+            replaying=sorted(crash.replaying),
         )
         content = value.model_dump_json().encode()
         self.publish_fact(key, content, self.settings.suspicion_s)
@@ -131,6 +133,7 @@
         set(value.fingerprints),
         value.alone,
         value.firm,
+        replaying=frozenset(value.replaying),
     )
 
 
--- a/src/almondshift/node/crash_guard.py
+++ b/src/almondshift/node/crash_guard.py
@@ -50,10 +50,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _StepPosition:
-    """Progress of a request: a step's first layer and the position after it."""
+    """A step: its first layer and its positions, from ``start`` to ``end``."""
 
     layer: int
-    position: int
+    start: int
+    end: int
 
 
 class CrashGuard:
@@ -104,9 +105,18 @@
 
     @contextlib.asynccontextmanager
     async def call_slot(
-        self, endpoint: str, request_id: str
+        self,
+        endpoint: str,
+        request_id: str,
+        item: steps.StepItem | None = None,
     ) -> AsyncIterator[None]:
-        """Wraps one call; lets only one suspect at a time use an endpoint."""
+        """Wraps one call; lets only one suspect at a time use an endpoint.
+
+        Args:
+            endpoint: The endpoint that is called.
+            request_id: The request.
+            item: The step; None for a call to a plain service.
+        """
         fingerprint = self._fingerprint(request_id)
         if not self.quarantine.crashes_against(fingerprint):
             self.quarantine.in_flight(endpoint, fingerprint)
@@ -114,9 +124,20 @@
             return
         lock = self._suspect_locks.setdefault(endpoint, asyncio.Lock())
         async with lock:
-            self.quarantine.in_flight(endpoint, fingerprint)
+            self.quarantine.in_flight(
+                endpoint,
+                fingerprint,
+                is_replay=self._is_replay(fingerprint, item),
+            )
             yield
 
+    def _is_replay(self, fingerprint: str, item: steps.StepItem | None) -> bool:
+        """Returns whether a step ends before the one of the first crash."""
+        crash_position = self._crash_positions.get(fingerprint)
+        if crash_position is None or item is None:
+            return False
+        return item.position + len(item.inputs) <= crash_position.start
+
     async def step_ended(
         self,
         endpoint: str,
@@ -126,7 +147,9 @@
         """Records the outcome of a step; waits for the crash check if any."""
         fingerprint = self._fingerprint(item.request_id)
         step_position = _StepPosition(
-            item.layers.start, item.position + len(item.inputs)
+            item.layers.start,
+            item.position,
+            item.position + len(item.inputs),
         )
         if not _is_unknown(outcome):
             self.quarantine.done(endpoint, fingerprint)
@@ -255,7 +278,7 @@
             return
         if (
             step_position.layer < crash_position.layer
-            or step_position.position < crash_position.position
+            or step_position.end < crash_position.end
         ):
             return
         del self._crash_positions[fingerprint]
--- a/src/almondshift/node/pipeline.py
+++ b/src/almondshift/node/pipeline.py
@@ -337,6 +337,8 @@
         self.epoch += 1
         self.chain = self.chain.replace(index, replacement)
         fresh = [self._open(stage) for stage in replacement]
+        for run in fresh:
+            run.replayed_until = failed.done
         if first == index:
             self._seed_inputs(failed, fresh[0])
         rerun = [self._reopen(run) for run in self.runs[first:index]]
@@ -373,6 +375,7 @@
 
     def _reopen(self, run: stage_run.StageRun) -> stage_run.StageRun:
         fresh = self._open(run.stage)
+        fresh.replayed_until = run.done
         self._seed_inputs(run, fresh)
         return fresh
 
--- a/src/almondshift/node/stage_calls.py
+++ b/src/almondshift/node/stage_calls.py
@@ -48,7 +48,7 @@
         calls = self.directory.coalescer_for(endpoint)
         if calls is None:
             return expression.Error(directory.unreachable(endpoint))
-        async with self.guard.call_slot(endpoint, item.request_id):
+        async with self.guard.call_slot(endpoint, item.request_id, item):
             return await self._submit(calls, endpoint, item)
 
     async def _submit(
--- a/src/almondshift/node/stage_run.py
+++ b/src/almondshift/node/stage_run.py
@@ -23,6 +23,8 @@
         inputs: Inputs from ``base`` on.
         keeps_inputs: Whether processed inputs are kept for replay.
         reserved: Number of inputs reserved in ``budget``.
+        replayed_until: Position up to which an earlier session has run; steps
+            don't extend beyond it, so that a crash can be attributed.
     """
 
     stage: chains.Stage
@@ -34,6 +36,7 @@
     base: int = 0
     inputs: list[int] = dataclasses.field(default_factory=list)
     reserved: int = 0
+    replayed_until: int = 0
     calls: int = 0
     seconds: float = 0.0
 
@@ -58,6 +61,8 @@
 
     def pending(self, end: int, limit: int) -> tuple[int, ...]:
         """Returns up to ``limit`` unprocessed inputs below position ``end``."""
+        if self.done < self.replayed_until:
+            end = min(end, self.replayed_until)
         first = self.done - self.base
         last = min(end - self.base, first + limit)
         return tuple(self.inputs[first:last])
--- a/tests/coordination/test_quarantine.py
+++ b/tests/coordination/test_quarantine.py
@@ -376,6 +376,70 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("is_sound_replay", "is_poison_replay", "is_convicted"),
+    [(True, False, False), (False, False, True), (True, True, True)],
+    ids=["only the sound one replays", "neither replays", "both replay"],
+)
+@pytest.mark.parametrize("first", ["n0", "n1"])
+def test_a_suspect_that_replayed_is_not_convicted_for_anothers_crashes(
+    first: str,
+    is_sound_replay: bool,
+    is_poison_replay: bool,
+    is_convicted: bool,
+) -> None:
+    """Guards against refusing a sound request that met a poisonous one twice.
+
+    They run on different nodes, whose verdicts come in either order.
+    """
+
+    async def scenario() -> None:
+        system = crashing.CrashingSystem(1)
+        n0, n1 = system.quarantines["n0"], system.quarantines["n1"]
+        for endpoint, is_second in (("e0", False), ("e1", True)):
+            n0.in_flight(
+                endpoint, POISON, is_replay=is_second and is_poison_replay
+            )
+            n1.in_flight(
+                endpoint, "sound", is_replay=is_second and is_sound_replay
+            )
+            for state in (n0, n1):
+                state.crashed(
+                    endpoint, system.clock.now, system.zones[endpoint]
+                )
+            await system.clock.advance(0.3)
+        await system.clock.advance(3.1)
+        verdicts = {}
+        for node in sorted(("n0", "n1"), key=lambda name: name != first):
+            name = POISON if node == "n0" else "sound"
+            verdicts[name] = system.quarantines[node].may_run(name)
+            await system.clock.advance(1.1)
+        assert verdicts[POISON].convicted
+        assert verdicts["sound"].convicted is is_convicted
+        await system.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_replaying_request_is_convicted_beside_requests_new_to_crashes() -> (
+    None
+):
+    """Guards against a poisonous request that others in flight would cover."""
+
+    async def scenario() -> None:
+        system = crashing.CrashingSystem(1)
+        state = system.quarantines["n0"]
+        for endpoint, is_second in (("e0", False), ("e1", True)):
+            state.in_flight(endpoint, POISON, is_replay=is_second)
+            state.in_flight(endpoint, f"bystander at {endpoint}")
+            state.crashed(endpoint, system.clock.now, system.zones[endpoint])
+        await system.clock.advance(3.1)
+        assert state.may_run(POISON).convicted
+        await system.close()
+
+    asyncio.run(scenario())
+
+
 class QuarantineMachine(stateful.RuleBasedStateMachine):
     """Callers, a request that crashes endpoints, zone failures and outages.
 
--- a/tests/node/fake_stages.py
+++ b/tests/node/fake_stages.py
@@ -63,6 +63,7 @@
             unknown) or ``split`` (as ``unknown``, and two endpoints replace
             the failed one).
         ran: How often each position ran, by session and position.
+        items: All items in the order sent.
     """
 
     def __init__(self, layer_count: int, failures: dict[int, str]) -> None:
@@ -70,6 +71,7 @@
         self.failures = failures
         self.sessions: dict[tuple[str, str], Session] = {}
         self.ran: collections.Counter[tuple[str, int]] = collections.Counter()
+        self.items: list[steps.StepItem] = []
         self.cancelled: list[str] = []
         self.step_count = 0
         self.spares = 0
@@ -82,6 +84,7 @@
     ) -> expression.Result[steps.StepResult, engines.EngineError]:
         failure = self.failures.get(self.step_count, "")
         self.step_count += 1
+        self.items.append(item)
         if failure == "unreachable":
             return expression.Error(errors.EndpointUnreachable("gone"))
         if failure in ("leaving", "wrong", "refused"):
--- a/tests/node/test_pipeline.py
+++ b/tests/node/test_pipeline.py
@@ -115,6 +115,24 @@
     assert not work.recoveries[0].restarted
 
 
+@pytest.mark.parametrize("keep", [True, False])
+def test_a_replay_ends_before_the_step_that_failed(keep: bool) -> None:
+    """Guards against blaming a replay for a crash by another request."""
+    stages = fake_stages.FakeStages(LAYERS, {20: "unknown"})
+    work = _pipeline(stages, keep=keep)
+    assert _collect(work) == _expected()
+    lost_at = max(
+        position for session, position in stages.ran if session == "r.0.4"
+    )
+    replays = [
+        item
+        for item in stages.items
+        if item.session == "r.1.4" and item.position <= lost_at
+    ]
+    ends = [item.position + len(item.inputs) for item in replays]
+    assert ends == [lost_at, lost_at + 1]
+
+
 def test_recovery_without_kept_inputs_restarts_from_the_tokens() -> None:
     # Without memory for kept inputs the lost stage can't be replayed alone,
     # so all stages before it run again from the tokens. The tokens are the
--- a/tests/scenarios/features/poison.feature
+++ b/tests/scenarios/features/poison.feature
@@ -29,3 +29,21 @@
     Then ann has the right answer
     And bob has the right answer
     And no request is convicted
+
+  Scenario Outline: a sound request runs on the engines that crash, on <node>
+    Both requests are in flight when the first engine crashes, so each node
+    retries a suspect, and both choose the same slow engine.
+    Given a system of 3 nodes with one fast engine and slow ones
+    And every engine crashes on token 666
+    When cid asks <node> for 20 tokens
+    And cid has received 3 tokens
+    And a request with token 666 is sent to n1
+    Then the request with token 666 was refused as quarantined
+    And at most 2 engines are lost
+    And cid has the right answer
+
+    Examples:
+      | node |
+      | n1   |
+      | n2   |
+      | n3   |
--- a/tests/scenarios/test_poison.py
+++ b/tests/scenarios/test_poison.py
@@ -22,6 +22,11 @@
     for zone in ("za", "zb")
     for number in (1, 2, 3)
 )
+SLOW_ENGINES = (
+    systems.EngineShape("fast", 12, "za", "large"),
+    systems.EngineShape("slow", 12, "zb", "large", fixed_ms=120.0),
+    systems.EngineShape("slower", 12, "za", "large", fixed_ms=400.0),
+)
 
 
 @given(parsers.parse("every engine crashes on token {token:d}"))
@@ -35,6 +40,15 @@
     world.run(world.system.start(nodes=nodes, engines=SPARE_ENGINES))
 
 
+@given(
+    parsers.parse(
+        "a system of {nodes:d} nodes with one fast engine and slow ones"
+    )
+)
+def start_slow(world: worlds.World, nodes: int) -> None:
+    world.run(world.system.start(nodes=nodes, engines=SLOW_ENGINES))
+
+
 @when(parsers.parse("a request with token 666 is sent to {node}"))
 def send_poison(world: worlds.World, node: str) -> None:
     world.send("poison", 8, node=node, prompt=POISON)
@@ -56,6 +70,12 @@
     assert executions == ["unknown", "not_run", "not_run"]
 
 
+@then("the request with token 666 was refused as quarantined")
+def poison_refused(world: worlds.World) -> None:
+    (answer,) = world.notes[ANSWERS]
+    assert answer.kind == "quarantined"
+
+
 @then(parsers.parse("at most {count:d} engines are lost"))
 def lost(world: worlds.World, count: int) -> None:
     engines = world.system.engines.values()
