Retry the cancellation of sessions on engines

Cause: a node cancels a request's sessions once. If that call is lost, the engine keeps the session, and the planner reloads an engine only after its last session has ended.

Evidence: the new scenario cuts the links to all engines when a request has just ended.

Change: a cancel that fails is retried with growing delays while the engine is the same one.

--- a/src/almondshift/node/stage_calls.py
+++ b/src/almondshift/node/stage_calls.py
@@ -27,6 +27,9 @@
     from almondshift.ports import engines
 
 
+CANCEL_RETRY_DELAYS_S = (0.2, 0.5, 1.0, 2.0, 4.0, 8.0)
+
+
 class NodeStageCalls(pipeline.StageCalls):
     """Reaches endpoints through the node's directory."""
 
@@ -103,7 +106,24 @@
         """Cancels a session in the background."""
         engine = self.directory.engine(endpoint)
         if engine is not None:
-            self._spawn(engine.cancel([session]))
+            self._spawn(self._cancel(endpoint, engine, session))
+
+    async def _cancel(
+        self, endpoint: str, engine: engines.Engine, session: str
+    ) -> None:
+        """Cancels a session; retries while the engine is in use.
+
+        An engine that keeps a session is not emptied, so that it can't load
+        another version of the model.
+        """
+        for delay_s in CANCEL_RETRY_DELAYS_S:
+            cancelled = await engine.cancel([session])
+            if cancelled.is_ok():
+                return
+            await self.driver.clock.sleep(delay_s)
+            if self.directory.engine(endpoint) is not engine:
+                return
+        await engine.cancel([session])
 
     async def move_kv(
         self, source: str, session: str, target: str, new_session: str
--- a/tests/scenarios/datapath/test_link_cut.py
+++ b/tests/scenarios/datapath/test_link_cut.py
@@ -1,11 +1,14 @@
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from pytest_bdd import parsers
 from pytest_bdd import scenarios
+from pytest_bdd import then
 from pytest_bdd import when
 
+from tests.faults import proxy as proxies
 from tests.scenarios.datapath import faults
 
 if TYPE_CHECKING:
@@ -26,3 +29,27 @@
         received = len(world.requests[name].tokens)
         world.wait_tokens(name, received + TOKENS_BETWEEN_CUTS)
         faults.cut_after_run(world, world.stage_of(name, stage))
+
+
+@when(parsers.parse("the links are cut as {name}'s answer ends"))
+def cut_at_end(world: paths.PathWorld, name: str) -> None:
+    request = world.requests[name]
+    world.hold_stage_at(name, "last", request.count - 1)
+    world.run(asyncio.sleep(faults.IN_FLIGHT_S))
+    for proxy in world.system.proxies.values():
+        proxy.blocked_directions.add(proxies.Direction.UP)
+    world.release_stages()
+    world.answer(name)
+    world.run(asyncio.sleep(faults.IN_FLIGHT_S))
+    for proxy in world.system.proxies.values():
+        proxy.cut()
+        proxy.blocked_directions.clear()
+
+
+@then("no engine keeps a session")
+def no_session(world: paths.PathWorld) -> None:
+    async def is_empty() -> bool:
+        reports = [await world.system.load(e) for e in world.system.engines]
+        return not any(report["sessions"] for report in reports)
+
+    world.run(world.system.wait_for(is_empty, "no sessions"))
