Inject faults of a stage only once a step of it is held

Cause, from the ledgers of that run: the test was wrong. The responses of the last stage were held after six tokens, and the link was cut 0.25 s later, on the assumption that a step of that stage was in flight by then. The request was at the first stage for 0.88 s, whose engine lost the session. The cut hit an idle connection, no step was lost, and the session went on.

Change: the steps that hold a stage wait until its engine has run a step after that, whose response is therefore held; then the fault is injected. The checks are as before, and stricter in effect: each fault now hits a step.

--- a/tests/scenarios/datapath/conftest.py
+++ b/tests/scenarios/datapath/conftest.py
@@ -94,6 +94,8 @@
         world.wait_tokens(name, FIRST_TOKENS)
     world.notes["phase"] = phase
     world.wait_stage(name, stage)
+    if "held_at" in world.notes:
+        world.wait_held_step(name, stage)
 
 
 @when(parsers.parse("the engine of {name}'s {stage} stage is {fault}"))
--- a/tests/scenarios/datapath/paths.py
+++ b/tests/scenarios/datapath/paths.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import json
+import time
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -358,11 +359,29 @@
         Its first part has then run but is not answered, however slow the
         machine is; otherwise the request could end before the fault.
         """
+        self.notes["held_at"] = time.monotonic()
         for engine, place in self.notes["places"].items():
             if place == stage:
                 silent = self.system.proxies[engine].blocked_directions
                 silent.add(proxies.Direction.DOWN)
 
+    def wait_held_step(self, name: str, stage: str) -> None:
+        """Waits until a held stage has run a step whose response is held.
+
+        The request may be at another stage when the responses are held, for
+        example because that stage's engine is paused.
+        """
+        held_at = self.notes["held_at"]
+
+        async def has_run() -> bool:
+            return any(
+                run.at > held_at and stage_position(run) == stage
+                for run in self.runs(name)
+            )
+
+        what = f"a held step in the {stage} stage of {name}"
+        self.run(self.system.wait_for(has_run, what))
+
     def release_stages(self, but: str = "") -> None:
         """Releases held responses, except those of one engine."""
         for engine in self.notes.get("places", ()):
