Start a request over if its version's engines are gone

What callers saw: 502 upstream_failed, "ran", "no other endpoint can replace it", after 6.3 to 6.5 s and without a token, while others were answered.

If its stage fails while the last engines of that version are reloaded, it waits five seconds and is refused, though engines serve the new version.

Change: an idempotent request that has yielded no token starts over once on a chain chosen anew. Its sessions have ids of a new epoch and its execution stays known. Refusals by the retry budget or the limit of retries don't start over.

--- a/src/almondshift/errors.py
+++ b/src/almondshift/errors.py
@@ -211,6 +211,10 @@
     default_remedy = "Send the request again; it is idempotent."
 
 
+class NoReplacement(UpstreamFailed):
+    """No endpoint could replace a failed one in time."""
+
+
 class ConfigInvalid(Refusal):
     """A configuration text is invalid; names the section and the key."""
 
--- a/src/almondshift/node/completions.py
+++ b/src/almondshift/node/completions.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
 import dataclasses
 import struct
 from typing import TYPE_CHECKING
@@ -28,6 +31,12 @@
     from almondshift.ports import clocks
 
 
+RestartCallback = Callable[
+    [pipeline.Pipeline],
+    Awaitable[expression.Result[pipeline.Pipeline, errors.AlmondshiftError]],
+]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CompletionSettings:
     """Settings of the pipeline.
@@ -45,6 +54,8 @@
 
     Attributes:
         pipeline: Runs the completion and holds its tokens so far.
+        restart: Returns a pipeline over a new chain, or the error with which
+            the router refused one.
     """
 
     def __init__(
@@ -53,11 +64,13 @@
         driver: router_driver.RouterDriver,
         guard: crash_guard.CrashGuard,
         clock: clocks.Clock,
+        restart: RestartCallback,
     ) -> None:
         self.pipeline = work
         self.driver = driver
         self.guard = guard
         self.clock = clock
+        self.restart = restart
         self._ended = False
 
     async def tokens(self) -> AsyncGenerator[int]:
@@ -67,17 +80,39 @@
             errors.AlmondshiftError: The completion failed.
         """
         request_id = self.pipeline.request.request_id
-        source = self.pipeline.generate()
         try:
-            async for token in source:
+            async for token in self._tokens_with_restart():
                 now = self.clock.monotonic()
                 self.driver.notify(events.Progress(now, request_id, 1))
                 yield token
             self._end(events.Completed(self.clock.monotonic(), request_id))
         finally:
-            await source.aclose()
             self.close()
 
+    async def _tokens_with_restart(self) -> AsyncGenerator[int]:
+        """Yields the tokens; starts over once if that loses none.
+
+        While a model's version changes, the last engines of the old version
+        may be reloaded before a failed stage is replaced. A request without
+        tokens so far can run on the new version instead.
+        """
+        try:
+            async with contextlib.aclosing(self.pipeline.generate()) as source:
+                async for token in source:
+                    yield token
+            return
+        except errors.NoReplacement:
+            request = self.pipeline.request
+            if self.pipeline.tokens or not request.idempotent:
+                raise
+            restarted = await self.restart(self.pipeline)
+            if restarted.is_error():
+                raise
+        self.pipeline = restarted.ok
+        async with contextlib.aclosing(self.pipeline.generate()) as source:
+            async for token in source:
+                yield token
+
     def close(self) -> None:
         """Cancels the work and notifies the router; idempotent."""
         self.pipeline.close()
@@ -170,16 +205,54 @@
             return expression.Error(
                 errors.UnknownService("This service takes no completions.")
             )
-        work = pipeline.Pipeline(
+        work = self._create_pipeline(request, decision.chain)
+        return expression.Ok(
+            RunningCompletion(
+                work, self.driver, self.guard, self.clock, self._restart
+            )
+        )
+
+    async def _restart(
+        self, failed: pipeline.Pipeline
+    ) -> expression.Result[pipeline.Pipeline, errors.AlmondshiftError]:
+        """Starts a request over; its sessions get ids of a new epoch."""
+        request = failed.request
+        now = self.clock.monotonic()
+        left_s = request.deadline - now
+        try:
+            decision = await asyncio.wait_for(
+                self.driver.decide(_arrival(request, (), now)), left_s
+            )
+        except TimeoutError:
+            return expression.Error(
+                errors.DeadlinePast("The deadline passed in the queue.")
+            )
+        if isinstance(decision, actions.Refuse):
+            return expression.Error(refusals.to_error(decision))
+        if not isinstance(decision, actions.Dispatch):
+            return expression.Error(
+                errors.UnknownService("This service takes no completions.")
+            )
+        work = self._create_pipeline(
+            request, decision.chain, epoch=failed.epoch + 1
+        )
+        work.execution = failed.execution
+        return expression.Ok(work)
+
+    def _create_pipeline(
+        self,
+        request: completions.CompletionRequest,
+        chain: chains.Chain,
+        epoch: int = 0,
+    ) -> pipeline.Pipeline:
+        return pipeline.Pipeline(
             request,
-            decision.chain,
+            chain,
             self.calls,
             self.budget,
             self.clock,
             keep_inputs=self.settings.keep_inputs,
-        )
-        return expression.Ok(
-            RunningCompletion(work, self.driver, self.guard, self.clock)
+            epoch=epoch,
         )
 
 
--- a/src/almondshift/node/pipeline.py
+++ b/src/almondshift/node/pipeline.py
@@ -118,6 +118,7 @@
         clock: clocks.Clock,
         *,
         keep_inputs: bool = True,
+        epoch: int = 0,
     ) -> None:
         self.request = request
         self.chain = chain
@@ -128,7 +129,7 @@
         self.tokens: list[int] = []
         self.recoveries: list[completions.Recovery] = []
         self.execution = errors.Execution.NOT_RUN
-        self.epoch = 0
+        self.epoch = epoch
         self.runs: list[stage_run.StageRun] = []
         self.retired: list[stage_run.StageRun] = []
         self._pending_recovery: _PendingRecovery | None = None
--- a/src/almondshift/node/refusals.py
+++ b/src/almondshift/node/refusals.py
@@ -38,7 +38,7 @@
         "The service is not in the configuration.",
     ),
     actions.RefusalReason.NO_REPLACEMENT: (
-        errors.UpstreamFailed,
+        errors.NoReplacement,
         "A stage failed and no other endpoint can replace it.",
     ),
     actions.RefusalReason.RETRY_BUDGET: (
