--- a/src/almondshift/relay/path_probe.py
+++ b/src/almondshift/relay/path_probe.py
@@ -190,8 +190,8 @@
 
         Args:
             part: The engine.
-            is_peer_report: Whether another node found it dead too. Then this
-                node's own link is not at fault and is not checked.
+            is_peer_report: Whether another node found it dead too. Then a
+                refused connection is enough; no other engine has to respond.
         """
         started_at = self.loop.time()
         if await self.responds(part):
--- a/tests/scenarios/features/fleet_change.feature
+++ b/tests/scenarios/features/fleet_change.feature
@@ -24,3 +24,18 @@
     Given a system of 1 nodes
     When chat is made to depend on a service without endpoints
     Then a request for chat is refused as service_not_ready
+
+  Scenario Outline: a node is <lost> with a request in flight, and a version changes
+    The node's sessions stay at the engines, which must load the new version
+    nevertheless.
+    Given a system of 2 nodes
+    When ann asks n1 for 300 tokens
+    And ann has received 5 tokens
+    And n1 is <lost>
+    And version 2 of the model is applied through n2
+    Then all engines hold version 2 within 30 seconds
+
+    Examples:
+      | lost   |
+      | killed |
+      | frozen |
--- a/tests/scenarios/test_fleet_change.py
+++ b/tests/scenarios/test_fleet_change.py
@@ -155,3 +155,37 @@
     world.run(world.system.wait_for(is_refused, f"refused as {kind}"))
     assert answers[-1].execution == "not_run"
     assert answers[-1].problem["retry_after_s"] >= 1
+
+
+@when(
+    parsers.parse("version {version:d} of the model is applied through {node}")
+)
+def apply_version_through(world: worlds.World, version: int, node: str) -> None:
+    text = systems.fleet_text().replace(
+        "layers = 12\nversion = 1", f"layers = 12\nversion = {version}"
+    )
+    applied = world.run(world.system.apply(text, 1, node))
+    assert applied.is_ok(), applied
+
+
+@then(
+    parsers.parse(
+        "all engines hold version {version:d} within {limit:d} seconds"
+    )
+)
+def all_hold(world: worlds.World, version: int, limit: int) -> None:
+    held: dict[str, list[tuple[int, bool]]] = {}
+
+    async def hold() -> bool:
+        for name, engine in world.system.engines.items():
+            report = await world.system.get_json(engine.address, "/v1/load")
+            held[name] = [
+                (row["version"], row["ready"]) for row in report["holdings"]
+            ]
+        return all(rows == [(version, True)] for rows in held.values())
+
+    world.run(
+        world.system.wait_for(
+            hold, f"version {version}", limit, seen=lambda: held
+        )
+    )
