--- a/src/almondshift/node/stage_calls.py
+++ b/src/almondshift/node/stage_calls.py
@@ -28,8 +28,7 @@
 
 
 CANCEL_REPEAT_DELAYS_S = (0.2, 0.5, 1.0, 2.0, 4.0, 8.0)
-"""Delays between the cancels of one session, in seconds. Engines that are
-paused for longer than their sum are taken for dead and replaced."""
+"""Delays between the cancels of one session, in seconds."""
 
 
 class NodeStageCalls(pipeline.StageCalls):
