Record the crash of an engine's instance once

The sound request is sent after the poisonous one crashed the engine; its failed call makes the node look again, and the same crash is recorded a second time, against the request that was not there.

Change: the guard remembers the instance whose crash it recorded; work sent to it later is dropped, not blamed. A new instance under the same name counts anew.

Checked: tests/node/test_crash_guard.py fails without the change (the late request has one crash against it); tests/node and tests/coordination/test_quarantine.py pass.

--- a/src/almondshift/coordination/quarantine.py
+++ b/src/almondshift/coordination/quarantine.py
@@ -132,6 +132,11 @@
         if self.work.end(endpoint, fingerprint):
             self.publish_if_ended(fingerprint)
 
+    def abandon_work(self, endpoint: str) -> None:
+        """Drops the outstanding work at an endpoint that can't have run it."""
+        for fingerprint in self.work.end_all(endpoint):
+            self.publish_if_ended(fingerprint)
+
     def publish_if_ended(self, fingerprint: str) -> None:
         """Publishes the end of a suspect whose run was published before."""
         if fingerprint not in self.publisher.published_running:
--- a/src/almondshift/node/crash_guard.py
+++ b/src/almondshift/node/crash_guard.py
@@ -79,6 +79,7 @@
         self._crash_positions: dict[str, _StepPosition] = {}
         self._suspect_locks: dict[str, asyncio.Lock] = {}
         self._crash_checks: dict[str, asyncio.Task[bool]] = {}
+        self._crashed_instances: dict[str, str] = {}
 
     def admit(
         self, request_id: str, fingerprint: str
@@ -299,6 +300,12 @@
         known = self.directory.endpoints.get(endpoint)
         if known is None or not await self._is_dead(known):
             return False
+        instance = known.description.instance if known.description else ""
+        if instance and self._crashed_instances.get(endpoint) == instance:
+            # These requests were sent to it after the crash.
+            self.quarantine.abandon_work(endpoint)
+            return True
+        self._crashed_instances[endpoint] = instance
         now = self.clock.monotonic()
         self.quarantine.crashed(endpoint, now, known.vm.zone)
         return True
