Log limits that endpoints name, and count calls to endpoints by purpose

AS4012 has each change of a limit and what told the node; AS4013 (at most once in 10 s for an address) and a counter have values that can't be used. A response without a limit ends the known one only if its request was sent after the limit was last named, as responses overtake each other. The counter almondshift_relay_endpoint_calls_total has calls by purpose. Nothing acts on limits yet. The stand-in engine names limits in all its responses.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -47,6 +47,7 @@
 from almondshift.relay import catalogue
 from almondshift.relay import context
 from almondshift.relay import drain
+from almondshift.relay import endpoint_limits
 from almondshift.relay import lost_engines
 from almondshift.relay import observer
 from almondshift.relay import silence_watch
@@ -259,6 +260,9 @@
             budget=cast("Any", types.SimpleNamespace(
                 spend=lambda *v: True, has_room=lambda *v: True
             )),
+            limits=endpoint_limits.create_endpoint_limits(
+                self.clock, self.known, relay_observer
+            ),
             crash_watch=cast("Any", types.SimpleNamespace(
                 note_broken=lambda *v: None, is_refused=lambda *v: False
             )),
--- a/src/almondshift/adapters/http_connections.py
+++ b/src/almondshift/adapters/http_connections.py
@@ -77,6 +77,10 @@
                 return value
         return None
 
+    def get_all(self, name: str) -> list[str]:
+        """Returns all values of a field, given its lower-case name."""
+        return [value for key, value in self.headers if key == name]
+
 
 class CallListener(abc.ABC):
     """Receives the events of a call, in order, on the event loop."""
--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -354,6 +354,29 @@
     new: int
 
 
+class EndpointLimitChanged(Event, frozen=True):
+    """An endpoint named another limit of requests per second, or none."""
+
+    number = 4012
+    message = "endpoint limit changed"
+
+    endpoint: str
+    per_s: float | None
+    previous_per_s: float | None
+    told_by: str
+
+
+class EndpointLimitInvalid(Event, frozen=True):
+    """An endpoint named a limit that can't be used; it is ignored."""
+
+    number = 4013
+    level = logging.WARNING
+    message = "endpoint limit invalid"
+
+    address: str
+    value: str
+
+
 class RequestReceived(Event, frozen=True):
     """A request passed authentication."""
 
--- a/src/almondshift/platform/engines.py
+++ b/src/almondshift/platform/engines.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import re
 from typing import Any
 
 import msgspec
 
 from almondshift.adapters import http_connections
 from almondshift.model import lifetimes
+from almondshift.model import rate_limits
 from almondshift.model import relayed
 from almondshift.platform import names
 from almondshift.ports import path_engines
@@ -62,6 +65,12 @@
     409: path_engines.OrderOutcome.CONFLICT,
 }
 
+DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+"""Accepted form of a rate limit, without sign or exponent."""
+
+MAX_LOGGED_LIMIT = 40
+"""Maximum length of an invalid rate limit in the log."""
+
 IS_HEALTHY_BY_STATUS = {200: True, 503: False}
 """Whether an endpoint is healthy; other statuses are inconclusive."""
 
@@ -94,13 +103,34 @@
 
 
 class ListenerAdapter(http_connections.CallListener):
-    """Translates a response for an ``AnswerListener``."""
+    """Translates a response for an ``AnswerListener``.
+
+    Attributes:
+        sent_at: Loop time at which the request was sent.
+    """
 
-    def __init__(self, listener: path_engines.AnswerListener) -> None:
+    def __init__(
+        self,
+        listener: path_engines.AnswerListener,
+        observer: path_engines.CallObserver,
+        forwarding: relayed.Forwarding,
+    ) -> None:
         self.listener = listener
+        self.observer = observer
+        self.forwarding = forwarding
+        self.sent_at = asyncio.get_running_loop().time()
 
     def on_head(self, head: http_connections.ResponseHead) -> None:
         """Forwards the head without its hop-by-hop fields."""
+        self.observer.on_limit(
+            decode_limit(
+                head,
+                rate_limits.CallPurpose.REQUEST,
+                self.forwarding.address,
+                self.forwarding.instance,
+                self.sent_at,
+            )
+        )
         self.listener.on_head(decode_head(head))
 
     def on_data(self, data: bytes) -> None:
@@ -142,10 +172,12 @@
             forward_headers(request, forwarding),
             request.body,
         )
+        address = forwarding.address
+        self.observer.on_call(rate_limits.CallPurpose.REQUEST, address)
         call = self.pool.call(
-            forwarding.address,
+            address,
             payload,
-            ListenerAdapter(listener),
+            ListenerAdapter(listener, self.observer, forwarding),
             request.request_id,
         )
         return ForwardedCall(call)
@@ -154,7 +186,12 @@
         self, address: str, timeout_s: float
     ) -> relayed.EngineReport | None:
         """Requests an engine's status report."""
-        fetched = await self._get(address, names.ENGINE_REPORT, timeout_s)
+        fetched = await self._get(
+            rate_limits.CallPurpose.REPORT,
+            address,
+            names.ENGINE_REPORT,
+            timeout_s,
+        )
         if fetched is None or fetched.head is None:
             return None
         if fetched.head.status != 200:
@@ -165,7 +202,12 @@
         self, address: str, health_path: str, timeout_s: float
     ) -> bool | None:
         """Runs a health check; a rejection by a full engine is inconclusive."""
-        fetched = await self._get(address, health_path, timeout_s)
+        fetched = await self._get(
+            rate_limits.CallPurpose.HEALTH_CHECK,
+            address,
+            health_path,
+            timeout_s,
+        )
         if fetched is None or fetched.head is None:
             return None
         if fetched.head.get(names.NOT_RUN) is not None:
@@ -210,17 +252,43 @@
         self.pool.drop(address)
 
     async def _get(
-        self, address: str, path: str, timeout_s: float
+        self,
+        purpose: rate_limits.CallPurpose,
+        address: str,
+        path: str,
+        timeout_s: float,
     ) -> http_connections.FetchResult | None:
         """Returns the complete response to a GET; None if there is none."""
         payload = http_connections.request_bytes(
             "GET", path, [("Host", address)], b""
         )
+        fetched = await self._fetch(purpose, address, "", payload, timeout_s)
+        if fetched.outcome is not http_connections.Outcome.WHOLE:
+            return None
+        return fetched
+
+    async def _fetch(
+        self,
+        purpose: rate_limits.CallPurpose,
+        address: str,
+        instance: str,
+        payload: bytes,
+        timeout_s: float,
+    ) -> http_connections.FetchResult:
+        """Makes a call; notifies the observer of it and of a named limit."""
+        sent_at = asyncio.get_running_loop().time()
+        self.observer.on_call(purpose, address)
         fetched = await http_connections.fetch(
             self.pool, address, payload, timeout_s, MAX_SMALL_RESPONSE_BYTES
         )
-        if fetched.outcome is not http_connections.Outcome.WHOLE:
-            return None
+        has_limit = (
+            fetched.head is not None
+            and fetched.head.get(names.RATE_LIMIT) is not None
+        )
+        if fetched.head is not None and has_limit:
+            self.observer.on_limit(
+                decode_limit(fetched.head, purpose, address, instance, sent_at)
+            )
         return fetched
 
     async def _order(
@@ -238,8 +306,8 @@
         payload = http_connections.request_bytes(
             "POST", names.ENGINE_ORDER, headers, json.dumps(order).encode()
         )
-        fetched = await http_connections.fetch(
-            self.pool, address, payload, timeout_s, MAX_SMALL_RESPONSE_BYTES
+        fetched = await self._fetch(
+            rate_limits.CallPurpose.ORDER, address, instance, payload, timeout_s
         )
         if fetched.outcome is http_connections.Outcome.NOT_SENT:
             return path_engines.OrderAnswer(path_engines.OrderOutcome.REFUSED)
@@ -301,6 +369,32 @@
     )
 
 
+def decode_limit(
+    head: http_connections.ResponseHead,
+    purpose: rate_limits.CallPurpose,
+    address: str,
+    instance: str,
+    sent_at: float,
+) -> rate_limits.LimitNotice:
+    """Decodes what the head of a response says about a rate limit."""
+    values = head.get_all(names.RATE_LIMIT)
+    per_s = None
+    invalid = ""
+    if len(values) == 1 and DECIMAL_NUMBER.fullmatch(values[0]):
+        per_s = float(values[0])
+    elif values:
+        invalid = repr(", ".join(values))[:MAX_LOGGED_LIMIT]
+    return rate_limits.LimitNotice(
+        purpose=purpose,
+        address=address,
+        instance=instance,
+        sent_at=sent_at,
+        per_s=per_s,
+        invalid=invalid,
+        is_genuine=head.get(names.SIGNATURE) is not None,
+    )
+
+
 def decode_report(content: bytes) -> relayed.EngineReport | None:
     """Decodes a report; returns None if it is invalid."""
     try:
--- a/src/almondshift/platform/names.py
+++ b/src/almondshift/platform/names.py
@@ -18,6 +18,8 @@
 NOT_RUN = "x-not-executed"
 FAULTY_ADDRESS = "at-server"
 SIGNATURE = "x-engine-signature"
+RATE_LIMIT = "server-limit"
+"""Requests per second that an engine takes from all nodes together."""
 
 # Tables and keys that the platform and its operators write.
 OPERATOR_TABLE = "op"
--- a/src/almondshift/ports/path_engines.py
+++ b/src/almondshift/ports/path_engines.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from almondshift.model import rate_limits
     from almondshift.model import relayed
 
 
@@ -74,8 +75,36 @@
         """Stops it at the endpoint; the listener is not called any more."""
 
 
+class CallObserver(abc.ABC):
+    """Observes all calls to endpoints."""
+
+    @abc.abstractmethod
+    def on_call(self, purpose: rate_limits.CallPurpose, address: str) -> None:
+        """Handles a call that is about to be sent."""
+
+    @abc.abstractmethod
+    def on_limit(self, notice: rate_limits.LimitNotice) -> None:
+        """Handles a response that names a limit, or answers a request."""
+
+
+class IgnoringObserver(CallObserver):
+    """Ignores all calls."""
+
+    def on_call(self, purpose: rate_limits.CallPurpose, address: str) -> None:
+        """Does nothing."""
+
+    def on_limit(self, notice: rate_limits.LimitNotice) -> None:
+        """Does nothing."""
+
+
 class PathEngines(abc.ABC):
-    """Calls to endpoints."""
+    """Calls to endpoints.
+
+    Attributes:
+        observer: Observes all calls.
+    """
+
+    observer: CallObserver = IgnoringObserver()
 
     @abc.abstractmethod
     def forward(
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -25,6 +25,7 @@
 from almondshift.relay import context
 from almondshift.relay import crash_watch
 from almondshift.relay import drain
+from almondshift.relay import endpoint_limits
 from almondshift.relay import gateway
 from almondshift.relay import group
 from almondshift.relay import layer_keeper
@@ -165,6 +166,9 @@
                 ),
                 ports.clock.monotonic(),
             ),
+            limits=endpoint_limits.create_endpoint_limits(
+                ports.clock, self.catalogue, relay_observer
+            ),
             crash_watch=crash_watch.create_crash_watch(ports.clock),
             lost_engines=lost,
             refusing_engines=refusing_engines.create_refusing_engines(
@@ -177,6 +181,7 @@
             registry_age_s=self.engine_watch.age_s,
             engine_notice_s=settings.engines.notice_ms / MS_PER_S,
         )
+        ports.engines.observer = self.shared.limits
         self.gateway = gateway.Gateway(
             self.shared, self.config_watch, settings.entry.address
         )
@@ -404,6 +409,7 @@
             engine_tracker.Evidence.REGISTRY,
         )
         self.ports.engines.forget(engine.address)
+        self.shared.limits.forget(engine.instance)
 
     def engine_gone(self, engine: registered_engines.RegisteredEngine) -> None:
         """Forgets an engine and its connections, as its address is reused.
@@ -418,6 +424,7 @@
         self.shared.crash_watch.endpoint_gone(engine.instance, engine.leaving)
         self.tracker.forget(engine.instance)
         self.shared.endpoints.forget(engine.instance)
+        self.shared.limits.forget(engine.instance)
         if self.catalogue.by_address(engine.address) is None:
             self.ports.engines.forget(engine.address)
 
--- a/src/almondshift/relay/context.py
+++ b/src/almondshift/relay/context.py
@@ -23,6 +23,7 @@
     from almondshift.relay import catalogue
     from almondshift.relay import crash_watch
     from almondshift.relay import drain
+    from almondshift.relay import endpoint_limits
     from almondshift.relay import lost_engines
     from almondshift.relay import observer
     from almondshift.relay import refusing_engines
@@ -51,6 +52,7 @@
     paths: path_choice.PathChooser
     endpoints: endpoint_choice.EndpointChooser
     budget: repeat_budget.RepeatBudget
+    limits: endpoint_limits.EndpointLimits
     crash_watch: crash_watch.CrashWatch
     lost_engines: lost_engines.LostEngines
     refusing_engines: refusing_engines.RefusingEngines
--- a/src/almondshift/relay/observer.py
+++ b/src/almondshift/relay/observer.py
@@ -51,6 +51,18 @@
             registry=registry,
         )
 
+        self.endpoint_calls = prometheus_client.Counter(
+            "almondshift_relay_endpoint_calls",
+            "Calls to endpoints, by purpose.",
+            ["purpose"],
+            registry=registry,
+        )
+        self.invalid_limits = prometheus_client.Counter(
+            "almondshift_relay_invalid_limits",
+            "Responses that named an unusable rate limit.",
+            registry=registry,
+        )
+
     def emit(self, event: log_events.Event) -> None:
         """Logs an event."""
         log_events.emit(logger, event)
--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -64,6 +64,9 @@
             none.
         on_crash: Called when such a request crashes it.
         born: Its start in Unix milliseconds; 0 to omit it.
+        limits: Rate limits that its responses name, one field each.
+        arrivals: Loop times at which requests to run arrived.
+        other_calls: Loop times at which other calls arrived.
     """
 
     def __init__(
@@ -92,6 +95,9 @@
         self.crashing_body = b""
         self.on_crash = lambda: None
         self.cancelled: list[str] = []
+        self.limits: list[str] = []
+        self.arrivals: list[float] = []
+        self.other_calls: list[float] = []
         self.born = 0
         self.address = ""
         self.on_change = lambda: None
@@ -184,7 +190,14 @@
     def initialize(self, engine: StandinEngine) -> None:
         self.engine = engine
 
+    is_request = False
+
     async def prepare(self) -> None:
+        now = asyncio.get_running_loop().time()
+        engine = self.engine
+        (engine.arrivals if self.is_request else engine.other_calls).append(now)
+        for limit in engine.limits:
+            self.add_header(names.RATE_LIMIT, limit)
         while self.engine.is_dead:
             await asyncio.sleep(0.02)
         wanted = self.request.headers.get(names.EXPECTED_INSTANCE)
@@ -236,6 +249,7 @@
 
 
 class WorkHandler(EngineHandler):
+    is_request = True
     request_id = ""
 
     async def get(self) -> None:
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -9,10 +9,12 @@
 
 from almondshift.adapters import http_connections
 from almondshift.model import layers
+from almondshift.model import rate_limits
 from almondshift.model import relayed
 from almondshift.model import routes
 from almondshift.platform import decode
 from almondshift.platform import engines
+from almondshift.platform import names
 from tests.platform import standin_system
 
 
@@ -125,6 +127,43 @@
     assert engine.leaving
 
 
+@pytest.mark.parametrize(
+    ("values", "per_s", "is_invalid"),
+    [
+        ([], None, False),
+        (["3.7"], 3.7, False),
+        (["0"], 0.0, False),
+        ([".5"], 0.5, False),
+        (["12."], 12.0, False),
+        ([""], None, True),
+        (["-1"], None, True),
+        (["+1"], None, True),
+        (["NaN"], None, True),
+        (["inf"], None, True),
+        (["1e400"], None, True),
+        (["1e2"], None, True),
+        (["9" * 400], None, True),
+        (["\u0663"], None, True),
+        (["many"], None, True),
+        (["2", "3"], None, True),
+        (["2, 3"], None, True),
+    ],
+)
+def test_only_a_single_decimal_number_is_a_rate_limit(
+    values: list[str], per_s: float | None, is_invalid: bool
+) -> None:
+    """Guards against a node that stops or floods an engine by a bad value."""
+    head = http_connections.ResponseHead(
+        200, [(names.RATE_LIMIT, value) for value in values]
+    )
+    notice = engines.decode_limit(
+        head, rate_limits.CallPurpose.REQUEST, "1.2.3.4:5", "i-1", 1.0
+    )
+    assert notice.per_s == per_s
+    assert bool(notice.invalid) == is_invalid
+    assert len(notice.invalid) <= engines.MAX_LOGGED_LIMIT
+
+
 @hypothesis.given(strategies.binary(max_size=300))
 def test_decoders_raise_no_exception_on_arbitrary_bytes(content: bytes) -> None:
     decode.decode_config(content)
