Keep the rate limits of endpoints with permits from one node each

Cause: a limit that holds for the sum of all nodes had no owner. Class: per-node decisions on something that all nodes share. Even shares would not do: with 195 nodes the bursts alone exceed the limit, and most of it stays unused.

Now one node decides for each limited engine, chosen by rendezvous hashing over the nodes heard from; the others ask it for a permit before each request. It grants the part of the limit that matches the share of all known nodes it hears, and starts without permits, so that two sides of a partition, or an old and a new deciding node, stay within the limit together. Denied nodes wait longer the more of them there are. A request without a permit takes another path, also one that begins elsewhere in the zone, or is refused at once with the Retry-After of the limit. Reports, health checks and orders are deducted.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -261,7 +261,7 @@
                 spend=lambda *v: True, has_room=lambda *v: True
             )),
             limits=endpoint_limits.create_endpoint_limits(
-                self.clock, self.known, relay_observer
+                self.clock, random.Random(1), self.known, relay_observer
             ),
             crash_watch=cast("Any", types.SimpleNamespace(
                 note_broken=lambda *v: None, is_refused=lambda *v: False
--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -560,6 +560,19 @@
     waiting: int
 
 
+class PermitDenied(Event, frozen=True):
+    """A rate-limited endpoint gets no request from this node for a while."""
+
+    number = 5014
+    message = "permit denied"
+
+    endpoint: str
+    per_s: float | None
+    priority: int
+    decided_by: str
+    wait_s: float
+
+
 class StoreOutageBegan(Event, frozen=True):
     """The platform's store does not respond."""
 
--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -29,6 +29,7 @@
 from almondshift.policy import zone_paths
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Mapping
     import random
 
@@ -92,6 +93,8 @@
         nearly_full: Addresses of engines that seem nearly full, by instance,
             until they are queried.
         cached: Result of the latest search, by service.
+        limited: Engines that may not accept another request; paths that
+            begin with others are searched too.
     """
 
     def __init__(
@@ -102,6 +105,7 @@
         self.candidates = path_candidates.PathCandidates(tracker, rng)
         self.nearly_full: dict[str, str] = {}
         self.cached: dict[str, _CachedPaths] = {}
+        self.limited: Collection[str] = ()
 
     @property
     def nodes(self) -> int:
@@ -261,9 +265,44 @@
                 candidates, preferred, view.spec.layers, tokens
             )
             if paths:
-                return paths
+                return paths + self._paths_around_limited(
+                    paths, candidates, preferred, view.spec.layers, tokens
+                )
         return []
 
+    def _paths_around_limited(
+        self,
+        paths: list[path_search.FoundPath],
+        candidates: list[path_search.Candidate],
+        preferred: list[path_search.Candidate],
+        layers: int,
+        tokens: float,
+    ) -> list[path_search.FoundPath]:
+        """Returns paths that begin with engines that are not limited.
+
+        If the best path of a zone begins with a limited engine, its other
+        engines would be idle for requests that this engine doesn't accept.
+        """
+        if not any(
+            p.parts[0].candidate.instance in self.limited for p in paths
+        ):
+            return []
+        usable, fast = (
+            [
+                dataclasses.replace(c, may_be_first=False)
+                if c.instance in self.limited
+                else c
+                for c in engines
+            ]
+            for engines in (candidates, preferred)
+        )
+        known = {_instances(path) for path in paths}
+        return [
+            path
+            for path in zone_paths.find_paths(usable, fast, layers, tokens)
+            if _instances(path) not in known
+        ]
+
     def _choose_if_it_fits(
         self,
         found: path_search.FoundPath,
@@ -297,6 +336,10 @@
         return _to_chosen_path(found, max(fullest, own))
 
 
+def _instances(path: path_search.FoundPath) -> tuple[str, ...]:
+    return tuple(part.candidate.instance for part in path.parts)
+
+
 def refresh_s(engines: int) -> float:
     """Returns the maximum age of cached paths, in seconds.
 
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -167,7 +167,7 @@
                 ports.clock.monotonic(),
             ),
             limits=endpoint_limits.create_endpoint_limits(
-                ports.clock, self.catalogue, relay_observer
+                ports.clock, ports.rng, self.catalogue, relay_observer
             ),
             crash_watch=crash_watch.create_crash_watch(ports.clock),
             lost_engines=lost,
@@ -181,7 +181,11 @@
             registry_age_s=self.engine_watch.age_s,
             engine_notice_s=settings.engines.notice_ms / MS_PER_S,
         )
-        ports.engines.observer = self.shared.limits
+        limits = self.shared.limits
+        limits.known_nodes = lambda: self.shared.budget.nodes
+        limits.is_leaving = lambda: self.shared.drain.is_begun
+        self.shared.paths.limited = limits.known
+        ports.engines.observer = limits
         self.gateway = gateway.Gateway(
             self.shared, self.config_watch, settings.entry.address
         )
@@ -244,6 +248,7 @@
         await self.keeper.close()
         await self.silence.close()
         await self.shared.refusing_engines.close()
+        await self.shared.limits.close()
         if self.group is not None:
             await self.group.close()
         await self.engine_watch.close()
@@ -278,6 +283,7 @@
         self.shared.crash_watch.join(node_group)
         self.shared.lost_engines.join(node_group)
         self.shared.refusing_engines.join(node_group)
+        self.shared.limits.join(node_group)
         # Read before the first gossip exchange, which takes longer: callers
         # reconnect at once, and sharing their load requires the node count.
         await self.rows.peer_addresses()
--- a/src/almondshift/relay/group.py
+++ b/src/almondshift/relay/group.py
@@ -307,6 +307,10 @@
         """Publishes a fact to all peers."""
         self.members.publish(kind, key, value, ttl_s)
 
+    def withdraw_fact(self, kind: peer_port.FactKind, key: str) -> None:
+        """Withdraws a fact on all nodes."""
+        self.members.withdraw(kind, key)
+
     def is_published(self, kind: peer_port.FactKind, key: str) -> bool:
         """Returns whether some node currently publishes this fact."""
         return key in self.members.facts(kind)
--- a/src/almondshift/relay/observer.py
+++ b/src/almondshift/relay/observer.py
@@ -63,6 +63,13 @@
             registry=registry,
         )
 
+        self.permits = prometheus_client.Counter(
+            "almondshift_relay_permits",
+            "Permits for rate-limited endpoints, by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
+
     def emit(self, event: log_events.Event) -> None:
         """Logs an event."""
         log_events.emit(logger, event)
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 from almondshift.model import relayed
@@ -81,13 +82,33 @@
 
     def dispatch(self) -> None:
         """Sends the request to an endpoint."""
-        now = self.shared.clock.monotonic()
+        limits = self.shared.limits
+        withheld = limits.withheld(self.routed.priority)
+        untried = self.untried()
+        usable = [e for e in untried if e.instance not in withheld]
         chosen = self.shared.endpoints.choose(
-            self.untried(), self.shared.zone, now
+            usable, self.shared.zone, self.shared.clock.monotonic()
         )
-        if chosen is None:
-            self.give_up("No endpoint of the service can accept the request.")
+        if chosen is None or self.denied_permits >= runs.MAX_DENIED_PERMITS:
+            self.handle_no_endpoint(is_limited=bool(untried))
             return
+        self.send_with_permit(
+            chosen.instance, functools.partial(self.send, chosen)
+        )
+
+    def handle_no_endpoint(self, is_limited: bool) -> None:
+        """Ends the run.
+
+        Args:
+            is_limited: Whether only rate-limited endpoints are left.
+        """
+        if is_limited and self.last_failure is None and not self.possible_runs:
+            self.refuse_limited()
+            return
+        self.give_up("No endpoint of the service can accept the request.")
+
+    def send(self, chosen: registered_engines.RegisteredEngine) -> None:
+        """Sends the request to an endpoint."""
         self.tried |= {chosen.instance}
         self.sends += 1
         self.shared.endpoints.started(chosen.instance)
@@ -143,7 +164,12 @@
             # This node stops before a retry would complete; the first
             # endpoint, which already had time to work, may still respond.
             return
-        if not self.untried() or not self.record_attempt_and_spend_retry(False):
+        unlimited = [
+            e
+            for e in self.untried()
+            if not self.shared.limits.is_limited(e.instance)
+        ]
+        if not unlimited or not self.record_attempt_and_spend_retry(False):
             return
         self.log_failed_attempt(
             attempt.endpoint.instance, "too slow", False, runs.SENT_ELSEWHERE
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -12,6 +12,8 @@
 from almondshift.ports import relays
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from almondshift.model import routed_requests
     from almondshift.relay import context
 
@@ -28,9 +30,17 @@
 """Retry-After of a node that shuts down, in seconds; other nodes accept
 requests at once."""
 
+LIMITED_RETRY_FLOOR_S = 0.1
+"""Minimum Retry-After of a request that only rate-limited endpoints could
+serve, in seconds."""
+
 ANSWERED = "ok"
 """Metric label of a run whose response is complete."""
 
+MAX_DENIED_PERMITS = 8
+"""Maximum number of endpoints that are asked for on behalf of one request and
+that take no more requests now."""
+
 SENT_ELSEWHERE = "sent elsewhere"
 """Logged next step of a failed attempt: the request is sent again at once."""
 
@@ -59,6 +69,8 @@
             leave out those whose first engine is lost.
         sends_that_may_have_run: Number of sends that may have run the request,
             the current one included.
+        denied_permits: Endpoints that take no more requests now, at the latest
+            search.
     """
 
     def __init__(
@@ -82,6 +94,7 @@
         self.sends = 0
         self.possible_runs = 0
         self.sends_that_may_have_run = 0
+        self.denied_permits = 0
         self.is_ended = False
         self.timer = self.loop.call_at(self.deadline_at, self.time_out)
         shared.running.add(self)
@@ -114,6 +127,46 @@
     def dispatch(self) -> None:
         """Sends the request to an endpoint or path, or refuses it."""
 
+    def send_with_permit(self, instance: str, send: Callable[[], None]) -> None:
+        """Sends the request once that keeps the endpoint's rate limit.
+
+        Without a permit, another endpoint is chosen.
+
+        Args:
+            instance: The endpoint.
+            send: Sends the request there.
+        """
+        limits = self.shared.limits
+        if not limits.is_limited(instance):
+            send()
+        elif limits.decides_here(instance):
+            priority = self.routed.priority
+            self.send_or_choose_again(
+                limits.request_here(instance, priority), send
+            )
+        else:
+            limits.work.run(self.await_permit(instance, send))
+
+    async def await_permit(
+        self, instance: str, send: Callable[[], None]
+    ) -> None:
+        """Asks a peer for a permit, then sends or chooses again."""
+        priority = self.routed.priority
+        is_granted = await self.shared.limits.request(instance, priority)
+        if not self.is_ended:
+            self.send_or_choose_again(is_granted, send)
+
+    def send_or_choose_again(
+        self, is_granted: bool, send: Callable[[], None]
+    ) -> None:
+        """Sends the request, or chooses another endpoint for it."""
+        if is_granted:
+            self.denied_permits = 0
+            send()
+            return
+        self.denied_permits += 1
+        self.begin()
+
     @abc.abstractmethod
     def expected_response_tokens(self) -> float:
         """Returns the expected tokens of the response; 0 if it has none."""
@@ -233,6 +286,18 @@
             return
         self.refuse(errors.Overloaded(reason, retry_after_s=self.retry_s()))
 
+    def refuse_limited(self) -> None:
+        """Ends a run that only rate-limited endpoints could serve."""
+        reason = "The endpoints that could serve this request are rate-limited."
+        if self.may_have_run:
+            self.refuse(errors.UpstreamFailed(reason))
+            return
+        wait_s = self.shared.limits.retry_s() * self.shared.rng.uniform(
+            1.0, 1.3
+        )
+        retry_s = max(LIMITED_RETRY_FLOOR_S, wait_s)
+        self.refuse(errors.Overloaded(reason, retry_after_s=retry_s))
+
     def retry_s(self) -> float:
         """Returns the Retry-After of a refused request, in seconds."""
         return self.shared.rng.uniform(RETRY_FLOOR_S, RETRY_CEILING_S)
--- a/src/almondshift/relay/status.py
+++ b/src/almondshift/relay/status.py
@@ -70,6 +70,7 @@
 ) -> dict[str, Any]:
     tracker = node.shared.tracker
     state = tracker.states.get(engine.instance)
+    limit = node.shared.limits.known.get(engine.instance)
     layers = engine.layers
     return {
         "name": engine.instance,
@@ -80,6 +81,7 @@
         "layers": f"{layers.start}-{layers.end}" if layers else "",
         "suspect": state.reason if state and state.reason else "",
         "pace": round(tracker.pace(engine.instance, now), 1),
+        "limit_per_s": limit.per_s if limit else None,
         "own_requests": state.running if state else 0,
     }
 
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 from almondshift import errors
@@ -83,11 +84,14 @@
 
     def dispatch(self) -> None:
         """Sends the request over a path with capacity, or refuses it."""
-        chosen = self.choose_path(self.failed_engines)
-        if chosen is None:
-            self.handle_no_path()
+        limits = self.shared.limits
+        withheld = limits.withheld(self.routed.priority)
+        chosen = self.choose_path(self.failed_engines | withheld)
+        if chosen is None or self.denied_permits >= runs.MAX_DENIED_PERMITS:
+            self.handle_no_path(bool(withheld))
             return
-        self.send(chosen)
+        first = chosen.path[0].instance
+        self.send_with_permit(first, functools.partial(self.send, chosen))
 
     def choose_path(
         self, avoid: frozenset[str]
@@ -99,9 +103,27 @@
         now = self.shared.clock.monotonic()
         return self.shared.paths.choose(view, self.tokens, now, avoid)
 
-    def handle_no_path(self) -> None:
-        """Refuses a new request; retries later if the stream has begun."""
+    def choose_unlimited_path(
+        self, avoid: frozenset[str]
+    ) -> path_choice.ChosenPath | None:
+        """Returns a path with capacity that needs no permit.
+
+        For a stream that runs: it must not lose its path for one that may
+        not be granted.
+        """
+        return self.choose_path(avoid.union(self.shared.limits.known))
+
+    def handle_no_path(self, is_limited: bool) -> None:
+        """Refuses a new request; retries later if the stream has begun.
+
+        Args:
+            is_limited: Whether rate-limited engines were left out.
+        """
+        self.denied_permits = 0
         if not self.responder.head_sent:
+            if is_limited and self.choose_path(self.failed_engines) is not None:
+                self.refuse_limited()
+                return
             self.refuse_no_capacity(
                 "No path with free capacity covers all layers."
             )
@@ -200,7 +222,7 @@
         if not self.can_retry_while_running():
             return
         avoid = self.failed_engines | {attempt.first.instance}
-        if self.choose_path(avoid) is None:
+        if self.choose_unlimited_path(avoid) is None:
             return
         self.record_first_event_wait(attempt)
         self.record_no_first_event(attempt)
@@ -526,7 +548,7 @@
         """Returns whether a path within a single zone could run the request."""
         if not self.can_retry_while_running():
             return False
-        found = self.choose_path(self.failed_engines)
+        found = self.choose_unlimited_path(self.failed_engines)
         return (
             found is not None
             and not found.zone_changes
--- a/tests/relay/test_endpoint_limits.py
+++ b/tests/relay/test_endpoint_limits.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import random
 from typing import Any
 
 import pytest
@@ -42,7 +43,7 @@
     recorder = observer.create_relay_observer()
     recorder.emit = seen.append  # type: ignore[method-assign]
     limits = endpoint_limits.create_endpoint_limits(
-        network.ManualClock(), registry, recorder
+        network.ManualClock(), random.Random(1), registry, recorder
     )
     return limits, seen
 
