Log that a node reaches no endpoint, and that it does again

Failures at three endpoints within 0.3 s, or silence of all for 0.25 s while requests wait, start a check of four random endpoints; two rounds without any response mean that the node is isolated (AS4014, AS4015, gauge almondshift_relay_isolated). One engine that crashes or falls silent doesn't start a check, since the others send data. Nothing acts on it yet.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -377,6 +377,25 @@
     value: str
 
 
+class EndpointsUnreachable(Event, frozen=True):
+    """This node reaches no endpoint, though peers may."""
+
+    number = 4014
+    level = logging.WARNING
+    message = "endpoints unreachable"
+
+    endpoints: int
+
+
+class EndpointsReachable(Event, frozen=True):
+    """An endpoint responded again to this node."""
+
+    number = 4015
+    message = "endpoints reachable"
+
+    endpoints: int
+
+
 class RequestReceived(Event, frozen=True):
     """A request passed authentication."""
 
--- a/src/almondshift/platform/engines.py
+++ b/src/almondshift/platform/engines.py
@@ -122,6 +122,7 @@
 
     def on_head(self, head: http_connections.ResponseHead) -> None:
         """Forwards the head without its hop-by-hop fields."""
+        self.observer.on_response()
         self.observer.on_limit(
             decode_limit(
                 head,
@@ -281,11 +282,10 @@
         fetched = await http_connections.fetch(
             self.pool, address, payload, timeout_s, MAX_SMALL_RESPONSE_BYTES
         )
-        has_limit = (
-            fetched.head is not None
-            and fetched.head.get(names.RATE_LIMIT) is not None
-        )
-        if fetched.head is not None and has_limit:
+        if fetched.head is None:
+            return fetched
+        self.observer.on_response()
+        if fetched.head.get(names.RATE_LIMIT) is not None:
             self.observer.on_limit(
                 decode_limit(fetched.head, purpose, address, instance, sent_at)
             )
--- a/src/almondshift/ports/path_engines.py
+++ b/src/almondshift/ports/path_engines.py
@@ -82,6 +82,10 @@
     def on_call(self, purpose: rate_limits.CallPurpose, address: str) -> None:
         """Handles a call that is about to be sent."""
 
+    @abc.abstractmethod
+    def on_response(self) -> None:
+        """Handles the head of a response of any endpoint."""
+
     @abc.abstractmethod
     def on_limit(self, notice: rate_limits.LimitNotice) -> None:
         """Handles a response that names a limit, or answers a request."""
@@ -93,6 +97,9 @@
     def on_call(self, purpose: rate_limits.CallPurpose, address: str) -> None:
         """Does nothing."""
 
+    def on_response(self) -> None:
+        """Does nothing."""
+
     def on_limit(self, notice: rate_limits.LimitNotice) -> None:
         """Does nothing."""
 
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -25,7 +25,9 @@
 from almondshift.relay import context
 from almondshift.relay import crash_watch
 from almondshift.relay import drain
+from almondshift.relay import endpoint_calls
 from almondshift.relay import endpoint_limits
+from almondshift.relay import engine_reach
 from almondshift.relay import gateway
 from almondshift.relay import group
 from almondshift.relay import layer_keeper
@@ -185,7 +187,10 @@
         limits.known_nodes = lambda: self.shared.budget.nodes
         limits.is_leaving = lambda: self.shared.drain.is_begun
         self.shared.paths.limited = limits.known
-        ports.engines.observer = limits
+        ports.engines.observer = endpoint_calls.EndpointCalls(
+            limits, self.shared.isolation, relay_observer
+        )
+        self.reach = engine_reach.EngineReach(self.shared)
         self.gateway = gateway.Gateway(
             self.shared, self.config_watch, settings.entry.address
         )
@@ -228,6 +233,7 @@
         await self.config_watch.start()
         await self.engine_watch.start()
         await self.silence.start()
+        await self.reach.start()
         await self.keeper.start()
         self.work.run(self.join())
         self.work.repeat(TICK_S, self.tick, "the node's periodic work failed")
@@ -246,6 +252,7 @@
         await self.work.close()
         await self.gateway.close()
         await self.keeper.close()
+        await self.reach.close()
         await self.silence.close()
         await self.shared.refusing_engines.close()
         await self.shared.limits.close()
--- a/src/almondshift/relay/context.py
+++ b/src/almondshift/relay/context.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from almondshift.policy import isolation
 from almondshift.relay import link_activity
 
 if TYPE_CHECKING:
@@ -41,6 +42,7 @@
             was registered as leaving, in seconds.
         running: Requests that have not ended.
         link: Data that this node receives from engines.
+        isolation: State of this node's links to endpoints.
     """
 
     zone: str
@@ -66,3 +68,6 @@
     link: link_activity.LinkActivity = dataclasses.field(
         default_factory=link_activity.LinkActivity
     )
+    isolation: isolation.Isolation = dataclasses.field(
+        default_factory=isolation.Isolation
+    )
--- /dev/null
+++ b/src/almondshift/relay/endpoint_calls.py
@@ -0,0 +1,41 @@
+"""Passes on what calls to endpoints show."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from almondshift.ports import path_engines
+
+if TYPE_CHECKING:
+    from almondshift.model import rate_limits
+    from almondshift.policy import isolation
+    from almondshift.relay import endpoint_limits
+    from almondshift.relay import observer
+
+
+class EndpointCalls(path_engines.CallObserver):
+    """Observes all calls of a node to endpoints."""
+
+    def __init__(
+        self,
+        limits: endpoint_limits.EndpointLimits,
+        links: isolation.Isolation,
+        relay_observer: observer.RelayObserver,
+    ) -> None:
+        self.limits = limits
+        self.links = links
+        self.observer = relay_observer
+
+    def on_call(self, purpose: rate_limits.CallPurpose, address: str) -> None:
+        """Counts a call, also against the endpoint's limit."""
+        self.observer.endpoint_calls.labels(purpose.value).inc()
+        self.limits.on_call(purpose, address)
+
+    def on_response(self) -> None:
+        """Records that an endpoint was reached."""
+        self.links.note_response(asyncio.get_running_loop().time())
+
+    def on_limit(self, notice: rate_limits.LimitNotice) -> None:
+        """Records what a response says about its endpoint's limit."""
+        self.limits.on_limit(notice)
--- a/src/almondshift/relay/endpoint_limits.py
+++ b/src/almondshift/relay/endpoint_limits.py
@@ -22,7 +22,6 @@
 from almondshift import log_events
 from almondshift.model import rate_limits
 from almondshift.policy import rate_permits
-from almondshift.ports import path_engines
 from almondshift.ports import peers
 from almondshift.relay import background
 from almondshift.relay import permits
@@ -100,7 +99,7 @@
     priority: int
 
 
-class EndpointLimits(path_engines.CallObserver):
+class EndpointLimits:
     """The limits in force, and the permits of this node.
 
     Attributes:
@@ -163,8 +162,7 @@
     # Limits.
 
     def on_call(self, purpose: rate_limits.CallPurpose, address: str) -> None:
-        """Counts a call; notes one that was made without a permit."""
-        self.observer.endpoint_calls.labels(purpose.value).inc()
+        """Notes a call that was made without a permit."""
         if purpose is rate_limits.CallPurpose.REQUEST or not self.known:
             return
         instance = self.instance_at(address)
--- a/src/almondshift/relay/observer.py
+++ b/src/almondshift/relay/observer.py
@@ -70,6 +70,12 @@
             registry=registry,
         )
 
+        self.isolated = prometheus_client.Gauge(
+            "almondshift_relay_isolated",
+            "1 while this node reaches no endpoint, else 0.",
+            registry=registry,
+        )
+
     def emit(self, event: log_events.Event) -> None:
         """Logs an event."""
         log_events.emit(logger, event)
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -80,6 +80,11 @@
         self.tried: frozenset[str] = frozenset()
         self.last_failure: PlainAttempt | None = None
 
+    @property
+    def waiting_since(self) -> float | None:
+        """Loop time at which the current attempt was sent."""
+        return None if self.attempt is None else self.attempt.sent_at
+
     def dispatch(self) -> None:
         """Sends the request to an endpoint."""
         limits = self.shared.limits
@@ -215,6 +220,8 @@
             self.shared.endpoints.failed(instance, now)
             self.handle_failure(attempt, f"status {head.status}")
             return
+        if ending is not path_engines.Ending.SPOILT:
+            self.shared.isolation.note_failure(instance, self.loop.time())
         if ending is path_engines.Ending.NOT_SENT:
             self.shared.endpoints.missed(instance, now)
             self.retry_or_end(attempt, reason, is_not_run=True)
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -99,6 +99,14 @@
         self.timer = self.loop.call_at(self.deadline_at, self.time_out)
         shared.running.add(self)
 
+    @property
+    def waiting_since(self) -> float | None:
+        """Loop time since which an endpoint has sent no data.
+
+        None if no endpoint works on the request.
+        """
+        return None
+
     @property
     def may_have_run(self) -> bool:
         """Whether any endpoint may have begun to run it."""
--- a/src/almondshift/relay/stream_attempt.py
+++ b/src/almondshift/relay/stream_attempt.py
@@ -78,6 +78,7 @@
         """Records that data was received."""
         self.active_at = self.run.loop.time()
         self.run.shared.link.note(self.active_at)
+        self.run.shared.isolation.note_response(self.active_at)
 
     def abort(self, reason: str) -> None:
         """Aborts an attempt whose response is invalid."""
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -82,6 +82,11 @@
         self.response_tokens = float(expected)
         self.tokens = float(request.prompt_tokens + expected)
 
+    @property
+    def waiting_since(self) -> float | None:
+        """Loop time of the latest data of the current attempt."""
+        return None if self.attempt is None else self.attempt.active_at
+
     def dispatch(self) -> None:
         """Sends the request over a path with capacity, or refuses it."""
         limits = self.shared.limits
@@ -292,6 +297,10 @@
         if is_complete:
             reason = "the stream ended in the middle of an event"
         is_not_run = ending is path_engines.Ending.NOT_SENT
+        if ending is not path_engines.Ending.SPOILT:
+            self.shared.isolation.note_failure(
+                attempt.first.instance, self.loop.time()
+            )
         self.failed_engines |= {attempt.first.instance}
         if ending is path_engines.Ending.BROKEN:
             self.shared.crash_watch.note_broken(
--- a/tests/relay/test_endpoint_limits.py
+++ b/tests/relay/test_endpoint_limits.py
@@ -11,6 +11,8 @@
 
 from almondshift import log_events
 from almondshift.model import rate_limits
+from almondshift.policy import isolation
+from almondshift.relay import endpoint_calls
 from almondshift.relay import endpoint_limits
 from almondshift.relay import observer
 from tests import asynchronous
@@ -103,8 +105,11 @@
 @asynchronous.run
 async def test_calls_are_counted_by_purpose() -> None:
     limits, _ = create_limits()
+    calls = endpoint_calls.EndpointCalls(
+        limits, isolation.Isolation(), limits.observer
+    )
     for purpose in rate_limits.CallPurpose:
-        limits.on_call(purpose, "1.2.3.4:5")
+        calls.on_call(purpose, "1.2.3.4:5")
     exposed = limits.observer.expose().decode()
     for purpose in rate_limits.CallPurpose:
         name = f'almondshift_relay_endpoint_calls_total{{purpose="{purpose}"}}'
