Test that callers of a node without engines are served; it fails

One node, all of a zone, or all but one lose all engines, by resets, in silence, or with new connections refused. With new connections refused pooled ones suffice; those cases pass, as does the immediate refusal if no node reaches engines.

--- a/tests/platform/test_cut_links.py
+++ b/tests/platform/test_cut_links.py
@@ -11,6 +11,10 @@
 from tests.platform import test_whole_system as whole
 
 DETECTED_S = 1.5
+"""Time in which a node notices that it has lost its links; half of the time
+after which its callers have to be served."""
+
+MAX_REFUSAL_TIME_S = 0.5
 CUTS = list(cut_links.Cut)
 
 
@@ -67,3 +71,119 @@
             stream.cancel()
 
     asyncio.run(scenario())
+
+
+async def send_tries(
+    running: system.StandinSystem, node: int, count: int, name: str
+) -> list[tuple[str, int, int]]:
+    """Sends requests of all kinds; returns path, status and times run."""
+    entry = running.nodes[node].settings.entry.address
+    results = []
+    for number in range(count):
+        for path in ("/chat/x", "/look/x", "/once/x"):
+            request_id = f"{name}-{path[1:5]}-{node}-{number}"
+            head = system.request(path, request_id)
+            status, _, _ = await system.send(entry, head, b"x")
+            times = whole.times_run(running, request_id)
+            results.append((path, status, times))
+    return results
+
+
+@pytest.mark.parametrize("cut_nodes", [(0,), (0, 2), (0, 1, 2)], ids=len)
+@pytest.mark.parametrize("cut", CUTS, ids=str)
+def test_callers_of_a_node_without_engines_are_served(
+    cut: cut_links.Cut, cut_nodes: tuple[int, ...]
+) -> None:
+    """Guards against nodes that refuse callers whom their peers could serve.
+
+    One node, all nodes of a zone, or all but one lose all engines.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=4) as running:
+            await running.wait_for_peers()
+            pools = [
+                cut_links.create_cuttable_pool(running.nodes[node])
+                for node in cut_nodes
+            ]
+            await asyncio.gather(
+                *(send_tries(running, node, 3, "before") for node in cut_nodes)
+            )
+            for pool in pools:
+                pool.begin(cut)
+            loop = asyncio.get_running_loop()
+            until = loop.time() + DETECTED_S
+            while loop.time() < until:
+                await asyncio.gather(
+                    *(whole.chat(running, "early", n) for n in cut_nodes)
+                )
+            results = await asyncio.gather(
+                *(send_tries(running, node, 8, "cut") for node in cut_nodes)
+            )
+            tried = [result for found in results for result in found]
+            assert {status for _, status, _ in tried} == {200}
+            assert {times for path, _, times in tried if path == "/once/x"} == {
+                1
+            }
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "cut", [cut_links.Cut.RESET, cut_links.Cut.SILENT], ids=str
+)
+def test_begun_streams_of_a_node_that_loses_all_engines_are_completed(
+    cut: cut_links.Cut,
+) -> None:
+    """Guards against responses that break off though a peer could resume."""
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=3) as running:
+            await running.wait_for_peers()
+            pool = cut_links.create_cuttable_pool(running.nodes[0])
+            for engine in running.engines.values():
+                engine.events = 100
+                engine.gap_s = 0.02
+            streams = [
+                asyncio.create_task(whole.chat(running, f"r{n}"))
+                for n in range(6)
+            ]
+            await asyncio.sleep(0.5)
+            pool.begin(cut)
+            wanted = [f"token {number}" for number in range(1, 101)]
+            for stream in streams:
+                status, _, body = await stream
+                assert (status, whole.tokens(body)) == (200, wanted)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "cut", [cut_links.Cut.RESET, cut_links.Cut.SILENT], ids=str
+)
+def test_requests_are_refused_at_once_if_no_node_reaches_engines(
+    cut: cut_links.Cut,
+) -> None:
+    """Guards against requests that nodes pass to each other in vain."""
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=2) as running:
+            await running.wait_for_peers()
+            for process in running.nodes:
+                cut_links.create_cuttable_pool(process).begin(cut)
+            loop = asyncio.get_running_loop()
+            until = loop.time() + 2 * DETECTED_S
+            while loop.time() < until:
+                await asyncio.gather(
+                    *(whole.chat(running, "early", node) for node in (0, 1))
+                )
+            for number in range(6):
+                started = loop.time()
+                status, fields, _ = await whole.chat(
+                    running, f"r{number}", number % 2
+                )
+                assert status == 503
+                assert float(fields["retry-after"]) > 0
+                assert loop.time() - started < MAX_REFUSAL_TIME_S
+
+    asyncio.run(scenario())
