--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -263,6 +263,9 @@
             limits=endpoint_limits.create_endpoint_limits(
                 self.clock, random.Random(1), self.known, relay_observer
             ),
+            peer_paths=cast("Any", types.SimpleNamespace(
+                lacks_endpoints=lambda *v: False
+            )),
             crash_watch=cast("Any", types.SimpleNamespace(
                 note_broken=lambda *v: None, is_refused=lambda *v: False
             )),
--- a/src/almondshift/coordination/lease.py
+++ b/src/almondshift/coordination/lease.py
@@ -132,6 +132,8 @@
         holder: Name of the last known holder, ``""`` if none; for display.
         may_contend: Returns whether this process currently contends; a few
             of many suffice, and each causes reads.
+        may_hold: Returns whether this process can currently act as the holder.
+            If not, it releases the lease and does not take it.
         is_holder_alive: Returns whether the named holder is known to be alive
             by other means; used only to save reads, never to decide who may
             hold the lease.
@@ -164,6 +166,7 @@
         self.last_read_at = -math.inf
         self.is_holder_renewing = True
         self.may_contend: Callable[[], bool] = lambda: True
+        self.may_hold: Callable[[], bool] = lambda: True
         self.is_holder_alive: Callable[[str], bool] = lambda holder: False
         self.loop_task: asyncio.Task[None] | None = None
 
@@ -206,6 +209,11 @@
         condition fails if another process wrote in the meantime.
         """
         grant = self.grant()
+        if grant is not None and not self.may_hold():
+            self.current_grant = None
+            self.own_revision = None
+            await self._release()
+            return
         if grant is not None and self.own_revision is not None:
             await self._write(self.own_revision, grant.fencing)
             return
@@ -214,10 +222,14 @@
             return
         seen_at = self.clock.monotonic()
         if read.ok is None:
-            await self._write(stores.ABSENT, fencing=1)
+            if self.may_hold():
+                await self._write(stores.ABSENT, fencing=1)
             return
         row = read_row(read.ok)
         self.holder = "" if row.released else row.holder
+        if not self.may_hold():
+            self.current_grant = None
+            return
         if row.token == self.token and not row.released:
             await self._renew(row, read.ok.revision)
             return
--- a/src/almondshift/daemons/relay.py
+++ b/src/almondshift/daemons/relay.py
@@ -23,6 +23,7 @@
 from almondshift.platform import engines
 from almondshift.platform import front
 from almondshift.platform import names
+from almondshift.platform import peer_entries
 from almondshift.platform import store
 from almondshift.relay import application
 from almondshift.relay import catalogue
@@ -67,6 +68,7 @@
                 rng=rng,
                 table=platform_store,
                 feed=platform_store,
+                peer_entries=peer_entries.create_peer_entries(),
                 engines=engines.create_platform_engines(self.engine_pool),
                 decoders=catalogue.Decoders(
                     config=decode.decode_config,
--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -378,22 +378,24 @@
 
 
 class EndpointsUnreachable(Event, frozen=True):
-    """This node reaches no endpoint, though peers may."""
+    """This node reaches no endpoint of a service, though peers may."""
 
     number = 4014
     level = logging.WARNING
     message = "endpoints unreachable"
 
+    service: str
     endpoints: int
 
 
 class EndpointsReachable(Event, frozen=True):
-    """An endpoint responded again to this node."""
+    """An endpoint of a service responded again to this node."""
 
     number = 4015
     message = "endpoints reachable"
 
-    endpoints: int
+    service: str
+    seconds: float
 
 
 class RequestReceived(Event, frozen=True):
@@ -592,6 +594,19 @@
     wait_s: float
 
 
+class RequestPassedToPeer(Event, frozen=True):
+    """A peer serves a request, since this node reaches too few endpoints."""
+
+    number = 5015
+    message = "request passed to peer"
+
+    request_id: str
+    service: str
+    peer: str
+    isolated: bool
+    events_sent: int
+
+
 class StoreOutageBegan(Event, frozen=True):
     """The platform's store does not respond."""
 
--- a/src/almondshift/model/relayed.py
+++ b/src/almondshift/model/relayed.py
@@ -21,6 +21,7 @@
         output_tokens: Maximum number of tokens to generate; 0 if not given.
         expected_tokens: The caller's estimate of the output; 0 for none.
         connection_s: Age of the connection that it arrived on.
+        peer_mark: What shows that a peer passed it on; empty for a caller's.
     """
 
     request_id: str
@@ -37,6 +38,7 @@
     output_tokens: int
     expected_tokens: int
     connection_s: float = 0.0
+    peer_mark: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/almondshift/model/routed_requests.py
+++ b/src/almondshift/model/routed_requests.py
@@ -26,3 +26,5 @@
     account: str
     priority: int
     config_version: int
+    from_peer: bool = False
+    possible_runs: int = 0
--- a/src/almondshift/platform/engines.py
+++ b/src/almondshift/platform/engines.py
@@ -47,6 +47,7 @@
         names.ENGINE_PRIORITY,
         names.PATH,
         names.LAST_EVENT_ID,
+        names.PEER_MARK,
     }
 )
 """Request fields that this node sets itself or never forwards."""
@@ -122,7 +123,7 @@
 
     def on_head(self, head: http_connections.ResponseHead) -> None:
         """Forwards the head without its hop-by-hop fields."""
-        self.observer.on_response()
+        self.observer.on_response(self.forwarding.address)
         self.observer.on_limit(
             decode_limit(
                 head,
@@ -284,7 +285,7 @@
         )
         if fetched.head is None:
             return fetched
-        self.observer.on_response()
+        self.observer.on_response(address)
         if fetched.head.get(names.RATE_LIMIT) is not None:
             self.observer.on_limit(
                 decode_limit(fetched.head, purpose, address, instance, sent_at)
--- a/src/almondshift/platform/front.py
+++ b/src/almondshift/platform/front.py
@@ -343,6 +343,7 @@
             headers.get(names.LENGTH_HINT, ""), "X-Length-Hint"
         ),
         connection_s=connection_s,
+        peer_mark=headers.get(names.PEER_MARK, ""),
     )
 
 
--- a/src/almondshift/platform/names.py
+++ b/src/almondshift/platform/names.py
@@ -18,6 +18,8 @@
 NOT_RUN = "x-not-executed"
 FAULTY_ADDRESS = "at-server"
 SIGNATURE = "x-engine-signature"
+PEER_MARK = "x-almondshift-peer"
+"""Marks a request that another node passes on."""
 RATE_LIMIT = "server-limit"
 """Requests per second that an engine takes from all nodes together."""
 
--- a/src/almondshift/policy/endpoint_choice.py
+++ b/src/almondshift/policy/endpoint_choice.py
@@ -126,6 +126,11 @@
         """Records that a request was abandoned."""
         self.record(instance).in_flight -= 1
 
+    def is_unreachable(self, instance: str, now: float) -> bool:
+        """Returns whether an endpoint lately could not be reached."""
+        found = self.records.get(instance)
+        return found is not None and found.unreachable_until > now
+
     def forget(self, instance: str) -> None:
         """Drops an endpoint that is gone."""
         self.records.pop(instance, None)
--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -180,6 +180,12 @@
             Suspicion.DRAINING,
         )
 
+    def query_all_suspects(self, now: float) -> None:
+        """Makes all suspect engines due for a query now."""
+        for state in self.states.values():
+            if state.reason is not None:
+                state.suspect_until = min(state.suspect_until, now)
+
     def due_for_query(self, now: float) -> list[str]:
         """Returns suspect engines that are due for another query."""
         return [
--- a/src/almondshift/policy/isolation.py
+++ b/src/almondshift/policy/isolation.py
@@ -1,16 +1,16 @@
-"""Tells whether this node has lost its links to all endpoints.
+"""Tells whether this node has lost its links to all endpoints of a service.
 
-If a node loses its links while other nodes keep theirs, all endpoints seem
-dead to it at once: connections are reset, refused or just silent. A node that
-judges each endpoint by itself either ejects all of them, and refuses its
-callers as if the service were overloaded, or waits for responses until its
-callers' deadlines.
+If a node loses its links while other nodes keep theirs, all endpoints of a
+service seem dead to it at once: connections are reset, refused or just silent.
+A node that judges each endpoint by itself either ejects all of them, and
+refuses its callers as if the service were overloaded, or waits for responses
+until its callers' deadlines.
 
 So failures at several endpoints within a moment, or silence of all of them
 while requests wait, start a check of random endpoints. The node is isolated
-once no endpoint has responded to two rounds. Single endpoints that crash or
-fall silent don't start a check, as data from the others keeps arriving. A short
-stall of all links ends before the second round does.
+from the service once no endpoint has responded to two rounds. Single endpoints
+that crash or fall silent don't start a check, as data from the others keeps
+arriving. A short stall of all links ends before the second round does.
 """
 
 from __future__ import annotations
@@ -38,19 +38,23 @@
 
 
 class Isolation:
-    """State of this node's links to endpoints.
+    """State of this node's links to the endpoints of a service.
 
     Attributes:
+        endpoints: Number of endpoints of the service.
         last_response_at: Time of the latest data from any endpoint.
         failures: Time of the latest failed connection, by instance.
+        failure_count: Number of failed connections so far.
         failed_rounds: Rounds in a row without a response.
         isolated_since: Since when the node is isolated; None if it is not.
         checked_at: End of the latest round.
     """
 
     def __init__(self) -> None:
+        self.endpoints = MIN_FAILED
         self.last_response_at = -math.inf
         self.failures: dict[str, float] = {}
+        self.failure_count = 0
         self.failed_rounds = 0
         self.isolated_since: float | None = None
         self.checked_at = -math.inf
@@ -67,17 +71,22 @@
     def note_failure(self, instance: str, now: float) -> None:
         """Records a connection that was refused, reset or not established."""
         self.failures[instance] = now
+        self.failure_count += 1
 
     def is_link_suspect(self, now: float) -> bool:
-        """Returns whether connections to several endpoints just failed."""
-        if len(self.failures) < MIN_FAILED:
+        """Returns whether connections to several endpoints just failed.
+
+        If the service has few, to all of them.
+        """
+        needed = min(MIN_FAILED, max(1, self.endpoints))
+        if len(self.failures) < needed:
             return False
         self.failures = {
             instance: at
             for instance, at in self.failures.items()
             if now - at < FAILURE_S
         }
-        return len(self.failures) >= MIN_FAILED
+        return len(self.failures) >= needed
 
     def needs_check(self, waiting_since: float | None, now: float) -> bool:
         """Returns whether endpoints should be checked now.
@@ -118,3 +127,26 @@
             return False
         self.isolated_since = now
         return True
+
+
+class ServiceLinks:
+    """States of the links to the endpoints of each service.
+
+    Attributes:
+        by_service: States by the name of the service.
+    """
+
+    def __init__(self) -> None:
+        self.by_service: dict[str, Isolation] = {}
+
+    def of(self, service: str) -> Isolation:
+        """Returns the state of a service; creates it if needed."""
+        found = self.by_service.get(service)
+        if found is None:
+            found = self.by_service[service] = Isolation()
+        return found
+
+    def is_isolated(self, service: str) -> bool:
+        """Returns whether no endpoint of a service can be reached."""
+        found = self.by_service.get(service)
+        return found is not None and found.is_isolated
--- a/src/almondshift/ports/path_engines.py
+++ b/src/almondshift/ports/path_engines.py
@@ -83,8 +83,8 @@
         """Handles a call that is about to be sent."""
 
     @abc.abstractmethod
-    def on_response(self) -> None:
-        """Handles the head of a response of any endpoint."""
+    def on_response(self, address: str) -> None:
+        """Handles the head of a response."""
 
     @abc.abstractmethod
     def on_limit(self, notice: rate_limits.LimitNotice) -> None:
@@ -97,7 +97,7 @@
     def on_call(self, purpose: rate_limits.CallPurpose, address: str) -> None:
         """Does nothing."""
 
-    def on_response(self) -> None:
+    def on_response(self, address: str) -> None:
         """Does nothing."""
 
     def on_limit(self, notice: rate_limits.LimitNotice) -> None:
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -18,6 +18,7 @@
 from almondshift.policy import feed_readers
 from almondshift.policy import first_event_wait
 from almondshift.policy import group_size
+from almondshift.policy import isolation
 from almondshift.policy import path_choice
 from almondshift.policy import repeat_budget
 from almondshift.relay import background
@@ -33,7 +34,9 @@
 from almondshift.relay import layer_keeper
 from almondshift.relay import lost_engines
 from almondshift.relay import observer
+from almondshift.relay import peer_paths
 from almondshift.relay import refusing_engines
+from almondshift.relay import runs
 from almondshift.relay import shared_feed
 from almondshift.relay import silence_watch
 from almondshift.relay import table_watch
@@ -46,6 +49,7 @@
     from almondshift.model import registered_engines
     from almondshift.ports import clocks
     from almondshift.ports import path_engines
+    from almondshift.ports import peer_entries
     from almondshift.ports import peers
     from almondshift.ports import row_feeds
     from almondshift.ports import stores
@@ -117,6 +121,7 @@
     table: stores.TableStore
     feed: row_feeds.RowFeed
     engines: path_engines.PathEngines
+    peer_entries: peer_entries.PeerEntries
     decoders: catalogue.Decoders
     config_table: str
     config_key: str
@@ -150,6 +155,8 @@
             watch.pause_s = FIRST_READ_PAUSE_S
         repeats = settings.repeats
         relay_observer = observer.create_relay_observer()
+        endpoints = endpoint_choice.EndpointChooser(ports.rng)
+        links = isolation.ServiceLinks()
         lost = lost_engines.create_lost_engines(
             ports.clock, self.catalogue, self.tracker, relay_observer
         )
@@ -161,7 +168,7 @@
             engines=ports.engines,
             tracker=self.tracker,
             paths=path_choice.create_path_chooser(self.tracker, ports.rng),
-            endpoints=endpoint_choice.EndpointChooser(ports.rng),
+            endpoints=endpoints,
             budget=repeat_budget.RepeatBudget(
                 repeat_budget.RepeatLimits(
                     repeats.ratio, repeats.window_s, repeats.allowance
@@ -171,6 +178,16 @@
             limits=endpoint_limits.create_endpoint_limits(
                 ports.clock, ports.rng, self.catalogue, relay_observer
             ),
+            peer_paths=peer_paths.PeerPaths(
+                ports.clock,
+                ports.rng,
+                self.catalogue,
+                self.tracker,
+                endpoints,
+                links,
+                ports.peer_entries,
+            ),
+            links=links,
             crash_watch=crash_watch.create_crash_watch(ports.clock),
             lost_engines=lost,
             refusing_engines=refusing_engines.create_refusing_engines(
@@ -188,9 +205,12 @@
         limits.is_leaving = lambda: self.shared.drain.is_begun
         self.shared.paths.limited = limits.known
         ports.engines.observer = endpoint_calls.EndpointCalls(
-            limits, self.shared.isolation, relay_observer
+            limits, self.catalogue, links, relay_observer
         )
         self.reach = engine_reach.EngineReach(self.shared)
+        lost.is_isolated = links.is_isolated
+        self.reach.on_isolated = self.leave_endpoints
+        self.reach.on_restored = self.restore_endpoints
         self.gateway = gateway.Gateway(
             self.shared, self.config_watch, settings.entry.address
         )
@@ -208,6 +228,8 @@
         )
         self.rows = group.NodeRows(ports.table, ports.clock)
         self.keeper.lease.may_contend = self.may_contend
+        self.keeper.lease.may_hold = self.may_hold_lease
+        self.keeper.is_cut_off = self.shared.peer_paths.is_cut_off
         self.group: group.Group | None = None
         self.size = group_size.GroupSize(ports.clock.monotonic())
         self.joined_at = math.inf
@@ -291,6 +313,8 @@
         self.shared.lost_engines.join(node_group)
         self.shared.refusing_engines.join(node_group)
         self.shared.limits.join(node_group)
+        self.ports.peer_entries.secret = secret
+        self.shared.peer_paths.join(node_group)
         # Read before the first gossip exchange, which takes longer: callers
         # reconnect at once, and sharing their load requires the node count.
         await self.rows.peer_addresses()
@@ -317,6 +341,18 @@
             return self.rows.is_among_first(MAX_CONTENDERS)
         return self.group.is_among_first(MAX_CONTENDERS)
 
+    def may_hold_lease(self) -> bool:
+        """Returns whether this node reaches the engines that it may order.
+
+        Otherwise it would take all engines for dead, and move layers to the
+        few that it still reaches.
+        """
+        return not any(
+            self.shared.peer_paths.is_cut_off(service)
+            for service in self.shared.links.by_service
+            if self.catalogue.view(service) is not None
+        )
+
     async def sweep_rows(self, node_group: group.Group) -> None:
         """Removes rows of nodes that are gone while this node has the lease.
 
@@ -345,6 +381,7 @@
             )
         self.catalogue.expire_removals(now)
         self.shared.crash_watch.strikes.forget_old(now)
+        self.shared.peer_paths.announce()
         if self.group is not None:
             self.group.log_changes()
             nodes = self.update_node_counts(self.group)
@@ -398,6 +435,21 @@
             rows, now, self.engine_watch.outage_ended_at
         )
 
+    def leave_endpoints(self, service: str) -> None:
+        """Moves a service's requests to peers, as it can't be reached."""
+        self.shared.peer_paths.announce()
+        if self.shared.peer_paths.choose(service, frozenset()) is None:
+            return
+        for run in list(self.shared.running):
+            if isinstance(run, runs.Run) and run.routed.service == service:
+                run.leave_endpoint()
+
+    def restore_endpoints(self, service: str) -> None:
+        """Queries all suspect engines, as a service can be reached again."""
+        del service
+        self.shared.peer_paths.announce()
+        self.tracker.query_all_suspects(self.ports.clock.monotonic())
+
     def engine_leaving(
         self, engine: registered_engines.RegisteredEngine
     ) -> None:
--- a/src/almondshift/relay/context.py
+++ b/src/almondshift/relay/context.py
@@ -27,6 +27,7 @@
     from almondshift.relay import endpoint_limits
     from almondshift.relay import lost_engines
     from almondshift.relay import observer
+    from almondshift.relay import peer_paths
     from almondshift.relay import refusing_engines
 
 
@@ -42,7 +43,8 @@
             was registered as leaving, in seconds.
         running: Requests that have not ended.
         link: Data that this node receives from engines.
-        isolation: State of this node's links to endpoints.
+        links: States of this node's links to endpoints.
+        peer_paths: Peers that serve requests which this node can't.
     """
 
     zone: str
@@ -55,6 +57,7 @@
     endpoints: endpoint_choice.EndpointChooser
     budget: repeat_budget.RepeatBudget
     limits: endpoint_limits.EndpointLimits
+    peer_paths: peer_paths.PeerPaths
     crash_watch: crash_watch.CrashWatch
     lost_engines: lost_engines.LostEngines
     refusing_engines: refusing_engines.RefusingEngines
@@ -68,6 +71,6 @@
     link: link_activity.LinkActivity = dataclasses.field(
         default_factory=link_activity.LinkActivity
     )
-    isolation: isolation.Isolation = dataclasses.field(
-        default_factory=isolation.Isolation
+    links: isolation.ServiceLinks = dataclasses.field(
+        default_factory=isolation.ServiceLinks
     )
--- a/src/almondshift/relay/endpoint_calls.py
+++ b/src/almondshift/relay/endpoint_calls.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from almondshift.model import rate_limits
     from almondshift.policy import isolation
+    from almondshift.relay import catalogue
     from almondshift.relay import endpoint_limits
     from almondshift.relay import observer
 
@@ -20,10 +21,12 @@
     def __init__(
         self,
         limits: endpoint_limits.EndpointLimits,
-        links: isolation.Isolation,
+        registry: catalogue.Catalogue,
+        links: isolation.ServiceLinks,
         relay_observer: observer.RelayObserver,
     ) -> None:
         self.limits = limits
+        self.catalogue = registry
         self.links = links
         self.observer = relay_observer
 
@@ -32,9 +35,12 @@
         self.observer.endpoint_calls.labels(purpose.value).inc()
         self.limits.on_call(purpose, address)
 
-    def on_response(self) -> None:
+    def on_response(self, address: str) -> None:
         """Records that an endpoint was reached."""
-        self.links.note_response(asyncio.get_running_loop().time())
+        engine = self.catalogue.by_address(address)
+        if engine is not None:
+            now = asyncio.get_running_loop().time()
+            self.links.of(engine.service).note_response(now)
 
     def on_limit(self, notice: rate_limits.LimitNotice) -> None:
         """Records what a response says about its endpoint's limit."""
--- a/src/almondshift/relay/engine_questions.py
+++ b/src/almondshift/relay/engine_questions.py
@@ -190,12 +190,18 @@
         return not self.shared.link.is_active_since(queried_at, now)
 
     def query_suspects(self, now: float) -> None:
-        """Queries the suspect engines that are due for it."""
+        """Queries the suspect engines that are due for it.
+
+        None of a service that this node is isolated from, since their return
+        is noticed by other means.
+        """
         for instance in self.shared.tracker.due_for_query(now):
             engine = self.shared.catalogue.engines.get(instance)
             if engine is None:
                 self.shared.tracker.forget(instance)
                 continue
+            if self.shared.links.is_isolated(engine.service):
+                continue
             state = self.shared.tracker.state(instance)
             is_draining = state.reason is engine_tracker.Suspicion.DRAINING
             gap_s = (
--- a/src/almondshift/relay/engine_reach.py
+++ b/src/almondshift/relay/engine_reach.py
@@ -1,4 +1,4 @@
-"""Detects that this node reaches no endpoint, or few of a service."""
+"""Detects services of which this node reaches no endpoint."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
     from collections.abc import Callable
 
     from almondshift.model import registered_engines
+    from almondshift.policy import isolation
     from almondshift.relay import context
 
 CHECK_INTERVAL_S = 0.05
@@ -32,18 +33,18 @@
     """Checks the links to endpoints when they seem to fail.
 
     Attributes:
-        state: The evidence, on the event loop's clock.
-        on_isolated: Called when this node has lost all endpoints.
-        on_restored: Called when an endpoint responds again.
+        checking: Services that are being checked.
+        on_isolated: Called with a service of which this node has lost all
+            endpoints.
+        on_restored: Called with a service when an endpoint responds again.
     """
 
     def __init__(self, shared: context.RelayContext) -> None:
         self.shared = shared
-        self.state = shared.isolation
         self.work = background.Background()
-        self.is_checking = False
-        self.on_isolated: Callable[[], None] = lambda: None
-        self.on_restored: Callable[[], None] = lambda: None
+        self.checking: set[str] = set()
+        self.on_isolated: Callable[[str], None] = lambda service: None
+        self.on_restored: Callable[[str], None] = lambda service: None
 
     async def start(self) -> None:
         """Starts to watch the links."""
@@ -56,62 +57,74 @@
         await self.work.close()
 
     def check_if_due(self) -> None:
-        """Starts a round if the links seem to fail."""
+        """Starts a round for each service whose links seem to fail."""
         now = asyncio.get_running_loop().time()
-        if not self.shared.catalogue.engines:
-            return
-        if not self.is_checking and self.state.needs_check(
-            self.waiting_since(), now
-        ):
-            self.is_checking = True
-            self.work.run(self.check())
-
-    def waiting_since(self) -> float | None:
-        """Returns since when the longest waiting request has had no data."""
-        waits = [
-            run.waiting_since
-            for run in self.shared.running
-            if isinstance(run, runs.Run) and run.waiting_since is not None
-        ]
-        return min(waits, default=None)
+        waiting = self.waiting_since()
+        for service, links in self.shared.links.by_service.items():
+            if service not in self.checking and links.needs_check(
+                waiting.get(service), now
+            ):
+                self.start_check(service, links)
+
+    def waiting_since(self) -> dict[str, float]:
+        """Returns since when requests have had no data, by service.
 
-    async def check(self) -> None:
+        For each service, that of the request that has waited longest.
+        """
+        waiting: dict[str, float] = {}
+        for run in self.shared.running:
+            if isinstance(run, runs.Run) and run.waiting_since is not None:
+                service = run.routed.service
+                known = waiting.get(service, run.waiting_since)
+                waiting[service] = min(known, run.waiting_since)
+        return waiting
+
+    def start_check(self, service: str, links: isolation.Isolation) -> None:
+        """Starts a round if the service has endpoints."""
+        endpoints = [
+            endpoint
+            for endpoint in self.shared.catalogue.of_service(service)
+            if not endpoint.leaving
+        ]
+        links.endpoints = len(endpoints)
+        if endpoints:
+            self.checking.add(service)
+            self.work.run(self.check(service, links, endpoints))
+
+    async def check(
+        self,
+        service: str,
+        links: isolation.Isolation,
+        endpoints: list[registered_engines.RegisteredEngine],
+    ) -> None:
         """Queries random endpoints; updates the state."""
         loop = asyncio.get_running_loop()
         started_at = loop.time()
+        count = min(CHECKED_ENDPOINTS, len(endpoints))
+        sample = self.shared.rng.sample(endpoints, count)
         try:
-            await asyncio.gather(*(self.query(e) for e in self.sample()))
+            await asyncio.gather(*(self.query(e) for e in sample))
         finally:
-            self.is_checking = False
+            self.checking.discard(service)
         now = loop.time()
         is_late = now - started_at > QUERY_TIMEOUT_S + MAX_OVERRUN_S
-        if is_late and self.state.last_response_at < started_at:
+        if is_late and links.last_response_at < started_at:
             return
-        if self.state.end_round(started_at, now):
-            self.report_change()
-
-    def sample(self) -> list[registered_engines.RegisteredEngine]:
-        """Returns random endpoints; engines, if there are any.
-
-        Their reports need no slot, unlike health checks of plain endpoints.
-        """
-        endpoints = [
-            e for e in self.shared.catalogue.engines.values() if not e.leaving
-        ]
-        engines = [e for e in endpoints if self.is_engine(e)]
-        candidates = engines or endpoints
-        count = min(CHECKED_ENDPOINTS, len(candidates))
-        return self.shared.rng.sample(candidates, count)
-
-    def is_engine(self, endpoint: registered_engines.RegisteredEngine) -> bool:
-        """Returns whether an endpoint holds layers of a model."""
-        return self.shared.catalogue.view(endpoint.service) is not None
+        isolated_since = links.isolated_since
+        if links.end_round(started_at, now):
+            self.report_change(service, links, isolated_since)
+        elif not links.is_isolated:
+            self.check_if_due()
 
     async def query(
         self, endpoint: registered_engines.RegisteredEngine
     ) -> None:
-        """Queries an endpoint; any response shows that the link works."""
-        if self.is_engine(endpoint):
+        """Queries an endpoint; any response shows that the link works.
+
+        An engine's report needs no slot, unlike a plain endpoint's health
+        check.
+        """
+        if self.shared.catalogue.view(endpoint.service) is not None:
             await self.shared.engines.report(endpoint.address, QUERY_TIMEOUT_S)
             return
         config = self.shared.catalogue.config
@@ -121,15 +134,24 @@
                 endpoint.address, service.health_path, QUERY_TIMEOUT_S
             )
 
-    def report_change(self) -> None:
-        """Logs that the node is isolated or no longer is."""
-        is_isolated = self.state.is_isolated
-        self.shared.observer.isolated.set(1 if is_isolated else 0)
-        self.shared.observer.emit(
-            log_events.EndpointsUnreachable(len(self.shared.catalogue.engines))
-            if is_isolated
-            else log_events.EndpointsReachable(
-                len(self.shared.catalogue.engines)
+    def report_change(
+        self,
+        service: str,
+        links: isolation.Isolation,
+        isolated_since: float | None,
+    ) -> None:
+        """Logs that the node is isolated from a service or no longer is."""
+        states = self.shared.links.by_service.values()
+        isolated = sum(state.is_isolated for state in states)
+        self.shared.observer.isolated.set(isolated)
+        if links.is_isolated:
+            self.shared.observer.emit(
+                log_events.EndpointsUnreachable(service, links.endpoints)
             )
+            self.on_isolated(service)
+            return
+        seconds = links.checked_at - (isolated_since or links.checked_at)
+        self.shared.observer.emit(
+            log_events.EndpointsReachable(service, round(seconds, 3))
         )
-        (self.on_isolated if is_isolated else self.on_restored)()
+        self.on_restored(service)
--- a/src/almondshift/relay/events.py
+++ b/src/almondshift/relay/events.py
@@ -3,6 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
+
+from almondshift.ports import path_engines
+
+if TYPE_CHECKING:
+    from almondshift.model import relayed
 
 MAX_EVENT_BYTES = 1_000_000
 """Maximum length of an event; a stream with a longer one counts as corrupt."""
@@ -24,6 +30,18 @@
     event_id: int | None
 
 
+class EventSource(path_engines.AnswerListener):
+    """An attempt whose response may be a stream of events.
+
+    Attributes:
+        sent_at: Loop time at which the request was sent.
+        head: The head of the response; None before it is received.
+    """
+
+    sent_at: float
+    head: relayed.ForwardedHead | None
+
+
 class EventSplitter:
     """Buffers a partial event until the rest has arrived.
 
--- a/src/almondshift/relay/gateway.py
+++ b/src/almondshift/relay/gateway.py
@@ -39,6 +39,13 @@
 CONFIRM_TIMEOUT_S = 0.4
 """Time-out for confirming the configuration before a denial, in seconds."""
 
+ISOLATED_RETRY_S = 0.5
+"""Retry-After of requests that a node can't serve for a peer, in seconds."""
+
+MAX_PEER_REQUESTS = 100
+"""Maximum number of concurrent requests that a node serves for peers; several
+times the usual number of its own in a small group."""
+
 STARTING_RETRY_S = 0.5
 """Retry-After of requests that can't be served with the configuration that this
 node has, in seconds."""
@@ -210,9 +217,13 @@
         """
         routed = self.route(request)
         self.shared.crash_watch.check(routed)
-        self.shared.budget.note_request(
-            routed.service, self.shared.clock.monotonic()
-        )
+        if routed.from_peer:
+            self.check_peer_request(routed)
+        else:
+            # The peer counted a request that it passed on.
+            self.shared.budget.note_request(
+                routed.service, self.shared.clock.monotonic()
+            )
         create_run: Callable[..., runs.Run] = plain_run.PlainRun
         if self.shared.catalogue.view(routed.service) is not None:
             create_run = stream_run.StreamRun
@@ -220,6 +231,27 @@
         run.begin()
         return run
 
+    def check_peer_request(self, routed: routed_requests.RoutedRequest) -> None:
+        """Checks that this node can serve a request of a peer.
+
+        Raises:
+            errors.AlmondshiftError: It can't.
+        """
+        if self.shared.links.is_isolated(routed.service):
+            raise errors.ServiceNotReady(
+                "This node reaches no endpoint of the service.",
+                retry_after_s=ISOLATED_RETRY_S,
+            )
+        from_peers = sum(
+            isinstance(run, runs.Run) and run.routed.from_peer
+            for run in self.shared.running
+        )
+        if from_peers >= MAX_PEER_REQUESTS:
+            raise errors.Overloaded(
+                "This node serves as many requests of peers as it can.",
+                retry_after_s=ISOLATED_RETRY_S,
+            )
+
     def route(
         self, request: relayed.RelayedRequest
     ) -> routed_requests.RoutedRequest:
@@ -243,6 +275,10 @@
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
+        possible_runs = None
+        if request.peer_mark:
+            entries = self.shared.peer_paths.entries
+            possible_runs = entries.possible_runs(request)
         return routed_requests.RoutedRequest(
             request=request,
             route=route,
@@ -250,6 +286,8 @@
             account=account.name if account is not None else "",
             priority=priority,
             config_version=config.version,
+            from_peer=possible_runs is not None,
+            possible_runs=possible_runs or 0,
         )
 
     def find_account(
--- a/src/almondshift/relay/layer_keeper.py
+++ b/src/almondshift/relay/layer_keeper.py
@@ -13,6 +13,8 @@
 from almondshift.relay import background
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from almondshift.coordination import lease as coordination_lease
     from almondshift.model import layers as model_layers
     from almondshift.model import registered_engines
@@ -81,6 +83,8 @@
             last new or changed.
         settled_fleets: The fleet for which the last plan needed no orders, by
             service; it is not planned again until it changes.
+        is_cut_off: Returns whether peers reach a service's engines while this
+            node does not. They are not dead then, and no layers are moved.
     """
 
     def __init__(
@@ -95,6 +99,7 @@
         self.last_new_engine_at = shared.clock.monotonic()
         self.was_holder = False
         self.settled_fleets: dict[str, list[layer_holdings.PlannedEngine]] = {}
+        self.is_cut_off: Callable[[str], bool] = lambda service: False
         self.work = background.Background()
 
     async def start(self) -> None:
@@ -140,7 +145,7 @@
         self.resend_orders(now, grant)
         for service in config.services:
             view = self.shared.catalogue.view(service)
-            if view is not None:
+            if view is not None and not self.is_cut_off(service):
                 self.place(view, now, grant)
 
     def log_lease_change(
--- a/src/almondshift/relay/lost_engines.py
+++ b/src/almondshift/relay/lost_engines.py
@@ -45,6 +45,8 @@
         group: The other nodes; None before this node has joined them.
         on_peer_report: Called with an engine that a peer found dead, and the
             peer's name.
+        is_isolated: Returns whether this node reaches no endpoint of a
+            service. Then all seem dead to it, and peers are not notified.
         is_streaming: Returns whether streams currently receive events from an
             engine.
     """
@@ -64,6 +66,7 @@
         self.on_peer_report: Callable[
             [registered_engines.RegisteredEngine, str], None
         ] = lambda engine, peer: None
+        self.is_isolated: Callable[[str], bool] = lambda service: False
         self.is_streaming: Callable[[str], bool] = lambda instance: False
 
     def join(self, node_group: relay_group.Group) -> None:
@@ -97,6 +100,9 @@
                 found_by.value,
             )
         )
+        engine = self.catalogue.engines.get(instance)
+        if engine is not None and self.is_isolated(engine.service):
+            return
         if self.group is None or kind is None:
             return
         if not self.group.is_published(kind, instance):
--- a/src/almondshift/relay/observer.py
+++ b/src/almondshift/relay/observer.py
@@ -70,9 +70,15 @@
             registry=registry,
         )
 
+        self.via_peers = prometheus_client.Counter(
+            "almondshift_relay_via_peers",
+            "Requests passed to peers, by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
         self.isolated = prometheus_client.Gauge(
             "almondshift_relay_isolated",
-            "1 while this node reaches no endpoint, else 0.",
+            "Services of which this node reaches no endpoint.",
             registry=registry,
         )
 
--- /dev/null
+++ b/src/almondshift/relay/peer_attempt.py
@@ -0,0 +1,103 @@
+"""One attempt to have a peer serve a request."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from almondshift import errors
+from almondshift.ports import path_engines
+from almondshift.relay import events
+
+if TYPE_CHECKING:
+    from almondshift.coordination import peer_types
+    from almondshift.model import relayed
+    from almondshift.relay import runs
+
+OK = 200
+MAX_BODY_BYTES = 16_000_000
+"""Maximum body of a response that is not a stream; it is buffered."""
+
+
+class PeerAttempt(events.EventSource):
+    """A request that a peer serves.
+
+    Attributes:
+        is_stream: Whether the response is the requested stream.
+        body: Body of a response that is not a stream.
+    """
+
+    def __init__(self, run: runs.Run, peer: peer_types.PeerInfo) -> None:
+        self.run = run
+        self.peer = peer
+        self.sent_at = run.loop.time()
+        self.head: relayed.ForwardedHead | None = None
+        self.is_stream = False
+        self.body = bytearray()
+        self.splitter = events.EventSplitter()
+        self.forwarded: path_engines.ForwardedRequest | None = None
+        self.is_over = False
+
+    def on_head(self, head: relayed.ForwardedHead) -> None:
+        """Stores the head."""
+        self.head = head
+        self.is_stream = (
+            self.run.expects_stream and head.status == OK and head.genuine
+        )
+
+    def on_data(self, data: bytes) -> None:
+        """Passes complete events on, or buffers the body."""
+        if self.is_over:
+            return
+        if not self.is_stream:
+            self.body += data
+            if len(self.body) > MAX_BODY_BYTES:
+                self.abort("response body too large")
+            return
+        try:
+            complete = self.splitter.feed(data)
+        except ValueError as error:
+            self.abort(str(error))
+            return
+        if complete and not self.run.forward_events(self, complete):
+            self.abort("events out of order")
+
+    def abort(self, reason: str) -> None:
+        """Aborts an attempt whose response is invalid."""
+        self.cancel()
+        self.run.peer_attempt_ended(self, path_engines.Ending.SPOILT, reason)
+
+    def cancel(self) -> None:
+        """Stops the peer's work."""
+        self.is_over = True
+        if self.forwarded is not None:
+            self.forwarded.cancel()
+
+    def on_end(self, ending: path_engines.Ending, reason: str) -> None:
+        """Passes the end to the run."""
+        if not self.is_over:
+            self.is_over = True
+            self.run.peer_attempt_ended(self, ending, reason)
+
+    def is_whole_stream(self) -> bool:
+        """Returns whether a completed response is the whole stream."""
+        return self.is_stream and not self.splitter.partial
+
+    def is_not_ready(self) -> bool:
+        """Returns whether the peer refused since it reached no endpoint."""
+        try:
+            content = json.loads(self.body)
+        except ValueError:
+            return False
+        kind = errors.ServiceNotReady.kind
+        return isinstance(content, dict) and content.get("kind") == kind
+
+    def retry_after_s(self) -> float | None:
+        """Returns the Retry-After of a refusal, in seconds; None for none."""
+        for name, value in self.head.headers if self.head else ():
+            if name == "retry-after":
+                try:
+                    return max(0.0, float(value))
+                except ValueError:
+                    return None
+        return None
--- /dev/null
+++ b/src/almondshift/relay/peer_paths.py
@@ -0,0 +1,220 @@
+"""Chooses the peers that serve requests for a node without endpoints.
+
+A node that has lost its links to all endpoints, or to most of a service, still
+gets requests: callers keep its address for seconds, and all nodes of a zone may
+have lost theirs. So it passes them to peers that reach endpoints. A peer serves
+such a request like its own, but never passes it on to a third node.
+
+Isolated nodes tell all peers, so that nobody passes requests to them. A peer
+that refused is left out for a while.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from almondshift.ports import peers
+
+if TYPE_CHECKING:
+    import random
+
+    from almondshift.coordination import peer_types
+    from almondshift.policy import endpoint_choice
+    from almondshift.policy import engine_tracker
+    from almondshift.policy import isolation
+    from almondshift.ports import clocks
+    from almondshift.ports import peer_entries
+    from almondshift.relay import catalogue
+    from almondshift.relay import group as relay_group
+
+FACT_PREFIX = "isolated/"
+"""Prefix of the keys of facts about isolated nodes. They share the kind of
+facts about lost engines: nodes of earlier releases ignore unknown keys of that
+kind, while they reject messages with an unknown kind."""
+
+FACT_TTL_S = 6.0
+REPUBLISH_S = 2.0
+"""Interval between publications of an isolated node, in seconds."""
+
+REFUSED_S = 1.0
+"""Time for which a peer that refused or did not respond is left out, in
+seconds."""
+
+LOST_SHARE = 0.5
+"""Share of a service's endpoints that this node can't reach from which its
+requests may be passed to peers."""
+
+LACKS_TTL_S = 0.1
+"""Time for which that is cached, in seconds; counting takes long in a large
+fleet."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _CachedLack:
+    lacks: bool
+    until: float
+    failure_count: int
+
+
+class PeerPaths:
+    """Peers that may serve requests, and the requests passed to them.
+
+    Attributes:
+        group: The other nodes; None before this node has joined them.
+        in_flight: Requests of this node that a peer serves, by its name.
+        refused_until: Monotonic time until which a peer is left out.
+        isolated_until: Monotonic time until which a peer counts as isolated,
+            by service and the peer's name.
+        announced: Services that this node announced to be isolated from, with
+            the monotonic time of the next announcement.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        rng: random.Random,
+        registry: catalogue.Catalogue,
+        tracker: engine_tracker.EngineTracker,
+        endpoints: endpoint_choice.EndpointChooser,
+        links: isolation.ServiceLinks,
+        entries: peer_entries.PeerEntries,
+    ) -> None:
+        self.clock = clock
+        self.rng = rng
+        self.catalogue = registry
+        self.tracker = tracker
+        self.endpoints = endpoints
+        self.links = links
+        self.entries = entries
+        self.group: relay_group.Group | None = None
+        self.in_flight: collections.Counter[str] = collections.Counter()
+        self.refused_until: dict[str, float] = {}
+        self.isolated_until: dict[str, float] = {}
+        self.announced: dict[str, float] = {}
+        self.cached_lacks: dict[str, _CachedLack] = {}
+
+    def join(self, node_group: relay_group.Group) -> None:
+        """Starts to exchange with peers which nodes are isolated."""
+        self.group = node_group
+        node_group.subscribe_facts(peers.FactKind.ENGINE_LOST, self.handle_fact)
+
+    def handle_fact(self, key: str, fact: peers.Fact | None) -> None:
+        """Handles a peer's fact that it is isolated from a service."""
+        name = key.removeprefix(FACT_PREFIX)
+        if name == key:
+            return
+        if fact is None:
+            self.isolated_until.pop(name, None)
+        else:
+            self.isolated_until[name] = self.clock.monotonic() + fact.ttl_s
+
+    def announce(self) -> None:
+        """Tells peers for which services they should not count on this node.
+
+        These are services of which it reaches too few endpoints itself. Called
+        periodically, and after a change.
+        """
+        if self.group is None:
+            return
+        now = self.clock.monotonic()
+        kind = peers.FactKind.ENGINE_LOST
+        for service in self.links.by_service:
+            key = FACT_PREFIX + peer_key(service, self.group.name)
+            if not self.lacks_endpoints(service):
+                if self.announced.pop(service, None) is not None:
+                    self.group.withdraw_fact(kind, key)
+            elif now >= self.announced.get(service, 0.0):
+                self.announced[service] = now + REPUBLISH_S
+                self.group.publish_fact(kind, key, b'"isolated"', FACT_TTL_S)
+
+    def is_isolated(self, service: str, peer: str) -> bool:
+        """Returns whether a peer announced that it is isolated."""
+        until = self.isolated_until.get(peer_key(service, peer))
+        return until is not None and until > self.clock.monotonic()
+
+    def lacks_endpoints(self, service: str) -> bool:
+        """Returns whether peers may reach more endpoints of a service."""
+        links = self.links.of(service)
+        if links.is_isolated:
+            return True
+        now = self.clock.monotonic()
+        cached = self.cached_lacks.get(service)
+        failure_count = links.failure_count
+        if (
+            cached is None
+            or cached.until <= now
+            or cached.failure_count != failure_count
+        ):
+            lost = self.lost_share(service, now)
+            cached = _CachedLack(
+                lost >= LOST_SHARE, now + LACKS_TTL_S, failure_count
+            )
+            self.cached_lacks[service] = cached
+        return cached.lacks
+
+    def is_cut_off(self, service: str) -> bool:
+        """Returns whether a peer probably reaches a service that this can't.
+
+        Then the service's endpoints are not dead, only out of reach.
+        """
+        now = asyncio.get_running_loop().time()
+        seems_lost = self.links.of(service).is_link_suspect(now)
+        if not seems_lost and not self.lacks_endpoints(service):
+            return False
+        return self.choose(service, frozenset()) is not None
+
+    def lost_share(self, service: str, now: float) -> float:
+        """Returns the share of a service's endpoints that seem unreachable."""
+        known = [e for e in self.catalogue.of_service(service) if not e.leaving]
+        if not known:
+            return 0.0
+        lost = sum(
+            self.tracker.is_lost(e.instance)
+            or self.endpoints.is_unreachable(e.instance, now)
+            for e in known
+        )
+        return lost / len(known)
+
+    def choose(
+        self, service: str, tried: frozenset[str]
+    ) -> peer_types.PeerInfo | None:
+        """Returns a peer that probably reaches a service, or None.
+
+        The less busy one of two random peers, by this node's own requests.
+        """
+        if self.group is None:
+            return None
+        now = self.clock.monotonic()
+        usable = [
+            peer
+            for peer in self.group.advertised()
+            if peer.name not in tried
+            and not self.is_isolated(service, peer.name)
+            and self.refused_until.get(peer.name, 0.0) <= now
+        ]
+        if not usable:
+            return None
+        sample = self.rng.sample(usable, min(2, len(usable)))
+        return min(sample, key=lambda peer: self.in_flight[peer.name])
+
+    def note_refused(self, peer: str) -> None:
+        """Leaves out a peer that refused or did not respond."""
+        self.refused_until[peer] = self.clock.monotonic() + REFUSED_S
+
+    def started(self, peer: str) -> None:
+        """Records that a request was passed to a peer."""
+        self.in_flight[peer] += 1
+
+    def ended(self, peer: str) -> None:
+        """Records that a request passed to a peer ended."""
+        self.in_flight[peer] -= 1
+        if self.in_flight[peer] <= 0:
+            del self.in_flight[peer]
+
+
+def peer_key(service: str, peer: str) -> str:
+    """Returns the key of facts about a peer and a service."""
+    return f"{service}/{peer}"
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -87,6 +87,10 @@
 
     def dispatch(self) -> None:
         """Sends the request to an endpoint."""
+        if self.links.is_isolated:
+            if not self.pass_to_peer():
+                self.give_up("No endpoint can be reached.")
+            return
         limits = self.shared.limits
         withheld = limits.withheld(self.routed.priority)
         untried = self.untried()
@@ -107,6 +111,8 @@
         Args:
             is_limited: Whether only rate-limited endpoints are left.
         """
+        if self.possible_runs == 0 and self.pass_to_peer_if_cut_off():
+            return
         if is_limited and self.last_failure is None and not self.possible_runs:
             self.refuse_limited()
             return
@@ -182,7 +188,9 @@
         self.drop_attempt(failed=True)
         self.begin()
 
-    def record_attempt_and_spend_retry(self, is_not_run: bool) -> bool:
+    def record_attempt_and_spend_retry(
+        self, is_not_run: bool, is_sent: bool = True
+    ) -> bool:
         """Counts an attempt that may have run, then tries to spend a retry.
 
         Returns:
@@ -190,7 +198,7 @@
         """
         if not is_not_run:
             self.possible_runs += 1
-        return self.try_spend_retry(is_not_run)
+        return self.try_spend_retry(is_not_run, is_sent)
 
     def attempt_ended(
         self,
@@ -221,10 +229,10 @@
             self.handle_failure(attempt, f"status {head.status}")
             return
         if ending is not path_engines.Ending.SPOILT:
-            self.shared.isolation.note_failure(instance, self.loop.time())
+            self.links.note_failure(instance, self.loop.time())
         if ending is path_engines.Ending.NOT_SENT:
             self.shared.endpoints.missed(instance, now)
-            self.retry_or_end(attempt, reason, is_not_run=True)
+            self.retry_or_end(attempt, reason, is_not_run=True, is_sent=False)
             return
         self.shared.endpoints.failed(instance, now)
         if ending is path_engines.Ending.BROKEN:
@@ -269,13 +277,18 @@
         self.pass_on(attempt, head)
 
     def retry_or_end(
-        self, attempt: PlainAttempt, reason: str, is_not_run: bool
+        self,
+        attempt: PlainAttempt,
+        reason: str,
+        is_not_run: bool,
+        is_sent: bool = True,
     ) -> None:
         """Retries elsewhere if that is allowed, or gives up."""
+        self.has_reached_endpoint |= is_sent
         if is_not_run:
             self.sends_that_may_have_run -= 1
         instance = attempt.endpoint.instance
-        if self.record_attempt_and_spend_retry(is_not_run):
+        if self.record_attempt_and_spend_retry(is_not_run, is_sent):
             self.log_failed_attempt(
                 instance, reason, is_not_run, runs.SENT_ELSEWHERE
             )
@@ -283,7 +296,8 @@
             return
         self.log_failed_attempt(instance, reason, is_not_run, runs.GIVEN_UP)
         if is_not_run and self.possible_runs == 0:
-            self.give_up(reason)
+            if not self.pass_to_peer_if_cut_off():
+                self.give_up(reason)
             return
         self.refuse(self.may_have_run_error(reason))
 
@@ -309,6 +323,19 @@
         )
         self.complete()
 
+    def leave_endpoint(self) -> None:
+        """Sends the request to a peer, if it may run again."""
+        if self.attempt is None or not self.routed.route.may_repeat:
+            return
+        instance = self.attempt.endpoint.instance
+        if not self.record_attempt_and_spend_retry(False):
+            return
+        self.log_failed_attempt(
+            instance, "no endpoint responds", False, runs.SENT_ELSEWHERE
+        )
+        self.drop_attempt(failed=True)
+        self.begin()
+
     def cancel_slow_timer(self) -> None:
         """Cancels the timer for the first endpoint."""
         if self.slow_timer is not None:
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -9,13 +9,17 @@
 from almondshift import errors
 from almondshift import log_events
 from almondshift.policy import answer_times
+from almondshift.ports import path_engines
+from almondshift.ports import peer_entries
 from almondshift.ports import relays
+from almondshift.relay import peer_attempt
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from almondshift.model import routed_requests
     from almondshift.relay import context
+    from almondshift.relay import events
 
 MAX_SENDS = 4
 """Maximum number of sends of one request, refused ones included. The route's
@@ -37,6 +41,9 @@
 ANSWERED = "ok"
 """Metric label of a run whose response is complete."""
 
+MAX_PEERS = 3
+"""Maximum number of peers that one request is passed to."""
+
 MAX_DENIED_PERMITS = 8
 """Maximum number of endpoints that are asked for on behalf of one request and
 that take no more requests now."""
@@ -64,11 +71,15 @@
         deadline_at: Loop time at which this node ends the request.
         caller_deadline_at: Loop time until which the caller waits; later than
             ``deadline_at`` if the caller waits longer than the route allows.
+        links: State of the links to the service's endpoints.
         sends: Number of times it was sent.
         possible_runs: Number of ended attempts that may have run it. Streams
             leave out those whose first engine is lost.
         sends_that_may_have_run: Number of sends that may have run the request,
             the current one included.
+        has_reached_endpoint: Whether any of it was sent to an endpoint.
+        peer_attempt: The current attempt to have a peer serve it.
+        tried_peers: Names of the peers that it was passed to.
         denied_permits: Endpoints that take no more requests now, at the latest
             search.
     """
@@ -91,10 +102,14 @@
         self.caller_deadline_at = self.started_at + (
             routed.request.wait_s or routed.route.timeout_s
         )
+        self.links = shared.links.of(routed.service)
         self.sends = 0
-        self.possible_runs = 0
+        self.possible_runs = routed.possible_runs
         self.sends_that_may_have_run = 0
         self.denied_permits = 0
+        self.has_reached_endpoint = False
+        self.peer_attempt: peer_attempt.PeerAttempt | None = None
+        self.tried_peers: frozenset[str] = frozenset()
         self.is_ended = False
         self.timer = self.loop.call_at(self.deadline_at, self.time_out)
         shared.running.add(self)
@@ -135,6 +150,185 @@
     def dispatch(self) -> None:
         """Sends the request to an endpoint or path, or refuses it."""
 
+    @property
+    def expects_stream(self) -> bool:
+        """Whether a successful response is a stream of events."""
+        return False
+
+    def last_event_id(self) -> str:
+        """Returns the last event that the caller has; "" for none."""
+        return self.routed.request.last_event_id
+
+    def forward_events(
+        self, attempt: events.EventSource, received: list[events.StreamEvent]
+    ) -> bool:
+        """Passes new events of a stream on; returns False if it is invalid."""
+        del attempt, received
+        return False
+
+    def pass_to_peer(self) -> bool:
+        """Has a peer serve the request; returns False if none can."""
+        if self.routed.from_peer or len(self.tried_peers) >= MAX_PEERS:
+            return False
+        paths = self.shared.peer_paths
+        peer = paths.choose(self.routed.service, self.tried_peers)
+        if peer is None:
+            return False
+        self.tried_peers |= {peer.name}
+        self.sends_that_may_have_run += 1
+        paths.started(peer.name)
+        attempt = peer_attempt.PeerAttempt(self, peer)
+        self.peer_attempt = attempt
+        self.shared.observer.emit(
+            log_events.RequestPassedToPeer(
+                request_id=self.routed.request.request_id,
+                service=self.routed.service,
+                peer=peer.name,
+                isolated=self.links.is_isolated,
+                events_sent=self.sent_event_count(),
+            )
+        )
+        attempt.forwarded = paths.entries.forward(
+            self.routed.request,
+            peer_entries.PeerForwarding(
+                address=peer.entry_address,
+                remaining_s=self.remaining_s(),
+                last_event_id=self.last_event_id(),
+                possible_runs=self.possible_runs,
+            ),
+            attempt,
+        )
+        return True
+
+    def pass_to_peer_if_cut_off(self) -> bool:
+        """Has a peer serve the request if this node seems cut off."""
+        is_cut_off = self.links.is_link_suspect(
+            self.loop.time()
+        ) or self.shared.peer_paths.lacks_endpoints(self.routed.service)
+        return is_cut_off and self.pass_to_peer()
+
+    def peer_attempt_ended(
+        self,
+        attempt: peer_attempt.PeerAttempt,
+        ending: path_engines.Ending,
+        reason: str,
+    ) -> None:
+        """Passes the response on, or continues elsewhere."""
+        if attempt is not self.peer_attempt or self.is_ended:
+            return
+        self.release_peer_attempt()
+        head = attempt.head
+        is_complete = ending is path_engines.Ending.WHOLE and head is not None
+        if is_complete and attempt.is_whole_stream():
+            self.shared.observer.via_peers.labels("answered").inc()
+            self.finish_from_peer()
+            return
+        if (
+            is_complete
+            and head is not None
+            and head.genuine
+            and not self.responder.head_sent
+            and not attempt.is_stream
+        ):
+            self.shared.observer.via_peers.labels("answered").inc()
+            self.responder.send_whole(
+                head.status, head.headers, bytes(attempt.body)
+            )
+            self.complete()
+            return
+        if is_complete and head is not None:
+            reason = f"peer responded with {head.status}"
+        is_refused = is_complete and head is not None and head.not_run
+        is_not_sent = ending is path_engines.Ending.NOT_SENT
+        is_unreached = is_not_sent or (is_refused and attempt.is_not_ready())
+        self.shared.observer.via_peers.labels("failed").inc()
+        self.shared.peer_paths.note_refused(attempt.peer.name)
+        self.continue_after_peer(
+            attempt, reason, is_refused or is_not_sent, is_unreached
+        )
+
+    def continue_after_peer(
+        self,
+        attempt: peer_attempt.PeerAttempt,
+        reason: str,
+        is_not_run: bool,
+        is_unreached: bool,
+    ) -> None:
+        """Continues after a peer that did not serve the request.
+
+        Args:
+            attempt: The attempt.
+            reason: Why the peer did not serve it.
+            is_not_run: Whether it did not run.
+            is_unreached: Whether it reached no endpoint, and so needs no retry
+                budget.
+        """
+        if is_not_run:
+            self.sends_that_may_have_run -= 1
+        else:
+            self.possible_runs += 1
+        may_repeat = is_not_run or (
+            self.routed.route.may_repeat
+            and self.possible_runs < self.routed.route.max_attempts
+        )
+        is_allowed = (
+            may_repeat
+            and len(self.tried_peers) < MAX_PEERS
+            and (
+                is_unreached
+                or self.shared.budget.spend(
+                    self.routed.service, self.shared.clock.monotonic()
+                )
+            )
+        )
+        self.log_failed_attempt(
+            attempt.peer.name,
+            reason,
+            is_not_run,
+            SENT_ELSEWHERE if is_allowed else GIVEN_UP,
+        )
+        if is_allowed:
+            self.begin()
+        else:
+            self.end_after_peer(reason, attempt.retry_after_s(), may_repeat)
+
+    def end_after_peer(
+        self, reason: str, retry_after_s: float | None, may_repeat: bool
+    ) -> None:
+        """Ends the run after peers did not serve the request.
+
+        Args:
+            reason: Why the last peer did not.
+            retry_after_s: Retry-After of the last peer; None for none.
+            may_repeat: Whether the request may be sent again.
+        """
+        del may_repeat
+        if self.may_have_run:
+            self.refuse(self.may_have_run_error(reason))
+            return
+        if retry_after_s is None:
+            retry_after_s = self.retry_s()
+        self.refuse(errors.Overloaded(reason, retry_after_s=retry_after_s))
+
+    def finish_from_peer(self) -> None:
+        """Ends a stream that a peer completed."""
+        self.responder.finish()
+        self.complete()
+
+    def release_peer_attempt(self) -> None:
+        """Drops the current attempt of a peer."""
+        attempt = self.peer_attempt
+        self.peer_attempt = None
+        if attempt is not None:
+            self.shared.peer_paths.ended(attempt.peer.name)
+
+    @abc.abstractmethod
+    def leave_endpoint(self) -> None:
+        """Moves the request to a peer, if it may run again.
+
+        Called when this node has lost its links to all endpoints.
+        """
+
     def send_with_permit(self, instance: str, send: Callable[[], None]) -> None:
         """Sends the request once that keeps the endpoint's rate limit.
 
@@ -232,6 +426,9 @@
             return False
         self.is_ended = True
         self.timer.cancel()
+        if self.peer_attempt is not None:
+            self.peer_attempt.cancel()
+            self.release_peer_attempt()
         self.cancel_work()
         self.shared.running.discard(self)
         return True
@@ -292,7 +489,12 @@
         if self.may_have_run:
             self.refuse(errors.UpstreamFailed(reason))
             return
-        self.refuse(errors.Overloaded(reason, retry_after_s=self.retry_s()))
+        retry_s = self.retry_s()
+        if self.routed.from_peer and not self.has_reached_endpoint:
+            # The peer needs no retry budget to pass the request to another.
+            self.refuse(errors.ServiceNotReady(reason, retry_after_s=retry_s))
+            return
+        self.refuse(errors.Overloaded(reason, retry_after_s=retry_s))
 
     def refuse_limited(self) -> None:
         """Ends a run that only rate-limited endpoints could serve."""
@@ -407,14 +609,16 @@
             )
         )
 
-    def try_spend_retry(self, is_not_run: bool) -> bool:
+    def try_spend_retry(self, is_not_run: bool, is_sent: bool = True) -> bool:
         """Spends retry budget; returns whether the request may be sent again.
 
         A request that may have run is retried only if its route allows it, and
-        only while ``possible_runs`` is below the route's ``max_attempts``.
+        only while ``possible_runs`` is below the route's ``max_attempts``. One
+        that reached no endpoint did not load any, and needs no retry budget.
 
         Args:
             is_not_run: Whether the last endpoint did not run the request.
+            is_sent: Whether any of it was sent to the last endpoint.
         """
         route = self.routed.route
         if self.sends >= MAX_SENDS:
@@ -425,6 +629,6 @@
             return False
         if not is_not_run and self.possible_runs >= route.max_attempts:
             return False
-        return self.shared.budget.spend(
+        return not is_sent or self.shared.budget.spend(
             self.routed.service, self.shared.clock.monotonic()
         )
--- a/src/almondshift/relay/stream_attempt.py
+++ b/src/almondshift/relay/stream_attempt.py
@@ -17,7 +17,7 @@
 """Maximum body of a response that is not a stream; refusals are short."""
 
 
-class StreamAttempt(path_engines.AnswerListener):
+class StreamAttempt(events.EventSource):
     """One attempt to run a stream over a path.
 
     Attributes:
@@ -78,7 +78,7 @@
         """Records that data was received."""
         self.active_at = self.run.loop.time()
         self.run.shared.link.note(self.active_at)
-        self.run.shared.isolation.note_response(self.active_at)
+        self.run.links.note_response(self.active_at)
 
     def abort(self, reason: str) -> None:
         """Aborts an attempt whose response is invalid."""
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -89,6 +89,10 @@
 
     def dispatch(self) -> None:
         """Sends the request over a path with capacity, or refuses it."""
+        if self.links.is_isolated:
+            if not self.pass_to_peer():
+                self.handle_no_path(is_limited=False)
+            return
         limits = self.shared.limits
         withheld = limits.withheld(self.routed.priority)
         chosen = self.choose_path(self.failed_engines | withheld)
@@ -125,6 +129,12 @@
             is_limited: Whether rate-limited engines were left out.
         """
         self.denied_permits = 0
+        if (
+            not self.links.is_isolated
+            and self.shared.peer_paths.lacks_endpoints(self.routed.service)
+            and self.pass_to_peer()
+        ):
+            return
         if not self.responder.head_sent:
             if is_limited and self.choose_path(self.failed_engines) is not None:
                 self.refuse_limited()
@@ -235,15 +245,39 @@
         self.resume_elsewhere("no first event")
 
     def record_first_event_wait(
-        self, attempt: stream_attempt.StreamAttempt
+        self,
+        attempt: events.EventSource,
     ) -> None:
         """Records the time to the first event, or until it was given up."""
         seconds = self.loop.time() - attempt.sent_at
         self.shared.first_event_waits.note(self.routed.service, seconds)
 
+    @property
+    def expects_stream(self) -> bool:
+        """Whether a successful response is a stream of events."""
+        return True
+
+    def last_event_id(self) -> str:
+        """Returns the last event that the caller has; "" for none."""
+        return "" if self.last_id is None else str(self.last_id)
+
+    def end_after_peer(
+        self, reason: str, retry_after_s: float | None, may_repeat: bool
+    ) -> None:
+        """Ends the run, or waits if the stream has begun and may go on."""
+        if may_repeat and self.responder.head_sent:
+            self.tried_peers = frozenset()
+            self.search_later(self.resume_within_budget)
+            return
+        super().end_after_peer(reason, retry_after_s, may_repeat)
+
+    def leave_endpoint(self) -> None:
+        """Resumes the stream at a peer, if it may run again."""
+        self.resume_elsewhere("no endpoint responds")
+
     def forward_events(
         self,
-        attempt: stream_attempt.StreamAttempt,
+        attempt: events.EventSource,
         received: list[events.StreamEvent],
     ) -> bool:
         """Passes new events on; returns False if there is a gap before them.
@@ -298,9 +332,7 @@
             reason = "the stream ended in the middle of an event"
         is_not_run = ending is path_engines.Ending.NOT_SENT
         if ending is not path_engines.Ending.SPOILT:
-            self.shared.isolation.note_failure(
-                attempt.first.instance, self.loop.time()
-            )
+            self.links.note_failure(attempt.first.instance, self.loop.time())
         self.failed_engines |= {attempt.first.instance}
         if ending is path_engines.Ending.BROKEN:
             self.shared.crash_watch.note_broken(
@@ -310,7 +342,7 @@
             self.shared.lost_engines.suspect(
                 attempt.first.instance, engine_tracker.Suspicion.UNREACHABLE
             )
-        self.retry_or_end(attempt, reason, is_not_run)
+        self.retry_or_end(attempt, reason, is_not_run, is_sent=not is_not_run)
 
     def finish(self, attempt: stream_attempt.StreamAttempt) -> None:
         """Ends a complete stream."""
@@ -379,6 +411,7 @@
         attempt: stream_attempt.StreamAttempt,
         reason: str,
         is_not_run: bool,
+        is_sent: bool = True,
     ) -> None:
         """Retries over another path if that is allowed, else ends the run.
 
@@ -386,11 +419,12 @@
         have run: its caller would get a 502, which does not say that nothing
         ran, and would not retry.
         """
+        self.has_reached_endpoint |= is_sent
         if is_not_run:
             self.sends_that_may_have_run -= 1
-        elif not self.shared.tracker.is_lost(attempt.first.instance):
+        elif not self.is_cut_off(attempt):
             self.possible_runs += 1
-        allowed = self.try_spend_retry(is_not_run)
+        allowed = self.try_spend_retry(is_not_run, is_sent)
         should_wait = not allowed and self.may_wait_for_capacity(is_not_run)
         next_step = runs.GIVEN_UP
         if allowed:
@@ -403,10 +437,23 @@
         if allowed:
             self.begin()
         elif should_wait:
-            self.search_later(self.resume_within_budget)
-        else:
+            self.search_later(
+                self.resume_within_budget if is_sent else self.begin
+            )
+        elif not (is_not_run and self.pass_to_peer_if_cut_off()):
             self.refuse_no_capacity(reason)
 
+    def is_cut_off(self, attempt: stream_attempt.StreamAttempt) -> bool:
+        """Returns whether an attempt failed since its engine can't be reached.
+
+        Such attempts don't count against the route's ``max_attempts``.
+        """
+        return (
+            self.shared.tracker.is_lost(attempt.first.instance)
+            or self.links.is_isolated
+            or self.links.is_link_suspect(self.loop.time())
+        )
+
     def resume_elsewhere(self, reason: str, is_gone: bool = False) -> None:
         """Resumes the stream on another path, or keeps it on the current one.
 
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -81,6 +81,26 @@
     asyncio.run(case())
 
 
+def test_holder_that_can_no_longer_act_releases_the_lease() -> None:
+    """Guards against a holder whose orders reach no endpoint."""
+
+    async def case() -> None:
+        cluster = Cluster()
+        first, second = cluster.leases
+        await first.step()
+        assert cluster.fencing(0) == 1
+        first.may_hold = lambda: False
+        await first.step()
+        assert cluster.fencing(0) == 0
+        await second.step()
+        assert cluster.fencing(1) == 2
+        await first.step()
+        assert cluster.fencing(0) == 0
+        assert cluster.fencing(1) == 2
+
+    asyncio.run(case())
+
+
 def test_process_that_may_not_contend_rarely_checks_again() -> None:
     """Each check lists all nodes; hundreds would do that 10 times/s."""
 
--- a/tests/platform/cut_links.py
+++ b/tests/platform/cut_links.py
@@ -49,16 +49,21 @@
 
     Attributes:
         cut: What happens to connections; None for nothing.
+        addresses: Endpoints that are cut off; None for all.
     """
 
     def __init__(self, connect_timeout_s: float) -> None:
         super().__init__(connect_timeout_s)
         self.cut: Cut | None = None
+        self.addresses: frozenset[str] | None = None
         self.live: set[http_connections.Connection] = set()
 
-    def begin(self, cut: Cut) -> None:
+    def begin(self, cut: Cut, addresses: frozenset[str] | None = None) -> None:
         self.cut = cut
+        self.addresses = addresses
         for connection in list(self.live):
+            if not self.is_cut(connection.address):
+                continue
             if cut is Cut.RESET:
                 connection.fail(
                     http_connections.Outcome.BROKEN, "connection reset"
@@ -67,12 +72,20 @@
                 silenced: Any = SilencedTransport(connection.transport)
                 connection.transport = silenced
 
+    def is_cut(self, address: str) -> bool:
+        """Returns whether connections to an endpoint are cut."""
+        if self.cut is None:
+            return False
+        return self.addresses is None or address in self.addresses
+
     def end(self) -> None:
         """Ends the cut; connections that were silenced are reset."""
         was_silent = self.cut is Cut.SILENT
         self.cut = None
         if was_silent:
             for connection in list(self.live):
+                if not isinstance(connection.transport, SilencedTransport):
+                    continue
                 connection.fail(
                     http_connections.Outcome.BROKEN, "connection reset"
                 )
@@ -82,7 +95,7 @@
         super().remove(connection)
 
     async def _connect(self, address: str, call: http_connections.Call) -> None:
-        if self.cut is None:
+        if not self.is_cut(address):
             await super()._connect(address, call)
             if call.connection is not None:
                 self.live.add(call.connection)
--- a/tests/platform/test_cut_links.py
+++ b/tests/platform/test_cut_links.py
@@ -38,7 +38,10 @@
             await running.until(
                 lambda: sum(map(len, map(ran, running.engines.values()))) == 4
             )
-            states = [p.node.shared.isolation for p in running.nodes]
+            states = [
+                p.node.shared.links.of(system.MODEL_SERVICE)
+                for p in running.nodes
+            ]
             pool.begin(cut)
             await running.until(lambda: states[0].is_isolated, DETECTED_S)
             assert not states[1].is_isolated
@@ -67,7 +70,8 @@
             busy.is_dead = True
             for _ in range(15):
                 await asyncio.sleep(0.1)
-                assert not process.node.shared.isolation.is_isolated
+                links = process.node.shared.links
+                assert not links.is_isolated(system.MODEL_SERVICE)
             stream.cancel()
 
     asyncio.run(scenario())
@@ -129,6 +133,36 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("prefixes", [("a", "b"), ("p",)], ids=str)
+@pytest.mark.parametrize(
+    "cut", [cut_links.Cut.RESET, cut_links.Cut.SILENT], ids=str
+)
+def test_callers_are_served_if_a_node_loses_one_service(
+    cut: cut_links.Cut, prefixes: tuple[str, ...]
+) -> None:
+    """Guards against a lost service that goes unnoticed beside a live one."""
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=3) as running:
+            await running.wait_for_peers()
+            pool = cut_links.create_cuttable_pool(running.nodes[0])
+            await send_tries(running, 0, 3, "before")
+            lost = frozenset(
+                engine.address
+                for name, engine in running.engines.items()
+                if name.startswith(prefixes)
+            )
+            pool.begin(cut, lost)
+            loop = asyncio.get_running_loop()
+            until = loop.time() + DETECTED_S
+            while loop.time() < until:
+                await send_tries(running, 0, 1, f"early-{loop.time()}")
+            tried = await send_tries(running, 0, 8, "cut")
+            assert {status for _, status, _ in tried} == {200}
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     "cut", [cut_links.Cut.RESET, cut_links.Cut.SILENT], ids=str
 )
--- a/tests/relay/test_endpoint_limits.py
+++ b/tests/relay/test_endpoint_limits.py
@@ -106,7 +106,7 @@
 async def test_calls_are_counted_by_purpose() -> None:
     limits, _ = create_limits()
     calls = endpoint_calls.EndpointCalls(
-        limits, isolation.Isolation(), limits.observer
+        limits, limits.catalogue, isolation.ServiceLinks(), limits.observer
     )
     for purpose in rate_limits.CallPurpose:
         calls.on_call(purpose, "1.2.3.4:5")
--- a/tests/relay/test_layer_keeper.py
+++ b/tests/relay/test_layer_keeper.py
@@ -245,3 +245,16 @@
     first = set(fleet.engines.orders_sent)
     await fleet.run(2.5)
     assert first and set(fleet.engines.orders_sent) == first
+
+
+@asynchronous.run
+async def test_no_layers_are_moved_by_a_node_that_is_cut_off() -> None:
+    """Otherwise the few engines that it reaches would load all layers."""
+    fleet = _fleet()
+    fleet.keeper.is_cut_off = lambda service: True
+    fleet.remove_engine("e1")
+    await fleet.run(3.0)
+    assert not fleet.engines.orders_sent
+    fleet.keeper.is_cut_off = lambda service: False
+    await fleet.run(3.0)
+    assert fleet.missing() == []
