--- a/src/almondshift/platform/decode.py
+++ b/src/almondshift/platform/decode.py
@@ -114,7 +114,7 @@
     """A service and, if it runs a model, the spec of its engines."""
 
     name: str
-    health_path: str = "/"
+    health_path: str = ""
     max_connections: int = 64
     engine: WireEngineSpec | None = None
 
--- a/src/almondshift/relay/engine_reach.py
+++ b/src/almondshift/relay/engine_reach.py
@@ -80,7 +80,9 @@
         return waiting
 
     def start_check(self, service: str, links: isolation.Isolation) -> None:
-        """Starts a round if the service has endpoints."""
+        """Starts a round if the service has endpoints that can be queried."""
+        if not self.can_query(service):
+            return
         endpoints = [
             endpoint
             for endpoint in self.shared.catalogue.of_service(service)
@@ -116,6 +118,19 @@
         elif not links.is_isolated:
             self.check_if_due()
 
+    def can_query(self, service: str) -> bool:
+        """Returns whether endpoints answer reports or health checks."""
+        return (
+            self.shared.catalogue.view(service) is not None
+            or self.health_path(service) != ""
+        )
+
+    def health_path(self, service: str) -> str:
+        """Returns the path of a service's health check; "" for none."""
+        config = self.shared.catalogue.config
+        found = config.services.get(service) if config else None
+        return found.health_path if found is not None else ""
+
     async def query(
         self, endpoint: registered_engines.RegisteredEngine
     ) -> None:
@@ -127,12 +142,11 @@
         if self.shared.catalogue.view(endpoint.service) is not None:
             await self.shared.engines.report(endpoint.address, QUERY_TIMEOUT_S)
             return
-        config = self.shared.catalogue.config
-        service = config.services.get(endpoint.service) if config else None
-        if service is not None:
-            await self.shared.engines.is_healthy(
-                endpoint.address, service.health_path, QUERY_TIMEOUT_S
-            )
+        await self.shared.engines.is_healthy(
+            endpoint.address,
+            self.health_path(endpoint.service),
+            QUERY_TIMEOUT_S,
+        )
 
     def report_change(
         self,
--- a/src/almondshift/relay/refusing_engines.py
+++ b/src/almondshift/relay/refusing_engines.py
@@ -107,12 +107,12 @@
     ) -> bool | None:
         """Returns the result of the health check.
 
-        None if the engine's service is not configured, or if the check gave no
-        result.
+        None if the engine's service is not configured or has no health check,
+        or if the check gave no result.
         """
         config = self.catalogue.config
         service = config.services.get(engine.service) if config else None
-        if service is None:
+        if service is None or not service.health_path:
             return None
         return await self.engines.is_healthy(
             engine.address, service.health_path, HEALTH_TIMEOUT_S
--- a/tests/platform/standin_system.py
+++ b/tests/platform/standin_system.py
@@ -61,7 +61,11 @@
                     "kinds": [{"name": "big", "mb": 72_000.0, "pace": 2.0}],
                 },
             },
-            {"name": PLAIN_SERVICE, "maxConnections": 100},
+            {
+                "name": PLAIN_SERVICE,
+                "healthPath": standin_engines.HEALTH_PATH,
+                "maxConnections": 100,
+            },
         ],
         "limits": {"maxBodyBytes": 10_000, "idleTimeoutMs": 15_000},
         "tenants": [{"name": "account", "apiKeys": [KEY]}],
--- a/tests/platform/test_cut_links.py
+++ b/tests/platform/test_cut_links.py
@@ -221,3 +221,28 @@
                 assert loop.time() - started < MAX_REFUSAL_TIME_S
 
     asyncio.run(scenario())
+
+
+def test_a_service_without_a_health_check_gets_no_queries() -> None:
+    """Guards against malformed requests to endpoints that can't be queried."""
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=2) as running:
+            await running.wait_for_peers()
+            changed = system.config(2)
+            changed["services"][1].pop("healthPath")
+            running.store.put("op", "config", changed)
+            catalogue = running.nodes[0].node.catalogue
+            await running.until(
+                lambda: catalogue.config and catalogue.config.version == 2
+            )
+            pool = cut_links.create_cuttable_pool(running.nodes[0])
+            pool.begin(cut_links.Cut.RESET)
+            results = await send_tries(running, 0, 5, "cut")
+            assert {status for _, status, _ in results} == {200}
+            pool.end()
+            for engine in (running.engines["pa"], running.engines["pb"]):
+                assert not engine.other_calls
+                assert len(engine.arrivals) == len(engine.ran)
+
+    asyncio.run(scenario())
