Soak engines that name limits and nodes that lose all engines

The judge checks the sum over undisturbed nodes in any four seconds, and that first tries at cut nodes are served two thirds as often as elsewhere.

--- a/tests/soak/disturbances.py
+++ b/tests/soak/disturbances.py
@@ -15,6 +15,8 @@
 STORE = "store"
 HARNESS = "harness"
 
+CUT_OFF = "cut off from engines"
+
 NOT_ENDED = float("inf")
 
 
@@ -33,11 +35,22 @@
     is_planned: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class NamedLimit:
+    """A limit that an engine names, in requests per second."""
+
+    engine: str
+    per_s: float
+    start: float
+    end: float = NOT_ENDED
+
+
 class Disturbances:
     """All disturbances of a soak."""
 
     def __init__(self) -> None:
         self.all: list[Disturbance] = []
+        self.limits: list[NamedLimit] = []
 
     def begin(
         self, target: str, what: str, is_planned: bool = False
@@ -88,3 +101,19 @@
         """Returns whether time bounds apply to a node."""
         targets = {node, STORE, HARNESS}
         return self.is_undisturbed(targets, start, end, is_stop_allowed)
+
+
+def is_calm(others: list[Disturbance], node: str, at: float) -> bool:
+    """Returns whether neither a node, the store nor the harness is disturbed.
+
+    Args:
+        others: The disturbances that count.
+        node: The node.
+        at: The time; disturbances shortly before it count too.
+    """
+    return not any(
+        d.target in (node, STORE, HARNESS)
+        and d.start <= at
+        and d.end >= at - layout.SETTLE_S
+        for d in others
+    )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,7 +4,9 @@
 
 import abc
 import asyncio
+import contextlib
 import dataclasses
+import random
 import signal
 import time
 from typing import TYPE_CHECKING
@@ -12,6 +14,7 @@
 from typing import TypeVar
 
 from tests.faults import proxy as fault_proxy
+from tests.platform import cut_links
 from tests.soak import callers
 from tests.soak import config_probes
 from tests.soak import disturbances
@@ -21,7 +24,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
-    import random
 
     from tests.soak import system as soak_system
 
@@ -279,6 +281,40 @@
     await system.post(engine.listen, engine_process.CONTROL_PATH, attributes)
 
 
+class LimitedEngine(Fault):
+    """An engine names a limit of requests per second for a while."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        engine = self.engine(system)
+        per_s = pick_by_share([0.0, 1.0, 3.0, 6.0], self.shape)
+        generation = engine.starts
+        await set_attributes(system, engine, {"limits": [str(per_s)]})
+        limit = disturbances.NamedLimit(engine.name, per_s, time.monotonic())
+        system.disturbances.limits.append(limit)
+        await asyncio.sleep(layout.LIMIT_TOLD_S + self.lasts_s)
+        if engine.starts == generation:
+            limit.end = time.monotonic()
+            await set_attributes(system, engine, {"limits": []})
+
+
+class CutNodes(Fault):
+    """Nodes lose all engines; some, most or all of them."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        cut = pick_by_share(list(cut_links.Cut), self.shape)
+        share = pick_by_share([0.0, 0.5, 0.8, 1.0], self.pick)
+        count = max(1, round(share * len(system.nodes)))
+        with contextlib.ExitStack() as stack:
+            for node in system.nodes[:count]:
+                stack.enter_context(
+                    system.disturbances.during(node.name, disturbances.CUT_OFF)
+                )
+                node.cut_file.write_text(cut)
+            await asyncio.sleep(layout.SETTLE_S + self.lasts_s)
+            for node in system.nodes[:count]:
+                node.cut_file.write_text("")
+
+
 class ChangeConfiguration(Fault):
     """The operator adds or removes a route, or rotates an account's key."""
 
@@ -378,9 +414,27 @@
     found: list[Fault] = []
     for _ in range(count):
         found += draw_series(rng, kinds, options.seconds)
+    found += draw_extra(options, LimitedEngine, options.limits)
+    found += draw_extra(options, CutNodes, options.cuts)
     return sorted(found, key=lambda fault: fault.at_s)
 
 
+def draw_extra(
+    options: layout.SoakOptions, kind: type[Fault], count: int
+) -> list[Fault]:
+    """Draws faults that leave the others of a seed as they are."""
+    rng = random.Random(f"{options.seed}/{kind.__name__}")
+    return [
+        kind(
+            rng.uniform(0.0, options.seconds),
+            rng.random(),
+            rng.choice([2.0, 4.0, 7.0]),
+            rng.random(),
+        )
+        for _ in range(count)
+    ]
+
+
 def draw_series(
     rng: random.Random, kinds: tuple[type[Fault], ...], seconds: float
 ) -> list[Fault]:
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -7,17 +7,14 @@
 import enum
 import signal
 import time
-from typing import TYPE_CHECKING
 
 from tests.soak import callers
+from tests.soak import disturbances
 from tests.soak import engine_process
 from tests.soak import layout
 from tests.soak import ledger
 from tests.soak import system as soak_system
 
-if TYPE_CHECKING:
-    from tests.soak import disturbances
-
 NOT_RUN = frozenset({408, 421, 429, 503})
 """Statuses which guarantee that the request has not run and never will."""
 
@@ -33,6 +30,12 @@
 EXIT_DETECTION_S = 0.2
 """Time until the exit of an engine, which cuts its answers, is detected."""
 
+MIN_SERVED_RATIO = 2 / 3
+MAX_FAILED = 10
+MAX_FAILED_SHARE = 0.02
+"""Nodes without engines serve a smaller share than the ratio times that of
+others only if at most this many requests fail there."""
+
 ABORT_PHASE_START = 5 / 6
 ACCEPT_PHASE_S = 3.0
 """In the last sixth of its grace period a stopping node may cut requests that
@@ -57,6 +60,8 @@
     STOP = "a stopping node exits before its grace ends"
     ENDS = "no process ends by itself"
     MEMORY = "memory is bounded"
+    LIMIT = "an engine gets no more requests than the limit it names"
+    CUT_OFF = "callers of nodes without engines are served by peers"
     RECOVERS = "requests are served again after the last fault"
     INTERNAL = "no internal error reaches a caller"
 
@@ -299,6 +304,74 @@
                 self.check_hang(request)
             self.check_leaving(request)
             self.check_config(request)
+        for limit in self.history().limits:
+            self.check_limit(limit)
+        self.check_cut_off()
+
+    def check_limit(self, limit: disturbances.NamedLimit) -> None:
+        """Checks the requests of undisturbed nodes to a limited engine."""
+        told_at = limit.start + layout.LIMIT_TOLD_S
+        allowed = layout.LIMIT_EXTRA + (
+            layout.LIMIT_FACTOR * limit.per_s * layout.LIMIT_WINDOW_S
+        )
+        arrived = sorted(
+            (row.at, self.requests[request_id].node)
+            for request_id, work in self.work.items()
+            for row in work.arrived
+            if row.engine == limit.engine
+        )
+        for end, _ in arrived:
+            if not told_at <= end <= limit.end:
+                continue
+            start = end - layout.LIMIT_WINDOW_S
+            nodes = {node for at, node in arrived if start < at <= end}
+            calm = {
+                n for n in nodes if self.history().bounds_apply(n, start, end)
+            }
+            count = sum(
+                start < at <= end and node in calm for at, node in arrived
+            )
+            if count > allowed:
+                detail = f"{limit.engine}: {count} at {limit.per_s} a second"
+                self.report_violation(Promise.LIMIT, detail, end)
+                return
+
+    def check_cut_off(self) -> None:
+        """Compares nodes that lost only their engines with undisturbed ones."""
+        history = self.history()
+        cuts = [d for d in history.all if d.what == disturbances.CUT_OFF]
+        served: collections.Counter[bool] = collections.Counter()
+        tried: collections.Counter[bool] = collections.Counter()
+        for request in self.requests.values():
+            at = request.sent_at
+            during = [
+                c for c in cuts if c.start + layout.SETTLE_S <= at <= c.end
+            ]
+            if not during or request.expected is not ALLOWED:
+                continue
+            all_cut = {c.target for c in during}
+            if len(all_cut) == len(self.system.nodes):
+                continue
+            is_cut = request.node in all_cut
+            others = [d for d in history.all if d.what != disturbances.CUT_OFF]
+            if not disturbances.is_calm(others, request.node, at):
+                continue
+            if not is_cut and request.node in {c.target for c in cuts}:
+                continue
+            tried[is_cut] += 1
+            served[is_cut] += request.status == 200
+        failed = tried[True] - served[True]
+        total = tried[True] + tried[False]
+        if failed <= MAX_FAILED + total * MAX_FAILED_SHARE or not tried[False]:
+            return
+        share = served[True] / tried[True]
+        others_share = served[False] / tried[False]
+        if share < MIN_SERVED_RATIO * others_share:
+            self.report_violation(
+                Promise.CUT_OFF,
+                f"{served[True]} of {tried[True]} served, elsewhere "
+                f"{served[False]} of {tried[False]}",
+            )
 
     def check_config(self, request: callers.SentRequest) -> None:
         """Checks that the newest configuration was applied to a request."""
--- a/tests/soak/layout.py
+++ b/tests/soak/layout.py
@@ -39,6 +39,15 @@
 EVENT_INTERVAL_S = 0.02
 """Interval between the events of a stream, which hold one token each."""
 
+LIMIT_TOLD_S = 3.0
+"""Time after which the limit of an engine that has just named it is kept."""
+
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
+"""An engine gets at most the factor times what its limit allows in a window,
+and the extra requests."""
+
 LAYERS = 80
 LAYER_MB = 1750.0
 ENGINE_MB = 72_000.0
@@ -66,6 +75,8 @@
         engines: Engines of both services; a fifth of them are plain.
         clients: Callers, each with one request at a time.
         stalls_per_s: Mean rate of short stalls of all links; see ``stalls``.
+        limits: Number of times that an engine names a rate limit for a while.
+        cuts: Number of times that nodes lose all engines for a while.
     """
 
     seed: int
@@ -74,6 +85,8 @@
     engines: int = 10
     clients: int = 16
     stalls_per_s: float = 0.0
+    limits: int = 0
+    cuts: int = 0
 
     def plain_engines(self) -> int:
         """Returns how many endpoints serve plain requests."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -185,6 +185,12 @@
     parser.add_argument(
         "--stalls", type=float, default=0.0, help="stalls of all links per s"
     )
+    parser.add_argument(
+        "--limits", type=int, default=0, help="engines that name a limit"
+    )
+    parser.add_argument(
+        "--cuts", type=int, default=0, help="times that nodes lose all engines"
+    )
     parser.add_argument("--folder", type=pathlib.Path)
     parser.add_argument("--regressions", action="store_true")
     args = parser.parse_args()
@@ -209,6 +215,8 @@
         engines=min(args.engines, layout.MAX_ENGINES),
         clients=args.clients or 4 * args.nodes,
         stalls_per_s=args.stalls,
+        limits=args.limits,
+        cuts=args.cuts,
     )
 
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -6,6 +6,7 @@
 import dataclasses
 import json
 import os
+import pathlib
 import signal
 import subprocess
 import sys
@@ -24,7 +25,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    import pathlib
 
     from tests.soak import config_probes
 
@@ -100,6 +100,7 @@
         entry: Address on which it serves requests; ``front`` forwards there.
         front: The proxy that callers connect to.
         store_link: The proxy between the node and the store.
+        cut_file: Says whether the node is cut off from engines.
     """
 
     entry: str = ""
@@ -107,6 +108,7 @@
     front: fault_proxy.FaultProxy | None = None
     store_link: fault_proxy.FaultProxy | None = None
     settings: dict[str, Any] = dataclasses.field(default_factory=dict)
+    cut_file: pathlib.Path = pathlib.Path()
 
     def links(self) -> list[fault_proxy.FaultProxy]:
         assert self.front is not None and self.store_link is not None
@@ -205,9 +207,15 @@
         link = await fault_proxy.create_fault_proxy(network.store())
         name = f"n{index}"
         path = self.folder / f"{name}.ini"
+        cut_file = self.folder / f"{name}.cut"
+        command = ["almondshift.daemons.start_relay", "--settings", str(path)]
+        if self.options.cuts:
+            command[0] = "tests.soak.node_process"
+            command += ["--cut-file", str(cut_file)]
         node = NodeProcess(
             name,
-            ["almondshift.daemons.start_relay", "--settings", str(path)],
+            command,
+            cut_file=cut_file,
             entry=network.node(index, layout.NODE_PORT),
             directory=network.node(index, layout.DIRECTORY_PORT),
             front=front,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,16 +16,24 @@
 PLANNED_SEED = 121
 """Its faults are only operators' actions, during which nothing may be cut."""
 
+LIMITED_SEED = 39
+"""Engines name limits, and nodes lose all engines."""
+
 STALLED_SEED = 14
 STALLS_PER_S = 3.0
 
 
 @pytest.mark.parametrize(
-    ("seed", "stalls_per_s"),
-    [(MIXED_SEED, 0.0), (PLANNED_SEED, 0.0), (STALLED_SEED, STALLS_PER_S)],
+    ("seed", "stalls_per_s", "limits_and_cuts"),
+    [
+        (MIXED_SEED, 0.0, 0),
+        (PLANNED_SEED, 0.0, 0),
+        (STALLED_SEED, STALLS_PER_S, 0),
+        (LIMITED_SEED, 0.0, 3),
+    ],
 )
 def test_guarantees_hold_under_seeded_faults(
-    seed: int, stalls_per_s: float, tmp_path: pathlib.Path
+    seed: int, stalls_per_s: float, limits_and_cuts: int, tmp_path: pathlib.Path
 ) -> None:
     """Callers get complete answers or truthful refusals under faults.
 
@@ -42,6 +50,8 @@
         engines=8,
         clients=12,
         stalls_per_s=stalls_per_s,
+        limits=limits_and_cuts,
+        cuts=limits_and_cuts,
     )
     report = asyncio.run(run.run(options, tmp_path))
     assert not report.violations, soak_report.render_text(report)
