--- a/src/almondshift/policy/isolation.py
+++ b/src/almondshift/policy/isolation.py
@@ -48,6 +48,7 @@
         failed_rounds: Rounds in a row without a response.
         isolated_since: Since when the node is isolated; None if it is not.
         checked_at: End of the latest round.
+        is_check_wanted: Whether a check should start at once.
     """
 
     def __init__(self) -> None:
@@ -58,6 +59,7 @@
         self.failed_rounds = 0
         self.isolated_since: float | None = None
         self.checked_at = -math.inf
+        self.is_check_wanted = False
 
     @property
     def is_isolated(self) -> bool:
@@ -98,7 +100,7 @@
         """
         if self.is_isolated:
             return now - self.checked_at >= RECHECK_GAP_S
-        if self.failed_rounds:
+        if self.failed_rounds or self.is_check_wanted:
             return True
         if now - self.checked_at < CHECK_GAP_S:
             return False
@@ -117,6 +119,7 @@
             now: When all of them were answered, refused or timed out.
         """
         self.checked_at = now
+        self.is_check_wanted = False
         if self.last_response_at >= started_at:
             self.failed_rounds = 0
             was_isolated = self.is_isolated
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -426,10 +426,11 @@
             self.possible_runs += 1
         allowed = self.try_spend_retry(is_not_run, is_sent)
         should_wait = not allowed and self.may_wait_for_capacity(is_not_run)
+        may_prove_lost = not is_not_run and self.may_wait_for_capacity(True)
         next_step = runs.GIVEN_UP
         if allowed:
             next_step = runs.SENT_ELSEWHERE
-        elif should_wait:
+        elif should_wait or may_prove_lost:
             next_step = runs.WAITS
         self.log_failed_attempt(
             attempt.first.instance, reason, is_not_run, next_step
@@ -440,9 +441,31 @@
             self.search_later(
                 self.resume_within_budget if is_sent else self.begin
             )
+        elif may_prove_lost:
+            self.links.is_check_wanted = True
+            self.search_later(
+                functools.partial(self.resume_if_cut_off, attempt, reason)
+            )
         elif not (is_not_run and self.pass_to_peer_if_cut_off()):
             self.refuse_no_capacity(reason)
 
+    def resume_if_cut_off(
+        self, attempt: stream_attempt.StreamAttempt, reason: str
+    ) -> None:
+        """Resumes a stream that has used all attempts, or ends it.
+
+        If links fail or engines crash, connections are reset some moments
+        before the node knows. An attempt that failed for that reason does not
+        count.
+        """
+        if self.is_ended:
+            return
+        if not self.is_cut_off(attempt):
+            self.refuse_no_capacity(reason)
+            return
+        self.possible_runs -= 1
+        self.resume_within_budget()
+
     def is_cut_off(self, attempt: stream_attempt.StreamAttempt) -> bool:
         """Returns whether an attempt failed since its engine can't be reached.
 
