--- a/src/almondshift/model/routed_requests.py
+++ b/src/almondshift/model/routed_requests.py
@@ -18,6 +18,8 @@
         account: Name of the client account; empty for none.
         priority: 0 is the most urgent.
         config_version: Version of the configuration that was applied.
+        from_peer: Whether a peer passed the request on.
+        possible_runs: Number of endpoints that may have run it before.
     """
 
     request: relayed.RelayedRequest
