Log orders of nodes, replaced stages and missing replacements

AS5013 says only that a retry was denied.

Change: nodes write AS3003 and AS3005 for orders, with the sessions that the engine last reported, AS5016 for each replaced stage (endpoint, layers, version, reason, replacement) and AS5017 when a stage starts to wait for a replacement, with the reason why each engine that holds its layers can't be used.

Checked: tests/node, tests/policy and the tests of events and style pass.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -190,7 +190,10 @@
 
 
 class OrderSent(Event, frozen=True):
-    """An order was sent to an endpoint."""
+    """An order was sent to an endpoint.
+
+    ``sessions`` is what the endpoint last reported, None if it reports none.
+    """
 
     number = 3003
     message = "order sent"
@@ -198,6 +201,7 @@
     endpoint: str
     order: str
     fencing: int
+    sessions: int | None = None
 
 
 class OrderRefused(Event, frozen=True):
@@ -607,6 +611,42 @@
     events_sent: int
 
 
+class StageReplaced(Event, frozen=True):
+    """A stage of a running request failed and others continue it.
+
+    ``seconds`` is the time from the failure to the decision.
+    """
+
+    number = 5016
+    message = "stage replaced"
+
+    request_id: str
+    endpoint: str
+    version: int
+    layers: str
+    reason: str
+    replacement: str
+    seconds: float
+
+
+class ReplacementMissing(Event, frozen=True):
+    """A failed stage waits because no endpoint can replace it now.
+
+    ``excluded`` names endpoints that hold its layers, and why each can't be
+    used; the number of them is bounded.
+    """
+
+    number = 5017
+    message = "replacement missing"
+
+    request_id: str
+    endpoint: str
+    version: int
+    layers: str
+    reason: str
+    excluded: str
+
+
 class StoreOutageBegan(Event, frozen=True):
     """The platform's store does not respond."""
 
--- a/src/almondshift/node/reconciler.py
+++ b/src/almondshift/node/reconciler.py
@@ -10,6 +10,7 @@
 
 import expression
 
+from almondshift import log_events
 from almondshift.model import orders
 from almondshift.policy import placement
 
@@ -189,11 +190,43 @@
             return
         self._last_sent[order.endpoint] = _Sent(order, self.clock.monotonic())
         self.sent += 1
+        self._log_sent(order, fencing)
+        sent_at = self.clock.monotonic()
         answer = await engine.order(
             dataclasses.replace(order.order, fencing=fencing)
         )
+        self._log_answer(order, answer, self.clock.monotonic() - sent_at)
         self._take_answer(order, answer)
 
+    def _log_sent(self, order: placement.PlannedOrder, fencing: int) -> None:
+        known = self.directory.endpoints.get(order.endpoint)
+        report = known.report if known else None
+        log_events.emit(
+            logger,
+            log_events.OrderSent(
+                endpoint=order.endpoint,
+                order=_describe(order.order),
+                fencing=fencing,
+                sessions=report.sessions if report else None,
+            ),
+        )
+
+    def _log_answer(
+        self,
+        order: placement.PlannedOrder,
+        answer: expression.Result[orders.OrderAnswer, engines.EngineError],
+        seconds: float,
+    ) -> None:
+        log_events.emit(
+            logger,
+            log_events.OrderAnswered(
+                endpoint=order.endpoint,
+                order=_describe(order.order),
+                outcome=answer.ok.status.value if answer.is_ok() else "unknown",
+                seconds=round(seconds, 3),
+            ),
+        )
+
     def _take_answer(
         self,
         order: placement.PlannedOrder,
@@ -211,6 +244,15 @@
                 self._last_sent.pop(order.endpoint, None)
 
 
+def _describe(order: orders.Order) -> str:
+    """Returns an order as text for the log."""
+    span = order.layers
+    return (
+        f"{order.role.value} {order.model} version {order.version} "
+        f"layers {span.start}-{span.end}"
+    )
+
+
 def _engine_state(engine: placement.PlacedEngine) -> tuple[object, ...]:
     report = engine.report
     is_empty = report.sessions == 0
--- a/src/almondshift/node/router_driver.py
+++ b/src/almondshift/node/router_driver.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from almondshift.node import recovery_log
 from almondshift.node import usage
 from almondshift.policy import actions
 from almondshift.policy import events
@@ -81,6 +82,8 @@
         )
         self._waiting[event.request_id] = future
         self.notify(event)
+        if isinstance(event, events.StageFailed) and not future.done():
+            recovery_log.missing(event, self.router.excluded_engines(event))
         try:
             return await future
         except asyncio.CancelledError:
--- a/src/almondshift/node/stage_calls.py
+++ b/src/almondshift/node/stage_calls.py
@@ -12,6 +12,7 @@
 from almondshift.model import steps
 from almondshift.node import directory
 from almondshift.node import pipeline
+from almondshift.node import recovery_log
 from almondshift.node import refusals
 from almondshift.policy import actions
 from almondshift.policy import events
@@ -94,6 +95,8 @@
             self.directory.note_move_from_leaving(endpoint)
         decision = await self.driver.decide(failure)
         if isinstance(decision, actions.Replace):
+            seconds = self.driver.clock.monotonic() - failure.at
+            recovery_log.replaced(failure, decision.replacement, seconds)
             return expression.Ok(decision.replacement)
         if isinstance(decision, actions.Refuse):
             error = refusals.to_error(decision)
--- a/src/almondshift/policy/router.py
+++ b/src/almondshift/policy/router.py
@@ -22,6 +22,7 @@
 from almondshift.policy import chain_choice
 from almondshift.policy import ejection
 from almondshift.policy import events
+from almondshift.policy import excluded_engines
 from almondshift.policy import fair_queue
 from almondshift.policy import lanes as lanes_module
 from almondshift.policy import long_jobs
@@ -111,6 +112,19 @@
         """Returns whether a service and all its dependencies can be served."""
         return self.topology.service_ready(service)
 
+    def excluded_engines(self, failure: events.StageFailed) -> list[str]:
+        """Returns why engines can't replace a failed stage; see base class."""
+        running = self.running.get(failure.request_id)
+        failed = running.failed_endpoints if running else ()
+        chain = failure.chain
+        return excluded_engines.describe(
+            self.topology,
+            self.health,
+            topology.Target(chain.model, chain.version, chain.adapter),
+            chain.stages[failure.index].layers,
+            frozenset(failed),
+        )
+
     def account_tokens_per_s(self, at: float) -> dict[str, float]:
         """Returns the token rate per account on this node, for its peers."""
         return self.limits.usage_by_account(at)
--- a/src/almondshift/policy/router_interface.py
+++ b/src/almondshift/policy/router_interface.py
@@ -28,3 +28,8 @@
     @abc.abstractmethod
     def service_ready(self, service: str) -> bool:
         """Returns whether a service and all its dependencies can be served."""
+
+    def excluded_engines(self, failure: events.StageFailed) -> list[str]:
+        """Returns why engines can't replace a failed stage, for logs."""
+        del failure
+        return []
