Begin a rollout whichever engines are idle

What callers saw: after a change of the model's version requests of it waited without end (test_leases, "not within 30 s: version 2"); status noted that the version can't be loaded beside the one in service, though two complete chains of engines existed.

The engines' reports: e1 (layers 6-12) and e4 (0-8) with two and three sessions, e2 (0-6) and e3 (8-12) with none.

Cause: engines to drain are taken one after another, idle ones first, unless one is the last with a layer. e2 and e3 were taken; layers 6-8 were then left to e1 and e4, each the last one with other layers. The choice depends on sessions only, and callers go on using e1 and e4, so that it never changes. A pause is not needed for it, only another pair of idle engines.

Change: if engines taken one by one don't suffice, two chains are searched for as a whole. A search finds one if there is one: of the engines in use only the last of each chain matters, which bounds it by the square of the number of ranges.

--- a/src/almondshift/policy/placement.py
+++ b/src/almondshift/policy/placement.py
@@ -45,11 +45,13 @@
 from almondshift.model import fleet as fleets
 from almondshift.model import layers
 from almondshift.model import orders
+from almondshift.policy import chain_split
 from almondshift.policy import engine_rates
 from almondshift.policy import topology
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Iterator
     from collections.abc import Sequence
 
 MIN_MOVE_GAIN = 1.2
@@ -306,12 +308,14 @@
         covered = [state.holders[name] for name in new]
         covered += state.draining.values()
         serving = [name for name in old if name in state.holders]
-        spare = self._spare_engines(state, serving, covered)
-        serving = [name for name in serving if name not in spare]
-        covered += [state.holders[name] for name in spare]
-        dual = self._engines_for_both(state, serving, covered)
-        covered += [state.holders[name] for name in dual]
-        if not topology.covers_all(covered, count):
+        for spare in self._choices_of_spares(state, serving, covered):
+            freed = [state.holders[name] for name in spare]
+            rest = [name for name in serving if name not in spare]
+            dual = self._engines_for_both(state, rest, covered + freed)
+            freed += [state.holders[name] for name in dual]
+            if topology.covers_all(covered + freed, count):
+                break
+        else:
             self.notes.append(
                 f"model {state.model.name}: version {state.model.version} "
                 "can't be loaded beside the version in service; add engines, "
@@ -323,6 +327,29 @@
         for name in dual:
             self._load(self.engines[name], state, state.holders[name])
 
+    def _choices_of_spares(
+        self,
+        state: _WorkloadState,
+        serving: list[str],
+        covered: list[layers.LayerRange],
+    ) -> Iterator[Sequence[str]]:
+        """Yields engines to drain, most preferred first.
+
+        Idle engines taken one after another may leave layers of which the
+        last engine is needed by the old version, although two complete chains
+        exist. The split is then searched for as a whole.
+        """
+        yield self._spare_engines(state, serving, covered)
+        by_sessions = sorted(serving, key=lambda n: (self._sessions(n), n))
+        spans = {name: state.holders[name] for name in by_sessions}
+        both = [
+            state.holders[name]
+            for name in serving
+            if self._can_hold_both(name, state.holders[name])
+        ]
+        count = state.model.layers
+        yield chain_split.second_chain(spans, covered + both, count) or ()
+
     def _spare_engines(
         self,
         state: _WorkloadState,
@@ -357,12 +384,18 @@
         uncovered = _uncovered_layers(covered, state.model.layers)
         for name in serving:
             span = state.holders[name]
-            capacity = self.engines[name].description.layer_capacity
-            if capacity >= 2 * span.count and uncovered & set(_layers_of(span)):
+            if self._can_hold_both(name, span) and uncovered & set(
+                _layers_of(span)
+            ):
                 chosen.append(name)
                 uncovered -= set(_layers_of(span))
         return chosen
 
+    def _can_hold_both(self, name: str, span: layers.LayerRange) -> bool:
+        """Returns whether an engine can hold a range in two versions."""
+        capacity = self.engines[name].description.layer_capacity
+        return capacity >= 2 * span.count
+
     def _held(self, name: str) -> endpoints.Holding:
         holding = self._best_holding(self.engines[name])
         assert holding is not None
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -250,6 +250,32 @@
     assert len(draining) == 2
 
 
+@pytest.mark.parametrize(
+    "busy", [(), ("e0", "e3"), ("e1", "e2"), ("e0", "e2"), ("e1", "e3")]
+)
+def test_a_version_change_begins_whichever_engines_are_idle(
+    busy: tuple[str, ...],
+) -> None:
+    """Guards against a rollout that waits until other engines are idle.
+
+    Layers 0-6 and 8-12 of the idle engines leave 6-8 to engines of which the
+    old version needs the last one.
+    """
+    engines = _Engines([8, 6, 6, 4])
+    spans = {"e0": (0, 8), "e1": (0, 6), "e2": (6, 12), "e3": (8, 12)}
+    for name, span in spans.items():
+        held = endpoints.Holding("m", 1, "", layers.LayerRange(*span), True)
+        engines.holdings[name] = (held,)
+        engines.roles[name] = endpoints.EndpointRole.SERVING
+        engines.sessions[name] = 3 if name in busy else 0
+    changed = _fleet(version=2)
+    changed.models["m"] = dataclasses.replace(changed.models["m"], layers=12)
+    plan = placement.plan(changed, engines.placed())
+    assert plan.notes == ()
+    drained = {planned.endpoint for planned in plan.orders}
+    assert drained in ({"e0", "e3"}, {"e1", "e2"})
+
+
 def test_a_version_change_that_needs_downtime_is_not_ordered() -> None:
     engines = _Engines([4, 4])
     engines.apply(placement.plan(_fleet(), engines.placed()))
