Load a new version in other ranges if the present ones form no second chain

Cause: the first chain of a new version was formed from the present ranges only.

Change: if these don't suffice, one chain of the old version is kept, and as few other engines as possible are drained whose capacity covers the layers, idle ones first. They load the new version in ranges that fill its gaps.

Checked: twelve new cases of test_placement (ranges, and the order in which engines become empty) failed before and pass; a chain of one version is complete at each step.

--- a/src/almondshift/policy/placement.py
+++ b/src/almondshift/policy/placement.py
@@ -296,6 +296,7 @@
             empty = [n for n in old if n not in kept and not self._sessions(n)]
         else:
             self._start_rollout(state, old, new)
+            spans |= self._spans_to_load(state, list(state.draining), new)
         for name in empty:
             self._load(self.engines[name], state, spans[name])
         return []
@@ -350,16 +351,13 @@
         self, state: _WorkloadState, old: list[str], new: list[str]
     ) -> None:
         """Frees engines for the first complete chain of a new version."""
-        count = state.model.layers
-        covered = [state.holders[name] for name in new]
-        covered += state.draining.values()
         serving = [name for name in old if name in state.holders]
-        for spare in self._choices_of_spares(state, serving, covered):
-            freed = [state.holders[name] for name in spare]
+        for spare in self._choices_of_spares(state, serving, new):
+            covered = self._covered_after(state, spare, new)
             rest = [name for name in serving if name not in spare]
-            dual = self._engines_for_both(state, rest, covered + freed)
-            freed += [state.holders[name] for name in dual]
-            if topology.covers_all(covered + freed, count):
+            dual = self._engines_for_both(state, rest, covered)
+            covered += [state.holders[name] for name in dual]
+            if topology.covers_all(covered, state.model.layers):
                 break
         else:
             self.notes.append(
@@ -377,24 +375,69 @@
         self,
         state: _WorkloadState,
         serving: list[str],
-        covered: list[layers.LayerRange],
+        new: list[str],
     ) -> Iterator[Sequence[str]]:
         """Yields engines to drain, most preferred first.
 
         Idle engines taken one after another may leave layers of which the
         last engine is needed by the old version, although two complete chains
-        exist. The split is then searched for as a whole.
+        exist. The split is then searched for as a whole. If the present ranges
+        form no two chains, as few engines as possible get other ranges.
         """
+        covered = self._covered_after(state, (), new)
         yield self._spare_engines(state, serving, covered)
         by_sessions = sorted(serving, key=lambda n: (self._sessions(n), n))
         spans = {name: state.holders[name] for name in by_sessions}
-        both = [
-            state.holders[name]
-            for name in serving
-            if self._can_hold_both(name, state.holders[name])
-        ]
+        covered += self._spans_for_both(state)
         count = state.model.layers
-        yield chain_split.second_chain(spans, covered + both, count) or ()
+        yield chain_split.second_chain(spans, covered, count) or ()
+        kept = self._minimal_holders(spans)
+        spare = [name for name in by_sessions if name not in kept]
+        for end in range(1, len(spare) + 1):
+            covered = self._covered_after(state, spare[:end], new)
+            if topology.covers_all(covered, count):
+                yield spare[:end]
+                return
+
+    def _covered_after(
+        self, state: _WorkloadState, spare: Sequence[str], new: list[str]
+    ) -> list[layers.LayerRange]:
+        """Returns the new version's ranges once drained engines loaded it."""
+        drained = [*state.draining, *spare]
+        spans = self._spans_to_load(state, drained, new)
+        return [*(state.holders[name] for name in new), *spans.values()]
+
+    def _spans_to_load(
+        self, state: _WorkloadState, drained: list[str], new: list[str]
+    ) -> dict[str, layers.LayerRange]:
+        """Returns the ranges in which drained engines load the new version.
+
+        They keep their ranges if the new version then has a complete chain.
+        Otherwise they fill its gaps one after another, largest engine first.
+        """
+        held = state.holders | state.draining
+        spans = {name: held[name] for name in drained}
+        covered = [state.holders[name] for name in new]
+        count = state.model.layers
+        possible = [*covered, *self._spans_for_both(state), *spans.values()]
+        if topology.covers_all(possible, count):
+            return spans
+        uncovered = _uncovered_layers(covered, count)
+        for name, engine in self.engines.items():
+            if name in spans and uncovered:
+                capacity = min(engine.description.layer_capacity, count)
+                start = min(*uncovered, count - capacity)
+                spans[name] = layers.LayerRange(start, start + capacity)
+                uncovered -= set(_layers_of(spans[name]))
+        return spans
+
+    def _spans_for_both(self, state: _WorkloadState) -> list[layers.LayerRange]:
+        """Returns the ranges of engines that can hold both versions."""
+        return [
+            span
+            for name, span in state.holders.items()
+            if self._can_hold_both(name, span)
+        ]
 
     def _spare_engines(
         self,
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -77,7 +77,9 @@
                 dataclasses.replace(h, ready=True) for h in held
             )
 
-    def has_complete_chain(self, version: int, model: str = "m") -> bool:
+    def has_complete_chain(
+        self, version: int, model: str = "m", layer_count: int = LAYERS
+    ) -> bool:
         spans = [
             held.layers
             for name, holdings in self.holdings.items()
@@ -85,7 +87,7 @@
             for held in holdings
             if held.ready and (held.model, held.version) == (model, version)
         ]
-        return topology.covers_all(spans, LAYERS)
+        return topology.covers_all(spans, layer_count)
 
     def bound(self, model: str = "m") -> float:
         return flow.bound_tokens_per_s(
@@ -318,6 +320,45 @@
     return engines
 
 
+@pytest.mark.parametrize(
+    "spans",
+    [
+        {"e0": (0, 6), "e1": (6, 12), "e2": (0, 6), "e3": (6, 10)},
+        {"e0": (0, 6), "e1": (6, 12), "e2": (4, 10), "e3": (8, 12)},
+        {"e0": (0, 12), "e1": (0, 4), "e2": (0, 4), "e3": (0, 4)},
+    ],
+)
+@pytest.mark.parametrize("first", [0, 1, 2, 3])
+def test_a_version_change_moves_ranges_if_they_form_no_second_chain(
+    spans: dict[str, tuple[int, int]], first: int
+) -> None:
+    """Guards against a rollout that never starts, for want of one range.
+
+    The engines' capacities suffice for two chains, their present ranges don't.
+    Drained engines become empty one after another.
+    """
+    engines = _engines_holding(spans, dict.fromkeys(spans, 1))
+    capacities = {"e2": 8} if spans["e0"] == (0, 6) else {}
+    for name, capacity in capacities.items():
+        engines.descriptions[name] = dataclasses.replace(
+            engines.descriptions[name], layer_capacity=capacity
+        )
+    changed = _fleet(version=2)
+    changed.models["m"] = dataclasses.replace(changed.models["m"], layers=12)
+    names = sorted(spans)
+    for step in range(10):
+        last_busy = names[(first + step) % 4]
+        engines.sessions = {n: int(n == last_busy) for n in names}
+        engines.apply(placement.plan(changed, engines.placed()))
+        assert any(
+            engines.has_complete_chain(version, layer_count=12)
+            for version in (1, 2)
+        )
+    assert {h.version for held in engines.holdings.values() for h in held} == {
+        2
+    }
+
+
 def test_a_version_change_that_needs_downtime_is_not_ordered() -> None:
     engines = _Engines([4, 4])
     engines.apply(placement.plan(_fleet(), engines.placed()))
