Keep the chain that requests start on at a second change of the version

What callers would see: with engines of two old versions, a further change could leave neither of them a complete chain, so that requests were refused as not ready.

Cause: engines of all old versions were counted together when spare ones were chosen.

Change: only engines of the version on which requests start count as its chain. Those of other versions are kept while the version is in use, and drained first if not.

Checked: the three cases of the new test in test_placement failed before.

--- a/src/almondshift/policy/placement.py
+++ b/src/almondshift/policy/placement.py
@@ -351,8 +351,12 @@
         self, state: _WorkloadState, old: list[str], new: list[str]
     ) -> None:
         """Frees engines for the first complete chain of a new version."""
-        serving = [name for name in old if name in state.holders]
-        for spare in self._choices_of_spares(state, serving, new):
+        accepting = [name for name in old if name in state.holders]
+        serving = self._current_engines(state, accepting)
+        others = [name for name in accepting if name not in serving]
+        kept = self._engines_in_use(state, others)
+        unused = [name for name in others if name not in kept]
+        for spare in self._choices_of_spares(state, serving, unused, new):
             covered = self._covered_after(state, spare, new)
             rest = [name for name in serving if name not in spare]
             dual = self._engines_for_both(state, rest, covered)
@@ -371,32 +375,60 @@
         for name in dual:
             self._load(self.engines[name], state, state.holders[name])
 
+    def _current_engines(
+        self, state: _WorkloadState, accepting: list[str]
+    ) -> list[str]:
+        """Returns the engines of the old version on which requests start.
+
+        These are all if no old version has a complete chain.
+        """
+        by_version = collections.defaultdict(list)
+        for name in accepting:
+            if self._held(name).ready:
+                by_version[self._held(name).version].append(name)
+        complete = [
+            version
+            for version, names in by_version.items()
+            if topology.covers_all(
+                [state.holders[name] for name in names], state.model.layers
+            )
+        ]
+        if not complete:
+            return accepting
+        wanted = state.model.version
+        return by_version[
+            min(complete, key=lambda v: topology.version_rank(v, wanted))
+        ]
+
     def _choices_of_spares(
         self,
         state: _WorkloadState,
         serving: list[str],
+        unused: list[str],
         new: list[str],
-    ) -> Iterator[Sequence[str]]:
-        """Yields engines to drain, most preferred first.
+    ) -> Iterator[list[str]]:
+        """Yields engines to drain, always the unused ones, best choice first.
 
         Idle engines taken one after another may leave layers of which the
         last engine is needed by the old version, although two complete chains
         exist. The split is then searched for as a whole. If the present ranges
         form no two chains, as few engines as possible get other ranges.
         """
-        covered = self._covered_after(state, (), new)
-        yield self._spare_engines(state, serving, covered)
+        covered = self._covered_after(state, unused, new)
+        yield [*unused, *self._spare_engines(state, serving, covered)]
         by_sessions = sorted(serving, key=lambda n: (self._sessions(n), n))
         spans = {name: state.holders[name] for name in by_sessions}
         covered += self._spans_for_both(state)
         count = state.model.layers
-        yield chain_split.second_chain(spans, covered, count) or ()
+        chain = chain_split.second_chain(spans, covered, count)
+        yield [*unused, *(chain or ())]
         kept = self._minimal_holders(spans)
         spare = [name for name in by_sessions if name not in kept]
         for end in range(1, len(spare) + 1):
-            covered = self._covered_after(state, spare[:end], new)
+            drained = [*unused, *spare[:end]]
+            covered = self._covered_after(state, drained, new)
             if topology.covers_all(covered, count):
-                yield spare[:end]
+                yield drained
                 return
 
     def _covered_after(
--- a/src/almondshift/policy/topology.py
+++ b/src/almondshift/policy/topology.py
@@ -222,7 +222,7 @@
         ]
         return min(
             complete,
-            key=lambda t: _version_rank(t.version, wanted),
+            key=lambda t: version_rank(t.version, wanted),
             default=None,
         )
 
@@ -312,7 +312,11 @@
     )
 
 
-def _version_rank(version: int, wanted: int) -> tuple[int, int]:
+def version_rank(version: int, wanted: int) -> tuple[int, int]:
+    """Returns a key that is lower for versions that requests start on first.
+
+    The wanted version is first, then older ones, the newest of them first.
+    """
     if version == wanted:
         return (0, 0)
     if version < wanted:
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -359,6 +359,30 @@
     }
 
 
+@pytest.mark.parametrize(
+    ("in_use", "drained"),
+    [
+        ({("m", 1), ("m", 2)}, set()),
+        ({("m", 2)}, {"e0", "e3"}),
+        (set(), {"e0", "e3"}),
+    ],
+)
+def test_a_second_change_keeps_the_chain_that_new_requests_use(
+    in_use: set[tuple[str, int]], drained: set[str]
+) -> None:
+    """Guards against old engines of two versions that are taken for a chain.
+
+    Version 3 is configured while requests of version 1 are still running.
+    """
+    spans = {"e0": (0, 4), "e1": (4, 8), "e2": (0, 4), "e3": (4, 8)}
+    engines = _engines_holding(spans, {"e0": 1, "e1": 2, "e2": 2, "e3": 1})
+    plan = placement.plan(_fleet(version=3), engines.placed(), in_use=in_use)
+    assert {planned.endpoint for planned in plan.orders} == drained
+    assert {planned.order.role for planned in plan.orders} <= {
+        endpoints.EndpointRole.DRAINING
+    }
+
+
 def test_a_version_change_that_needs_downtime_is_not_ordered() -> None:
     engines = _Engines([4, 4])
     engines.apply(placement.plan(_fleet(), engines.placed()))
