Don't use an engine again by a report that its refusal has disproved

What callers saw: requests ended with "The request failed on too many endpoints" 2.6 to 3 s after sending while their version was replaced, with nine nodes.

Cause: a node that doesn't query an engine learns its state a second or more late, while its counts arrive with each usage fact; each such report counted as a change after which the refusing engine was tried again. "Doesn't serve these layers" was taken for "full".

Change: that refusal is a reason of its own. The report by which the engine serves the layers is not believed for 2 s or until the state changes; the stage may go to any engine, also to an ejected one that has reported again.

Checked: new cases of test_router; "lost engine is back" and "other counts" failed with the reason as it was.

--- a/src/almondshift/node/pipeline.py
+++ b/src/almondshift/node/pipeline.py
@@ -44,11 +44,13 @@
 _REASONS = {
     steps.StepStatus.LEAVING: events.FailureReason.LEAVING,
     steps.StepStatus.BUSY: events.FailureReason.REFUSED,
-    steps.StepStatus.WRONG_MODEL: events.FailureReason.REFUSED,
+    steps.StepStatus.WRONG_MODEL: events.FailureReason.NOT_SERVED,
     steps.StepStatus.UNKNOWN_SESSION: events.FailureReason.BROKEN,
     steps.StepStatus.POSITION_MISMATCH: events.FailureReason.BROKEN,
 }
 
+_REFUSALS = (events.FailureReason.REFUSED, events.FailureReason.NOT_SERVED)
+
 
 class StageLost(Exception):
     """The session of a stage can no longer run steps."""
@@ -373,7 +375,7 @@
         may refuse it until their reports catch up, a fraction of a second
         later. Immediate retries exhausted the request's retries within 0.1 s.
         """
-        if reason is not events.FailureReason.REFUSED:
+        if reason not in _REFUSALS:
             self._refusals = 0
             return
         pause_s = REFUSED_BACKOFF_S * 2**self._refusals
--- a/src/almondshift/policy/events.py
+++ b/src/almondshift/policy/events.py
@@ -13,10 +13,16 @@
 
 
 class FailureReason(enum.StrEnum):
-    """Reason why a stage of a chain failed."""
+    """Reason why a stage of a chain failed.
+
+    Attributes:
+        REFUSED: The endpoint is full.
+        NOT_SERVED: The endpoint drains, or no longer holds the layers.
+    """
 
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
+    NOT_SERVED = "not_served"
     LEAVING = "leaving"
     TIMEOUT = "timeout"
     BROKEN = "broken"
--- a/src/almondshift/policy/excluded_engines.py
+++ b/src/almondshift/policy/excluded_engines.py
@@ -70,6 +70,8 @@
         return "leaving"
     if _is_draining(endpoint):
         return "draining"
+    if endpoint.is_disproved:
+        return "refused contrary to its report"
     if not held.ready:
         return "layers not ready"
     if endpoint.name in avoided:
--- a/src/almondshift/policy/recovery.py
+++ b/src/almondshift/policy/recovery.py
@@ -15,7 +15,8 @@
 and the endpoint has reported since. Without this exception, a pause of all
 replicas of a range (a cut link, a frozen host) would fail every request on
 them although all are back a second later. An endpoint that only refused
-because it was full is tried again once something has changed.
+because it was full is tried again once something has changed. One that doesn't
+serve the layers, contrary to its known report, is not used until that changes.
 
 Replacing a stage continues the same run, so it is also done for requests that
 aren't idempotent.
@@ -109,6 +110,14 @@
             self.topology.mark_leaving(name)
         elif event.reason is reasons.REFUSED:
             self.chooser.mark_full(name)
+        elif event.reason is reasons.NOT_SERVED:
+            chain = event.chain
+            self.topology.disprove_report(
+                name,
+                topologies.Target(chain.model, chain.version, chain.adapter),
+                chain.stages[event.index].layers,
+                event.at,
+            )
         else:
             unreachable = event.reason is reasons.UNREACHABLE
             if self.health.record_failure(
@@ -132,8 +141,8 @@
             within_budget: False to use only spare capacity.
         """
         failed = event.chain.stages[event.index].endpoint
-        refused_as_full = event.reason is events.FailureReason.REFUSED
-        if not refused_as_full:
+        reasons = events.FailureReason
+        if event.reason not in (reasons.REFUSED, reasons.NOT_SERVED):
             running.failed_endpoints.add(failed)
         avoid = frozenset(running.failed_endpoints | {failed})
         eligibility = _eligibility(event, within_budget, is_first_attempt=True)
--- a/src/almondshift/policy/topology.py
+++ b/src/almondshift/policy/topology.py
@@ -26,6 +26,10 @@
 
     from almondshift.model import layers
 
+DISPROVED_S = 2.0
+"""Seconds for which an engine's report is ignored after it refused to serve
+what the report shows."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
 class Target:
@@ -44,6 +48,7 @@
         reported_at: Measurement time of the last report, in monotonic seconds.
         leaving: Set once it is known to leave; cleared by a new instance.
         served: Targets and layer ranges that it is indexed under.
+        disproved_until: Time until which its known report is not believed.
     """
 
     name: str
@@ -54,6 +59,12 @@
     leaving: bool = False
     left_instance: str = ""
     served: frozenset[tuple[Target, layers.LayerRange]] = frozenset()
+    disproved_until: float = float("-inf")
+
+    @property
+    def is_disproved(self) -> bool:
+        """Whether its known report is not believed."""
+        return self.disproved_until > float("-inf")
 
     @property
     def zone(self) -> str:
@@ -121,6 +132,11 @@
         changed = endpoint.report is None or _is_significant_change(
             endpoint.report, report
         )
+        if endpoint.is_disproved and (
+            changed or at >= endpoint.disproved_until
+        ):
+            endpoint.disproved_until = float("-inf")
+            changed = True
         endpoint.report = report
         endpoint.reported_at = measured_at
         if changed:
@@ -136,6 +152,21 @@
             self._set_leaving(endpoint)
             self._index(endpoint)
 
+    def disprove_report(
+        self, name: str, target: Target, needed: layers.LayerRange, at: float
+    ) -> None:
+        """Ignores an engine's report by which it serves layers it refused.
+
+        In large groups the state of an engine reaches other nodes a second or
+        more after it has changed, while its counts are updated, so that an
+        unchanged report does not confirm it. It is believed again after a
+        while, in case that the engine changed back in between.
+        """
+        if self.serves(name, target, needed):
+            endpoint = self.endpoints[name]
+            endpoint.disproved_until = at + DISPROVED_S
+            self._index(endpoint)
+
     def remove(self, name: str) -> None:
         """Removes an endpoint."""
         endpoint = self.endpoints.pop(name, None)
@@ -333,6 +364,7 @@
         or endpoint.vm is None
         or endpoint.description is None
         or report is None
+        or endpoint.is_disproved
         or report.role is endpoints.EndpointRole.DRAINING
     ):
         return frozenset()
--- a/tests/policy/test_router.py
+++ b/tests/policy/test_router.py
@@ -420,6 +420,56 @@
     return _chain(action)
 
 
+@pytest.mark.parametrize(
+    ("report", "expected"),
+    [
+        (fleets.reported("b", (4, 8), at=1.5), "b"),
+        (fleets.reported("c", (4, 8), at=1.5, sessions=3), ""),
+        (fleets.reported("c", (4, 8), at=1.5, instance="other"), "c"),
+        (fleets.reported("c", (4, 8), at=4.0), "c"),
+    ],
+    ids=["lost engine is back", "other counts", "restarted", "later"],
+)
+def test_an_engine_that_drains_is_not_tried_again_by_its_old_report(
+    report: events.LoadReported, expected: str
+) -> None:
+    """Guards against retries spent on engines whose state is known late.
+
+    Stage b became unreachable, and c refused to take it over.
+    """
+    load_router = _router({"a": (0, 4), "b": (4, 8)})
+    chain = _begun(load_router)
+    joined = fleets.seen("c"), fleets.reported("c", (4, 8), at=0.6)
+    fleets.feed(load_router, *joined)
+    (replace,) = load_router.handle(
+        events.StageFailed(
+            1.0, "r1", chain, 1, events.FailureReason.UNREACHABLE, 16
+        )
+    )
+    assert isinstance(replace, actions.Replace)
+    chain = chain.replace(1, replace.replacement)
+    refused = events.FailureReason.NOT_SERVED
+    failure = events.StageFailed(1.1, "r1", chain, 1, refused, 16)
+    assert load_router.handle(failure) == []
+    decided = load_router.handle(report)
+    replaced = [a for a in decided if isinstance(a, actions.Replace)]
+    found = [action.replacement[0].endpoint for action in replaced]
+    assert found == ([expected] if expected else [])
+
+
+def test_a_late_refusal_does_not_disprove_a_newer_report() -> None:
+    """Guards against a new version that is ignored for a refusal of the old."""
+    load_router = _router({"a": (0, 8)})
+    chain = _chain(load_router.handle(fleets.arrival())[0])
+    config = fleets.make_fleet(version=2, model_version=2)
+    loaded = fleets.reported("a", (0, 8), at=1.0, version=2)
+    fleets.feed(load_router, events.FleetChanged(0.5, config), loaded)
+    refused = events.FailureReason.NOT_SERVED
+    load_router.handle(events.StageFailed(1.1, "r1", chain, 0, refused, 16))
+    (action,) = load_router.handle(fleets.arrival("r2", at=1.2))
+    assert _chain(action).version == 2
+
+
 def test_a_spent_retry_budget_ends_no_request_while_engines_are_idle() -> None:
     """Guards against running requests ended on a quiet node."""
     load_router = _router(REPLICAS)
