Log counted crashes, refusals without room and missing peers

Cause: a crash was logged only with the third strike, refusals of quarantined requests not at all, and AS5003 didn't say which engine was full.

AS8004 and AS8005 tell when a node counts a crash, on which evidence, and which requests got no strike for an earlier answer; AS8006 a refused request; AS5018 the engine without room, by which estimate of how many nodes; AS5019 why no peer served a request. AS5003 has the reason.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -440,6 +440,7 @@
     kind: str
     execution: str
     seconds: float
+    reason: str = ""
 
 
 class RequestRecovered(Event, frozen=True):
@@ -647,6 +648,35 @@
     excluded: str
 
 
+class PathsFull(Event, frozen=True):
+    """No path has room for a request by this node's estimate."""
+
+    number = 5018
+    message = "paths full"
+
+    request_id: str
+    service: str
+    cause: str
+    endpoint: str
+    load: float
+    from_report: bool
+    nodes: int
+
+
+class PeersUnavailable(Event, frozen=True):
+    """This node reaches too few endpoints, and no peer can serve a request."""
+
+    number = 5019
+    message = "peers unavailable"
+
+    request_id: str
+    service: str
+    tried: int
+    isolated: int
+    left_out: int
+    others: int
+
+
 class StoreOutageBegan(Event, frozen=True):
     """The platform's store does not respond."""
 
@@ -763,6 +793,46 @@
     fingerprint: str
 
 
+class EndpointCrashed(Event, frozen=True):
+    """An endpoint crashed while it ran requests."""
+
+    number = 8004
+    level = logging.WARNING
+    message = "endpoint crashed"
+
+    endpoint: str
+    evidence: str
+    requests: int
+    answered_before: int
+    quarantined: int
+    age_s: float
+
+
+class CrashReported(Event, frozen=True):
+    """A peer reported requests that an endpoint ran when it crashed."""
+
+    number = 8005
+    message = "crash reported"
+
+    endpoint: str
+    peer: str
+    requests: int
+    answered_before: int
+    quarantined: int
+
+
+class QuarantineRefused(Event, frozen=True):
+    """A request was refused since endpoints crashed while they ran it."""
+
+    number = 8006
+    message = "quarantined request refused"
+
+    request_id: str
+    account: str
+    service: str
+    fingerprint: str
+
+
 class ClaimTaken(Event, frozen=True):
     """This node may dispatch a non-idempotent request, once."""
 
--- a/src/almondshift/policy/crash_strikes.py
+++ b/src/almondshift/policy/crash_strikes.py
@@ -52,11 +52,16 @@
     Attributes:
         fingerprints: Requests that got a strike.
         convicted: Requests that are refused from now on.
+        answered_before: Number of requests that got none, since they had been
+            answered.
+        age_s: Time since the first of the connections broke, in seconds.
     """
 
     instance: str
     fingerprints: tuple[str, ...]
     convicted: tuple[str, ...]
+    answered_before: int = 0
+    age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,18 +102,29 @@
     def crashed(self, instance: str, now: float) -> Crash:
         """Records that an endpoint is gone; requests it ran get a strike."""
         struck, convicted = [], []
+        answered_before = 0
+        first_at = now
         for fingerprint, found in self.broken_attempts.pop(
             instance, {}
         ).items():
             if now - found.at > CRASH_CONFIRM_S:
                 continue
-            known = self.strikes.get(fingerprint, {})
-            if found.attempt in known or fingerprint in self.answered:
+            first_at = min(first_at, found.at)
+            if fingerprint in self.answered:
+                answered_before += 1
+                continue
+            if found.attempt in self.strikes.get(fingerprint, {}):
                 continue
             struck.append(fingerprint)
             if self.strike(fingerprint, found.attempt, now):
                 convicted.append(fingerprint)
-        return Crash(instance, tuple(struck), tuple(convicted))
+        return Crash(
+            instance,
+            tuple(struck),
+            tuple(convicted),
+            answered_before,
+            now - first_at,
+        )
 
     def strike(self, fingerprint: str, name: str, now: float) -> bool:
         """Adds a strike; returns whether the request is refused from now on.
--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -55,6 +55,12 @@
 with the fastest accelerators queues requests while slower zones are idle."""
 
 
+NO_PATH = "no path"
+NO_SLOTS = "slots"
+NO_MEMORY = "memory"
+"""Causes of a request that finds no path."""
+
+
 @dataclasses.dataclass(slots=True)
 class _CachedPaths:
     paths: list[path_search.FoundPath]
@@ -85,6 +91,26 @@
     rooms: tuple[float, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoPath:
+    """Why no path can take a request.
+
+    Attributes:
+        cause: ``NO_PATH``, ``NO_SLOTS`` or ``NO_MEMORY``.
+        instance: The engine that lacks slots or memory on the path that is
+            closest to having room; "" if there is no path.
+        load: Its estimated use, as a multiple of its capacity.
+        from_report: Whether that is based on its own report.
+        nodes: Nodes that are assumed to share the engines.
+    """
+
+    cause: str
+    instance: str
+    load: float
+    from_report: bool
+    nodes: int
+
+
 class PathChooser:
     """Chooses paths.
 
@@ -157,6 +183,46 @@
                 best, best_rank = chosen, (is_crowded, score)
         return best
 
+    def explain(
+        self,
+        view: path_candidates.FleetView,
+        tokens: float,
+        now: float,
+        avoid: frozenset[str] = frozenset(),
+    ) -> NoPath:
+        """Returns why ``choose`` returns None for the same arguments."""
+        load = self.candidates.load(view, now)
+        uses = [
+            self._fullest_use(path, view.spec.slots, tokens, load)
+            for path in self._current_paths(view, now)
+            if path.parts[0].candidate.instance not in avoid
+        ]
+        if not uses:
+            return NoPath(NO_PATH, "", 0.0, False, self.nodes)
+        return min(uses, key=lambda use: use.load)
+
+    def _fullest_use(
+        self,
+        path: path_search.FoundPath,
+        slots: int,
+        tokens: float,
+        load: pooled_load.FleetLoad,
+    ) -> NoPath:
+        """Returns the use of the slots or memory that a path lacks most."""
+        first = path.parts[0].candidate.instance
+        used_slots = load.first_requests(first) / slots
+        if used_slots >= 1.0:
+            return NoPath(NO_SLOTS, first, used_slots, False, self.nodes)
+        shares = {
+            part.candidate.instance: _memory_share(part, tokens, load)
+            for part in path.parts
+        }
+        fullest = max(shares, key=shares.__getitem__)
+        from_report = self.tracker.has_fresh_report(fullest, load.now)
+        return NoPath(
+            NO_MEMORY, fullest, shares[fullest], from_report, self.nodes
+        )
+
     def _choose_by_share(
         self,
         fitting: list[ChosenPath],
@@ -317,11 +383,8 @@
         fullest = own = estimate_ratio = 0.0
         for part in found.parts:
             candidate = part.candidate
-            layer_count = candidate.end - candidate.start
-            need = load.used(candidate.instance, layer_count)
-            need += tokens * (part.end - part.start)
             room = max(1.0, candidate.room)
-            share = need / room
+            share = _memory_share(part, tokens, load)
             fullest = max(fullest, share)
             own = max(own, load.own_share(candidate.instance, room))
             tolerance = self.candidates.tolerance(candidate.instance, load.now)
@@ -336,6 +399,16 @@
         return _to_chosen_path(found, max(fullest, own))
 
 
+def _memory_share(
+    part: path_search.FoundPart, tokens: float, load: pooled_load.FleetLoad
+) -> float:
+    """Returns the use of an engine's memory if a request is added."""
+    candidate = part.candidate
+    need = load.used(candidate.instance, candidate.end - candidate.start)
+    need += tokens * (part.end - part.start)
+    return need / max(1.0, candidate.room)
+
+
 def _instances(path: path_search.FoundPath) -> tuple[str, ...]:
     return tuple(part.candidate.instance for part in path.parts)
 
--- a/src/almondshift/relay/crash_watch.py
+++ b/src/almondshift/relay/crash_watch.py
@@ -47,6 +47,9 @@
 """Topics of facts, the first part of their keys: requests that an endpoint ran
 when it crashed, and requests that an endpoint completed successfully."""
 
+REGISTRY = "registry"
+"""Logged evidence of a crash: the endpoint's entry left the registry."""
+
 FINGERPRINTS_DECODER = msgspec.json.Decoder(list[str])
 
 logger = logging.getLogger(__name__)
@@ -80,6 +83,15 @@
         if not self.strikes.strikes:
             return
         if self.is_refused(routed):
+            log_events.emit(
+                logger,
+                log_events.QuarantineRefused(
+                    request_id=routed.request.request_id,
+                    account=routed.account,
+                    service=routed.service,
+                    fingerprint=fingerprint_of(routed),
+                ),
+            )
             raise errors.CrashesEndpoints(
                 "Endpoints crashed while they ran this request.",
                 retry_after_s=RETRY_AFTER_S,
@@ -123,6 +135,18 @@
             self.strikes.broken_attempts.pop(instance, None)
             return
         crash = self.strikes.crashed(instance, self.clock.monotonic())
+        if crash.fingerprints or crash.answered_before:
+            log_events.emit(
+                logger,
+                log_events.EndpointCrashed(
+                    endpoint=instance,
+                    evidence=REGISTRY,
+                    requests=len(crash.fingerprints),
+                    answered_before=crash.answered_before,
+                    quarantined=len(crash.convicted),
+                    age_s=round(crash.age_s, 3),
+                ),
+            )
         if not crash.fingerprints:
             return
         self.log_convicted(crash.convicted)
@@ -163,14 +187,21 @@
                 self.strikes.note_answered(fingerprint, now)
             return
         strike_name = f"{fact.origin}/{instance}"
-        self.log_convicted(
-            tuple(
-                f
-                for f in fingerprints
-                if self.strikes.strike(f, strike_name, now)
-            )
+        convicted = tuple(
+            f for f in fingerprints if self.strikes.strike(f, strike_name, now)
         )
         completed = self.strikes.known_good(fingerprints)
+        log_events.emit(
+            logger,
+            log_events.CrashReported(
+                endpoint=instance,
+                peer=fact.origin,
+                requests=len(fingerprints),
+                answered_before=len(completed),
+                quarantined=len(convicted),
+            ),
+        )
+        self.log_convicted(convicted)
         if completed:
             self.publish_fingerprints(CLEARED, instance, completed)
 
--- a/src/almondshift/relay/peer_paths.py
+++ b/src/almondshift/relay/peer_paths.py
@@ -59,6 +59,21 @@
     failure_count: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerStates:
+    """Numbers of peers by what they can do for a service.
+
+    Attributes:
+        isolated: Peers that announced that they are isolated from it.
+        left_out: Others that lately failed to serve a request.
+        others: All others.
+    """
+
+    isolated: int
+    left_out: int
+    others: int
+
+
 class PeerPaths:
     """Peers that may serve requests, and the requests passed to them.
 
@@ -200,6 +215,18 @@
         sample = self.rng.sample(usable, min(2, len(usable)))
         return min(sample, key=lambda peer: self.in_flight[peer.name])
 
+    def states(self, service: str) -> PeerStates:
+        """Returns how many peers could serve a service's requests."""
+        known = self.group.advertised() if self.group is not None else []
+        now = self.clock.monotonic()
+        isolated = sum(self.is_isolated(service, peer.name) for peer in known)
+        left_out = sum(
+            not self.is_isolated(service, peer.name)
+            and self.refused_until.get(peer.name, 0.0) > now
+            for peer in known
+        )
+        return PeerStates(isolated, left_out, len(known) - isolated - left_out)
+
     def note_refused(self, peer: str) -> None:
         """Leaves out a peer that refused or did not respond."""
         self.refused_until[peer] = self.clock.monotonic() + REFUSED_S
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -173,6 +173,7 @@
         paths = self.shared.peer_paths
         peer = paths.choose(self.routed.service, self.tried_peers)
         if peer is None:
+            self.log_no_peer()
             return False
         self.tried_peers |= {peer.name}
         self.sends_that_may_have_run += 1
@@ -200,6 +201,20 @@
         )
         return True
 
+    def log_no_peer(self) -> None:
+        """Logs why no peer can serve the request."""
+        states = self.shared.peer_paths.states(self.routed.service)
+        self.shared.observer.emit(
+            log_events.PeersUnavailable(
+                request_id=self.routed.request.request_id,
+                service=self.routed.service,
+                tried=len(self.tried_peers),
+                isolated=states.isolated,
+                left_out=states.left_out,
+                others=states.others,
+            )
+        )
+
     def pass_to_peer_if_cut_off(self) -> bool:
         """Has a peer serve the request if this node seems cut off."""
         is_cut_off = self.links.is_link_suspect(
@@ -467,6 +482,7 @@
                 kind=error.kind,
                 execution=error.execution.value,
                 seconds=self.elapsed_s(),
+                reason=error.detail,
             )
         )
         self.responder.fail(error)
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -139,12 +139,34 @@
             if is_limited and self.choose_path(self.failed_engines) is not None:
                 self.refuse_limited()
                 return
+            self.log_paths_full()
             self.refuse_no_capacity(
                 "No path with free capacity covers all layers."
             )
             return
         self.search_later(self.begin)
 
+    def log_paths_full(self) -> None:
+        """Logs which engine lacks room, by which estimate."""
+        view = self.shared.catalogue.view(self.routed.service)
+        if view is None or self.links.is_isolated:
+            return
+        now = self.shared.clock.monotonic()
+        found = self.shared.paths.explain(
+            view, self.tokens, now, self.failed_engines
+        )
+        self.shared.observer.emit(
+            log_events.PathsFull(
+                request_id=self.routed.request.request_id,
+                service=self.routed.service,
+                cause=found.cause,
+                endpoint=found.instance,
+                load=round(found.load, 3),
+                from_report=found.from_report,
+                nodes=found.nodes,
+            )
+        )
+
     def search_later(self, search: Callable[[], None]) -> None:
         """Schedules another search for a path while the caller still waits."""
         waited_s = self.loop.time() - self.progress_at
