--- /dev/null
+++ b/tests/platform/test_repeated_crashes.py
@@ -0,0 +1,125 @@
+"""A request that crashes its endpoints, whose registry entries stay.
+
+An endpoint that crashes closes its port at once. Its entry stays in the
+registry until its lease ends, or for as long as the store does not respond.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+
+import pytest
+
+from almondshift.policy import crash_strikes
+from tests.platform import standin_system as system
+
+CRASHING_BODY = b"crashes"
+
+LEASE_S = 4.5
+"""Time for which the entry of a crashed endpoint stays in the registry."""
+
+ENDPOINTS = 45
+CALLERS = 3
+
+PAUSE_S = 0.6
+"""Pause of each caller before it sends the request again."""
+
+LATE_S = 3.0
+MAX_LATE_RUNS = 3
+"""The stated target: at most this many runs later than ``LATE_S`` after the
+third crash."""
+
+SPREAD_S = 1.0
+"""Time within which peers learn of urgent facts."""
+
+
+class Registry(enum.StrEnum):
+    """What happens to the entries of crashed endpoints."""
+
+    LEASE = "lease"
+    SILENT_STORE = "silent_store"
+
+
+class CrashingEndpoints:
+    """Makes endpoints crash on the request, and records when.
+
+    Attributes:
+        crashed_at: Loop times of the crashes, in order.
+    """
+
+    def __init__(
+        self, running: system.StandinSystem, registry: Registry
+    ) -> None:
+        self.running = running
+        self.registry = registry
+        self.loop = asyncio.get_running_loop()
+        self.crashed_at: list[float] = []
+        self.closing: set[asyncio.Task[None]] = set()
+        for engine in running.engines.values():
+            engine.crashing_body = CRASHING_BODY
+            engine.on_crash = lambda engine=engine: self.crash(engine)
+
+    def crash(self, engine: system.standin_engines.StandinEngine) -> None:
+        self.crashed_at.append(self.loop.time())
+        self.closing.add(self.loop.create_task(engine.close()))
+        if self.registry is Registry.LEASE:
+            store = self.running.store
+            self.loop.call_later(
+                LEASE_S, store.remove, "servers", engine.instance
+            )
+
+    def runs_after(self, seconds: float) -> int:
+        """Returns the runs later than a time after the third crash."""
+        third = self.crashed_at[crash_strikes.MAX_STRIKES - 1]
+        return sum(at - third > seconds for at in self.crashed_at)
+
+
+async def send_repeatedly(
+    running: system.StandinSystem, path: str, caller: int, until: float
+) -> None:
+    loop = asyncio.get_running_loop()
+    number = 0
+    while loop.time() < until:
+        node = (caller + number) % len(running.nodes)
+        entry = running.nodes[node].settings.entry.address
+        head = system.request(path, f"bad-{caller}-{number}")
+        status, _, _ = await system.send(entry, head, CRASHING_BODY)
+        assert status in (0, 502, 503)
+        number += 1
+        await asyncio.sleep(PAUSE_S)
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/look/x", "/chat/x"])
+@pytest.mark.parametrize("registry", list(Registry), ids=str)
+def test_a_repeated_request_does_not_crash_endpoints_until_their_leases_end(
+    registry: Registry, path: str
+) -> None:
+    """Guards against crashes that count only once the registry shows them."""
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=3, zones="abc") as running:
+            await running.wait_for_peers()
+            for index in range(ENDPOINTS):
+                await running.add_engine(f"q{index}", system.PLAIN_SERVICE, "a")
+            await running.until(
+                lambda: all(
+                    len(process.node.catalogue.engines) == len(running.engines)
+                    for process in running.nodes
+                )
+            )
+            endpoints = CrashingEndpoints(running, registry)
+            if registry is Registry.SILENT_STORE:
+                running.store.faults.is_silent = True
+            until = endpoints.loop.time() + LATE_S + LEASE_S
+            await asyncio.gather(
+                *(
+                    send_repeatedly(running, path, caller, until)
+                    for caller in range(CALLERS)
+                )
+            )
+            assert endpoints.runs_after(LATE_S) <= MAX_LATE_RUNS
+            assert endpoints.runs_after(SPREAD_S) == 0
+            running.store.faults.is_silent = False
+
+    asyncio.run(scenario())
