Count a crash when the endpoint's port is closed, not when its lease ends

Cause: a crash counted only when the endpoint's entry left the registry, so 2.5 to 3.3 s after it, or never with a silent store. Replacements start before that.

Change: an endpoint that breaks a connection is checked for a listening port, up to three times in 0.25 s. A refused connection counts as a crash, unless the endpoint announced its end; so does an endpoint that has taken over its address, or a 421. Each endpoint counts once for a request, whichever nodes report it. Since crashes count sooner, streams that leave a crashed engine together would be refused together: with others in flight at the same crashes a request is refused 2 s later, and not if it was answered by then.

Weighed: a health check as proof (a closed port says the same sooner and needs no slot); a strike that must be confirmed by the registry (with a silent store it never is); holding back the third attempt (delays each harmless request that met two crashes).

Harmless requests in flight, 60 to an engine: none has a strike after reset links, silence or a planned leave; none is refused at three crashes that all of them met and that 59 survived (tests/relay/test_crash_watch.py).

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -144,6 +144,10 @@
         """Reports the engine as healthy."""
         return True
 
+    async def is_listening(self, *values: Any) -> bool | None:
+        """Reports the engine as listening."""
+        return True
+
     async def place(self, *values: Any) -> path_engines.OrderAnswer:
         """Accepts the order."""
         return path_engines.OrderAnswer(path_engines.OrderOutcome.BEGUN)
--- a/src/almondshift/adapters/http_connections.py
+++ b/src/almondshift/adapters/http_connections.py
@@ -378,6 +378,26 @@
         for address in list(self.idle):
             self.drop(address)
 
+    async def is_listening(self, address: str, timeout_s: float) -> bool | None:
+        """Opens a connection that is not used for a call.
+
+        Returns:
+            Whether it was accepted; None if there was no response.
+        """
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_s):
+                transport, _ = await loop.create_connection(
+                    asyncio.Protocol, host, int(port)
+                )
+        except ConnectionRefusedError:
+            return False
+        except (OSError, TimeoutError, ValueError):
+            return None
+        transport.close()
+        return True
+
     async def _connect(self, address: str, call: Call) -> None:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
--- a/src/almondshift/platform/engines.py
+++ b/src/almondshift/platform/engines.py
@@ -216,6 +216,10 @@
             return None
         return IS_HEALTHY_BY_STATUS.get(fetched.head.status)
 
+    async def is_listening(self, address: str, timeout_s: float) -> bool | None:
+        """Opens a connection to an endpoint and closes it."""
+        return await self.pool.is_listening(address, timeout_s)
+
     async def place(
         self,
         address: str,
--- a/src/almondshift/policy/crash_strikes.py
+++ b/src/almondshift/policy/crash_strikes.py
@@ -4,19 +4,20 @@
 next endpoint crashes too. Without a limit that spans nodes, a single caller
 takes down one endpoint after another, each with all other work on it.
 
-A request is identified by its fingerprint. It gets a strike for each attempt
-during which an endpoint broke the connection and then turned out to be gone;
-connection resets and lost responses of endpoints that are still alive don't
-count. Several engines of one path that die together, such as those of a rack,
-are one strike, since a request that crashes its endpoints does so in each
-attempt. With ``MAX_STRIKES`` strikes it is refused, unless it was answered
-successfully in the meantime.
-
-An endpoint that crashes for another reason interrupts some sixty streams, a
-third of a zone's. It is rare that one of them meets three such crashes in its
-few seconds, and the only consequence is that it is not retried. Requests that
-several callers send with the same content, such as an empty body, are answered
-successfully all the time, which clears them here and at peers.
+A request is identified by its fingerprint. It gets a strike for each endpoint
+that crashed during one of its attempts; connection resets and lost responses of
+endpoints that are still alive don't count. Several engines of one path that die
+together, such as those of a rack, are one strike, since a request that crashes
+its endpoints does so in each attempt. A successful response clears its strikes.
+
+With ``MAX_STRIKES`` strikes a request is refused, at once if no other request
+was in flight at all of these crashes. Streams that leave a crashed engine
+together may meet the next crashes together, and some sixty of them are
+interrupted at a time. Each of these is refused only ``AMBIGUOUS_S`` later, so
+that those which don't crash endpoints can be answered first.
+
+Requests that several callers send with the same content, such as an empty body,
+are answered successfully all the time, which clears them here and at peers.
 """
 
 from __future__ import annotations
@@ -27,6 +28,11 @@
 """Strikes from which a request is refused. Harmless requests meet two crashes
 when a zone's engines die within moments of each other."""
 
+AMBIGUOUS_S = 2.0
+"""Time after its last strike for which a request is not refused yet, if others
+were in flight at the same crashes, in seconds. Callers may retry the request
+for three seconds, one of which it takes to inform all peers."""
+
 STRIKE_S = 600.0
 """Validity of a strike, in seconds; callers that retry such a request do so
 within minutes."""
@@ -44,6 +50,9 @@
 """Maximum number of fingerprints with strikes; some hundred crashes with sixty
 streams each."""
 
+MAX_BROKEN = 512
+"""Maximum number of failed attempts that are kept for each endpoint."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Crash:
@@ -66,7 +75,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BrokenAttempt:
-    """An attempt during which the endpoint broke the connection.
+    """An attempt that an endpoint did not answer.
 
     Attributes:
         attempt: Identifies the attempt among all of its node.
@@ -77,27 +86,45 @@
     at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Strike:
+    """A crash during an attempt.
+
+    Attributes:
+        at: When it was counted; monotonic seconds.
+        attempt: The attempt, if it was this node's; else "".
+    """
+
+    at: float
+    attempt: str = ""
+
+
 class CrashStrikes:
     """Counts crashes of endpoints by request.
 
     Attributes:
         broken_attempts: By instance and fingerprint, until it is clear whether
             the endpoint crashed.
-        strikes: Times of strikes, by fingerprint and name of the strike.
+        strikes: By fingerprint and instance of the endpoint.
+        struck: Fingerprints with a strike, by instance of the endpoint.
         answered: When requests were last answered successfully, by fingerprint.
     """
 
     def __init__(self) -> None:
         self.broken_attempts: dict[str, dict[str, BrokenAttempt]] = {}
-        self.strikes: dict[str, dict[str, float]] = {}
+        self.strikes: dict[str, dict[str, Strike]] = {}
+        self.struck: dict[str, set[str]] = {}
         self.answered: dict[str, float] = {}
 
     def note_broken_attempt(
         self, fingerprint: str, attempt: str, instance: str, now: float
     ) -> None:
-        """Records that an endpoint broke the connection of a request."""
+        """Records that an endpoint did not answer a request."""
         pending = self.broken_attempts.setdefault(instance, {})
+        pending.pop(fingerprint, None)
         pending[fingerprint] = BrokenAttempt(attempt, now)
+        if len(pending) > MAX_BROKEN:
+            del pending[next(iter(pending))]
 
     def crashed(self, instance: str, now: float) -> Crash:
         """Records that an endpoint is gone; requests it ran get a strike."""
@@ -109,14 +136,17 @@
         ).items():
             if now - found.at > CRASH_CONFIRM_S:
                 continue
+            known = self.strikes.get(fingerprint, {})
+            if any(
+                strike.attempt == found.attempt for strike in known.values()
+            ):
+                continue
             first_at = min(first_at, found.at)
             if fingerprint in self.answered:
                 answered_before += 1
                 continue
-            if found.attempt in self.strikes.get(fingerprint, {}):
-                continue
             struck.append(fingerprint)
-            if self.strike(fingerprint, found.attempt, now):
+            if self.strike(fingerprint, instance, now, found.attempt):
                 convicted.append(fingerprint)
         return Crash(
             instance,
@@ -126,25 +156,44 @@
             now - first_at,
         )
 
-    def strike(self, fingerprint: str, name: str, now: float) -> bool:
+    def strike(
+        self, fingerprint: str, instance: str, now: float, attempt: str = ""
+    ) -> bool:
         """Adds a strike; returns whether the request is refused from now on.
 
         Args:
             fingerprint: The request.
-            name: Identifies the strike; a strike of the same name counts once.
+            instance: The endpoint; each counts once.
             now: Monotonic seconds.
+            attempt: The attempt, if it was this node's.
         """
         if fingerprint in self.answered:
             return False
+        known = self.strikes.setdefault(fingerprint, {})
+        if instance in known:
+            return False
         was_refused = self.is_refused(fingerprint, now)
-        self.strikes.setdefault(fingerprint, {})[name] = now
+        known[instance] = Strike(now, attempt)
+        self.struck.setdefault(instance, set()).add(fingerprint)
         while len(self.strikes) > MAX_STRUCK:
-            del self.strikes[next(iter(self.strikes))]
+            self.clear(next(iter(self.strikes)))
         return not was_refused and self.is_refused(fingerprint, now)
 
+    def clear(self, fingerprint: str) -> int:
+        """Drops the strikes of a request; returns how many it had."""
+        known = self.strikes.pop(fingerprint, {})
+        for instance in known:
+            fingerprints = self.struck.get(instance)
+            if fingerprints is None:
+                continue
+            fingerprints.discard(fingerprint)
+            if not fingerprints:
+                del self.struck[instance]
+        return len(known)
+
     def note_answered(self, fingerprint: str, now: float) -> None:
         """Clears a request that an endpoint has answered successfully."""
-        self.strikes.pop(fingerprint, None)
+        self.clear(fingerprint)
         self.answered.pop(fingerprint, None)
         self.answered[fingerprint] = now
         while len(self.answered) > MAX_ANSWERED:
@@ -157,16 +206,32 @@
     def is_refused(self, fingerprint: str, now: float) -> bool:
         """Returns whether a request may no longer be sent to any endpoint."""
         known = self.strikes.get(fingerprint)
-        if known is None:
+        if known is None or len(known) < MAX_STRIKES:
+            return False
+        fresh = {
+            instance: strike.at
+            for instance, strike in known.items()
+            if now - strike.at <= STRIKE_S
+        }
+        if len(fresh) < MAX_STRIKES:
             return False
-        fresh = sum(now - at <= STRIKE_S for at in known.values())
-        return fresh >= MAX_STRIKES
+        reached_at = sorted(fresh.values())[MAX_STRIKES - 1]
+        return now - reached_at >= AMBIGUOUS_S or self.is_only_suspect(
+            fingerprint, fresh
+        )
+
+    def is_only_suspect(
+        self, fingerprint: str, instances: dict[str, float]
+    ) -> bool:
+        """Returns whether no other request has a strike by all of these."""
+        sets = [self.struck.get(instance, set()) for instance in instances]
+        return set.intersection(*sets) <= {fingerprint}
 
     def forget_old(self, now: float) -> None:
-        """Drops broken attempts and strikes that no longer count."""
+        """Drops failed attempts and strikes that no longer count."""
         for instance, pending in list(self.broken_attempts.items()):
             if all(now - b.at > CRASH_CONFIRM_S for b in pending.values()):
                 del self.broken_attempts[instance]
         for fingerprint, known in list(self.strikes.items()):
-            if all(now - at > STRIKE_S for at in known.values()):
-                del self.strikes[fingerprint]
+            if all(now - strike.at > STRIKE_S for strike in known.values()):
+                self.clear(fingerprint)
--- a/src/almondshift/ports/path_engines.py
+++ b/src/almondshift/ports/path_engines.py
@@ -139,6 +139,15 @@
             is too busy to tell.
         """
 
+    @abc.abstractmethod
+    async def is_listening(self, address: str, timeout_s: float) -> bool | None:
+        """Opens a connection to an endpoint and closes it.
+
+        Returns:
+            Whether its host accepts connections at this port; None if it does
+            not respond in time.
+        """
+
     @abc.abstractmethod
     async def place(
         self,
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -188,7 +188,9 @@
                 ports.peer_entries,
             ),
             links=links,
-            crash_watch=crash_watch.create_crash_watch(ports.clock),
+            crash_watch=crash_watch.create_crash_watch(
+                ports.clock, ports.engines
+            ),
             lost_engines=lost,
             refusing_engines=refusing_engines.create_refusing_engines(
                 ports.clock, self.catalogue, self.tracker, ports.engines, lost
@@ -209,6 +211,7 @@
         )
         self.reach = engine_reach.EngineReach(self.shared)
         lost.is_isolated = links.is_isolated
+        self.shared.crash_watch.is_leaving = self.is_leaving
         self.reach.on_isolated = self.leave_endpoints
         self.reach.on_restored = self.restore_endpoints
         self.gateway = gateway.Gateway(
@@ -249,6 +252,7 @@
         self.catalogue.on_leaving.append(self.engine_leaving)
         self.catalogue.on_gone.append(self.engine_gone)
         self.catalogue.on_restarted.append(self.engine_restarted)
+        self.catalogue.on_engine.append(self.engine_changed)
 
     async def start(self) -> None:
         """Starts all components; joins the group once the store responds."""
@@ -278,6 +282,7 @@
         await self.silence.close()
         await self.shared.refusing_engines.close()
         await self.shared.limits.close()
+        await self.shared.crash_watch.close()
         if self.group is not None:
             await self.group.close()
         await self.engine_watch.close()
@@ -450,6 +455,33 @@
         self.shared.peer_paths.announce()
         self.tracker.query_all_suspects(self.ports.clock.monotonic())
 
+    def is_leaving(self, instance: str) -> bool:
+        """Returns whether an engine was expected to end.
+
+        It announced its shutdown, its health check showed that it drains, or
+        its entry left the registry, which some do to shut down.
+        """
+        engine = self.catalogue.engines.get(instance)
+        if engine is None or engine.leaving:
+            return True
+        is_draining = engine_tracker.Suspicion.DRAINING
+        state = self.tracker.states.get(instance)
+        return state is not None and state.reason is is_draining
+
+    def engine_changed(
+        self, engine: registered_engines.RegisteredEngine
+    ) -> None:
+        """Records crashes of engines whose address another one took over."""
+        watch = self.shared.crash_watch
+        for instance in list(watch.strikes.broken_attempts):
+            former = self.catalogue.engines.get(instance)
+            if (
+                former is not None
+                and instance != engine.instance
+                and former.address == engine.address
+            ):
+                watch.endpoint_replaced(instance)
+
     def engine_leaving(
         self, engine: registered_engines.RegisteredEngine
     ) -> None:
--- a/src/almondshift/relay/crash_watch.py
+++ b/src/almondshift/relay/crash_watch.py
@@ -1,12 +1,15 @@
 """Refuses, on all nodes, requests that crash every endpoint that runs them.
 
 Nothing reports which request crashed an endpoint: the node sees a broken
-connection, and some seconds later that the endpoint is gone. Nodes share which
-requests were in flight at a crash, since callers retry through any node.
+connection, then that nobody listens at the endpoint's port, and some seconds
+later that its registry entry is gone. Nodes share which requests were in flight
+at a crash, since callers retry through any node.
 """
 
 from __future__ import annotations
 
+import collections
+import enum
 import hashlib
 import itertools
 import logging
@@ -18,10 +21,14 @@
 from almondshift import log_events
 from almondshift.policy import crash_strikes
 from almondshift.ports import peers
+from almondshift.relay import port_checks
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from almondshift.model import routed_requests
     from almondshift.ports import clocks
+    from almondshift.ports import path_engines
     from almondshift.relay import group as relay_group
 
 FINGERPRINT_BYTES = 8
@@ -42,13 +49,25 @@
 """Retry-After of a refused request, in seconds. Strikes last ten minutes, and
 an earlier retry costs no more than another refusal."""
 
+REFUSAL = "Endpoints crashed while they ran this request."
+
 CRASH = "crash"
 CLEARED = "cleared"
 """Topics of facts, the first part of their keys: requests that an endpoint ran
 when it crashed, and requests that an endpoint completed successfully."""
 
-REGISTRY = "registry"
-"""Logged evidence of a crash: the endpoint's entry left the registry."""
+MAX_REPORTED = 64
+"""Maximum number of crashed endpoints whose requests are kept, to report them
+together with those whose connections break later."""
+
+
+class Evidence(enum.StrEnum):
+    """What showed that an endpoint crashed."""
+
+    PORT_CLOSED = "port closed"
+    REPLACED = "replaced"
+    REGISTRY = "registry"
+
 
 FINGERPRINTS_DECODER = msgspec.json.Decoder(list[str])
 
@@ -60,14 +79,29 @@
 
     Attributes:
         group: The other nodes; None before this node has joined them.
+        reported: Requests that peers were told of, by crashed instance.
+        is_leaving: Returns whether an endpoint was expected to end.
     """
 
     def __init__(
-        self, clock: clocks.Clock, strikes: crash_strikes.CrashStrikes
+        self,
+        clock: clocks.Clock,
+        strikes: crash_strikes.CrashStrikes,
+        ports: port_checks.PortChecks,
     ) -> None:
         self.clock = clock
         self.strikes = strikes
+        self.ports = ports
+        self.ports.on_closed = self.port_closed
         self.group: relay_group.Group | None = None
+        self.reported: collections.OrderedDict[str, tuple[str, ...]] = (
+            collections.OrderedDict()
+        )
+        self.is_leaving: Callable[[str], bool] = lambda instance: False
+
+    async def close(self) -> None:
+        """Cancels checks of endpoints."""
+        await self.ports.close()
 
     def join(self, node_group: relay_group.Group) -> None:
         """Starts to exchange facts about crashes with peers."""
@@ -92,10 +126,7 @@
                     fingerprint=fingerprint_of(routed),
                 ),
             )
-            raise errors.CrashesEndpoints(
-                "Endpoints crashed while they ran this request.",
-                retry_after_s=RETRY_AFTER_S,
-            )
+            raise refusal()
 
     def is_refused(self, routed: routed_requests.RoutedRequest) -> bool:
         """Returns whether a request must not be sent to any endpoint."""
@@ -105,7 +136,11 @@
         return self.strikes.is_refused(fingerprint_of(routed), now)
 
     def note_broken(
-        self, routed: routed_requests.RoutedRequest, sends: int, instance: str
+        self,
+        routed: routed_requests.RoutedRequest,
+        sends: int,
+        instance: str,
+        address: str,
     ) -> None:
         """Records that an endpoint broke the connection of a request.
 
@@ -113,7 +148,16 @@
             routed: The request.
             sends: Number of times it has been sent, including this one.
             instance: The endpoint.
+            address: Its ``host:port``.
         """
+        self.note_unanswered(routed, sends, instance)
+        if not self.is_leaving(instance):
+            self.ports.start(instance, address)
+
+    def note_unanswered(
+        self, routed: routed_requests.RoutedRequest, sends: int, instance: str
+    ) -> None:
+        """Records that an endpoint on the path of a request seems lost."""
         now = self.clock.monotonic()
         attempt = f"{routed.request.request_id}/{sends}"
         self.strikes.note_broken_attempt(
@@ -125,6 +169,16 @@
         now = self.clock.monotonic()
         self.strikes.note_answered(fingerprint_of(routed), now)
 
+    def port_closed(self, instance: str) -> None:
+        """Adds strikes if an endpoint closed its port without notice."""
+        if not self.is_leaving(instance):
+            self.record_crash(instance, Evidence.PORT_CLOSED)
+
+    def endpoint_replaced(self, instance: str) -> None:
+        """Adds strikes, as another endpoint has the address of this one."""
+        if not self.is_leaving(instance):
+            self.record_crash(instance, Evidence.REPLACED)
+
     def endpoint_gone(self, instance: str, was_leaving: bool) -> None:
         """Adds strikes to the requests that an endpoint ran when it crashed.
 
@@ -134,23 +188,32 @@
         if was_leaving:
             self.strikes.broken_attempts.pop(instance, None)
             return
+        self.record_crash(instance, Evidence.REGISTRY)
+
+    def record_crash(self, instance: str, evidence: Evidence) -> None:
+        """Adds strikes to the requests that an endpoint ran; tells peers."""
         crash = self.strikes.crashed(instance, self.clock.monotonic())
-        if crash.fingerprints or crash.answered_before:
-            log_events.emit(
-                logger,
-                log_events.EndpointCrashed(
-                    endpoint=instance,
-                    evidence=REGISTRY,
-                    requests=len(crash.fingerprints),
-                    answered_before=crash.answered_before,
-                    quarantined=len(crash.convicted),
-                    age_s=round(crash.age_s, 3),
-                ),
-            )
+        if not crash.fingerprints and not crash.answered_before:
+            return
+        log_events.emit(
+            logger,
+            log_events.EndpointCrashed(
+                endpoint=instance,
+                evidence=evidence.value,
+                requests=len(crash.fingerprints),
+                answered_before=crash.answered_before,
+                quarantined=len(crash.convicted),
+                age_s=round(crash.age_s, 3),
+            ),
+        )
         if not crash.fingerprints:
             return
         self.log_convicted(crash.convicted)
-        self.publish_fingerprints(CRASH, instance, crash.fingerprints)
+        known = self.reported.pop(instance, ()) + crash.fingerprints
+        self.reported[instance] = known[: FINGERPRINTS_PER_FACT * MAX_FACTS]
+        if len(self.reported) > MAX_REPORTED:
+            self.reported.popitem(last=False)
+        self.publish_fingerprints(CRASH, instance, self.reported[instance])
 
     def publish_fingerprints(
         self, topic: str, instance: str, fingerprints: tuple[str, ...]
@@ -186,9 +249,8 @@
             for fingerprint in fingerprints:
                 self.strikes.note_answered(fingerprint, now)
             return
-        strike_name = f"{fact.origin}/{instance}"
         convicted = tuple(
-            f for f in fingerprints if self.strikes.strike(f, strike_name, now)
+            f for f in fingerprints if self.strikes.strike(f, instance, now)
         )
         completed = self.strikes.known_good(fingerprints)
         log_events.emit(
@@ -218,6 +280,11 @@
             )
 
 
+def refusal() -> errors.CrashesEndpoints:
+    """Returns the error of a refused request."""
+    return errors.CrashesEndpoints(REFUSAL, retry_after_s=RETRY_AFTER_S)
+
+
 def fingerprint_of(routed: routed_requests.RoutedRequest) -> str:
     """Returns a digest that is the same for a request and its retries."""
     request = routed.request
@@ -229,6 +296,12 @@
     return digest.hexdigest()
 
 
-def create_crash_watch(clock: clocks.Clock) -> CrashWatch:
+def create_crash_watch(
+    clock: clocks.Clock, engines: path_engines.PathEngines
+) -> CrashWatch:
     """Creates a watch without recorded crashes."""
-    return CrashWatch(clock, crash_strikes.CrashStrikes())
+    return CrashWatch(
+        clock,
+        crash_strikes.CrashStrikes(),
+        port_checks.create_port_checks(engines),
+    )
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -237,7 +237,7 @@
         self.shared.endpoints.failed(instance, now)
         if ending is path_engines.Ending.BROKEN:
             self.shared.crash_watch.note_broken(
-                self.routed, self.sends, instance
+                self.routed, self.sends, instance, attempt.endpoint.address
             )
         self.retry_or_end(attempt, reason, is_not_run=False)
 
@@ -252,6 +252,7 @@
             self.shared.tracker.suspect(
                 instance, engine_tracker.Suspicion.GONE, now
             )
+            self.shared.crash_watch.endpoint_replaced(instance)
         self.shared.endpoints.failed(instance, now)
         self.retry_or_end(
             attempt, f"refused with {head.status}", is_not_run=True
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -12,6 +12,7 @@
 from almondshift.ports import path_engines
 from almondshift.ports import peer_entries
 from almondshift.ports import relays
+from almondshift.relay import crash_watch
 from almondshift.relay import peer_attempt
 
 if TYPE_CHECKING:
@@ -136,6 +137,9 @@
         """
         if self.is_ended:
             return
+        if self.shared.crash_watch.is_refused(self.routed):
+            self.refuse_crashing()
+            return
         if self.may_have_run or self.can_end_in_time():
             self.dispatch()
             return
@@ -512,6 +516,13 @@
             return
         self.refuse(errors.Overloaded(reason, retry_after_s=retry_s))
 
+    def refuse_crashing(self) -> None:
+        """Ends a run of a request that crashes endpoints."""
+        if self.may_have_run:
+            self.refuse(self.may_have_run_error(crash_watch.REFUSAL))
+            return
+        self.refuse(crash_watch.refusal())
+
     def refuse_limited(self) -> None:
         """Ends a run that only rate-limited endpoints could serve."""
         reason = "The endpoints that could serve this request are rate-limited."
--- a/src/almondshift/relay/stream_moves.py
+++ b/src/almondshift/relay/stream_moves.py
@@ -79,7 +79,7 @@
             if attempt is None:
                 continue
             if any(part.instance == instance for part in attempt.path):
-                self.shared.crash_watch.note_broken(
+                self.shared.crash_watch.note_unanswered(
                     run.routed, run.sends, instance
                 )
             if attempt.first.instance == instance:
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -358,7 +358,10 @@
         self.failed_engines |= {attempt.first.instance}
         if ending is path_engines.Ending.BROKEN:
             self.shared.crash_watch.note_broken(
-                self.routed, self.sends, attempt.first.instance
+                self.routed,
+                self.sends,
+                attempt.first.instance,
+                attempt.first.address,
             )
         elif ending is path_engines.Ending.NOT_SENT:
             self.shared.lost_engines.suspect(
--- a/tests/platform/cut_links.py
+++ b/tests/platform/cut_links.py
@@ -94,6 +94,14 @@
         self.live.discard(connection)
         super().remove(connection)
 
+    async def is_listening(self, address: str, timeout_s: float) -> bool | None:
+        if not self.is_cut(address):
+            return await super().is_listening(address, timeout_s)
+        if self.cut is Cut.SILENT:
+            await asyncio.sleep(timeout_s)
+            return None
+        return False
+
     async def _connect(self, address: str, call: http_connections.Call) -> None:
         if not self.is_cut(address):
             await super()._connect(address, call)
--- a/tests/relay/test_layer_keeper.py
+++ b/tests/relay/test_layer_keeper.py
@@ -73,6 +73,10 @@
         self.on_executed(instance, start, end)
         return path_engines.OrderAnswer(path_engines.OrderOutcome.BEGUN)
 
+    async def is_listening(self, address: str, timeout_s: float) -> bool | None:
+        del timeout_s
+        return address.partition(":")[0] not in self.silent
+
     async def report(
         self, address: str, timeout_s: float
     ) -> relayed.EngineReport | None:
