Count crashes of endpoints that fall silent while they run a request

Callers: a request that makes its endpoint's VM lose power was never refused.

Cause: an attempt counted only if its connection broke. Plain attempts that were dropped as too slow, or ended by their deadline, were forgotten, and the entry's removal found nothing to count.

Change: attempts without a response are kept too, and count if the registry drops the endpoint within ten seconds without notice. Silence alone is no crash.

tests/platform/test_repeated_crashes.py, endpoints that fall silent: both rows failed before (504 in place of a refusal), and pass.

--- a/src/almondshift/relay/crash_watch.py
+++ b/src/almondshift/relay/crash_watch.py
@@ -157,7 +157,10 @@
     def note_unanswered(
         self, routed: routed_requests.RoutedRequest, sends: int, instance: str
     ) -> None:
-        """Records that an endpoint on the path of a request seems lost."""
+        """Records that an endpoint did not answer a request in time.
+
+        An endpoint whose VM lost power breaks no connection.
+        """
         now = self.clock.monotonic()
         attempt = f"{routed.request.request_id}/{sends}"
         self.strikes.note_broken_attempt(
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -360,6 +360,9 @@
         if failed:
             now = self.shared.clock.monotonic()
             self.shared.endpoints.failed(instance, now)
+            self.shared.crash_watch.note_unanswered(
+                self.routed, self.sends, instance
+            )
         else:
             self.shared.endpoints.cancelled(instance)
 
@@ -368,6 +371,11 @@
         self.cancel_slow_timer()
         self.drop_attempt(failed=False)
 
+    def time_out(self) -> None:
+        """Ends the run; its endpoint may have crashed without a reset."""
+        self.drop_attempt(failed=True)
+        super().time_out()
+
     def expected_response_tokens(self) -> float:
         """Returns 0, as plain responses have no tokens."""
         return 0.0
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -524,6 +524,9 @@
         if attempt.forwarded is not None:
             attempt.forwarded.cancel()
         self.release_attempt()
+        self.shared.crash_watch.note_unanswered(
+            self.routed, self.sends, attempt.first.instance
+        )
         self.retry_or_end(attempt, reason, is_not_run=False)
 
     def can_retry_after_loss(self) -> bool:
--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -63,6 +63,7 @@
         crashing_body: A request with this body crashes the engine; empty for
             none.
         on_crash: Called when such a request crashes it.
+        crashes_silently: Its connections stay open then, without any data.
         born: Its start in Unix milliseconds; 0 to omit it.
         limits: Rate limits that its responses name, one field each.
         arrivals: Loop times at which requests to run arrived.
@@ -94,6 +95,7 @@
         self.resets = False
         self.crashing_body = b""
         self.on_crash = lambda: None
+        self.crashes_silently = False
         self.cancelled: list[str] = []
         self.limits: list[str] = []
         self.arrivals: list[float] = []
@@ -287,6 +289,7 @@
             self.detach().close()
             return
         if self.crashes():
+            await self.hang()
             return
         self.set_header(SIGNATURE, f"sig-{self.engine.instance}")
         self.set_status(self.engine.status)
@@ -297,10 +300,16 @@
         wanted = self.engine.crashing_body
         if not wanted or self.request.body != wanted:
             return False
-        self.detach().close()
+        if not self.engine.crashes_silently:
+            self.detach().close()
         self.engine.on_crash()
         return True
 
+    async def hang(self) -> None:
+        """Keeps the connection open while the engine is dead."""
+        while self.engine.is_dead:
+            await asyncio.sleep(0.02)
+
     async def stream(self, path: list[tuple[str, int, int]]) -> None:
         self.engine.ran.append(self.request_id)
         if self.crashes():
--- a/tests/platform/test_repeated_crashes.py
+++ b/tests/platform/test_repeated_crashes.py
@@ -123,3 +123,66 @@
             running.store.faults.is_silent = False
 
     asyncio.run(scenario())
+
+
+SHORT_LEASE_S = 1.0
+SHORT_DEADLINE_MS = "300"
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/look/x"])
+def test_endpoints_that_fall_silent_count_once_their_leases_end(
+    path: str,
+) -> None:
+    """Guards against crashes that never count as no connection was reset.
+
+    The VMs of the endpoints lose power; the requests end by their deadlines.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=2) as running:
+            await running.wait_for_peers()
+            for index in range(ENDPOINTS):
+                await running.add_engine(f"q{index}", system.PLAIN_SERVICE, "a")
+            lost: list[str] = []
+            loop = asyncio.get_running_loop()
+
+            def crash(engine: system.standin_engines.StandinEngine) -> None:
+                engine.is_dead = True
+                lost.append(engine.instance)
+                loop.call_later(
+                    SHORT_LEASE_S,
+                    running.store.remove,
+                    "servers",
+                    engine.instance,
+                )
+
+            for engine in running.engines.values():
+                engine.crashing_body = CRASHING_BODY
+                engine.crashes_silently = True
+                engine.on_crash = lambda engine=engine: crash(engine)
+            for number in range(crash_strikes.MAX_STRIKES):
+                head = system.request(
+                    path, f"bad-{number}", X_Deadline_Ms=SHORT_DEADLINE_MS
+                )
+                entry = running.nodes[number % 2].settings.entry.address
+                assert (await system.send(entry, head, CRASHING_BODY))[0] == 504
+            await running.until(
+                lambda: (
+                    not any(
+                        instance in process.node.catalogue.engines
+                        for process in running.nodes
+                        for instance in lost
+                    )
+                )
+            )
+            await asyncio.sleep(SPREAD_S)
+            known = len(lost)
+            for node in running.nodes:
+                head = system.request(path, "bad-again")
+                entry = node.settings.entry.address
+                status, _, body = await system.send(entry, head, CRASHING_BODY)
+                assert status == 503
+                assert b"crashes_endpoints" in body
+            assert len(lost) == known
+
+    asyncio.run(scenario())
