Let a successful response clear earlier crashes only

Callers: a request that was answered once, on any node, could crash endpoints without limit from then on.

Cause: answered requests were exempt for as long as a node remembered them, 4,096 of them, and one such node cleared a request on all others (CLEARED).

Change: a response clears the strikes so far. Requests that were answered three times in the last minute, such as those without a body, need six strikes, and a node clears them on its peers only for three seconds after a response. Peers are told when a request with two strikes was answered.

The row 'before' of test_successful_answer_clears_a_request asked for the exemption itself: one response, then three crashes without another, not refused.

--- a/src/almondshift/policy/crash_strikes.py
+++ b/src/almondshift/policy/crash_strikes.py
@@ -16,8 +16,9 @@
 interrupted at a time. Each of these is refused only ``AMBIGUOUS_S`` later, so
 that those which don't crash endpoints can be answered first.
 
-Requests that several callers send with the same content, such as an empty body,
-are answered successfully all the time, which clears them here and at peers.
+Requests that many callers send with the same content, such as an empty body,
+are often in flight at a crash. They are answered all the time, and are refused
+only with twice as many strikes since the latest response.
 """
 
 from __future__ import annotations
@@ -28,6 +29,9 @@
 """Strikes from which a request is refused. Harmless requests meet two crashes
 when a zone's engines die within moments of each other."""
 
+MAX_STRIKES_IF_ANSWERED = 2 * MAX_STRIKES
+"""Strikes from which a request is refused that is answered frequently."""
+
 AMBIGUOUS_S = 2.0
 """Time after its last strike for which a request is not refused yet, if others
 were in flight at the same crashes, in seconds. Callers may retry the request
@@ -42,9 +46,18 @@
 count as crashed, in seconds. The registry drops a silent one within some four
 seconds."""
 
+ANSWERED_S = 60.0
+FREQUENT_ANSWERS = 3
+"""A request is answered frequently if it was answered this often within
+``ANSWERED_S``."""
+
+FRESH_ANSWER_S = 3.0
+"""Time for which a response proves to peers that a frequent request is
+harmless, in seconds."""
+
 MAX_ANSWERED = 4_096
 """Maximum number of fingerprints of answered requests: about those of a quarter
-of an hour at five requests per second and node; 0.4 MB."""
+of an hour at five requests per second and node; 0.6 MB."""
 
 MAX_STRUCK = 8_192
 """Maximum number of fingerprints with strikes; some hundred crashes with sixty
@@ -61,8 +74,8 @@
     Attributes:
         fingerprints: Requests that got a strike.
         convicted: Requests that are refused from now on.
-        answered_before: Number of requests that got none, since they had been
-            answered.
+        answered_before: Number of requests with a strike that are answered
+            frequently.
         age_s: Time since the first of the connections broke, in seconds.
     """
 
@@ -107,14 +120,15 @@
             the endpoint crashed.
         strikes: By fingerprint and instance of the endpoint.
         struck: Fingerprints with a strike, by instance of the endpoint.
-        answered: When requests were last answered successfully, by fingerprint.
+        answered: When requests were answered successfully, by fingerprint; the
+            latest ``FREQUENT_ANSWERS`` times.
     """
 
     def __init__(self) -> None:
         self.broken_attempts: dict[str, dict[str, BrokenAttempt]] = {}
         self.strikes: dict[str, dict[str, Strike]] = {}
         self.struck: dict[str, set[str]] = {}
-        self.answered: dict[str, float] = {}
+        self.answered: dict[str, tuple[float, ...]] = {}
 
     def note_broken_attempt(
         self, fingerprint: str, attempt: str, instance: str, now: float
@@ -142,9 +156,7 @@
             ):
                 continue
             first_at = min(first_at, found.at)
-            if fingerprint in self.answered:
-                answered_before += 1
-                continue
+            answered_before += self.is_frequent(fingerprint, now)
             struck.append(fingerprint)
             if self.strike(fingerprint, instance, now, found.attempt):
                 convicted.append(fingerprint)
@@ -167,8 +179,6 @@
             now: Monotonic seconds.
             attempt: The attempt, if it was this node's.
         """
-        if fingerprint in self.answered:
-            return False
         known = self.strikes.setdefault(fingerprint, {})
         if instance in known:
             return False
@@ -191,17 +201,29 @@
                 del self.struck[instance]
         return len(known)
 
-    def note_answered(self, fingerprint: str, now: float) -> None:
-        """Clears a request that an endpoint has answered successfully."""
-        self.clear(fingerprint)
-        self.answered.pop(fingerprint, None)
-        self.answered[fingerprint] = now
+    def note_answered(self, fingerprint: str, now: float) -> int:
+        """Records a successful response; returns how many strikes it clears."""
+        times = self.answered.pop(fingerprint, ())
+        self.answered[fingerprint] = (*times, now)[-FREQUENT_ANSWERS:]
         while len(self.answered) > MAX_ANSWERED:
             del self.answered[next(iter(self.answered))]
-
-    def known_good(self, fingerprints: tuple[str, ...]) -> tuple[str, ...]:
-        """Returns the requests that were answered successfully here."""
-        return tuple(f for f in fingerprints if f in self.answered)
+        return self.clear(fingerprint)
+
+    def is_frequent(self, fingerprint: str, now: float) -> bool:
+        """Returns whether a request is answered frequently."""
+        times = self.answered.get(fingerprint, ())
+        return len(times) >= FREQUENT_ANSWERS and now - times[0] <= ANSWERED_S
+
+    def known_good(
+        self, fingerprints: tuple[str, ...], now: float
+    ) -> tuple[str, ...]:
+        """Returns the requests that this node proves to be harmless."""
+        return tuple(
+            f
+            for f in fingerprints
+            if self.is_frequent(f, now)
+            and now - self.answered[f][-1] <= FRESH_ANSWER_S
+        )
 
     def is_refused(self, fingerprint: str, now: float) -> bool:
         """Returns whether a request may no longer be sent to any endpoint."""
@@ -213,9 +235,12 @@
             for instance, strike in known.items()
             if now - strike.at <= STRIKE_S
         }
-        if len(fresh) < MAX_STRIKES:
+        limit = MAX_STRIKES
+        if self.is_frequent(fingerprint, now):
+            limit = MAX_STRIKES_IF_ANSWERED
+        if len(fresh) < limit:
             return False
-        reached_at = sorted(fresh.values())[MAX_STRIKES - 1]
+        reached_at = sorted(fresh.values())[limit - 1]
         return now - reached_at >= AMBIGUOUS_S or self.is_only_suspect(
             fingerprint, fresh
         )
--- a/src/almondshift/relay/crash_watch.py
+++ b/src/almondshift/relay/crash_watch.py
@@ -60,6 +60,10 @@
 """Maximum number of crashed endpoints whose requests are kept, to report them
 together with those whose connections break later."""
 
+MIN_STRIKES_TO_REPORT = 2
+"""Strikes from which peers are told that a request was answered; most requests
+that met one crash never meet another."""
+
 
 class Evidence(enum.StrEnum):
     """What showed that an endpoint crashed."""
@@ -170,7 +174,10 @@
     def note_answered(self, routed: routed_requests.RoutedRequest) -> None:
         """Records that an endpoint completed a request."""
         now = self.clock.monotonic()
-        self.strikes.note_answered(fingerprint_of(routed), now)
+        fingerprint = fingerprint_of(routed)
+        cleared = self.strikes.note_answered(fingerprint, now)
+        if cleared >= MIN_STRIKES_TO_REPORT:
+            self.publish_fingerprints(CLEARED, fingerprint, (fingerprint,))
 
     def port_closed(self, instance: str) -> None:
         """Adds strikes if an endpoint closed its port without notice."""
@@ -196,7 +203,7 @@
     def record_crash(self, instance: str, evidence: Evidence) -> None:
         """Adds strikes to the requests that an endpoint ran; tells peers."""
         crash = self.strikes.crashed(instance, self.clock.monotonic())
-        if not crash.fingerprints and not crash.answered_before:
+        if not crash.fingerprints:
             return
         log_events.emit(
             logger,
@@ -209,8 +216,6 @@
                 age_s=round(crash.age_s, 3),
             ),
         )
-        if not crash.fingerprints:
-            return
         self.log_convicted(crash.convicted)
         known = self.reported.pop(instance, ()) + crash.fingerprints
         self.reported[instance] = known[: FINGERPRINTS_PER_FACT * MAX_FACTS]
@@ -255,7 +260,7 @@
         convicted = tuple(
             f for f in fingerprints if self.strikes.strike(f, instance, now)
         )
-        completed = self.strikes.known_good(fingerprints)
+        completed = self.strikes.known_good(fingerprints, now)
         log_events.emit(
             logger,
             log_events.CrashReported(
--- a/tests/policy/test_crash_strikes.py
+++ b/tests/policy/test_crash_strikes.py
@@ -48,23 +48,60 @@
     assert not strikes.broken_attempts
 
 
-@pytest.mark.parametrize("answered_at", ["before", "between", "after"])
-def test_successful_answer_clears_a_request(answered_at: str) -> None:
+@pytest.mark.parametrize(
+    ("answered_at", "is_refused"),
+    [
+        pytest.param((0.0,), True, id="once before"),
+        pytest.param((0.0, 20.0), False, id="between"),
+        pytest.param((0.0, 0.1, 0.2), False, id="before the second"),
+        pytest.param((0.0, 0.1, 0.2, 9.0, 19.0), False, id="all the time"),
+    ],
+)
+def test_successful_answer_clears_a_request(
+    answered_at: tuple[float, ...], is_refused: bool
+) -> None:
     """Many callers send the same request without a body.
 
     Three endpoints crash for other reasons within a minute, each with one of
-    these in flight; all others are answered.
+    these in flight; all others are answered. A request that was answered only
+    before the first crash may be what crashes them.
     """
     strikes = crash_strikes.CrashStrikes()
     for number in range(3):
-        if (answered_at, number) in (("before", 0), ("between", 2)):
-            strikes.note_answered("common", 10.0 * number)
-        crash(strikes, f"e{number}", "common", at=10.0 * number)
-    if answered_at == "after":
-        assert strikes.is_refused("common", 30.0)
-        strikes.note_answered("common", 30.0)
+        at = 10.0 * number
+        for answered in answered_at:
+            if at - 10.0 < answered <= at:
+                strikes.note_answered("common", answered)
+        crash(strikes, f"e{number}", "common", at=at)
+    assert strikes.is_refused("common", 30.0) is is_refused
+    strikes.note_answered("common", 30.0)
     assert not strikes.is_refused("common", 30.0)
-    assert strikes.known_good(("common", "other")) == ("common",)
+
+
+@pytest.mark.parametrize(
+    ("answers", "at", "is_known"),
+    [(1, 0.5, False), (3, 0.5, True), (3, 4.0, False), (4, 0.5, True)],
+)
+def test_fresh_frequent_answers_prove_a_request_to_peers(
+    answers: int, at: float, is_known: bool
+) -> None:
+    """Guards against one old response that clears a request on all nodes."""
+    strikes = crash_strikes.CrashStrikes()
+    for number in range(answers):
+        strikes.note_answered("common", number / 100)
+    found = strikes.known_good(("common", "other"), at)
+    assert found == (("common",) if is_known else ())
+
+
+def test_frequent_request_is_refused_after_twice_as_many_crashes() -> None:
+    """Guards against a request that begins to crash endpoints."""
+    strikes = crash_strikes.CrashStrikes()
+    for number in range(crash_strikes.FREQUENT_ANSWERS):
+        strikes.note_answered("common", float(number))
+    for number in range(crash_strikes.MAX_STRIKES_IF_ANSWERED):
+        assert not strikes.is_refused("common", 10.0)
+        crash(strikes, f"e{number}", "common", at=3.0 + number / 10)
+    assert strikes.is_refused("common", 10.0)
 
 
 def test_strikes_expire_and_are_bounded() -> None:
