Don't leave out peers that refused a request for lack of room

Callers of nodes without engines were refused within 5 ms while the peers that reach engines admitted their own callers.

Cause: a peer that refused one request was left out for a second for all.

Change: only a peer that did not respond, or not as it should, is left out.

test_a_peer_that_refused_a_request_gets_the_next_one failed before, and passes.

--- a/src/almondshift/relay/peer_paths.py
+++ b/src/almondshift/relay/peer_paths.py
@@ -6,7 +6,9 @@
 such a request like its own, but never passes it on to a third node.
 
 Isolated nodes tell all peers, so that nobody passes requests to them. A peer
-that refused is left out for a while.
+that did not respond is left out for a while. One that refused a request for
+lack of room is not, since it may accept the next one, as it does from its own
+callers.
 """
 
 from __future__ import annotations
@@ -39,9 +41,8 @@
 REPUBLISH_S = 2.0
 """Interval between publications of an isolated node, in seconds."""
 
-REFUSED_S = 1.0
-"""Time for which a peer that refused or did not respond is left out, in
-seconds."""
+FAILED_S = 1.0
+"""Time for which a peer that did not respond is left out, in seconds."""
 
 LOST_SHARE = 0.5
 """Share of a service's endpoints that this node can't reach from which its
@@ -80,7 +81,7 @@
     Attributes:
         group: The other nodes; None before this node has joined them.
         in_flight: Requests of this node that a peer serves, by its name.
-        refused_until: Monotonic time until which a peer is left out.
+        failed_until: Monotonic time until which a peer is left out.
         isolated_until: Monotonic time until which a peer counts as isolated,
             by service and the peer's name.
         announced: Services that this node announced to be isolated from, with
@@ -106,7 +107,7 @@
         self.entries = entries
         self.group: relay_group.Group | None = None
         self.in_flight: collections.Counter[str] = collections.Counter()
-        self.refused_until: dict[str, float] = {}
+        self.failed_until: dict[str, float] = {}
         self.isolated_until: dict[str, float] = {}
         self.announced: dict[str, float] = {}
         self.cached_lacks: dict[str, _CachedLack] = {}
@@ -208,7 +209,7 @@
             for peer in self.group.advertised()
             if peer.name not in tried
             and not self.is_isolated(service, peer.name)
-            and self.refused_until.get(peer.name, 0.0) <= now
+            and self.failed_until.get(peer.name, 0.0) <= now
         ]
         if not usable:
             return None
@@ -222,14 +223,14 @@
         isolated = sum(self.is_isolated(service, peer.name) for peer in known)
         left_out = sum(
             not self.is_isolated(service, peer.name)
-            and self.refused_until.get(peer.name, 0.0) > now
+            and self.failed_until.get(peer.name, 0.0) > now
             for peer in known
         )
         return PeerStates(isolated, left_out, len(known) - isolated - left_out)
 
-    def note_refused(self, peer: str) -> None:
-        """Leaves out a peer that refused or did not respond."""
-        self.refused_until[peer] = self.clock.monotonic() + REFUSED_S
+    def note_failed(self, peer: str) -> None:
+        """Leaves out a peer that did not respond, or not as it should."""
+        self.failed_until[peer] = self.clock.monotonic() + FAILED_S
 
     def started(self, peer: str) -> None:
         """Records that a request was passed to a peer."""
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -261,7 +261,8 @@
         is_not_sent = ending is path_engines.Ending.NOT_SENT
         is_unreached = is_not_sent or (is_refused and attempt.is_not_ready())
         self.shared.observer.via_peers.labels("failed").inc()
-        self.shared.peer_paths.note_refused(attempt.peer.name)
+        if not is_refused:
+            self.shared.peer_paths.note_failed(attempt.peer.name)
         self.continue_after_peer(
             attempt, reason, is_refused or is_not_sent, is_unreached
         )
