Don't count nodes without engines in the load estimate

Callers of the nodes that reach engines were refused while engines had room, and so were requests that peers passed to them.

Cause: with up to 16 nodes a node takes an engine's load for its own times the number of nodes, cut nodes included. Those send nothing to engines, and a node that serves for them has more than twice its usual load.

Change: nodes that announced that they reach too few engines of a service are not counted for it, up to MANY_NODES and above.

--- a/src/almondshift/policy/path_candidates.py
+++ b/src/almondshift/policy/path_candidates.py
@@ -15,6 +15,7 @@
 from almondshift.policy import pooled_load
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
     import random
 
@@ -69,7 +70,8 @@
     """Selects candidates, and caches data of the engines between requests.
 
     Attributes:
-        nodes: Nodes that share the engines, this one included.
+        nodes: Nodes of the group, this one included.
+        isolated_nodes: Returns how many of them reach no engine of a service.
         mean_requests: This node's mean number of requests, by service.
         live: Usable engines, by service, until health or registrations change.
     """
@@ -80,6 +82,7 @@
         self.tracker = tracker
         self.rng = rng
         self.nodes = 1
+        self.isolated_nodes: Callable[[str], int] = lambda service: 0
         self.mean_requests: dict[str, pooled_load.MeanRequests] = {}
         self.live: dict[str, _LiveEngines] = {}
 
@@ -168,7 +171,7 @@
             self.tracker,
             shares,
             view.spec.layers,
-            self.nodes,
+            self.sharing_nodes(view.service),
             mean_requests,
             now,
         )
@@ -182,7 +185,7 @@
         assert engine.layers is not None
         layer_count = engine.layers.count
         running = load.own_running(engine.instance)
-        if self.chooses_by_share(spec):
+        if chooses_by_share(load.nodes, spec):
             running = load.running(engine.instance)
         factor = _step_factor(engine.kind, spec)
         batch = running * layer_count / spec.layers * BATCH_WAIT_FACTOR
@@ -199,7 +202,11 @@
             zone=engine.zone,
             start=engine.layers.start,
             end=engine.layers.end,
-            layer_ms=factor * pace * step_ms / spec.layers * self._jitter(),
+            layer_ms=factor
+            * pace
+            * step_ms
+            / spec.layers
+            * self._jitter(load.nodes),
             room=spec.layer_token_capacity(engine.kind, layer_count),
             used=load.used(engine.instance, layer_count)
             / self.tolerance(engine.instance, load.now),
@@ -214,17 +221,27 @@
             else ESTIMATE_TOLERANCE
         )
 
-    def _jitter(self) -> float:
-        if self.nodes <= pooled_load.MANY_NODES:
+    def sharing_nodes(self, service: str) -> int:
+        """Returns how many nodes send requests to a service's engines.
+
+        Nodes that reach none have peers send them. If they were counted, the
+        peers would extrapolate from more requests to more nodes than there
+        are, and refuse requests while engines have room.
+        """
+        return max(1, self.nodes - self.isolated_nodes(service))
+
+    def _jitter(self, nodes: int) -> float:
+        if nodes <= pooled_load.MANY_NODES:
             return 1.0
         return self.rng.uniform(1.0, 1.0 + MANY_NODES_JITTER)
 
-    def chooses_by_share(self, spec: engine_specs.EngineSpec) -> bool:
-        """Returns whether one request of each node would overload a path.
 
-        Paths are then drawn by their shares of all requests.
-        """
-        return self.nodes > spec.slots
+def chooses_by_share(nodes: int, spec: engine_specs.EngineSpec) -> bool:
+    """Returns whether one request of each node would overload a path.
+
+    Paths are then drawn by their shares of all requests.
+    """
+    return nodes > spec.slots
 
 
 def _step_factor(kind: str, spec: engine_specs.EngineSpec) -> float:
--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -135,7 +135,7 @@
 
     @property
     def nodes(self) -> int:
-        """Nodes that share the engines, this one included."""
+        """Nodes of the group, this one included."""
         return self.candidates.nodes
 
     @nodes.setter
@@ -168,7 +168,7 @@
             )
             and chosen.path[0].instance not in avoid
         ]
-        if fitting and self.candidates.chooses_by_share(view.spec):
+        if fitting and path_candidates.chooses_by_share(load.nodes, view.spec):
             return self._choose_by_share(fitting, view.spec, tokens, load)
         best: ChosenPath | None = None
         best_rank = (False, 0.0)
@@ -198,7 +198,7 @@
             if path.parts[0].candidate.instance not in avoid
         ]
         if not uses:
-            return NoPath(NO_PATH, "", 0.0, False, self.nodes)
+            return NoPath(NO_PATH, "", 0.0, False, load.nodes)
         return min(uses, key=lambda use: use.load)
 
     def _fullest_use(
@@ -212,7 +212,7 @@
         first = path.parts[0].candidate.instance
         used_slots = load.first_requests(first) / slots
         if used_slots >= 1.0:
-            return NoPath(NO_SLOTS, first, used_slots, False, self.nodes)
+            return NoPath(NO_SLOTS, first, used_slots, False, load.nodes)
         shares = {
             part.candidate.instance: _memory_share(part, tokens, load)
             for part in path.parts
@@ -220,7 +220,7 @@
         fullest = max(shares, key=shares.__getitem__)
         from_report = self.tracker.has_fresh_report(fullest, load.now)
         return NoPath(
-            NO_MEMORY, fullest, shares[fullest], from_report, self.nodes
+            NO_MEMORY, fullest, shares[fullest], from_report, load.nodes
         )
 
     def _choose_by_share(
@@ -243,9 +243,9 @@
             for chosen in fitting
         ]
         own = load.own_requests
-        demand = max(load.mean_requests.mean, own + 1.0) * self.nodes
+        demand = max(load.mean_requests.mean, own + 1.0) * load.nodes
         wanted = capacity_shares.shares(options, demand, LOAD_WEIGHT)
-        index = capacity_shares.draw_path(options, wanted, self.nodes, self.rng)
+        index = capacity_shares.draw_path(options, wanted, load.nodes, self.rng)
         return fitting[index]
 
     def find_replacement(
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -206,6 +206,9 @@
         limits.known_nodes = lambda: self.shared.budget.nodes
         limits.is_leaving = lambda: self.shared.drain.is_begun
         self.shared.paths.limited = limits.known
+        self.shared.paths.candidates.isolated_nodes = (
+            self.shared.peer_paths.isolated_nodes
+        )
         ports.engines.observer = endpoint_calls.EndpointCalls(
             limits, self.catalogue, links, relay_observer
         )
--- a/src/almondshift/relay/peer_paths.py
+++ b/src/almondshift/relay/peer_paths.py
@@ -151,6 +151,16 @@
         until = self.isolated_until.get(peer_key(service, peer))
         return until is not None and until > self.clock.monotonic()
 
+    def isolated_nodes(self, service: str) -> int:
+        """Returns how many nodes, this one included, reach no endpoint."""
+        own = int(self.links.is_isolated(service))
+        if self.group is None or not self.isolated_until:
+            return own
+        return own + sum(
+            self.is_isolated(service, peer.name)
+            for peer in self.group.serving()
+        )
+
     def lacks_endpoints(self, service: str) -> bool:
         """Returns whether peers may reach more endpoints of a service."""
         links = self.links.of(service)
