Ask one peer for room

Callers of nodes that reach engines were refused more often than those of cut nodes, since requests passed to peers asked up to three of them.

Cause: a peer that lacks room refused like one that reaches no engine (service_not_ready), so that the request went on to the next.

Change: lack of room is a kind of its own, no_room_for_peer, and final: the peers share the engines. Peers that reach no endpoint are still replaced by others.

test_a_request_asks_one_peer_for_room fails without the change.

--- a/src/almondshift/errors.py
+++ b/src/almondshift/errors.py
@@ -161,6 +161,14 @@
     default_remedy = "Retry after the delay in the Retry-After header."
 
 
+class NoRoomForPeer(Refusal):
+    """A node lacks room for a request that a peer passed to it."""
+
+    kind = "no_room_for_peer"
+    status = 503
+    default_remedy = "Retry after the delay in the Retry-After header."
+
+
 class NodeLeaving(Refusal):
     """This node is shutting down and takes no new work."""
 
--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -661,6 +661,7 @@
     load: float
     from_report: bool
     nodes: int
+    own_load: float
 
 
 class PeersUnavailable(Event, frozen=True):
--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -102,6 +102,7 @@
         load: Its estimated use, as a multiple of its capacity.
         from_report: Whether that is based on its own report.
         nodes: Nodes that are assumed to share the engines.
+        own_load: Its use if all nodes had the same requests as this one.
     """
 
     cause: str
@@ -109,6 +110,7 @@
     load: float
     from_report: bool
     nodes: int
+    own_load: float = 0.0
 
 
 class PathChooser:
@@ -219,8 +221,18 @@
         }
         fullest = max(shares, key=shares.__getitem__)
         from_report = self.tracker.has_fresh_report(fullest, load.now)
+        room = next(
+            part.candidate.room
+            for part in path.parts
+            if part.candidate.instance == fullest
+        )
         return NoPath(
-            NO_MEMORY, fullest, shares[fullest], from_report, load.nodes
+            NO_MEMORY,
+            fullest,
+            shares[fullest],
+            from_report,
+            load.nodes,
+            load.own_share(fullest, max(1.0, room)),
         )
 
     def _choose_by_share(
--- a/src/almondshift/relay/peer_attempt.py
+++ b/src/almondshift/relay/peer_attempt.py
@@ -5,7 +5,6 @@
 import json
 from typing import TYPE_CHECKING
 
-from almondshift import errors
 from almondshift.ports import path_engines
 from almondshift.relay import events
 
@@ -83,14 +82,14 @@
         """Returns whether a completed response is the whole stream."""
         return self.is_stream and not self.splitter.partial
 
-    def is_not_ready(self) -> bool:
-        """Returns whether the peer refused since it reached no endpoint."""
+    def refusal_kind(self) -> str:
+        """Returns the kind of the error that the peer responded with."""
         try:
             content = json.loads(self.body)
         except ValueError:
-            return False
-        kind = errors.ServiceNotReady.kind
-        return isinstance(content, dict) and content.get("kind") == kind
+            return ""
+        kind = content.get("kind") if isinstance(content, dict) else None
+        return kind if isinstance(kind, str) else ""
 
     def retry_after_s(self) -> float | None:
         """Returns the Retry-After of a refusal, in seconds; None for none."""
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -49,6 +49,9 @@
 """Maximum number of endpoints that are asked for on behalf of one request and
 that take no more requests now."""
 
+KINDS_BEFORE_ENDPOINT = (errors.ServiceNotReady.kind, errors.NoRoomForPeer.kind)
+"""Kinds of a peer's refusal of a request that it sent to no endpoint."""
+
 SENT_ELSEWHERE = "sent elsewhere"
 """Logged next step of a failed attempt: the request is sent again at once."""
 
@@ -219,12 +222,15 @@
             )
         )
 
-    def pass_to_peer_if_cut_off(self) -> bool:
-        """Has a peer serve the request if this node seems cut off."""
-        is_cut_off = self.links.is_link_suspect(
+    def seems_cut_off(self) -> bool:
+        """Returns whether peers may reach endpoints that this node doesn't."""
+        return self.links.is_link_suspect(
             self.loop.time()
         ) or self.shared.peer_paths.lacks_endpoints(self.routed.service)
-        return is_cut_off and self.pass_to_peer()
+
+    def pass_to_peer_if_cut_off(self) -> bool:
+        """Has a peer serve the request if this node seems cut off."""
+        return self.seems_cut_off() and self.pass_to_peer()
 
     def peer_attempt_ended(
         self,
@@ -259,7 +265,8 @@
             reason = f"peer responded with {head.status}"
         is_refused = is_complete and head is not None and head.not_run
         is_not_sent = ending is path_engines.Ending.NOT_SENT
-        is_unreached = is_not_sent or (is_refused and attempt.is_not_ready())
+        kind = attempt.refusal_kind() if is_refused else ""
+        is_unreached = is_not_sent or kind in KINDS_BEFORE_ENDPOINT
         self.shared.observer.via_peers.labels("failed").inc()
         if not is_refused:
             self.shared.peer_paths.note_failed(attempt.peer.name)
@@ -283,6 +290,9 @@
             is_unreached: Whether it reached no endpoint, and so needs no retry
                 budget.
         """
+        # Peers share the endpoints. If a request asked several of them for
+        # room, it would take that of their own callers, who ask once.
+        is_full = attempt.refusal_kind() == errors.NoRoomForPeer.kind
         if is_not_run:
             self.sends_that_may_have_run -= 1
         else:
@@ -293,6 +303,7 @@
         )
         is_allowed = (
             may_repeat
+            and not is_full
             and len(self.tried_peers) < MAX_PEERS
             and (
                 is_unreached
@@ -513,7 +524,12 @@
         retry_s = self.retry_s()
         if self.routed.from_peer and not self.has_reached_endpoint:
             # The peer needs no retry budget to pass the request to another.
-            self.refuse(errors.ServiceNotReady(reason, retry_after_s=retry_s))
+            if self.seems_cut_off():
+                self.refuse(
+                    errors.ServiceNotReady(reason, retry_after_s=retry_s)
+                )
+            else:
+                self.refuse(errors.NoRoomForPeer(reason, retry_after_s=retry_s))
             return
         self.refuse(errors.Overloaded(reason, retry_after_s=retry_s))
 
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -164,6 +164,7 @@
                 load=round(found.load, 3),
                 from_report=found.from_report,
                 nodes=found.nodes,
+                own_load=round(found.own_load, 3),
             )
         )
 
--- a/tests/platform/test_requests_for_peers.py
+++ b/tests/platform/test_requests_for_peers.py
@@ -59,6 +59,15 @@
     return len(added)
 
 
+def mark_engines_full(process: relay.RelayProcess, seconds: float) -> None:
+    """Makes a node take all engines for full for a time."""
+    shared = process.node.shared
+    until = shared.clock.monotonic() + seconds
+    for instance in shared.catalogue.engines:
+        shared.tracker.state(instance).full_until = until
+    shared.tracker.changes += 1
+
+
 def test_a_node_that_serves_for_all_uses_all_slots_of_engines() -> None:
     """Guards against a node that counts load of nodes without engines.
 
@@ -108,3 +117,29 @@
             assert statuses == [200] * 4
 
     asyncio.run(scenario())
+
+
+def test_a_request_asks_one_peer_for_room() -> None:
+    """Guards against peers that serve others' callers rather than their own.
+
+    A request that may ask several peers finds the room that is left at any of
+    them, while their own callers ask once.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=3) as running:
+            await running.wait_for_peers()
+            await cut_off(running, [0])
+            for process in running.nodes[1:]:
+                mark_engines_full(process, 60.0)
+            shared = running.nodes[0].node.shared
+            passed = shared.observer.via_peers.labels("failed")
+            before = passed._value.get()
+            status, fields, _ = await whole.chat(running, "full", 0)
+            assert (status, "retry-after" in fields) == (503, True)
+            assert passed._value.get() - before == 1
+            for process in running.nodes[1:]:
+                mark_engines_full(process, 0.0)
+            assert (await whole.chat(running, "again", 0))[0] == 200
+
+    asyncio.run(scenario())
