Don't count a passed deadline against an endpoint's record

Found when reading the diff: since attempts without a response are kept for crashes, a plain request that ended by its deadline also counted as a failure in the choice of endpoints, which nothing asked for. A caller's short deadline is no fault of the endpoint. The attempt is kept, and cancelled as before; tests of endpoints that fall silent pass.

--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -373,7 +373,10 @@
 
     def time_out(self) -> None:
         """Ends the run; its endpoint may have crashed without a reset."""
-        self.drop_attempt(failed=True)
+        if self.attempt is not None:
+            self.shared.crash_watch.note_unanswered(
+                self.routed, self.sends, self.attempt.endpoint.instance
+            )
         super().time_out()
 
     def expected_response_tokens(self) -> float:
