Have a node that joins ask for the requests that crashed endpoints

Callers: a request that three nodes or more refuse was run by a node that had just started, in large groups.

Nodes of earlier releases don't know the question and don't reply.

--- a/src/almondshift/policy/crash_strikes.py
+++ b/src/almondshift/policy/crash_strikes.py
@@ -24,6 +24,7 @@
 from __future__ import annotations
 
 import dataclasses
+import heapq
 
 MAX_STRIKES = 3
 """Strikes from which a request is refused. Harmless requests meet two crashes
@@ -225,6 +226,13 @@
             and now - self.answered[f][-1] <= FRESH_ANSWER_S
         )
 
+    def most_struck(self, count: int) -> dict[str, tuple[str, ...]]:
+        """Returns the requests with most strikes, and their endpoints."""
+        found = heapq.nlargest(
+            count, self.strikes.items(), key=lambda item: len(item[1])
+        )
+        return {fingerprint: tuple(known) for fingerprint, known in found}
+
     def is_refused(self, fingerprint: str, now: float) -> bool:
         """Returns whether a request may no longer be sent to any endpoint."""
         known = self.strikes.get(fingerprint)
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -327,6 +327,7 @@
         # reconnect at once, and sharing their load requires the node count.
         await self.rows.peer_addresses()
         await node_group.start()
+        self.work.run(self.shared.crash_watch.learn())
         self.group = node_group
         self.joined_at = self.ports.clock.monotonic()
         if self.shared.drain.is_begun:
--- a/src/almondshift/relay/crash_watch.py
+++ b/src/almondshift/relay/crash_watch.py
@@ -73,6 +73,18 @@
     REGISTRY = "registry"
 
 
+STRIKES_TOPIC = "strikes"
+"""Topic of a new node's question for the strikes that peers know."""
+
+MAX_ANSWERED_STRIKES = 200
+"""Maximum number of requests in the reply to it, those with most strikes."""
+
+LEARN_RETRY_S = 0.3
+MAX_LEARN_TRIES = 20
+"""Pause between these questions, in seconds, and their maximum number; a node
+knows no peer at first, and those of earlier releases don't reply."""
+
+STRIKES_DECODER = msgspec.json.Decoder(dict[str, list[str]])
 FINGERPRINTS_DECODER = msgspec.json.Decoder(list[str])
 
 logger = logging.getLogger(__name__)
@@ -111,6 +123,32 @@
         """Starts to exchange facts about crashes with peers."""
         self.group = node_group
         node_group.subscribe_facts(peers.FactKind.QUARANTINE, self.handle_fact)
+        node_group.register_handler(STRIKES_TOPIC, self.reply_to_peer)
+
+    async def learn(self) -> None:
+        """Learns from peers which requests crashed endpoints before.
+
+        Old facts reach a new node of a large group only after many seconds.
+        """
+        if self.group is None:
+            return
+        for _ in range(MAX_LEARN_TRIES):
+            replies = await self.group.ask(STRIKES_TOPIC, b"{}")
+            if replies:
+                break
+            await self.clock.sleep(LEARN_RETRY_S)
+        now = self.clock.monotonic()
+        for reply in replies:
+            for fingerprint, instances in STRIKES_DECODER.decode(reply).items():
+                for instance in instances:
+                    self.strikes.strike(fingerprint, instance, now)
+
+    async def reply_to_peer(self, sender: str, body: bytes) -> bytes:
+        """Replies to a new node with the requests that have most strikes."""
+        del sender, body
+        return msgspec.json.encode(
+            self.strikes.most_struck(MAX_ANSWERED_STRIKES)
+        )
 
     def check(self, routed: routed_requests.RoutedRequest) -> None:
         """Checks that a request is not refused.
--- a/tests/relay/test_crashes_at_scale.py
+++ b/tests/relay/test_crashes_at_scale.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import types
 from typing import TYPE_CHECKING
@@ -121,6 +122,8 @@
     await advance(cluster, LATE_S)
     await add_node(cluster, "late")
     late = create_watch(cluster, "late")
+    learning = asyncio.create_task(late.learn())
     await advance(cluster, JOIN_S)
+    await learning
     assert late.is_refused(routed("again"))
     await close(cluster)
