--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -105,7 +105,8 @@
         self.on_change = lambda: None
         self.server: httpserver.HTTPServer | None = None
 
-    async def start(self) -> None:
+    async def start(self, port: int = 0) -> None:
+        """Listens on a port; 0 for any free one."""
         application = web.Application(
             [
                 (names.ENGINE_REPORT, ReportHandler, {"engine": self}),
@@ -115,7 +116,7 @@
             ],
             log_function=lambda handler: None,
         )
-        sockets = netutil.bind_sockets(0, "127.0.0.1")
+        sockets = netutil.bind_sockets(port, "127.0.0.1")
         self.server = httpserver.HTTPServer(application)
         self.server.add_sockets(sockets)
         self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
--- a/tests/platform/test_repeated_crashes.py
+++ b/tests/platform/test_repeated_crashes.py
@@ -12,6 +12,7 @@
 import pytest
 
 from almondshift.policy import crash_strikes
+from tests.platform import cut_links
 from tests.platform import standin_system as system
 
 CRASHING_BODY = b"crashes"
@@ -125,6 +126,79 @@
     asyncio.run(scenario())
 
 
+REPLACED_S = 3.0
+"""Time after a crash at which another endpoint starts at the same address."""
+
+SOON_DROPPED_S = 3.3
+"""Time after which the entry of the crashed one leaves the registry."""
+
+
+class ReplacedEndpoints(CrashingEndpoints):
+    """Endpoints that are replaced at their addresses after a crash."""
+
+    def crash(self, engine: system.standin_engines.StandinEngine) -> None:
+        self.crashed_at.append(self.loop.time())
+        if engine.is_dead:
+            return  # Another run of the request at the same moment.
+        engine.is_dead = True
+        self.closing.add(self.loop.create_task(self.replace(engine)))
+
+    async def replace(
+        self, engine: system.standin_engines.StandinEngine
+    ) -> None:
+        await engine.close()
+        await asyncio.sleep(REPLACED_S)
+        running = self.running
+        instance = f"{engine.instance}r"
+        created = system.standin_engines.StandinEngine(
+            running.cluster, instance, ""
+        )
+        await created.start(int(engine.address.rpartition(":")[2]))
+        created.crashing_body = CRASHING_BODY
+        created.on_crash = lambda: self.crash(created)
+        running.engines[instance] = created
+        entry = created.entry(system.PLAIN_SERVICE, "a")
+        running.store.put("servers", instance, entry)
+        await asyncio.sleep(SOON_DROPPED_S - REPLACED_S)
+        running.store.remove("servers", engine.instance)
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/look/x"])
+@pytest.mark.parametrize("is_cut", [False, True], ids=["own", "passed_on"])
+def test_a_repeated_request_does_not_crash_replacements(
+    is_cut: bool, path: str
+) -> None:
+    """Guards against replacements that crash before the last lease ends.
+
+    All endpoints of the service crash within a moment, and others start at
+    their addresses. One node may have to pass its requests to peers.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=3, zones="abc") as running:
+            await running.wait_for_peers()
+            endpoints = ReplacedEndpoints(running, Registry.LEASE)
+            if is_cut:
+                pool = cut_links.create_cuttable_pool(running.nodes[0])
+                pool.begin(cut_links.Cut.RESET)
+            until = endpoints.loop.time() + 2 * REPLACED_S + LATE_S
+            await asyncio.gather(
+                *(
+                    send_repeatedly(running, path, caller, until)
+                    for caller in range(2 * CALLERS)
+                )
+            )
+            await asyncio.gather(*endpoints.closing)
+            assert len(endpoints.crashed_at) >= crash_strikes.MAX_STRIKES
+            assert endpoints.runs_after(LATE_S) <= MAX_LATE_RUNS
+            assert endpoints.runs_after(SPREAD_S) == 0
+            head = system.request("/once/x", "fine")
+            entry = running.nodes[1].settings.entry.address
+            assert (await system.send(entry, head, b"fine"))[0] == 200
+
+    asyncio.run(scenario())
+
+
 SHORT_LEASE_S = 1.0
 SHORT_DEADLINE_MS = "300"
 
--- a/tests/relay/test_crash_watch.py
+++ b/tests/relay/test_crash_watch.py
@@ -113,6 +113,47 @@
     asyncio.run(scenario())
 
 
+RACK = 3
+
+
+@pytest.mark.parametrize(
+    ("runs_on", "waited_s", "refused"),
+    [
+        pytest.param(1, 10.0, 0, id="lost at once"),
+        pytest.param(2, 10.0, 0, id="one after another, resumed once"),
+        pytest.param(3, 0.0, 0, id="one after another, resumed twice"),
+        pytest.param(3, 10.0, STREAMS, id="the same, none answered"),
+    ],
+)
+def test_streams_of_a_lost_rack_are_refused_only_after_three_crashes(
+    runs_on: int, waited_s: float, refused: int
+) -> None:
+    """Counts harmless streams that are refused as their rack is lost.
+
+    Each of three engines runs sixty of them, or sixty run on one after
+    another of the engines. Streams that met all three crashes can't be told
+    from one that causes them; they have a while to be answered.
+    """
+
+    async def scenario() -> None:
+        watch = create_watch(FakePorts(Port.CLOSED))
+        names = [f"r{n}" for n in range(STREAMS)]
+        for index in range(RACK):
+            running = names
+            if runs_on == 1:
+                running = [f"{name}/{index}" for name in names]
+            if index < max(runs_on, 1) or runs_on == 1:
+                await break_streams(watch, f"e{index}", running, index)
+        clock = watch.clock
+        assert isinstance(clock, clocks.VirtualClock)
+        clock.now += waited_s
+        counted = sum(watch.is_refused(routed(name)) for name in names)
+        assert counted == refused
+        await watch.close()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("engines", [1, 2, 3])
 def test_streams_that_meet_the_same_crashes_are_not_refused_at_once(
     engines: int,
