Log the prompt parts of requests that endpoints did not answer

No line told what requests have in common whose engines crash. AS5009 names the parts of the prompt, AS8004 counts the requests to which the endpoint had sent no event, and the parts that these share. Nothing else has changed: an attempt is kept by request and attempt in place of the request alone, so that prompts of requests with equal bodies are all logged.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -521,6 +521,7 @@
     not_run: bool
     events_sent: int
     next_step: str
+    prompt_parts: str
 
 
 class RequestMoved(Event, frozen=True):
@@ -795,7 +796,11 @@
 
 
 class EndpointCrashed(Event, frozen=True):
-    """An endpoint crashed while it ran requests."""
+    """An endpoint crashed while it ran requests.
+
+    ``without_data`` counts those to which it had sent nothing yet, and
+    ``prompt_parts`` names the parts that most of these share.
+    """
 
     number = 8004
     level = logging.WARNING
@@ -804,6 +809,8 @@
     endpoint: str
     evidence: str
     requests: int
+    without_data: int
+    prompt_parts: str
     answered_before: int
     quarantined: int
     age_s: float
--- a/src/almondshift/model/relayed.py
+++ b/src/almondshift/model/relayed.py
@@ -22,6 +22,8 @@
         expected_tokens: The caller's estimate of the output; 0 for none.
         connection_s: Age of the connection that it arrived on.
         peer_mark: What shows that a peer passed it on; empty for a caller's.
+        prompt_parts: IDs of the parts of its prompt, in order; the last part
+            belongs to this request or its session.
     """
 
     request_id: str
@@ -39,6 +41,12 @@
     expected_tokens: int
     connection_s: float = 0.0
     peer_mark: str = ""
+    prompt_parts: tuple[str, ...] = ()
+
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """IDs of the parts that other requests may share, each once."""
+        return tuple(dict.fromkeys(self.prompt_parts[:-1]))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/almondshift/platform/front.py
+++ b/src/almondshift/platform/front.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
+import re
 import time
 from urllib import parse
 import weakref
@@ -28,6 +30,12 @@
 context of current models. Much longer numbers overflow floats, and above 4,300
 digits Python refuses to parse them."""
 
+MAX_PART_ID = 16
+"""Maximum length of a prompt part's ID; longer ones, and those that are not
+hexadecimal, are replaced by a digest."""
+
+SHORT_PART_ID = re.compile(f"[0-9a-f]{{1,{MAX_PART_ID}}}")
+
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
 HTTP_NOT_FOUND = 404
@@ -344,6 +352,7 @@
         ),
         connection_s=connection_s,
         peer_mark=headers.get(names.PEER_MARK, ""),
+        prompt_parts=_prompt_parts(headers.get(names.PROMPT_PARTS, "")),
     )
 
 
@@ -371,6 +380,20 @@
     return key.strip() if scheme.lower() == "bearer" else ""
 
 
+def _prompt_parts(field: str) -> tuple[str, ...]:
+    """Returns the IDs of a prompt's parts, without their token counts."""
+    ids = (part.partition(":")[0].strip().lower() for part in field.split(","))
+    return tuple(_short_id(part_id) for part_id in ids if part_id)
+
+
+def _short_id(part_id: str) -> str:
+    """Returns an ID of bounded length that logs and facts can contain."""
+    if SHORT_PART_ID.fullmatch(part_id):
+        return part_id
+    digest = hashlib.blake2b(part_id.encode("utf-8", "surrogateescape"))
+    return digest.hexdigest()[:MAX_PART_ID]
+
+
 def _token_counts(usage: str) -> tuple[int, int]:
     prompt, _, output = usage.partition(",")
     field = "X-Token-Usage"
--- a/src/almondshift/policy/crash_strikes.py
+++ b/src/almondshift/policy/crash_strikes.py
@@ -68,6 +68,19 @@
 """Maximum number of failed attempts that are kept for each endpoint."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnansweredPrompt:
+    """A prompt to which an endpoint had sent no part of a response.
+
+    Attributes:
+        prompt: Identifies the request and its prompt.
+        parts: Parts of the prompt that other requests may share.
+    """
+
+    prompt: str
+    parts: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Crash:
     """An endpoint that crashed, and requests that it ran.
@@ -78,6 +91,7 @@
         answered_before: Number of requests with a strike that are answered
             frequently.
         age_s: Time since the first of the connections broke, in seconds.
+        unanswered: Prompts of the requests without any data.
     """
 
     instance: str
@@ -85,6 +99,7 @@
     convicted: tuple[str, ...]
     answered_before: int = 0
     age_s: float = 0.0
+    unanswered: tuple[UnansweredPrompt, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,12 +107,16 @@
     """An attempt that an endpoint did not answer.
 
     Attributes:
+        fingerprint: The request.
         attempt: Identifies the attempt among all of its node.
         at: When the connection broke; monotonic seconds.
+        unanswered: Its prompt, if the endpoint had sent no data.
     """
 
+    fingerprint: str
     attempt: str
     at: float
+    unanswered: UnansweredPrompt | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,8 +136,8 @@
     """Counts crashes of endpoints by request.
 
     Attributes:
-        broken_attempts: By instance and fingerprint, until it is clear whether
-            the endpoint crashed.
+        broken_attempts: By instance, then by fingerprint and attempt, until it
+            is clear whether the endpoint crashed.
         strikes: By fingerprint and instance of the endpoint.
         struck: Fingerprints with a strike, by instance of the endpoint.
         answered: When requests were answered successfully, by fingerprint; the
@@ -126,39 +145,53 @@
     """
 
     def __init__(self) -> None:
-        self.broken_attempts: dict[str, dict[str, BrokenAttempt]] = {}
+        self.broken_attempts: dict[
+            str, dict[tuple[str, str], BrokenAttempt]
+        ] = {}
         self.strikes: dict[str, dict[str, Strike]] = {}
         self.struck: dict[str, set[str]] = {}
         self.answered: dict[str, tuple[float, ...]] = {}
 
     def note_broken_attempt(
-        self, fingerprint: str, attempt: str, instance: str, now: float
+        self,
+        fingerprint: str,
+        attempt: str,
+        instance: str,
+        now: float,
+        unanswered: UnansweredPrompt | None = None,
     ) -> None:
         """Records that an endpoint did not answer a request."""
         pending = self.broken_attempts.setdefault(instance, {})
-        pending.pop(fingerprint, None)
-        pending[fingerprint] = BrokenAttempt(attempt, now)
+        pending.pop((fingerprint, attempt), None)
+        pending[fingerprint, attempt] = BrokenAttempt(
+            fingerprint, attempt, now, unanswered
+        )
         if len(pending) > MAX_BROKEN:
             del pending[next(iter(pending))]
 
     def crashed(self, instance: str, now: float) -> Crash:
         """Records that an endpoint is gone; requests it ran get a strike."""
-        struck, convicted = [], []
+        struck: dict[str, None] = {}
+        convicted = []
+        unanswered = []
         answered_before = 0
         first_at = now
-        for fingerprint, found in self.broken_attempts.pop(
-            instance, {}
-        ).items():
+        for found in self.broken_attempts.pop(instance, {}).values():
             if now - found.at > CRASH_CONFIRM_S:
                 continue
+            fingerprint = found.fingerprint
             known = self.strikes.get(fingerprint, {})
             if any(
                 strike.attempt == found.attempt for strike in known.values()
             ):
                 continue
             first_at = min(first_at, found.at)
+            if found.unanswered is not None:
+                unanswered.append(found.unanswered)
+            if fingerprint in struck:
+                continue
             answered_before += self.is_frequent(fingerprint, now)
-            struck.append(fingerprint)
+            struck[fingerprint] = None
             if self.strike(fingerprint, instance, now, found.attempt):
                 convicted.append(fingerprint)
         return Crash(
@@ -167,6 +200,7 @@
             tuple(convicted),
             answered_before,
             now - first_at,
+            tuple(unanswered),
         )
 
     def strike(
--- a/src/almondshift/relay/crash_watch.py
+++ b/src/almondshift/relay/crash_watch.py
@@ -36,6 +36,15 @@
 day share a fingerprint once in thirty million days. A collision leads to a
 refusal only after three crashes."""
 
+PROMPT_BYTES = 4
+"""Size of the digest that tells prompts apart which share a part."""
+
+MAX_PARTS = 256
+"""Maximum number of parts of one prompt that are counted."""
+
+MAX_LOGGED = 8
+"""Maximum number of prompt parts in a log line."""
+
 FINGERPRINTS_PER_FACT = 50
 """Maximum number of fingerprints in one fact. Each has 16 hex digits, and a
 fact is limited to 1,500 bytes."""
@@ -183,6 +192,7 @@
         sends: int,
         instance: str,
         address: str,
+        has_data: bool = False,
     ) -> None:
         """Records that an endpoint broke the connection of a request.
 
@@ -191,13 +201,18 @@
             sends: Number of times it has been sent, including this one.
             instance: The endpoint.
             address: Its ``host:port``.
+            has_data: Whether the endpoint had answered a part of it.
         """
-        self.note_unanswered(routed, sends, instance)
+        self.note_unanswered(routed, sends, instance, has_data)
         if not self.is_leaving(instance):
             self.ports.start(instance, address)
 
     def note_unanswered(
-        self, routed: routed_requests.RoutedRequest, sends: int, instance: str
+        self,
+        routed: routed_requests.RoutedRequest,
+        sends: int,
+        instance: str,
+        has_data: bool = False,
     ) -> None:
         """Records that an endpoint did not answer a request in time.
 
@@ -205,8 +220,12 @@
         """
         now = self.clock.monotonic()
         attempt = f"{routed.request.request_id}/{sends}"
+        fingerprint = fingerprint_of(routed)
+        unanswered = None
+        if routed.request.shared_parts and not has_data:
+            unanswered = unanswered_prompt(routed, fingerprint)
         self.strikes.note_broken_attempt(
-            fingerprint_of(routed), attempt, instance, now
+            fingerprint, attempt, instance, now, unanswered
         )
 
     def note_answered(self, routed: routed_requests.RoutedRequest) -> None:
@@ -249,6 +268,8 @@
                 endpoint=instance,
                 evidence=evidence.value,
                 requests=len(crash.fingerprints),
+                without_data=len(crash.unanswered),
+                prompt_parts=format_frequent_parts(crash.unanswered),
                 answered_before=crash.answered_before,
                 quarantined=len(crash.convicted),
                 age_s=round(crash.age_s, 3),
@@ -342,6 +363,31 @@
     return digest.hexdigest()
 
 
+def unanswered_prompt(
+    routed: routed_requests.RoutedRequest, fingerprint: str
+) -> crash_strikes.UnansweredPrompt:
+    """Returns the prompt of a request that an endpoint did not answer."""
+    request = routed.request
+    digest = hashlib.blake2b(digest_size=PROMPT_BYTES)
+    for text in (fingerprint, request.prompt_parts[-1]):
+        digest.update(text.encode())
+    return crash_strikes.UnansweredPrompt(
+        digest.hexdigest(), request.shared_parts[:MAX_PARTS]
+    )
+
+
+def format_frequent_parts(
+    prompts: tuple[crash_strikes.UnansweredPrompt, ...],
+) -> str:
+    """Formats the parts that most prompts share, with their counts."""
+    counts = collections.Counter(
+        part for prompt in prompts for part in prompt.parts
+    )
+    return ",".join(
+        f"{part}:{count}" for part, count in counts.most_common(MAX_LOGGED)
+    )
+
+
 def create_crash_watch(
     clock: clocks.Clock, engines: path_engines.PathEngines
 ) -> CrashWatch:
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -59,6 +59,9 @@
 """Logged next step of a failed attempt: a stream that has begun waits for
 capacity or retry budget."""
 
+MAX_LOGGED_PARTS = 8
+"""Maximum number of parts of a prompt in a log line."""
+
 GIVEN_UP = "given up"
 """Logged next step of a failed attempt: the request is not sent again."""
 
@@ -630,6 +633,7 @@
                 not_run=is_not_run,
                 events_sent=self.sent_event_count(),
                 next_step=next_step,
+                prompt_parts=format_parts(self.routed.request.prompt_parts),
             )
         )
 
@@ -676,3 +680,10 @@
         return not is_sent or self.shared.budget.spend(
             self.routed.service, self.shared.clock.monotonic()
         )
+
+
+def format_parts(prompt_parts: tuple[str, ...]) -> str:
+    """Formats the parts of a prompt for the log; the first and the last."""
+    if len(prompt_parts) > MAX_LOGGED_PARTS:
+        prompt_parts = (*prompt_parts[: MAX_LOGGED_PARTS - 1], prompt_parts[-1])
+    return ",".join(prompt_parts)
--- a/src/almondshift/relay/stream_attempt.py
+++ b/src/almondshift/relay/stream_attempt.py
@@ -13,6 +13,10 @@
     from almondshift.relay import stream_run
 
 OK = 200
+PROGRESS_S = 0.3
+"""Time after its first event from which a stream can't be what crashes its
+engine, in seconds; such requests crash it as it begins to answer."""
+
 MAX_FAILURE_BYTES = 100_000
 """Maximum body of a response that is not a stream; refusals are short."""
 
@@ -27,6 +31,7 @@
             first, of the send.
         is_stream: Whether the response is the requested stream.
         is_moving: Whether a move is in progress.
+        first_event_at: Loop time of the first event; None before it.
     """
 
     def __init__(
@@ -44,6 +49,7 @@
         self.forwarded: path_engines.ForwardedRequest | None = None
         self.is_moving = False
         self.is_over = False
+        self.first_event_at: float | None = None
 
     @property
     def first(self) -> relayed.PathPart:
@@ -71,9 +77,18 @@
         except ValueError as error:
             self.abort(str(error))
             return
+        if complete and self.first_event_at is None:
+            self.first_event_at = self.active_at
         if complete and not self.run.forward_events(self, complete):
             self.abort("events out of order")
 
+    def has_progressed(self) -> bool:
+        """Returns whether engines ran the stream on after its first event."""
+        return (
+            self.first_event_at is not None
+            and self.run.loop.time() - self.first_event_at >= PROGRESS_S
+        )
+
     def note_data(self) -> None:
         """Records that data was received."""
         self.active_at = self.run.loop.time()
--- a/src/almondshift/relay/stream_moves.py
+++ b/src/almondshift/relay/stream_moves.py
@@ -80,7 +80,7 @@
                 continue
             if any(part.instance == instance for part in attempt.path):
                 self.shared.crash_watch.note_unanswered(
-                    run.routed, run.sends, instance
+                    run.routed, run.sends, instance, attempt.has_progressed()
                 )
             if attempt.first.instance == instance:
                 is_gone = reason is engine_tracker.Suspicion.GONE
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -363,6 +363,7 @@
                 self.sends,
                 attempt.first.instance,
                 attempt.first.address,
+                attempt.has_progressed(),
             )
         elif ending is path_engines.Ending.NOT_SENT:
             self.shared.lost_engines.suspect(
@@ -526,7 +527,10 @@
             attempt.forwarded.cancel()
         self.release_attempt()
         self.shared.crash_watch.note_unanswered(
-            self.routed, self.sends, attempt.first.instance
+            self.routed,
+            self.sends,
+            attempt.first.instance,
+            attempt.has_progressed(),
         )
         self.retry_or_end(attempt, reason, is_not_run=False)
 
--- a/tests/relay/test_crash_watch.py
+++ b/tests/relay/test_crash_watch.py
@@ -5,7 +5,6 @@
 import asyncio
 import dataclasses
 import enum
-import types
 from typing import Any
 
 import pytest
@@ -14,6 +13,7 @@
 from almondshift.relay import crash_watch
 from almondshift.relay import port_checks
 from tests.fakes import clocks
+from tests.fakes import routed as fake_routed
 
 STREAMS = 60
 """Streams that run on an engine."""
@@ -44,14 +44,7 @@
 
 
 def routed(name: str) -> Any:
-    request = types.SimpleNamespace(
-        request_id=name,
-        host="h",
-        method="POST",
-        target="/",
-        body=name.encode(),
-    )
-    return types.SimpleNamespace(account="a", request=request, service="s")
+    return fake_routed.routed(name, name.encode())
 
 
 def create_watch(ports: FakePorts) -> crash_watch.CrashWatch:
--- a/tests/relay/test_crashes_at_scale.py
+++ b/tests/relay/test_crashes_at_scale.py
@@ -4,9 +4,7 @@
 
 import asyncio
 import random
-import types
 from typing import TYPE_CHECKING
-from typing import Any
 
 import pytest
 
@@ -17,6 +15,7 @@
 from almondshift.relay import crash_watch
 from almondshift.relay import group
 from tests.coordination import network
+from tests.fakes import routed as fake_routed
 
 if TYPE_CHECKING:
     from almondshift.ports import path_engines
@@ -40,13 +39,6 @@
         return False
 
 
-def routed(name: str) -> Any:
-    request = types.SimpleNamespace(
-        request_id=name, host="h", method="POST", target="/", body=b""
-    )
-    return types.SimpleNamespace(account="a", request=request, service="s")
-
-
 async def add_node(cluster: network.Cluster, name: str) -> None:
     address = network.address_of(name)
     node = membership.create_membership(
@@ -89,7 +81,7 @@
     watches = [create_watch(cluster, name) for name in names]
     for number in range(crash_strikes.MAX_STRIKES):
         watch = watches[number % size]
-        watch.note_unanswered(routed(f"r{number}"), 1, f"e{number}")
+        watch.note_unanswered(fake_routed.routed(f"r{number}"), 1, f"e{number}")
         watch.endpoint_gone(f"e{number}", was_leaving=False)
     return cluster, watches
 
@@ -111,13 +103,15 @@
     async def scenario() -> None:
         cluster, watches = await create_group(size)
         await advance(cluster, LATE_S)
-        assert all(watch.is_refused(routed("again")) for watch in watches)
+        assert all(
+            watch.is_refused(fake_routed.routed("again")) for watch in watches
+        )
         await add_node(cluster, "late")
         late = create_watch(cluster, "late")
         learning = asyncio.create_task(late.learn())
         await advance(cluster, JOIN_S)
         await learning
-        assert late.is_refused(routed("again"))
+        assert late.is_refused(fake_routed.routed("again"))
         await close(cluster)
 
     # Virtual time ends by itself, while large groups take long on a busy CPU.
