--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -62,6 +62,8 @@
         status: Response status of plain requests.
         crashing_body: A request with this body crashes the engine; empty for
             none.
+        crashing_part: A request with this part in its prompt crashes the
+            engine too; empty for none.
         on_crash: Called when such a request crashes it.
         crashes_silently: Its connections stay open then, without any data.
         born: Its start in Unix milliseconds; 0 to omit it.
@@ -94,6 +96,7 @@
         self.response_delay_s = 0.0
         self.resets = False
         self.crashing_body = b""
+        self.crashing_part = ""
         self.on_crash = lambda: None
         self.crashes_silently = False
         self.cancelled: list[str] = []
@@ -297,9 +300,11 @@
         self.write(b"done " + self.request.body)
 
     def crashes(self) -> bool:
-        """Crashes the engine if the request has the crashing body."""
-        wanted = self.engine.crashing_body
-        if not wanted or self.request.body != wanted:
+        """Crashes the engine if the request has the crashing body or part."""
+        body, part = self.engine.crashing_body, self.engine.crashing_part
+        parts = self.request.headers.get(names.PROMPT_PARTS, "")
+        has_body = bool(body) and self.request.body == body
+        if not has_body and not (part and part in parts):
             return False
         if not self.engine.crashes_silently:
             self.detach().close()
--- a/tests/platform/test_repeated_crashes.py
+++ b/tests/platform/test_repeated_crashes.py
@@ -7,19 +7,16 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 
 import pytest
 
 from almondshift.policy import crash_strikes
+from tests.platform import crashing_endpoints
 from tests.platform import cut_links
 from tests.platform import standin_system as system
 
 CRASHING_BODY = b"crashes"
 
-LEASE_S = 4.5
-"""Time for which the entry of a crashed endpoint stays in the registry."""
-
 ENDPOINTS = 45
 CALLERS = 3
 
@@ -35,47 +32,6 @@
 """Time within which peers learn of urgent facts."""
 
 
-class Registry(enum.StrEnum):
-    """What happens to the entries of crashed endpoints."""
-
-    LEASE = "lease"
-    SILENT_STORE = "silent_store"
-
-
-class CrashingEndpoints:
-    """Makes endpoints crash on the request, and records when.
-
-    Attributes:
-        crashed_at: Loop times of the crashes, in order.
-    """
-
-    def __init__(
-        self, running: system.StandinSystem, registry: Registry
-    ) -> None:
-        self.running = running
-        self.registry = registry
-        self.loop = asyncio.get_running_loop()
-        self.crashed_at: list[float] = []
-        self.closing: set[asyncio.Task[None]] = set()
-        for engine in running.engines.values():
-            engine.crashing_body = CRASHING_BODY
-            engine.on_crash = lambda engine=engine: self.crash(engine)
-
-    def crash(self, engine: system.standin_engines.StandinEngine) -> None:
-        self.crashed_at.append(self.loop.time())
-        self.closing.add(self.loop.create_task(engine.close()))
-        if self.registry is Registry.LEASE:
-            store = self.running.store
-            self.loop.call_later(
-                LEASE_S, store.remove, "servers", engine.instance
-            )
-
-    def runs_after(self, seconds: float) -> int:
-        """Returns the runs later than a time after the third crash."""
-        third = self.crashed_at[crash_strikes.MAX_STRIKES - 1]
-        return sum(at - third > seconds for at in self.crashed_at)
-
-
 async def send_repeatedly(
     running: system.StandinSystem, path: str, caller: int, until: float
 ) -> None:
@@ -92,9 +48,9 @@
 
 
 @pytest.mark.parametrize("path", ["/once/x", "/look/x", "/chat/x"])
-@pytest.mark.parametrize("registry", list(Registry), ids=str)
+@pytest.mark.parametrize("registry", list(crashing_endpoints.Registry), ids=str)
 def test_a_repeated_request_does_not_crash_endpoints_until_their_leases_end(
-    registry: Registry, path: str
+    registry: crashing_endpoints.Registry, path: str
 ) -> None:
     """Guards against crashes that count only once the registry shows them."""
 
@@ -109,18 +65,25 @@
                     for process in running.nodes
                 )
             )
-            endpoints = CrashingEndpoints(running, registry)
-            if registry is Registry.SILENT_STORE:
+            endpoints = crashing_endpoints.CrashingEndpoints(
+                running, registry, CRASHING_BODY
+            )
+            if registry is crashing_endpoints.Registry.SILENT_STORE:
                 running.store.faults.is_silent = True
-            until = endpoints.loop.time() + LATE_S + LEASE_S
+            until = endpoints.loop.time() + LATE_S + crashing_endpoints.LEASE_S
             await asyncio.gather(
                 *(
                     send_repeatedly(running, path, caller, until)
                     for caller in range(CALLERS)
                 )
             )
-            assert endpoints.runs_after(LATE_S) <= MAX_LATE_RUNS
-            assert endpoints.runs_after(SPREAD_S) == 0
+            assert (
+                endpoints.runs_after(LATE_S, crash_strikes.MAX_STRIKES)
+                <= MAX_LATE_RUNS
+            )
+            assert (
+                endpoints.runs_after(SPREAD_S, crash_strikes.MAX_STRIKES) == 0
+            )
             running.store.faults.is_silent = False
 
     asyncio.run(scenario())
@@ -133,7 +96,7 @@
 """Time after which the entry of the crashed one leaves the registry."""
 
 
-class ReplacedEndpoints(CrashingEndpoints):
+class ReplacedEndpoints(crashing_endpoints.CrashingEndpoints):
     """Endpoints that are replaced at their addresses after a crash."""
 
     def crash(self, engine: system.standin_engines.StandinEngine) -> None:
@@ -177,7 +140,7 @@
     async def scenario() -> None:
         async with system.running_system(nodes=3, zones="abc") as running:
             await running.wait_for_peers()
-            endpoints = ReplacedEndpoints(running, Registry.LEASE)
+            endpoints = ReplacedEndpoints(running, body=CRASHING_BODY)
             if is_cut:
                 pool = cut_links.create_cuttable_pool(running.nodes[0])
                 pool.begin(cut_links.Cut.RESET)
@@ -190,8 +153,13 @@
             )
             await asyncio.gather(*endpoints.closing)
             assert len(endpoints.crashed_at) >= crash_strikes.MAX_STRIKES
-            assert endpoints.runs_after(LATE_S) <= MAX_LATE_RUNS
-            assert endpoints.runs_after(SPREAD_S) == 0
+            assert (
+                endpoints.runs_after(LATE_S, crash_strikes.MAX_STRIKES)
+                <= MAX_LATE_RUNS
+            )
+            assert (
+                endpoints.runs_after(SPREAD_S, crash_strikes.MAX_STRIKES) == 0
+            )
             head = system.request("/once/x", "fine")
             entry = running.nodes[1].settings.entry.address
             assert (await system.send(entry, head, b"fine"))[0] == 200
