Refuse prompts with a part that crashes endpoints

Callers saw model engines crash one after the other, forty in a minute, and their streams broken off. The requests that caused it shared one part of their prompts and nothing else, while crashes counted by request only.

Crashes now count against the shared parts of prompts too. Responses prove parts, so that the first part of a route is never refused beside a bad one.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -839,6 +839,24 @@
     account: str
     service: str
     fingerprint: str
+    part: str
+
+
+class PromptPartRefused(Event, frozen=True):
+    """Prompts with a part crashed endpoints, and are refused for a while.
+
+    ``peer`` is the node that told this one; "" if it counted the crashes.
+    """
+
+    number = 8007
+    level = logging.ERROR
+    message = "prompt part refused"
+
+    part: str
+    crashes: int
+    prompts: int
+    peer: str
+    expires_s: float
 
 
 class ClaimTaken(Event, frozen=True):
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -215,6 +215,7 @@
         self.reach = engine_reach.EngineReach(self.shared)
         lost.is_isolated = links.is_isolated
         self.shared.crash_watch.is_leaving = self.is_leaving
+        self.shared.crash_watch.parts.on_refused = self.end_refused_runs
         self.reach.on_isolated = self.leave_endpoints
         self.reach.on_restored = self.restore_endpoints
         self.gateway = gateway.Gateway(
@@ -389,7 +390,7 @@
                 logger, log_events.NodeResumed(round(suspended_s, 2))
             )
         self.catalogue.expire_removals(now)
-        self.shared.crash_watch.strikes.forget_old(now)
+        self.shared.crash_watch.tick()
         self.shared.peer_paths.announce()
         if self.group is not None:
             self.group.log_changes()
@@ -459,6 +460,16 @@
         self.shared.peer_paths.announce()
         self.tracker.query_all_suspects(self.ports.clock.monotonic())
 
+    def end_refused_runs(self) -> None:
+        """Ends requests with a refused part, which may yet crash endpoints."""
+        for run in list(self.shared.running):
+            if (
+                isinstance(run, runs.Run)
+                and not run.responder.head_sent
+                and self.shared.crash_watch.parts.find_refused(run.routed)
+            ):
+                run.refuse_crashing()
+
     def is_leaving(self, instance: str) -> bool:
         """Returns whether an engine was expected to end.
 
--- a/src/almondshift/relay/crash_watch.py
+++ b/src/almondshift/relay/crash_watch.py
@@ -21,6 +21,7 @@
 from almondshift import log_events
 from almondshift.policy import crash_strikes
 from almondshift.ports import peers
+from almondshift.relay import part_watch
 from almondshift.relay import port_checks
 
 if TYPE_CHECKING:
@@ -59,6 +60,7 @@
 an earlier retry costs no more than another refusal."""
 
 REFUSAL = "Endpoints crashed while they ran this request."
+PART_REFUSAL = "Endpoints crashed on prompts with the part {part}."
 
 CRASH = "crash"
 CLEARED = "cleared"
@@ -103,6 +105,7 @@
     """Counts strikes against requests, and exchanges them with peers.
 
     Attributes:
+        parts: Counts strikes against parts of prompts.
         group: The other nodes; None before this node has joined them.
         reported: Requests that peers were told of, by crashed instance.
         is_leaving: Returns whether an endpoint was expected to end.
@@ -113,9 +116,11 @@
         clock: clocks.Clock,
         strikes: crash_strikes.CrashStrikes,
         ports: port_checks.PortChecks,
+        parts: part_watch.PartWatch,
     ) -> None:
         self.clock = clock
         self.strikes = strikes
+        self.parts = parts
         self.ports = ports
         self.ports.on_closed = self.port_closed
         self.group: relay_group.Group | None = None
@@ -124,6 +129,11 @@
         )
         self.is_leaving: Callable[[str], bool] = lambda instance: False
 
+    def tick(self) -> None:
+        """Does periodic work."""
+        self.strikes.forget_old(self.clock.monotonic())
+        self.parts.tick()
+
     async def close(self) -> None:
         """Cancels checks of endpoints."""
         await self.ports.close()
@@ -133,6 +143,7 @@
         self.group = node_group
         node_group.subscribe_facts(peers.FactKind.QUARANTINE, self.handle_fact)
         node_group.register_handler(STRIKES_TOPIC, self.reply_to_peer)
+        self.parts.join(node_group)
 
     async def learn(self) -> None:
         """Learns from peers which requests crashed endpoints before.
@@ -146,6 +157,7 @@
             if replies:
                 break
             await self.clock.sleep(LEARN_RETRY_S)
+        await self.parts.learn()
         now = self.clock.monotonic()
         for reply in replies:
             for fingerprint, instances in STRIKES_DECODER.decode(reply).items():
@@ -165,27 +177,37 @@
         Raises:
             errors.CrashesEndpoints: It crashed too many endpoints.
         """
-        if not self.strikes.strikes:
+        if not self.is_refused(routed):
             return
-        if self.is_refused(routed):
-            log_events.emit(
-                logger,
-                log_events.QuarantineRefused(
-                    request_id=routed.request.request_id,
-                    account=routed.account,
-                    service=routed.service,
-                    fingerprint=fingerprint_of(routed),
-                ),
-            )
-            raise refusal()
+        log_events.emit(
+            logger,
+            log_events.QuarantineRefused(
+                request_id=routed.request.request_id,
+                account=routed.account,
+                service=routed.service,
+                fingerprint=fingerprint_of(routed),
+                part=self.parts.find_refused(routed),
+            ),
+        )
+        raise self.refusal(routed)
 
     def is_refused(self, routed: routed_requests.RoutedRequest) -> bool:
         """Returns whether a request must not be sent to any endpoint."""
+        if self.parts.find_refused(routed):
+            return True
         if not self.strikes.strikes:
             return False
         now = self.clock.monotonic()
         return self.strikes.is_refused(fingerprint_of(routed), now)
 
+    def refusal(
+        self, routed: routed_requests.RoutedRequest
+    ) -> errors.CrashesEndpoints:
+        """Returns the error of a refused request."""
+        part = self.parts.find_refused(routed)
+        detail = PART_REFUSAL.format(part=part) if part else REFUSAL
+        return errors.CrashesEndpoints(detail, retry_after_s=RETRY_AFTER_S)
+
     def note_broken(
         self,
         routed: routed_requests.RoutedRequest,
@@ -230,6 +252,7 @@
 
     def note_answered(self, routed: routed_requests.RoutedRequest) -> None:
         """Records that an endpoint completed a request."""
+        self.parts.note_answered(routed)
         now = self.clock.monotonic()
         fingerprint = fingerprint_of(routed)
         cleared = self.strikes.note_answered(fingerprint, now)
@@ -281,6 +304,7 @@
         if len(self.reported) > MAX_REPORTED:
             self.reported.popitem(last=False)
         self.publish_fingerprints(CRASH, instance, self.reported[instance])
+        self.parts.crashed(instance, crash.unanswered)
 
     def publish_fingerprints(
         self, topic: str, instance: str, fingerprints: tuple[str, ...]
@@ -309,6 +333,8 @@
             return
         # Keys have the form topic/instance/node/index.
         topic, _, rest = key.partition("/")
+        if topic not in (CRASH, CLEARED):
+            return
         instance = rest.partition("/")[0]
         fingerprints = tuple(FINGERPRINTS_DECODER.decode(fact.value))
         now = self.clock.monotonic()
@@ -347,11 +373,6 @@
             )
 
 
-def refusal() -> errors.CrashesEndpoints:
-    """Returns the error of a refused request."""
-    return errors.CrashesEndpoints(REFUSAL, retry_after_s=RETRY_AFTER_S)
-
-
 def fingerprint_of(routed: routed_requests.RoutedRequest) -> str:
     """Returns a digest that is the same for a request and its retries."""
     request = routed.request
@@ -396,4 +417,5 @@
         clock,
         crash_strikes.CrashStrikes(),
         port_checks.create_port_checks(engines),
+        part_watch.create_part_watch(clock),
     )
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -12,7 +12,6 @@
 from almondshift.ports import path_engines
 from almondshift.ports import peer_entries
 from almondshift.ports import relays
-from almondshift.relay import crash_watch
 from almondshift.relay import peer_attempt
 
 if TYPE_CHECKING:
@@ -538,10 +537,11 @@
 
     def refuse_crashing(self) -> None:
         """Ends a run of a request that crashes endpoints."""
+        refusal = self.shared.crash_watch.refusal(self.routed)
         if self.may_have_run:
-            self.refuse(self.may_have_run_error(crash_watch.REFUSAL))
+            self.refuse(self.may_have_run_error(refusal.detail))
             return
-        self.refuse(crash_watch.refusal())
+        self.refuse(refusal)
 
     def refuse_limited(self) -> None:
         """Ends a run that only rate-limited endpoints could serve."""
--- a/src/almondshift/relay/status.py
+++ b/src/almondshift/relay/status.py
@@ -44,6 +44,10 @@
             for fingerprint, known in strikes.strikes.items()
             if strikes.is_refused(fingerprint, now)
         ],
+        "refused_parts": [
+            {"part": part, "age_s": round(now - at, 1)}
+            for part, at in shared.crash_watch.parts.strikes.refused.items()
+        ],
     }
 
 
--- a/src/almondshift/relay/stream_attempt.py
+++ b/src/almondshift/relay/stream_attempt.py
@@ -13,6 +13,10 @@
     from almondshift.relay import stream_run
 
 OK = 200
+PROOF_S = 1.0
+"""Time after its first event from which a stream proves the parts of its prompt
+harmless, in seconds."""
+
 PROGRESS_S = 0.3
 """Time after its first event from which a stream can't be what crashes its
 engine, in seconds; such requests crash it as it begins to answer."""
@@ -32,6 +36,7 @@
         is_stream: Whether the response is the requested stream.
         is_moving: Whether a move is in progress.
         first_event_at: Loop time of the first event; None before it.
+        is_proven: Whether the parts of the prompt were noted as harmless.
     """
 
     def __init__(
@@ -50,6 +55,7 @@
         self.is_moving = False
         self.is_over = False
         self.first_event_at: float | None = None
+        self.is_proven = False
 
     @property
     def first(self) -> relayed.PathPart:
@@ -77,11 +83,22 @@
         except ValueError as error:
             self.abort(str(error))
             return
-        if complete and self.first_event_at is None:
-            self.first_event_at = self.active_at
+        if complete:
+            self.note_events()
         if complete and not self.run.forward_events(self, complete):
             self.abort("events out of order")
 
+    def note_events(self) -> None:
+        """Records events; those of a while prove the prompt harmless."""
+        if self.first_event_at is None:
+            self.first_event_at = self.active_at
+        if (
+            not self.is_proven
+            and self.active_at - self.first_event_at >= PROOF_S
+        ):
+            self.is_proven = True
+            self.run.shared.crash_watch.parts.note_progress(self.run.routed)
+
     def has_progressed(self) -> bool:
         """Returns whether engines ran the stream on after its first event."""
         return (
--- a/tests/relay/test_crashes_at_scale.py
+++ b/tests/relay/test_crashes_at_scale.py
@@ -5,12 +5,14 @@
 import asyncio
 import random
 from typing import TYPE_CHECKING
+from typing import Any
 
 import pytest
 
 from almondshift.coordination import membership
 from almondshift.coordination import peer_types
 from almondshift.policy import crash_strikes
+from almondshift.policy import part_strikes
 from almondshift.relay import application
 from almondshift.relay import crash_watch
 from almondshift.relay import group
@@ -116,3 +118,51 @@
 
     # Virtual time ends by itself, while large groups take long on a busy CPU.
     asyncio.run(scenario())
+
+
+FIRST_PART = "f1257f12"
+BAD_PART = "bad0bad0"
+ANSWERS = 30
+
+
+def prompt_request(number: int, *parts: str) -> Any:
+    """Returns a request that is like no other one in body or last part."""
+    name = f"p{number}"
+    return fake_routed.routed(
+        name, name.encode(), (FIRST_PART, *parts, f"{number:x}")
+    )
+
+
+@pytest.mark.parametrize("size", [2, 9, 76, 195])
+def test_all_nodes_refuse_a_prompt_part_soon_after_the_crashes(
+    size: int,
+) -> None:
+    """Guards against nodes that run prompts with a part that peers refuse.
+
+    Each crash is seen by another node. Half of the nodes have answered no
+    prompt yet, and a node starts later.
+    """
+
+    async def scenario() -> None:
+        cluster, watches = await create_group(size)
+        for watch in watches[: (size + 1) // 2]:
+            for number in range(ANSWERS):
+                watch.note_answered(prompt_request(number))
+        for number in range(part_strikes.MIN_CRASHES):
+            watch = watches[number % size]
+            request = prompt_request(number, BAD_PART)
+            watch.note_unanswered(request, 1, f"c{number}")
+            watch.endpoint_gone(f"c{number}", was_leaving=False)
+        bad, sound = prompt_request(90, BAD_PART), prompt_request(91)
+        await advance(cluster, LATE_S)
+        assert all(watch.is_refused(bad) for watch in watches)
+        await add_node(cluster, "late")
+        late = create_watch(cluster, "late")
+        learning = asyncio.create_task(late.learn())
+        await advance(cluster, JOIN_S)
+        await learning
+        assert late.is_refused(bad)
+        assert not any(watch.is_refused(sound) for watch in [*watches, late])
+        await close(cluster)
+
+    asyncio.run(scenario())
