--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -522,6 +522,8 @@
     events_sent: int
     next_step: str
     prompt_parts: str
+    rest_s: float
+    leaving: bool
 
 
 class RequestMoved(Event, frozen=True):
--- a/src/almondshift/platform/engines.py
+++ b/src/almondshift/platform/engines.py
@@ -67,7 +67,10 @@
 }
 
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
-"""Accepted form of a rate limit, without sign or exponent."""
+"""Accepted form of a rate limit or a time, without sign or exponent."""
+
+RESTING_STATUSES = frozenset({429, 503})
+"""Statuses of refusals that may name the time until the next request."""
 
 MAX_LOGGED_LIMIT = 40
 """Maximum length of an invalid rate limit in the log."""
@@ -371,6 +374,31 @@
         genuine=head.get(names.SIGNATURE) is not None,
         not_run=head.get(names.NOT_RUN) is not None or head.status == 421,
         faulty_address=head.get(names.FAULTY_ADDRESS) or "",
+        rest_s=decode_rest(head),
+        is_leaving=is_leaving(head),
+    )
+
+
+def is_leaving(head: http_connections.ResponseHead) -> bool:
+    """Returns whether the head says that its endpoint is shutting down."""
+    return "1" in head.get_all(names.LEAVING)
+
+
+def decode_rest(head: http_connections.ResponseHead) -> float:
+    """Returns the seconds for which a refusing endpoint asks for no requests.
+
+    The longest of several values counts. Values that are no decimal number,
+    such as dates, are ignored, as clocks of hosts may differ by seconds.
+    """
+    if head.status not in RESTING_STATUSES:
+        return 0.0
+    values = [
+        value.strip()
+        for field in head.get_all(names.RETRY_AFTER)
+        for value in field.split(",")
+    ]
+    return max(
+        (float(v) for v in values if DECIMAL_NUMBER.fullmatch(v)), default=0.0
     )
 
 
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -291,11 +291,13 @@
         instance = attempt.endpoint.instance
         if self.record_attempt_and_spend_retry(is_not_run, is_sent):
             self.log_failed_attempt(
-                instance, reason, is_not_run, runs.SENT_ELSEWHERE
+                instance, reason, is_not_run, runs.SENT_ELSEWHERE, attempt.head
             )
             self.begin()
             return
-        self.log_failed_attempt(instance, reason, is_not_run, runs.GIVEN_UP)
+        self.log_failed_attempt(
+            instance, reason, is_not_run, runs.GIVEN_UP, attempt.head
+        )
         if is_not_run and self.possible_runs == 0:
             if not self.pass_to_peer_if_cut_off():
                 self.give_up(reason)
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from almondshift.model import relayed
     from almondshift.model import routed_requests
     from almondshift.relay import context
     from almondshift.relay import events
@@ -621,9 +622,22 @@
         )
 
     def log_failed_attempt(
-        self, instance: str, reason: str, is_not_run: bool, next_step: str
+        self,
+        instance: str,
+        reason: str,
+        is_not_run: bool,
+        next_step: str,
+        head: relayed.ForwardedHead | None = None,
     ) -> None:
-        """Logs and counts a failed attempt."""
+        """Logs and counts a failed attempt.
+
+        Args:
+            instance: The endpoint.
+            reason: Why it failed.
+            is_not_run: Whether the endpoint did not run the request.
+            next_step: What becomes of the request.
+            head: The head of the response, if there was one.
+        """
         self.shared.observer.attempts.labels("failed").inc()
         self.shared.observer.emit(
             log_events.AttemptFailed(
@@ -634,6 +648,8 @@
                 events_sent=self.sent_event_count(),
                 next_step=next_step,
                 prompt_parts=format_parts(self.routed.request.prompt_parts),
+                rest_s=head.rest_s if head is not None else 0.0,
+                leaving=head is not None and head.is_leaving,
             )
         )
 
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -460,7 +460,7 @@
         elif should_wait or may_prove_lost:
             next_step = runs.WAITS
         self.log_failed_attempt(
-            attempt.first.instance, reason, is_not_run, next_step
+            attempt.first.instance, reason, is_not_run, next_step, attempt.head
         )
         if allowed:
             self.begin()
