--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -60,6 +60,9 @@
         cut_after: Events after which a stream's connection is closed;
             negative for never.
         status: Response status of plain requests.
+        rests: Values of Retry-After with which it refuses all requests, one
+            field each; empty to refuse none.
+        says_leaving: Each response says that it is shutting down.
         crashing_body: A request with this body crashes the engine; empty for
             none.
         crashing_part: A request with this part in its prompt crashes the
@@ -93,6 +96,8 @@
         self.is_draining = False
         self.cut_after = -1
         self.status = 200
+        self.rests: list[str] = []
+        self.says_leaving = False
         self.response_delay_s = 0.0
         self.resets = False
         self.crashing_body = b""
@@ -204,6 +209,8 @@
         (engine.arrivals if self.is_request else engine.other_calls).append(now)
         for limit in engine.limits:
             self.add_header(names.RATE_LIMIT, limit)
+        if engine.says_leaving:
+            self.set_header("Server-Leaving", "1")
         while self.engine.is_dead:
             await asyncio.sleep(0.02)
         wanted = self.request.headers.get(names.EXPECTED_INSTANCE)
@@ -272,6 +279,12 @@
         self.engine.received_headers.append(dict(self.request.headers))
         self.engine.received_bodies.append(self.request.body)
         self.set_header("X-Request-Id", self.request_id)
+        if self.engine.rests:
+            self.set_status(503)
+            self.set_header("X-Not-Executed", "1")
+            for value in self.engine.rests:
+                self.add_header("Retry-After", value)
+            return
         if self.engine.layers is None and not self.request.headers.get(
             names.PATH
         ):
--- /dev/null
+++ b/tests/platform/test_resting_engines.py
@@ -0,0 +1,136 @@
+"""Engines that refuse requests and say for how long they want none."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from almondshift.adapters import http_connections
+from almondshift.platform import engines
+from tests.platform import standin_engines
+from tests.platform import standin_system as system
+
+REST_S = 3.0
+SECONDS = 6.0
+INTERVAL_S = 0.04
+
+SLACK_S = 0.5
+MAX_REQUESTS = 2
+"""The stated target: at most this many requests reach an engine between
+``SLACK_S`` after a refusal with a rest and the end of the rest."""
+
+
+def most_in_a_rest(arrivals: list[float], rest_s: float = REST_S) -> int:
+    """Returns the most requests in the rest after any of the refusals."""
+    return max(
+        (
+            sum(SLACK_S < other - at <= rest_s for other in arrivals)
+            for at in arrivals
+        ),
+        default=0,
+    )
+
+
+async def send_steadily(
+    address: str, path: str, seconds: float = SECONDS
+) -> list[tuple[int, dict[str, str]]]:
+    """Returns the statuses and header fields of the responses."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    pending = []
+    number = 0
+    while loop.time() < until:
+        head = system.request(path, f"r-{number}")
+        pending.append(asyncio.create_task(system.send(address, head, b"x")))
+        number += 1
+        await asyncio.sleep(INTERVAL_S)
+    return [answer[:2] for answer in await asyncio.gather(*pending)]
+
+
+async def find_used_engine(
+    running: system.StandinSystem, path: str
+) -> standin_engines.StandinEngine:
+    """Returns the engine that a request is sent to, without its arrivals."""
+    address = running.nodes[0].settings.entry.address
+    await system.send(address, system.request(path, "first"), b"x")
+    used = next(e for e in running.engines.values() if e.arrivals)
+    used.arrivals.clear()
+    return used
+
+
+def find_entrances(
+    running: system.StandinSystem, path: str
+) -> list[standin_engines.StandinEngine]:
+    """Returns the engines that requests can be sent to."""
+    if path.startswith("/chat"):
+        return [
+            engine
+            for engine in running.engines.values()
+            if engine.layers is not None and engine.layers[0] == 0
+        ]
+    return [running.engines["pa"], running.engines["pb"]]
+
+
+@pytest.mark.parametrize("path", ["/chat/x", "/once/x", "/look/x"])
+def test_an_engine_gets_no_requests_while_it_rests(path: str) -> None:
+    """Guards against requests that keep reaching an engine that asked for rest.
+
+    Callers are served by the others.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system() as running:
+            engine = await find_used_engine(running, path)
+            engine.rests = [f"{REST_S:.0f}"]
+            address = running.nodes[0].settings.entry.address
+            answers = await send_steadily(address, path)
+            assert most_in_a_rest(engine.arrivals) <= MAX_REQUESTS
+            assert {status for status, _ in answers} == {200}
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("path", ["/chat/x", "/once/x", "/look/x"])
+def test_callers_are_told_when_the_first_rest_ends(path: str) -> None:
+    """Guards against callers who wait, or come back while all engines rest."""
+
+    async def scenario() -> None:
+        async with system.running_system() as running:
+            entrances = find_entrances(running, path)
+            for engine in entrances:
+                engine.rests = [f"{REST_S:.0f}"]
+            address = running.nodes[0].settings.entry.address
+            answers = await send_steadily(address, path)
+            for engine in entrances:
+                assert most_in_a_rest(engine.arrivals) <= MAX_REQUESTS
+            assert {status for status, _ in answers} == {503}
+            waits = [float(fields["retry-after"]) for _, fields in answers]
+            assert max(waits) > REST_S / 2
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("values", "rest_s"),
+    [
+        ([], 0.0),
+        (["3"], 3.0),
+        (["0.25"], 0.25),
+        (["0"], 0.0),
+        (["-3"], 0.0),
+        (["1e9"], 0.0),
+        (["nan"], 0.0),
+        (["Wed, 21 Oct 2026 07:28:00 GMT"], 0.0),
+        (["2", "5"], 5.0),
+        (["2, 5"], 5.0),
+        (["soon", "1"], 1.0),
+        (["9" * 30], 0.0),
+    ],
+)
+def test_rests_are_decoded(values: list[str], rest_s: float) -> None:
+    """Guards against rests of a length that nobody asked for."""
+    fields = [("retry-after", value) for value in values]
+    for status, expected in ((503, rest_s), (429, rest_s), (200, 0.0)):
+        head = http_connections.ResponseHead(status, fields)
+        assert engines.decode_head(head).rest_s == expected
