Send no requests to an engine for as long as it asks

An engine that refuses with 503 and Retry-After got requests again after 0.4 s, up to 4 from one node within 3 s where 2 are allowed, and plain endpoints that all rest got 47 and 49. Nothing read the field.

Nodes now keep the rest of each start of an engine. Paths and plain requests leave it out; if all rest, callers get the shortest rest as Retry-After.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -402,6 +402,19 @@
     seconds: float
 
 
+class EndpointResting(Event, frozen=True):
+    """An endpoint refused a request, and asked this node for none for a while.
+
+    Logged for the first of several such refusals.
+    """
+
+    number = 4016
+    message = "endpoint resting"
+
+    endpoint: str
+    rest_s: float
+
+
 class RequestReceived(Event, frozen=True):
     """A request passed authentication."""
 
--- a/src/almondshift/platform/engines.py
+++ b/src/almondshift/platform/engines.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from almondshift.adapters import http_connections
+from almondshift.model import endpoint_notices
 from almondshift.model import lifetimes
 from almondshift.model import rate_limits
 from almondshift.model import relayed
@@ -136,6 +137,12 @@
                 self.sent_at,
             )
         )
+        report_notice(
+            self.observer,
+            head,
+            self.forwarding.address,
+            self.forwarding.instance,
+        )
         self.listener.on_head(decode_head(head))
 
     def on_data(self, data: bytes) -> None:
@@ -297,6 +304,7 @@
             self.observer.on_limit(
                 decode_limit(fetched.head, purpose, address, instance, sent_at)
             )
+        report_notice(self.observer, fetched.head, address, instance)
         return fetched
 
     async def _order(
@@ -379,6 +387,20 @@
     )
 
 
+def report_notice(
+    observer: path_engines.CallObserver,
+    head: http_connections.ResponseHead,
+    address: str,
+    instance: str,
+) -> None:
+    """Tells the observer what an endpoint says of itself."""
+    rest_s = decode_rest(head)
+    if rest_s > 0:
+        observer.on_notice(
+            endpoint_notices.EndpointNotice(address, instance, rest_s)
+        )
+
+
 def is_leaving(head: http_connections.ResponseHead) -> bool:
     """Returns whether the head says that its endpoint is shutting down."""
     return "1" in head.get_all(names.LEAVING)
--- a/src/almondshift/policy/path_candidates.py
+++ b/src/almondshift/policy/path_candidates.py
@@ -114,7 +114,7 @@
         found = []
         for engine in engines:
             is_kept = engine.instance in kept
-            if self.tracker.is_full(engine.instance, now) and not is_kept:
+            if self._takes_nothing(engine.instance, now) and not is_kept:
                 continue
             candidate = self._candidate(engine, view.spec, load)
             if is_kept:
@@ -133,6 +133,12 @@
         if engine_sample.omits_any(self._live_engines(view).groups):
             yield self.find(view, now, kept, is_sampled=False)
 
+    def _takes_nothing(self, instance: str, now: float) -> bool:
+        """Returns whether an engine has no room, or asked for no requests."""
+        return self.tracker.is_full(instance, now) or self.tracker.is_resting(
+            instance, now
+        )
+
     def _live_engines(self, view: FleetView) -> _LiveEngines:
         version = (view.version, self.tracker.changes)
         live = self.live.get(view.service)
--- a/src/almondshift/ports/path_engines.py
+++ b/src/almondshift/ports/path_engines.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from almondshift.model import endpoint_notices
     from almondshift.model import rate_limits
     from almondshift.model import relayed
 
@@ -90,6 +91,10 @@
     def on_limit(self, notice: rate_limits.LimitNotice) -> None:
         """Handles a response that names a limit, or answers a request."""
 
+    @abc.abstractmethod
+    def on_notice(self, notice: endpoint_notices.EndpointNotice) -> None:
+        """Handles a response in which an endpoint asks for rest."""
+
 
 class IgnoringObserver(CallObserver):
     """Ignores all calls."""
@@ -103,6 +108,9 @@
     def on_limit(self, notice: rate_limits.LimitNotice) -> None:
         """Does nothing."""
 
+    def on_notice(self, notice: endpoint_notices.EndpointNotice) -> None:
+        """Does nothing."""
+
 
 class PathEngines(abc.ABC):
     """Calls to endpoints.
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -210,7 +210,12 @@
             self.shared.peer_paths.isolated_nodes
         )
         ports.engines.observer = endpoint_calls.EndpointCalls(
-            limits, self.catalogue, links, relay_observer
+            limits,
+            self.catalogue,
+            self.tracker,
+            links,
+            relay_observer,
+            ports.clock,
         )
         self.reach = engine_reach.EngineReach(self.shared)
         lost.is_isolated = links.is_isolated
--- a/src/almondshift/relay/endpoint_calls.py
+++ b/src/almondshift/relay/endpoint_calls.py
@@ -5,11 +5,15 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from almondshift import log_events
 from almondshift.ports import path_engines
 
 if TYPE_CHECKING:
+    from almondshift.model import endpoint_notices
     from almondshift.model import rate_limits
+    from almondshift.policy import engine_tracker
     from almondshift.policy import isolation
+    from almondshift.ports import clocks
     from almondshift.relay import catalogue
     from almondshift.relay import endpoint_limits
     from almondshift.relay import observer
@@ -22,11 +26,15 @@
         self,
         limits: endpoint_limits.EndpointLimits,
         registry: catalogue.Catalogue,
+        tracker: engine_tracker.EngineTracker,
         links: isolation.ServiceLinks,
         relay_observer: observer.RelayObserver,
+        clock: clocks.Clock,
     ) -> None:
         self.limits = limits
         self.catalogue = registry
+        self.tracker = tracker
+        self.clock = clock
         self.links = links
         self.observer = relay_observer
 
@@ -45,3 +53,19 @@
     def on_limit(self, notice: rate_limits.LimitNotice) -> None:
         """Records what a response says about its endpoint's limit."""
         self.limits.on_limit(notice)
+
+    def on_notice(self, notice: endpoint_notices.EndpointNotice) -> None:
+        """Records what an endpoint says of itself."""
+        instance = notice.instance or self.limits.instance_at(notice.address)
+        if instance in self.catalogue.engines:
+            self.note_rest(instance, notice.rest_s)
+
+    def note_rest(self, instance: str, rest_s: float) -> None:
+        """Records for how long an endpoint asks for no requests."""
+        if rest_s <= 0:
+            return
+        now = self.clock.monotonic()
+        was_resting = self.tracker.is_resting(instance, now)
+        self.tracker.note_rest(instance, rest_s, now)
+        if not was_resting:
+            self.observer.emit(log_events.EndpointResting(instance, rest_s))
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -147,12 +147,14 @@
 
     def untried(self) -> list[registered_engines.RegisteredEngine]:
         """Returns the available endpoints that have not been tried yet."""
+        now = self.shared.clock.monotonic()
         return [
             e
             for e in self.shared.catalogue.of_service(self.routed.service)
             if not e.leaving
             and e.instance not in self.tried
             and not self.shared.tracker.is_suspect(e.instance)
+            and not self.shared.tracker.is_resting(e.instance, now)
         ]
 
     def start_slow_timer(self) -> None:
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from almondshift.model import registered_engines
     from almondshift.model import relayed
     from almondshift.model import routed_requests
     from almondshift.relay import context
@@ -31,6 +32,10 @@
 """Range of Retry-After, in seconds: the time in which lost layers are loaded or
 a burst has passed, randomised so that callers do not return together."""
 
+REST_JITTER_S = 0.5
+"""Maximum random time after the end of a rest at which callers may return, in
+seconds."""
+
 LEAVING_RETRY_S = 0.05
 """Retry-After of a node that shuts down, in seconds; other nodes accept
 requests at once."""
@@ -557,9 +562,35 @@
         self.refuse(errors.Overloaded(reason, retry_after_s=retry_s))
 
     def retry_s(self) -> float:
-        """Returns the Retry-After of a refused request, in seconds."""
+        """Returns the Retry-After of a refused request, in seconds.
+
+        If all endpoints rest, not before the first takes requests again.
+        """
+        rest_s = self.rest_left_s()
+        if rest_s > 0:
+            return rest_s + self.shared.rng.uniform(0.0, REST_JITTER_S)
         return self.shared.rng.uniform(RETRY_FLOOR_S, RETRY_CEILING_S)
 
+    def rest_left_s(self) -> float:
+        """Returns until when all endpoints rest, in seconds from now.
+
+        0 if one of those that the request could be sent to does not.
+        """
+        tracker = self.shared.tracker
+        now = self.shared.clock.monotonic()
+        instances = [
+            engine.instance
+            for engine in self.entrances()
+            if not engine.leaving and not tracker.is_suspect(engine.instance)
+        ]
+        if not all(tracker.is_resting(i, now) for i in instances):
+            return 0.0
+        return tracker.shortest_rest_s(instances, now)
+
+    def entrances(self) -> list[registered_engines.RegisteredEngine]:
+        """Returns the endpoints that requests of the service are sent to."""
+        return self.shared.catalogue.of_service(self.routed.service)
+
     def caller_gone(self) -> None:
         """Ends the run, as the caller has disconnected."""
         if not self.close():
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -17,6 +17,7 @@
     import asyncio
     from collections.abc import Callable
 
+    from almondshift.model import registered_engines
     from almondshift.model import routed_requests
     from almondshift.policy import path_choice
     from almondshift.ports import relays
@@ -275,6 +276,14 @@
         seconds = self.loop.time() - attempt.sent_at
         self.shared.first_event_waits.note(self.routed.service, seconds)
 
+    def entrances(self) -> list[registered_engines.RegisteredEngine]:
+        """Returns the engines that a path may start with."""
+        return [
+            engine
+            for engine in super().entrances()
+            if engine.layers is not None and engine.layers.start == 0
+        ]
+
     @property
     def expects_stream(self) -> bool:
         """Whether a successful response is a stream of events."""
@@ -419,7 +428,9 @@
                 self.shared.lost_engines.suspect(
                     part.instance, engine_tracker.Suspicion.REFUSED
                 )
-            else:
+            elif not self.shared.tracker.is_resting(
+                part.instance, self.shared.clock.monotonic()
+            ):
                 self.avoid_and_query(part.instance, part.address)
 
     def avoid_and_query(self, instance: str, address: str) -> None:
--- a/tests/platform/test_fuzzed_inputs.py
+++ b/tests/platform/test_fuzzed_inputs.py
@@ -5,8 +5,9 @@
 import asyncio
 import base64
 import logging
-from typing import Any, TYPE_CHECKING
+from typing import Any
 
+import expression
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -24,9 +25,6 @@
 from tests import asynchronous
 from tests.platform import standin_system as system
 
-if TYPE_CHECKING:
-    import expression
-
 LIMITS = routing_config.CallerLimits(
     header_bytes=4_096, body_bytes=1_000, idle_timeout_s=5.0
 )
--- a/tests/platform/test_stop_edges.py
+++ b/tests/platform/test_stop_edges.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 from unittest import mock
 
+import pytest
 
 from almondshift import errors
 from almondshift.adapters import relay_settings
@@ -22,7 +23,6 @@
 from tests.platform import test_whole_system as whole
 
 if TYPE_CHECKING:
-    import pytest
     from collections.abc import Iterator
 
     from almondshift.relay import gateway as gateways
--- a/tests/relay/test_endpoint_limits.py
+++ b/tests/relay/test_endpoint_limits.py
@@ -11,6 +11,7 @@
 
 from almondshift import log_events
 from almondshift.model import rate_limits
+from almondshift.policy import engine_tracker
 from almondshift.policy import isolation
 from almondshift.relay import endpoint_calls
 from almondshift.relay import endpoint_limits
@@ -106,7 +107,12 @@
 async def test_calls_are_counted_by_purpose() -> None:
     limits, _ = create_limits()
     calls = endpoint_calls.EndpointCalls(
-        limits, limits.catalogue, isolation.ServiceLinks(), limits.observer
+        limits,
+        limits.catalogue,
+        engine_tracker.EngineTracker(),
+        isolation.ServiceLinks(),
+        limits.observer,
+        limits.clock,
     )
     for purpose in rate_limits.CallPurpose:
         calls.on_call(purpose, "1.2.3.4:5")
