Send no new requests to an engine that says that it shuts down

Engines that said in each response that they shut down, while their entries still called them ready, got requests for as long as they answered. Nothing read the field.

A node now lists such a start as leaving and tells peers, which check it. An entry that says ready, or comes back, doesn't change that; another start does.

--- a/src/almondshift/model/endpoint_notices.py
+++ b/src/almondshift/model/endpoint_notices.py
@@ -15,8 +15,10 @@
             if any may have responded.
         rest_s: Time for which it asks this node for no requests; 0 if it does
             not ask.
+        is_leaving: Whether it says that it is shutting down.
     """
 
     address: str
     instance: str
-    rest_s: float
+    rest_s: float = 0.0
+    is_leaving: bool = False
--- a/src/almondshift/platform/engines.py
+++ b/src/almondshift/platform/engines.py
@@ -70,6 +70,9 @@
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 """Accepted form of a rate limit or a time, without sign or exponent."""
 
+MISDIRECTED = 421
+"""Status for requests to another endpoint than the one that responds."""
+
 RESTING_STATUSES = frozenset({429, 503})
 """Statuses of refusals that may name the time until the next request."""
 
@@ -380,7 +383,9 @@
             if name not in HOP_BY_HOP_FIELDS
         ),
         genuine=head.get(names.SIGNATURE) is not None,
-        not_run=head.get(names.NOT_RUN) is not None or head.status == 421,
+        not_run=(
+            head.get(names.NOT_RUN) is not None or head.status == MISDIRECTED
+        ),
         faulty_address=head.get(names.FAULTY_ADDRESS) or "",
         rest_s=decode_rest(head),
         is_leaving=is_leaving(head),
@@ -394,16 +399,22 @@
     instance: str,
 ) -> None:
     """Tells the observer what an endpoint says of itself."""
-    rest_s = decode_rest(head)
-    if rest_s > 0:
-        observer.on_notice(
-            endpoint_notices.EndpointNotice(address, instance, rest_s)
-        )
+    notice = endpoint_notices.EndpointNotice(
+        address=address,
+        instance=instance,
+        rest_s=decode_rest(head),
+        is_leaving=is_leaving(head),
+    )
+    if notice.rest_s > 0 or notice.is_leaving:
+        observer.on_notice(notice)
 
 
 def is_leaving(head: http_connections.ResponseHead) -> bool:
-    """Returns whether the head says that its endpoint is shutting down."""
-    return "1" in head.get_all(names.LEAVING)
+    """Returns whether the head says that its endpoint is shutting down.
+
+    Another endpoint at the same address may have responded with 421.
+    """
+    return head.status != MISDIRECTED and "1" in head.get_all(names.LEAVING)
 
 
 def decode_rest(head: http_connections.ResponseHead) -> float:
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -213,6 +213,7 @@
             limits,
             self.catalogue,
             self.tracker,
+            self.shared.refusing_engines,
             links,
             relay_observer,
             ports.clock,
--- a/src/almondshift/relay/catalogue.py
+++ b/src/almondshift/relay/catalogue.py
@@ -35,6 +35,10 @@
 RESTARTED = "started again"
 """Reasons that are logged when an engine is dropped."""
 
+MAX_ANNOUNCED = 1_024
+"""Maximum number of instances that are kept as shutting down by their own
+responses; more than an operator replaces within hours."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -71,6 +75,9 @@
         unlogged: New engines that have not been logged yet.
         pending_removals: Monotonic time at which a removal that is held back
             takes effect, by row key.
+        announced_leaving: Instances that said themselves that they shut down,
+            the latest last. Their entries may call them ready, and may come
+            back after they were removed during a store outage.
         on_config: Called after each new configuration.
         on_leaving: Called with an engine that starts to shut down.
         on_gone: Called with an engine that is gone.
@@ -89,6 +96,7 @@
         self.version = 0
         self.unlogged: list[registered_engines.RegisteredEngine] = []
         self.pending_removals: dict[str, float] = {}
+        self.announced_leaving: dict[str, None] = {}
         self.views: dict[str, path_candidates.FleetView] = {}
         self.on_config: list[Callable[[], None]] = []
         self.on_leaving: list[
@@ -256,6 +264,8 @@
     def _set_engine(
         self, key: str, engine: registered_engines.RegisteredEngine
     ) -> None:
+        if engine.instance in self.announced_leaving:
+            engine = dataclasses.replace(engine, leaving=True)
         previous = self.engines.get(engine.instance)
         if previous == engine:
             return
@@ -270,14 +280,39 @@
         if previous is None:
             self.unlogged.append(engine)
         if engine.leaving and (previous is None or not previous.leaving):
-            log_events.emit(
-                logger, log_events.EndpointLeaving(engine.instance, "registry")
-            )
-            for callback in self.on_leaving:
-                callback(engine)
+            self._begin_leaving(engine, "registry")
         for callback in self.on_engine:
             callback(engine)
 
+    def mark_leaving(self, instance: str) -> bool:
+        """Records that an engine said in a response that it shuts down.
+
+        Returns:
+            Whether it was not known to do so.
+        """
+        engine = self.engines.get(instance)
+        if engine is None or instance in self.announced_leaving:
+            return False
+        self.announced_leaving[instance] = None
+        if len(self.announced_leaving) > MAX_ANNOUNCED:
+            del self.announced_leaving[next(iter(self.announced_leaving))]
+        if engine.leaving:
+            return False
+        leaving = dataclasses.replace(engine, leaving=True)
+        self.engines[instance] = leaving
+        self._record_change()
+        self._begin_leaving(leaving, "response")
+        return True
+
+    def _begin_leaving(
+        self, engine: registered_engines.RegisteredEngine, source: str
+    ) -> None:
+        log_events.emit(
+            logger, log_events.EndpointLeaving(engine.instance, source)
+        )
+        for callback in self.on_leaving:
+            callback(engine)
+
     def _log_new_engines(self) -> None:
         """Logs new engines, with a single line if there are many.
 
--- a/src/almondshift/relay/endpoint_calls.py
+++ b/src/almondshift/relay/endpoint_calls.py
@@ -17,6 +17,7 @@
     from almondshift.relay import catalogue
     from almondshift.relay import endpoint_limits
     from almondshift.relay import observer
+    from almondshift.relay import refusing_engines
 
 
 class EndpointCalls(path_engines.CallObserver):
@@ -27,6 +28,7 @@
         limits: endpoint_limits.EndpointLimits,
         registry: catalogue.Catalogue,
         tracker: engine_tracker.EngineTracker,
+        refusing: refusing_engines.RefusingEngines,
         links: isolation.ServiceLinks,
         relay_observer: observer.RelayObserver,
         clock: clocks.Clock,
@@ -34,6 +36,7 @@
         self.limits = limits
         self.catalogue = registry
         self.tracker = tracker
+        self.refusing_engines = refusing
         self.clock = clock
         self.links = links
         self.observer = relay_observer
@@ -57,8 +60,11 @@
     def on_notice(self, notice: endpoint_notices.EndpointNotice) -> None:
         """Records what an endpoint says of itself."""
         instance = notice.instance or self.limits.instance_at(notice.address)
-        if instance in self.catalogue.engines:
-            self.note_rest(instance, notice.rest_s)
+        if instance not in self.catalogue.engines:
+            return
+        self.note_rest(instance, notice.rest_s)
+        if notice.is_leaving:
+            self.refusing_engines.note_leaving(instance)
 
     def note_rest(self, instance: str, rest_s: float) -> None:
         """Records for how long an endpoint asks for no requests."""
--- a/src/almondshift/relay/refusing_engines.py
+++ b/src/almondshift/relay/refusing_engines.py
@@ -9,6 +9,9 @@
 within half a second. Therefore a refusal triggers the engine's health check,
 which fails while it drains. Such an engine gets no new work, and peers are
 notified; each checks the engine itself, since its own network path may differ.
+
+An engine may also say in any response that it shuts down. It gets no new work
+from then on, whatever its entry says.
 """
 
 from __future__ import annotations
@@ -32,6 +35,10 @@
 CHECK_GAP_S = 0.5
 """Minimum interval between health checks of one engine, in seconds."""
 
+LEAVING_FACT_S = 3.0
+"""Validity of the fact that an engine shuts down, in seconds; peers check it at
+once."""
+
 MAX_CHECKS = 24
 """Maximum concurrent checks. A check that is skipped is triggered again by the
 engine's next refusal."""
@@ -42,6 +49,7 @@
 
     Attributes:
         checked_at: Monotonic time of the last check, by instance.
+        group: The other nodes; None before this node has joined them.
     """
 
     def __init__(
@@ -58,10 +66,12 @@
         self.engines = engines
         self.lost = lost
         self.checked_at: dict[str, float] = {}
+        self.group: relay_group.Group | None = None
         self.work = background.Background()
 
     def join(self, node_group: relay_group.Group) -> None:
-        """Subscribes to facts of peers about draining engines."""
+        """Starts to exchange facts about draining engines with peers."""
+        self.group = node_group
         node_group.subscribe_facts(peers.FactKind.LEAVING, self.handle_fact)
 
     async def close(self) -> None:
@@ -73,6 +83,15 @@
         if fact is not None:
             self.check(key)
 
+    def note_leaving(self, instance: str) -> None:
+        """Records that an engine said that it shuts down; notifies peers."""
+        if not self.catalogue.mark_leaving(instance) or self.group is None:
+            return
+        kind = peers.FactKind.LEAVING
+        if not self.group.is_published(kind, instance):
+            value = f'"{engine_tracker.Suspicion.DRAINING}"'.encode()
+            self.group.publish_fact(kind, instance, value, LEAVING_FACT_S)
+
     def check(self, instance: str) -> None:
         """Starts a check unless one was started recently."""
         engine = self.catalogue.engines.get(instance)
--- a/tests/relay/test_endpoint_limits.py
+++ b/tests/relay/test_endpoint_limits.py
@@ -6,6 +6,7 @@
 import dataclasses
 import random
 from typing import Any
+from unittest import mock
 
 import pytest
 
@@ -110,6 +111,7 @@
         limits,
         limits.catalogue,
         engine_tracker.EngineTracker(),
+        mock.Mock(),
         isolation.ServiceLinks(),
         limits.observer,
         limits.clock,
