--- a/tests/platform/test_announced_leaving.py
+++ b/tests/platform/test_announced_leaving.py
@@ -55,8 +55,7 @@
 
 @pytest.mark.parametrize("later", list(Later), ids=str)
 def test_what_an_engine_said_binds_only_that_start(later: Later) -> None:
-    """Guards against an entry that revives a leaving engine, or a start that
-    is never used."""
+    """Guards against entries that revive an engine, and starts never used."""
 
     async def scenario() -> None:
         async with system.running_system() as running:
