Cut off responses whose chunk framing or trailers never end

An endpoint that sent trailers after a chunked body, or a chunk extension, without end was read for as long as it sent: 80 MB and more in a second, and the trailers were kept. Only heads and bodies were limited. Bytes after a head that are no body now have a limit of 64 KB plus sixteen for each byte of the body. Trailers are no longer taken for fields of the head.

--- a/src/almondshift/adapters/http_connections.py
+++ b/src/almondshift/adapters/http_connections.py
@@ -43,6 +43,13 @@
 memory until the call's timeout. Typical heads have a few hundred bytes."""
 
 
+MAX_FRAMING_BYTES = 65_536
+MAX_FRAMING_PER_BODY_BYTE = 16
+"""Limit on the bytes after a head that are no body, such as chunk extensions
+and trailers: a fixed part, and one per byte of the body. Chunks of one byte
+have six."""
+
+
 class Outcome(enum.Enum):
     """How a call ended.
 
@@ -155,6 +162,8 @@
         self.head: ResponseHead | None = None
         self.head_complete = False
         self.head_bytes = 0
+        self.body_bytes = 0
+        self.received_bytes = 0
         self.complete = False
         self.framed = False
         self.keep_alive = False
@@ -175,6 +184,8 @@
         self.head = None
         self.head_complete = False
         self.head_bytes = 0
+        self.body_bytes = 0
+        self.received_bytes = 0
         self.complete = False
         self.framed = False
         self.keep_alive = False
@@ -211,6 +222,15 @@
             self.head_bytes += len(data)
             if self.head_bytes > MAX_HEAD_BYTES:
                 self.fail(Outcome.SPOILT, "response head over the limit")
+        elif self.call is call:
+            self.received_bytes += len(data)
+            if self.framing_bytes() > MAX_FRAMING_BYTES:
+                self.fail(Outcome.SPOILT, "chunk framing over the limit")
+
+    def framing_bytes(self) -> int:
+        """Returns the received bytes beyond those that the body allows."""
+        allowed = self.body_bytes * (1 + MAX_FRAMING_PER_BODY_BYTE)
+        return self.received_bytes - allowed
 
     def eof_received(self) -> bool:
         """Ends a response whose body is delimited by the end of stream."""
@@ -252,7 +272,9 @@
             raise httptools.HttpParserCallbackError("a second response")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header field (called by the parser)."""
+        """Collects a header field (called by the parser); drops trailers."""
+        if self.head_complete:
+            return
         if self.head is None:
             self.head = ResponseHead(0, [])
         key = name.decode("latin-1").lower()
@@ -286,6 +308,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Passes a part of the body on (called by the parser)."""
+        self.body_bytes += len(body)
         if self.call is not None:
             self.call.listener.on_data(body)
 
--- a/tests/adapters/test_http_connections.py
+++ b/tests/adapters/test_http_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import socket
 import struct
@@ -243,3 +244,65 @@
     assert (listener.status, listener.body) == (200, b"")
     assert not pool.idle.get(server.address)
     pool.close()
+
+
+MAX_EXTRA_BYTES = 16_000_000
+"""Bytes that a response may send before it is cut off: as many as the largest
+body, with those that the sockets of both sides buffer."""
+
+STREAM = OK + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        pytest.param(STREAM + b"0\r\n", b"a: b\r\n", id="trailers"),
+        pytest.param(STREAM + b"0\r\na: ", b"b", id="one trailer"),
+        pytest.param(STREAM + b"3;", b"a=b;", id="chunk extension"),
+        pytest.param(STREAM, b"1;" + b"e" * 9_000 + b"\r\nx\r\n", id="chunks"),
+        pytest.param(b"", b"HTTP/1.1 103 E\r\n\r\n", id="interim responses"),
+    ],
+)
+@asynchronous.run
+async def test_bytes_without_end_are_cut_off(
+    start: bytes, repeated: bytes
+) -> None:
+    """Guards against responses that never end and hold no body."""
+    sent = 0
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        block = repeated * (60_000 // len(repeated) + 1)
+        writer.write(start)
+        with contextlib.suppress(ConnectionError):
+            while sent < 5 * MAX_EXTRA_BYTES:
+                writer.write(block)
+                await writer.drain()
+                sent += len(block)
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    pool = http_connections.create_connection_pool()
+    outcome, _, _ = await call(pool, f"127.0.0.1:{port}")
+    assert outcome is http_connections.Outcome.SPOILT
+    assert sent <= MAX_EXTRA_BYTES
+    server.close()
+
+
+@asynchronous.run
+async def test_trailers_are_no_part_of_the_head() -> None:
+    """Guards against trailers that change how a connection is kept."""
+    trailers = b"Keep-Alive: timeout=900\r\nServer-Leaving: 1\r\n\r\n"
+    server = Server([STREAM + b"0\r\n" + trailers])
+    await server.start()
+    pool = http_connections.create_connection_pool()
+    fetched = await http_connections.fetch(
+        pool, server.address, PAYLOAD, 3.0, 100
+    )
+    assert fetched.outcome is http_connections.Outcome.WHOLE
+    assert fetched.body == b"abc"
+    assert fetched.head is not None
+    assert fetched.head.get("server-leaving") is None
