Bound what is kept of crashes for each part of a prompt

By reading: 64 parts of a prompt are counted in place of 256, and 16 crashes with 16 prompts each are kept for a part, so that callers who invent parts cost some 20 MB at most; before, each crash could add thousands of entries.

--- a/src/almondshift/policy/part_strikes.py
+++ b/src/almondshift/policy/part_strikes.py
@@ -63,6 +63,11 @@
 MAX_PARTS = 4_096
 """Maximum number of parts that are kept with strikes, and with responses."""
 
+MAX_STRIKES_PER_PART = 16
+MAX_PROMPTS_PER_STRIKE = 16
+"""Maximum number of the latest crashes that are kept for a part, and of prompts
+for each; fewer suffice to refuse it."""
+
 MAX_EXPLAINED = 1_024
 """Maximum number of crashed endpoints that are kept as explained."""
 
@@ -160,7 +165,11 @@
         if instance in self.explained or part in self.refused:
             return
         known = self.strikes.setdefault(part, {})
-        known.setdefault(instance, PartStrike(now)).prompts.add(prompt)
+        strike = known.setdefault(instance, PartStrike(now))
+        if len(strike.prompts) < MAX_PROMPTS_PER_STRIKE:
+            strike.prompts.add(prompt)
+        if len(known) > MAX_STRIKES_PER_PART:
+            del known[next(iter(known))]
         if is_beside_proven:
             self.beside_proven.add(part)
         while len(self.strikes) > MAX_PARTS:
--- a/src/almondshift/relay/crash_watch.py
+++ b/src/almondshift/relay/crash_watch.py
@@ -40,7 +40,7 @@
 PROMPT_BYTES = 4
 """Size of the digest that tells prompts apart which share a part."""
 
-MAX_PARTS = 256
+MAX_PARTS = 64
 """Maximum number of parts of one prompt that are counted."""
 
 MAX_LOGGED = 8
--- a/tests/policy/test_part_strikes.py
+++ b/tests/policy/test_part_strikes.py
@@ -154,6 +154,13 @@
         strikes.note_answered((f"a{index}",), 0.0)
     assert len(strikes.strikes) <= part_strikes.MAX_PARTS
     assert len(strikes.proofs) <= part_strikes.MAX_PARTS
+    for index in range(100):
+        prompts = [prompt(f"p{number}", "s") for number in range(50)]
+        strikes.strike(f"s{index}", prompts, 0.0)
+    known = strikes.strikes["s"]
+    assert len(known) <= part_strikes.MAX_STRIKES_PER_PART
+    limit = part_strikes.MAX_PROMPTS_PER_STRIKE
+    assert all(len(strike.prompts) <= limit for strike in known.values())
     for index in range(part_strikes.MAX_EXPLAINED + 100):
         strikes.explain(f"x{index}")
     assert len(strikes.explained) <= part_strikes.MAX_EXPLAINED
