Count no crash by a refused part against other requests

Streams that resume together meet the next crashes together: after three that a part had caused, sixty sound ones were refused two seconds later, for ten minutes. Crashes that a refused part explains now count against no request.

test_crashes_by_a_refused_part_count_against_no_other_request failed before.

--- a/src/almondshift/policy/crash_strikes.py
+++ b/src/almondshift/policy/crash_strikes.py
@@ -25,6 +25,10 @@
 
 import dataclasses
 import heapq
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Container
 
 MAX_STRIKES = 3
 """Strikes from which a request is refused. Harmless requests meet two crashes
@@ -140,6 +144,8 @@
             is clear whether the endpoint crashed.
         strikes: By fingerprint and instance of the endpoint.
         struck: Fingerprints with a strike, by instance of the endpoint.
+        explained: Crashed instances that had another cause, see
+            ``part_strikes``; they count against no request.
         answered: When requests were answered successfully, by fingerprint; the
             latest ``FREQUENT_ANSWERS`` times.
     """
@@ -150,6 +156,7 @@
         ] = {}
         self.strikes: dict[str, dict[str, Strike]] = {}
         self.struck: dict[str, set[str]] = {}
+        self.explained: Container[str] = ()
         self.answered: dict[str, tuple[float, ...]] = {}
 
     def note_broken_attempt(
@@ -275,7 +282,7 @@
         fresh = {
             instance: strike.at
             for instance, strike in known.items()
-            if now - strike.at <= STRIKE_S
+            if now - strike.at <= STRIKE_S and instance not in self.explained
         }
         limit = MAX_STRIKES
         if self.is_frequent(fingerprint, now):
--- a/src/almondshift/relay/crash_watch.py
+++ b/src/almondshift/relay/crash_watch.py
@@ -121,6 +121,7 @@
         self.clock = clock
         self.strikes = strikes
         self.parts = parts
+        self.strikes.explained = parts.strikes.explained
         self.ports = ports
         self.ports.on_closed = self.port_closed
         self.group: relay_group.Group | None = None
--- a/tests/relay/test_crash_watch.py
+++ b/tests/relay/test_crash_watch.py
@@ -176,6 +176,32 @@
     asyncio.run(scenario())
 
 
+def test_crashes_by_a_refused_part_count_against_no_other_request() -> None:
+    """Guards against sound streams refused as they met a part's crashes.
+
+    Sixty streams resume together on each next engine that the part crashes.
+    """
+
+    async def scenario() -> None:
+        watch = create_watch(FakePorts(Port.CLOSED))
+        watch.note_answered(fake_routed.routed("r", b"r", ("first", "own")))
+        names = [f"r{n}" for n in range(STREAMS)]
+        for index in range(4):
+            bad = fake_routed.routed(
+                f"bad{index}", b"%d" % index, ("first", "part", f"own{index}")
+            )
+            watch.note_broken(bad, 1, f"e{index}", "127.0.0.1:1")
+            await break_streams(watch, f"e{index}", names, index)
+        clock = watch.clock
+        assert isinstance(clock, clocks.VirtualClock)
+        clock.now += 10.0
+        assert watch.is_refused(bad)
+        assert not any(watch.is_refused(routed(name)) for name in names)
+        await watch.close()
+
+    asyncio.run(scenario())
+
+
 def test_requests_in_flight_at_the_same_crashes_are_refused_later() -> None:
     """Guards against a request that is never refused since others ran too."""
     strikes = crash_strikes.CrashStrikes()
