Keep each fact about the parts in flight at a crash

Connections to a crashed endpoint may break after its port was found closed. The fact about their prompts had the key of the first one and replaced it, so that peers that had not got that yet missed its strikes. Facts are numbered now.

test_prompts_that_are_found_later_reach_peers_with_the_first_ones fails without the numbers, and passes.

--- a/src/almondshift/relay/part_watch.py
+++ b/src/almondshift/relay/part_watch.py
@@ -80,6 +80,7 @@
             this node's or a peer's, by part.
         unpublished: Monotonic time at which peers are told of a refusal that
             this node derived from their reports, unless one tells it first.
+        fact_numbers: Numbers of this node's ``STRUCK`` facts.
         on_refused: Called after parts were refused.
     """
 
@@ -89,6 +90,7 @@
         self.group: relay_group.Group | None = None
         self.proof_told_at: dict[str, float] = {}
         self.unpublished: dict[str, float] = {}
+        self.fact_numbers = itertools.count()
         self.on_refused: Callable[[], None] = lambda: None
 
     def join(self, node_group: relay_group.Group) -> None:
@@ -217,7 +219,8 @@
         for index in range(MAX_FACTS):
             chunk = items[index * ITEMS_PER_FACT :][:ITEMS_PER_FACT]
             if chunk:
-                name = f"{instance}{SEPARATOR}{index}"
+                # A later fact about the same crash must not replace this one.
+                name = f"{instance}{SEPARATOR}{next(self.fact_numbers)}"
                 self.publish(STRUCK, name, chunk, part_strikes.STRIKE_S)
 
     def format_item(self, part: str, prompt: str) -> str:
