--- a/tests/soak/disturbances.py
+++ b/tests/soak/disturbances.py
@@ -45,12 +45,22 @@
     end: float = NOT_ENDED
 
 
+@dataclasses.dataclass(slots=True)
+class Rest:
+    """A time in which an engine refuses all requests and asks for rest."""
+
+    engine: str
+    start: float
+    end: float = NOT_ENDED
+
+
 class Disturbances:
     """All disturbances of a soak."""
 
     def __init__(self) -> None:
         self.all: list[Disturbance] = []
         self.limits: list[NamedLimit] = []
+        self.rests: list[Rest] = []
 
     def begin(
         self, target: str, what: str, is_planned: bool = False
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -297,6 +297,21 @@
             await set_attributes(system, engine, {"limits": []})
 
 
+class RestingEngine(Fault):
+    """An engine refuses all requests for a while, and asks for rest."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        engine = self.engine(system)
+        generation = engine.starts
+        await set_attributes(system, engine, {"rests": [f"{layout.REST_S}"]})
+        rest = disturbances.Rest(engine.name, time.monotonic())
+        system.disturbances.rests.append(rest)
+        await asyncio.sleep(self.lasts_s)
+        rest.end = time.monotonic()
+        if engine.starts == generation:
+            await set_attributes(system, engine, {"rests": []})
+
+
 class CutNodes(Fault):
     """Nodes lose all engines; some, most or all of them."""
 
@@ -416,6 +431,7 @@
         found += draw_series(rng, kinds, options.seconds)
     found += draw_extra(options, LimitedEngine, options.limits)
     found += draw_extra(options, CutNodes, options.cuts)
+    found += draw_extra(options, RestingEngine, options.rests)
     return sorted(found, key=lambda fault: fault.at_s)
 
 
--- a/tests/soak/layout.py
+++ b/tests/soak/layout.py
@@ -48,6 +48,12 @@
 """An engine gets at most the factor times what its limit allows in a window,
 and the extra requests."""
 
+REST_S = 3.0
+REST_SLACK_S = 0.5
+MAX_REQUESTS_IN_REST = 2
+"""An engine that asks a node for rest gets at most so many requests from it
+between the slack and the end of the rest."""
+
 LAYERS = 80
 LAYER_MB = 1750.0
 ENGINE_MB = 72_000.0
@@ -77,6 +83,7 @@
         stalls_per_s: Mean rate of short stalls of all links; see ``stalls``.
         limits: Number of times that an engine names a rate limit for a while.
         cuts: Number of times that nodes lose all engines for a while.
+        rests: Number of times that an engine asks for rest for a while.
     """
 
     seed: int
@@ -87,6 +94,7 @@
     stalls_per_s: float = 0.0
     limits: int = 0
     cuts: int = 0
+    rests: int = 0
 
     def plain_engines(self) -> int:
         """Returns how many endpoints serve plain requests."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -191,6 +191,9 @@
     parser.add_argument(
         "--cuts", type=int, default=0, help="times that nodes lose all engines"
     )
+    parser.add_argument(
+        "--rests", type=int, default=0, help="engines that ask for rest"
+    )
     parser.add_argument("--folder", type=pathlib.Path)
     parser.add_argument("--regressions", action="store_true")
     args = parser.parse_args()
@@ -217,6 +220,7 @@
         stalls_per_s=args.stalls,
         limits=args.limits,
         cuts=args.cuts,
+        rests=args.rests,
     )
 
 
