--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -402,17 +402,17 @@
     seconds: float
 
 
-class EndpointResting(Event, frozen=True):
+class EndpointBackoff(Event, frozen=True):
     """An endpoint refused a request, and asked this node for none for a while.
 
     Logged for the first of several such refusals.
     """
 
     number = 4016
-    message = "endpoint resting"
+    message = "endpoint backoff"
 
     endpoint: str
-    rest_s: float
+    backoff_s: float
 
 
 class RequestReceived(Event, frozen=True):
@@ -535,7 +535,7 @@
     events_sent: int
     next_step: str
     prompt_parts: str
-    rest_s: float
+    backoff_s: float
     leaving: bool
 
 
--- a/src/almondshift/model/endpoint_notices.py
+++ b/src/almondshift/model/endpoint_notices.py
@@ -13,12 +13,12 @@
         address: ``host:port`` of the endpoint.
         instance: The start of the endpoint that the call was meant for; empty
             if any may have responded.
-        rest_s: Time for which it asks this node for no requests; 0 if it does
-            not ask.
+        backoff_s: Time for which it asks this node for no requests; 0 if it
+            does not ask.
         is_leaving: Whether it says that it is shutting down.
     """
 
     address: str
     instance: str
-    rest_s: float = 0.0
+    backoff_s: float = 0.0
     is_leaving: bool = False
--- a/src/almondshift/model/relayed.py
+++ b/src/almondshift/model/relayed.py
@@ -71,7 +71,7 @@
         genuine: Whether the endpoint marked the response as its own.
         not_run: Whether it says that the request did not run.
         faulty_address: The endpoint at fault, if it names one.
-        rest_s: Time for which the endpoint asks this node for no requests; 0
+        backoff_s: Time for which the endpoint asks this node for no requests; 0
             if it does not ask.
         is_leaving: Whether it says that it is shutting down.
     """
@@ -81,7 +81,7 @@
     genuine: bool
     not_run: bool
     faulty_address: str
-    rest_s: float = 0.0
+    backoff_s: float = 0.0
     is_leaving: bool = False
 
 
--- a/src/almondshift/platform/engines.py
+++ b/src/almondshift/platform/engines.py
@@ -73,7 +73,7 @@
 MISDIRECTED = 421
 """Status for requests to another endpoint than the one that responds."""
 
-RESTING_STATUSES = frozenset({429, 503})
+BACKOFF_STATUSES = frozenset({429, 503})
 """Statuses of refusals that may name the time until the next request."""
 
 MAX_LOGGED_LIMIT = 40
@@ -387,7 +387,7 @@
             head.get(names.NOT_RUN) is not None or head.status == MISDIRECTED
         ),
         faulty_address=head.get(names.FAULTY_ADDRESS) or "",
-        rest_s=decode_rest(head),
+        backoff_s=decode_backoff(head),
         is_leaving=is_leaving(head),
     )
 
@@ -402,10 +402,10 @@
     notice = endpoint_notices.EndpointNotice(
         address=address,
         instance=instance,
-        rest_s=decode_rest(head),
+        backoff_s=decode_backoff(head),
         is_leaving=is_leaving(head),
     )
-    if notice.rest_s > 0 or notice.is_leaving:
+    if notice.backoff_s > 0 or notice.is_leaving:
         observer.on_notice(notice)
 
 
@@ -417,13 +417,13 @@
     return head.status != MISDIRECTED and "1" in head.get_all(names.LEAVING)
 
 
-def decode_rest(head: http_connections.ResponseHead) -> float:
+def decode_backoff(head: http_connections.ResponseHead) -> float:
     """Returns the seconds for which a refusing endpoint asks for no requests.
 
     The longest of several values counts. Values that are no decimal number,
     such as dates, are ignored, as clocks of hosts may differ by seconds.
     """
-    if head.status not in RESTING_STATUSES:
+    if head.status not in BACKOFF_STATUSES:
         return 0.0
     values = [
         value.strip()
--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -44,7 +44,7 @@
 no memory, in seconds; twice the delay of reports."""
 
 
-MAX_REST_S = 300.0
+MAX_BACKOFF_S = 300.0
 """Maximum time for which an engine's wish for no requests is kept, in seconds.
 A longer one may be a mistake that would cost the engine for good."""
 
@@ -87,7 +87,7 @@
         suspect_until: Until when it is not tried again if suspect.
         reason: Why it is suspect; None if it is not.
         full_until: Until when it is avoided, since it had no room.
-        rest_until: Until when it has asked this node for no requests.
+        backoff_until: Until when it has asked this node for no requests.
         no_first_event_until: Until when it is avoided as first engine, since
             callers left without a first event.
         reported: Expected memory by its own report, in tokens times layers.
@@ -103,7 +103,7 @@
     suspect_until: float = 0.0
     reason: Suspicion | None = None
     full_until: float = 0.0
-    rest_until: float = 0.0
+    backoff_until: float = 0.0
     no_first_event_until: float = 0.0
     reported: float = 0.0
     reported_at: float = -USED_VALID_S
@@ -248,33 +248,33 @@
         state = self.states.get(instance)
         return state is not None and state.full_until > now
 
-    def note_rest(self, instance: str, rest_s: float, now: float) -> None:
+    def note_backoff(self, instance: str, backoff_s: float, now: float) -> None:
         """Records that an engine asked this node for no requests.
 
         A later and shorter wish does not end an earlier one.
         """
         state = self.state(instance)
-        until = now + min(rest_s, MAX_REST_S)
-        if until > state.rest_until:
-            state.rest_until = until
+        until = now + min(backoff_s, MAX_BACKOFF_S)
+        if until > state.backoff_until:
+            state.backoff_until = until
             self.changes += 1
 
-    def is_resting(self, instance: str, now: float) -> bool:
+    def is_in_backoff(self, instance: str, now: float) -> bool:
         """Returns whether an engine has asked for no requests until later."""
         state = self.states.get(instance)
-        return state is not None and state.rest_until > now
+        return state is not None and state.backoff_until > now
 
-    def shortest_rest_s(self, instances: Iterable[str], now: float) -> float:
-        """Returns when the first of several rests ends, in seconds from now.
+    def shortest_backoff_s(self, instances: Iterable[str], now: float) -> float:
+        """Returns when the first of several backoffs ends, in seconds from now.
 
-        0 if none of these engines rests.
+        0 if none of these engines has one.
         """
-        rests = [
-            self.states[instance].rest_until - now
+        backoffs = [
+            self.states[instance].backoff_until - now
             for instance in instances
-            if self.is_resting(instance, now)
+            if self.is_in_backoff(instance, now)
         ]
-        return min(rests, default=0.0)
+        return min(backoffs, default=0.0)
 
     def note_no_first_event(self, instance: str, now: float) -> None:
         """Records that a caller abandoned its wait for a first event.
--- a/src/almondshift/policy/part_strikes.py
+++ b/src/almondshift/policy/part_strikes.py
@@ -180,13 +180,13 @@
         found = []
         for part in list(self.strikes):
             known = self.strikes.get(part)
-            if known is not None and self.is_guilty(part, now):
+            if known is not None and self.should_refuse(part, now):
                 prompts = {p for s in known.values() for p in s.prompts}
                 found.append(RefusedPart(part, len(known), len(prompts)))
                 self.refuse(part, now)
         return found
 
-    def is_guilty(self, part: str, now: float) -> bool:
+    def should_refuse(self, part: str, now: float) -> bool:
         """Returns whether the crashes of a part suffice to refuse it."""
         known = self.strikes[part]
         if len(known) < MIN_CRASHES_WITH_NEW_PROMPTS:
--- a/src/almondshift/policy/path_candidates.py
+++ b/src/almondshift/policy/path_candidates.py
@@ -135,9 +135,9 @@
 
     def _takes_nothing(self, instance: str, now: float) -> bool:
         """Returns whether an engine has no room, or asked for no requests."""
-        return self.tracker.is_full(instance, now) or self.tracker.is_resting(
+        return self.tracker.is_full(
             instance, now
-        )
+        ) or self.tracker.is_in_backoff(instance, now)
 
     def _live_engines(self, view: FleetView) -> _LiveEngines:
         version = (view.version, self.tracker.changes)
--- a/src/almondshift/ports/path_engines.py
+++ b/src/almondshift/ports/path_engines.py
@@ -93,7 +93,7 @@
 
     @abc.abstractmethod
     def on_notice(self, notice: endpoint_notices.EndpointNotice) -> None:
-        """Handles a response that asks for rest or announces a shutdown."""
+        """Handles a response with a backoff or the notice of a shutdown."""
 
 
 class IgnoringObserver(CallObserver):
--- a/src/almondshift/relay/endpoint_calls.py
+++ b/src/almondshift/relay/endpoint_calls.py
@@ -62,16 +62,16 @@
         instance = notice.instance or self.limits.instance_at(notice.address)
         if instance not in self.catalogue.engines:
             return
-        self.note_rest(instance, notice.rest_s)
+        self.note_backoff(instance, notice.backoff_s)
         if notice.is_leaving:
             self.refusing_engines.note_leaving(instance)
 
-    def note_rest(self, instance: str, rest_s: float) -> None:
+    def note_backoff(self, instance: str, backoff_s: float) -> None:
         """Records for how long an endpoint asks for no requests."""
-        if rest_s <= 0:
+        if backoff_s <= 0:
             return
         now = self.clock.monotonic()
-        was_resting = self.tracker.is_resting(instance, now)
-        self.tracker.note_rest(instance, rest_s, now)
-        if not was_resting:
-            self.observer.emit(log_events.EndpointResting(instance, rest_s))
+        was_in_backoff = self.tracker.is_in_backoff(instance, now)
+        self.tracker.note_backoff(instance, backoff_s, now)
+        if not was_in_backoff:
+            self.observer.emit(log_events.EndpointBackoff(instance, backoff_s))
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -154,7 +154,7 @@
             if not e.leaving
             and e.instance not in self.tried
             and not self.shared.tracker.is_suspect(e.instance)
-            and not self.shared.tracker.is_resting(e.instance, now)
+            and not self.shared.tracker.is_in_backoff(e.instance, now)
         ]
 
     def start_slow_timer(self) -> None:
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -32,9 +32,9 @@
 """Range of Retry-After, in seconds: the time in which lost layers are loaded or
 a burst has passed, randomised so that callers do not return together."""
 
-REST_JITTER_S = 0.5
-"""Maximum random time after the end of a rest at which callers may return, in
-seconds."""
+BACKOFF_JITTER_S = 0.5
+"""Maximum random time after the end of a backoff at which callers may return,
+in seconds."""
 
 LEAVING_RETRY_S = 0.05
 """Retry-After of a node that shuts down, in seconds; other nodes accept
@@ -564,17 +564,17 @@
     def retry_s(self) -> float:
         """Returns the Retry-After of a refused request, in seconds.
 
-        If all endpoints rest, not before the first takes requests again.
+        If all endpoints are in a backoff, not before the first of these ends.
         """
-        rest_s = self.rest_left_s()
-        if rest_s > 0:
-            return rest_s + self.shared.rng.uniform(0.0, REST_JITTER_S)
+        backoff_s = self.backoff_left_s()
+        if backoff_s > 0:
+            return backoff_s + self.shared.rng.uniform(0.0, BACKOFF_JITTER_S)
         return self.shared.rng.uniform(RETRY_FLOOR_S, RETRY_CEILING_S)
 
-    def rest_left_s(self) -> float:
-        """Returns until when all endpoints rest, in seconds from now.
+    def backoff_left_s(self) -> float:
+        """Returns when the first backoff ends, in seconds from now.
 
-        0 if one of those that the request could be sent to does not.
+        0 if any endpoint that the request could be sent to has none.
         """
         tracker = self.shared.tracker
         now = self.shared.clock.monotonic()
@@ -583,9 +583,9 @@
             for engine in self.entrances()
             if not engine.leaving and not tracker.is_suspect(engine.instance)
         ]
-        if not all(tracker.is_resting(i, now) for i in instances):
+        if not all(tracker.is_in_backoff(i, now) for i in instances):
             return 0.0
-        return tracker.shortest_rest_s(instances, now)
+        return tracker.shortest_backoff_s(instances, now)
 
     def entrances(self) -> list[registered_engines.RegisteredEngine]:
         """Returns the endpoints that requests of the service are sent to."""
@@ -679,7 +679,7 @@
                 events_sent=self.sent_event_count(),
                 next_step=next_step,
                 prompt_parts=format_parts(self.routed.request.prompt_parts),
-                rest_s=head.rest_s if head is not None else 0.0,
+                backoff_s=head.backoff_s if head is not None else 0.0,
                 leaving=head is not None and head.is_leaving,
             )
         )
--- a/src/almondshift/relay/status.py
+++ b/src/almondshift/relay/status.py
@@ -85,7 +85,9 @@
         "layers": f"{layers.start}-{layers.end}" if layers else "",
         "suspect": state.reason if state and state.reason else "",
         "pace": round(tracker.pace(engine.instance, now), 1),
-        "rest_s": round(tracker.shortest_rest_s([engine.instance], now), 1),
+        "backoff_s": round(
+            tracker.shortest_backoff_s([engine.instance], now), 1
+        ),
         "limit_per_s": limit.per_s if limit else None,
         "own_requests": state.running if state else 0,
     }
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -428,7 +428,7 @@
                 self.shared.lost_engines.suspect(
                     part.instance, engine_tracker.Suspicion.REFUSED
                 )
-            elif not self.shared.tracker.is_resting(
+            elif not self.shared.tracker.is_in_backoff(
                 part.instance, self.shared.clock.monotonic()
             ):
                 self.avoid_and_query(part.instance, part.address)
--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -60,7 +60,7 @@
         cut_after: Events after which a stream's connection is closed;
             negative for never.
         status: Response status of plain requests.
-        rests: Values of Retry-After with which it refuses all requests, one
+        backoffs: Values of Retry-After with which it refuses all requests, one
             field each; empty to refuse none.
         says_leaving: Each response says that it is shutting down.
         crashing_body: A request with this body crashes the engine; empty for
@@ -96,7 +96,7 @@
         self.is_draining = False
         self.cut_after = -1
         self.status = 200
-        self.rests: list[str] = []
+        self.backoffs: list[str] = []
         self.says_leaving = False
         self.response_delay_s = 0.0
         self.resets = False
@@ -279,10 +279,10 @@
         self.engine.received_headers.append(dict(self.request.headers))
         self.engine.received_bodies.append(self.request.body)
         self.set_header("X-Request-Id", self.request_id)
-        if self.engine.rests:
+        if self.engine.backoffs:
             self.set_status(503)
             self.set_header("X-Not-Executed", "1")
-            for value in self.engine.rests:
+            for value in self.engine.backoffs:
                 self.add_header("Retry-After", value)
             return
         if self.engine.layers is None and not self.request.headers.get(
--- a/tests/platform/test_announced_leaving.py
+++ b/tests/platform/test_announced_leaving.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.platform import standin_system as system
-from tests.platform import test_resting_engines
+from tests.platform import test_engine_backoff
 
 DRAIN_S = 2.0
 """Time after which an engine that announced its end gets no request."""
@@ -28,10 +28,10 @@
 
     async def scenario() -> None:
         async with system.running_system() as running:
-            engine = await test_resting_engines.find_used_engine(running, path)
+            engine = await test_engine_backoff.find_used_engine(running, path)
             engine.says_leaving = True
             address = running.nodes[0].settings.entry.address
-            answers = await test_resting_engines.send_steadily(
+            answers = await test_engine_backoff.send_steadily(
                 address, path, SECONDS
             )
             late = [
--- a/tests/platform/test_resting_engines.py
+++ b/tests/platform/test_engine_backoff.py
@@ -11,7 +11,7 @@
 from tests.platform import standin_engines
 from tests.platform import standin_system as system
 
-REST_S = 3.0
+BACKOFF_S = 3.0
 SECONDS = 6.0
 INTERVAL_S = 0.04
 
@@ -21,11 +21,13 @@
 ``SLACK_S`` after a refusal with a rest and the end of the rest."""
 
 
-def most_in_a_rest(arrivals: list[float], rest_s: float = REST_S) -> int:
+def most_in_a_backoff(
+    arrivals: list[float], backoff_s: float = BACKOFF_S
+) -> int:
     """Returns the most requests in the rest after any of the refusals."""
     return max(
         (
-            sum(SLACK_S < other - at <= rest_s for other in arrivals)
+            sum(SLACK_S < other - at <= backoff_s for other in arrivals)
             for at in arrivals
         ),
         default=0,
@@ -73,8 +75,8 @@
 
 
 @pytest.mark.parametrize("path", ["/chat/x", "/once/x", "/look/x"])
-def test_an_engine_gets_no_requests_while_it_rests(path: str) -> None:
-    """Guards against requests that keep reaching an engine that asked for rest.
+def test_an_engine_gets_no_requests_in_its_backoff(path: str) -> None:
+    """Guards against requests that keep reaching an engine in its backoff.
 
     Callers are served by the others.
     """
@@ -82,37 +84,37 @@
     async def scenario() -> None:
         async with system.running_system() as running:
             engine = await find_used_engine(running, path)
-            engine.rests = [f"{REST_S:.0f}"]
+            engine.backoffs = [f"{BACKOFF_S:.0f}"]
             address = running.nodes[0].settings.entry.address
             answers = await send_steadily(address, path)
-            assert most_in_a_rest(engine.arrivals) <= MAX_REQUESTS
+            assert most_in_a_backoff(engine.arrivals) <= MAX_REQUESTS
             assert {status for status, _ in answers} == {200}
 
     asyncio.run(scenario())
 
 
 @pytest.mark.parametrize("path", ["/chat/x", "/once/x", "/look/x"])
-def test_callers_are_told_when_the_first_rest_ends(path: str) -> None:
-    """Guards against callers who wait, or come back while all engines rest."""
+def test_callers_are_told_when_the_first_backoff_ends(path: str) -> None:
+    """Guards against callers who wait, or come back before any backoff ends."""
 
     async def scenario() -> None:
         async with system.running_system() as running:
             entrances = find_entrances(running, path)
             for engine in entrances:
-                engine.rests = [f"{REST_S:.0f}"]
+                engine.backoffs = [f"{BACKOFF_S:.0f}"]
             address = running.nodes[0].settings.entry.address
             answers = await send_steadily(address, path)
             for engine in entrances:
-                assert most_in_a_rest(engine.arrivals) <= MAX_REQUESTS
+                assert most_in_a_backoff(engine.arrivals) <= MAX_REQUESTS
             assert {status for status, _ in answers} == {503}
             waits = [float(fields["retry-after"]) for _, fields in answers]
-            assert max(waits) > REST_S / 2
+            assert max(waits) > BACKOFF_S / 2
 
     asyncio.run(scenario())
 
 
 @pytest.mark.parametrize(
-    ("values", "rest_s"),
+    ("values", "backoff_s"),
     [
         ([], 0.0),
         (["3"], 3.0),
@@ -128,9 +130,9 @@
         (["9" * 30], 0.0),
     ],
 )
-def test_rests_are_decoded(values: list[str], rest_s: float) -> None:
-    """Guards against rests of a length that nobody asked for."""
+def test_backoffs_are_decoded(values: list[str], backoff_s: float) -> None:
+    """Guards against backoffs of a length that nobody asked for."""
     fields = [("retry-after", value) for value in values]
-    for status, expected in ((503, rest_s), (429, rest_s), (200, 0.0)):
+    for status, expected in ((503, backoff_s), (429, backoff_s), (200, 0.0)):
         head = http_connections.ResponseHead(status, fields)
-        assert engines.decode_head(head).rest_s == expected
+        assert engines.decode_head(head).backoff_s == expected
--- a/tests/soak/disturbances.py
+++ b/tests/soak/disturbances.py
@@ -46,8 +46,8 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Rest:
-    """A time in which an engine refuses all requests and asks for rest."""
+class Backoff:
+    """A time in which an engine refuses all requests with Retry-After."""
 
     engine: str
     start: float
@@ -60,7 +60,7 @@
     def __init__(self) -> None:
         self.all: list[Disturbance] = []
         self.limits: list[NamedLimit] = []
-        self.rests: list[Rest] = []
+        self.backoffs: list[Backoff] = []
 
     def begin(
         self, target: str, what: str, is_planned: bool = False
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -297,19 +297,21 @@
             await set_attributes(system, engine, {"limits": []})
 
 
-class RestingEngine(Fault):
-    """An engine refuses all requests for a while, and asks for rest."""
+class BackoffEngine(Fault):
+    """An engine refuses all requests for a while, with Retry-After."""
 
     async def inject(self, system: soak_system.SoakSystem) -> None:
         engine = self.engine(system)
         generation = engine.starts
-        await set_attributes(system, engine, {"rests": [f"{layout.REST_S}"]})
-        rest = disturbances.Rest(engine.name, time.monotonic())
-        system.disturbances.rests.append(rest)
+        await set_attributes(
+            system, engine, {"backoffs": [f"{layout.BACKOFF_S}"]}
+        )
+        backoff = disturbances.Backoff(engine.name, time.monotonic())
+        system.disturbances.backoffs.append(backoff)
         await asyncio.sleep(self.lasts_s)
-        rest.end = time.monotonic()
+        backoff.end = time.monotonic()
         if engine.starts == generation:
-            await set_attributes(system, engine, {"rests": []})
+            await set_attributes(system, engine, {"backoffs": []})
 
 
 class CutNodes(Fault):
@@ -431,7 +433,7 @@
         found += draw_series(rng, kinds, options.seconds)
     found += draw_extra(options, LimitedEngine, options.limits)
     found += draw_extra(options, CutNodes, options.cuts)
-    found += draw_extra(options, RestingEngine, options.rests)
+    found += draw_extra(options, BackoffEngine, options.backoffs)
     return sorted(found, key=lambda fault: fault.at_s)
 
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -61,7 +61,7 @@
     ENDS = "no process ends by itself"
     MEMORY = "memory is bounded"
     LIMIT = "an engine gets no more requests than the limit it names"
-    REST = "an engine gets hardly any requests while it rests"
+    BACKOFF = "an engine gets hardly any requests in its backoff"
     CUT_OFF = "callers of nodes without engines are served by peers"
     RECOVERS = "requests are served again after the last fault"
     INTERNAL = "no internal error reaches a caller"
@@ -307,34 +307,37 @@
             self.check_config(request)
         for limit in self.history().limits:
             self.check_limit(limit)
-        for rest in self.history().rests:
-            self.check_rest(rest)
+        for backoff in self.history().backoffs:
+            self.check_backoff(backoff)
         self.check_cut_off()
 
-    def check_rest(self, rest: disturbances.Rest) -> None:
-        """Checks the requests of undisturbed nodes to a resting engine."""
+    def check_backoff(self, backoff: disturbances.Backoff) -> None:
+        """Checks undisturbed nodes' requests to an engine in its backoff."""
         arrived = [
-            (row.at, self.requests[request_id].node)
+            (
+                row.at,
+                self.requests[request_id].node,
+            )
             for request_id, work in self.work.items()
             for row in work.arrived
-            if row.engine == rest.engine
+            if row.engine == backoff.engine
         ]
         for at, node in arrived:
-            if not rest.start <= at <= rest.end:
+            if not backoff.start <= at <= backoff.end:
                 continue
-            start, end = at + layout.REST_SLACK_S, at + layout.REST_S
+            start, end = at + layout.BACKOFF_SLACK_S, at + layout.BACKOFF_S
             count = sum(
                 start < other <= end and sender == node
                 for other, sender in arrived
             )
-            if count <= layout.MAX_REQUESTS_IN_REST:
+            if count <= layout.MAX_REQUESTS_IN_BACKOFF:
                 continue
             if all(
                 self.history().bounds_apply(name, at, end)
-                for name in (node, rest.engine)
+                for name in (node, backoff.engine)
             ):
-                detail = f"{rest.engine}: {count} from {node} in its rest"
-                self.report_violation(Promise.REST, detail, at)
+                detail = f"{backoff.engine}: {count} from {node} in its backoff"
+                self.report_violation(Promise.BACKOFF, detail, at)
                 return
 
     def check_limit(self, limit: disturbances.NamedLimit) -> None:
--- a/tests/soak/layout.py
+++ b/tests/soak/layout.py
@@ -48,11 +48,11 @@
 """An engine gets at most the factor times what its limit allows in a window,
 and the extra requests."""
 
-REST_S = 3.0
-REST_SLACK_S = 0.5
-MAX_REQUESTS_IN_REST = 2
-"""An engine that asks a node for rest gets at most so many requests from it
-between the slack and the end of the rest."""
+BACKOFF_S = 3.0
+BACKOFF_SLACK_S = 0.5
+MAX_REQUESTS_IN_BACKOFF = 2
+"""An engine that asks a node for a backoff gets at most so many requests from
+it between the slack and the end of the backoff."""
 
 LAYERS = 80
 LAYER_MB = 1750.0
@@ -83,7 +83,7 @@
         stalls_per_s: Mean rate of short stalls of all links; see ``stalls``.
         limits: Number of times that an engine names a rate limit for a while.
         cuts: Number of times that nodes lose all engines for a while.
-        rests: Number of times that an engine asks for rest for a while.
+        backoffs: Number of times that an engine asks for a backoff.
     """
 
     seed: int
@@ -94,7 +94,7 @@
     stalls_per_s: float = 0.0
     limits: int = 0
     cuts: int = 0
-    rests: int = 0
+    backoffs: int = 0
 
     def plain_engines(self) -> int:
         """Returns how many endpoints serve plain requests."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -192,7 +192,7 @@
         "--cuts", type=int, default=0, help="times that nodes lose all engines"
     )
     parser.add_argument(
-        "--rests", type=int, default=0, help="engines that ask for rest"
+        "--backoffs", type=int, default=0, help="engines that ask for a backoff"
     )
     parser.add_argument("--folder", type=pathlib.Path)
     parser.add_argument("--regressions", action="store_true")
@@ -220,7 +220,7 @@
         stalls_per_s=args.stalls,
         limits=args.limits,
         cuts=args.cuts,
-        rests=args.rests,
+        backoffs=args.backoffs,
     )
 
 
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -77,25 +77,25 @@
     return row(request, ledger.RowKind.RAN, engine)
 
 
-def send_in_rest(judge: Judge, count: int) -> None:
-    """Sends one request that is told of a rest, and others within it."""
-    rest = disturbances.Rest("e0-0", time.monotonic() - SENT_S - 1.0)
-    judge.history().rests.append(rest)
+def send_in_backoff(judge: Judge, count: int) -> None:
+    """Sends one request that is told of a backoff, and others within it."""
+    backoff = disturbances.Backoff("e0-0", time.monotonic() - SENT_S - 1.0)
+    judge.history().backoffs.append(backoff)
     for number in range(count + 1):
         request = sent()
         request.request_id = f"r{number}"
         request.body = soak_judge.expected_body(request)
         if number:
-            request.sent_at += layout.REST_SLACK_S + 0.1 * number
+            request.sent_at += layout.BACKOFF_SLACK_S + 0.1 * number
         check(judge, request, arrived(request), ran(request))
 
 
-def few_requests_in_a_rest(judge: Judge) -> None:
-    send_in_rest(judge, layout.MAX_REQUESTS_IN_REST)
+def few_requests_in_a_backoff(judge: Judge) -> None:
+    send_in_backoff(judge, layout.MAX_REQUESTS_IN_BACKOFF)
 
 
-def too_many_requests_in_a_rest(judge: Judge) -> None:
-    send_in_rest(judge, layout.MAX_REQUESTS_IN_REST + 1)
+def too_many_requests_in_a_backoff(judge: Judge) -> None:
+    send_in_backoff(judge, layout.MAX_REQUESTS_IN_BACKOFF + 1)
 
 
 def correct_answer(judge: Judge) -> None:
@@ -308,8 +308,8 @@
         (work_after_leaving, [Promise.LEAVING]),
         (revoked_key_ran, [Promise.CONFIG]),
         (new_key_denied, [Promise.CONFIG]),
-        (few_requests_in_a_rest, []),
-        (too_many_requests_in_a_rest, [Promise.REST]),
+        (few_requests_in_a_backoff, []),
+        (too_many_requests_in_a_backoff, [Promise.BACKOFF]),
     ],
 )
 def test_judge_reports_exactly_the_violated_guarantees(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,7 +17,7 @@
 """Its faults are only operators' actions, during which nothing may be cut."""
 
 LIMITED_SEED = 39
-"""Engines name limits or ask for rest, and nodes lose all engines."""
+"""Engines name limits or backoffs, and nodes lose all engines."""
 
 STALLED_SEED = 14
 STALLS_PER_S = 3.0
@@ -52,7 +52,7 @@
         stalls_per_s=stalls_per_s,
         limits=limits_and_cuts,
         cuts=limits_and_cuts,
-        rests=limits_and_cuts,
+        backoffs=limits_and_cuts,
     )
     report = asyncio.run(run.run(options, tmp_path))
     assert not report.violations, soak_report.render_text(report)
