Count a backoff of the soak's engines only from actual refusals

The judge took each arrival for a refusal; now it takes only those that the engine did not run. All arrivals within the time still count, and the bound stays.

requests_after_a_backoff_that_ended_early failed before by the trace; the other two histories of the judge's test now begin with a refusal.

--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -317,18 +317,19 @@
             (
                 row.at,
                 self.requests[request_id].node,
+                all(ran.engine != row.engine for ran in work.ran),
             )
             for request_id, work in self.work.items()
             for row in work.arrived
             if row.engine == backoff.engine
         ]
-        for at, node in arrived:
-            if not backoff.start <= at <= backoff.end:
+        for at, node, is_refused in arrived:
+            if not is_refused or not backoff.start <= at <= backoff.end:
                 continue
             start, end = at + layout.BACKOFF_SLACK_S, at + layout.BACKOFF_S
             count = sum(
                 start < other <= end and sender == node
-                for other, sender in arrived
+                for other, sender, _ in arrived
             )
             if count <= layout.MAX_REQUESTS_IN_BACKOFF:
                 continue
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -87,6 +87,21 @@
         request.body = soak_judge.expected_body(request)
         if number:
             request.sent_at += layout.BACKOFF_SLACK_S + 0.1 * number
+            check(judge, request, arrived(request), ran(request))
+        else:
+            request.status = 503
+            request.fields, request.body = {}, b""
+            check(judge, request, arrived(request))
+
+
+def requests_after_a_backoff_that_ended_early(judge: Judge) -> None:
+    backoff = disturbances.Backoff("e0-0", time.monotonic() - SENT_S - 1.0)
+    judge.history().backoffs.append(backoff)
+    for number in range(layout.MAX_REQUESTS_IN_BACKOFF + 2):
+        request = sent()
+        request.request_id = f"r{number}"
+        request.body = soak_judge.expected_body(request)
+        request.sent_at += layout.BACKOFF_SLACK_S * number
         check(judge, request, arrived(request), ran(request))
 
 
@@ -308,6 +323,7 @@
         (work_after_leaving, [Promise.LEAVING]),
         (revoked_key_ran, [Promise.CONFIG]),
         (new_key_denied, [Promise.CONFIG]),
+        (requests_after_a_backoff_that_ended_early, []),
         (few_requests_in_a_backoff, []),
         (too_many_requests_in_a_backoff, [Promise.BACKOFF]),
     ],
