--- a/tests/platform/test_prompt_parts.py
+++ b/tests/platform/test_prompt_parts.py
@@ -13,6 +13,7 @@
 import pytest
 
 from tests.platform import crashing_endpoints
+from tests.platform import cut_links
 from tests.platform import standin_system as system
 
 BAD_PART = "bad0bad0"
@@ -20,7 +21,7 @@
 
 ENDPOINTS = 60
 INTERVAL_S = 0.125
-SECONDS = 12.0
+SECONDS = 14.0
 
 MAX_CRASHES = 5
 LATE_S = 3.0
@@ -53,6 +54,8 @@
     MIDDLE = "middle"
     FIRST = "first"
     TWO_PARTS_AND_A_REQUEST = "two_parts_and_a_request"
+    RESUMED = "resumed"
+    PASSED_ON = "passed_on"
 
 
 OTHER_BAD_PART = "ee0bad0bad0e"
@@ -68,7 +71,7 @@
         return f"{BAD_PART}:40,{number:08x}:40"
     parts = [f"{FIRST_PART}:40"]
     if is_bad:
-        is_other = layout is not Layout.MIDDLE and number % 2 == 0
+        is_other = layout is Layout.TWO_PARTS_AND_A_REQUEST and number % 2 == 0
         parts.append(f"{OTHER_BAD_PART if is_other else BAD_PART}:20")
     return ",".join([*parts, f"{number:08x}:40"])
 
@@ -80,7 +83,13 @@
     if layout is Layout.TWO_PARTS_AND_A_REQUEST and number % 6 == 0:
         body, prompt = CRASHING_BODY, f"{FIRST_PART}:40,{REQUEST_PART}:9,1:1"
         sent.is_bad = True
-    head = system.request(path, sent.request_id, X_Prompt_Prefix=prompt)
+    last_event = "3" if layout is Layout.RESUMED and sent.is_bad else ""
+    head = system.request(
+        path,
+        sent.request_id,
+        X_Prompt_Prefix=prompt,
+        Last_Event_Id=last_event,
+    )
     sent.status, _, sent.body = await system.send(address, head, body)
 
 
@@ -129,8 +138,15 @@
     )
 
 
-@pytest.mark.parametrize("layout", list(Layout), ids=str)
-@pytest.mark.parametrize("path", ["/once/x", "/look/x", "/chat/x"])
+@pytest.mark.parametrize(
+    ("path", "layout"),
+    [
+        (path, layout)
+        for path in ("/once/x", "/look/x", "/chat/x")
+        for layout in Layout
+        if layout is not Layout.RESUMED or path == "/chat/x"
+    ],
+)
 def test_a_part_that_crashes_endpoints_is_refused(
     path: str, layout: Layout
 ) -> None:
@@ -150,6 +166,9 @@
             endpoints = crashing_endpoints.CrashingEndpoints(
                 running, body=CRASHING_BODY, part=BAD_PART, restarts=True
             )
+            if layout is Layout.PASSED_ON:
+                pool = cut_links.create_cuttable_pool(running.nodes[0])
+                pool.begin(cut_links.Cut.RESET)
             crashed_at = endpoints.crashed_at
             all_sent = await send_mixed(running, path, layout, crashed_at)
             fifth_at = crashed_at[:MAX_CRASHES][-1]
