Log the state of an endpoint at a failed attempt, and how long it was ejected

AS5009 didn't tell whether the endpoint had ended, was only silent or was cut off, nor how many runs counted against the route's limit, and AS4005 named a constant in place of the time.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -289,6 +289,7 @@
 
     endpoint: str
     ejected_s: float
+    suspicion: str
 
 
 class EndpointUnreadable(Event, frozen=True):
@@ -537,6 +538,9 @@
     prompt_parts: str
     backoff_s: float
     leaving: bool
+    endpoint_state: str
+    possible_runs: int
+    max_attempts: int
 
 
 class RequestMoved(Event, frozen=True):
--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -84,6 +84,7 @@
             layers.
         pace: Factor by which it is slowed down; 1 if it is not.
         pace_until: End of the validity of ``pace``.
+        suspect_since: Since when it is suspect.
         suspect_until: Until when it is not tried again if suspect.
         reason: Why it is suspect; None if it is not.
         full_until: Until when it is avoided, since it had no room.
@@ -100,6 +101,7 @@
     layer_tokens: float = 0.0
     pace: float = 1.0
     pace_until: float = 0.0
+    suspect_since: float = 0.0
     suspect_until: float = 0.0
     reason: Suspicion | None = None
     full_until: float = 0.0
@@ -165,6 +167,8 @@
         is_change = state.reason is None or (
             state.reason is Suspicion.DRAINING and reason is not state.reason
         )
+        if state.reason is None:
+            state.suspect_since = now
         state.reason = reason
         state.suspect_until = now + SUSPECT_S
         if is_change:
--- a/src/almondshift/relay/engine_questions.py
+++ b/src/almondshift/relay/engine_questions.py
@@ -224,9 +224,14 @@
             is_back = report is not None
         if not is_back:
             return
+        state = self.shared.tracker.state(engine.instance)
+        suspicion = state.reason
         self.shared.tracker.clear_suspicion(engine.instance)
+        if suspicion is None:
+            return
+        ejected_s = self.shared.clock.monotonic() - state.suspect_since
         self.shared.observer.emit(
             log_events.EndpointRestored(
-                engine.instance, engine_tracker.SUSPECT_S
+                engine.instance, round(ejected_s, 3), suspicion.value
             )
         )
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -681,9 +681,23 @@
                 prompt_parts=format_parts(self.routed.request.prompt_parts),
                 backoff_s=head.backoff_s if head is not None else 0.0,
                 leaving=head is not None and head.is_leaving,
+                endpoint_state=self.endpoint_state(instance),
+                possible_runs=self.possible_runs,
+                max_attempts=self.routed.route.max_attempts,
             )
         )
 
+    def endpoint_state(self, instance: str) -> str:
+        """Returns what this node knows of an endpoint, for the log."""
+        if self.links.is_isolated or self.links.is_link_suspect(
+            self.loop.time()
+        ):
+            return "cut off"
+        state = self.shared.tracker.states.get(instance)
+        if state is None or state.reason is None:
+            return "no suspicion"
+        return state.reason.value
+
     def elapsed_s(self) -> float:
         """Returns the seconds since arrival, rounded for the log."""
         return round(self.loop.time() - self.started_at, 4)
