--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -55,6 +55,8 @@
         events: Length of a stream in events.
         gap_s: Pause between events.
         is_dead: It makes no progress; its connections stay open.
+        is_paused: The same, but others don't know of it: they wait for it
+            and do not refuse paths through it.
         is_full: It refuses all new work for lack of memory.
         is_draining: It refuses all new work, and its health check fails.
         cut_after: Events after which a stream's connection is closed;
@@ -92,6 +94,7 @@
         self.gap_s = 0.01
         self.first_event_delay_s = 0.0
         self.is_dead = False
+        self.is_paused = False
         self.is_full = False
         self.is_draining = False
         self.cut_after = -1
@@ -113,6 +116,11 @@
         self.on_change = lambda: None
         self.server: httpserver.HTTPServer | None = None
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether it makes no progress and answers no calls."""
+        return self.is_dead or self.is_paused
+
     async def start(self, port: int = 0) -> None:
         """Listens on a port; 0 for any free one."""
         application = web.Application(
@@ -211,7 +219,7 @@
             self.add_header(names.RATE_LIMIT, limit)
         if engine.says_leaving:
             self.set_header("Server-Leaving", "1")
-        while self.engine.is_dead:
+        while self.engine.is_silent:
             await asyncio.sleep(0.02)
         wanted = self.request.headers.get(names.EXPECTED_INSTANCE)
         if wanted is not None and wanted != self.engine.instance:
@@ -366,10 +374,10 @@
             dead = [
                 address
                 for address, _, _ in run.path
-                if engines[address].is_dead
+                if engines[address].is_silent
                 or engines[address].born != run.starts[address]
             ]
-            if not dead and not self.engine.is_dead:
+            if not dead and not self.engine.is_silent:
                 return
             run.stalled_on = dead[0] if dead else ""
             await asyncio.sleep(0.01)
