Count runs at engines that are only silent against their route's limit

Cause: an engine that left some queries unanswered within a few tenths of a second was taken for one that had ended. The attempt there didn't count (`StreamRun.is_cut_off`, `possible_runs -= 1`), the stream was cancelled and sent on, and the engine, which had only paused, had run it. The class: silence taken for an end.

Change: `policy/possible_runs.py` keeps the endpoints of ended attempts. Each counts until its endpoint is known to have ended: its port is closed, another start of it is seen, its entry goes while it is silent, or it stays silent for 1.5 s. If it responds after all, its attempt counts again. A stream leaves a silent engine at once if its route allows another run and another path has room; else it stays connected, gets the engine's further events, and is looked at again each 0.1 s. An engine that doesn't respond is queried each 0.25 s in its first 1.5 s, and its next event restores it at once, instead of after 3 s.

Weighed: waiting at each silent engine for 1.5 s (a dead one would be left so much later), and never mending the count (a stream that lost power twice would end). A dead engine is left as fast as before where the route allows a run.

--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import enum
 from typing import TYPE_CHECKING
@@ -20,6 +21,21 @@
 must then answer before it gets any. Covers the delay until the registry drops a
 dead engine."""
 
+SUSPECT_QUERY_GAP_S = 1.0
+"""Interval between further queries of a suspect, in seconds."""
+
+MAX_PAUSE_S = 1.5
+"""Longest silence of a sound engine, in seconds: engines may pause for about a
+second and continue. One that stays silent for longer counts as ended. Callers
+abandon a stream after two seconds, so a longer wait would lose them."""
+
+SILENT_QUERY_GAP_S = 0.25
+"""Interval between queries of an engine that has been silent for less than
+``MAX_PAUSE_S``, in seconds."""
+
+MAX_ENDED = 512
+"""Maximum number of ended engines that are remembered."""
+
 PACE_VALID_S = 4.0
 """Validity of a report of slowness, in seconds."""
 
@@ -85,6 +101,7 @@
         pace: Factor by which it is slowed down; 1 if it is not.
         pace_until: End of the validity of ``pace``.
         suspect_since: Since when it is suspect.
+        silent_until: When the latest query that it did not answer timed out.
         suspect_until: Until when it is not tried again if suspect.
         reason: Why it is suspect; None if it is not.
         full_until: Until when it is avoided, since it had no room.
@@ -102,6 +119,7 @@
     pace: float = 1.0
     pace_until: float = 0.0
     suspect_since: float = 0.0
+    silent_until: float = 0.0
     suspect_until: float = 0.0
     reason: Suspicion | None = None
     full_until: float = 0.0
@@ -129,11 +147,15 @@
 
     Attributes:
         states: By instance.
+        ended: Engines that are known to have ended, the oldest first.
         changes: Increases with each change of health, not of load.
     """
 
     def __init__(self) -> None:
         self.states: dict[str, EngineState] = {}
+        self.ended: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         self.changes = 0
 
     def state(self, instance: str) -> EngineState:
@@ -171,12 +193,48 @@
             state.suspect_since = now
         state.reason = reason
         state.suspect_until = now + SUSPECT_S
+        if reason is Suspicion.UNREACHABLE:
+            state.suspect_until = now + SILENT_QUERY_GAP_S
+        elif reason is Suspicion.GONE:
+            self.note_ended(instance)
         if is_change:
             self.changes += 1
         return is_change
 
+    def note_ended(self, instance: str) -> None:
+        """Records that an engine has ended: its port is closed, or replaced."""
+        self.ended[instance] = None
+        if len(self.ended) > MAX_ENDED:
+            self.ended.popitem(last=False)
+
+    def note_silent(self, instance: str, now: float) -> None:
+        """Records that a query to a suspect engine timed out."""
+        self.state(instance).silent_until = now
+
+    def has_ended(self, instance: str) -> bool:
+        """Returns whether an engine has ended, or was silent for too long."""
+        if instance in self.ended:
+            return True
+        state = self.states.get(instance)
+        return (
+            state is not None
+            and state.reason is Suspicion.UNREACHABLE
+            and state.silent_until - state.suspect_since >= MAX_PAUSE_S
+        )
+
+    def query_gap_s(self, instance: str, now: float) -> float:
+        """Returns the time until a suspect engine is queried again."""
+        state = self.state(instance)
+        if state.reason is Suspicion.DRAINING:
+            return SUSPECT_S
+        is_new = now - state.suspect_since <= MAX_PAUSE_S
+        if state.reason is Suspicion.UNREACHABLE and is_new:
+            return SILENT_QUERY_GAP_S
+        return SUSPECT_QUERY_GAP_S
+
     def clear_suspicion(self, instance: str) -> None:
         """Clears the suspicion of an engine that answers again."""
+        self.ended.pop(instance, None)
         state = self.state(instance)
         if state.reason is not None:
             state.reason = None
@@ -319,6 +377,11 @@
         return [i for i in self.states if self.is_slow(i, now)]
 
     def forget(self, instance: str) -> None:
-        """Drops an engine that is gone."""
+        """Drops an engine that is gone.
+
+        One that was silent before has ended: its lease is over.
+        """
+        if self.is_lost(instance):
+            self.note_ended(instance)
         if self.states.pop(instance, None) is not None:
             self.changes += 1
--- /dev/null
+++ b/src/almondshift/policy/possible_runs.py
@@ -0,0 +1,52 @@
+"""Counts the endpoints that may have run a request, against its route's limit.
+
+An attempt that ended without a complete response counts, since its endpoint may
+have run the request, unless that endpoint has ended too. An endpoint that does
+not respond may have lost power or may only pause, as a process that is not
+scheduled does, and continue what it runs a second later. Therefore an attempt
+counts until its endpoint is known to have ended, and again if the endpoint
+responds after all.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class PossibleRuns:
+    """Counts the ended attempts of one request that may have run it.
+
+    Attributes:
+        settled: Attempts that count whatever becomes of their endpoints.
+        endpoints: Endpoints of the other attempts, in order.
+    """
+
+    def __init__(self, earlier: int) -> None:
+        self.settled = earlier
+        self.endpoints: list[str] = []
+
+    def add_settled(self, count: int = 1) -> None:
+        """Counts attempts at endpoints that are not known here."""
+        self.settled += count
+
+    def add(self, instance: str) -> None:
+        """Counts an attempt until its endpoint is known to have ended."""
+        self.endpoints.append(instance)
+
+    def remove(self, instance: str) -> None:
+        """Removes the latest attempt at an endpoint, if there is one."""
+        if instance in self.endpoints:
+            self.endpoints.remove(instance)
+
+    def count(self, has_ended: Callable[[str], bool]) -> int:
+        """Returns the number of attempts that count.
+
+        Args:
+            has_ended: Returns whether an endpoint is known to have ended.
+        """
+        return self.settled + sum(
+            not has_ended(instance) for instance in self.endpoints
+        )
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -221,6 +221,7 @@
         self.reach = engine_reach.EngineReach(self.shared)
         lost.is_isolated = links.is_isolated
         self.shared.crash_watch.is_leaving = self.is_leaving
+        self.shared.crash_watch.on_ended = self.tracker.note_ended
         self.shared.crash_watch.parts.on_refused = self.end_refused_runs
         self.reach.on_isolated = self.leave_endpoints
         self.reach.on_restored = self.restore_endpoints
--- a/src/almondshift/relay/crash_watch.py
+++ b/src/almondshift/relay/crash_watch.py
@@ -109,6 +109,8 @@
         group: The other nodes; None before this node has joined them.
         reported: Requests that peers were told of, by crashed instance.
         is_leaving: Returns whether an endpoint was expected to end.
+        on_ended: Called with an endpoint whose port is closed, or whose address
+            another one has.
     """
 
     def __init__(
@@ -129,6 +131,7 @@
             collections.OrderedDict()
         )
         self.is_leaving: Callable[[str], bool] = lambda instance: False
+        self.on_ended: Callable[[str], None] = lambda instance: None
 
     def tick(self) -> None:
         """Does periodic work."""
@@ -263,11 +266,13 @@
     def port_closed(self, instance: str) -> None:
         """Adds strikes if an endpoint closed its port without notice."""
         if not self.is_leaving(instance):
+            self.on_ended(instance)
             self.record_crash(instance, Evidence.PORT_CLOSED)
 
     def endpoint_replaced(self, instance: str) -> None:
         """Adds strikes, as another endpoint has the address of this one."""
         if not self.is_leaving(instance):
+            self.on_ended(instance)
             self.record_crash(instance, Evidence.REPLACED)
 
     def endpoint_gone(self, instance: str, was_leaving: bool) -> None:
--- a/src/almondshift/relay/engine_questions.py
+++ b/src/almondshift/relay/engine_questions.py
@@ -40,8 +40,9 @@
 """Minimum interval between queries for one engine's memory use, in seconds;
 half the validity of its report."""
 
-SUSPECT_QUERY_GAP_S = 1.0
-"""Interval between queries of a suspect, in seconds."""
+MAX_OVERRUN_S = 0.1
+"""Maximum overrun of a query's time-out, in seconds. Beyond it the query tells
+nothing, as this process was not scheduled."""
 
 MAX_QUERIES = 24
 """Number of concurrent background tasks, queries and moves together, at which
@@ -204,9 +205,7 @@
                 continue
             state = self.shared.tracker.state(instance)
             is_draining = state.reason is engine_tracker.Suspicion.DRAINING
-            gap_s = (
-                engine_tracker.SUSPECT_S if is_draining else SUSPECT_QUERY_GAP_S
-            )
+            gap_s = self.shared.tracker.query_gap_s(instance, now)
             state.suspect_until = now + gap_s
             self.work.run(self.query_suspect(engine, is_draining))
 
@@ -220,18 +219,20 @@
         if is_draining:
             is_back = await self.shared.refusing_engines.is_healthy(engine)
         else:
-            report = await self.report(engine.instance, engine.address)
-            is_back = report is not None
-        if not is_back:
-            return
-        state = self.shared.tracker.state(engine.instance)
-        suspicion = state.reason
-        self.shared.tracker.clear_suspicion(engine.instance)
-        if suspicion is None:
-            return
-        ejected_s = self.shared.clock.monotonic() - state.suspect_since
-        self.shared.observer.emit(
-            log_events.EndpointRestored(
-                engine.instance, round(ejected_s, 3), suspicion.value
-            )
-        )
+            is_back = await self.answers(engine)
+        if is_back:
+            self.shared.lost_engines.restore(engine.instance)
+
+    async def answers(
+        self, engine: registered_engines.RegisteredEngine
+    ) -> bool:
+        """Queries a suspect engine, and records that it stays silent."""
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        report = await self.report(engine.instance, engine.address)
+        if report is not None:
+            return True
+        if loop.time() - sent_at <= REPORT_TIMEOUT_S + MAX_OVERRUN_S:
+            now = self.shared.clock.monotonic()
+            self.shared.tracker.note_silent(engine.instance, now)
+        return False
--- a/src/almondshift/relay/lost_engines.py
+++ b/src/almondshift/relay/lost_engines.py
@@ -111,6 +111,21 @@
                 kind, instance, value, engine_tracker.SUSPECT_S
             )
 
+    def restore(self, instance: str) -> None:
+        """Clears the suspicion of an engine that responds again."""
+        state = self.tracker.states.get(instance)
+        if state is None or state.reason is None:
+            return
+        suspicion = state.reason
+        self.tracker.clear_suspicion(instance)
+        self.observer.emit(
+            log_events.EndpointRestored(
+                instance,
+                round(self.clock.monotonic() - state.suspect_since, 3),
+                suspicion.value,
+            )
+        )
+
     def handle_fact(self, key: str, fact: peers.Fact | None) -> None:
         """Handles a peer's fact about an engine."""
         if fact is None or self.group is None:
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -199,7 +199,7 @@
             Whether the request may be sent again.
         """
         if not is_not_run:
-            self.possible_runs += 1
+            self.ended_runs.add_settled()
         return self.try_spend_retry(is_not_run, is_sent)
 
     def attempt_ended(
--- a/src/almondshift/relay/port_checks.py
+++ b/src/almondshift/relay/port_checks.py
@@ -48,6 +48,10 @@
         """Cancels the checks."""
         await self.work.close()
 
+    def is_checking(self, instance: str) -> bool:
+        """Returns whether an endpoint is being checked."""
+        return instance in self.checking
+
     def start(self, instance: str, address: str) -> None:
         """Starts to check an endpoint, unless that is under way."""
         if instance in self.checking or len(self.checking) >= MAX_CHECKS:
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -9,6 +9,7 @@
 from almondshift import errors
 from almondshift import log_events
 from almondshift.policy import answer_times
+from almondshift.policy import possible_runs
 from almondshift.ports import path_engines
 from almondshift.ports import peer_entries
 from almondshift.ports import relays
@@ -76,7 +77,7 @@
 
     Every attempt counts in ``sends``. It also counts in
     ``sends_that_may_have_run`` until the request is known not to have run, and
-    in ``possible_runs`` once it has ended without that certainty.
+    in ``ended_runs`` once it has ended without that certainty.
 
     Attributes:
         started_at: Loop time of its arrival.
@@ -85,8 +86,7 @@
             ``deadline_at`` if the caller waits longer than the route allows.
         links: State of the links to the service's endpoints.
         sends: Number of times it was sent.
-        possible_runs: Number of ended attempts that may have run it. Streams
-            leave out those whose first engine is lost.
+        ended_runs: Ended attempts that may have run it.
         sends_that_may_have_run: Number of sends that may have run the request,
             the current one included.
         has_reached_endpoint: Whether any of it was sent to an endpoint.
@@ -116,7 +116,7 @@
         )
         self.links = shared.links.of(routed.service)
         self.sends = 0
-        self.possible_runs = routed.possible_runs
+        self.ended_runs = possible_runs.PossibleRuns(routed.possible_runs)
         self.sends_that_may_have_run = 0
         self.denied_permits = 0
         self.has_reached_endpoint = False
@@ -134,6 +134,11 @@
         """
         return None
 
+    @property
+    def possible_runs(self) -> int:
+        """Number of ended attempts that count as runs of the request."""
+        return self.ended_runs.count(self.shared.tracker.has_ended)
+
     @property
     def may_have_run(self) -> bool:
         """Whether any endpoint may have begun to run it."""
@@ -304,7 +309,7 @@
         if is_not_run:
             self.sends_that_may_have_run -= 1
         else:
-            self.possible_runs += 1
+            self.ended_runs.add_settled()
         may_repeat = is_not_run or (
             self.routed.route.may_repeat
             and self.possible_runs < self.routed.route.max_attempts
@@ -706,13 +711,23 @@
         """Returns whether a running request may be run on another endpoint.
 
         Counts the current attempt as one that may have run the request, as its
-        engine is alive. Spends no retry budget.
+        engine is alive.
+        """
+        return self.can_retry(1)
+
+    def can_retry(self, current_runs: int) -> bool:
+        """Returns whether the request may be sent to another endpoint.
+
+        Spends no retry budget.
+
+        Args:
+            current_runs: 1 if the current attempt counts as a run, else 0.
         """
         route = self.routed.route
         return (
             route.may_repeat
             and self.sends < MAX_SENDS
-            and self.possible_runs + 1 < route.max_attempts
+            and self.possible_runs + current_runs < route.max_attempts
             and self.shared.budget.has_room(
                 self.routed.service, self.shared.clock.monotonic()
             )
--- a/src/almondshift/relay/silence_watch.py
+++ b/src/almondshift/relay/silence_watch.py
@@ -98,6 +98,7 @@
         if now >= self.next_engine_check_at:
             self.next_engine_check_at = now + ENGINE_CHECK_INTERVAL_S
             self.queries.query_due()
+            self.moves.leave_silent_engines()
 
     def check_reported(
         self, engine: registered_engines.RegisteredEngine, peer: str
--- a/src/almondshift/relay/stream_attempt.py
+++ b/src/almondshift/relay/stream_attempt.py
@@ -111,6 +111,9 @@
         self.active_at = self.run.loop.time()
         self.run.shared.link.note(self.active_at)
         self.run.links.note_response(self.active_at)
+        shared = self.run.shared
+        if shared.tracker.is_lost(self.first.instance):
+            shared.lost_engines.restore(self.first.instance)
 
     def abort(self, reason: str) -> None:
         """Aborts an attempt whose response is invalid."""
--- a/src/almondshift/relay/stream_moves.py
+++ b/src/almondshift/relay/stream_moves.py
@@ -74,6 +74,9 @@
         self.shared.lost_engines.suspect(instance, reason, found_by)
         if not self.shared.tracker.is_lost(instance):
             return
+        engine = self.shared.catalogue.engines.get(instance)
+        if reason is engine_tracker.Suspicion.UNREACHABLE and engine:
+            self.shared.crash_watch.ports.start(instance, engine.address)
         for run in self.streams():
             attempt = run.attempt
             if attempt is None:
@@ -87,6 +90,22 @@
                 run.resume_elsewhere("first engine lost", is_gone)
         self.move_from(instance, is_forced=True)
 
+    def leave_silent_engines(self) -> None:
+        """Resumes streams elsewhere that had to wait for a silent engine.
+
+        In the meantime another path may have got capacity, or an engine that
+        counted against the route's limit may have turned out to have ended.
+        """
+        now = asyncio.get_running_loop().time()
+        for run in self.streams():
+            attempt = run.attempt
+            if attempt is None or attempt.is_moving:
+                continue
+            if now - attempt.active_at < path_probe.silence_limit_s(run):
+                continue
+            if self.shared.tracker.is_lost(attempt.first.instance):
+                run.resume_elsewhere("first engine lost")
+
     def is_streaming(self, instance: str) -> bool:
         """Returns whether streams currently receive events from an engine.
 
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -460,8 +460,8 @@
         self.has_reached_endpoint |= is_sent
         if is_not_run:
             self.sends_that_may_have_run -= 1
-        elif not self.is_cut_off(attempt):
-            self.possible_runs += 1
+        elif not self.is_cut_off():
+            self.ended_runs.add(attempt.first.instance)
         allowed = self.try_spend_retry(is_not_run, is_sent)
         should_wait = not allowed and self.may_wait_for_capacity(is_not_run)
         may_prove_lost = not is_not_run and self.may_wait_for_capacity(True)
@@ -498,31 +498,47 @@
         """
         if self.is_ended:
             return
-        if not self.is_cut_off(attempt):
+        if self.is_cut_off():
+            self.ended_runs.remove(attempt.first.instance)
+        if self.possible_runs < self.routed.route.max_attempts:
+            self.resume_within_budget()
+        elif self.may_lose_runs():
+            self.search_later(
+                functools.partial(self.resume_if_cut_off, attempt, reason)
+            )
+        else:
             self.refuse_no_capacity(reason)
-            return
-        self.possible_runs -= 1
-        self.resume_within_budget()
 
-    def is_cut_off(self, attempt: stream_attempt.StreamAttempt) -> bool:
-        """Returns whether an attempt failed since its engine can't be reached.
+    def is_cut_off(self) -> bool:
+        """Returns whether attempts fail since this node's links do.
 
         Such attempts don't count against the route's ``max_attempts``.
         """
-        return (
-            self.shared.tracker.is_lost(attempt.first.instance)
-            or self.links.is_isolated
-            or self.links.is_link_suspect(self.loop.time())
+        return self.links.is_isolated or self.links.is_link_suspect(
+            self.loop.time()
+        )
+
+    def may_lose_runs(self) -> bool:
+        """Returns whether an engine that counts may turn out to have ended."""
+        tracker = self.shared.tracker
+        return any(
+            not tracker.has_ended(instance)
+            and (
+                tracker.is_lost(instance)
+                or self.shared.crash_watch.ports.is_checking(instance)
+            )
+            for instance in self.ended_runs.endpoints
         )
 
     def resume_elsewhere(self, reason: str, is_gone: bool = False) -> None:
         """Resumes the stream on another path, or keeps it on the current one.
 
-        It is kept if it may not run again and the engine may still run it: a
-        live engine counts as lost if it does not respond to a probe for a tenth
-        of a second, and may continue the response a moment later. If the engine
-        is dead, the wait ends when the caller disconnects, the connection
-        closes or the route's time-out expires.
+        It is kept if it may not run again, or if no other path has capacity,
+        and the engine may still run it: a live engine counts as lost if it does
+        not respond to a probe for a tenth of a second, and may continue the
+        response a moment later. The wait ends when the engine is known to have
+        ended, the caller disconnects, the connection closes or the route's
+        time-out expires.
 
         Args:
             reason: Reason for the log.
@@ -531,12 +547,13 @@
         attempt = self.attempt
         if attempt is None or self.is_ended or attempt.is_over:
             return
-        if not is_gone and not self.can_retry_after_loss():
+        if not is_gone and not self.can_leave(attempt):
             return
         attempt.is_over = True
         if attempt.forwarded is not None:
             attempt.forwarded.cancel()
         self.release_attempt()
+        self.failed_engines |= {attempt.first.instance}
         self.shared.crash_watch.note_unanswered(
             self.routed,
             self.sends,
@@ -545,21 +562,20 @@
         )
         self.retry_or_end(attempt, reason, is_not_run=False)
 
-    def can_retry_after_loss(self) -> bool:
-        """Returns whether the stream may run again after its engine was lost.
+    def can_leave(self, attempt: stream_attempt.StreamAttempt) -> bool:
+        """Returns whether the stream can run elsewhere instead.
 
-        Unlike for a live engine, the current attempt does not count as one
-        that may have run the request. Spends no retry budget.
+        The current attempt counts as one that may have run the request, unless
+        its engine has ended or this node is cut off from it.
         """
-        route = self.routed.route
-        return (
-            route.may_repeat
-            and self.sends < runs.MAX_SENDS
-            and self.possible_runs < route.max_attempts
-            and self.shared.budget.has_room(
-                self.routed.service, self.shared.clock.monotonic()
-            )
-        )
+        first = attempt.first.instance
+        is_uncounted = self.is_cut_off() or self.shared.tracker.has_ended(first)
+        if not self.can_retry(0 if is_uncounted else 1):
+            return False
+        if self.links.is_isolated:
+            return True
+        avoid = self.failed_engines | {first}
+        return self.choose_unlimited_path(avoid) is not None
 
     async def move(self, away_from: str, is_forced: bool) -> None:
         """Moves the running request off an engine.
--- /dev/null
+++ b/tests/policy/test_possible_runs.py
@@ -0,0 +1,86 @@
+"""Which attempts count against the limit of a route."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from almondshift.policy import engine_tracker
+from almondshift.policy import possible_runs
+
+UNREACHABLE = engine_tracker.Suspicion.UNREACHABLE
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """What a node has seen of an engine, at monotonic seconds.
+
+    Attributes:
+        suspected: Times and reasons of suspicions.
+        unanswered: Times at which queries timed out.
+        answered_at: When it responded again; None if it did not.
+        is_forgotten: Whether its registry entry is gone.
+        count: Attempts there that count, of one.
+    """
+
+    suspected: tuple[tuple[float, engine_tracker.Suspicion], ...] = ()
+    unanswered: tuple[float, ...] = ()
+    answered_at: float | None = None
+    is_forgotten: bool = False
+    count: int = 1
+
+
+CASES = {
+    "sound": Case(),
+    "silent": Case(((0.0, UNREACHABLE),), (0.5, 1.0)),
+    "silent for too long": Case(((0.0, UNREACHABLE),), (0.5, 1.6), count=0),
+    "back after a pause": Case(((0.0, UNREACHABLE),), (0.5, 1.0), 1.2),
+    "back after too long a pause": Case(((0.0, UNREACHABLE),), (0.5, 1.6), 2.5),
+    "not queried for long": Case(((0.0, UNREACHABLE),), ()),
+    "suspected again": Case(
+        ((0.0, UNREACHABLE), (1.0, UNREACHABLE)), (0.5, 1.6), count=0
+    ),
+    "replaced": Case(((0.0, engine_tracker.Suspicion.GONE),), count=0),
+    "stalled": Case(((0.0, engine_tracker.Suspicion.STALLED),), (0.5, 1.6)),
+    "draining": Case(((0.0, engine_tracker.Suspicion.DRAINING),), (0.5, 1.6)),
+    "entry gone": Case(is_forgotten=True),
+    "silent, entry gone": Case(
+        ((0.0, UNREACHABLE),), (0.5,), is_forgotten=True, count=0
+    ),
+}
+
+
+@pytest.mark.parametrize("case", CASES.values(), ids=CASES)
+def test_an_attempt_counts_unless_its_engine_has_ended(case: Case) -> None:
+    """Guards against pauses that cost attempts which no limit counts."""
+    tracker = engine_tracker.EngineTracker()
+    runs = possible_runs.PossibleRuns(0)
+    runs.add("e1")
+    for at, reason in case.suspected:
+        tracker.suspect("e1", reason, at)
+    for at in case.unanswered:
+        tracker.note_silent("e1", at)
+    if case.answered_at is not None:
+        tracker.clear_suspicion("e1")
+    if case.is_forgotten:
+        tracker.forget("e1")
+    assert runs.count(tracker.has_ended) == case.count
+
+
+def test_attempts_at_unknown_endpoints_always_count() -> None:
+    runs = possible_runs.PossibleRuns(1)
+    runs.add_settled()
+    runs.add("e1")
+    assert runs.count(lambda instance: True) == 2
+    runs.remove("e1")
+    runs.remove("e2")
+    assert runs.count(lambda instance: False) == 2
+
+
+def test_only_so_many_ended_engines_are_remembered() -> None:
+    tracker = engine_tracker.EngineTracker()
+    for number in range(engine_tracker.MAX_ENDED + 1):
+        tracker.note_ended(f"e{number}")
+    assert len(tracker.ended) == engine_tracker.MAX_ENDED
+    assert not tracker.has_ended("e0")
