Eject engines that others wait for only if they are silent or still waited for

A first engine's report names the engine that it waits for, as of some 200 ms ago. An engine that had just gone on after a pause was taken out for 3 s on that evidence, so that streams elsewhere found no path. It is queried first: without an answer it counts as unreachable and returns with its next answer; with one it is ejected only if the first engine still waits for it 0.25 s later, as over a cut link. Dead engines are still found first by the probe of their path.

--- a/src/almondshift/relay/silence_watch.py
+++ b/src/almondshift/relay/silence_watch.py
@@ -38,6 +38,10 @@
 QUERY_GAP_S = 0.2
 """Minimum interval between queries to one engine, in seconds."""
 
+REPORT_DELAY_S = 0.25
+"""Time after which an engine's report no longer shows what was before, in
+seconds."""
+
 MAX_UNANSWERED = 2
 """Unanswered queries in a row after which an engine counts as lost; a single
 one may be lost with its connection."""
@@ -51,6 +55,8 @@
         queries: Queries engines for reports.
         probe: Finds dead engines behind silent streams.
         unanswered: Unanswered queries in a row, by instance.
+        checking: Engines for which a first engine waits, while they are
+            checked.
     """
 
     def __init__(self, shared: context.RelayContext) -> None:
@@ -66,6 +72,7 @@
         self.next_engine_check_at = 0.0
         self.queried_at: dict[str, float] = {}
         self.unanswered: dict[str, int] = {}
+        self.checking: set[str] = set()
 
     async def start(self) -> None:
         """Starts to check streams and engines that peers report as dead."""
@@ -112,9 +119,7 @@
     ) -> None:
         """Checks an engine that a peer found dead, and logs the result."""
         part = relayed.PathPart(engine.instance, engine.address, 0, 0)
-        probe_round = path_probe.ProbeRound(
-            self.shared, self.work, self.queries, self.moves
-        )
+        probe_round = self.create_round()
         await probe_round.check(part, is_peer_report=True)
         self.shared.observer.emit(
             log_events.EndpointRechecked(
@@ -155,15 +160,52 @@
         addresses = {stalled.address for stalled in report.stalled}
         for address in addresses:
             engine = self.shared.catalogue.by_address(address)
-            if engine is not None:
-                self.moves.on_engine_lost(
-                    engine.instance,
-                    engine_tracker.Suspicion.STALLED,
-                    engine_tracker.Evidence.SILENCE,
-                )
+            if engine is not None and engine.instance not in self.checking:
+                self.checking.add(engine.instance)
+                self.work.run(self.check_stalled(engine, first))
         if not addresses:
             self.queries.query_paces(self.engines_behind(first))
 
+    async def check_stalled(
+        self,
+        engine: registered_engines.RegisteredEngine,
+        first: relayed.PathPart,
+    ) -> None:
+        """Ejects an engine for which a first engine waits.
+
+        One that responds to this node either has lost its link to the first
+        engine, which then still waits a moment later, or has just continued
+        after a pause, as reports are delayed.
+        """
+        try:
+            part = relayed.PathPart(engine.instance, engine.address, 0, 0)
+            probe_round = self.create_round()
+            if not await probe_round.responds(part):
+                reason = engine_tracker.Suspicion.UNREACHABLE
+            elif await self.still_waits(first, engine.address):
+                reason = engine_tracker.Suspicion.STALLED
+            else:
+                return
+            self.moves.on_engine_lost(
+                engine.instance, reason, engine_tracker.Evidence.SILENCE
+            )
+        finally:
+            self.checking.discard(engine.instance)
+
+    async def still_waits(self, first: relayed.PathPart, address: str) -> bool:
+        """Returns whether a first engine reports again that it waits."""
+        await asyncio.sleep(REPORT_DELAY_S)
+        report = await self.queries.report(first.instance, first.address)
+        return report is not None and any(
+            stalled.address == address for stalled in report.stalled
+        )
+
+    def create_round(self) -> path_probe.ProbeRound:
+        """Creates a round of queries."""
+        return path_probe.ProbeRound(
+            self.shared, self.work, self.queries, self.moves
+        )
+
     def count_unanswered(self, first: relayed.PathPart) -> None:
         """Counts an unanswered query; ejects the engine after several."""
         count = self.unanswered.get(first.instance, 0) + 1
