Move no layers off engines that may only pause

The lease holder planned without each suspect engine, so that a pause of a second had others load its layers, and engines gave up what streams were using. An engine that is silent but not known to have ended keeps its place in the plan; one whose port is closed leaves it at once, one that lost power after 1.5 s.

Weighed: planning at once as before (a lost engine's layers are loaded 1.5 s sooner, at the price of loads for each pause) and keeping the old layers beside new ones (needs memory that full fleets don't have).

--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -222,6 +222,15 @@
             and state.silent_until - state.suspect_since >= MAX_PAUSE_S
         )
 
+    def may_be_paused(self, instance: str) -> bool:
+        """Returns whether an engine is silent, but not known to have ended."""
+        state = self.states.get(instance)
+        return (
+            state is not None
+            and state.reason is Suspicion.UNREACHABLE
+            and not self.has_ended(instance)
+        )
+
     def query_gap_s(self, instance: str, now: float) -> float:
         """Returns the time until a suspect engine is queried again."""
         state = self.state(instance)
--- a/src/almondshift/relay/layer_keeper.py
+++ b/src/almondshift/relay/layer_keeper.py
@@ -202,7 +202,10 @@
             engine_kind = view.spec.kinds.get(engine.kind)
             if engine_kind is None or engine.leaving:
                 continue
-            if self.shared.tracker.is_suspect(engine.instance):
+            tracker = self.shared.tracker
+            if tracker.is_suspect(
+                engine.instance
+            ) and not tracker.may_be_paused(engine.instance):
                 continue
             found.append(
                 self.planned_engine(
--- a/tests/relay/test_layer_keeper.py
+++ b/tests/relay/test_layer_keeper.py
@@ -262,3 +262,26 @@
     fleet.keeper.is_cut_off = lambda service: False
     await fleet.run(3.0)
     assert fleet.missing() == []
+
+
+@asynchronous.run
+async def test_no_layers_are_moved_while_an_engine_pauses() -> None:
+    """Guards against loads of layers that a paused engine still holds.
+
+    An engine with layers that no other one holds falls silent. Its layers go to
+    others only once it has been silent for longer than engines pause.
+    """
+    fleet = _fleet()
+    await fleet.run(1.0)
+    tracker = fleet.keeper.shared.tracker
+    fleet.engines.silent.add("e1")
+    tracker.suspect("e1", engine_tracker.Suspicion.UNREACHABLE, fleet.clock.now)
+    fleet.engines.orders_sent.clear()
+    await fleet.run(engine_tracker.MAX_PAUSE_S)
+    assert not fleet.engines.orders_sent
+    tracker.note_silent("e1", fleet.clock.now)
+    await fleet.run(1.5)
+    assert "e1" not in {instance for instance, _, _ in fleet.engines.executed}
+    assert {start for _, start, _ in fleet.engines.executed} & set(
+        range(27, 54)
+    )
