--- /dev/null
+++ b/tests/relay/test_pauses_elsewhere.py
@@ -0,0 +1,40 @@
+"""What a node takes a sound engine for that pauses, in other states."""
+
+from __future__ import annotations
+
+import pytest
+
+from almondshift.policy import engine_tracker
+
+PAUSES_S = (0.3, 0.9, 1.4)
+QUERY_GAP_S = 0.25
+
+
+def fall_silent(
+    tracker: engine_tracker.EngineTracker, at: float, seconds: float
+) -> None:
+    """Has an engine leave all queries unanswered for a time."""
+    tracker.suspect("e1", engine_tracker.Suspicion.UNREACHABLE, at)
+    for number in range(1, int(seconds / QUERY_GAP_S) + 1):
+        tracker.note_silent("e1", at + number * QUERY_GAP_S)
+
+
+@pytest.mark.parametrize("pause_s", PAUSES_S)
+@pytest.mark.parametrize(
+    "reason",
+    [engine_tracker.Suspicion.DRAINING, engine_tracker.Suspicion.STALLED],
+)
+def test_an_ejected_engine_that_pauses_has_not_ended(
+    reason: engine_tracker.Suspicion, pause_s: float
+) -> None:
+    """Guards against a silence that is measured from an earlier suspicion.
+
+    An engine drains, or has lost its link to another engine, for some seconds
+    before it falls silent.
+    """
+    tracker = engine_tracker.EngineTracker()
+    tracker.suspect("e1", reason, 0.0)
+    fall_silent(tracker, 5.0, pause_s)
+    assert not tracker.has_ended("e1")
+    assert tracker.may_be_paused("e1")
+    assert tracker.query_gap_s("e1", 5.0 + pause_s) == QUERY_GAP_S
