Measure an engine's silence from when it became unreachable

What callers saw: a stream at an engine that drained, or had lost its link to another engine, was cancelled and run on one more engine, uncounted, as soon as that engine paused.

Cause: `EngineTracker.has_ended` compared the latest unanswered query with `suspect_since`, the time of the first suspicion. An engine that was suspect for another reason for 1.5 s or more, while it still responded, counted as ended at its first unanswered query. The class: silence taken for an end.

The other reasons are based on responses, so a silence starts with the change to `UNREACHABLE`; `silent_since` records it. `suspect_since` stays for the log.

--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -101,6 +101,7 @@
         pace: Factor by which it is slowed down; 1 if it is not.
         pace_until: End of the validity of ``pace``.
         suspect_since: Since when it is suspect.
+        silent_since: Since when it is unreachable.
         silent_until: When the latest query that it did not answer timed out.
         suspect_until: Until when it is not tried again if suspect.
         reason: Why it is suspect; None if it is not.
@@ -119,6 +120,7 @@
     pace: float = 1.0
     pace_until: float = 0.0
     suspect_since: float = 0.0
+    silent_since: float = 0.0
     silent_until: float = 0.0
     suspect_until: float = 0.0
     reason: Suspicion | None = None
@@ -191,6 +193,11 @@
         )
         if state.reason is None:
             state.suspect_since = now
+        if (
+            reason is Suspicion.UNREACHABLE
+            and state.reason is not Suspicion.UNREACHABLE
+        ):
+            state.silent_since = now
         state.reason = reason
         state.suspect_until = now + SUSPECT_S
         if reason is Suspicion.UNREACHABLE:
@@ -219,7 +226,7 @@
         return (
             state is not None
             and state.reason is Suspicion.UNREACHABLE
-            and state.silent_until - state.suspect_since >= MAX_PAUSE_S
+            and state.silent_until - state.silent_since >= MAX_PAUSE_S
         )
 
     def may_be_paused(self, instance: str) -> bool:
@@ -236,7 +243,7 @@
         state = self.state(instance)
         if state.reason is Suspicion.DRAINING:
             return SUSPECT_S
-        is_new = now - state.suspect_since <= MAX_PAUSE_S
+        is_new = now - state.silent_since <= MAX_PAUSE_S
         if state.reason is Suspicion.UNREACHABLE and is_new:
             return SILENT_QUERY_GAP_S
         return SUSPECT_QUERY_GAP_S
