--- /dev/null
+++ b/tests/platform/test_pauses_of_all_engines.py
@@ -0,0 +1,54 @@
+"""Sound engines that all fall silent at once and then continue."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.platform import standin_system as system
+from tests.platform import test_silent_engines as silent
+from tests.platform import test_whole_system as whole
+
+STREAMS = 12
+
+
+@pytest.mark.parametrize("nodes", [1, 3])
+@pytest.mark.parametrize("max_attempts", [1, 2])
+@pytest.mark.parametrize("pause_s", [0.5, 1.0, 1.4])
+def test_streams_survive_a_pause_of_all_engines(
+    pause_s: float, max_attempts: int, nodes: int
+) -> None:
+    """Guards against nodes that take a pause of all engines for a lost link.
+
+    Attempts at engines that a node is cut off from do not count. The engines
+    pause twice, and run the streams all the same.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=nodes, zones="abc") as running:
+            await silent.prepare(running, max_attempts)
+            streams = [
+                asyncio.create_task(
+                    whole.chat(
+                        running, f"r{n}", n % nodes, X_Deadline_Ms="20000"
+                    )
+                )
+                for n in range(STREAMS)
+            ]
+            for _ in range(2):
+                await asyncio.sleep(0.5)
+                await asyncio.gather(
+                    *(
+                        silent.pause(engine, pause_s)
+                        for engine in silent.model_engines(running)
+                    )
+                )
+            responses = await asyncio.gather(*streams)
+            ran = silent.engines_by_request(running)
+            over = [r for r, found in ran.items() if len(found) > max_attempts]
+            counts = [len(whole.tokens(body)) for _, _, body in responses]
+            assert len(over) <= silent.MAX_REQUESTS_OVER_LIMIT
+            assert counts == [silent.EVENTS] * STREAMS
+
+    asyncio.run(scenario())
--- a/tests/relay/test_pauses_elsewhere.py
+++ b/tests/relay/test_pauses_elsewhere.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from almondshift.policy import engine_tracker
+from tests.platform import standin_system as system
 
 PAUSES_S = (0.3, 0.9, 1.4)
 QUERY_GAP_S = 0.25
@@ -38,3 +41,34 @@
     assert not tracker.has_ended("e1")
     assert tracker.may_be_paused("e1")
     assert tracker.query_gap_s("e1", 5.0 + pause_s) == QUERY_GAP_S
+
+
+@pytest.mark.parametrize("pause_s", PAUSES_S)
+def test_an_engine_whose_entry_returns_counts_as_alive(pause_s: float) -> None:
+    """Guards against an engine that counts as ended for as long as it lives.
+
+    Its entry is missing for a moment while it pauses, as after an outage of the
+    store. It continues, its entry returns, and it responds again.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(zones="a") as running:
+            [process] = running.nodes
+            engine, name = running.engines["a0"], "a0"
+            engine.is_paused = True
+            process.node.shared.lost_engines.suspect(
+                name, engine_tracker.Suspicion.UNREACHABLE
+            )
+            running.store.remove("servers", name)
+            await running.until(
+                lambda: name not in process.node.catalogue.engines
+            )
+            await asyncio.sleep(pause_s)
+            engine.is_paused = False
+            engine.on_change()
+            await running.until(lambda: name in process.node.catalogue.engines)
+            queries = process.node.silence.queries
+            assert await queries.report(name, engine.address) is not None
+            assert not process.node.tracker.has_ended(name)
+
+    asyncio.run(scenario())
