Take an engine that responds off the list of ended ones

What callers saw: streams at a live engine were cancelled at each of its later pauses and run on another engine, uncounted.

Cause: `EngineTracker.forget` lists a silent engine whose entry goes as ended, and a closed port does too. Only the end of a suspicion took it off the list again; an entry that returns, as after an outage of the store, has no suspicion, so that `has_ended` stayed true. The same holds for a port that a cut link refuses.

A response to a query, if it is of the same start, and data of a stream now take it off.

test_an_engine_whose_entry_returns_counts_as_alive, three rows, fails without it.

--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -214,6 +214,10 @@
         if len(self.ended) > MAX_ENDED:
             self.ended.popitem(last=False)
 
+    def note_alive(self, instance: str) -> None:
+        """Records that an engine sent something; it has not ended after all."""
+        self.ended.pop(instance, None)
+
     def note_silent(self, instance: str, now: float) -> None:
         """Records that a query to a suspect engine timed out."""
         self.state(instance).silent_until = now
--- a/src/almondshift/relay/engine_questions.py
+++ b/src/almondshift/relay/engine_questions.py
@@ -87,10 +87,11 @@
         if report is None:
             return None
         self.shared.link.note(asyncio.get_running_loop().time())
-        if not report.born_ms:
-            return report
         known = self.shared.catalogue.engines.get(instance)
-        if known is None or known.born_ms == report.born_ms:
+        if known is None:
+            return report
+        if report.born_ms in (0, known.born_ms):
+            self.shared.tracker.note_alive(instance)
             return report
         if known.born_ms < report.born_ms and not self.shared.tracker.is_lost(
             instance
--- a/src/almondshift/relay/stream_attempt.py
+++ b/src/almondshift/relay/stream_attempt.py
@@ -112,6 +112,7 @@
         self.run.shared.link.note(self.active_at)
         self.run.links.note_response(self.active_at)
         shared = self.run.shared
+        shared.tracker.note_alive(self.first.instance)
         if shared.tracker.is_lost(self.first.instance):
             shared.lost_engines.restore(self.first.instance)
 
