Read the store's era from each of its responses

The platform's store may return from an older copy. It then gives out its versions again, and the header Store-Era in each response, errors included, rises by one. No module read it.

PlatformStore.era is the newest era that any response named (0 without or with a malformed header; it never falls), and PlatformStore.on_era is called with the old and the new era before the response reaches its caller. Each stores.Row names the era in which it was read (Row.era), and stores.TableStore.era is 0 for stores that never return from a copy. model.revisions.Revision(era, number) is the ordered pair that the row feeds will use. A conditional write still carries the number only: compare Row.era with TableStore.era before it.

The stand-in store names an era (None for platforms without), answers 410 for a version that it doesn't have, and offers copy(), restore(copy), go_away() and come_back(copy), a response that is held back (faults.delay_s), and further addresses of which some are refused (listen(), faults.refused).

No change of what nodes do.

--- /dev/null
+++ b/src/almondshift/model/revisions.py
@@ -0,0 +1,25 @@
+"""Order of changes in the platform's store."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class Revision(NamedTuple):
+    """Number of a change, comparable with those of all other changes.
+
+    The store may return from an older copy. It then begins a new era and gives
+    out numbers again, so that numbers are comparable within an era only.
+
+    Attributes:
+        era: Increases each time the store returns from a copy; 0 if the store
+            does not report it.
+        number: Increases with each change of an era.
+    """
+
+    era: int
+    number: int
+
+
+BEGINNING = Revision(0, 0)
+"""Before all changes."""
--- a/src/almondshift/platform/names.py
+++ b/src/almondshift/platform/names.py
@@ -26,6 +26,8 @@
 """Value 1 in each response of an engine that is shutting down."""
 RATE_LIMIT = "server-limit"
 """Requests per second that an engine takes from all nodes together."""
+STORE_ERA = "store-era"
+"""In each response of the store; rises when it returns from an older copy."""
 
 # Tables and keys that the platform and its operators write.
 OPERATOR_TABLE = "op"
--- a/src/almondshift/platform/store.py
+++ b/src/almondshift/platform/store.py
@@ -4,7 +4,9 @@
 
 import base64
 import binascii
+import dataclasses
 import json
+from typing import TYPE_CHECKING
 from typing import Any
 from urllib import parse
 
@@ -17,6 +19,9 @@
 from almondshift.ports import row_feeds
 from almondshift.ports import stores
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 CALL_TIMEOUT_S = 1.0
 """A call usually takes 4 ms; one that is 100 times slower still succeeds."""
 
@@ -30,6 +35,9 @@
 READ_PAGE_ROWS = 500
 """Most rows that the store returns at once."""
 
+MAX_ERA_DIGITS = 15
+"""Eras with more digits are malformed; JSON numbers would lose precision."""
+
 STATUS_PRECONDITION_FAILED = 412
 STATUS_HISTORY_GONE = 410
 NOT_APPLIED_STATUSES = frozenset({400, 403, 429, 503})
@@ -58,6 +66,21 @@
     truncated: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rows:
+    """Rows in a response of the store.
+
+    Attributes:
+        ver: The store's newest revision.
+        era: The era of the response.
+    """
+
+    rows: list[WireRow]
+    ver: int
+    era: int
+    truncated: bool
+
+
 ROWS_DECODER = msgspec.json.Decoder(WireRows)
 
 
@@ -67,6 +90,10 @@
     Attributes:
         address: ``host:port``.
         calls: Calls sent since the start.
+        era: The newest era in any response, errors included; 0 if no response
+            named one.
+        on_era: Called with the previous and the new era when it rises, before
+            the response is returned to its caller.
     """
 
     def __init__(
@@ -75,6 +102,8 @@
         self.address = address
         self.pool = pool
         self.calls = 0
+        self.era = 0
+        self.on_era: list[Callable[[int, int], None]] = []
 
     async def read(
         self, table: str, key: str
@@ -95,7 +124,9 @@
             return expression.Error(result.error)
         rows = [r for r in result.ok.rows if r.key.startswith(prefix)]
         try:
-            return expression.Ok([_decode_row(table, row) for row in rows])
+            return expression.Ok(
+                [_decode_row(table, row, result.ok.era) for row in rows]
+            )
         except (ValueError, TypeError) as error:
             return expression.Error(
                 _decode_error(f"row of table {table}: {error}")
@@ -168,7 +199,7 @@
 
     async def _get_rows(
         self, path: str, query: dict[str, Any], timeout_s: float
-    ) -> expression.Result[WireRows, stores.StoreError]:
+    ) -> expression.Result[Rows, stores.StoreError]:
         target = f"{path}?{parse.urlencode(query)}"
         fetched = await self._call("GET", target, b"", timeout_s)
         if fetched.outcome is not http_connections.Outcome.WHOLE:
@@ -181,11 +212,15 @@
         if fetched.head.status != 200:
             return expression.Error(_status_error(fetched.head.status))
         try:
-            return expression.Ok(ROWS_DECODER.decode(fetched.body))
+            decoded = ROWS_DECODER.decode(fetched.body)
         except msgspec.DecodeError as error:
             return expression.Error(
                 _decode_error(f"response to {path}: {error}")
             )
+        era = decode_era(fetched.head)
+        return expression.Ok(
+            Rows(decoded.rows, decoded.ver, era, decoded.truncated)
+        )
 
     async def _call(
         self,
@@ -199,9 +234,18 @@
         if body:
             headers.append(("Content-Type", "application/json"))
         payload = http_connections.request_bytes(method, target, headers, body)
-        return await http_connections.fetch(
+        fetched = await http_connections.fetch(
             self.pool, self.address, payload, timeout_s, MAX_RESPONSE_BYTES
         )
+        self._note_era(decode_era(fetched.head))
+        return fetched
+
+    def _note_era(self, era: int) -> None:
+        if era <= self.era:
+            return
+        previous, self.era = self.era, era
+        for callback in self.on_era:
+            callback(previous, era)
 
 
 class HistoryGone(errors.StoreUnavailable):
@@ -215,6 +259,14 @@
     return PlatformStore(address, pool)
 
 
+def decode_era(head: http_connections.ResponseHead | None) -> int:
+    """Returns the era that a response names; 0 if none or a malformed one."""
+    text = head.get(names.STORE_ERA) if head is not None else None
+    if text is None or not text.isascii() or not text.isdigit():
+        return 0
+    return int(text) if len(text) <= MAX_ERA_DIGITS else 0
+
+
 def _encode_transaction(writes: list[stores.Write]) -> dict[str, Any]:
     expected = [
         {**_row_id(w), "ver": w.if_revision}
@@ -237,11 +289,11 @@
     return {"table": write.table, "part": "", "key": write.key}
 
 
-def _decode_row(table: str, row: WireRow) -> stores.Row:
+def _decode_row(table: str, row: WireRow, era: int) -> stores.Row:
     content = json.loads(base64.b64decode(row.value or ""))
     if not isinstance(content, dict):
         raise ValueError("not a JSON object")
-    return stores.Row(table, row.key, content, row.ver)
+    return stores.Row(table, row.key, content, row.ver, era)
 
 
 def decode_change(rows: list[WireRow], revision: int) -> row_feeds.TableChange:
--- a/src/almondshift/ports/stores.py
+++ b/src/almondshift/ports/stores.py
@@ -26,13 +26,17 @@
 
     Attributes:
         value: JSON object.
-        revision: Positive; increases with every write of the row.
+        revision: Positive; increases with every write of the row within an
+            era of the store.
+        era: Era of the store in which the row was read; 0 if it has none. The
+            same revision may name another content in another era.
     """
 
     table: str
     key: str
     value: dict[str, Any]
     revision: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,8 +59,15 @@
     """A transactional table.
 
     It is meant for several hundred writes and 2,000 reads per second.
+
+    Attributes:
+        era: The newest era of the store that a response named. It rises when
+            the store returns from an older copy, without the writes since
+            that copy; 0 for a store that never does.
     """
 
+    era: int = 0
+
     @abc.abstractmethod
     async def read(
         self, table: str, key: str
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -24,12 +24,25 @@
         is_silent: Calls get no response while this is set.
         loses_writes: Writes are applied, but get no response.
         forgets: The next poll for changes is told that history is gone.
+        refused: Addresses, of those in ``StandinStore.addresses``, at which
+            each call is refused.
+        delay_s: Time for which a response is held back after it was made.
     """
 
     refuses: int = 0
     is_silent: bool = False
     loses_writes: bool = False
     forgets: bool = False
+    refused: set[str] = dataclasses.field(default_factory=set)
+    delay_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """The content of the store at one time."""
+
+    rows: dict[tuple[str, str], tuple[str | None, int]]
+    version: int
 
 
 class StandinStore:
@@ -38,6 +51,9 @@
     Attributes:
         rows: Base64 value (None if removed) and version by table and key.
         calls: Paths of the calls received.
+        era: Named in each response, and raised by each restored copy; None
+            for a platform without eras.
+        addresses: Where it listens, ``address`` first.
     """
 
     def __init__(self) -> None:
@@ -46,7 +62,9 @@
         self.faults = StoreFaults()
         self.calls: list[str] = []
         self.changed = asyncio.Event()
+        self.era: int | None = 1
         self.address = ""
+        self.addresses: list[str] = []
         self.server: httpserver.HTTPServer | None = None
 
     async def start(self) -> None:
@@ -58,10 +76,16 @@
             ],
             log_function=lambda handler: None,
         )
-        sockets = netutil.bind_sockets(0, "127.0.0.1")
         self.server = httpserver.HTTPServer(application)
+        self.address = self.listen()
+
+    def listen(self) -> str:
+        """Listens at one more address, and returns it."""
+        assert self.server is not None
+        sockets = netutil.bind_sockets(0, "127.0.0.1")
         self.server.add_sockets(sockets)
-        self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+        self.addresses.append(f"127.0.0.1:{sockets[0].getsockname()[1]}")
+        return self.addresses[-1]
 
     async def close(self) -> None:
         assert self.server is not None
@@ -83,6 +107,27 @@
         self.changed = asyncio.Event()
         return self.version
 
+    def copy(self) -> Copy:
+        """Returns a copy of the present content."""
+        return Copy(dict(self.rows), self.version)
+
+    def restore(self, copy: Copy) -> None:
+        """Begins the next era with the content of a copy."""
+        self.rows, self.version = dict(copy.rows), copy.version
+        if self.era is not None:
+            self.era += 1
+
+    def go_away(self) -> None:
+        """Refuses all calls, open polls included, until ``come_back``."""
+        self.faults.refuses = 503
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def come_back(self, copy: Copy) -> None:
+        """Serves again, from a copy and in the next era."""
+        self.restore(copy)
+        self.faults.refuses = 0
+
     def rows_since(self, table: str, version: int) -> list[dict[str, Any]]:
         found = [
             wire_row(table, key, value, ver)
@@ -111,17 +156,33 @@
         self.store.calls.append(self.request.path)
         while self.store.faults.is_silent:
             await asyncio.sleep(0.02)
-        if self.store.faults.refuses:
-            self.set_status(self.store.faults.refuses)
+        if self.is_refused():
+            self.refuse()
             self.finish()
 
-    def answer(self, rows: list[dict[str, Any]], **more: Any) -> None:
+    def is_refused(self) -> bool:
+        faults = self.store.faults
+        return bool(faults.refuses) or self.request.host in faults.refused
+
+    def refuse(self) -> None:
+        self.respond(self.store.faults.refuses or 503)
+
+    def respond(self, status: int) -> None:
+        """Sets the status, and the era as of now."""
+        self.set_status(status)
+        if self.store.era is not None:
+            self.set_header("Store-Era", str(self.store.era))
+
+    def answer(
+        self, rows: list[dict[str, Any]], status: int = 200, **more: Any
+    ) -> None:
+        self.respond(status)
         body = {"rows": rows, "ver": self.store.version, "nowMs": 1, **more}
         self.write(json.dumps(body))
 
 
 class ReadHandler(StoreHandler):
-    def get(self) -> None:
+    async def get(self) -> None:
         table = self.get_argument("table")
         start = self.get_argument("from", "")
         limit = int(self.get_argument("limit", "500"))
@@ -133,30 +194,32 @@
             if row_table == table and value is not None and key >= start
         ]
         self.answer(found[:limit], truncated=len(found) > limit)
+        await asyncio.sleep(self.store.faults.delay_s)
 
 
 class FeedHandler(StoreHandler):
     async def get(self) -> None:
-        if self.store.faults.forgets:
-            self.store.faults.forgets = False
-            self.set_status(410)
-            return
         table = self.get_argument("table")
         after = int(self.get_argument("after"))
+        if self.store.faults.forgets or after > self.store.version:
+            self.store.faults.forgets = False
+            self.respond(410)
+            return
         wait_s = int(self.get_argument("waitMs", "0")) / 1000
         end = asyncio.get_running_loop().time() + wait_s
         while not self.store.rows_since(table, after):
             left = end - asyncio.get_running_loop().time()
-            if left <= 0:
+            if left <= 0 or self.is_refused():
                 break
             try:
                 await asyncio.wait_for(self.store.changed.wait(), left)
             except TimeoutError:
                 break
-        if self.store.faults.refuses:
-            self.set_status(self.store.faults.refuses)
+        if self.is_refused():
+            self.refuse()
             return
         self.answer(self.store.rows_since(table, after))
+        await asyncio.sleep(self.store.faults.delay_s)
 
 
 class WriteHandler(StoreHandler):
@@ -166,8 +229,7 @@
             held = self.store.rows.get((entry["table"], entry["key"]))
             present = held[1] if held and held[0] is not None else 0
             if present != entry["ver"]:
-                self.set_status(412)
-                self.answer([])
+                self.answer([], 412)
                 return
         for entry in body["setKeys"]:
             self.store.set_row(entry["table"], entry["key"], entry["value"])
