Log the store's eras, dropped full reads and refused polls

AS6003 names the old and the new era, AS6004 a dropped full read with the revisions held and found, AS6005 a poll that was refused for want of history. The last two are written at most once in five seconds per table, with the number since the last line. No metric: the watches have no access to the registry, and the lines carry the counts. No change of what nodes do.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -715,6 +715,47 @@
     seconds: float
 
 
+class StoreRestored(Event, frozen=True):
+    """The platform's store returned from an older copy, in a new era."""
+
+    number = 6003
+    level = logging.WARNING
+    message = "store restored"
+
+    previous_era: int
+    era: int
+
+
+class StoreReadDropped(Event, frozen=True):
+    """A full read is older than this node's copy of the table; it is ignored.
+
+    ``dropped`` counts such reads since the last line about the table.
+    """
+
+    number = 6004
+    level = logging.WARNING
+    message = "store read dropped"
+
+    table: str
+    held: int
+    found: int
+    dropped: int
+
+
+class StoreHistoryGone(Event, frozen=True):
+    """The store can't list the changes since this node's copy of a table.
+
+    ``refused`` counts such responses since the last line about the table.
+    """
+
+    number = 6005
+    message = "store history gone"
+
+    table: str
+    held: int
+    refused: int
+
+
 class PeerJoined(Event, frozen=True):
     """A node became known for the first time."""
 
--- a/src/almondshift/platform/store.py
+++ b/src/almondshift/platform/store.py
@@ -6,6 +6,7 @@
 import binascii
 import dataclasses
 import json
+import logging
 from typing import TYPE_CHECKING
 from typing import Any
 from urllib import parse
@@ -14,6 +15,7 @@
 import msgspec
 
 from almondshift import errors
+from almondshift import log_events
 from almondshift.adapters import http_connections
 from almondshift.platform import names
 from almondshift.ports import row_feeds
@@ -42,6 +44,8 @@
 STATUS_HISTORY_GONE = 410
 NOT_APPLIED_STATUSES = frozenset({400, 403, 429, 503})
 
+logger = logging.getLogger(__name__)
+
 
 class WireRow(msgspec.Struct):
     """A row in the store's wire format.
@@ -244,6 +248,8 @@
         if era <= self.era:
             return
         previous, self.era = self.era, era
+        if previous:
+            log_events.emit(logger, log_events.StoreRestored(previous, era))
         for callback in self.on_era:
             callback(previous, era)
 
--- a/src/almondshift/relay/table_watch.py
+++ b/src/almondshift/relay/table_watch.py
@@ -40,9 +40,34 @@
 """Maximum number of tombstones kept for peers; covers a few hours of engine
 replacements."""
 
+LOG_INTERVAL_S = 5.0
+"""Minimum time between two lines of a kind about a table, in seconds."""
+
 logger = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(slots=True)
+class LogLimit:
+    """Limits how often an event is logged, and counts all of them.
+
+    Attributes:
+        count: Occurrences since the last line.
+        next_at: Monotonic time from which the next line may be written.
+    """
+
+    count: int = 0
+    next_at: float = -1e9
+
+    def take(self, now: float) -> int:
+        """Returns how many occurrences to log now; 0 for none."""
+        self.count += 1
+        if now < self.next_at:
+            return 0
+        self.next_at = now + LOG_INTERVAL_S
+        count, self.count = self.count, 0
+        return count
+
+
 class TableWatch:
     """Keeps a copy of a table.
 
@@ -98,6 +123,8 @@
         self.ask_peers: Callable[[str, bytes], Awaitable[list[bytes]]] | None
         self.ask_peers = None
         self.pause_s = 0.0
+        self.dropped_log = LogLimit()
+        self.history_log = LogLimit()
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -227,6 +254,7 @@
         if result.is_error():
             return False
         if result.ok is None:
+            self._log_history_gone()
             return await self._read_whole(sent_at)
         self.confirmed_at = self.clock.monotonic() - result.ok.age_s
         self._apply(result.ok)
@@ -270,6 +298,7 @@
     def _apply_whole(self, change: row_feeds.TableChange) -> None:
         """Applies a full read; rows that are missing in it were removed."""
         if self.revision is not None and change.revision < self.revision:
+            self._log_dropped(change.revision)
             return
         for row in (*self._removals_in(change), *change.rows):
             self.rows[row.key] = row
@@ -335,6 +364,26 @@
         if newer:
             self.on_rows(newer, False)
 
+    def _log_history_gone(self) -> None:
+        refused = self.history_log.take(self.clock.monotonic())
+        if refused:
+            log_events.emit(
+                logger,
+                log_events.StoreHistoryGone(
+                    self.table, self.revision or 0, refused
+                ),
+            )
+
+    def _log_dropped(self, found: int) -> None:
+        dropped = self.dropped_log.take(self.clock.monotonic())
+        if dropped:
+            log_events.emit(
+                logger,
+                log_events.StoreReadDropped(
+                    self.table, self.revision or 0, found, dropped
+                ),
+            )
+
     def _note_outage(self) -> None:
         if self.outage_since is not None:
             return
--- a/tests/relay/test_table_watch.py
+++ b/tests/relay/test_table_watch.py
@@ -4,8 +4,10 @@
 import random
 
 import expression
+import pytest
 
 from almondshift import errors
+from almondshift import log_events
 from almondshift.ports import row_feeds
 from almondshift.ports import stores
 from almondshift.relay import table_watch
@@ -146,3 +148,34 @@
     await asynchronous.wait_until(lambda: "b" in seen.rows)
     assert seen.rows["a"] == b"2"
     await seen.watch.close()
+
+
+@asynchronous.run
+async def test_a_dropped_read_is_logged_without_a_line_for_each(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Otherwise the log would not show why a node doesn't follow the store."""
+    events: list[log_events.Event] = []
+    monkeypatch.setattr(
+        log_events, "emit", lambda logger, event: events.append(event)
+    )
+    feed = FakeFeed()
+    feed.revision = 7
+    seen = Recorder(feed)
+    await seen.watch.start()
+    await asynchronous.wait_until(lambda: feed.whole_reads == 1)
+    feed.revision = 5
+    feed.changes = [None] * 3
+    await asynchronous.wait_until(lambda: feed.whole_reads == 4)
+    assert events == [
+        log_events.StoreHistoryGone("t", 7, 1),
+        log_events.StoreReadDropped("t", 7, 5, 1),
+    ]
+    seen.clock.now += table_watch.LOG_INTERVAL_S
+    feed.changes = [None]
+    await asynchronous.wait_until(lambda: len(events) == 4)
+    assert events[2:] == [
+        log_events.StoreHistoryGone("t", 7, 3),
+        log_events.StoreReadDropped("t", 7, 5, 3),
+    ]
+    await seen.watch.close()
