--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -70,6 +70,7 @@
         on_crash: Called when such a request crashes it.
         crashes_silently: Its connections stay open then, without any data.
         born: Its start in Unix milliseconds; 0 to omit it.
+        entries: Number of its registry entries so far.
         limits: Rate limits that its responses name, one field each.
         arrivals: Loop times at which requests to run arrived.
         other_calls: Loop times at which other calls arrived.
@@ -109,6 +110,7 @@
         self.arrivals: list[float] = []
         self.other_calls: list[float] = []
         self.born = 0
+        self.entries = 0
         self.address = ""
         self.on_change = lambda: None
         self.server: httpserver.HTTPServer | None = None
@@ -150,7 +152,8 @@
             self.on_change()
 
     def entry(self, service: str, zone: str, state: str = "ready") -> Any:
-        """Returns the engine's registry entry."""
+        """Returns the engine's next registry entry."""
+        self.entries += 1
         layers = None
         if self.layers is not None:
             layers = {"from": self.layers[0], "to": self.layers[1]}
@@ -160,7 +163,7 @@
             "zone": zone,
             "slots": 96,
             "state": state,
-            "seq": 1,
+            "seq": self.entries,
             "kind": self.kind,
             "layers": layers,
             **self.start_fields(),
--- a/tests/platform/standin_system.py
+++ b/tests/platform/standin_system.py
@@ -136,7 +136,10 @@
         register()
         return engine
 
-    async def add_node(self, zone: str = "a") -> relay.RelayProcess:
+    async def add_node(
+        self, zone: str = "a", store_address: str = ""
+    ) -> relay.RelayProcess:
+        """Starts a node, which may call the store at an address of its own."""
         directory = free_address()
         settings = relay_settings.RelaySettings(
             node=relay_settings.NodeSection(f"node-{len(self.nodes)}", zone),
@@ -144,7 +147,9 @@
                 free_address(), directory, directory
             ),
             peers=relay_settings.PeersSection(free_address()),
-            platform=relay_settings.PlatformSection(self.store.address),
+            platform=relay_settings.PlatformSection(
+                store_address or self.store.address
+            ),
             metrics=relay_settings.MetricsSection(free_address()),
             drain=relay_settings.DrainSection(hold_s=0.2, grace_s=3.0),
             repeats=relay_settings.RepeatsSection(0.2, 10.0, 100.0),
