Follow a store that returns from an older copy

Cause: revisions were compared as bare numbers, in polls, full reads, rows and peers' replies, although the store gives them out again once it returns from a copy. A poll got 410, the full read after it was dropped for its lower revision, and the next poll was the same again without a pause; if versions were higher again, rows were missed without a sign.

Change: model.revisions.Revision(era, number) is the one ordered value everywhere, also in peers' messages (without an era, from earlier releases, it is that of the recipient). A poll of another era leads to a full read, any response or peer's request that names a later era ends open polls, and readers that missed the era are skipped. In a full read of a new era

- contents are ordered by what their writers count (version of a configuration, seq of one start of an engine).
The restored copy then brings back no former configuration, no ready entry of an engine that leaves and no entry that had been removed.
Weighed against keeping this in the catalogue alone: peers would then hand out the restored rows.
The catalogue can't know what its node gives to others, so the watch decides.
- missing rows of the registry are held back as after an outage, for 1.8 s.
Before a held-back removal takes effect, the store is asked whether entries are still missing: an outage or another era begins the time anew.
A missing configuration stays.

A node that starts compares its first read with up to three peers before it uses it; it waits at most 1 s to join and 0.4 s for replies. Weighed against a row of its own in the store with the newest version: the copy lacks it too.

Without eras a full read that is older three times in a row is taken over; the second and third follow after 0.2 to 0.6 s. Until then it counts as an outage.

--- a/src/almondshift/daemons/relay.py
+++ b/src/almondshift/daemons/relay.py
@@ -28,6 +28,7 @@
 from almondshift.relay import application
 from almondshift.relay import catalogue
 from almondshift.relay import gateway
+from almondshift.relay import row_order
 from almondshift.relay import status
 
 if TYPE_CHECKING:
@@ -73,6 +74,10 @@
                 decoders=catalogue.Decoders(
                     config=decode.decode_config,
                     engine=decode.decode_engine,
+                    config_order=row_order.RowOrder(
+                        decode.config_rank, is_lasting=True
+                    ),
+                    engine_order=row_order.RowOrder(decode.engine_rank),
                 ),
                 config_table=names.OPERATOR_TABLE,
                 config_key=names.CONFIG_KEY,
--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -737,7 +737,9 @@
     message = "store read dropped"
 
     table: str
+    held_era: int
     held: int
+    found_era: int
     found: int
     dropped: int
 
@@ -756,6 +758,23 @@
     refused: int
 
 
+class StoreFollowed(Event, frozen=True):
+    """This node's copy of a table follows the store's new era.
+
+    ``missing`` rows of the copy are not in the store.
+    """
+
+    number = 6006
+    message = "store followed"
+
+    table: str
+    held_era: int
+    held: int
+    era: int
+    revision: int
+    missing: int
+
+
 class PeerJoined(Event, frozen=True):
     """A node became known for the first time."""
 
--- a/src/almondshift/model/revisions.py
+++ b/src/almondshift/model/revisions.py
@@ -21,5 +21,20 @@
     number: int
 
 
+class Rank(NamedTuple):
+    """Place of a row's content among the contents that its writer wrote.
+
+    It outlasts a store that returns from a copy, unlike revisions. Ranks of
+    different starts are not comparable.
+
+    Attributes:
+        start: The start of the writer; 0 if it names none.
+        number: Increases with each content of that start.
+    """
+
+    start: int
+    number: int
+
+
 BEGINNING = Revision(0, 0)
 """Before all changes."""
--- a/src/almondshift/platform/decode.py
+++ b/src/almondshift/platform/decode.py
@@ -12,6 +12,7 @@
 from almondshift.model import layers as model_layers
 from almondshift.model import lifetimes
 from almondshift.model import registered_engines
+from almondshift.model import revisions
 from almondshift.model import routes as model_routes
 from almondshift.model import routing_config
 
@@ -156,7 +157,7 @@
 class WireEngineEntry(msgspec.Struct):
     """An engine's registry entry; ``born`` is its start in Unix milliseconds.
 
-    ``seq`` is not decoded: here it counts heartbeats, whereas the field of
+    ``seq`` counts heartbeats here, see ``WireEntryRank``, whereas the field of
     the same name in a report counts accepted orders.
     """
 
@@ -170,6 +171,21 @@
     born: int = 0
 
 
+class WireConfigRank(msgspec.Struct):
+    """The part of a configuration that orders it among others."""
+
+    version: int
+
+
+class WireEntryRank(msgspec.Struct):
+    """The part of a registry entry that orders it among others."""
+
+    seq: int
+    born: int = 0
+
+
+CONFIG_RANK_DECODER = msgspec.json.Decoder(WireConfigRank)
+ENTRY_RANK_DECODER = msgspec.json.Decoder(WireEntryRank)
 CONFIG_DECODER = msgspec.json.Decoder(WireConfig)
 ENGINE_ENTRY_DECODER = msgspec.json.Decoder(WireEngineEntry)
 
@@ -213,6 +229,23 @@
     )
 
 
+def config_rank(content: bytes) -> revisions.Rank | None:
+    """Returns the rank of a configuration; None if it has none."""
+    try:
+        return revisions.Rank(0, CONFIG_RANK_DECODER.decode(content).version)
+    except msgspec.DecodeError:
+        return None
+
+
+def engine_rank(content: bytes) -> revisions.Rank | None:
+    """Returns the rank of an engine's entry; None if it has none."""
+    try:
+        wire = ENTRY_RANK_DECODER.decode(content)
+    except msgspec.DecodeError:
+        return None
+    return revisions.Rank(wire.born, wire.seq)
+
+
 def _check_entry(wire: WireEngineEntry) -> None:
     """Rejects entries that describe no usable engine.
 
--- a/src/almondshift/platform/store.py
+++ b/src/almondshift/platform/store.py
@@ -17,6 +17,7 @@
 from almondshift import errors
 from almondshift import log_events
 from almondshift.adapters import http_connections
+from almondshift.model import revisions
 from almondshift.platform import names
 from almondshift.ports import row_feeds
 from almondshift.ports import stores
@@ -76,7 +77,7 @@
 
     Attributes:
         ver: The store's newest revision.
-        era: The era of the response.
+        era: The era of the response; without one, the newest era known.
     """
 
     rows: list[WireRow]
@@ -173,6 +174,7 @@
             "limit": READ_PAGE_ROWS,
         }
         revision = 0
+        era: int | None = None
         while True:
             result = await self._get_rows(
                 names.ROWS_READ, query, CALL_TIMEOUT_S
@@ -184,22 +186,36 @@
             # Later pages reflect later states. Following changes from the first
             # page's revision replays whatever changed in between.
             revision = revision or page.ver
+            era = page.era if era is None else era
+            if page.era != era:
+                return expression.Error(
+                    errors.StoreUnavailable("The era changed while reading.")
+                )
             if not page.truncated or not page.rows:
-                return expression.Ok(decode_change(rows, revision))
+                return expression.Ok(
+                    decode_change(rows, revisions.Revision(era, revision))
+                )
             query["from"] = page.rows[-1].key + "\0"
 
     async def wait_for_changes(
-        self, table: str, after: int, wait_s: float
+        self, table: str, after: revisions.Revision, wait_s: float
     ) -> expression.Result[row_feeds.TableChange | None, stores.StoreError]:
         """Waits until a table changes after a revision (long poll)."""
-        query = {"table": table, "after": after, "waitMs": int(wait_s * 1000)}
+        query = {
+            "table": table,
+            "after": after.number,
+            "waitMs": int(wait_s * 1000),
+        }
         timeout_s = wait_s + FEED_EXTRA_TIMEOUT_S
         result = await self._get_rows(names.ROWS_FEED, query, timeout_s)
         if result.is_error():
             if isinstance(result.error, HistoryGone):
                 return expression.Ok(None)
             return expression.Error(result.error)
-        return expression.Ok(decode_change(result.ok.rows, result.ok.ver))
+        if result.ok.era != after.era:
+            return expression.Ok(None)
+        revision = revisions.Revision(result.ok.era, result.ok.ver)
+        return expression.Ok(decode_change(result.ok.rows, revision))
 
     async def _get_rows(
         self, path: str, query: dict[str, Any], timeout_s: float
@@ -221,7 +237,7 @@
             return expression.Error(
                 _decode_error(f"response to {path}: {error}")
             )
-        era = decode_era(fetched.head)
+        era = decode_era(fetched.head) or self.era
         return expression.Ok(
             Rows(decoded.rows, decoded.ver, era, decoded.truncated)
         )
@@ -302,23 +318,26 @@
     return stores.Row(table, row.key, content, row.ver, era)
 
 
-def decode_change(rows: list[WireRow], revision: int) -> row_feeds.TableChange:
+def decode_change(
+    rows: list[WireRow], revision: revisions.Revision
+) -> row_feeds.TableChange:
     """Decodes the rows of a response."""
     return row_feeds.TableChange(
-        tuple(_decode_feed_row(row) for row in rows), revision
+        tuple(_decode_feed_row(row, revision.era) for row in rows), revision
     )
 
 
-def _decode_feed_row(row: WireRow) -> row_feeds.FeedRow:
+def _decode_feed_row(row: WireRow, era: int) -> row_feeds.FeedRow:
+    revision = revisions.Revision(era, row.ver)
     if row.tombstone or row.value is None:
-        return row_feeds.FeedRow(row.key, None, row.ver)
+        return row_feeds.FeedRow(row.key, None, revision)
     try:
         content = base64.b64decode(row.value, validate=True)
     except (binascii.Error, ValueError):
         # The consumer logs an empty row as invalid. Rejecting the whole
         # response instead would block all later changes of the table.
         content = b""
-    return row_feeds.FeedRow(row.key, content, row.ver)
+    return row_feeds.FeedRow(row.key, content, revision)
 
 
 def _transport_error(
--- a/src/almondshift/policy/engine_starts.py
+++ b/src/almondshift/policy/engine_starts.py
@@ -16,6 +16,10 @@
 import collections
 import dataclasses
 import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from almondshift.model import revisions
 
 MAX_TRACKED_ENGINES = 4_096
 """Maximum number of engines whose starts are kept, including engines that are
@@ -59,7 +63,7 @@
 
     born_ms: int
     began_at: float
-    revision: int
+    revision: revisions.Revision
     rows: int = 1
 
 
@@ -112,7 +116,11 @@
         return starts.accepted_start if starts is not None else 0
 
     def classify_row(
-        self, engine: str, born_ms: int, revision: int, now: float
+        self,
+        engine: str,
+        born_ms: int,
+        revision: revisions.Revision,
+        now: float,
     ) -> RowStatus:
         """Classifies a row, and records its start.
 
@@ -144,7 +152,11 @@
             self.by_engine.popitem(last=False)
 
     def _count_row(
-        self, starts: _Starts, born_ms: int, revision: int, now: float
+        self,
+        starts: _Starts,
+        born_ms: int,
+        revision: revisions.Revision,
+        now: float,
     ) -> bool:
         """Counts a row; returns whether its start replaces the accepted one."""
         pending = starts.pending
--- a/src/almondshift/ports/row_feeds.py
+++ b/src/almondshift/ports/row_feeds.py
@@ -9,6 +9,9 @@
 import expression
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from almondshift.model import revisions
     from almondshift.ports import stores
 
 
@@ -18,12 +21,12 @@
 
     Attributes:
         value: The content; None if the row was removed.
-        revision: Revision of the change; increases across the whole store.
+        revision: Increases across the whole store, in all its eras.
     """
 
     key: str
     value: bytes | None
-    revision: int
+    revision: revisions.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,14 +45,21 @@
     """
 
     rows: tuple[FeedRow, ...]
-    revision: int
+    revision: revisions.Revision
     is_whole: bool = False
     age_s: float = 0.0
     unchanged: frozenset[str] = frozenset()
 
 
 class RowFeed(abc.ABC):
-    """Reads tables of a store that keeps a history of changes."""
+    """Reads tables of a store that keeps a history of changes.
+
+    Attributes:
+        on_era: Called with the previous and the new era of the store when a
+            response names a later one.
+    """
+
+    on_era: list[Callable[[int, int], None]]
 
     @abc.abstractmethod
     async def read_whole(
@@ -59,12 +69,12 @@
 
     @abc.abstractmethod
     async def wait_for_changes(
-        self, table: str, after: int, wait_s: float
+        self, table: str, after: revisions.Revision, wait_s: float
     ) -> expression.Result[TableChange | None, stores.StoreError]:
         """Waits until a table has changed since a revision.
 
         Returns:
-            The changes, empty after ``wait_s``; None if the history no
-            longer reaches back to ``after`` and the complete table must be
-            read.
+            The changes, empty after ``wait_s``; None if the complete table
+            must be read, since the history no longer reaches back to
+            ``after`` or the store is in another era.
         """
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -29,6 +29,7 @@
 from almondshift.relay import endpoint_calls
 from almondshift.relay import endpoint_limits
 from almondshift.relay import engine_reach
+from almondshift.relay import first_read
 from almondshift.relay import gateway
 from almondshift.relay import group
 from almondshift.relay import layer_keeper
@@ -149,10 +150,14 @@
         self.feed = shared_feed.create_shared_feed(
             ports.feed, ports.clock, ports.rng
         )
+        self.first_read = first_read.create_first_read(ports.rng)
         self.config_watch = self._watch(ports.config_table)
+        self.config_watch.order = ports.decoders.config_order
         self.engine_watch = self._watch(ports.engine_table)
+        self.engine_watch.order = ports.decoders.engine_order
         for watch in (self.config_watch, self.engine_watch):
             watch.pause_s = FIRST_READ_PAUSE_S
+            watch.ask_at_start = self.first_read.ask
         repeats = settings.repeats
         relay_observer = observer.create_relay_observer()
         endpoints = endpoint_choice.EndpointChooser(ports.rng)
@@ -257,6 +262,7 @@
         self.config_watch.on_full_read = lambda rows: self.apply_config(
             list(rows), True
         )
+        self.ports.feed.on_era.append(self.note_era)
         self.engine_watch.on_rows = self.apply_engines
         self.engine_watch.on_full_read = self.apply_registry
         self.catalogue.on_leaving.append(self.engine_leaving)
@@ -334,6 +340,7 @@
         # reconnect at once, and sharing their load requires the node count.
         await self.rows.peer_addresses()
         await node_group.start()
+        self.first_read.join(members, self.rows.addresses)
         self.work.run(self.shared.crash_watch.learn())
         self.group = node_group
         self.joined_at = self.ports.clock.monotonic()
@@ -395,7 +402,8 @@
             log_events.emit(
                 logger, log_events.NodeResumed(round(suspended_s, 2))
             )
-        self.catalogue.expire_removals(now)
+        if self.catalogue.has_due_removals(now):
+            self.work.run(self.expire_removals())
         self.shared.crash_watch.tick()
         self.shared.peer_paths.announce()
         if self.group is not None:
@@ -409,6 +417,15 @@
             self.config_watch.pause_s = 0.0
             self.engine_watch.pause_s = ENGINE_CHANGE_PAUSE_S
 
+    async def expire_removals(self) -> None:
+        """Drops engines whose removal is no longer held back.
+
+        Asks the store first: they are kept while it is unavailable, and if it
+        began another era meanwhile, since their entries can't be back yet.
+        """
+        if await self.engine_watch.confirm(TICK_S):
+            self.catalogue.expire_removals(self.ports.clock.monotonic())
+
     def update_node_counts(self, node_group: group.Group) -> int:
         """Updates the node counts of load sharing and of the retry budget.
 
@@ -426,6 +443,13 @@
         )
         return 1 + serving_peers
 
+    def note_era(self, previous: int, era: int) -> None:
+        """Makes all tables be read again in a new era of the store."""
+        del previous
+        self.feed.note_era(era)
+        for watch in (self.config_watch, self.engine_watch):
+            watch.note_era(era)
+
     def apply_config(
         self, rows: list[row_feeds.FeedRow], verified: bool
     ) -> None:
--- a/src/almondshift/relay/catalogue.py
+++ b/src/almondshift/relay/catalogue.py
@@ -9,6 +9,7 @@
 from almondshift import log_events
 from almondshift.policy import engine_starts
 from almondshift.policy import path_candidates
+from almondshift.relay import row_order
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -49,6 +50,8 @@
     Attributes:
         config: Decodes a configuration.
         engine: Decodes an engine's entry, given its row key.
+        config_order: Orders configurations.
+        engine_order: Orders entries of one engine.
     """
 
     config: Callable[
@@ -61,6 +64,8 @@
             registered_engines.RegisteredEngine, errors.ConfigInvalid
         ],
     ]
+    config_order: row_order.RowOrder = row_order.UNORDERED
+    engine_order: row_order.RowOrder = row_order.UNORDERED
 
 
 class Catalogue:
@@ -188,6 +193,10 @@
         ]:
             self._apply_removal(key, now, outage_ended_at)
 
+    def has_due_removals(self, now: float) -> bool:
+        """Returns whether some removal is no longer held back."""
+        return any(at <= now for at in self.pending_removals.values())
+
     def expire_removals(self, now: float) -> None:
         """Drops engines whose removal is no longer held back."""
         for key in [
@@ -339,7 +348,7 @@
             return
         held_until = outage_ended_at + REMOVAL_GRACE_S
         if now < held_until:
-            self.pending_removals.setdefault(key, held_until)
+            self.pending_removals[key] = held_until
             return
         self._drop(key)
 
--- a/src/almondshift/relay/shared_feed.py
+++ b/src/almondshift/relay/shared_feed.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     import random
 
+    from almondshift.model import revisions
     from almondshift.ports import clocks
     from almondshift.ports import stores
     from almondshift.relay import group as relay_group
@@ -42,6 +43,8 @@
             as it did not respond.
         skipped_until: Monotonic time until which a reader that failed is
             skipped, by name.
+        era: The newest known era of the store. Readers that have not noticed
+            it are not believed.
     """
 
     def __init__(
@@ -53,10 +56,15 @@
         self.group: relay_group.Group | None = None
         self.next_store_call_at = 0.0
         self.skipped_until: dict[str, float] = {}
+        self.era = 0
+
+    def note_era(self, era: int) -> None:
+        """Records an era of the store that became known."""
+        self.era = max(self.era, era)
 
     async def read_whole(self, table: str) -> Change:
         """Reads all rows of a table."""
-        request = peer_rows.RowRequest(after=-1)
+        request = peer_rows.RowRequest(after=-1, era=self.era)
         found = await self._ask_readers(table, request)
         if found is not None:
             return expression.Ok(found)
@@ -65,7 +73,7 @@
         return self._update_backoff(await self.direct.read_whole(table))
 
     async def wait_for_changes(
-        self, table: str, after: int, wait_s: float
+        self, table: str, after: revisions.Revision, wait_s: float
     ) -> expression.Result[row_feeds.TableChange | None, stores.StoreError]:
         """Waits until a table has changed since a revision.
 
@@ -74,7 +82,11 @@
         """
         asked_s = min(wait_s, feed_readers.ASKED_WAIT_S)
         request = peer_rows.RowRequest(
-            after, asked_s, is_fresh=wait_s <= 0, takes_unchanged=True
+            after.number,
+            asked_s,
+            is_fresh=wait_s <= 0,
+            takes_unchanged=True,
+            era=after.era,
         )
         found = await self._ask_readers(table, request)
         if found is not None:
@@ -101,8 +113,11 @@
             reply = await self.group.members.ask(
                 name, table, body, request.wait_s + REPLY_MARGIN_S
             )
-            change = _decode_reply(reply.ok) if reply.is_ok() else None
-            if change is not None and change.age_s <= feed_readers.MAX_AGE_S:
+            change = (
+                _decode_reply(reply.ok, self.era) if reply.is_ok() else None
+            )
+            if change is not None and self._is_usable(change):
+                self.note_era(change.revision.era)
                 return change
             pause_s = feed_readers.AWAY_S
             if reply.is_error():
@@ -110,6 +125,12 @@
             self.skipped_until[name] = self.clock.monotonic() + pause_s
         return None
 
+    def _is_usable(self, change: row_feeds.TableChange) -> bool:
+        """Returns whether a reader follows the store's present state."""
+        if change.revision.era < self.era:
+            return False
+        return change.age_s <= feed_readers.MAX_AGE_S
+
     def _readers(self, node_group: relay_group.Group) -> list[str]:
         """Returns the names of the readers to try, in order.
 
@@ -168,10 +189,10 @@
     return any(node.name == name for node in nodes)
 
 
-def _decode_reply(body: bytes) -> row_feeds.TableChange | None:
+def _decode_reply(body: bytes, own_era: int) -> row_feeds.TableChange | None:
     """Decodes a reader's reply; returns None if it is malformed."""
     try:
-        return peer_rows.decode_reply(body)
+        return peer_rows.decode_reply(body, own_era)
     except ValueError:
         return None
 
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -240,3 +240,22 @@
     )
     assert (head.genuine, head.not_run) == (genuine, not_run)
     assert all(name != "keep-alive" for name, _ in head.headers)
+
+
+@pytest.mark.parametrize(
+    ("content", "config", "engine"),
+    [
+        (b'{"version":7,"seq":3}', (0, 7), (0, 3)),
+        (b'{"version":8,"seq":3,"born":9}', (0, 8), (9, 3)),
+        (b'{"version":"7"}', None, None),
+        (b'{"seq":null}', None, None),
+        (b"[]", None, None),
+        (b"{", None, None),
+    ],
+)
+def test_ranks_order_contents_of_one_writer(
+    content: bytes, config: Any, engine: Any
+) -> None:
+    """Guards against invalid rows that end a table's watch."""
+    assert decode.config_rank(content) == config
+    assert decode.engine_rank(content) == engine
