--- a/src/almondshift/platform/store.py
+++ b/src/almondshift/platform/store.py
@@ -4,7 +4,10 @@
 
 import base64
 import binascii
+import dataclasses
 import json
+import logging
+from typing import TYPE_CHECKING
 from typing import Any
 from urllib import parse
 
@@ -12,11 +15,16 @@
 import msgspec
 
 from almondshift import errors
+from almondshift import log_events
 from almondshift.adapters import http_connections
+from almondshift.model import revisions
 from almondshift.platform import names
 from almondshift.ports import row_feeds
 from almondshift.ports import stores
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 CALL_TIMEOUT_S = 1.0
 """A call usually takes 4 ms; one that is 100 times slower still succeeds."""
 
@@ -30,10 +38,15 @@
 READ_PAGE_ROWS = 500
 """Most rows that the store returns at once."""
 
+MAX_ERA_DIGITS = 15
+"""Eras with more digits are malformed; JSON numbers would lose precision."""
+
 STATUS_PRECONDITION_FAILED = 412
 STATUS_HISTORY_GONE = 410
 NOT_APPLIED_STATUSES = frozenset({400, 403, 429, 503})
 
+logger = logging.getLogger(__name__)
+
 
 class WireRow(msgspec.Struct):
     """A row in the store's wire format.
@@ -58,6 +71,21 @@
     truncated: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rows:
+    """Rows in a response of the store.
+
+    Attributes:
+        ver: The store's newest revision.
+        era: The era of the response; without one, the newest era known.
+    """
+
+    rows: list[WireRow]
+    ver: int
+    era: int
+    truncated: bool
+
+
 ROWS_DECODER = msgspec.json.Decoder(WireRows)
 
 
@@ -67,6 +95,10 @@
     Attributes:
         address: ``host:port``.
         calls: Calls sent since the start.
+        era: The newest era in any response, errors included; 0 if no response
+            named one.
+        on_era: Called with the previous and the new era when it rises, before
+            the response is returned to its caller.
     """
 
     def __init__(
@@ -75,6 +107,8 @@
         self.address = address
         self.pool = pool
         self.calls = 0
+        self.era = 0
+        self.on_era: list[Callable[[int, int], None]] = []
 
     async def read(
         self, table: str, key: str
@@ -95,7 +129,9 @@
             return expression.Error(result.error)
         rows = [r for r in result.ok.rows if r.key.startswith(prefix)]
         try:
-            return expression.Ok([_decode_row(table, row) for row in rows])
+            return expression.Ok(
+                [_decode_row(table, row, result.ok.era) for row in rows]
+            )
         except (ValueError, TypeError) as error:
             return expression.Error(
                 _decode_error(f"row of table {table}: {error}")
@@ -138,6 +174,7 @@
             "limit": READ_PAGE_ROWS,
         }
         revision = 0
+        era: int | None = None
         while True:
             result = await self._get_rows(
                 names.ROWS_READ, query, CALL_TIMEOUT_S
@@ -149,26 +186,40 @@
             # Later pages reflect later states. Following changes from the first
             # page's revision replays whatever changed in between.
             revision = revision or page.ver
+            era = page.era if era is None else era
+            if page.era != era:
+                return expression.Error(
+                    errors.StoreUnavailable("The era changed while reading.")
+                )
             if not page.truncated or not page.rows:
-                return expression.Ok(decode_change(rows, revision))
+                return expression.Ok(
+                    decode_change(rows, revisions.Revision(era, revision))
+                )
             query["from"] = page.rows[-1].key + "\0"
 
     async def wait_for_changes(
-        self, table: str, after: int, wait_s: float
+        self, table: str, after: revisions.Revision, wait_s: float
     ) -> expression.Result[row_feeds.TableChange | None, stores.StoreError]:
         """Waits until a table changes after a revision (long poll)."""
-        query = {"table": table, "after": after, "waitMs": int(wait_s * 1000)}
+        query = {
+            "table": table,
+            "after": after.number,
+            "waitMs": int(wait_s * 1000),
+        }
         timeout_s = wait_s + FEED_EXTRA_TIMEOUT_S
         result = await self._get_rows(names.ROWS_FEED, query, timeout_s)
         if result.is_error():
             if isinstance(result.error, HistoryGone):
                 return expression.Ok(None)
             return expression.Error(result.error)
-        return expression.Ok(decode_change(result.ok.rows, result.ok.ver))
+        if result.ok.era != after.era:
+            return expression.Ok(None)
+        revision = revisions.Revision(result.ok.era, result.ok.ver)
+        return expression.Ok(decode_change(result.ok.rows, revision))
 
     async def _get_rows(
         self, path: str, query: dict[str, Any], timeout_s: float
-    ) -> expression.Result[WireRows, stores.StoreError]:
+    ) -> expression.Result[Rows, stores.StoreError]:
         target = f"{path}?{parse.urlencode(query)}"
         fetched = await self._call("GET", target, b"", timeout_s)
         if fetched.outcome is not http_connections.Outcome.WHOLE:
@@ -181,11 +232,15 @@
         if fetched.head.status != 200:
             return expression.Error(_status_error(fetched.head.status))
         try:
-            return expression.Ok(ROWS_DECODER.decode(fetched.body))
+            decoded = ROWS_DECODER.decode(fetched.body)
         except msgspec.DecodeError as error:
             return expression.Error(
                 _decode_error(f"response to {path}: {error}")
             )
+        era = decode_era(fetched.head) or self.era
+        return expression.Ok(
+            Rows(decoded.rows, decoded.ver, era, decoded.truncated)
+        )
 
     async def _call(
         self,
@@ -199,9 +254,20 @@
         if body:
             headers.append(("Content-Type", "application/json"))
         payload = http_connections.request_bytes(method, target, headers, body)
-        return await http_connections.fetch(
+        fetched = await http_connections.fetch(
             self.pool, self.address, payload, timeout_s, MAX_RESPONSE_BYTES
         )
+        self._note_era(decode_era(fetched.head))
+        return fetched
+
+    def _note_era(self, era: int) -> None:
+        if era <= self.era:
+            return
+        previous, self.era = self.era, era
+        if previous:
+            log_events.emit(logger, log_events.StoreRestored(previous, era))
+        for callback in self.on_era:
+            callback(previous, era)
 
 
 class HistoryGone(errors.StoreUnavailable):
@@ -215,6 +281,14 @@
     return PlatformStore(address, pool)
 
 
+def decode_era(head: http_connections.ResponseHead | None) -> int:
+    """Returns the era that a response names; 0 if none or a malformed one."""
+    text = head.get(names.STORE_ERA) if head is not None else None
+    if text is None or not text.isascii() or not text.isdigit():
+        return 0
+    return int(text) if len(text) <= MAX_ERA_DIGITS else 0
+
+
 def _encode_transaction(writes: list[stores.Write]) -> dict[str, Any]:
     expected = [
         {**_row_id(w), "ver": w.if_revision}
@@ -237,30 +311,33 @@
     return {"table": write.table, "part": "", "key": write.key}
 
 
-def _decode_row(table: str, row: WireRow) -> stores.Row:
+def _decode_row(table: str, row: WireRow, era: int) -> stores.Row:
     content = json.loads(base64.b64decode(row.value or ""))
     if not isinstance(content, dict):
         raise ValueError("not a JSON object")
-    return stores.Row(table, row.key, content, row.ver)
+    return stores.Row(table, row.key, content, row.ver, era)
 
 
-def decode_change(rows: list[WireRow], revision: int) -> row_feeds.TableChange:
+def decode_change(
+    rows: list[WireRow], revision: revisions.Revision
+) -> row_feeds.TableChange:
     """Decodes the rows of a response."""
     return row_feeds.TableChange(
-        tuple(_decode_feed_row(row) for row in rows), revision
+        tuple(_decode_feed_row(row, revision.era) for row in rows), revision
     )
 
 
-def _decode_feed_row(row: WireRow) -> row_feeds.FeedRow:
+def _decode_feed_row(row: WireRow, era: int) -> row_feeds.FeedRow:
+    revision = revisions.Revision(era, row.ver)
     if row.tombstone or row.value is None:
-        return row_feeds.FeedRow(row.key, None, row.ver)
+        return row_feeds.FeedRow(row.key, None, revision)
     try:
         content = base64.b64decode(row.value, validate=True)
     except (binascii.Error, ValueError):
         # The consumer logs an empty row as invalid. Rejecting the whole
         # response instead would block all later changes of the table.
         content = b""
-    return row_feeds.FeedRow(row.key, content, row.ver)
+    return row_feeds.FeedRow(row.key, content, revision)
 
 
 def _transport_error(
