--- a/src/almondshift/ports/stores.py
+++ b/src/almondshift/ports/stores.py
@@ -47,12 +47,15 @@
         value: The new value, or None to delete the row.
         if_revision: Revision that the row must have, ``ABSENT`` if it must
             not exist, None for an unconditional write.
+        if_era: Era in which ``if_revision`` was read; None for any. In a
+            later era the row may have this revision with another content.
     """
 
     table: str
     key: str
     value: dict[str, Any] | None
     if_revision: int | None
+    if_era: int | None = None
 
 
 class TableStore(abc.ABC):
@@ -90,7 +93,8 @@
             The new revisions (0 for a delete), or ``ConditionFailed`` if
             nothing was written, ``StoreUnavailable`` if the request was not
             sent or was refused, ``StoreOutcomeUnknown`` if no response was
-            received.
+            received, or if the writes were applied in a later era than one
+            of their conditions.
         """
 
 
@@ -108,3 +112,32 @@
         self, key: str, content: bytes
     ) -> expression.Result[None, StoreError]:
         """Writes a complete object."""
+
+
+def outdated_condition(
+    writes: list[Write], era: int
+) -> errors.ConditionFailed | None:
+    """Returns the error for a condition from an era before ``era``, if any.
+
+    Such writes must not be sent, as their conditions may hold by chance.
+    """
+    if all(write.if_era is None or write.if_era >= era for write in writes):
+        return None
+    return errors.ConditionFailed("The store has returned from an older copy.")
+
+
+def confirmed_in_era(
+    writes: list[Write], revisions: list[int], era: int
+) -> expression.Result[list[int], StoreError]:
+    """Returns the result of writes that were applied in ``era``.
+
+    If the store was restored while they were on their way, their conditions
+    may have held by chance, and the row read before may have been another.
+    """
+    if outdated_condition(writes, era) is None:
+        return expression.Ok(revisions)
+    return expression.Error(
+        errors.StoreOutcomeUnknown(
+            "The store returned from an older copy during the write."
+        )
+    )
--- a/src/almondshift/standins/platform/tables.py
+++ b/src/almondshift/standins/platform/tables.py
@@ -4,6 +4,7 @@
 
 import bisect
 import copy
+import dataclasses
 from typing import TYPE_CHECKING
 
 import expression
@@ -15,17 +16,31 @@
     from collections.abc import Sequence
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TablesCopy:
+    """The content of all tables at one moment."""
+
+    rows: dict[tuple[str, str], stores.Row]
+    last_revision: int
+
+
 class MemoryTables:
-    """Tables by name; one revision counter for all, kept across deletes."""
+    """Tables by name; one revision counter for all, kept across deletes.
+
+    Attributes:
+        era: Rises with each restored copy.
+    """
 
     def __init__(self) -> None:
+        self.era = 0
         self.rows: dict[tuple[str, str], stores.Row] = {}
         self.keys: dict[str, list[str]] = {}
         self.last_revision = 0
 
     def read(self, table: str, key: str) -> stores.Row | None:
         """Returns a row, or None."""
-        return copy.deepcopy(self.rows.get((table, key)))
+        row = self.rows.get((table, key))
+        return None if row is None else self._as_read(row)
 
     def scan(self, table: str, prefix: str, limit: int) -> list[stores.Row]:
         """Returns up to ``limit`` rows with a key prefix, in key order."""
@@ -34,9 +49,22 @@
         for key in keys[bisect.bisect_left(keys, prefix) :]:
             if not key.startswith(prefix) or len(found) >= limit:
                 break
-            found.append(copy.deepcopy(self.rows[table, key]))
+            found.append(self._as_read(self.rows[table, key]))
         return found
 
+    def take_copy(self) -> TablesCopy:
+        """Returns a copy of all tables."""
+        return TablesCopy(copy.deepcopy(self.rows), self.last_revision)
+
+    def restore(self, taken: TablesCopy) -> None:
+        """Replaces all tables by a copy, which begins the next era."""
+        self.era += 1
+        self.rows = copy.deepcopy(taken.rows)
+        self.last_revision = taken.last_revision
+        self.keys = {}
+        for table, key in sorted(self.rows):
+            self.keys.setdefault(table, []).append(key)
+
     def transact(
         self, writes: Sequence[stores.Write]
     ) -> expression.Result[list[int], errors.ConditionFailed]:
@@ -51,6 +79,9 @@
                 )
         return expression.Ok([self._apply(write) for write in writes])
 
+    def _as_read(self, row: stores.Row) -> stores.Row:
+        return dataclasses.replace(copy.deepcopy(row), era=self.era)
+
     def _condition_holds(self, write: stores.Write) -> bool:
         if write.if_revision is None:
             return True
--- a/tests/fakes/tables.py
+++ b/tests/fakes/tables.py
@@ -52,6 +52,7 @@
         down: Refuses all calls while set.
         paused: Holds back the answers to all calls while set, as if the
             process were suspended; calls still take effect when made.
+        era: The newest era in any response delivered to this caller.
         reads: Number of reads and scans.
         writes: Number of transactions.
     """
@@ -65,6 +66,7 @@
         self.writes = 0
         self.late: list[list[stores.Write]] = []
         self.held: list[HeldAnswer] = []
+        self.era = 0
 
     async def read(
         self, table: str, key: str
@@ -72,8 +74,8 @@
         self.reads += 1
         if self._next_outcome() is not Outcome.OK:
             return expression.Error(_unavailable())
-        row = self.shared.read(table, key)
-        await self._delay_answer()
+        era, row = self.shared.era, self.shared.read(table, key)
+        await self._delay_answer(era)
         return expression.Ok(row)
 
     async def scan(
@@ -82,13 +84,16 @@
         self.reads += 1
         if self._next_outcome() is not Outcome.OK:
             return expression.Error(_unavailable())
-        rows = self.shared.scan(table, prefix, limit)
-        await self._delay_answer()
+        era, rows = self.shared.era, self.shared.scan(table, prefix, limit)
+        await self._delay_answer(era)
         return expression.Ok(rows)
 
     async def transact(
         self, writes: list[stores.Write]
     ) -> expression.Result[list[int], stores.StoreError]:
+        outdated = stores.outdated_condition(writes, self.era)
+        if outdated is not None:
+            return expression.Error(outdated)
         self.writes += 1
         outcome = self._next_outcome()
         if outcome is Outcome.REFUSED:
@@ -98,13 +103,14 @@
         if outcome in (Outcome.LATE, Outcome.DROPPED):
             await self._delay_answer()
             return expression.Error(_unknown())
-        result = self.shared.transact(writes)
-        await self._delay_answer()
+        era, result = self.shared.era, self.shared.transact(writes)
         if outcome is Outcome.LOST:
+            await self._delay_answer()
             return expression.Error(_unknown())
+        await self._delay_answer(era)
         if result.is_error():
             return expression.Error(result.error)
-        return expression.Ok(result.ok)
+        return stores.confirmed_in_era(writes, result.ok, era)
 
     def apply_late_writes(self) -> None:
         """Applies the late writes whose conditions hold."""
@@ -125,14 +131,18 @@
             return Outcome.REFUSED
         return self.outcomes.popleft() if self.outcomes else Outcome.OK
 
-    async def _delay_answer(self) -> None:
-        """Returns in the next cycle of the event loop, or when resumed."""
+    async def _delay_answer(self, era: int = 0) -> None:
+        """Returns in the next cycle of the event loop, or when resumed.
+
+        Args:
+            era: The era that the answer names, if it is delivered.
+        """
         await asyncio.sleep(0)
-        if not self.paused:
-            return
-        future = asyncio.get_running_loop().create_future()
-        self.held.append(HeldAnswer(future))
-        await future
+        if self.paused:
+            future = asyncio.get_running_loop().create_future()
+            self.held.append(HeldAnswer(future))
+            await future
+        self.era = max(self.era, era)
 
 
 class FakeObjectStore(stores.ObjectStore):
