Refuse writes whose condition was read in an earlier era of the store

A restored store gives out revisions again, so that a condition could hold for a row that was never read. The client now returns ConditionFailed without a call if it knows of a later era, and an unknown outcome if the response names a later era than the condition; callers read again.

--- a/src/almondshift/platform/store.py
+++ b/src/almondshift/platform/store.py
@@ -141,6 +141,9 @@
         self, writes: list[stores.Write]
     ) -> expression.Result[list[int], stores.StoreError]:
         """Applies all writes or none."""
+        outdated = stores.outdated_condition(writes, self.era)
+        if outdated is not None:
+            return expression.Error(outdated)
         body = json.dumps(_encode_transaction(writes)).encode()
         fetched = await self._call("POST", names.ROWS_WRITE, body)
         if fetched.outcome is not http_connections.Outcome.WHOLE:
@@ -159,8 +162,10 @@
             return expression.Error(
                 errors.StoreOutcomeUnknown(f"Invalid response: {error}.")
             )
-        return expression.Ok(
-            [0 if write.value is None else decoded.ver for write in writes]
+        return stores.confirmed_in_era(
+            writes,
+            [0 if write.value is None else decoded.ver for write in writes],
+            decode_era(fetched.head),
         )
 
     async def read_whole(
