Hold the lease safely over a store that returns from an older copy

A restored row showed an earlier holder, a released lease or none, so that a contender took the lease at once beside the holder, and fencing tokens were given out again.

A row now names the era for which it was written. A row of another era, or a lost one, proves nothing: contenders wait for a whole duration from when they first saw it in the new era, and the holder writes it again while its grant is valid. Tokens start above a base that rises with the era. A late write of an earlier era that hits the row marks itself by its era.

--- a/src/almondshift/coordination/lease.py
+++ b/src/almondshift/coordination/lease.py
@@ -7,6 +7,11 @@
 risks are clocks that run at different rates (see ``max_clock_drift``) and
 clocks that stop with a paused machine; in these cases endpoints reject stale
 tokens.
+
+The store may return from an older copy, in a new era. A row of an earlier era
+then shows neither who holds the lease nor that nobody does: a contender waits
+for the whole duration from when it first saw it in the new era. A holder whose
+grant is still valid writes its row again.
 """
 
 from __future__ import annotations
@@ -29,6 +34,10 @@
 TABLE = "leases"
 TOKEN_BITS = 64
 
+TOKENS_PER_ERA = 1_000_000
+"""Fencing tokens of an era start above this number times the era, as those of
+earlier eras may be lost with the store's rows."""
+
 STARTUP_CHECK_INTERVAL_S = 0.1
 """Interval, in seconds, at which a process that has just started and may not
 contend for the lease checks again whether it may; it doesn't read the row
@@ -88,6 +97,7 @@
         fencing: Fencing token of the current or last grant.
         duration_s: Duration that the holder uses.
         released: Whether the holder released the lease.
+        era: Era of the store for which the row was written.
     """
 
     holder: str
@@ -96,6 +106,7 @@
     fencing: int
     duration_s: float
     released: bool
+    era: int = 0
 
     def to_value(self) -> dict[str, object]:
         """Returns the JSON object of the row."""
@@ -111,13 +122,20 @@
         fencing=int(row.value["fencing"]),
         duration_s=float(row.value["duration_s"]),
         released=bool(row.value["released"]),
+        era=int(row.value.get("era", 0)),
     )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ObservedRevision:
-    """A revision written by another process, and when it was first seen."""
+    """A revision written by another process, and when it was first seen.
+
+    Attributes:
+        era: Era of the store in which it was seen.
+        revision: ``ABSENT`` if there was no row.
+    """
 
+    era: int
     revision: int
     seen_at: float
 
@@ -129,11 +147,15 @@
         own_revision: Revision of this process's last write. None if that is
             not known, e.g. while the outcome of a later write is unknown; the
             next step then reads the row.
+        own_era: Era of the store in which ``own_revision`` was written.
+        highest_token: Highest fencing token seen.
         holder: Name of the last known holder, ``""`` if none; for display.
         may_contend: Returns whether this process currently contends; a few
             of many suffice, and each causes reads.
         may_hold: Returns whether this process can currently act as the holder.
             If not, it releases the lease and does not take it.
+        may_take_absent: Returns whether a missing row shows that nobody has
+            held the lease; the store may also have lost it.
         is_holder_alive: Returns whether the named holder is known to be alive
             by other means; used only to save reads, never to decide who may
             hold the lease.
@@ -160,6 +182,9 @@
         self.observed: ObservedRevision | None = None
         self.renewal = 0
         self.own_revision: int | None = None
+        self.own_era = 0
+        self.first_era: int | None = None
+        self.highest_token = 0
         self.sent_at: dict[int, float] = {}
         self.closing = False
         self.started_at = -math.inf
@@ -167,6 +192,7 @@
         self.is_holder_renewing = True
         self.may_contend: Callable[[], bool] = lambda: True
         self.may_hold: Callable[[], bool] = lambda: True
+        self.may_take_absent: Callable[[], bool] = lambda: True
         self.is_holder_alive: Callable[[str], bool] = lambda holder: False
         self.loop_task: asyncio.Task[None] | None = None
 
@@ -206,7 +232,8 @@
 
         A holder renews by one write that is conditional on its own last
         revision. Reading first would double the holder's calls, and the
-        condition fails if another process wrote in the meantime.
+        condition fails if another process wrote in the meantime. It reads the
+        row in a new era of the store, which may have lost it.
         """
         grant = self.grant()
         if grant is not None and not self.may_hold():
@@ -214,53 +241,103 @@
             self.own_revision = None
             await self._release()
             return
-        if grant is not None and self.own_revision is not None:
-            await self._write(self.own_revision, grant.fencing)
+        if (
+            grant is not None
+            and self.own_revision is not None
+            and self.own_era == self.store.era
+        ):
+            await self._write(self.own_revision, self.own_era, grant.fencing)
             return
         read = await self.store.read(TABLE, self.name)
         if read.is_error():
             return
-        seen_at = self.clock.monotonic()
-        if read.ok is None:
-            if self.may_hold():
-                await self._write(stores.ABSENT, fencing=1)
+        era = self.store.era
+        if read.ok is not None and read.ok.era != era:
+            # The response was overtaken by one of a later era.
             return
-        row = read_row(read.ok)
-        self.holder = "" if row.released else row.holder
+        row = None if read.ok is None else read_row(read.ok)
+        revision = stores.ABSENT if read.ok is None else read.ok.revision
+        if row is None or row.era != era:
+            await self._step_without_row(row, revision, era)
+        else:
+            await self._step_with_row(row, revision, era)
+
+    async def _step_with_row(
+        self, row: LeaseRow, revision: int, era: int
+    ) -> None:
+        """Acquires or renews the lease by a row of the store's era."""
+        self._note_row(row, era)
         if not self.may_hold():
             self.current_grant = None
             return
         if row.token == self.token and not row.released:
-            await self._renew(row, read.ok.revision)
+            await self._renew(row, revision, era)
             return
         self.current_grant = None
-        known = self.observed
-        self.is_holder_renewing = (
-            known is None or known.revision != read.ok.revision
-        )
-        if self._may_take(row, read.ok.revision, seen_at):
-            await self._write(read.ok.revision, fencing=row.fencing + 1)
+        if row.released or self._has_expired(row.duration_s, revision, era):
+            await self._write(revision, era, self._next_token(era))
+
+    async def _step_without_row(
+        self, row: LeaseRow | None, revision: int, era: int
+    ) -> None:
+        """Acquires or keeps the lease without a row of the store's era.
 
-    def _may_take(self, row: LeaseRow, revision: int, seen_at: float) -> bool:
+        Args:
+            row: A row of an earlier era; None if there is no row.
+            revision: Its revision, or ``ABSENT``.
+            era: The store's era.
+        """
+        is_first_era = self.first_era in (None, era)
+        self._note_row(row, era)
+        if not self.may_hold():
+            self.current_grant = None
+            return
+        grant = self.grant()
+        if grant is not None:
+            await self._write(revision, era, grant.fencing)
+            return
+        self.current_grant = None
+        is_new = row is None and is_first_era and self.may_take_absent()
+        duration_s = self.settings.duration_s
+        if row is not None:
+            duration_s = max(duration_s, row.duration_s)
+        if is_new or self._has_expired(duration_s, revision, era):
+            await self._write(revision, era, self._next_token(era))
+
+    def _note_row(self, row: LeaseRow | None, era: int) -> None:
+        """Records who holds the lease, and the highest token."""
+        if self.first_era is None:
+            self.first_era = era
+        if row is None:
+            return
+        self.highest_token = max(self.highest_token, row.fencing)
+        self.holder = "" if row.released else row.holder
+
+    def _next_token(self, era: int) -> int:
+        """Returns a token above all tokens that any process has seen."""
+        return max(self.highest_token, era * TOKENS_PER_ERA) + 1
+
+    def _has_expired(self, duration_s: float, revision: int, era: int) -> bool:
         """Returns whether the holder's grant has certainly expired.
 
         If a contender took over based on the age of the row, or by comparing
         its clock to a time in the row, it could act concurrently with a
         holder that has renewed since. The holder sent its last renewal before
-        this process saw it, so a full duration after first seeing it is
-        enough.
+        this process saw it, or before the store was restored, so a full
+        duration after first seeing it in this era is enough.
         """
-        if row.released:
-            return True
-        if self.observed is None or self.observed.revision != revision:
-            self.observed = ObservedRevision(revision, seen_at)
-            return False
-        waited_s = seen_at - self.observed.seen_at
-        return waited_s >= row.duration_s * (
-            1.0 + self.settings.max_clock_drift
+        seen_at = self.clock.monotonic()
+        known = self.observed
+        self.is_holder_renewing = known is None or (
+            (known.era, known.revision) != (era, revision)
         )
+        if known is None or self.is_holder_renewing:
+            self.observed = ObservedRevision(era, revision, seen_at)
+            return False
+        waited_s = seen_at - known.seen_at
+        return waited_s >= duration_s * (1.0 + self.settings.max_clock_drift)
 
-    async def _renew(self, row: LeaseRow, revision: int) -> None:
+    async def _renew(self, row: LeaseRow, revision: int, era: int) -> None:
         """Renews this process's row, also after a lost response.
 
         The row may come from a request of this process whose response was lost;
@@ -269,23 +346,25 @@
         after it.
         """
         self._extend_grant(row.fencing, row.renewal)
-        fencing = row.fencing if self.grant() is not None else row.fencing + 1
-        await self._write(revision, fencing)
+        is_valid = self.grant() is not None
+        fencing = row.fencing if is_valid else self._next_token(era)
+        await self._write(revision, era, fencing)
 
-    async def _write(self, revision: int, fencing: int) -> None:
+    async def _write(self, revision: int, era: int, fencing: int) -> None:
         self.renewal += 1
         renewal = self.renewal
         self.own_revision = None
         self.sent_at[renewal] = self.clock.monotonic()
-        row = self._row(renewal, fencing, released=False)
-        write = stores.Write(TABLE, self.name, row.to_value(), revision)
+        self.highest_token = max(self.highest_token, fencing)
+        row = self._row(renewal, fencing, era, released=False)
+        write = stores.Write(TABLE, self.name, row.to_value(), revision, era)
         written = await self.store.transact([write])
         if self._has_lapsed(fencing):
             # With the same fencing token, orders from before and after the gap
             # could not be distinguished. The next step uses a new token.
             self.sent_at.pop(renewal, None)
         elif written.is_ok():
-            self.own_revision = written.ok[0]
+            self.own_revision, self.own_era = written.ok[0], era
             self.holder = self.owner
             self._extend_grant(fencing, renewal)
         elif written.is_error() and isinstance(
@@ -322,16 +401,18 @@
         read = await self.store.read(TABLE, self.name)
         if read.is_error() or read.ok is None:
             return
-        row = read_row(read.ok)
-        if row.token != self.token or row.released:
+        row, era = read_row(read.ok), read.ok.era
+        if row.token != self.token or row.released or row.era != era:
             return
-        released = self._row(row.renewal, row.fencing, released=True)
+        released = self._row(row.renewal, row.fencing, era, released=True)
         write = stores.Write(
-            TABLE, self.name, released.to_value(), read.ok.revision
+            TABLE, self.name, released.to_value(), read.ok.revision, era
         )
         await self.store.transact([write])
 
-    def _row(self, renewal: int, fencing: int, released: bool) -> LeaseRow:
+    def _row(
+        self, renewal: int, fencing: int, era: int, released: bool
+    ) -> LeaseRow:
         return LeaseRow(
             holder=self.owner,
             token=self.token,
@@ -339,6 +420,7 @@
             fencing=fencing,
             duration_s=self.settings.duration_s,
             released=released,
+            era=era,
         )
 
     async def _loop(self) -> None:
