Write nodes' rows and the peers' secret again after the store's return

What nodes wrote since the copy is lost, and only a minute later a node read the rows and noticed that its own is missing. A node that started while the secret was lost created another one, and stayed alone.

Each node now writes its row again in each new era, at a random time that is spread by the number of nodes. The first six by name read the secret and write it again; of two secrets, all nodes take the one of the earlier era. A node whose secret was created in the present era reads it once more after 2.5 s, and a node without peers reads the rows every second at first.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -828,6 +828,26 @@
     peer: str
 
 
+class NodeRowRestored(Event, frozen=True):
+    """This node wrote its row again, after the store lost newer writes."""
+
+    number = 7007
+    message = "node row restored"
+
+    era: int
+    seconds: float
+
+
+class SecretReplaced(Event, frozen=True):
+    """This node now uses the peers' secret of an earlier group of nodes."""
+
+    number = 7008
+    level = logging.WARNING
+    message = "secret replaced"
+
+    era: int
+
+
 class PeerLeaving(Event, frozen=True):
     """A node announced its shutdown; callers are no longer sent there."""
 
--- a/src/almondshift/ports/peers.py
+++ b/src/almondshift/ports/peers.py
@@ -105,9 +105,11 @@
 
     Attributes:
         address: ``host:port`` that peers reach it by, known after ``start``.
+        secret: Shared secret of all nodes; it may be replaced at any time.
     """
 
     address: str
+    secret: str
 
     @abc.abstractmethod
     async def start(
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -37,8 +37,10 @@
 from almondshift.relay import observer
 from almondshift.relay import peer_paths
 from almondshift.relay import refusing_engines
+from almondshift.relay import restored_rows
 from almondshift.relay import runs
 from almondshift.relay import shared_feed
+from almondshift.relay import shared_secret
 from almondshift.relay import silence_watch
 from almondshift.relay import table_watch
 
@@ -245,8 +247,15 @@
             ),
         )
         self.rows = group.NodeRows(ports.table, ports.clock)
+        self.secret = shared_secret.SharedSecret(ports.table)
+        self.restored_rows = restored_rows.RestoredRows(
+            self.rows, self.secret, ports.clock, ports.rng
+        )
         self.keeper.lease.may_contend = self.may_contend
         self.keeper.lease.may_hold = self.may_hold_lease
+        self.keeper.lease.may_take_absent = lambda: self.secret.is_of_era(
+            ports.table.era
+        )
         self.keeper.is_cut_off = self.shared.peer_paths.is_cut_off
         self.group: group.Group | None = None
         self.size = group_size.GroupSize(ports.clock.monotonic())
@@ -306,8 +315,9 @@
 
     async def join(self) -> None:
         """Joins the group of nodes."""
-        secret = await self.rows.shared_secret()
+        secret = await self.secret.obtain()
         name = self.settings.node.name
+        self.restored_rows.begin(self.ports.table.era)
         while not await self.rows.announce(name, self.settings.peers.address):
             await asyncio.sleep(group.RETRY_S)
         members = membership.create_membership(
@@ -324,6 +334,9 @@
             MEMBERSHIP_SETTINGS,
         )
         node_group = group.Group(members)
+        self.secret.on_changed = lambda text: self.replace_secret(
+            members.link, text
+        )
         for watch in (self.config_watch, self.engine_watch):
             node_group.register_handler(
                 watch.table, peer_request_handler(watch)
@@ -351,8 +364,25 @@
         self.update_node_counts(node_group)
         self.gateway.group = node_group
         self.work.run(self.sweep_rows(node_group))
+        self.rows.is_alone = lambda: not node_group.serving()
+        self.restored_rows.nodes = lambda: 1 + len(node_group.serving())
+        self.restored_rows.checks_secret = lambda: node_group.is_among_first(
+            MAX_CONTENDERS
+        )
+        self.work.run(self.restored_rows.check_new_secret(self.ports.table.era))
         self.keeper.lease.is_holder_alive = node_group.is_alive
 
+    def replace_secret(self, link: peers.PeerLink, text: str) -> None:
+        """Uses another secret, and finds the nodes that share it."""
+        link.secret = text
+        self.ports.peer_entries.secret = text
+        self.rows.next_read_at = 0.0
+
+    def note_store_era(self) -> None:
+        """Writes this node's rows again if the store lost newer writes."""
+        if self.restored_rows.note_era(self.ports.table.era):
+            self.work.run(self.restored_rows.write())
+
     def may_contend(self) -> bool:
         """Returns whether this node currently contends for the lease.
 
@@ -402,6 +432,7 @@
             log_events.emit(
                 logger, log_events.NodeResumed(round(suspended_s, 2))
             )
+        self.note_store_era()
         if self.catalogue.has_due_removals(now):
             self.work.run(self.expire_removals())
         self.shared.crash_watch.tick()
--- a/src/almondshift/relay/group.py
+++ b/src/almondshift/relay/group.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import math
-import secrets
 from typing import TYPE_CHECKING
 
 from almondshift import log_events
@@ -27,11 +26,6 @@
 """Table with a row for each node that has started; ``peer`` is the address for
 connections of peers."""
 
-SECRET_TABLE = "almondshift-keys"
-SECRET_KEY = "peers"
-SECRET_BYTES = 24
-"""Length of the group's shared secret, in bytes."""
-
 ASK_TIMEOUT_S = 0.4
 """Time-out of a request to a peer, in seconds."""
 
@@ -47,7 +41,7 @@
 link is likely at fault, and callers are given all live peers."""
 
 RETRY_S = 0.3
-"""Interval between attempts to read or create the shared secret, in seconds."""
+"""Interval between attempts to write this node's row, in seconds."""
 
 MAX_NODE_ROWS = 500
 """Maximum number of node rows in one read."""
@@ -71,6 +65,12 @@
 before it reads, so of any two that start together at least one finds the other.
 Later reads only help groups that lost contact."""
 
+ALONE_READ_INTERVAL_S = 1.0
+ALONE_PERIOD_S = 10.0
+"""Interval between these reads while no peer is known, and the time after a
+write of this node's row for which that applies, in seconds. Rows that the store
+lost when it returned from a copy are written again a little later."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -78,11 +78,13 @@
     """Rows in the store by which nodes discover each other.
 
     Attributes:
-        stale: Revisions of the rows whose nodes were unknown at the last
-            sweep, by node name.
+        stale: Eras and revisions of the rows whose nodes were unknown at the
+            last sweep, by node name.
         addresses: Peer addresses in the rows that were read last.
         names: Node names in the rows that were read last; empty before the
             first read.
+        announced_at: Monotonic time of the last write of this node's row.
+        is_alone: Returns whether this node knows no peer.
     """
 
     def __init__(self, store: stores.TableStore, clock: clocks.Clock) -> None:
@@ -90,33 +92,28 @@
         self.clock = clock
         self.name = ""
         self.peer_address = ""
-        self.stale: dict[str, int] = {}
+        self.stale: dict[str, tuple[int, int]] = {}
         self.addresses: list[str] = []
         self.names: list[str] = []
         self.next_read_at = 0.0
-
-    async def shared_secret(self) -> str:
-        """Returns the secret that all nodes share; the first node creates it.
-
-        Waits until the store responds, since without the secret a node can
-        neither authenticate to peers nor verify them.
-        """
-        while True:
-            secret = await self._read_or_create_secret()
-            if secret:
-                return secret
-            await asyncio.sleep(RETRY_S)
+        self.announced_at = -math.inf
+        self.is_alone: Callable[[], bool] = lambda: False
 
     async def announce(self, name: str, peer_address: str) -> bool:
         """Writes this node's row; returns whether the write is confirmed."""
         self.name, self.peer_address = name, peer_address
-        value = {"peer": peer_address}
-        write = stores.Write(TABLE, name, value, None)
+        return await self.announce_again()
+
+    async def announce_again(self) -> bool:
+        """Writes the row of ``announce`` again."""
+        value = {"peer": self.peer_address}
+        write = stores.Write(TABLE, self.name, value, None)
+        self.announced_at = self.clock.monotonic()
         return (await self.store.transact([write])).is_ok()
 
     async def peer_addresses(self) -> list[str]:
         """Returns peer addresses; the last known ones if the store fails."""
-        if self.clock.monotonic() < self.next_read_at:
+        if self.clock.monotonic() < self._next_read_at():
             return self.addresses
         rows = await self.store.scan(TABLE, "", MAX_NODE_ROWS)
         if rows.is_ok():
@@ -125,9 +122,15 @@
             found = [str(row.value.get("peer", "")) for row in rows.ok]
             self.addresses = [address for address in found if address]
             if self.name and self.name not in self.names:
-                await self.announce(self.name, self.peer_address)
+                await self.announce_again()
         return self.addresses
 
+    def _next_read_at(self) -> float:
+        is_recent = self.clock.monotonic() - self.announced_at < ALONE_PERIOD_S
+        if is_recent and self.is_alone():
+            return self.next_read_at - READ_INTERVAL_S + ALONE_READ_INTERVAL_S
+        return self.next_read_at
+
     def is_among_first(self, count: int) -> bool:
         """Returns whether fewer than ``count`` rows have smaller names.
 
@@ -153,30 +156,19 @@
         read = await self.store.scan(TABLE, "", MAX_NODE_ROWS)
         if read.is_error():
             return []
-        unknown = {r.key: r.revision for r in read.ok if r.key not in known}
+        unknown = {
+            r.key: (r.era, r.revision) for r in read.ok if r.key not in known
+        }
         removed = []
-        for name, revision in unknown.items():
-            if self.stale.get(name) != revision:
+        for name, (era, revision) in unknown.items():
+            if self.stale.get(name) != (era, revision):
                 continue
-            write = stores.Write(TABLE, name, None, revision)
+            write = stores.Write(TABLE, name, None, revision, era)
             if (await self.store.transact([write])).is_ok():
                 removed.append(name)
         self.stale = unknown
         return removed
 
-    async def _read_or_create_secret(self) -> str:
-        read = await self.store.read(SECRET_TABLE, SECRET_KEY)
-        if read.is_error():
-            return ""
-        if read.ok is not None:
-            return str(read.ok.value.get("secret", ""))
-        created = secrets.token_hex(SECRET_BYTES)
-        write = stores.Write(
-            SECRET_TABLE, SECRET_KEY, {"secret": created}, stores.ABSENT
-        )
-        written = await self.store.transact([write])
-        return created if written.is_ok() else ""
-
 
 class Group:
     """The group of nodes that serve together.
--- a/tests/fakes/tables.py
+++ b/tests/fakes/tables.py
@@ -13,6 +13,8 @@
 from almondshift.ports import stores
 from almondshift.standins.platform import tables
 
+Written = expression.Result[list[int], stores.StoreError]
+
 
 class Outcome(enum.Enum):
     """What happens to one call."""
