Send no orders from the registry of a restored copy

The copy shows layers that engines held some seconds ago. The lease holder planned from them at once, so that engines loaded layers that they held or had given up. It now waits for 2.5 s from when it notices the new era; the engines write their entries again within about 2 s.

Measured: in six cases (an engine with other layers in the copy, its entry written again after 0.4 or 2.0 s) no order is sent; without the wait an order is sent in each. The layers of an engine that doesn't come back are placed within 3.5 s.

--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -381,6 +381,7 @@
     def note_store_era(self) -> None:
         """Writes this node's rows again if the store lost newer writes."""
         if self.restored_rows.note_era(self.ports.table.era):
+            self.keeper.pause_after_restore()
             self.work.run(self.restored_rows.write())
 
     def may_contend(self) -> bool:
--- a/src/almondshift/relay/layer_keeper.py
+++ b/src/almondshift/relay/layer_keeper.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import logging
+import math
 from typing import TYPE_CHECKING
 
 from almondshift import log_events
@@ -48,6 +49,11 @@
 ``LOAD_TIMEOUT_FACTOR``, plus these seconds. Concurrent loads share the weight
 store."""
 
+RESTORED_PAUSE_S = 2.5
+"""Time without orders after the store returned from an older copy, in seconds.
+Its registry shows layers that engines held then, until they write their entries
+again."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -83,6 +89,7 @@
             last new or changed.
         settled_fleets: The fleet for which the last plan needed no orders, by
             service; it is not planned again until it changes.
+        paused_until: Monotonic time until which no orders are sent.
         is_cut_off: Returns whether peers reach a service's engines while this
             node does not. They are not dead then, and no layers are moved.
     """
@@ -99,6 +106,7 @@
         self.last_new_engine_at = shared.clock.monotonic()
         self.was_holder = False
         self.settled_fleets: dict[str, list[layer_holdings.PlannedEngine]] = {}
+        self.paused_until = -math.inf
         self.is_cut_off: Callable[[str], bool] = lambda service: False
         self.work = background.Background()
 
@@ -132,6 +140,11 @@
         self.pending.pop(engine.instance, None)
         self.accepted_orders.pop(engine.instance, None)
 
+    def pause_after_restore(self) -> None:
+        """Sends no orders until engines have written their entries again."""
+        now = self.shared.clock.monotonic()
+        self.paused_until = now + RESTORED_PAUSE_S
+
     def tick(self) -> None:
         """Plans and sends orders if this node holds the lease."""
         grant = self.lease.grant()
@@ -142,6 +155,8 @@
         if config is None:
             return
         now = self.shared.clock.monotonic()
+        if now < self.paused_until:
+            return
         self.resend_orders(now, grant)
         for service in config.services:
             view = self.shared.catalogue.view(service)
--- a/src/almondshift/relay/restored_rows.py
+++ b/src/almondshift/relay/restored_rows.py
@@ -60,14 +60,16 @@
         self.era = self.written_era = era
 
     def note_era(self, era: int) -> bool:
-        """Records the store's era; returns whether ``write`` must be called."""
+        """Records the store's era; returns whether it is newer."""
         if self.era is None or era <= self.era:
             return False
         self.era = era
-        return not self.is_writing
+        return True
 
     async def write(self) -> None:
         """Writes the rows until the store confirms them in the newest era."""
+        if self.is_writing:
+            return
         self.is_writing = True
         began_at = self.clock.monotonic()
         try:
