Notice a new era of the store as soon as any of its answers names it

A node that reads the store through peers learned of the era for its tables only, and the lease holder only at its next check; a plan from restored entries could come first.

--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -380,7 +380,8 @@
 
     def note_store_era(self) -> None:
         """Writes this node's rows again if the store lost newer writes."""
-        if self.restored_rows.note_era(self.ports.table.era):
+        era = max(self.ports.table.era, self.feed.era)
+        if self.restored_rows.note_era(era):
             self.keeper.pause_after_restore()
             self.work.run(self.restored_rows.write())
 
@@ -481,6 +482,7 @@
         self.feed.note_era(era)
         for watch in (self.config_watch, self.engine_watch):
             watch.note_era(era)
+        self.note_store_era()
 
     def apply_config(
         self, rows: list[row_feeds.FeedRow], verified: bool
@@ -502,6 +504,7 @@
 
     def apply_registry(self, rows: tuple[row_feeds.FeedRow, ...]) -> None:
         """Applies a full read of the engine registry."""
+        self.note_store_era()
         now = self.ports.clock.monotonic()
         self.catalogue.apply_whole_registry(
             rows, now, self.engine_watch.outage_ended_at
--- a/tests/platform/test_restored_rows.py
+++ b/tests/platform/test_restored_rows.py
@@ -143,3 +143,18 @@
     finally:
         pool.close()
         await platform.close()
+
+
+@asynchronous.run
+async def test_node_that_learns_of_an_era_from_peers_writes_its_row() -> None:
+    """Most nodes of a large group never call the store themselves."""
+    async with standin_system.running_system(1) as system:
+        [process] = system.nodes
+        await system.until(lambda: node_rows(system) == names(system))
+        era = process.node.ports.table.era
+        system.store.remove(group.TABLE, process.node.settings.node.name)
+        process.node.feed.note_era(era + 1)
+        learned_at = time.monotonic()
+        await system.until(lambda: node_rows(system) == names(system))
+        assert time.monotonic() - learned_at <= RESTORED_S
+        assert process.node.keeper.paused_until > learned_at
