Don't take a pause of all engines for a lost link

What callers saw: when all engines of a service paused for about a second, each stream ran on one or two more engines than its route allows.

Cause: a node that no endpoint answers for half a second is isolated, and `is_cut_off` left attempts uncounted from then on: silence taken for a cut. Such a stream was also cancelled where no peer could take it.

Now a node counts as cut off once it is isolated and has had no data for `MAX_PAUSE_S`, or at once if connections fail.

--- a/src/almondshift/policy/isolation.py
+++ b/src/almondshift/policy/isolation.py
@@ -66,6 +66,10 @@
         """Whether no endpoint can be reached."""
         return self.isolated_since is not None
 
+    def is_isolated_for(self, seconds: float, now: float) -> bool:
+        """Returns whether the node is isolated and got no data for a time."""
+        return self.is_isolated and now - self.last_response_at >= seconds
+
     def note_response(self, now: float) -> None:
         """Records data from an endpoint."""
         self.last_response_at = now
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -221,6 +221,13 @@
         )
         return True
 
+    def can_pass_to_peer(self) -> bool:
+        """Returns whether a peer may serve the request."""
+        if self.routed.from_peer or len(self.tried_peers) >= MAX_PEERS:
+            return False
+        paths = self.shared.peer_paths
+        return paths.choose(self.routed.service, self.tried_peers) is not None
+
     def log_no_peer(self) -> None:
         """Logs why no peer can serve the request."""
         states = self.shared.peer_paths.states(self.routed.service)
--- a/src/almondshift/relay/stream_moves.py
+++ b/src/almondshift/relay/stream_moves.py
@@ -103,7 +103,9 @@
                 continue
             if now - attempt.active_at < path_probe.silence_limit_s(run):
                 continue
-            if self.shared.tracker.is_lost(attempt.first.instance):
+            if run.links.is_isolated:
+                run.resume_elsewhere("no endpoint responds")
+            elif self.shared.tracker.is_lost(attempt.first.instance):
                 run.resume_elsewhere("first engine lost")
 
     def is_streaming(self, instance: str) -> bool:
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -512,10 +512,12 @@
     def is_cut_off(self) -> bool:
         """Returns whether attempts fail since this node's links do.
 
-        Such attempts don't count against the route's ``max_attempts``.
+        Such attempts don't count against the route's ``max_attempts``. A node
+        that no engine responds to may be cut off, or all engines pause.
         """
-        return self.links.is_isolated or self.links.is_link_suspect(
-            self.loop.time()
+        now = self.loop.time()
+        return self.links.is_link_suspect(now) or self.links.is_isolated_for(
+            engine_tracker.MAX_PAUSE_S, now
         )
 
     def may_lose_runs(self) -> bool:
@@ -573,7 +575,7 @@
         if not self.can_retry(0 if is_uncounted else 1):
             return False
         if self.links.is_isolated:
-            return True
+            return self.can_pass_to_peer()
         avoid = self.failed_engines | {first}
         return self.choose_unlimited_path(avoid) is not None
 
