Soak: pauses of sound engines and a check of the runs of each request

A pause is no disturbance, so that every promise holds. The new check RUNS counts requests that ran on more engines than their route allows; at most three may.

--- a/tests/soak/disturbances.py
+++ b/tests/soak/disturbances.py
@@ -17,6 +17,11 @@
 
 CUT_OFF = "cut off from engines"
 
+ENDS_RUNS = frozenset(
+    {"kill", "exit", "link reset", "link up", "link down", "link both"}
+)
+"""Faults of an engine after which a run there is lost."""
+
 NOT_ENDED = float("inf")
 
 
@@ -54,6 +59,15 @@
     end: float = NOT_ENDED
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EnginePause:
+    """A pause of a sound engine, which waives no guarantee."""
+
+    engine: str
+    start: float
+    end: float
+
+
 class Disturbances:
     """All disturbances of a soak."""
 
@@ -61,6 +75,7 @@
         self.all: list[Disturbance] = []
         self.limits: list[NamedLimit] = []
         self.backoffs: list[Backoff] = []
+        self.pauses: list[EnginePause] = []
 
     def begin(
         self, target: str, what: str, is_planned: bool = False
@@ -84,6 +99,13 @@
         finally:
             disturbance.end = time.monotonic()
 
+    def is_sound(self, engine: str) -> bool:
+        """Returns whether an engine has no fault, limit or backoff now."""
+        unsound = {d.target for d in self.all if d.end == NOT_ENDED}
+        unsound |= {d.engine for d in self.limits if d.end == NOT_ENDED}
+        unsound |= {d.engine for d in self.backoffs if d.end == NOT_ENDED}
+        return engine not in unsound
+
     def is_undisturbed(
         self,
         targets: set[str],
--- a/tests/soak/engine_process.py
+++ b/tests/soak/engine_process.py
@@ -31,6 +31,7 @@
 
 STATE_PATH = "/soak/state"
 CONTROL_PATH = "/soak/control"
+PAUSE_PATH = "/soak/pause"
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,6 +77,7 @@
                 (names.ENGINE_ORDER, OrderHandler, engine),
                 (STATE_PATH, StateHandler, engine),
                 (CONTROL_PATH, ControlHandler, engine),
+                (PAUSE_PATH, PauseHandler),
                 (
                     standin_engines.HEALTH_PATH,
                     standin_engines.HealthHandler,
@@ -169,6 +171,16 @@
         self.engine.on_change()
 
 
+class PauseHandler(web.RequestHandler):
+    """Blocks the whole process until a monotonic time."""
+
+    async def post(self) -> None:
+        until = json.loads(self.request.body)["until"]
+        await self.finish()
+        # Unlike SIGSTOP, this leaves the suspensions of other faults alone.
+        time.sleep(max(0.0, until - time.monotonic()))
+
+
 class OrderHandler(standin_engines.OrderHandler):
     engine: SoakEngine
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -13,6 +13,7 @@
 from tests.soak import engine_process
 from tests.soak import layout
 from tests.soak import ledger
+from tests.soak import store_process
 from tests.soak import system as soak_system
 
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -63,6 +64,7 @@
     LIMIT = "an engine gets no more requests than the limit it names"
     BACKOFF = "an engine gets hardly any requests in its backoff"
     CUT_OFF = "callers of nodes without engines are served by peers"
+    RUNS = "requests run on no more engines than their routes allow"
     RECOVERS = "requests are served again after the last fault"
     INTERNAL = "no internal error reaches a caller"
 
@@ -310,6 +312,64 @@
         for backoff in self.history().backoffs:
             self.check_backoff(backoff)
         self.check_cut_off()
+        self.check_runs()
+
+    def check_runs(self) -> None:
+        """Checks on how many engines each request ran."""
+        over = {
+            request.request_id: engines
+            for request in self.requests.values()
+            if len(engines := self.counted_engines(request))
+            > layout.MAX_ATTEMPTS
+        }
+        if len(over) > layout.MAX_REQUESTS_OVER_ATTEMPTS:
+            detail = f"{len(over)} requests over the limit: {over}"
+            self.report_violation(Promise.RUNS, detail)
+
+    def counted_engines(self, request: callers.SentRequest) -> list[str]:
+        """Returns the engines that ran a request and did not end meanwhile."""
+        runs = self.work[request.request_id].ran
+        if not runs:
+            return []
+        lived_until = max(request.ended_at, *(run.at for run in runs))
+        is_cut_off = any(
+            d.target == request.node
+            and d.what == disturbances.CUT_OFF
+            and d.start <= lived_until
+            and d.end >= request.sent_at
+            for d in self.history().all
+        )
+        if is_cut_off:
+            return []
+        return sorted(
+            {
+                run.engine
+                for run in runs
+                if not self.lost_engine(run, lived_until + EXIT_DETECTION_S)
+            }
+        )
+
+    def lost_engine(self, run: ledger.Row, until: float) -> bool:
+        """Returns whether an engine on the path of a run ended or was cut off.
+
+        An engine that is suspended until its entry expires counts as ended.
+        """
+        engines = self.engines_of(Work(arrived=[run]))
+        if any(self.left_at.get(engine, until) < until for engine in engines):
+            return True
+        return any(
+            d.target in engines
+            and (
+                d.what in disturbances.ENDS_RUNS
+                or (
+                    d.what == "pause"
+                    and d.end - d.start >= store_process.ENTRY_TTL_S
+                )
+            )
+            and d.start <= until
+            and d.end >= run.at
+            for d in self.history().all
+        )
 
     def check_backoff(self, backoff: disturbances.Backoff) -> None:
         """Checks undisturbed nodes' requests to an engine in its backoff."""
--- a/tests/soak/layout.py
+++ b/tests/soak/layout.py
@@ -54,6 +54,10 @@
 """An engine that asks a node for a backoff gets at most so many requests from
 it between the slack and the end of the backoff."""
 
+MAX_ATTEMPTS = 2
+MAX_REQUESTS_OVER_ATTEMPTS = 3
+"""At most so many requests run on more engines than their route allows."""
+
 LAYERS = 80
 LAYER_MB = 1750.0
 ENGINE_MB = 72_000.0
@@ -84,6 +88,7 @@
         limits: Number of times that an engine names a rate limit for a while.
         cuts: Number of times that nodes lose all engines for a while.
         backoffs: Number of times that an engine asks for a backoff.
+        pauses: Number of series in which sound engines fall silent.
     """
 
     seed: int
@@ -95,6 +100,7 @@
     limits: int = 0
     cuts: int = 0
     backoffs: int = 0
+    pauses: int = 0
 
     def plain_engines(self) -> int:
         """Returns how many endpoints serve plain requests."""
@@ -203,7 +209,7 @@
         "gapAimMs": 200,
         # Two even for routes whose kind allows only one run: the kind decides
         # what is retried, not this number.
-        "maxAttempts": 2,
+        "maxAttempts": MAX_ATTEMPTS,
         **more,
     }
 
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -27,6 +27,7 @@
         requests: Number of requests by outcome.
         peak_node_mb: Largest resident memory of a node.
         pauses: When the harness, and with it all links, was paused.
+        engine_pauses: When sound engines were silent.
     """
 
     options: dict[str, Any]
@@ -39,6 +40,7 @@
     engine_starts: int
     peak_node_mb: float
     pauses: list[str]
+    engine_pauses: list[str]
     violations: list[soak_judge.Violation]
     disturbances: list[str]
 
@@ -69,6 +71,11 @@
             for d in system.disturbances.all
             if d.target == disturbances.HARNESS
         ],
+        engine_pauses=[
+            f"{p.start - judge.started:.2f} to {p.end - judge.started:.2f} "
+            f"{p.engine}"
+            for p in system.disturbances.pauses
+        ],
         violations=judge.violations,
         disturbances=[
             f"{d.start - judge.started:.2f} to {d.end - judge.started:.2f} "
@@ -98,6 +105,7 @@
         f"starts: nodes {report.node_starts}, engines {report.engine_starts}",
         f"largest node: {report.peak_node_mb} MB",
         f"pauses of the harness: {len(report.pauses)}",
+        f"pauses of sound engines: {len(report.engine_pauses)}",
         f"violations: {len(report.violations)}",
     ]
     for violation in report.violations:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,6 +12,7 @@
 
 from tests.soak import callers
 from tests.soak import config_probes
+from tests.soak import engine_pauses
 from tests.soak import faults
 from tests.soak import judge as soak_judge
 from tests.soak import layout
@@ -42,7 +43,10 @@
         self.system = soak_system.SoakSystem(options, folder)
         self.judge = soak_judge.Judge(self.system)
         self.rng = random.Random(options.seed)
-        self.faults = faults.draw(self.rng, options)
+        self.faults = sorted(
+            faults.draw(self.rng, options) + engine_pauses.draw(options),
+            key=lambda fault: fault.at_s,
+        )
         self.injected = 0
         self.prober = callers.SoakCaller(-1, self.system, self.judge)
         self.stalls = stalls.Stalls(options.seed, options.stalls_per_s)
@@ -194,6 +198,12 @@
     parser.add_argument(
         "--backoffs", type=int, default=0, help="engines that ask for a backoff"
     )
+    parser.add_argument(
+        "--pauses",
+        type=int,
+        default=0,
+        help="series in which sound engines fall silent",
+    )
     parser.add_argument("--folder", type=pathlib.Path)
     parser.add_argument("--regressions", action="store_true")
     args = parser.parse_args()
@@ -221,6 +231,7 @@
         limits=args.limits,
         cuts=args.cuts,
         backoffs=args.backoffs,
+        pauses=args.pauses,
     )
 
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -139,6 +139,7 @@
         on_exit: Called with each process that exited and its exit code.
         on_change: Called with each change of the configuration.
         writing: Held while the operator writes a configuration.
+        pausing: Held while sound engines are silent.
     """
 
     def __init__(
@@ -166,6 +167,7 @@
         self.on_change: Callable[[config_probes.ConfigChange], None]
         self.on_change = lambda change: None
         self.writing = asyncio.Lock()
+        self.pausing = asyncio.Lock()
         self.http = httpclient.AsyncHTTPClient(max_clients=100)
         self.watching: asyncio.Task[None] | None = None
         self.is_closing = False
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -293,6 +293,104 @@
     check(judge, request)
 
 
+def run_on_more_engines(judge: Judge, count: int) -> list[Sent]:
+    """Adds requests that each ran on one engine more than allowed."""
+    requests = []
+    for number in range(count):
+        request = sent("chat", 3)
+        request.request_id = f"r{number}"
+        request.body = soak_judge.expected_body(request)
+        judge.record_sent(request)
+        judge.process_rows(
+            [
+                ran(request, f"e{engine}-0")
+                for engine in range(layout.MAX_ATTEMPTS + 1)
+            ]
+        )
+        judge.check_answer(request)
+        requests.append(request)
+    return requests
+
+
+def too_many_requests_over_their_attempts(judge: Judge) -> None:
+    run_on_more_engines(judge, layout.MAX_REQUESTS_OVER_ATTEMPTS + 1)
+    judge.finish()
+
+
+def few_requests_over_their_attempts(judge: Judge) -> None:
+    run_on_more_engines(judge, layout.MAX_REQUESTS_OVER_ATTEMPTS)
+    judge.finish()
+
+
+def runs_beside(
+    judge: Judge, target: str, what: str, lasts_s: float = 0.0
+) -> None:
+    """Adds runs on too many engines and a fault 0.5 s after they began."""
+    requests = run_on_more_engines(judge, layout.MAX_REQUESTS_OVER_ATTEMPTS + 1)
+    fault = judge.history().begin(target, what)
+    fault.start = requests[0].sent_at + 0.5
+    fault.end = fault.start + lasts_s
+    judge.finish()
+
+
+def runs_on_a_killed_engine(judge: Judge) -> None:
+    runs_beside(judge, "e0-0", "kill")
+
+
+def runs_on_an_engine_that_is_cut_off(judge: Judge) -> None:
+    runs_beside(judge, "e0-0", "link both", 0.8)
+
+
+def runs_on_an_engine_with_a_slow_link(judge: Judge) -> None:
+    runs_beside(judge, "e0-0", "link delay", 0.8)
+
+
+def runs_on_an_engine_that_stands_still(judge: Judge) -> None:
+    runs_beside(judge, "e0-0", "pause", 0.8)
+
+
+def runs_on_an_engine_whose_entry_expires(judge: Judge) -> None:
+    runs_beside(judge, "e0-0", "pause", 4.0)
+
+
+def runs_from_a_node_that_is_cut_off(judge: Judge) -> None:
+    runs_beside(judge, "n0", disturbances.CUT_OFF, 4.0)
+
+
+def runs_after_an_engine_was_killed(judge: Judge) -> None:
+    requests = run_on_more_engines(judge, layout.MAX_REQUESTS_OVER_ATTEMPTS + 1)
+    judge.history().note("e0-0", "kill")
+    judge.history().all[-1].start = requests[0].sent_at - 0.5
+    judge.history().all[-1].end = requests[0].sent_at - 0.5
+    judge.finish()
+
+
+def runs_on_an_engine_that_leaves(judge: Judge) -> None:
+    requests = run_on_more_engines(judge, layout.MAX_REQUESTS_OVER_ATTEMPTS + 1)
+    left = row(requests[0], ledger.RowKind.LEFT)
+    left.at = requests[0].sent_at + 0.5
+    judge.process_rows([left])
+    judge.finish()
+
+
+def pause_engine(judge: Judge, request: Sent) -> None:
+    start = request.sent_at + 0.2
+    pause = disturbances.EnginePause("e0-0", start, start + 1.0)
+    judge.history().pauses.append(pause)
+
+
+def cut_while_an_engine_is_silent(judge: Judge) -> None:
+    request = cut_request()
+    pause_engine(judge, request)
+    check(judge, request, arrived(request), ran(request))
+
+
+def whole_answer_of_a_silent_engine(judge: Judge) -> None:
+    request = sent("talk", 3)
+    pause_engine(judge, request)
+    check(judge, request, arrived(request), ran(request))
+
+
 @pytest.mark.parametrize(
     ("history", "promises"),
     [
@@ -326,6 +424,18 @@
         (requests_after_a_backoff_that_ended_early, []),
         (few_requests_in_a_backoff, []),
         (too_many_requests_in_a_backoff, [Promise.BACKOFF]),
+        (too_many_requests_over_their_attempts, [Promise.RUNS]),
+        (few_requests_over_their_attempts, []),
+        (runs_on_a_killed_engine, []),
+        (runs_on_an_engine_that_is_cut_off, []),
+        (runs_on_an_engine_with_a_slow_link, [Promise.RUNS]),
+        (runs_on_an_engine_that_stands_still, [Promise.RUNS]),
+        (runs_on_an_engine_whose_entry_expires, []),
+        (runs_from_a_node_that_is_cut_off, []),
+        (runs_after_an_engine_was_killed, [Promise.RUNS]),
+        (runs_on_an_engine_that_leaves, []),
+        (cut_while_an_engine_is_silent, [Promise.CUT]),
+        (whole_answer_of_a_silent_engine, []),
     ],
 )
 def test_judge_reports_exactly_the_violated_guarantees(
