--- a/tests/soak/engine_pauses.py
+++ b/tests/soak/engine_pauses.py
@@ -20,7 +20,6 @@
 """The minimum gives the first engine of a path time to see that the others are
 back: it cuts streams after a long wait."""
 
-ENGINES_IN_SERIES = (3, 8)
 ZONE_PROBABILITY = 0.15
 
 
@@ -72,21 +71,23 @@
     """Draws series of pauses that leave the other faults of a seed alone."""
     rng = random.Random(f"{options.seed}/{PauseSoundEngines.__name__}")
     found: list[faults.Fault] = []
-    for _ in range(options.pauses):
-        found += draw_series(rng, options)
-    return [fault for fault in found if fault.at_s < options.seconds]
+    for number in range(options.pauses):
+        share_s = options.seconds / options.pauses
+        start_s = (number + rng.uniform(0.0, 0.3)) * share_s
+        end_s = (number + 1) * share_s
+        found += draw_series(rng, options.engines, start_s, end_s)
+    return found
 
 
 def draw_series(
-    rng: random.Random, options: layout.SoakOptions
+    rng: random.Random, engines: int, at_s: float, end_s: float
 ) -> list[faults.Fault]:
     """Draws pauses of one engine after the other."""
-    at_s = rng.uniform(0.0, options.seconds)
-    first = rng.randrange(options.engines)
+    first = rng.randrange(engines)
     series: list[faults.Fault] = []
-    for number in range(rng.randint(*ENGINES_IN_SERIES)):
+    while at_s < end_s:
         # The middle of the engine's share, so that rounding keeps the turn.
-        pick = ((first + number) % options.engines + 0.5) / options.engines
+        pick = ((first + len(series)) % engines + 0.5) / engines
         lasts_s = rng.uniform(*PAUSE_S)
         series.append(PauseSoundEngines(at_s, pick, lasts_s, rng.random()))
         at_s += lasts_s + rng.uniform(*GAP_S)
