Soak: restores of the store from an older copy

Versions go back and are given out again, a read after a version that it doesn't have gets 410, rows that nodes wrote since are gone, the operator's and the engines' rows are written again. Store-Era is sent in all answers to nodes, era 1 without the option.

The judge counts a restore as a disturbance of the store.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -57,6 +57,9 @@
 
     Attributes:
         acked_at: When the configuration behind ``expected`` was acked.
+        version: The version of that configuration.
+        proven_version: The version that its success shows to be in force; 0
+            for none.
         ended_at: When the exchange ended; 0 while it is in progress.
         body: The part of the response body that was received.
     """
@@ -77,6 +80,8 @@
     body: bytes = b""
     expected: Expected = Expected.ALLOWED
     acked_at: float = 0.0
+    version: int = 0
+    proven_version: int = 0
 
     def target(self) -> str:
         return f"/{self.route}/x?q={self.request_id}"
--- a/tests/soak/config_probes.py
+++ b/tests/soak/config_probes.py
@@ -11,10 +11,14 @@
 from tests.soak import layout
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from tests.soak import judge as soak_judge
     from tests.soak import system as soak_system
 
 PROBE_MARGIN_S = 0.1
+WATCH_S = 8.0
+WATCH_INTERVAL_S = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,18 +47,43 @@
         self.prober = callers.SoakCaller(-2, system, judge)
         self.judge = judge
         self.tasks: set[asyncio.Task[None]] = set()
+        self.latest: list[ConfigChange] = []
         system.on_change = self.begin
+        system.on_restored = self.begin_after_restore
 
     def begin(self, change: ConfigChange) -> None:
-        task = asyncio.create_task(self.probe_all(change))
-        self.tasks.add(task)
+        self.add(self.probe_when_due(change))
+        if self.system.options.restores:
+            same = [c for c in self.latest if c.version == change.version]
+            self.latest = [*same, change]
+            self.add(self.watch(change))
+
+    def begin_after_restore(self, returned_at: float) -> None:
+        """Probes whether the latest changes are in force again in time."""
+        due_from = returned_at + layout.SETTLE_S + PROBE_MARGIN_S
+        for change in self.latest:
+            if change.acked_at < returned_at:
+                lost = dataclasses.replace(change, acked_at=due_from)
+                self.add(self.probe_when_due(lost))
+
+    def add(self, probing: Coroutine[None, None, None]) -> None:
+        self.tasks.add(asyncio.create_task(probing))
 
     async def finish(self) -> None:
         await asyncio.gather(*self.tasks)
 
-    async def probe_all(self, change: ConfigChange) -> None:
+    async def probe_when_due(self, change: ConfigChange) -> None:
         due = change.acked_at + layout.CONFIG_APPLY_S + PROBE_MARGIN_S
         await asyncio.sleep(due - time.monotonic())
+        await self.probe_all(change)
+
+    async def watch(self, change: ConfigChange) -> None:
+        """Probes repeatedly whether a change stays in force."""
+        while time.monotonic() < change.acked_at + WATCH_S:
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            await self.probe_all(change)
+
+    async def probe_all(self, change: ConfigChange) -> None:
         nodes = self.system.nodes
         await asyncio.gather(*(self.probe(change, node) for node in nodes))
 
@@ -73,9 +102,12 @@
         request.key, request.account = change.key, change.account
         request.expected = change.expected
         request.acked_at = change.acked_at
+        request.version = change.version
         self.judge.record_sent(request)
         await connection.exchange(request)
         connection.close()
+        if change.expected is callers.Expected.ADDED and request.status == 200:
+            request.proven_version = change.version
         is_newest = change.version == self.system.configuration.version
         if request.expected is callers.Expected.ADDED and not is_newest:
             # A later version may have revoked what this one allowed.
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -20,6 +20,7 @@
 """Statuses which guarantee that the request has not run and never will."""
 
 ALLOWED = callers.Expected.ALLOWED
+DENIED_STATUSES = (401, 403, 404)
 
 MAX_READ_DELAY_S = 0.5
 """A node must have read a request after this time: the guarantee is 0.2 s, the
@@ -53,6 +54,7 @@
     UNCHANGED = "engines get only what callers sent, and no key"
     ALLOWED = "what the configuration allows is not denied"
     CONFIG = "a configuration is in force in time"
+    REVERTED = "a configuration in force on a node stays in force"
     LEAVING = "an engine that leaves gets no new work"
     LAYERS = "a path runs every layer once and in order"
     ORDERS = "an engine is never ordered to hold more than fits"
@@ -473,13 +475,13 @@
 
     def check_config(self, request: callers.SentRequest) -> None:
         """Checks that the newest configuration was applied to a request."""
-        ran = bool(self.work[request.request_id].ran)
-        is_old = {
-            callers.Expected.DENIED: ran,
-            callers.Expected.ADDED: request.status in (401, 403, 404),
-        }
-        if not is_old.get(request.expected, False):
+        if not self.is_handled_by_older(request):
+            return
+        if request.version:
+            self.check_reverted(request)
+        if request.sent_at - request.acked_at <= layout.CONFIG_APPLY_S:
             return
+        ran = bool(self.work[request.request_id].ran)
         if self.history().bounds_apply(
             request.node, request.acked_at, request.sent_at
         ):
@@ -491,6 +493,42 @@
                 request.ended_at,
             )
 
+    def is_handled_by_older(self, request: callers.SentRequest) -> bool:
+        """Returns whether only an older configuration explains the result."""
+        if request.expected is callers.Expected.DENIED:
+            return bool(self.work[request.request_id].ran)
+        is_denied = request.status in DENIED_STATUSES
+        return request.expected is callers.Expected.ADDED and is_denied
+
+    def check_reverted(self, request: callers.SentRequest) -> None:
+        """Checks that the process had not applied the version before.
+
+        Only what a version newly allows proves that it was applied: an older
+        version may deny a request as well.
+        """
+        proofs = [
+            other
+            for other in self.requests.values()
+            if other.node == request.node
+            and other.proven_version >= request.version
+            and other.ended_at < request.sent_at
+            and not self.has_restarted(
+                request.node, other.sent_at, request.ended_at
+            )
+        ]
+        if proofs:
+            seen_s = request.sent_at - proofs[0].ended_at
+            detail = f"{describe(request)}, {seen_s:.2f} s after its effect"
+            self.report_violation(Promise.REVERTED, detail, request.ended_at)
+
+    def has_restarted(self, node: str, start: float, end: float) -> bool:
+        return any(
+            d.target == node
+            and d.what in ("start", "exit")
+            and start <= d.start <= end
+            for d in self.history().all
+        )
+
     def check_hang(self, request: callers.SentRequest) -> None:
         if self.history().bounds_apply(
             request.node, request.sent_at, request.ended_at
@@ -548,12 +586,28 @@
             late_s = row.at - left_at
             if late_s <= layout.DRAIN_S:
                 continue
-            if self.history().bounds_apply(request.node, left_at, row.at):
+            if self.is_leaving_known(request.node, row, left_at):
                 detail = f"{row.engine} got {describe(request)} {late_s:.2f} s"
                 self.report_violation(
                     Promise.LEAVING, f"{detail} after it left", row.at
                 )
 
+    def is_leaving_known(
+        self, node: str, row: ledger.Row, left_at: float
+    ) -> bool:
+        """Returns whether a node must know that an engine has left.
+
+        A node that was told is bound by that also while the store is away.
+        """
+        history = self.history()
+        if history.bounds_apply(node, left_at, row.at):
+            return True
+        told_at = left_at + layout.DRAIN_S
+        targets = {node, row.engine, disturbances.HARNESS}
+        return history.bounds_apply(
+            node, left_at, told_at
+        ) and history.is_undisturbed(targets, left_at, row.at)
+
     def served_count(self) -> int:
         return self.counts["200 whole"]
 
--- a/tests/soak/layout.py
+++ b/tests/soak/layout.py
@@ -89,6 +89,7 @@
         cuts: Number of times that nodes lose all engines for a while.
         backoffs: Number of times that an engine asks for a backoff.
         pauses: Number of series in which sound engines fall silent.
+        restores: Number of times that the store returns from an older copy.
     """
 
     seed: int
@@ -101,6 +102,7 @@
     cuts: int = 0
     backoffs: int = 0
     pauses: int = 0
+    restores: int = 0
 
     def plain_engines(self) -> int:
         """Returns how many endpoints serve plain requests."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,6 +19,7 @@
 from tests.soak import regressions
 from tests.soak import report as soak_report
 from tests.soak import stalls
+from tests.soak import store_restores
 from tests.soak import system as soak_system
 
 STARTUP_TIMEOUT_S = 40.0
@@ -44,7 +45,9 @@
         self.judge = soak_judge.Judge(self.system)
         self.rng = random.Random(options.seed)
         self.faults = sorted(
-            faults.draw(self.rng, options) + engine_pauses.draw(options),
+            faults.draw(self.rng, options)
+            + engine_pauses.draw(options)
+            + store_restores.draw(options),
             key=lambda fault: fault.at_s,
         )
         self.injected = 0
@@ -204,6 +207,12 @@
         default=0,
         help="series in which sound engines fall silent",
     )
+    parser.add_argument(
+        "--restores",
+        type=int,
+        default=0,
+        help="times that the store returns from an older copy",
+    )
     parser.add_argument("--folder", type=pathlib.Path)
     parser.add_argument("--regressions", action="store_true")
     args = parser.parse_args()
@@ -232,6 +241,7 @@
         cuts=args.cuts,
         backoffs=args.backoffs,
         pauses=args.pauses,
+        restores=args.restores,
     )
 
 
--- a/tests/soak/store_process.py
+++ b/tests/soak/store_process.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import contextlib
+import enum
 import json
 import time
 from typing import Any
@@ -18,22 +19,42 @@
 
 from almondshift.platform import names
 from tests.platform import standin_store
+from tests.soak import store_copies
 
 HEARTBEAT_INTERVAL_S = 1.0
 ENTRY_TTL_S = 3 * HEARTBEAT_INTERVAL_S
 EXPIRY_INTERVAL_S = 0.2
 
+REWRITE_DELAYS_S = (0.3, 0.5, 0.8, 1.2)
+"""Delays after which the operator and the engines write lost rows again, in
+turn."""
+
+ERA_HEADER = "Store-Era"
+
 FAULTS_PATH = "/soak/faults"
+RESTORE_PATH = "/soak/restore"
 PUT_PATH = "/soak/put"
 HEARTBEAT_PATH = "/soak/beat"
 
 
+class Absence(enum.StrEnum):
+    """How nodes see that the store is away."""
+
+    REFUSES = "refuses"
+    CLOSES = "closes"
+    SILENT = "silent"
+
+
 class SoakStore(standin_store.StandinStore):
     """A stand-in store at a given address, with entries that expire.
 
     Attributes:
         heartbeats: When each engine's last heartbeat arrived.
         entries: Each engine's last written entry.
+        era: Rises with each restore from a copy.
+        absence: How it is away; empty while it is present.
+        written: The last values that the operator and the engines wrote.
+        open_calls: Calls of nodes that wait for an answer.
     """
 
     def __init__(self, address: str) -> None:
@@ -41,15 +62,21 @@
         self.address = address
         self.heartbeats: dict[str, float] = {}
         self.entries: dict[str, Any] = {}
+        self.era = 1
+        self.absence = ""
+        self.copies = store_copies.StoreCopies()
+        self.written: dict[tuple[str, str], str | None] = {}
+        self.open_calls: set[EraHandler] = set()
 
     async def start(self) -> None:
         store = {"store": self}
         application = web.Application(
             [
-                (names.ROWS_READ, standin_store.ReadHandler, store),
-                (names.ROWS_FEED, standin_store.FeedHandler, store),
-                (names.ROWS_WRITE, standin_store.WriteHandler, store),
+                (names.ROWS_READ, ReadHandler, store),
+                (names.ROWS_FEED, FeedHandler, store),
+                (names.ROWS_WRITE, WriteHandler, store),
                 (FAULTS_PATH, FaultsHandler, store),
+                (RESTORE_PATH, RestoreHandler, store),
                 (PUT_PATH, PutHandler, store),
                 (HEARTBEAT_PATH, HeartbeatHandler, store),
             ],
@@ -59,6 +86,15 @@
         self.server = httpserver.HTTPServer(application)
         self.server.add_sockets(netutil.bind_sockets(int(port), host))
 
+    def put(self, table: str, key: str, value: Any) -> int:
+        version = super().put(table, key, value)
+        self.written[(table, key)], _ = self.rows[(table, key)]
+        return version
+
+    def remove(self, table: str, key: str) -> int:
+        self.written[(table, key)] = None
+        return super().remove(table, key)
+
     def record_heartbeat(self, instance: str, entry: Any) -> None:
         self.heartbeats[instance] = time.monotonic()
         if self.entries.get(instance) != entry:
@@ -76,6 +112,43 @@
             if heartbeat < oldest:
                 self.drop_entry(instance)
 
+    def add_copy(self) -> None:
+        self.copies.add(time.monotonic(), self.rows, self.version)
+
+    def leave(self, absence: str) -> None:
+        """Starts to be away; if it is silent, open calls go on waiting."""
+        self.absence = absence
+        if absence == Absence.SILENT:
+            return
+        for call in list(self.open_calls):
+            call.end_while_absent()
+
+    def return_from_copy(self, copy: store_copies.StoreCopy) -> None:
+        """Is present again, with the rows and the version of a copy."""
+        self.rows = dict(copy.rows)
+        self.version = copy.version
+        self.copies = store_copies.StoreCopies()
+        self.add_copy()
+        self.era += 1
+        self.absence = ""
+        self.rewrite_lost_rows()
+
+    def rewrite_lost_rows(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number, row in enumerate(self.written):
+            if not self.is_held(row):
+                delay_s = REWRITE_DELAYS_S[number % len(REWRITE_DELAYS_S)]
+                loop.call_later(delay_s, self.rewrite, row)
+
+    def rewrite(self, row: tuple[str, str]) -> None:
+        if not self.is_held(row):
+            self.set_row(*row, self.written[row])
+
+    def is_held(self, row: tuple[str, str]) -> bool:
+        """Returns whether a row holds what its owner wrote last."""
+        held, _ = self.rows.get(row, (None, 0))
+        return held == self.written[row]
+
 
 class ControlHandler(web.RequestHandler):
     def initialize(self, store: SoakStore) -> None:
@@ -95,10 +168,34 @@
         self.store.faults = standin_store.StoreFaults(**body)
 
 
+class RestoreHandler(web.RequestHandler):
+    """Is away for a while, and answers when it is back from a copy.
+
+    A call that comes too late, after a suspension, has no effect.
+    """
+
+    def initialize(self, store: SoakStore) -> None:
+        self.store = store
+
+    async def post(self) -> None:
+        body = json.loads(self.request.body)
+        now = time.monotonic()
+        if self.store.absence or now >= body["returns_at"]:
+            self.set_status(409)
+            return
+        copy = self.store.copies.newest_before(now - body["age_s"])
+        self.store.leave(body["absence"])
+        await asyncio.sleep(body["returns_at"] - now)
+        self.store.return_from_copy(copy)
+
+
 class PutHandler(ControlHandler):
     """Writes a row as the operator does, whatever the faults are."""
 
     def apply(self, body: Any) -> None:
+        if self.store.absence:
+            self.set_status(503)
+            return
         self.store.put(body["table"], body["key"], body["value"])
 
 
@@ -107,7 +204,7 @@
 
     def apply(self, body: Any) -> None:
         faults = self.store.faults
-        if faults.refuses or faults.is_silent:
+        if faults.refuses or faults.is_silent or self.store.absence:
             self.set_status(503)
         elif body["entry"] is None:
             self.store.drop_entry(body["instance"])
@@ -115,11 +212,73 @@
             self.store.record_heartbeat(body["instance"], body["entry"])
 
 
+class EraHandler(standin_store.StoreHandler):
+    """Names the store's era in each answer, and is away with the store."""
+
+    store: SoakStore
+    is_ended = False
+
+    async def prepare(self) -> None:
+        self.store.open_calls.add(self)
+        while self.store.absence == Absence.SILENT:
+            await asyncio.sleep(0.02)
+        if self.store.absence:
+            self.end_while_absent()
+        else:
+            await super().prepare()
+
+    def end_while_absent(self) -> None:
+        if self.store.absence == Absence.REFUSES:
+            self.set_status(503)
+            self.finish()
+        else:
+            self.store.open_calls.discard(self)
+            self.detach().close()
+        self.is_ended = True
+
+    def answer(self, rows: list[dict[str, Any]], **more: Any) -> None:
+        if not self.is_ended:
+            super().answer(rows, **more)
+
+    def finish(self, chunk: Any = None) -> asyncio.Future[None]:
+        if self.is_ended:
+            done = asyncio.get_running_loop().create_future()
+            done.set_result(None)
+            return done
+        self.set_header(ERA_HEADER, str(self.store.era))
+        return super().finish(chunk)
+
+    def on_finish(self) -> None:
+        self.store.open_calls.discard(self)
+
+    def on_connection_close(self) -> None:
+        self.store.open_calls.discard(self)
+
+
+class ReadHandler(EraHandler, standin_store.ReadHandler):
+    pass
+
+
+class FeedHandler(EraHandler, standin_store.FeedHandler):
+    """Answers 410 to a read after a version that the store doesn't have."""
+
+    async def get(self) -> None:
+        if int(self.get_argument("after")) > self.store.version:
+            self.set_status(410)
+            return
+        await super().get()
+
+
+class WriteHandler(EraHandler, standin_store.WriteHandler):
+    pass
+
+
 async def run(address: str) -> None:
     store = SoakStore(address)
     await store.start()
     with contextlib.suppress(asyncio.CancelledError):
         while True:
+            store.add_copy()
             await asyncio.sleep(EXPIRY_INTERVAL_S)
             store.drop_expired()
 
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -391,6 +391,130 @@
     check(judge, request, arrived(request), ran(request))
 
 
+def restore_store(judge: Judge, request: Sent, returned_s: float) -> None:
+    """Adds a restore that ends so many seconds before a request is sent."""
+    restore = judge.history().begin(disturbances.STORE, "restore, silent")
+    restore.end = request.sent_at - returned_s
+    restore.start = restore.end - 0.8
+
+
+def note_restart(judge: Judge, at: float) -> None:
+    judge.history().note("n0", "start")
+    judge.history().all[-1].start = at
+    judge.history().all[-1].end = at
+
+
+def revoked_key(acked_s: float) -> Sent:
+    """Returns a request with a key that was revoked before it was sent."""
+    request = sent("look")
+    request.expected = callers.Expected.DENIED
+    request.version = 3
+    request.acked_at = request.sent_at - acked_s
+    return request
+
+
+def prove_version(judge: Judge, request: Sent, version: int) -> None:
+    """Adds a request that a version newly allows, answered just before."""
+    proof = sent("look")
+    proof.request_id = "proof"
+    proof.body = soak_judge.expected_body(proof)
+    proof.expected = callers.Expected.ADDED
+    proof.version = proof.proven_version = version
+    proof.sent_at = proof.acked_at = request.sent_at - 1.5
+    proof.ended_at = request.sent_at - 1.4
+    judge.record_sent(proof)
+    judge.process_rows([arrived(proof), ran(proof)])
+
+
+def revoked_key_ran_soon_after_a_restore(judge: Judge) -> None:
+    request = revoked_key(layout.CONFIG_APPLY_S + 0.1)
+    restore_store(judge, request, layout.CONFIG_APPLY_S + 2.0)
+    check(judge, request, ran(request))
+
+
+def revoked_key_ran_long_after_a_restore(judge: Judge) -> None:
+    request = revoked_key(layout.CONFIG_APPLY_S + 0.1)
+    restore_store(judge, request, layout.SETTLE_S + layout.CONFIG_APPLY_S + 0.2)
+    check(judge, request, ran(request))
+
+
+def revoked_key_ran_within_its_bound(judge: Judge) -> None:
+    request = revoked_key(layout.CONFIG_APPLY_S - 0.1)
+    check(judge, request, ran(request))
+
+
+def revoked_key_came_back(judge: Judge) -> None:
+    request = revoked_key(4.0)
+    restore_store(judge, request, 0.1)
+    prove_version(judge, request, 3)
+    check(judge, request, ran(request))
+
+
+def revoked_key_ran_where_only_an_older_version_was_seen(judge: Judge) -> None:
+    request = revoked_key(4.0)
+    restore_store(judge, request, 0.1)
+    prove_version(judge, request, 2)
+    check(judge, request, ran(request))
+
+
+def revoked_key_came_back_on_a_new_process(judge: Judge) -> None:
+    request = revoked_key(4.0)
+    restore_store(judge, request, 0.1)
+    prove_version(judge, request, 3)
+    note_restart(judge, request.sent_at - 0.5)
+    check(judge, request, ran(request))
+
+
+def new_key_was_lost_again(judge: Judge) -> None:
+    request = refused(401)
+    request.expected = callers.Expected.ADDED
+    request.version = 3
+    request.acked_at = request.sent_at - 4.0
+    restore_store(judge, request, 0.1)
+    prove_version(judge, request, 3)
+    check(judge, request)
+
+
+def work_after_leaving_beside_a_restore(
+    judge: Judge, left_s: float, returned_s: float
+) -> Sent:
+    """Adds work, for an engine that left, soon after a restore."""
+    request = sent()
+    work = arrived(request)
+    left = row(request, ledger.RowKind.LEFT)
+    left.at = work.at - left_s
+    restore_store(judge, request, returned_s)
+    judge.record_sent(request)
+    judge.process_rows([left, work])
+    return request
+
+
+def left_before_a_restore(judge: Judge) -> None:
+    work_after_leaving_beside_a_restore(judge, 3.5, 0.1)
+    judge.finish()
+
+
+def left_before_a_restore_and_the_node_is_new(judge: Judge) -> None:
+    request = work_after_leaving_beside_a_restore(judge, 3.5, 0.1)
+    note_restart(judge, request.sent_at - 0.5)
+    judge.finish()
+
+
+def left_shortly_before_a_restore(judge: Judge) -> None:
+    work_after_leaving_beside_a_restore(judge, 2.5, 0.1)
+    judge.finish()
+
+
+def left_soon_after_a_restore(judge: Judge) -> None:
+    work_after_leaving_beside_a_restore(judge, 2.5, 4.0)
+    judge.finish()
+
+
+def left_long_after_a_restore(judge: Judge) -> None:
+    work_after_leaving_beside_a_restore(judge, 2.5, 5.6)
+    judge.finish()
+
+
 @pytest.mark.parametrize(
     ("history", "promises"),
     [
@@ -436,6 +560,18 @@
         (runs_on_an_engine_that_leaves, []),
         (cut_while_an_engine_is_silent, [Promise.CUT]),
         (whole_answer_of_a_silent_engine, []),
+        (revoked_key_ran_soon_after_a_restore, []),
+        (revoked_key_ran_long_after_a_restore, [Promise.CONFIG]),
+        (revoked_key_ran_within_its_bound, []),
+        (revoked_key_came_back, [Promise.REVERTED]),
+        (revoked_key_ran_where_only_an_older_version_was_seen, []),
+        (revoked_key_came_back_on_a_new_process, []),
+        (new_key_was_lost_again, [Promise.REVERTED]),
+        (left_before_a_restore, [Promise.LEAVING]),
+        (left_before_a_restore_and_the_node_is_new, []),
+        (left_shortly_before_a_restore, []),
+        (left_soon_after_a_restore, []),
+        (left_long_after_a_restore, [Promise.LEAVING]),
     ],
 )
 def test_judge_reports_exactly_the_violated_guarantees(
