--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -25,6 +25,7 @@
 THINK_TIME_S = (0.05, 0.6)
 RETRY_DELAY_S = 0.2
 DISCONNECT_PROBABILITY = 0.03
+LONG_STREAM_EVENTS = (150, 400)
 
 
 class Ending(enum.StrEnum):
@@ -359,6 +360,16 @@
             self.addresses_valid_until = time.monotonic() + 1.0
 
 
+class LongStreamCaller(SoakCaller):
+    """Sends only resumable streams, which outlive several pauses."""
+
+    def draw_request(self, node: str) -> SentRequest:
+        self.sent += 1
+        return self.make_request(
+            node, "chat", self.rng.randint(*LONG_STREAM_EVENTS)
+        )
+
+
 async def open_node_connection(node: str, address: str) -> NodeConnection:
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
