--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -438,6 +438,12 @@
     check(judge, request, ran(request))
 
 
+def revoked_key_ran_once_the_restore_was_settled(judge: Judge) -> None:
+    request = revoked_key(4.0)
+    restore_store(judge, request, layout.SETTLE_S + layout.CONFIG_APPLY_S + 0.2)
+    check(judge, request, ran(request))
+
+
 def revoked_key_ran_within_its_bound(judge: Judge) -> None:
     request = revoked_key(layout.CONFIG_APPLY_S - 0.1)
     check(judge, request, ran(request))
@@ -510,6 +516,11 @@
     judge.finish()
 
 
+def left_soon_after_a_restore_and_worked_long_after_it(judge: Judge) -> None:
+    work_after_leaving_beside_a_restore(judge, 4.5, 5.2)
+    judge.finish()
+
+
 def left_long_after_a_restore(judge: Judge) -> None:
     work_after_leaving_beside_a_restore(judge, 2.5, 5.6)
     judge.finish()
@@ -562,6 +573,7 @@
         (whole_answer_of_a_silent_engine, []),
         (revoked_key_ran_soon_after_a_restore, []),
         (revoked_key_ran_long_after_a_restore, [Promise.CONFIG]),
+        (revoked_key_ran_once_the_restore_was_settled, [Promise.CONFIG]),
         (revoked_key_ran_within_its_bound, []),
         (revoked_key_came_back, [Promise.REVERTED]),
         (revoked_key_ran_where_only_an_older_version_was_seen, []),
@@ -571,6 +583,7 @@
         (left_before_a_restore_and_the_node_is_new, []),
         (left_shortly_before_a_restore, []),
         (left_soon_after_a_restore, []),
+        (left_soon_after_a_restore_and_worked_long_after_it, [Promise.LEAVING]),
         (left_long_after_a_restore, [Promise.LEAVING]),
     ],
 )
