--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,6 +19,8 @@
 LIMITED_SEED = 39
 """Engines name limits or backoffs, and nodes lose all engines."""
 
+PAUSED_SEED = 5108
+RESTORED_SEED = 5203
 STALLED_SEED = 14
 STALLS_PER_S = 3.0
 
@@ -54,5 +56,30 @@
         cuts=limits_and_cuts,
         backoffs=limits_and_cuts,
     )
-    report = asyncio.run(run.run(options, tmp_path))
+    check_no_violations(options, tmp_path)
+
+
+@pytest.mark.parametrize(
+    ("pauses", "restores"), [(3, 0), (0, 2)], ids=["pauses", "restores"]
+)
+def test_guarantees_hold_under_faults_that_must_pass_unnoticed(
+    pauses: int, restores: int, tmp_path: pathlib.Path
+) -> None:
+    """Sound engines fall silent, or the store returns from an older copy."""
+    options = layout.SoakOptions(
+        seed=PAUSED_SEED if pauses else RESTORED_SEED,
+        seconds=15.0,
+        nodes=3,
+        engines=8,
+        clients=12,
+        pauses=pauses,
+        restores=restores,
+    )
+    check_no_violations(options, tmp_path)
+
+
+def check_no_violations(
+    options: layout.SoakOptions, folder: pathlib.Path
+) -> None:
+    report = asyncio.run(run.run(options, folder))
     assert not report.violations, soak_report.render_text(report)
