--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -25,6 +25,7 @@
 THINK_TIME_S = (0.05, 0.6)
 RETRY_DELAY_S = 0.2
 DISCONNECT_PROBABILITY = 0.03
+LONG_STREAM_EVENTS = (150, 400)
 
 
 class Ending(enum.StrEnum):
@@ -57,6 +58,9 @@
 
     Attributes:
         acked_at: When the configuration behind ``expected`` was acked.
+        version: The version of that configuration.
+        proven_version: The version that its success shows to be in force; 0
+            for none.
         ended_at: When the exchange ended; 0 while it is in progress.
         body: The part of the response body that was received.
     """
@@ -77,6 +81,8 @@
     body: bytes = b""
     expected: Expected = Expected.ALLOWED
     acked_at: float = 0.0
+    version: int = 0
+    proven_version: int = 0
 
     def target(self) -> str:
         return f"/{self.route}/x?q={self.request_id}"
@@ -354,6 +360,16 @@
             self.addresses_valid_until = time.monotonic() + 1.0
 
 
+class LongStreamCaller(SoakCaller):
+    """Sends only resumable streams, which outlive several pauses."""
+
+    def draw_request(self, node: str) -> SentRequest:
+        self.sent += 1
+        return self.make_request(
+            node, "chat", self.rng.randint(*LONG_STREAM_EVENTS)
+        )
+
+
 async def open_node_connection(node: str, address: str) -> NodeConnection:
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
--- /dev/null
+++ b/tests/soak/engine_pauses.py
@@ -0,0 +1,101 @@
+"""Pauses of sound engines, which answer no call and then go on."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import TYPE_CHECKING
+
+from tests.soak import disturbances
+from tests.soak import engine_process
+from tests.soak import faults
+from tests.soak import layout
+
+if TYPE_CHECKING:
+    from tests.soak import system as soak_system
+
+PAUSE_S = (0.3, 1.5)
+MIN_GAP_S = 0.25
+ENGINE_GAP_S = (MIN_GAP_S, 0.5)
+ZONE_GAP_S = (0.6, 1.2)
+"""The gaps give the first engine of a path time to see that the others are
+back: it cuts streams after a long wait."""
+
+ZONE_SHAPE = 0.0
+ENGINE_SHAPE = 1.0
+ZONES_PROBABILITY = 0.4
+
+
+class PauseSoundEngines(faults.Fault):
+    """An engine, or all of a zone, is silent; its connections stay open."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        async with system.pausing:
+            start = time.monotonic()
+            until = start + self.lasts_s
+            engines = [
+                engine
+                for engine in self.choose(system)
+                if engine.is_running()
+                and not engine.leaves_at
+                and system.disturbances.is_sound(engine.name)
+            ]
+            for engine in engines:
+                system.disturbances.pauses.append(
+                    disturbances.EnginePause(engine.name, start, until)
+                )
+            await asyncio.gather(
+                asyncio.sleep(self.lasts_s + MIN_GAP_S),
+                *(
+                    system.post(
+                        engine.listen,
+                        engine_process.PAUSE_PATH,
+                        {"until": until},
+                    )
+                    for engine in engines
+                ),
+            )
+
+    def choose(
+        self, system: soak_system.SoakSystem
+    ) -> list[soak_system.EngineProcess]:
+        chosen = self.engine(system)
+        if self.shape == ENGINE_SHAPE:
+            return [chosen]
+        zones = len(layout.ZONES)
+        return [
+            engine
+            for engine in system.engines
+            if engine.index % zones == chosen.index % zones
+        ]
+
+
+def draw(options: layout.SoakOptions) -> list[faults.Fault]:
+    """Draws series of pauses that leave the other faults of a seed alone."""
+    rng = random.Random(f"{options.seed}/{PauseSoundEngines.__name__}")
+    found: list[faults.Fault] = []
+    for number in range(options.pauses):
+        share_s = options.seconds / options.pauses
+        start_s = (number + rng.uniform(0.0, 0.3)) * share_s
+        end_s = (number + 1) * share_s
+        found += draw_series(rng, options.engines, start_s, end_s)
+    return found
+
+
+def draw_series(
+    rng: random.Random, engines: int, at_s: float, end_s: float
+) -> list[faults.Fault]:
+    """Draws pauses of one engine, or one zone, after the other."""
+    first = rng.randrange(engines)
+    is_by_zone = rng.random() < ZONES_PROBABILITY
+    shape = ZONE_SHAPE if is_by_zone else ENGINE_SHAPE
+    gap_s = ZONE_GAP_S if is_by_zone else ENGINE_GAP_S
+    series: list[faults.Fault] = []
+    while at_s < end_s:
+        # The middle of the engine's share, so that rounding keeps the turn.
+        pick = ((first + len(series)) % engines + 0.5) / engines
+        lasts_s = rng.uniform(*PAUSE_S)
+        series.append(PauseSoundEngines(at_s, pick, lasts_s, shape))
+        at_s += lasts_s + rng.uniform(*gap_s)
+    return series
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,12 +12,14 @@
 
 from tests.soak import callers
 from tests.soak import config_probes
+from tests.soak import engine_pauses
 from tests.soak import faults
 from tests.soak import judge as soak_judge
 from tests.soak import layout
 from tests.soak import regressions
 from tests.soak import report as soak_report
 from tests.soak import stalls
+from tests.soak import store_restores
 from tests.soak import system as soak_system
 
 STARTUP_TIMEOUT_S = 40.0
@@ -42,7 +44,12 @@
         self.system = soak_system.SoakSystem(options, folder)
         self.judge = soak_judge.Judge(self.system)
         self.rng = random.Random(options.seed)
-        self.faults = faults.draw(self.rng, options)
+        self.faults = sorted(
+            faults.draw(self.rng, options)
+            + engine_pauses.draw(options)
+            + store_restores.draw(options),
+            key=lambda fault: fault.at_s,
+        )
         self.injected = 0
         self.prober = callers.SoakCaller(-1, self.system, self.judge)
         self.stalls = stalls.Stalls(options.seed, options.stalls_per_s)
@@ -70,10 +77,18 @@
         )
 
     async def run_faults(self) -> None:
+        numbers = range(self.options.clients)
         sending = [
             callers.SoakCaller(number, self.system, self.judge)
-            for number in range(self.options.clients)
+            for number in numbers
         ]
+        if self.options.pauses:
+            sending += [
+                callers.LongStreamCaller(
+                    len(numbers) + number, self.system, self.judge
+                )
+                for number in numbers
+            ]
         self.tasks = [
             asyncio.create_task(self.monitor()),
             asyncio.create_task(self.stalls.run()),
@@ -194,6 +209,18 @@
     parser.add_argument(
         "--backoffs", type=int, default=0, help="engines that ask for a backoff"
     )
+    parser.add_argument(
+        "--pauses",
+        type=int,
+        default=0,
+        help="series in which sound engines fall silent",
+    )
+    parser.add_argument(
+        "--restores",
+        type=int,
+        default=0,
+        help="times that the store returns from an older copy",
+    )
     parser.add_argument("--folder", type=pathlib.Path)
     parser.add_argument("--regressions", action="store_true")
     args = parser.parse_args()
@@ -221,6 +248,8 @@
         limits=args.limits,
         cuts=args.cuts,
         backoffs=args.backoffs,
+        pauses=args.pauses,
+        restores=args.restores,
     )
 
 
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -293,6 +293,239 @@
     check(judge, request)
 
 
+def run_on_more_engines(judge: Judge, count: int) -> list[Sent]:
+    """Adds requests that each ran on one engine more than allowed."""
+    requests = []
+    for number in range(count):
+        request = sent("chat", 3)
+        request.request_id = f"r{number}"
+        request.body = soak_judge.expected_body(request)
+        judge.record_sent(request)
+        judge.process_rows(
+            [
+                ran(request, f"e{engine}-0")
+                for engine in range(layout.MAX_ATTEMPTS + 1)
+            ]
+        )
+        judge.check_answer(request)
+        requests.append(request)
+    return requests
+
+
+def too_many_requests_over_their_attempts(judge: Judge) -> None:
+    run_on_more_engines(judge, layout.MAX_REQUESTS_OVER_ATTEMPTS + 1)
+    judge.finish()
+
+
+def few_requests_over_their_attempts(judge: Judge) -> None:
+    run_on_more_engines(judge, layout.MAX_REQUESTS_OVER_ATTEMPTS)
+    judge.finish()
+
+
+def runs_beside(
+    judge: Judge, target: str, what: str, lasts_s: float = 0.0
+) -> None:
+    """Adds runs on too many engines and a fault 0.5 s after they began."""
+    requests = run_on_more_engines(judge, layout.MAX_REQUESTS_OVER_ATTEMPTS + 1)
+    fault = judge.history().begin(target, what)
+    fault.start = requests[0].sent_at + 0.5
+    fault.end = fault.start + lasts_s
+    judge.finish()
+
+
+def runs_on_a_killed_engine(judge: Judge) -> None:
+    runs_beside(judge, "e0-0", "kill")
+
+
+def runs_on_an_engine_that_is_cut_off(judge: Judge) -> None:
+    runs_beside(judge, "e0-0", "link both", 0.8)
+
+
+def runs_on_an_engine_with_a_slow_link(judge: Judge) -> None:
+    runs_beside(judge, "e0-0", "link delay", 0.8)
+
+
+def runs_on_an_engine_that_stands_still(judge: Judge) -> None:
+    runs_beside(judge, "e0-0", "pause", 0.8)
+
+
+def runs_on_an_engine_whose_entry_expires(judge: Judge) -> None:
+    runs_beside(judge, "e0-0", "pause", 4.0)
+
+
+def runs_from_a_node_that_is_cut_off(judge: Judge) -> None:
+    runs_beside(judge, "n0", disturbances.CUT_OFF, 4.0)
+
+
+def runs_after_an_engine_was_killed(judge: Judge) -> None:
+    requests = run_on_more_engines(judge, layout.MAX_REQUESTS_OVER_ATTEMPTS + 1)
+    judge.history().note("e0-0", "kill")
+    judge.history().all[-1].start = requests[0].sent_at - 0.5
+    judge.history().all[-1].end = requests[0].sent_at - 0.5
+    judge.finish()
+
+
+def runs_on_an_engine_that_leaves(judge: Judge) -> None:
+    requests = run_on_more_engines(judge, layout.MAX_REQUESTS_OVER_ATTEMPTS + 1)
+    left = row(requests[0], ledger.RowKind.LEFT)
+    left.at = requests[0].sent_at + 0.5
+    judge.process_rows([left])
+    judge.finish()
+
+
+def pause_engine(judge: Judge, request: Sent) -> None:
+    start = request.sent_at + 0.2
+    pause = disturbances.EnginePause("e0-0", start, start + 1.0)
+    judge.history().pauses.append(pause)
+
+
+def cut_while_an_engine_is_silent(judge: Judge) -> None:
+    request = cut_request()
+    pause_engine(judge, request)
+    check(judge, request, arrived(request), ran(request))
+
+
+def whole_answer_of_a_silent_engine(judge: Judge) -> None:
+    request = sent("talk", 3)
+    pause_engine(judge, request)
+    check(judge, request, arrived(request), ran(request))
+
+
+def restore_store(judge: Judge, request: Sent, returned_s: float) -> None:
+    """Adds a restore that ends so many seconds before a request is sent."""
+    restore = judge.history().begin(disturbances.STORE, "restore, silent")
+    restore.end = request.sent_at - returned_s
+    restore.start = restore.end - 0.8
+
+
+def note_restart(judge: Judge, at: float) -> None:
+    judge.history().note("n0", "start")
+    judge.history().all[-1].start = at
+    judge.history().all[-1].end = at
+
+
+def revoked_key(acked_s: float) -> Sent:
+    """Returns a request with a key that was revoked before it was sent."""
+    request = sent("look")
+    request.expected = callers.Expected.DENIED
+    request.version = 3
+    request.acked_at = request.sent_at - acked_s
+    return request
+
+
+def prove_version(judge: Judge, request: Sent, version: int) -> None:
+    """Adds a request that a version newly allows, answered just before."""
+    proof = sent("look")
+    proof.request_id = "proof"
+    proof.body = soak_judge.expected_body(proof)
+    proof.expected = callers.Expected.ADDED
+    proof.version = proof.proven_version = version
+    proof.sent_at = proof.acked_at = request.sent_at - 1.5
+    proof.ended_at = request.sent_at - 1.4
+    judge.record_sent(proof)
+    judge.process_rows([arrived(proof), ran(proof)])
+
+
+def revoked_key_ran_soon_after_a_restore(judge: Judge) -> None:
+    request = revoked_key(layout.CONFIG_APPLY_S + 0.1)
+    restore_store(judge, request, layout.CONFIG_APPLY_S + 2.0)
+    check(judge, request, ran(request))
+
+
+def revoked_key_ran_long_after_a_restore(judge: Judge) -> None:
+    request = revoked_key(layout.CONFIG_APPLY_S + 0.1)
+    restore_store(judge, request, layout.SETTLE_S + layout.CONFIG_APPLY_S + 0.2)
+    check(judge, request, ran(request))
+
+
+def revoked_key_ran_once_the_restore_was_settled(judge: Judge) -> None:
+    request = revoked_key(4.0)
+    restore_store(judge, request, layout.SETTLE_S + layout.CONFIG_APPLY_S + 0.2)
+    check(judge, request, ran(request))
+
+
+def revoked_key_ran_within_its_bound(judge: Judge) -> None:
+    request = revoked_key(layout.CONFIG_APPLY_S - 0.1)
+    check(judge, request, ran(request))
+
+
+def revoked_key_came_back(judge: Judge) -> None:
+    request = revoked_key(4.0)
+    restore_store(judge, request, 0.1)
+    prove_version(judge, request, 3)
+    check(judge, request, ran(request))
+
+
+def revoked_key_ran_where_only_an_older_version_was_seen(judge: Judge) -> None:
+    request = revoked_key(4.0)
+    restore_store(judge, request, 0.1)
+    prove_version(judge, request, 2)
+    check(judge, request, ran(request))
+
+
+def revoked_key_came_back_on_a_new_process(judge: Judge) -> None:
+    request = revoked_key(4.0)
+    restore_store(judge, request, 0.1)
+    prove_version(judge, request, 3)
+    note_restart(judge, request.sent_at - 0.5)
+    check(judge, request, ran(request))
+
+
+def new_key_was_lost_again(judge: Judge) -> None:
+    request = refused(401)
+    request.expected = callers.Expected.ADDED
+    request.version = 3
+    request.acked_at = request.sent_at - 4.0
+    restore_store(judge, request, 0.1)
+    prove_version(judge, request, 3)
+    check(judge, request)
+
+
+def work_after_leaving_beside_a_restore(
+    judge: Judge, left_s: float, returned_s: float
+) -> Sent:
+    """Adds work, for an engine that left, soon after a restore."""
+    request = sent()
+    work = arrived(request)
+    left = row(request, ledger.RowKind.LEFT)
+    left.at = work.at - left_s
+    restore_store(judge, request, returned_s)
+    judge.record_sent(request)
+    judge.process_rows([left, work])
+    return request
+
+
+def left_before_a_restore(judge: Judge) -> None:
+    work_after_leaving_beside_a_restore(judge, 3.5, 0.1)
+    judge.finish()
+
+
+def left_before_a_restore_and_the_node_is_new(judge: Judge) -> None:
+    request = work_after_leaving_beside_a_restore(judge, 3.5, 0.1)
+    note_restart(judge, request.sent_at - 0.5)
+    judge.finish()
+
+
+def left_shortly_before_a_restore(judge: Judge) -> None:
+    work_after_leaving_beside_a_restore(judge, 2.5, 0.1)
+    judge.finish()
+
+
+def left_soon_after_a_restore(judge: Judge) -> None:
+    work_after_leaving_beside_a_restore(judge, 2.5, 4.0)
+    judge.finish()
+
+
+def left_soon_after_a_restore_and_worked_long_after_it(judge: Judge) -> None:
+    work_after_leaving_beside_a_restore(judge, 4.5, 5.2)
+    judge.finish()
+
+
+def left_long_after_a_restore(judge: Judge) -> None:
+    work_after_leaving_beside_a_restore(judge, 2.5, 5.6)
+    judge.finish()
+
+
 @pytest.mark.parametrize(
     ("history", "promises"),
     [
@@ -326,6 +559,32 @@
         (requests_after_a_backoff_that_ended_early, []),
         (few_requests_in_a_backoff, []),
         (too_many_requests_in_a_backoff, [Promise.BACKOFF]),
+        (too_many_requests_over_their_attempts, [Promise.RUNS]),
+        (few_requests_over_their_attempts, []),
+        (runs_on_a_killed_engine, []),
+        (runs_on_an_engine_that_is_cut_off, []),
+        (runs_on_an_engine_with_a_slow_link, [Promise.RUNS]),
+        (runs_on_an_engine_that_stands_still, [Promise.RUNS]),
+        (runs_on_an_engine_whose_entry_expires, []),
+        (runs_from_a_node_that_is_cut_off, []),
+        (runs_after_an_engine_was_killed, [Promise.RUNS]),
+        (runs_on_an_engine_that_leaves, []),
+        (cut_while_an_engine_is_silent, [Promise.CUT]),
+        (whole_answer_of_a_silent_engine, []),
+        (revoked_key_ran_soon_after_a_restore, []),
+        (revoked_key_ran_long_after_a_restore, [Promise.CONFIG]),
+        (revoked_key_ran_once_the_restore_was_settled, [Promise.CONFIG]),
+        (revoked_key_ran_within_its_bound, []),
+        (revoked_key_came_back, [Promise.REVERTED]),
+        (revoked_key_ran_where_only_an_older_version_was_seen, []),
+        (revoked_key_came_back_on_a_new_process, []),
+        (new_key_was_lost_again, [Promise.REVERTED]),
+        (left_before_a_restore, [Promise.LEAVING]),
+        (left_before_a_restore_and_the_node_is_new, []),
+        (left_shortly_before_a_restore, []),
+        (left_soon_after_a_restore, []),
+        (left_soon_after_a_restore_and_worked_long_after_it, [Promise.LEAVING]),
+        (left_long_after_a_restore, [Promise.LEAVING]),
     ],
 )
 def test_judge_reports_exactly_the_violated_guarantees(
