Plan without engines that have stopped answering

Seen by callers: a stream whose stage was lost ended after 5 s with "no other endpoint can replace it", although the engines left hold enough memory.

Cause: the platform's list goes on showing a killed engine, and the directory kept its last report for good. The planner took its layers for held and gave no order.

An engine is now left out of plans after two failed queries in a row, the first at least 1 s ago, and is back with its next report. A query of a silent engine fails after 2 s, so a pause of up to that is no loss, and a restarted engine answers within the second. One failed query isn't enough: a pause of the node itself may fail the queries of all engines at once.

Weighed: the age of the last report alone (peers publish counts of 820 engines every 5 s, and at their own pace), and the router's ejection (an engine that is slow or fails steps still holds its layers).

--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -229,8 +229,12 @@
         )
         self.directory.watches = self.load_exchange.watches
         self.directory.node_count = lambda: 1 + len(self.membership.peers())
+        order_guard = LeaseGuard(self.lease)
+        self.directory.plans_placement = lambda: (
+            order_guard.fencing() is not None
+        )
         self.reconciler = reconciler.Reconciler(
-            LeaseGuard(self.lease),
+            order_guard,
             self.directory,
             lambda: self.config.value,
             choices.planner,
--- a/src/almondshift/node/directory.py
+++ b/src/almondshift/node/directory.py
@@ -37,6 +37,15 @@
 MAX_LIST_READS_PER_S = 100.0
 """Limit for the reads of the VM list by all nodes together."""
 
+UNREACHABLE_QUERIES = 2
+UNREACHABLE_S = 1.0
+"""An engine is unreachable once this many queries in a row have failed, the
+first of them at least this long ago. A restarted engine is back earlier."""
+
+MIN_OVERDUE_S = 2.0
+"""Minimum age of a peer's report before the planning node queries the engine
+itself."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DirectorySettings:
@@ -77,6 +86,9 @@
         router_told_leaving: Whether the router regards it as leaving.
         missing_reads: Consecutive reads of the VM list without it.
         watched: Whether this node queries the engine's load itself.
+        failing_since: Monotonic time at which the first of the latest,
+            consecutive failed queries was sent; None after a report.
+        failed_queries: Number of these queries.
     """
 
     vm: endpoints.Vm
@@ -88,6 +100,8 @@
     router_told_leaving: bool = False
     missing_reads: int = 0
     watched: bool = True
+    failing_since: float | None = None
+    failed_queries: int = 0
     cache_sequence: int = 0
     watcher: asyncio.Task[None] | None = None
 
@@ -102,6 +116,8 @@
         node_count: Returns how many nodes read the VM list.
         watches: Returns whether this node queries the load of an engine;
             peers publish the load of the others.
+        plans_placement: Returns whether this node plans which layers engines
+            hold. It queries engines itself that no peer has reported lately.
     """
 
     def __init__(
@@ -126,6 +142,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.was_list_read = False
         self.watches: Callable[[str], bool] = lambda _: True
+        self.plans_placement: Callable[[], bool] = lambda: False
         self.node_count: Callable[[], int] = lambda: 1
         self._list_task: asyncio.Task[None] | None = None
 
@@ -162,6 +179,21 @@
             endpoint
         )
 
+    def is_unreachable(self, endpoint: str) -> bool:
+        """Returns whether an engine has failed to answer for some time.
+
+        A single failed query doesn't count: after a pause of this node, the
+        queries of all engines may fail at once.
+        """
+        known = self.endpoints.get(endpoint)
+        if known is None or known.failing_since is None:
+            return False
+        failing_s = self.clock.monotonic() - known.failing_since
+        return (
+            known.failed_queries >= UNREACHABLE_QUERIES
+            and failing_s >= UNREACHABLE_S
+        )
+
     def plain_ready(self) -> set[str]:
         """Returns the plain services that have a usable endpoint."""
         return {
@@ -326,15 +358,30 @@
         if known.description is None:
             await self._describe(known, engine)
         known.watched = self.watches(known.vm.name)
-        if not known.watched and known.report is not None:
+        if not known.watched and not self._is_report_overdue(known):
             return
+        sent_at = self.clock.monotonic()
         match await engine.load():
             case expression.Result(tag="ok", ok=report):
                 await self._take_report(known, engine, report)
             case _:
+                _record_failed_query(known, sent_at)
                 return
         await self._read_cache_events(known, engine)
 
+    def _is_report_overdue(self, known: Endpoint) -> bool:
+        """Returns whether to query an engine that only peers watch."""
+        if known.report is None or known.reported_at is None:
+            return True
+        if not self.plans_placement():
+            return False
+        measured_at = known.reported_at - known.report.age_s
+        max_age_s = max(
+            MIN_OVERDUE_S,
+            len(self.endpoints) * self.settings.engine_query_interval_s,
+        )
+        return self.clock.monotonic() - measured_at >= max_age_s
+
     async def _describe(self, known: Endpoint, engine: engines.Engine) -> None:
         match await engine.describe():
             case expression.Result(tag="ok", ok=description):
@@ -401,6 +448,7 @@
             await self._describe(known, engine)
         known.report = report
         known.reported_at = self.clock.monotonic()
+        _clear_failed_queries(known)
         self._sync_leaving_state(known.vm.name, known)
         self.driver.notify(events.LoadReported(self.clock.monotonic(), report))
         if report.leaving:
@@ -409,7 +457,13 @@
     def take_peer_report(self, report: endpoints.LoadReport) -> None:
         """Applies a load report published by a peer."""
         known = self.endpoints.get(report.endpoint)
-        if known is None or known.watched:
+        if known is None:
+            return
+        measured_at = self.clock.monotonic() - report.age_s
+        since = known.failing_since
+        if since is not None and measured_at > since:
+            _clear_failed_queries(known)
+        if known.watched:
             return
         described = known.description
         if described is not None and described.instance != report.instance:
@@ -468,6 +522,17 @@
         await self.clock.sleep(seconds * spread)
 
 
+def _record_failed_query(known: Endpoint, sent_at: float) -> None:
+    if known.failing_since is None:
+        known.failing_since = sent_at
+    known.failed_queries += 1
+
+
+def _clear_failed_queries(known: Endpoint) -> None:
+    known.failing_since = None
+    known.failed_queries = 0
+
+
 def unreachable(endpoint: str) -> errors.EndpointUnreachable:
     """Returns the error for an endpoint that this node doesn't know."""
     return errors.EndpointUnreachable(f"Endpoint {endpoint} is not known.")
--- a/src/almondshift/node/reconciler.py
+++ b/src/almondshift/node/reconciler.py
@@ -190,6 +190,7 @@
             if known.description is not None
             and known.report is not None
             and not self.directory.is_leaving(name)
+            and not self.directory.is_unreachable(name)
         ]
 
     def _is_due(self, order: placement.PlannedOrder) -> bool:
--- a/tests/node/test_directory.py
+++ b/tests/node/test_directory.py
@@ -225,6 +225,55 @@
     await rig.directory.close()
 
 
+@pytest.mark.parametrize(
+    ("watched", "plans", "failing_s", "unreachable"),
+    [
+        (True, False, 0.3, False),
+        (True, False, 2.0, True),
+        (False, False, 6.0, False),
+        (False, True, 1.5, False),
+        (False, True, 6.0, True),
+    ],
+)
+@asynchronous.run
+async def test_an_engine_that_fails_queries_becomes_unreachable(
+    watched: bool, plans: bool, failing_s: float, unreachable: bool
+) -> None:
+    """Guards against plans that rely on an engine that was lost.
+
+    A short failure, such as a restart, must not move layers. The planning
+    node queries an engine itself once its peers' reports are overdue.
+    """
+    rig = Rig()
+    await rig.start()
+    rig.directory.watches = lambda _: watched
+    rig.directory.plans_placement = lambda: plans
+    reported = rig.engine.load.return_value
+    rig.engine.load.return_value = expression.Error(directory.unreachable("e"))
+    await rig.clock.advance(failing_s)
+    assert rig.directory.is_unreachable("e") is unreachable
+    rig.engine.load.return_value = reported
+    await rig.clock.advance(REPORT_S)
+    assert not rig.directory.is_unreachable("e")
+    await rig.directory.close()
+
+
+@asynchronous.run
+async def test_a_peers_newer_report_shows_that_an_engine_is_reachable() -> None:
+    """Guards against a cut link of one node that counts as a lost engine."""
+    rig = Rig()
+    await rig.start()
+    reported = rig.engine.load.return_value.ok
+    rig.engine.load.return_value = expression.Error(directory.unreachable("e"))
+    await rig.clock.advance(2.0)
+    held_s = dataclasses.replace(reported, age_s=3.0)
+    rig.directory.take_peer_report(held_s)
+    assert rig.directory.is_unreachable("e")
+    rig.directory.take_peer_report(dataclasses.replace(reported, age_s=0.0))
+    assert not rig.directory.is_unreachable("e")
+    await rig.directory.close()
+
+
 @asynchronous.run
 async def test_late_move_does_not_exclude_an_engine() -> None:
     """A stage is moved off an engine that the list no longer shows as leaving.
--- a/tests/node/test_reconciler.py
+++ b/tests/node/test_reconciler.py
@@ -52,6 +52,7 @@
             for i in range(ENGINES)
         }
         known.is_leaving.return_value = False
+        known.is_unreachable.return_value = False
         known.plain_ready.return_value = set()
         known.engine.return_value = self.engine
         self.planner = mock.create_autospec(planners.Planner, instance=True)
@@ -89,6 +90,19 @@
     assert rig.planner.plan.call_count == plans
 
 
+def test_unreachable_engines_hold_no_layers() -> None:
+    """Guards against layers that only a lost engine is planned to hold.
+
+    The platform's list still shows the engine, and its last report stays.
+    """
+    rig = Rig()
+    rig.reconcile(0.0)
+    rig.directory.is_unreachable.side_effect = lambda name: name == "e1"
+    rig.reconcile(0.1)
+    assert rig.planner.plan.call_count == 2
+    assert len(rig.planner.plan.call_args.args[1]) == ENGINES - 1
+
+
 def test_order_is_resent_until_the_engine_reports_it() -> None:
     rig = Rig(placement.PlannedOrder("e1", ORDER))
     for at in (0.0, 1.0, 2.5):
