Move several engines at once to layers that none holds

Seen by callers: a stream whose stage was lost ended after 5 s with "no other endpoint can replace it", although the engines left had room for its layers.

Cause: only one engine was moved in a plan, and only if that alone raised the least covered layer. Where the engines left are smaller than the lost one, each single move leaves the least covered layer at 0, so none was ever made. In the demo: fast-2 held 6 to 12, fast-1 the campaigns adapter, and slow-1 and slow-2 (four layers each) were spare.

If layers have no engine once the free ones are placed, layer_gaps chooses moves together, engines without sessions first, and makes none unless they fill the gap. No other model loses a layer.

Weighed: moving one engine at a time by the sorted coverage (two loads after each other, and room given away for a gap that stays open); planning all layers again (reloads engines that serve); two holders of each layer (48 of 36 layers).

--- a/src/almondshift/policy/placement.py
+++ b/src/almondshift/policy/placement.py
@@ -13,9 +13,11 @@
 coverage is compared, so a layer without any engine has priority. An engine with
 a useful range keeps it: only free engines are placed, and one engine at a time
 is moved, if that raises the least covered layer by a fifth and leaves no layer
-without an engine. The bytes being loaded at once are bounded, so that a change
-doesn't queue hundreds of loads at the store. All of them, including the first
-complete chain, would otherwise finish as late as the last one.
+without an engine. If layers have no engine, for example after a loss, as many
+engines are moved at once as fill the gap, see ``layer_gaps``. The bytes being
+loaded at once are bounded, so that a change doesn't queue hundreds of loads at
+the store. All of them, including the first complete chain, would otherwise
+finish as late as the last one.
 
 Two models share the engines by demand: the next free engine goes to the model
 with the least coverage relative to its demand. Models whose services depend on
@@ -48,6 +50,7 @@
 from almondshift.model import orders
 from almondshift.policy import chain_split
 from almondshift.policy import engine_rates
+from almondshift.policy import layer_gaps
 from almondshift.policy import topology
 
 if TYPE_CHECKING:
@@ -161,7 +164,8 @@
         free = self._assign_current()
         for state in self.states:
             free += self._roll_out(state)
-        self._place(free)
+        if self._place(free):
+            self._fill_gaps()
         if not self.orders:
             self._rebalance()
         self._note_uncovered_models()
@@ -568,15 +572,65 @@
             span,
         )
 
-    def _place(self, free: list[PlacedEngine]) -> None:
+    def _place(self, free: list[PlacedEngine]) -> bool:
+        """Places free engines; returns whether all of them could be loaded."""
         for engine in free:
             state = self._least_covered(engine)
             if state is None:
                 continue
             span = _best_span(state, engine)
             if not self._load(engine, state, span):
-                return
+                return False
             state.add(engine, span)
+        return True
+
+    def _fill_gaps(self) -> None:
+        """Moves engines to layers that none holds, if that fills a gap."""
+        if any(state.draining for state in self.states):
+            return
+        for index, state in enumerate(self.states):
+            if min(state.coverage) > _ZERO_RATE:
+                continue
+            moves = layer_gaps.find_moves(
+                [other.holders for other in self.states],
+                index,
+                state.model.layers,
+                self._movable_engines(),
+            )
+            for name, span in moves.items():
+                if not self._move(self.engines[name], state, span):
+                    return
+
+    def _movable_engines(self) -> list[layer_gaps.MovableEngine]:
+        return [
+            layer_gaps.MovableEngine(
+                name,
+                index,
+                self.engines[name].description.layer_capacity,
+                not self._sessions(name),
+            )
+            for index, state in enumerate(self.states)
+            if not self._is_rolling(state)
+            for name in state.holders
+            if name not in self.orders and self._held(name).ready
+        ]
+
+    def _move(
+        self,
+        engine: PlacedEngine,
+        state: _WorkloadState,
+        span: layers.LayerRange,
+    ) -> bool:
+        """Orders a move; returns whether it could be ordered now."""
+        origin = next(s for s in self.states if engine.name in s.holders)
+        held = origin.holders[engine.name]
+        if engine.report.sessions:
+            self._drain(engine, origin, held)
+        elif not self._load(engine, state, span):
+            return False
+        origin.remove(engine)
+        state.add(engine, span)
+        return True
 
     def _least_covered(self, engine: PlacedEngine) -> _WorkloadState | None:
         """Returns the least covered workload, or the first of several."""
@@ -637,7 +691,11 @@
         return False
 
     def _is_rolling(self, state: _WorkloadState) -> bool:
-        return any(self._is_old(name, state) for name in state.holders)
+        return any(
+            self._is_old(name, state)
+            for name in state.holders
+            if name not in self.orders
+        )
 
     def _note_uncovered_models(self) -> None:
         for state in self.states:
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
 
 import pytest
 
@@ -12,6 +13,9 @@
 from almondshift.policy import placement
 from almondshift.policy import topology
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 LAYERS = 8
 BIG = 1 << 40
 
@@ -78,14 +82,20 @@
             )
 
     def has_complete_chain(
-        self, version: int, model: str = "m", layer_count: int = LAYERS
+        self,
+        version: int,
+        model: str = "m",
+        layer_count: int = LAYERS,
+        adapter: str = "",
     ) -> bool:
         spans = [
             held.layers
             for name, holdings in self.holdings.items()
             if self.roles[name] is not endpoints.EndpointRole.DRAINING
             for held in holdings
-            if held.ready and (held.model, held.version) == (model, version)
+            if held.ready
+            and (held.model, held.version) == (model, version)
+            and held.adapter == adapter
         ]
         return topology.covers_all(spans, layer_count)
 
@@ -101,7 +111,11 @@
         )
 
 
-def _fleet(version: int = 1, models: tuple[str, ...] = ("m",)) -> fleet.Fleet:
+def _fleet(
+    version: int = 1,
+    models: tuple[str, ...] = ("m",),
+    adapters: Sequence[str] = ("",),
+) -> fleet.Fleet:
     return fleet.Fleet(
         version=1,
         name="test",
@@ -110,10 +124,14 @@
             for name in models
         },
         services={
-            f"on-{name}": fleet.Service(
-                f"on-{name}", fleet.ServiceKind.MODEL, model=name
+            f"on-{name}{adapter}": fleet.Service(
+                f"on-{name}{adapter}",
+                fleet.ServiceKind.MODEL,
+                model=name,
+                adapter=adapter,
             )
             for name in models
+            for adapter in adapters
         },
         endpoint_rules=(),
         links=(),
@@ -184,6 +202,44 @@
     assert planned.order.layers == layers.LayerRange(4, 8)
 
 
+@pytest.mark.parametrize(
+    ("capacities", "adapters", "lost"),
+    [
+        ([4, 3, 3, 3], [""], "e0"),
+        ([5, 3, 2, 2], [""], "e1"),
+        ([8, 5, 5, 3], ["", "x"], "e1"),
+        ([8, 7, 4, 3, 3], ["", "x"], "e1"),
+        ([8, 6, 5, 2, 2], ["", "x"], "e1"),
+    ],
+)
+@pytest.mark.parametrize("sessions", [0, 1])
+def test_several_engines_share_the_layers_of_a_lost_one(
+    capacities: list[int], adapters: list[str], lost: str, sessions: int
+) -> None:
+    """Guards against layers that stay lost since no engine has room for all."""
+    engines = _Engines(capacities)
+    planned = _fleet(adapters=adapters)
+    _settle(engines, planned)
+    del engines.descriptions[lost], engines.holdings[lost]
+    engines.sessions = dict.fromkeys(engines.descriptions, sessions)
+    _settle(engines, planned)
+    for adapter in adapters:
+        assert engines.has_complete_chain(1, adapter=adapter)
+
+
+def _settle(engines: _Engines, planned: fleet.Fleet) -> None:
+    """Plans until no order is given; sessions end on draining engines."""
+    for _ in range(10):
+        plan = placement.plan(planned, engines.placed())
+        if not plan.orders:
+            return
+        engines.apply(plan)
+        for name, role in engines.roles.items():
+            if role is endpoints.EndpointRole.DRAINING:
+                engines.sessions[name] = 0
+    raise AssertionError(f"orders after ten plans: {plan.orders}")
+
+
 def test_two_models_share_engines() -> None:
     engines = _Engines([4] * 8)
     models = _fleet(models=("m", "k"))
