Don't move an engine back and forth between two workloads

Seen: plans of a fleet without any change that moved one engine at each plan, to the other workload and back. Each move loads all its layers again, and callers have one engine less meanwhile.

Cause: the workload that gives an engine up only had to stay above the former least coverage. If a move swaps the two coverages, rounding of the sums decides: five equal engines are three and two, then two and three.

Weighed: a margin for rounding alone would allow moves, and loads, for a gain far below a fifth.

The four new rows fail without the change.

--- a/src/almondshift/policy/placement.py
+++ b/src/almondshift/policy/placement.py
@@ -674,14 +674,11 @@
         still_covered = all(origin.coverage[span.start : span.end])
         target = _best_span(state, engine)
         state.add(engine, target)
-        improves = state.min_coverage_per_demand > max(
-            before * MIN_MOVE_GAIN, _ZERO_RATE
+        least = min(
+            state.min_coverage_per_demand, origin.min_coverage_per_demand
         )
-        if (
-            still_covered
-            and improves
-            and origin.min_coverage_per_demand > before
-        ):
+        improves = least > max(before * MIN_MOVE_GAIN, _ZERO_RATE)
+        if still_covered and improves:
             if engine.report.sessions:
                 self._drain(engine, origin, span)
                 return True
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -227,6 +227,18 @@
         assert engines.has_complete_chain(1, adapter=adapter)
 
 
+@pytest.mark.parametrize(
+    "capacities",
+    [[8, 8, 8, 8, 8], [8, 6, 6, 6, 4], [7, 6, 6, 4, 3], [8, 5, 5, 5, 5]],
+)
+def test_an_engine_is_not_moved_back_and_forth(capacities: list[int]) -> None:
+    """Guards against endless loads where two workloads swap their coverage."""
+    engines = _Engines(capacities)
+    planned = _fleet(adapters=["", "x"])
+    _settle(engines, planned)
+    assert placement.plan(planned, engines.placed()).orders == ()
+
+
 def _settle(engines: _Engines, planned: fleet.Fleet) -> None:
     """Plans until no order is given; sessions end on draining engines."""
     for _ in range(10):
