Count an accepted order until the engine reports after it

Seen: at the start of the demo's system some engines got a second order 0.2 s after the first, which contradicted it: fast-1 layers 0 to 8 of the model, then 4 to 12 or 0 to 8 with the campaigns adapter.

Cause: a plan knows reports only. Engines report one after another, so one whose report is older than its order looked free, while the others' new layers counted.

An accepted order now counts as the engine's state, not ready, until a report that was measured later, at most until the order would be sent again. A drained engine counts as having sessions meanwhile, so it isn't reloaded too early.

Weighed: a plan only when all engines have reported after their orders (one silent engine would hold up all); no second order for an engine for a time (the planner would still take it for free and give its layers to others).

The new row for a report older than the order fails without the change.

--- a/src/almondshift/node/reconciler.py
+++ b/src/almondshift/node/reconciler.py
@@ -11,6 +11,7 @@
 import expression
 
 from almondshift import log_events
+from almondshift.model import endpoints
 from almondshift.model import orders
 from almondshift.policy import placement
 
@@ -68,8 +69,15 @@
 
 @dataclasses.dataclass(slots=True)
 class _Sent:
+    """An order that was sent.
+
+    Attributes:
+        accepted_at: Time at which the engine's acceptance was received.
+    """
+
     order: placement.PlannedOrder
     at: float
+    accepted_at: float | None = None
 
 
 class Reconciler:
@@ -185,7 +193,10 @@
 
     def _engines(self) -> list[placement.PlacedEngine]:
         return [
-            placement.PlacedEngine(known.description, known.report)
+            placement.PlacedEngine(
+                known.description,
+                self._with_accepted_order(known.report, known.reported_at),
+            )
             for name, known in self.directory.endpoints.items()
             if known.description is not None
             and known.report is not None
@@ -193,6 +204,23 @@
             and not self.directory.is_unreachable(name)
         ]
 
+    def _with_accepted_order(
+        self, report: endpoints.LoadReport, reported_at: float | None
+    ) -> endpoints.LoadReport:
+        """Returns a report with an order accepted after its measurement.
+
+        Without it, engines that report later than others would count as free
+        and get a second order that contradicts the first.
+        """
+        sent = self._last_sent.get(report.endpoint)
+        if sent is None or sent.accepted_at is None or reported_at is None:
+            return report
+        was_measured_after = reported_at - report.age_s > sent.accepted_at
+        age_s = self.clock.monotonic() - sent.accepted_at
+        if was_measured_after or age_s >= self.settings.resend_interval_s:
+            return report
+        return _apply(sent.order.order, report)
+
     def _is_due(self, order: placement.PlannedOrder) -> bool:
         last = self._last_sent.get(order.endpoint)
         if last is None or last.order != order:
@@ -267,10 +295,39 @@
                         "engine %s refused an order with a stale fencing token",
                         order.endpoint,
                     )
+                sent = self._last_sent.get(order.endpoint)
+                if sent is not None and _is_accepted(given):
+                    sent.accepted_at = self.clock.monotonic()
             case _:
                 self._last_sent.pop(order.endpoint, None)
 
 
+def _is_accepted(answer: orders.OrderAnswer) -> bool:
+    return answer.status is orders.OrderStatus.ACCEPTED
+
+
+def _apply(
+    order: orders.Order, report: endpoints.LoadReport
+) -> endpoints.LoadReport:
+    """Returns the report of an engine that has begun to execute an order."""
+    if order.role is endpoints.EndpointRole.DRAINING:
+        # Sessions may have started after the measurement.
+        sessions = max(1, report.sessions)
+        return dataclasses.replace(report, role=order.role, sessions=sessions)
+    ordered = endpoints.Holding(
+        order.model, order.version, order.adapter, order.layers, ready=False
+    )
+    kept = [
+        held
+        for held in report.holdings
+        if (held.model, held.adapter) == (order.model, order.adapter)
+        and (held.version != order.version or held.layers == order.layers)
+    ]
+    if not any(held.version == order.version for held in kept):
+        kept.append(ordered)
+    return dataclasses.replace(report, role=order.role, holdings=tuple(kept))
+
+
 def _describe(order: orders.Order) -> str:
     """Returns an order as text for the log."""
     span = order.layers
--- a/tests/node/test_reconciler.py
+++ b/tests/node/test_reconciler.py
@@ -103,6 +103,41 @@
     assert len(rig.planner.plan.call_args.args[1]) == ENGINES - 1
 
 
+@pytest.mark.parametrize(
+    ("status", "reported_at", "planned_at", "counts"),
+    [
+        (orders.OrderStatus.ACCEPTED, 0.0, 1.5, True),
+        (orders.OrderStatus.ACCEPTED, 1.2, 1.5, False),
+        (orders.OrderStatus.ACCEPTED, 0.0, 3.1, False),
+        (orders.OrderStatus.STALE, 0.0, 1.5, False),
+    ],
+)
+def test_an_accepted_order_counts_until_the_engine_reports(
+    status: orders.OrderStatus,
+    reported_at: float,
+    planned_at: float,
+    counts: bool,
+) -> None:
+    """Guards against a second order that contradicts the first.
+
+    Engines report one after another; one whose report is older than its order
+    looked free.
+    """
+    rig = Rig(placement.PlannedOrder("e1", ORDER))
+    rig.engine.order.return_value = expression.Ok(orders.OrderAnswer(status, 7))
+    known = rig.directory.endpoints["e1"]
+    known.report = endpoints.LoadReport(
+        "e1", "i1", endpoints.EndpointRole.IDLE, False, (), 0, 0, 0, 0.0
+    )
+    known.reported_at = 0.0
+    rig.reconcile(1.0)
+    known.reported_at = reported_at
+    rig.reconcile(planned_at)
+    placed = {e.report.endpoint: e for e in rig.planner.plan.call_args.args[1]}
+    held = [h.layers for h in placed["e1"].report.holdings]
+    assert held == ([ORDER.layers] if counts else [])
+
+
 def test_order_is_resent_until_the_engine_reports_it() -> None:
     rig = Rig(placement.PlannedOrder("e1", ORDER))
     for at in (0.0, 1.0, 2.5):
