Let the soak's view of other engines tell whether they are silent

The stand-in engine asks an engine on its path whether it is silent, which may be a pause; the soak's engines, each a process, know others by a record without that field, and failed each stream.

--- a/tests/soak/engine_process.py
+++ b/tests/soak/engine_process.py
@@ -44,6 +44,10 @@
     layers: tuple[int, int] | None = None
     born: int = 0
 
+    @property
+    def is_silent(self) -> bool:
+        return self.is_dead
+
 
 class SoakEngine(standin_engines.StandinEngine):
     """A stand-in engine at a given address; each has its own process.
