Wait for a readable secret in place of ending the join

A malformed row of the secret, which nothing writes, raised an error since the secret has an era. Three more rows in the table of test_all_nodes_use_the_oldest_secret; those and the tests beside them pass.

--- a/src/almondshift/relay/shared_secret.py
+++ b/src/almondshift/relay/shared_secret.py
@@ -111,6 +111,9 @@
         return created if written.is_ok() else None
 
 
-def read_row(row: stores.Row) -> Secret:
-    """Parses the row; earlier releases wrote no era."""
-    return Secret(int(row.value.get("era", 0)), str(row.value["secret"]))
+def read_row(row: stores.Row) -> Secret | None:
+    """Parses the row, without an era from older releases; None if malformed."""
+    era, text = row.value.get("era", 0), row.value.get("secret")
+    if not isinstance(era, int) or not isinstance(text, str) or not text:
+        return None
+    return Secret(era, text)
--- a/tests/relay/test_restored_node_rows.py
+++ b/tests/relay/test_restored_node_rows.py
@@ -143,6 +143,9 @@
         ({"secret": "newer", "era": 2}, "own"),
         ({"secret": "older", "era": 0}, "older"),
         ({"secret": "old release"}, "old release"),
+        ({"secret": "", "era": 0}, "own"),
+        ({"era": 0}, "own"),
+        ({"secret": "malformed", "era": "x"}, "own"),
     ],
 )
 @asynchronous.run
