Query a silent engine less often in large groups

All nodes learn of an engine's silence at once, and each queried it every 0.2 s in its first 1.4 s: 195 nodes 1,365 times, on connections that it would find when it goes on. The interval grows with the group like those of other queries, and one query always times out just after 1.4 s, so that streams still leave an engine that has ended in time. Counted in test_possible_runs.py: at most 10 queries of each of 2 and 9 nodes, 3 of 76, 2 of 195; ended by 1.65 s in all.

--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -34,6 +34,10 @@
 """Interval between queries of an engine that has been silent for less than
 ``MAX_PAUSE_S``, in seconds."""
 
+LAST_SILENT_QUERY_S = MAX_PAUSE_S - 0.28
+"""Silence at which an engine is queried even by the nodes of a large group, in
+seconds. The query times out just after ``MAX_PAUSE_S``."""
+
 MAX_ENDED = 512
 """Maximum number of ended engines that are remembered."""
 
@@ -152,6 +156,7 @@
         states: By instance.
         ended: Engines that are known to have ended, the oldest first.
         changes: Increases with each change of health, not of load.
+        query_factor: Factor by which a large group extends its intervals.
     """
 
     def __init__(self) -> None:
@@ -160,6 +165,7 @@
             collections.OrderedDict()
         )
         self.changes = 0
+        self.query_factor = 1.0
 
     def state(self, instance: str) -> EngineState:
         """Returns the state of an engine; creates it if needed."""
@@ -202,7 +208,7 @@
         state.reason = reason
         state.suspect_until = now + SUSPECT_S
         if reason is Suspicion.UNREACHABLE:
-            state.suspect_until = now + SILENT_QUERY_GAP_S
+            state.suspect_until = now + self.silent_query_gap_s(state, now)
         elif reason is Suspicion.GONE:
             self.note_ended(instance)
         if is_change:
@@ -251,9 +257,15 @@
         silent_s = now - state.silent_since
         is_new = silent_s <= MAX_PAUSE_S + SILENT_QUERY_GAP_S
         if state.reason is Suspicion.UNREACHABLE and is_new:
-            return SILENT_QUERY_GAP_S
+            return self.silent_query_gap_s(state, now)
         return SUSPECT_QUERY_GAP_S
 
+    def silent_query_gap_s(self, state: EngineState, now: float) -> float:
+        """Returns the time until an engine that may pause is queried again."""
+        gap_s = min(SUSPECT_QUERY_GAP_S, SILENT_QUERY_GAP_S * self.query_factor)
+        left_s = LAST_SILENT_QUERY_S - (now - state.silent_since)
+        return min(gap_s, left_s) if left_s > 0 else gap_s
+
     def clear_suspicion(self, instance: str) -> None:
         """Clears the suspicion of an engine that answers again."""
         self.ended.pop(instance, None)
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -20,6 +20,7 @@
 from almondshift.policy import group_size
 from almondshift.policy import isolation
 from almondshift.policy import path_choice
+from almondshift.policy import pooled_load
 from almondshift.policy import repeat_budget
 from almondshift.relay import background
 from almondshift.relay import catalogue
@@ -472,6 +473,9 @@
         self.shared.paths.nodes = self.size.nodes(
             serving_peers, registered_nodes, now
         )
+        self.tracker.query_factor = pooled_load.query_interval_factor(
+            1 + serving_peers
+        )
         self.shared.budget.note_nodes(
             max(1 + serving_peers, registered_nodes), now
         )
--- a/tests/policy/test_possible_runs.py
+++ b/tests/policy/test_possible_runs.py
@@ -7,6 +7,7 @@
 import pytest
 
 from almondshift.policy import engine_tracker
+from almondshift.policy import pooled_load
 from almondshift.policy import possible_runs
 
 UNREACHABLE = engine_tracker.Suspicion.UNREACHABLE
@@ -84,3 +85,31 @@
         tracker.note_ended(f"e{number}")
     assert len(tracker.ended) == engine_tracker.MAX_ENDED
     assert not tracker.has_ended("e0")
+
+
+@pytest.mark.parametrize(
+    ("nodes", "most_queries"), [(2, 10), (9, 10), (76, 3), (195, 2)]
+)
+def test_nodes_together_query_a_silent_engine_only_so_often(
+    nodes: int, most_queries: int
+) -> None:
+    """Guards against queries of hundreds of nodes that an engine returns to.
+
+    All nodes learn of its silence at once. Each must also find in time that the
+    engine has ended.
+    """
+    tracker = engine_tracker.EngineTracker()
+    tracker.query_factor = pooled_load.query_interval_factor(nodes)
+    tracker.suspect("e1", UNREACHABLE, 0.0)
+    queries = 0
+    for tick in range(1, 20):
+        now = 0.1 * tick
+        if tracker.has_ended("e1") or "e1" not in tracker.due_for_query(now):
+            continue
+        queries += 1
+        gap_s = tracker.query_gap_s("e1", now)
+        tracker.state("e1").suspect_until = now + gap_s
+        tracker.note_silent("e1", now + 0.3)
+    assert tracker.has_ended("e1")
+    assert tracker.state("e1").silent_until < 1.65
+    assert queries <= most_queries
