--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -17,9 +17,9 @@
     from collections.abc import Iterable
 
 SUSPECT_S = 3.0
-"""Time for which an engine that did not answer gets no work, in seconds. It
-must then answer before it gets any. Covers the delay until the registry drops a
-dead engine."""
+"""Time for which a suspect engine gets no work, in seconds, unless it is only
+unreachable. It must then answer before it gets any. Covers the delay until the
+registry drops a dead engine."""
 
 SUSPECT_QUERY_GAP_S = 1.0
 """Interval between further queries of a suspect, in seconds."""
--- a/src/almondshift/relay/lost_engines.py
+++ b/src/almondshift/relay/lost_engines.py
@@ -90,13 +90,14 @@
             instance
         ):
             reason = engine_tracker.Suspicion.DRAINING
-        if not self.tracker.suspect(instance, reason, self.clock.monotonic()):
+        now = self.clock.monotonic()
+        if not self.tracker.suspect(instance, reason, now):
             return
         self.observer.emit(
             log_events.EndpointEjected(
                 instance,
                 reason.value,
-                engine_tracker.SUSPECT_S,
+                round(self.tracker.state(instance).suspect_until - now, 3),
                 found_by.value,
             )
         )
