Refuse requests that come after a relay cut the unfinished ones

Cause: a stop with a grace time shorter than its hold time cuts what is unfinished at the end of the grace time, but refused new requests only after the hold time. A request that was read between the cut and the closing of the connections was begun, and nothing ended it any more.

The new test failed before the change for the unknown key (status 0), not for the known one, which was refused for lack of time; both pass now.

The end of the grace time now bounds the time at which a node refuses, so whatever comes after the cut is refused as not run.

--- a/src/almondshift/relay/drain.py
+++ b/src/almondshift/relay/drain.py
@@ -14,7 +14,8 @@
 
     Attributes:
         began_at: When shutdown was requested; None before.
-        refuses_at: When the node starts to refuse new requests.
+        refuses_at: When the node starts to refuse new requests; at the latest
+            when it cuts unfinished ones.
         ends_at: When unfinished requests are cut.
     """
 
@@ -32,8 +33,8 @@
             cut_after_s: Time after which unfinished requests are cut.
         """
         self.began_at = self.clock.monotonic()
-        self.refuses_at = self.began_at + hold_s
         self.ends_at = self.began_at + cut_after_s
+        self.refuses_at = min(self.began_at + hold_s, self.ends_at)
 
     @property
     def is_begun(self) -> bool:
--- a/tests/platform/test_stop_edges.py
+++ b/tests/platform/test_stop_edges.py
@@ -32,6 +32,8 @@
 SMALL_WINDOW_BYTES = 16_384
 READ_DELAY_S = 1.0
 POLL_INTERVAL_S = 1.0
+REFUSAL_S = 0.1
+"""Time in which a request is read and refused, but no key is confirmed."""
 
 
 def set_drain(
@@ -369,6 +371,37 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("key", ["other", system.KEY])
+def test_a_request_after_the_last_cut_is_refused(key: str) -> None:
+    """Guards against a request that is begun when nothing will end it.
+
+    The grace time is shorter than the hold time, as operators may set it. A
+    request comes after the unfinished ones were cut and before the connections
+    are closed. Nobody cuts it any more, so it must be refused at once.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(zones="a") as running:
+            set_drain(running, 3.0, 0.5)
+            process = running.nodes.pop()
+            running.store.faults.is_silent = True
+            await process.node.stop_gracefully()
+            head = system.request(
+                "/look/x", "late", Authorization=f"Bearer {key}"
+            )
+            late = asyncio.create_task(
+                system.send(process.settings.entry.address, head)
+            )
+            await asyncio.sleep(REFUSAL_S)
+            running.store.faults.is_silent = False
+            await process.close()
+            status, _, body = await late
+            assert (status, whole.times_run(running, "late")) == (503, 0)
+            assert json.loads(body)["kind"] == "node_leaving"
+
+    asyncio.run(scenario())
+
+
 def test_a_node_closes_within_its_margin_while_the_store_is_silent() -> None:
     """Guards against a lease holder that is killed before it has closed.
 
