Answer what has reached a node by the time it stops listening

Callers saw: a connection that they had just opened to a stopping node was reset or ended without a response, so that they could not know whether their request ran.

Cause: tornado's stop() closes the listening socket, which resets the connections that the kernel has accepted and the server has not, and close_all_connections() then ends those whose request has arrived but was not read, or was read and not answered yet. Both daemons closed like that right after their drain; `almondshift node` moreover closed its components first, while its server still took requests.

The server now accepts what waits on its listening socket and closes that in the same step, so later connections are refused, which tells a caller that nothing was sent. Drained nodes refuse what still arrives as not run.

The new tests are deterministic, with caller and server on one event loop.

--- a/src/almondshift/adapters/http_front/server.py
+++ b/src/almondshift/adapters/http_front/server.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-import tornado.httpserver
 import tornado.netutil
 import tornado.web
 
 from almondshift.adapters import byte_tokenizer
+from almondshift.adapters import http_server
 from almondshift.adapters.http_front import base
 from almondshift.adapters.http_front import completions
 from almondshift.adapters.http_front import contexts
@@ -36,23 +36,24 @@
 
     Attributes:
         address: ``host:port`` after ``start``.
+        server: Once started, until it is closed.
     """
 
     application: tornado.web.Application
     host: str
     port: int
     address: str = ""
-    _server: tornado.httpserver.HTTPServer | None = None
+    server: http_server.Server | None = None
 
     async def start(self) -> None:
         """Starts listening; port 0 lets the OS choose."""
         sockets = tornado.netutil.bind_sockets(self.port, self.host)
-        self._server = tornado.httpserver.HTTPServer(
+        self.server = http_server.Server(
             self.application,
             max_body_size=SERVER_BODY_LIMIT_BYTES,
             idle_connection_timeout=IDLE_TIMEOUT_S,
         )
-        self._server.add_sockets(sockets)
+        self.server.add_sockets(sockets)
         self.address = f"{self.host}:{sockets[0].getsockname()[1]}"
 
     def disable_keep_alive(self) -> None:
@@ -62,16 +63,21 @@
         It would keep sending requests to a draining node, the last one just
         as the node closes, and could not know whether that one ran.
         """
-        if self._server is not None:
-            self._server.conn_params.no_keep_alive = True
+        if self.server is not None:
+            self.server.conn_params.no_keep_alive = True
+
+    async def close_gracefully(self) -> None:
+        """Stops listening, and answers what has reached the server by now."""
+        if self.server is not None:
+            await self.server.close_gracefully()
 
     async def close(self) -> None:
         """Stops listening and closes all connections."""
-        if self._server is None:
+        if self.server is None:
             return
-        self._server.stop()
-        await self._server.close_all_connections()
-        self._server = None
+        self.server.stop()
+        await self.server.close_all_connections()
+        self.server = None
 
 
 def create_http_front(
--- a/src/almondshift/adapters/http_listener.py
+++ b/src/almondshift/adapters/http_listener.py
@@ -7,9 +7,10 @@
 from typing import TYPE_CHECKING
 
 from tornado import http1connection
-from tornado import httpserver
 from tornado import httputil
 
+from almondshift.adapters import http_server
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -49,7 +50,7 @@
     ) -> None:
         self.host, _, port = address.rpartition(":")
         self.port = int(port)
-        self.server = httpserver.HTTPServer(
+        self.server = http_server.Server(
             delegate,
             idle_connection_timeout=idle_s * IDLE_FACTOR,
             max_header_size=header_bytes,
@@ -73,6 +74,10 @@
         """Closes each connection after the response to its next request."""
         self.server.conn_params.no_keep_alive = True
 
+    async def close_gracefully(self) -> None:
+        """Closes the listener, and answers what has reached it by now."""
+        await self.server.close_gracefully()
+
     async def close(self) -> None:
         """Closes the listener and all connections."""
         self.server.stop()
--- a/src/almondshift/daemons/node.py
+++ b/src/almondshift/daemons/node.py
@@ -115,9 +115,10 @@
             )
 
     async def stop_gracefully(self) -> None:
-        """Ends keep-alive connections and drains in-flight requests."""
+        """Drains in-flight requests, then stops serving callers."""
         self.front.disable_keep_alive()
         await self.node.stop_gracefully()
+        await self.front.close_gracefully()
 
     async def close(self) -> None:
         """Closes the node, then its adapters."""
--- a/tests/platform/test_stop_edges.py
+++ b/tests/platform/test_stop_edges.py
@@ -402,6 +402,43 @@
     asyncio.run(scenario())
 
 
+def test_a_request_that_crosses_the_close_is_refused() -> None:
+    """Guards against a connection that is reset as its node closes.
+
+    A caller connects and sends a request just before its node stops listening.
+    The kernel accepts the connection, and the node has not seen it yet.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(zones="a") as running:
+            set_drain(running, 0.2, 3.0)
+            process = running.nodes.pop()
+            host, _, port = process.settings.entry.address.rpartition(":")
+            head = system.request("/look/x", "late")
+            text = "\r\n".join([*head, "Content-Length: 0", "", ""])
+            stop_listening = process.front.server.stop
+            callers: list[socket.socket] = []
+
+            def send_and_stop_listening() -> None:
+                if not callers:
+                    callers.append(socket.create_connection((host, int(port))))
+                    callers[0].sendall(text.encode())
+                stop_listening()
+
+            with mock.patch.object(
+                process.front.server, "stop", send_and_stop_listening
+            ):
+                await process.stop_gracefully()
+                await process.close()
+            reader, writer = await asyncio.open_connection(sock=callers[0])
+            status, _, body = await system.read_answer(reader)
+            writer.close()
+            assert (status, whole.times_run(running, "late")) == (503, 0)
+            assert json.loads(body)["kind"] == "node_leaving"
+
+    asyncio.run(scenario())
+
+
 def test_a_node_closes_within_its_margin_while_the_store_is_silent() -> None:
     """Guards against a lease holder that is killed before it has closed.
 
