Tests: say what was seen when a step was not

A wait for a step of a request that never comes ended with "not met within 30.0 s: ann's prefill" and nothing else: not whether the node had refused the request, nor which steps had run.

The message now has the first bytes of the response (or, for a caller that reads, its answer or the number of tokens received) and the last step of each session in the engines' ledgers, with its age. What is waited for, and for how long, is as before.

--- a/tests/scenarios/datapath/paths.py
+++ b/tests/scenarios/datapath/paths.py
@@ -17,6 +17,8 @@
 from tests.scenarios import worlds
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     import pathlib
 
 STAGES = 3
@@ -305,7 +307,7 @@
         async def begun() -> bool:
             return bool(self.stage_of(name, stage))
 
-        self.run(self.system.wait_for(begun, f"{stage} stage of {name}"))
+        self._wait_for(begun, f"{stage} stage of {name}", name)
         return self.stage_of(name, stage)
 
     def wait_positions(self, name: str, stage: str, count: int) -> None:
@@ -316,7 +318,7 @@
             return any(session.stop >= count for session in found)
 
         what = f"{count} positions in the {stage} stage of {name}"
-        self.run(self.system.wait_for(enough, what))
+        self._wait_for(enough, what, name)
 
     def check_ledgers(self, name: str) -> None:
         """Checks that each layer ran once and in order."""
@@ -380,7 +382,38 @@
             )
 
         what = f"a held step in the {stage} stage of {name}"
-        self.run(self.system.wait_for(has_run, what))
+        self._wait_for(has_run, what, name)
+
+    def _wait_for(
+        self, condition: Callable[[], Awaitable[bool]], what: str, name: str
+    ) -> None:
+        """Waits for a condition; the message on timeout has the request."""
+
+        def seen() -> str:
+            steps = self.last_steps(self.requests[name].prompt[0])
+            return f"{self.progress(name)}; {steps}"
+
+        self.run(self.system.wait_for(condition, what, seen=seen))
+
+    def progress(self, name: str) -> str:
+        """Describes what a request has received."""
+        request = self.requests[name]
+        if not request.task.done():
+            return f"{len(request.tokens)} of {request.count} tokens received"
+        answer = request.task.result()
+        return f"answered {answer.status}, {answer.problem or 'no problem'}"
+
+    def last_steps(self, marker: int) -> str:
+        """Describes the last step of each session of a request."""
+        found = ledgers.sessions(self.runs_of_marker(marker))
+        last = [session.runs[-1] for session in found]
+        now = time.monotonic()
+        steps = [
+            f"{run.engine} epoch {run.epoch} layers {run.start}-{run.end} "
+            f"to position {run.stop}, {now - run.at:.2f} s ago"
+            for run in sorted(last, key=lambda run: run.at)
+        ]
+        return "last steps: " + (", ".join(steps) or "none")
 
     def release_stages(self, but: str = "") -> None:
         """Releases held responses, except those of one engine."""
--- a/tests/scenarios/datapath/raw_callers.py
+++ b/tests/scenarios/datapath/raw_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import socket
 from typing import Any
@@ -39,6 +40,13 @@
         writer.close()
         return received
 
+    def received(self) -> bytes:
+        """Returns the first bytes of the response without reading them."""
+        with contextlib.suppress(BlockingIOError):
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            return self.socket.recv(RECEIVE_BUFFER, flags)
+        return b""
+
     def close(self) -> None:
         """Disconnects."""
         self.socket.close()
--- a/tests/scenarios/datapath/test_own_answer.py
+++ b/tests/scenarios/datapath/test_own_answer.py
@@ -110,7 +110,11 @@
         runs = world.runs_of_marker(marker)
         return any(run.stop >= min_position for run in runs)
 
-    world.run(world.system.wait_for(begun, f"ann's {phase}"))
+    def seen() -> str:
+        return f"{caller.received()!r}; {world.last_steps(marker)}"
+
+    what = f"ann's {phase}"
+    world.run(world.system.wait_for(begun, what, seen=seen))
 
 
 async def no_sessions(world: paths.PathWorld) -> bool:
