Probe an ejected endpoint once at a time, and keep the last one

Callers of `almondshift node` got 503 "overloaded" (execution not_run) for many seconds after the links to the engines of a stage had been cut for a moment and were back, although every engine was idle.

Causes, seen in the router's state at such a refusal (trial with the state printed, load 13 to 18):

- Each ejection scheduled a probe, and those of earlier ejections stayed scheduled.
At the next ejection all were due at once: 5 to 7 probes of one engine at the same moment (18 scheduled for e2), each answered in 0.09 to 0.11 s where 0.06 s are allowed, and each doubled the delay.
It rose to 30 s in one go.
An answered slow probe also left its repeat scheduled besides the next probe.
- A probe that is answered, but slowly, kept an endpoint out even if no other of its group was in service; a slow trial did the same.
Both holders of layers 0 to 4 and of 4 to 8 were out at once, with all links whole (e1 and e5 after a slow trial).

There is now one next probe per endpoint; one that replaces it makes it void. If no other endpoint of a group is active or on trial, the first that answers a probe is on trial however slow it is, and a slow trial does not end its service: there is nothing better to send work to, as the module already says of an only endpoint. An endpoint that does not answer stays out as before.

The four new tests fail without the change.

--- a/src/almondshift/policy/ejection.py
+++ b/src/almondshift/policy/ejection.py
@@ -28,7 +28,9 @@
 to thirty seconds. Once a probe is as fast as the group, the endpoint gets two
 concurrent requests for a trial window, and its full share if the trial
 succeeds. An endpoint that can't be reached, or fails twice without a successful
-call in between, is ejected regardless of the limit on ejected endpoints.
+call in between, is ejected regardless of the limit on ejected endpoints. If
+this leaves none in service, the first that answers its probe is on trial
+however slow it is, and a slow trial doesn't end its service.
 """
 
 from __future__ import annotations
@@ -78,6 +80,7 @@
     calls: int = 0
     failures: int = 0
     probe_delay_s: float = MIN_PROBE_DELAY_S
+    next_probe_at: float = math.inf
     window_started_at: float = float("-inf")
     window_calls: int = 0
     window_min: float = math.inf
@@ -150,6 +153,13 @@
         max_ejected = max(1, int(len(self.members) * MAX_EJECTED_SHARE))
         return not_active < max_ejected and not_active + 1 < len(self.members)
 
+    def has_other_in_service(self, health: _Health) -> bool:
+        """Returns whether another endpoint is active or on trial."""
+        return any(
+            other is not health and other.state is not State.EJECTED
+            for other in self.members.values()
+        )
+
 
 class Ejection:
     """Tracks the health of endpoints, and ejects slow and failing ones."""
@@ -252,15 +262,18 @@
         """Returns the endpoints that should be probed now."""
         due = []
         while self._probe_queue and self._probe_queue[0][0] <= at:
-            _, name = heapq.heappop(self._probe_queue)
+            due_at, name = heapq.heappop(self._probe_queue)
             health = self._health_by_name.get(name)
-            if health is not None and health.state is State.EJECTED:
+            if (
+                health is not None
+                and health.state is State.EJECTED
+                and health.next_probe_at == due_at
+            ):
                 due.append(name)
                 # Without a repeat, a probe that is never answered would keep
                 # the endpoint ejected forever.
-                self._schedule(
-                    name, at + health.probe_delay_s + PROBE_TIMEOUT_S
-                )
+                repeat_at = at + health.probe_delay_s + PROBE_TIMEOUT_S
+                self._schedule(name, health, repeat_at)
         return due
 
     def record_probe(
@@ -270,22 +283,24 @@
         health = self._health_by_name.get(name)
         if health is None or health.state is not State.EJECTED:
             return False
-        median = self._groups[health.group].median
-        if ok and ratio <= SLOW_RATIO * max(median, 1.0):
+        group = self._groups[health.group]
+        is_fast = ratio <= SLOW_RATIO * max(group.median, 1.0)
+        if ok and (is_fast or not group.has_other_in_service(health)):
             health.state = State.TRIAL
             health.reset()
             return True
         health.probe_delay_s = min(
             MAX_PROBE_DELAY_S, health.probe_delay_s * 2.0
         )
-        self._schedule(name, at + health.probe_delay_s)
+        self._schedule(name, health, at + health.probe_delay_s)
         return False
 
     def _judge_trial(self, name: str, health: _Health, at: float) -> bool:
         """Ends a trial once it has enough measurements."""
         if health.recent_min == 0.0:
             return False
-        if _is_slow(health, self._groups[health.group]):
+        group = self._groups[health.group]
+        if _is_slow(health, group) and group.has_other_in_service(health):
             health.probe_delay_s = min(
                 MAX_PROBE_DELAY_S, health.probe_delay_s * 2.0
             )
@@ -301,10 +316,12 @@
 
     def _eject(self, name: str, health: _Health, at: float) -> bool:
         health.state = State.EJECTED
-        self._schedule(name, at + health.probe_delay_s)
+        self._schedule(name, health, at + health.probe_delay_s)
         return True
 
-    def _schedule(self, name: str, at: float) -> None:
+    def _schedule(self, name: str, health: _Health, at: float) -> None:
+        """Schedules the next probe in place of one scheduled before."""
+        health.next_probe_at = at
         heapq.heappush(self._probe_queue, (at, name))
 
 
--- a/tests/policy/test_ejection.py
+++ b/tests/policy/test_ejection.py
@@ -112,3 +112,72 @@
     for i in (0, 1, 2):
         health.record_failure(f"e{i}", 1.0, unreachable=True)
     assert _ejected(health, 9) == [0, 1, 2]
+
+
+def _eject_repeatedly(
+    health: ejection.Ejection, name: str, times: int, at: float
+) -> None:
+    """Ejects an endpoint; each probe but the last is answered at once."""
+    for index in range(times):
+        health.record_failure(name, at + index, unreachable=True)
+        if index + 1 < times:
+            assert name in health.probes_due(at + index + 1)
+            health.record_probe(name, at + index + 1, ok=True, ratio=1.0)
+
+
+def test_an_endpoint_is_probed_once_at_a_time() -> None:
+    """An endpoint gets one probe, however often it was ejected before.
+
+    Each probe left behind by an earlier ejection doubled the delay when all
+    were answered slowly, so that the endpoint stayed out for 30 s.
+    """
+    health = _group(5)
+    _eject_repeatedly(health, "e2", 6, 1.0)
+    probes = [
+        (at, name)
+        for at in range(7, 14)
+        for name in health.probes_due(float(at))
+    ]
+    assert probes == [(7, "e2"), (13, "e2")]
+
+
+def test_slow_probes_double_the_delay_one_at_a_time() -> None:
+    """The repeat of an answered probe is not sent besides the next probe."""
+    health = _group(5)
+    health.record_failure("e2", 0.0, unreachable=True)
+    sent = []
+    for step in range(1, 320):
+        at = step / 10
+        for name in health.probes_due(at):
+            sent.append(at)
+            health.record_probe(name, at, ok=True, ratio=10.0)
+    assert sent == [1.0, 3.0, 7.0, 15.0, 31.0]
+
+
+def test_the_last_endpoint_of_a_group_needs_no_fast_probe() -> None:
+    """A group does not stay empty because its endpoints answer slowly.
+
+    Both replicas of a range were cut off and reachable again, but answered
+    their probes slowly on a busy machine; new requests were refused.
+    """
+    health = _group(2)
+    for name in ("e0", "e1"):
+        health.record_failure(name, 0.0, unreachable=True)
+    assert health.probes_due(1.0) == ["e0", "e1"]
+    health.record_probe("e0", 1.1, ok=True, ratio=10.0)
+    health.record_probe("e1", 1.1, ok=True, ratio=10.0)
+    assert health.state("e0") is ejection.State.TRIAL
+    assert health.state("e1") is ejection.State.EJECTED
+
+
+def test_the_last_endpoint_of_a_group_stays_after_a_slow_trial() -> None:
+    """A slow endpoint is not ejected while no other can take its work."""
+    health = _group(2)
+    _record_calls(health, 2, set())
+    health.record_failure("e1", 2.0, unreachable=True)
+    assert health.probes_due(3.0) == ["e1"]
+    health.record_probe("e1", 3.0, ok=True, ratio=1.0)
+    health.record_failure("e0", 3.1, unreachable=True)
+    for step in range(40):
+        health.record_call("e1", 3.2 + step * 0.125, 0.1, 0.01)
+    assert health.state("e1") is ejection.State.ACTIVE
