Count all runs that a peer may use for a node that is cut off

Callers of a node that was cut off had requests run on three engines where their route allows two: the node passed a request to a peer, the peer used both attempts of the route and gave up, and the node counted one run for it and passed the request to another peer.

A peer can't be relied on to say how many engines it used: it may be killed, or close a stream that has begun. So the node grants it runs and counts all of them once the peer may have used one. A peer gets one run, or all that are left if no other peer could go on, so that the loss of a peer still leaves a run for another. The number on the wire keeps its form: what the peer may not use.

Weighed: granting all that is left to each peer (a stream whose peer is lost would have no attempt left, and end); a count in the peer's response (none comes from a peer that is killed, or after a stream's head).

A peer that may use one run doesn't send a plain request to a second endpoint after a slow first one. The node that passed it on does so, by way of another peer. PlainRun took a request as possibly run if the passed-on number wasn't 0, and answered 502; it now asks whether an endpoint of its own attempts may have run it.

--- a/src/almondshift/model/routed_requests.py
+++ b/src/almondshift/model/routed_requests.py
@@ -19,7 +19,8 @@
         priority: 0 is the most urgent.
         config_version: Version of the configuration that was applied.
         from_peer: Whether a peer passed the request on.
-        possible_runs: Number of endpoints that may have run it before.
+        possible_runs: Number of the route's ``max_attempts`` that are used, or
+            that the peer keeps for itself and others.
     """
 
     request: relayed.RelayedRequest
--- a/src/almondshift/policy/possible_runs.py
+++ b/src/almondshift/policy/possible_runs.py
@@ -50,3 +50,20 @@
         return self.settled + sum(
             not has_ended(instance) for instance in self.endpoints
         )
+
+
+def granted_runs(
+    possible_runs: int, max_attempts: int, is_last_peer: bool
+) -> int:
+    """Returns how many engines a peer may run a request on.
+
+    The peer may fail without a word of how many it used. So all that it may
+    use count at once, and other peers get what is left.
+
+    Args:
+        possible_runs: Number of runs that count so far.
+        max_attempts: Limit of the route.
+        is_last_peer: Whether no other peer could continue.
+    """
+    left = max_attempts - possible_runs
+    return max(1, left if is_last_peer else 1)
--- a/src/almondshift/ports/peer_entries.py
+++ b/src/almondshift/ports/peer_entries.py
@@ -19,7 +19,8 @@
         address: ``host:port`` at which the peer serves callers.
         remaining_s: Time left until the caller's deadline.
         last_event_id: Event to resume after; empty to begin at the start.
-        possible_runs: Number of endpoints that may have run the request.
+        possible_runs: Number of the route's ``max_attempts`` that the peer may
+            not use.
     """
 
     address: str
--- a/src/almondshift/relay/peer_attempt.py
+++ b/src/almondshift/relay/peer_attempt.py
@@ -22,13 +22,20 @@
     """A request that a peer serves.
 
     Attributes:
+        granted_runs: Number of engines that the peer may run it on.
         is_stream: Whether the response is the requested stream.
         body: Body of a response that is not a stream.
     """
 
-    def __init__(self, run: runs.Run, peer: peer_types.PeerInfo) -> None:
+    def __init__(
+        self,
+        run: runs.Run,
+        peer: peer_types.PeerInfo,
+        granted_runs: int = 1,
+    ) -> None:
         self.run = run
         self.peer = peer
+        self.granted_runs = granted_runs
         self.sent_at = run.loop.time()
         self.head: relayed.ForwardedHead | None = None
         self.is_stream = False
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Callable
 
     from almondshift.model import registered_engines
     from almondshift.model import routed_requests
@@ -111,9 +112,9 @@
         Args:
             is_limited: Whether only rate-limited endpoints are left.
         """
-        if self.possible_runs == 0 and self.pass_to_peer_if_cut_off():
+        if not self.may_have_run and self.pass_to_peer_if_cut_off():
             return
-        if is_limited and self.last_failure is None and not self.possible_runs:
+        if is_limited and not self.may_have_run:
             self.refuse_limited()
             return
         self.give_up("No endpoint of the service can accept the request.")
@@ -143,7 +144,8 @@
             ),
             self.attempt,
         )
-        self.start_slow_timer()
+        if self.sends == 1:
+            self.start_slow_timer(self.retry_if_slow)
 
     def untried(self) -> list[registered_engines.RegisteredEngine]:
         """Returns the available endpoints that have not been tried yet."""
@@ -157,15 +159,49 @@
             and not self.shared.tracker.is_in_backoff(e.instance, now)
         ]
 
-    def start_slow_timer(self) -> None:
-        """Starts a timer for the first endpoint of an idempotent request."""
+    def pass_to_peer(self) -> bool:
+        """Has a peer serve the request; returns False if none can."""
+        if not super().pass_to_peer():
+            return False
+        if len(self.tried_peers) == 1:
+            self.start_slow_timer(self.retry_if_peer_slow)
+        return True
+
+    def release_peer_attempt(self) -> None:
+        """Drops the current attempt of a peer."""
+        self.cancel_slow_timer()
+        super().release_peer_attempt()
+
+    def start_slow_timer(self, retry: Callable[[], None]) -> None:
+        """Starts a timer for the first attempt of an idempotent request.
+
+        Args:
+            retry: Sends the request elsewhere if that is allowed.
+        """
         route = self.routed.route
-        if not route.may_repeat or self.sends >= route.max_attempts:
-            return
-        if self.sends > 1:
+        if route.may_repeat and route.max_attempts > 1:
+            self.slow_timer = self.loop.call_later(
+                route.objective_s * SLOW_FACTOR, retry
+            )
+
+    def retry_if_peer_slow(self) -> None:
+        """Passes the request to another peer, as the first one is slow.
+
+        The first one may only run it on one endpoint.
+        """
+        attempt = self.peer_attempt
+        if (
+            attempt is None
+            or self.is_ended
+            or not self.can_end_in_time()
+            or not self.can_pass_to_peer()
+            or not self.can_retry(attempt.granted_runs)
+        ):
             return
-        self.slow_timer = self.loop.call_later(
-            route.objective_s * SLOW_FACTOR, self.retry_if_slow
+        attempt.cancel()
+        self.release_peer_attempt()
+        self.continue_after_peer(
+            attempt, "too slow", is_not_run=False, is_unreached=False
         )
 
     def retry_if_slow(self) -> None:
@@ -300,7 +336,7 @@
         self.log_failed_attempt(
             instance, reason, is_not_run, runs.GIVEN_UP, attempt.head
         )
-        if is_not_run and self.possible_runs == 0:
+        if is_not_run and not self.may_have_run:
             if not self.pass_to_peer_if_cut_off():
                 self.give_up(reason)
             return
@@ -312,7 +348,7 @@
         if failure is not None and failure.head is not None:
             self.pass_on(failure, failure.head)
             return
-        if self.possible_runs:
+        if self.may_have_run:
             self.refuse(self.may_have_run_error(reason))
             return
         self.refuse_no_capacity(reason)
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -198,7 +198,11 @@
         self.tried_peers |= {peer.name}
         self.sends_that_may_have_run += 1
         paths.started(peer.name)
-        attempt = peer_attempt.PeerAttempt(self, peer)
+        max_attempts = self.routed.route.max_attempts
+        granted_runs = possible_runs.granted_runs(
+            self.possible_runs, max_attempts, not self.can_pass_to_peer()
+        )
+        attempt = peer_attempt.PeerAttempt(self, peer, granted_runs)
         self.peer_attempt = attempt
         self.shared.observer.emit(
             log_events.RequestPassedToPeer(
@@ -215,7 +219,7 @@
                 address=peer.entry_address,
                 remaining_s=self.remaining_s(),
                 last_event_id=self.last_event_id(),
-                possible_runs=self.possible_runs,
+                possible_runs=max(0, max_attempts - granted_runs),
             ),
             attempt,
         )
@@ -316,7 +320,7 @@
         if is_not_run:
             self.sends_that_may_have_run -= 1
         else:
-            self.ended_runs.add_settled()
+            self.ended_runs.add_settled(attempt.granted_runs)
         may_repeat = is_not_run or (
             self.routed.route.may_repeat
             and self.possible_runs < self.routed.route.max_attempts
--- a/tests/policy/test_possible_runs.py
+++ b/tests/policy/test_possible_runs.py
@@ -113,3 +113,27 @@
     assert tracker.has_ended("e1")
     assert tracker.state("e1").silent_until < 1.65
     assert queries <= most_queries
+
+
+@pytest.mark.parametrize(
+    ("earlier_runs", "max_attempts", "is_last_peer", "expected"),
+    [
+        (0, 1, False, 1),
+        (0, 2, False, 1),
+        (0, 3, False, 1),
+        (1, 2, False, 1),
+        (0, 1, True, 1),
+        (0, 2, True, 2),
+        (0, 3, True, 3),
+        (1, 3, True, 2),
+        (2, 2, True, 1),
+    ],
+)
+def test_a_peer_leaves_runs_to_other_peers(
+    earlier_runs: int, max_attempts: int, is_last_peer: bool, expected: int
+) -> None:
+    """Guards against a lost peer that costs all attempts of a route."""
+    granted = possible_runs.granted_runs(
+        earlier_runs, max_attempts, is_last_peer
+    )
+    assert granted == expected
