Count runs that fail with others until links are known to be lost

Callers had streams run on more engines than their route allows when connections to three engines failed within 0.3 s: the node took its links for lost and never counted these runs, also if the engines had only reset the streams and went on.

A stream's attempt now counts when it ends. It is taken out once a cut is confirmed: connections to several engines failed, and no engine responded to two rounds of queries (Isolation.latest_cut). A begun stream that has used its attempts has a check started and waits until a round that began after its end has decided; so does one without a response, if connections fail together. A round that was under way doesn't end the wish for one, as it may have had responses from before the loss.

Weighed: leaving the run uncounted until links turn out sound (another engine runs it in the meantime, which can't be taken back); a look at the one engine alone (the port checks and queries do that already, and find engines that ended).

tests/policy/test_possible_runs.py: add() takes the time of the end; what is asserted is the same.

--- a/src/almondshift/policy/isolation.py
+++ b/src/almondshift/policy/isolation.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 
 MIN_FAILED = 3
@@ -37,6 +38,19 @@
 """Interval between checks of an isolated node, in seconds."""
 
 
+@dataclasses.dataclass(slots=True)
+class Cut:
+    """A time in which this node had no links to a service's endpoints.
+
+    Attributes:
+        began_at: When the first connection failed.
+        ended_at: When an endpoint responded again; infinite until then.
+    """
+
+    began_at: float
+    ended_at: float = math.inf
+
+
 class Isolation:
     """State of this node's links to the endpoints of a service.
 
@@ -48,7 +62,12 @@
         failed_rounds: Rounds in a row without a response.
         isolated_since: Since when the node is isolated; None if it is not.
         checked_at: End of the latest round.
-        is_check_wanted: Whether a check should start at once.
+        round_started_at: Start of the latest round that has ended.
+        check_wanted_at: Since when a check should start at once; None if none
+            is wanted.
+        suspected_at: When connections last failed as in a cut.
+        suspected_from: When the first of these failed.
+        latest_cut: The latest cut that rounds have confirmed; None for none.
     """
 
     def __init__(self) -> None:
@@ -59,13 +78,35 @@
         self.failed_rounds = 0
         self.isolated_since: float | None = None
         self.checked_at = -math.inf
-        self.is_check_wanted = False
+        self.round_started_at = -math.inf
+        self.check_wanted_at: float | None = None
+        self.suspected_at = -math.inf
+        self.suspected_from = -math.inf
+        self.latest_cut: Cut | None = None
 
     @property
     def is_isolated(self) -> bool:
         """Whether no endpoint can be reached."""
         return self.isolated_since is not None
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether the links are cut: connections failed, no endpoint responds.
+
+        Endpoints that pause at the same time break no connection.
+        """
+        cut = self.latest_cut
+        return cut is not None and cut.ended_at == math.inf
+
+    def is_undecided(self, since: float) -> bool:
+        """Returns whether rounds are to tell whether links were lost by then.
+
+        A round that began earlier may have had responses from before.
+        """
+        return not self.is_isolated and (
+            self.failed_rounds > 0 or self.round_started_at < since
+        )
+
     def is_isolated_for(self, seconds: float, now: float) -> bool:
         """Returns whether the node is isolated and got no data for a time."""
         return self.is_isolated and now - self.last_response_at >= seconds
@@ -78,6 +119,17 @@
         """Records a connection that was refused, reset or not established."""
         self.failures[instance] = now
         self.failure_count += 1
+        if not self.is_link_suspect(now):
+            return
+        if now - self.suspected_at > CHECK_GAP_S:
+            self.suspected_from = min(self.failures.values())
+        self.suspected_at = now
+        if self.is_isolated and not self.is_cut_off:
+            self.latest_cut = Cut(self.suspected_from)
+
+    def want_check(self, now: float) -> None:
+        """Makes a check start at once."""
+        self.check_wanted_at = now
 
     def is_link_suspect(self, now: float) -> bool:
         """Returns whether connections to several endpoints just failed.
@@ -104,7 +156,7 @@
         """
         if self.is_isolated:
             return now - self.checked_at >= RECHECK_GAP_S
-        if self.failed_rounds or self.is_check_wanted:
+        if self.failed_rounds or self.check_wanted_at is not None:
             return True
         if now - self.checked_at < CHECK_GAP_S:
             return False
@@ -123,16 +175,23 @@
             now: When all of them were answered, refused or timed out.
         """
         self.checked_at = now
-        self.is_check_wanted = False
+        self.round_started_at = started_at
+        wanted_at = self.check_wanted_at
+        if wanted_at is not None and wanted_at <= started_at:
+            self.check_wanted_at = None
         if self.last_response_at >= started_at:
             self.failed_rounds = 0
             was_isolated = self.is_isolated
             self.isolated_since = None
+            if self.latest_cut is not None and self.is_cut_off:
+                self.latest_cut.ended_at = now
             return was_isolated
         self.failed_rounds += 1
         if self.is_isolated or self.failed_rounds < ROUNDS:
             return False
         self.isolated_since = now
+        if now - self.suspected_at <= CHECK_GAP_S:
+            self.latest_cut = Cut(self.suspected_from)
         return True
 
 
--- a/src/almondshift/policy/possible_runs.py
+++ b/src/almondshift/policy/possible_runs.py
@@ -6,40 +6,76 @@
 scheduled does, and continue what it runs a second later. Therefore an attempt
 counts until its endpoint is known to have ended, and again if the endpoint
 responds after all.
+
+Connections that fail together may mean that this node has lost its links, or
+that endpoints reset them and continue. Such attempts count until this node is
+known to reach no endpoint.
 """
 
 from __future__ import annotations
 
+import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndedAttempt:
+    """An attempt that may have run the request.
+
+    Attributes:
+        instance: Its endpoint.
+        ended_at: Loop time of its end.
+    """
+
+    instance: str
+    ended_at: float
+
+
 class PossibleRuns:
     """Counts the ended attempts of one request that may have run it.
 
     Attributes:
         settled: Attempts that count whatever becomes of their endpoints.
-        endpoints: Endpoints of the other attempts, in order.
+        attempts: The other attempts, in order.
     """
 
     def __init__(self, earlier: int) -> None:
         self.settled = earlier
-        self.endpoints: list[str] = []
+        self.attempts: list[EndedAttempt] = []
 
     def add_settled(self, count: int = 1) -> None:
         """Counts attempts at endpoints that are not known here."""
         self.settled += count
 
-    def add(self, instance: str) -> None:
+    def add(self, instance: str, ended_at: float) -> None:
         """Counts an attempt until its endpoint is known to have ended."""
-        self.endpoints.append(instance)
+        self.attempts.append(EndedAttempt(instance, ended_at))
 
     def remove(self, instance: str) -> None:
-        """Removes the latest attempt at an endpoint, if there is one."""
-        if instance in self.endpoints:
-            self.endpoints.remove(instance)
+        """Removes the first attempt at an endpoint, if there is one."""
+        for attempt in self.attempts:
+            if attempt.instance == instance:
+                self.attempts.remove(attempt)
+                return
+
+    def remove_within(self, began_at: float, ended_at: float) -> None:
+        """Removes the attempts that ended while this node was cut off."""
+        self.attempts = [
+            attempt
+            for attempt in self.attempts
+            if not began_at <= attempt.ended_at <= ended_at
+        ]
+
+    def latest_end(self) -> float:
+        """Returns when the latest attempt at a known endpoint ended.
+
+        Minus infinity if there is none.
+        """
+        return max((a.ended_at for a in self.attempts), default=-math.inf)
 
     def count(self, has_ended: Callable[[str], bool]) -> int:
         """Returns the number of attempts that count.
@@ -48,7 +84,7 @@
             has_ended: Returns whether an endpoint is known to have ended.
         """
         return self.settled + sum(
-            not has_ended(instance) for instance in self.endpoints
+            not has_ended(attempt.instance) for attempt in self.attempts
         )
 
 
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -205,6 +205,19 @@
             and not self.shared.crash_watch.is_refused(self.routed)
         )
 
+    def may_wait_for_proof(self) -> bool:
+        """Returns whether to wait until it is known which attempts count.
+
+        A request without a response waits only if connections fail together.
+        """
+        if not self.responder.head_sent:
+            return (
+                self.routed.route.may_repeat
+                and self.links.is_link_suspect(self.loop.time())
+                and not self.shared.crash_watch.is_refused(self.routed)
+            )
+        return self.may_wait_for_capacity(True)
+
     def send(self, chosen: path_choice.ChosenPath) -> None:
         """Sends the request over a path."""
         self.sends += 1
@@ -461,10 +474,10 @@
         if is_not_run:
             self.sends_that_may_have_run -= 1
         elif not self.is_cut_off():
-            self.ended_runs.add(attempt.first.instance)
+            self.ended_runs.add(attempt.first.instance, self.loop.time())
         allowed = self.try_spend_retry(is_not_run, is_sent)
         should_wait = not allowed and self.may_wait_for_capacity(is_not_run)
-        may_prove_lost = not is_not_run and self.may_wait_for_capacity(True)
+        may_prove_lost = not is_not_run and self.may_wait_for_proof()
         next_step = runs.GIVEN_UP
         if allowed:
             next_step = runs.SENT_ELSEWHERE
@@ -480,7 +493,7 @@
                 self.resume_within_budget if is_sent else self.begin
             )
         elif may_prove_lost:
-            self.links.is_check_wanted = True
+            self.links.want_check(self.loop.time())
             self.search_later(
                 functools.partial(self.resume_if_cut_off, attempt, reason)
             )
@@ -515,21 +528,25 @@
         Such attempts don't count against the route's ``max_attempts``. A node
         that no engine responds to may be cut off, or all engines pause.
         """
-        now = self.loop.time()
-        return self.links.is_link_suspect(now) or self.links.is_isolated_for(
-            engine_tracker.MAX_PAUSE_S, now
+        return self.links.is_cut_off or self.links.is_isolated_for(
+            engine_tracker.MAX_PAUSE_S, self.loop.time()
         )
 
     def may_lose_runs(self) -> bool:
-        """Returns whether an engine that counts may turn out to have ended."""
+        """Returns whether an attempt that counts may turn out not to.
+
+        Its engine may have ended, or this node have lost its links.
+        """
+        if self.links.is_undecided(self.ended_runs.latest_end()):
+            return True
         tracker = self.shared.tracker
         return any(
-            not tracker.has_ended(instance)
+            not tracker.has_ended(run.instance)
             and (
-                tracker.is_lost(instance)
-                or self.shared.crash_watch.ports.is_checking(instance)
+                tracker.is_lost(run.instance)
+                or self.shared.crash_watch.ports.is_checking(run.instance)
             )
-            for instance in self.ended_runs.endpoints
+            for run in self.ended_runs.attempts
         )
 
     def resume_elsewhere(self, reason: str, is_gone: bool = False) -> None:
--- a/tests/policy/test_isolation.py
+++ b/tests/policy/test_isolation.py
@@ -86,3 +86,70 @@
     state.end_round(NOW + 0.12, NOW + 0.2)
     state.end_round(NOW + 0.2, NOW + 0.3)
     assert not state.is_isolated
+
+
+def fail(state: isolation.Isolation, count: int, at: float) -> None:
+    """Fails connections to several endpoints, 0.01 s apart."""
+    for index in range(count):
+        state.note_failure(f"e{index}", at + 0.01 * index)
+
+
+@pytest.mark.parametrize(
+    ("failed", "failed_at", "responds", "expected"),
+    [
+        (3, NOW - 0.1, False, True),
+        (3, NOW - 0.1, True, False),
+        (2, NOW - 0.1, False, False),
+        (0, NOW, False, False),
+        (3, NOW - 9.0, False, False),
+        (3, NOW + 0.5, False, True),
+    ],
+    ids=[
+        "three fail, none responds",
+        "three fail, one responds",
+        "two fail",
+        "all are silent",
+        "three failed earlier",
+        "three fail after the rounds",
+    ],
+)
+def test_links_are_cut_if_connections_fail_and_no_endpoint_responds(
+    failed: int, failed_at: float, responds: bool, expected: bool
+) -> None:
+    """Guards against endpoints that reset connections and continue."""
+    state = isolation.Isolation()
+    if failed_at <= NOW:
+        fail(state, failed, failed_at)
+    for start in (NOW, NOW + 0.2):
+        if responds:
+            state.note_response(start + 0.01)
+        state.end_round(start, start + 0.1)
+    if failed_at > NOW:
+        fail(state, failed, failed_at)
+    assert state.is_cut_off == expected
+
+
+def test_a_cut_lasts_from_the_first_failure_to_the_next_response() -> None:
+    state = isolation.Isolation()
+    fail(state, 4, NOW)
+    state.end_round(NOW + 0.1, NOW + 0.2)
+    state.end_round(NOW + 0.2, NOW + 0.3)
+    assert state.latest_cut == isolation.Cut(NOW)
+    state.note_response(NOW + 5.0)
+    state.end_round(NOW + 4.9, NOW + 5.1)
+    assert state.latest_cut == isolation.Cut(NOW, NOW + 5.1)
+    assert not state.is_cut_off
+
+
+def test_a_round_that_began_before_a_check_was_wanted_does_not_decide() -> None:
+    """Guards against a response from just before the links were lost."""
+    state = isolation.Isolation()
+    state.note_response(NOW + 0.01)
+    state.want_check(NOW + 0.05)
+    state.end_round(NOW, NOW + 0.1)
+    assert state.is_undecided(NOW + 0.05)
+    assert state.needs_check(None, NOW + 0.1)
+    state.note_response(NOW + 0.15)
+    state.end_round(NOW + 0.1, NOW + 0.2)
+    assert not state.is_undecided(NOW + 0.05)
+    assert state.is_undecided(NOW + 0.15)
--- a/tests/policy/test_possible_runs.py
+++ b/tests/policy/test_possible_runs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 import pytest
 
@@ -57,7 +58,7 @@
     """Guards against pauses that cost attempts which no limit counts."""
     tracker = engine_tracker.EngineTracker()
     runs = possible_runs.PossibleRuns(0)
-    runs.add("e1")
+    runs.add("e1", 0.0)
     for at, reason in case.suspected:
         tracker.suspect("e1", reason, at)
     for at in case.unanswered:
@@ -72,13 +73,32 @@
 def test_attempts_at_unknown_endpoints_always_count() -> None:
     runs = possible_runs.PossibleRuns(1)
     runs.add_settled()
-    runs.add("e1")
+    runs.add("e1", 0.0)
     assert runs.count(lambda instance: True) == 2
     runs.remove("e1")
     runs.remove("e2")
     assert runs.count(lambda instance: False) == 2
 
 
+@pytest.mark.parametrize(
+    ("ended_at", "cut", "expected"),
+    [
+        (0.9, (1.0, 2.0), 1),
+        (1.0, (1.0, 2.0), 0),
+        (2.0, (1.0, 2.0), 0),
+        (2.1, (1.0, 2.0), 1),
+        (9.0, (1.0, math.inf), 0),
+    ],
+)
+def test_attempts_that_end_during_a_cut_do_not_count(
+    ended_at: float, cut: tuple[float, float], expected: int
+) -> None:
+    runs = possible_runs.PossibleRuns(0)
+    runs.add("e1", ended_at)
+    runs.remove_within(*cut)
+    assert runs.count(lambda instance: False) == expected
+
+
 def test_only_so_many_ended_engines_are_remembered() -> None:
     tracker = engine_tracker.EngineTracker()
     for number in range(engine_tracker.MAX_ENDED + 1):
