--- a/tests/policy/test_possible_runs.py
+++ b/tests/policy/test_possible_runs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 import pytest
 
@@ -57,7 +58,7 @@
     """Guards against pauses that cost attempts which no limit counts."""
     tracker = engine_tracker.EngineTracker()
     runs = possible_runs.PossibleRuns(0)
-    runs.add("e1")
+    runs.add("e1", 0.0)
     for at, reason in case.suspected:
         tracker.suspect("e1", reason, at)
     for at in case.unanswered:
@@ -72,13 +73,32 @@
 def test_attempts_at_unknown_endpoints_always_count() -> None:
     runs = possible_runs.PossibleRuns(1)
     runs.add_settled()
-    runs.add("e1")
+    runs.add("e1", 0.0)
     assert runs.count(lambda instance: True) == 2
     runs.remove("e1")
     runs.remove("e2")
     assert runs.count(lambda instance: False) == 2
 
 
+@pytest.mark.parametrize(
+    ("ended_at", "cut", "expected"),
+    [
+        (0.9, (1.0, 2.0), 1),
+        (1.0, (1.0, 2.0), 0),
+        (2.0, (1.0, 2.0), 0),
+        (2.1, (1.0, 2.0), 1),
+        (9.0, (1.0, math.inf), 0),
+    ],
+)
+def test_attempts_that_end_during_a_cut_do_not_count(
+    ended_at: float, cut: tuple[float, float], expected: int
+) -> None:
+    runs = possible_runs.PossibleRuns(0)
+    runs.add("e1", ended_at)
+    runs.remove_within(*cut)
+    assert runs.count(lambda instance: False) == expected
+
+
 def test_only_so_many_ended_engines_are_remembered() -> None:
     tracker = engine_tracker.EngineTracker()
     for number in range(engine_tracker.MAX_ENDED + 1):
@@ -113,3 +133,27 @@
     assert tracker.has_ended("e1")
     assert tracker.state("e1").silent_until < 1.65
     assert queries <= most_queries
+
+
+@pytest.mark.parametrize(
+    ("earlier_runs", "max_attempts", "is_last_peer", "expected"),
+    [
+        (0, 1, False, 1),
+        (0, 2, False, 1),
+        (0, 3, False, 1),
+        (1, 2, False, 1),
+        (0, 1, True, 1),
+        (0, 2, True, 2),
+        (0, 3, True, 3),
+        (1, 3, True, 2),
+        (2, 2, True, 1),
+    ],
+)
+def test_a_peer_leaves_runs_to_other_peers(
+    earlier_runs: int, max_attempts: int, is_last_peer: bool, expected: int
+) -> None:
+    """Guards against a lost peer that costs all attempts of a route."""
+    granted = possible_runs.granted_runs(
+        earlier_runs, max_attempts, is_last_peer
+    )
+    assert granted == expected
