Count only scheduled time in time-outs of calls to endpoints

Callers saw streams broken off with "no path can resume the stream", and requests ran on more engines than their routes allow, when a node was not scheduled for some tenths of a second: the entry of test_silent_engines in KNOWN-RED.txt. That delays of the process are the cause was inferred there; it is shown now, and the program has a part in it.

Cause: after a delay, the loop reads a response and handles the time-out of its call in the same turn. asyncio.timeout cancels the task before it gets the response, so the call ends as if the endpoint had been silent. A connection takes several turns, and a delay of over 0.5 s between them ended it as not established, although the kernel had it. The node then took its own delay for evidence: an engine was unreachable, and a query sent to it 1.4 s later that timed out in another delay (by up to 0.1 s, which is accepted) made the engine an ended one, whose run no longer counts.

Now the time-out of a call is made of parts of 0.05 s. A part that ends over 0.04 s late counts no more than that, and the last one is then repeated once. So a query that times out has had its time in a process that was scheduled, and what arrived in a delay is read first. The part that may be late bounds the extension, so that calls also end in a process that always stalls. On time, calls time out as before.

--- a/src/almondshift/adapters/http_connections.py
+++ b/src/almondshift/adapters/http_connections.py
@@ -17,6 +17,8 @@
 
 import httptools
 
+from almondshift.adapters import scheduled_timeouts
+
 CONNECT_TIMEOUT_S = 0.5
 """Connecting within a region takes a few ms; a lost SYN is retransmitted only
 after a second, and trying another endpoint is faster than waiting for that."""
@@ -410,7 +412,7 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with scheduled_timeouts.create_scheduled_timeout(timeout_s):
                 transport, _ = await loop.create_connection(
                     asyncio.Protocol, host, int(port)
                 )
@@ -427,7 +429,9 @@
         connection = Connection(self, address)
         self.opened += 1
         try:
-            async with asyncio.timeout(self.connect_timeout_s):
+            async with scheduled_timeouts.create_scheduled_timeout(
+                self.connect_timeout_s
+            ):
                 await loop.create_connection(
                     lambda: connection, host, int(port)
                 )
@@ -506,7 +510,7 @@
     collector = Collector(limit)
     call = pool.call(address, payload, collector)
     try:
-        async with asyncio.timeout(timeout_s):
+        async with scheduled_timeouts.create_scheduled_timeout(timeout_s):
             outcome, reason = await collector.ended
     except TimeoutError:
         return FetchResult(Outcome.BROKEN, "timeout", call.sent, None, b"")
