Read the store's era in the platform client of almondshift node

What callers saw: nothing by itself.

Cause: PlatformClient didn't read the header Store-Era, rows and answers had era 0, and GroupedTableStore reported era 0 whatever the store below knew. The platform stand-in sent no header.

Change: the client reads the header of all responses, errors included, logs AS6003 when the era rises, and PlatformTableStore fills Row.era and applies outdated_condition and confirmed_in_era as the relay's store does. A response without the header counts as of the newest era; a platform without it stays at era 0. GroupedTableStore passes the era on, so TableStore.era is a read-only property that stores with an own counter replace by an attribute. The stand-in names its era in responses of tables (`sends_era`).

Evidence: tests/adapters/test_platform_store.py, three new tests.

--- a/src/almondshift/adapters/platform_client.py
+++ b/src/almondshift/adapters/platform_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import logging
 import math
 
 import expression
@@ -12,8 +13,10 @@
 from tornado import httpclient
 
 from almondshift import errors
+from almondshift import log_events
 from almondshift.adapters import curl_client
 from almondshift.adapters import platform_messages
+from almondshift.model import revisions
 
 MAX_CONCURRENT_REQUESTS = 16
 DEFAULT_RETRY_AFTER_S = 1.0
@@ -21,6 +24,8 @@
 NOT_FOUND = 404
 CONDITION_FAILED = 409
 
+logger = logging.getLogger(__name__)
+
 ClientError = (
     errors.StoreUnavailable
     | errors.StoreOutcomeUnknown
@@ -30,10 +35,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformAnswer:
-    """A complete response; ``status`` is 2xx or 404."""
+    """A complete response; ``status`` is 2xx or 404.
+
+    Attributes:
+        era: Era of the store in which it was given; 0 if it names none.
+    """
 
     status: int
     body: bytes
+    era: int = 0
 
 
 class _Transfer:
@@ -71,7 +81,12 @@
 
 
 class PlatformClient:
-    """Calls to the platform at one address, with limited concurrency."""
+    """Calls to the platform at one address, with limited concurrency.
+
+    Attributes:
+        era: The newest era in any response, errors included; 0 if no response
+            named one.
+    """
 
     def __init__(
         self, address: str, timeout_s: float, concurrent_requests: int
@@ -79,6 +94,7 @@
         self.address = address
         self.timeout_s = timeout_s
         self.concurrent_requests = concurrent_requests
+        self.era = 0
         self.slots = asyncio.Semaphore(concurrent_requests)
         self.http: curl_client.ClosableCurlClient | None = None
         self.in_flight: set[asyncio.Future[httpclient.HTTPResponse]] = set()
@@ -191,14 +207,25 @@
     def _interpret(
         self, response: httpclient.HTTPResponse
     ) -> expression.Result[PlatformAnswer, ClientError]:
+        era = revisions.parse_era(response.headers.get(revisions.ERA_HEADER))
+        self._note_era(era)
         if response.code < 300 or response.code == NOT_FOUND:
-            return expression.Ok(PlatformAnswer(response.code, response.body))
+            return expression.Ok(
+                PlatformAnswer(response.code, response.body, era)
+            )
         if response.code == CONDITION_FAILED:
             return expression.Error(
                 errors.ConditionFailed("The row has another revision.")
             )
         return expression.Error(self._refusal_error(response))
 
+    def _note_era(self, era: int) -> None:
+        if era <= self.era:
+            return
+        previous, self.era = self.era, era
+        if previous:
+            log_events.emit(logger, log_events.StoreRestored(previous, era))
+
     def _refusal_error(self, response: httpclient.HTTPResponse) -> ClientError:
         detail = f"responded with status {response.code}."
         if response.code not in REFUSED_STATUSES:
--- a/src/almondshift/adapters/platform_store.py
+++ b/src/almondshift/adapters/platform_store.py
@@ -50,6 +50,11 @@
     def __init__(self, client: platform_client.PlatformClient) -> None:
         self.client = client
 
+    @property
+    def era(self) -> int:
+        """The newest era in any response, errors included."""
+        return self.client.era
+
     async def start(self) -> None:
         """Starts the HTTP client."""
         await self.client.start()
@@ -71,7 +76,9 @@
         if row is None:
             return expression.Error(_undecodable_error())
         return expression.Ok(
-            stores.Row(table, row.key, row.value, row.revision)
+            stores.Row(
+                table, row.key, row.value, row.revision, self._era_of(result.ok)
+            )
         )
 
     async def scan(
@@ -86,8 +93,9 @@
         found = _decode(result.ok.body, platform_messages.RowsBody)
         if found is None:
             return expression.Error(_undecodable_error())
+        era = self._era_of(result.ok)
         rows = [
-            stores.Row(table, row.key, row.value, row.revision)
+            stores.Row(table, row.key, row.value, row.revision, era)
             for row in found.rows
         ]
         return expression.Ok(rows)
@@ -96,6 +104,9 @@
         self, writes: list[stores.Write]
     ) -> expression.Result[list[int], stores.StoreError]:
         """Applies all writes or none; for errors see ``stores.TableStore``."""
+        outdated = stores.outdated_condition(writes, self.era)
+        if outdated is not None:
+            return expression.Error(outdated)
         bodies = [
             platform_messages.WriteBody(
                 write.table, write.key, write.value, write.if_revision
@@ -113,7 +124,13 @@
                     "The platform's response to a write could not be decoded."
                 )
             )
-        return expression.Ok(done.revisions)
+        return stores.confirmed_in_era(
+            writes, done.revisions, self._era_of(result.ok)
+        )
+
+    def _era_of(self, answer: platform_client.PlatformAnswer) -> int:
+        """Returns the era of a response; if it names none, the newest."""
+        return answer.era or self.era
 
 
 class PlatformObjectStore(stores.ObjectStore):
--- a/src/almondshift/coordination/grouped_writes.py
+++ b/src/almondshift/coordination/grouped_writes.py
@@ -61,6 +61,11 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.active_commit_tasks = 0
 
+    @property
+    def era(self) -> int:
+        """The newest era that the store below knows of."""
+        return self.store.era
+
     async def close(self) -> None:
         """Waits for queued transactions and those in flight."""
         while self.tasks:
--- a/src/almondshift/model/revisions.py
+++ b/src/almondshift/model/revisions.py
@@ -38,3 +38,16 @@
 
 BEGINNING = Revision(0, 0)
 """Before all changes."""
+
+ERA_HEADER = "Store-Era"
+"""Header of the store's responses that names its era."""
+
+MAX_ERA_DIGITS = 15
+"""Eras with more digits are malformed; JSON numbers would lose precision."""
+
+
+def parse_era(text: str | None) -> int:
+    """Parses the value of ``ERA_HEADER``; 0 if it is missing or malformed."""
+    if text is None or not text.isascii() or not text.isdigit():
+        return 0
+    return int(text) if len(text) <= MAX_ERA_DIGITS else 0
--- a/src/almondshift/platform/store.py
+++ b/src/almondshift/platform/store.py
@@ -38,9 +38,6 @@
 READ_PAGE_ROWS = 500
 """Most rows that the store returns at once."""
 
-MAX_ERA_DIGITS = 15
-"""Eras with more digits are malformed; JSON numbers would lose precision."""
-
 STATUS_PRECONDITION_FAILED = 412
 STATUS_HISTORY_GONE = 410
 NOT_APPLIED_STATUSES = frozenset({400, 403, 429, 503})
@@ -101,6 +98,8 @@
             the response is returned to its caller.
     """
 
+    era: int = 0
+
     def __init__(
         self, address: str, pool: http_connections.ConnectionPool
     ) -> None:
@@ -288,10 +287,7 @@
 
 def decode_era(head: http_connections.ResponseHead | None) -> int:
     """Returns the era that a response names; 0 if none or a malformed one."""
-    text = head.get(names.STORE_ERA) if head is not None else None
-    if text is None or not text.isascii() or not text.isdigit():
-        return 0
-    return int(text) if len(text) <= MAX_ERA_DIGITS else 0
+    return revisions.parse_era(head.get(names.STORE_ERA) if head else None)
 
 
 def _encode_transaction(writes: list[stores.Write]) -> dict[str, Any]:
--- a/src/almondshift/ports/stores.py
+++ b/src/almondshift/ports/stores.py
@@ -62,14 +62,16 @@
     """A transactional table.
 
     It is meant for several hundred writes and 2,000 reads per second.
-
-    Attributes:
-        era: The newest era of the store that a response named. It rises when
-            the store returns from an older copy, without the writes since
-            that copy; 0 for a store that never does.
     """
 
-    era: int = 0
+    @property
+    def era(self) -> int:
+        """The newest era of the store that a response named.
+
+        It rises when the store returns from an older copy, without the writes
+        since that copy; 0 for a store that never does.
+        """
+        return 0
 
     @abc.abstractmethod
     async def read(
--- a/src/almondshift/standins/platform/handlers.py
+++ b/src/almondshift/standins/platform/handlers.py
@@ -12,6 +12,7 @@
 from tornado import web
 
 from almondshift.adapters import platform_messages
+from almondshift.model import revisions
 from almondshift.ports import stores
 from almondshift.standins.platform import faults
 from almondshift.standins.platform import weights
@@ -76,7 +77,10 @@
 
     async def prepare(self) -> None:
         """Delays or refuses the request before it takes effect."""
-        if not await self.state.faults.groups[self.group].admit():
+        is_admitted = await self.state.faults.groups[self.group].admit()
+        if self.group is faults.Group.TABLES and self.state.settings.sends_era:
+            self.set_header(revisions.ERA_HEADER, str(self.state.tables.era))
+        if not is_admitted:
             self.set_header("Retry-After", "1")
             self.refuse(503, "unavailable")
 
--- a/src/almondshift/standins/platform/settings.py
+++ b/src/almondshift/standins/platform/settings.py
@@ -16,6 +16,7 @@
         weights_queue_s: Maximum wait for weights in seconds; beyond it,
             requests get 429.
         layer_bytes: Size of the weights of one layer.
+        sends_era: Whether responses of the tables name the store's era.
     """
 
     host: str = "127.0.0.1"
@@ -24,3 +25,4 @@
     weights_per_s: float = 200.0
     weights_queue_s: float = 5.0
     layer_bytes: int = 1024
+    sends_era: bool = True
--- a/tests/adapters/test_platform_store.py
+++ b/tests/adapters/test_platform_store.py
@@ -21,9 +21,14 @@
 ]
 
 
-def run(case: Case) -> None:
+def run(
+    case: Case,
+    platform_settings: settings.PlatformSettings | None = None,
+) -> None:
     async def with_platform() -> None:
-        platform = server.create_platform(settings.PlatformSettings())
+        platform = server.create_platform(
+            platform_settings or settings.PlatformSettings()
+        )
         await platform.start()
         store = platform_store.create_table_store(platform.address, TIMEOUT_S)
         await store.start()
@@ -193,3 +198,59 @@
         assert type(result.error) is errors.StoreUnavailable
 
     run(case)
+
+
+def test_conditions_of_an_earlier_era_are_not_sent() -> None:
+    """Guards against a condition that holds only by chance."""
+
+    async def case(
+        platform: server.PlatformServer,
+        store: platform_store.PlatformTableStore,
+    ) -> None:
+        tables = platform.state.tables
+        copy = tables.take_copy()
+        first = await store.transact([in_era(0, stores.ABSENT)])
+        tables.restore(copy)
+        tables.transact([write("k", {"n": 2}, stores.ABSENT)])
+        row = (await store.read("t", "k")).ok
+        assert row == stores.Row("t", "k", {"n": 2}, first.ok[0], 1)
+        assert store.era == 1
+        refused = await store.transact([in_era(0, first.ok[0])])
+        assert type(refused.error) is errors.ConditionFailed
+        assert (await store.scan("t", "", 5)).ok == [row]
+        assert (await store.transact([in_era(1, first.ok[0])])).is_ok()
+
+    run(case)
+
+
+def test_write_that_meets_a_new_era_has_an_unknown_outcome() -> None:
+    """Only its answer names the era, and the row may have been another."""
+
+    async def case(
+        platform: server.PlatformServer,
+        store: platform_store.PlatformTableStore,
+    ) -> None:
+        platform.state.tables.restore(platform.state.tables.take_copy())
+        written = await store.transact([in_era(0, stores.ABSENT)])
+        assert type(written.error) is errors.StoreOutcomeUnknown
+        assert store.era == 1
+
+    run(case)
+
+
+def test_platform_without_eras() -> None:
+    async def case(
+        platform: server.PlatformServer,
+        store: platform_store.PlatformTableStore,
+    ) -> None:
+        platform.state.tables.restore(platform.state.tables.take_copy())
+        assert (await store.transact([in_era(0, stores.ABSENT)])).is_ok()
+        row = (await store.read("t", "k")).ok
+        assert row is not None
+        assert (store.era, row.era) == (0, 0)
+
+    run(case, settings.PlatformSettings(sends_era=False))
+
+
+def in_era(era: int, if_revision: int) -> stores.Write:
+    return stores.Write("t", "k", {"n": 1}, if_revision, era)
--- a/tests/fakes/tables.py
+++ b/tests/fakes/tables.py
@@ -59,6 +59,8 @@
         writes: Number of transactions.
     """
 
+    era: int = 0
+
     def __init__(self, shared: tables.MemoryTables | None = None) -> None:
         self.shared = shared or tables.MemoryTables()
         self.outcomes: collections.deque[Outcome] = collections.deque()
