Carry the era of the condition in quarantine trials

What callers saw: after the store had returned from an older copy, the end of a trial could delete the row of another node's trial that had been given the same revision, so that a third node could run the suspect alone beside it (over fakes; not seen in a run of the system).

Cause: rows of trials were claimed, seen and deleted by revision alone.

Change: Trial.claim and the rows that were seen are a revision and its era, and both writes name it. A row that was seen in an earlier era doesn't count as expired. A claim whose answer is of an earlier era than the newest known is read back.

--- a/src/almondshift/coordination/quarantine_trials.py
+++ b/src/almondshift/coordination/quarantine_trials.py
@@ -14,6 +14,7 @@
 import dataclasses
 import enum
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import expression
 
@@ -44,25 +45,32 @@
 TrialError = errors.Quarantined | errors.StoreUnavailable
 
 
+class RowVersion(NamedTuple):
+    """A revision of a row and the era of the store that gave it out."""
+
+    revision: int
+    era: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Trial:
     """A suspect that may run alone now.
 
     Attributes:
         endpoints: The only endpoints to which it may be sent.
-        revision: Revision of its row.
+        claim: Its row.
     """
 
     fingerprint: str
     endpoints: frozenset[str]
-    revision: int
+    claim: RowVersion
 
 
 class QuarantineTrials:
     """Claims suspects in the table and reserves endpoints for their trials.
 
     Attributes:
-        seen: Revisions of other nodes' rows, with the time at which each was
+        seen: Versions of other nodes' rows, with the time at which each was
             first seen, by fingerprint.
     """
 
@@ -77,7 +85,7 @@
         self.store = store
         self.clock = clock
         self.rng = rng
-        self.seen: dict[str, tuple[int, float]] = {}
+        self.seen: dict[str, tuple[RowVersion, float]] = {}
 
     async def begin(
         self,
@@ -142,28 +150,32 @@
 
     async def claim(
         self, fingerprint: str
-    ) -> expression.Result[int, TrialError]:
-        """Claims a suspect by writing its row; returns the revision."""
+    ) -> expression.Result[RowVersion, TrialError]:
+        """Claims a suspect by writing its row; returns the row's version."""
         token = f"{self.rng.getrandbits(64):016x}"
-        revision = self.expected_revision(fingerprint)
-        write = self.claim_write(fingerprint, token, revision)
+        expected = self.expected_version(fingerprint)
+        write = self.claim_write(fingerprint, token, expected)
         result = await self.store.transact([write])
+        if result.is_ok() and self.store.era == expected.era:
+            return expression.Ok(RowVersion(result.ok[0], expected.era))
         if result.is_ok():
-            return expression.Ok(result.ok[0])
+            return await self.read_back(fingerprint, token)
         if isinstance(result.error, errors.StoreUnavailable):
             return expression.Error(result.error)
         return await self.read_back(fingerprint, token)
 
     def claim_write(
-        self, fingerprint: str, token: str, revision: int
+        self, fingerprint: str, token: str, expected: RowVersion
     ) -> stores.Write:
         """Returns the write that claims a suspect."""
         value = {"node": self.quarantine.node, "token": token}
-        return stores.Write(TABLE, fingerprint, value, revision)
+        return stores.Write(
+            TABLE, fingerprint, value, expected.revision, expected.era
+        )
 
     async def read_back(
         self, fingerprint: str, token: str
-    ) -> expression.Result[int, TrialError]:
+    ) -> expression.Result[RowVersion, TrialError]:
         """Reads who holds the claim after a failed or unconfirmed write."""
         result = await self.store.read(TABLE, fingerprint)
         if result.is_error():
@@ -174,36 +186,39 @@
             )
         row = result.ok
         if row is not None and row.value.get("token") == token:
-            return expression.Ok(row.revision)
+            return expression.Ok(RowVersion(row.revision, row.era))
         if row is not None:
-            self.record_seen(fingerprint, row.revision)
+            self.record_seen(fingerprint, RowVersion(row.revision, row.era))
         return expression.Error(self.refusal(fingerprint))
 
-    def record_seen(self, fingerprint: str, revision: int) -> None:
-        """Records the revision of another node's row."""
+    def record_seen(self, fingerprint: str, version: RowVersion) -> None:
+        """Records the version of another node's row."""
         known = self.seen.get(fingerprint)
-        if known is None or known[0] != revision:
-            self.seen[fingerprint] = (revision, self.clock.monotonic())
+        if known is None or known[0] != version:
+            self.seen[fingerprint] = (version, self.clock.monotonic())
 
-    def expected_revision(self, fingerprint: str) -> int:
-        """Returns the revision that the claim replaces, or ``ABSENT``.
+    def expected_version(self, fingerprint: str) -> RowVersion:
+        """Returns the version that the claim replaces, or ``ABSENT``.
 
         A row that was unchanged for the duration of a conviction, on this
-        node's monotonic clock, has expired.
+        node's monotonic clock, has expired. One that was seen in an earlier
+        era may be another by now.
         """
+        absent = RowVersion(stores.ABSENT, self.store.era)
         known = self.seen.get(fingerprint)
-        if known is None:
-            return stores.ABSENT
+        if known is None or known[0].era != self.store.era:
+            return absent
         age_s = self.clock.monotonic() - known[1]
         if age_s < self.quarantine.settings.conviction_s:
-            return stores.ABSENT
+            return absent
         del self.seen[fingerprint]
         return known[0]
 
     async def release(self, trial: Trial) -> None:
         """Deletes the row; if that fails, it stays until it expires."""
+        revision, era = trial.claim
         await self.store.transact(
-            [stores.Write(TABLE, trial.fingerprint, None, trial.revision)]
+            [stores.Write(TABLE, trial.fingerprint, None, revision, era)]
         )
 
     def refusal(self, fingerprint: str) -> errors.Quarantined:
