Write claims again that the store lost, and ask peers before a new one

Change: - A claim's row and all conditions on it name their era. A row of an earlier era may be written over by the holder of a newer attempt; another attempt's row of the own era never is (claim_writer). - A node keeps its claims while the request runs and for 60 s after the result was stored (kept_claims), and writes those again that the store may have lost (lost_claims), once a second. AS9004 and AS9005 report it. - Before a claim is written in an era, each peer replies once that all of its claims are in the store, or else whether it holds this key (claim_peers, the topic claim-held). A peer that was asked accepts no answer of an earlier era as a claim. A key that is held is waited for; while a peer doesn't reply, the request is refused as not run. Without eras nobody is asked.

Why both: writing again alone leaves the time until the holder has noticed; asking alone costs a call to each peer for each new key, and forgets a claim with its holder. What was weighed, and what is not covered (row and holder both lost among it), stands in docs/design/coordination.md.

Test that was changed: test_result_is_not_stored_in_the_claim_of_another began with the same steps as test_lost_claim_is_not_taken_again, but expected the second claim to be made, so that no program could pass both. The peer now takes the first node for dead before, which is the case in which a second claim is still made. All of its checks stay, and one is new: the row is still running.

Evidence: tests/coordination/test_restored_claims.py (1, 2, 3 and 9 nodes over fakes, one and two eras, a late answer, a late write, a store without eras, two state machines with all faults of the fakes), tests/node/test_claim_queries.py (1, 3 and 9 nodes over TCP and the platform stand-in). tests/coordination, tests/node, tests/adapters, tests/standins and tests/scenarios/ test_at_most_once.py passed.

--- a/src/almondshift/coordination/claim_results.py
+++ b/src/almondshift/coordination/claim_results.py
@@ -13,6 +13,8 @@
 
 if TYPE_CHECKING:
     from almondshift.coordination import claim_attempts
+    from almondshift.coordination import claim_writer
+    from almondshift.coordination import kept_claims
     from almondshift.ports import clocks
     from almondshift.ports import stores
 
@@ -37,11 +39,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PendingResult:
-    """A result that is not stored yet, and its claim."""
+    """A result that is not stored yet, and the claim it belongs to."""
 
-    key: str
-    row: claim_rows.ClaimRow
-    revision: int
+    kept: kept_claims.KeptClaim
     result: claim_rows.StoredResult
 
 
@@ -54,13 +54,15 @@
 
     def __init__(
         self,
-        store: stores.TableStore,
+        writer: claim_writer.ClaimWriter,
+        kept: kept_claims.KeptClaims,
         objects: stores.ObjectStore,
         clock: clocks.Clock,
         attempts: claim_attempts.Attempts,
         settings: ResultSettings,
     ) -> None:
-        self.store = store
+        self.writer = writer
+        self.kept = kept
         self.objects = objects
         self.clock = clock
         self.attempts = attempts
@@ -76,7 +78,7 @@
         self._add_pending(pending)
         for _ in range(self.settings.write_attempts):
             saved = await self._save_or_drop(pending)
-            if pending.key not in self.pending:
+            if pending.kept.key not in self.pending:
                 return saved
             await self.clock.sleep(wait_s)
             wait_s *= 2
@@ -110,8 +112,12 @@
     ) -> expression.Result[None, errors.AlmondshiftError]:
         """Saves a result; drops it once it is stored or its claim changed."""
         saved = await self._save(pending)
-        if saved.is_ok() or isinstance(saved.error, errors.ConditionFailed):
+        if saved.is_ok():
             self._remove_pending(pending)
+            self.kept.end(pending.kept, self.writer.store.era)
+        elif isinstance(saved.error, errors.ConditionFailed):
+            self._remove_pending(pending)
+            self.kept.remove(pending.kept)
         return saved
 
     async def _save(
@@ -120,18 +126,15 @@
         stored = await self._store_body(pending)
         if stored.is_error():
             return expression.Error(stored.error)
-        row = dataclasses.replace(
-            pending.row,
+        pending.kept.row = dataclasses.replace(
+            pending.kept.row,
             state=claim_rows.ClaimState.FINISHED,
             result=stored.ok,
         )
-        write = claim_rows.claim_write(pending.key, row, pending.revision)
-        written = await self.store.transact([write])
-        if written.is_ok():
-            return expression.Ok(None)
-        if isinstance(written.error, errors.ConditionFailed):
-            return await self._check_already_saved(pending, written.error)
-        return expression.Error(written.error)
+        written = await self.writer.write(pending.kept)
+        if written.is_error():
+            return expression.Error(written.error)
+        return expression.Ok(None)
 
     async def _store_body(
         self, pending: PendingResult
@@ -139,37 +142,24 @@
         result = pending.result
         if len(result.body) <= self.settings.max_inline_bytes:
             return expression.Ok(claim_rows.inline_result(result))
-        object_key = f"claims/{pending.key}/{pending.row.attempt}"
+        kept = pending.kept
+        object_key = f"claims/{kept.key}/{kept.row.attempt}"
         put = await self.objects.put(object_key, result.body)
         if put.is_error():
             return expression.Error(put.error)
         return expression.Ok(claim_rows.object_result(result, object_key))
 
-    async def _check_already_saved(
-        self, pending: PendingResult, failure: errors.ConditionFailed
-    ) -> expression.Result[None, errors.AlmondshiftError]:
-        """Checks whether an earlier write already stored the result."""
-        read = await self.store.read(claim_rows.TABLE, pending.key)
-        if read.is_error():
-            return expression.Error(read.error)
-        if read.ok is None:
-            return expression.Error(failure)
-        row = claim_rows.parse_claim(read.ok)
-        is_saved = row.state is claim_rows.ClaimState.FINISHED
-        if is_saved and row.attempt == pending.row.attempt:
-            return expression.Ok(None)
-        return expression.Error(failure)
-
     def _add_pending(self, pending: PendingResult) -> None:
-        self.pending[pending.key] = pending
+        self.pending[pending.kept.key] = pending
         while len(self.pending) > self.settings.max_pending:
             _, oldest = self.pending.popitem(last=False)
-            self.attempts.end(oldest.row.attempt)
+            self.attempts.end(oldest.kept.row.attempt)
+            self.kept.end(oldest.kept, self.writer.store.era)
 
     def _remove_pending(self, pending: PendingResult) -> None:
-        if self.pending.get(pending.key) is pending:
-            del self.pending[pending.key]
-        self.attempts.end(pending.row.attempt)
+        if self.pending.get(pending.kept.key) is pending:
+            del self.pending[pending.kept.key]
+        self.attempts.end(pending.kept.row.attempt)
 
 
 def _result_unreadable() -> errors.StoreUnavailable:
--- a/src/almondshift/coordination/claim_rows.py
+++ b/src/almondshift/coordination/claim_rows.py
@@ -59,6 +59,7 @@
         attempt: Random id of the attempt that may dispatch it.
         expires_at: Wall time in seconds until which retries get the result.
         result: Set once the request has finished.
+        era: Era of the store for which the row was written.
     """
 
     account: str
@@ -69,6 +70,7 @@
     state: ClaimState
     expires_at: float
     result: ResultRow | None = None
+    era: int = 0
 
 
 def claim_key(account: str, service: str, idempotency_key: str) -> str:
@@ -87,9 +89,12 @@
     return f"{int(expires_at):012d}/{attempt}"
 
 
-def claim_write(key: str, claim: ClaimRow, revision: int) -> stores.Write:
-    """Returns a write of the claim, conditional on a revision."""
-    return stores.Write(TABLE, key, dataclasses.asdict(claim), revision)
+def claim_write(
+    key: str, claim: ClaimRow, revision: int, era: int
+) -> stores.Write:
+    """Returns a write of the claim, conditional on a revision of an era."""
+    value = dataclasses.asdict(dataclasses.replace(claim, era=era))
+    return stores.Write(TABLE, key, value, revision, era)
 
 
 def expiry_write(key: str, claim: ClaimRow, last: bool) -> stores.Write:
@@ -118,6 +123,7 @@
         state=ClaimState(value["state"]),
         expires_at=float(value["expires_at"]),
         result=None if result is None else ResultRow(**result),
+        era=int(value.get("era", 0)),
     )
 
 
--- a/src/almondshift/coordination/claim_sweep.py
+++ b/src/almondshift/coordination/claim_sweep.py
@@ -85,7 +85,7 @@
 
 
 def _delete(row: stores.Row) -> stores.Write:
-    return stores.Write(row.table, row.key, None, row.revision)
+    return stores.Write(row.table, row.key, None, row.revision, row.era)
 
 
 def create_claim_sweep(
--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -997,6 +997,29 @@
     reason: str
 
 
+class ClaimsWrittenAgain(Event, frozen=True):
+    """Claims were written again in a new era of the store."""
+
+    number = 9004
+    message = "claims written again"
+
+    era: int
+    written: int
+    left: int
+
+
+class ClaimLost(Event, frozen=True):
+    """A claim was lost with the store, and another attempt has its key."""
+
+    number = 9005
+    level = logging.ERROR
+    message = "claim lost"
+
+    account: str
+    service: str
+    state: str
+
+
 def catalogue() -> list[type[Event]]:
     """Returns all events by number."""
     events = [
--- a/src/almondshift/node/application.py
+++ b/src/almondshift/node/application.py
@@ -177,6 +177,7 @@
             rng,
             settings.name,
             claim_queries.ask,
+            peers=claim_queries,
         )
         claim_queries.attach(self.claims)
         self.sweeper = sweeper.create_sweeper(
--- a/src/almondshift/node/at_most_once.py
+++ b/src/almondshift/node/at_most_once.py
@@ -6,10 +6,12 @@
 from typing import TYPE_CHECKING
 
 import expression
+import msgspec
 
 from almondshift import errors
 from almondshift.adapters import problems
 from almondshift.coordination import claim_attempts
+from almondshift.coordination import claim_peers
 from almondshift.coordination import claim_rows
 from almondshift.coordination import claims as claim_parts
 
@@ -25,6 +27,7 @@
     Work = Callable[[], Awaitable[WorkResult]]
 
 TOPIC = "claim"
+HELD_TOPIC = "claim-held"
 ASK_TIMEOUT_S = 1.0
 NO_REQUEST_ID = ""
 
@@ -119,8 +122,19 @@
     )
 
 
-class ClaimQueries:
-    """Queries peers about attempts and replies to their queries."""
+class HeldQuestion(msgspec.Struct):
+    """The question whether a node holds the claim of a key.
+
+    Attributes:
+        era: The store's era in which the sender is to write a claim.
+    """
+
+    key: str
+    era: int
+
+
+class ClaimQueries(claim_peers.ClaimPeers):
+    """Queries peers about attempts and claims, and replies to their queries."""
 
     def __init__(self, membership: memberships.Membership) -> None:
         self.membership = membership
@@ -130,6 +144,25 @@
         """Starts replying to queries about these claims."""
         self.claims = claims
         self.membership.answer(TOPIC, self._answer)
+        self.membership.answer(HELD_TOPIC, self._answer_held)
+
+    def names(self) -> list[str]:
+        """Returns the names of all peers."""
+        return [peer.name for peer in self.membership.peers()]
+
+    async def ask_held(
+        self, node: str, key: str, era: int
+    ) -> claim_peers.HeldAnswer:
+        """Asks whether a node holds a claim; ``UNKNOWN`` without a reply."""
+        question = msgspec.json.encode(HeldQuestion(key, era))
+        reply = await self.membership.ask(
+            node, HELD_TOPIC, question, ASK_TIMEOUT_S
+        )
+        match reply:
+            case expression.Result(tag="ok", ok=body):
+                return claim_peers.HeldAnswer(body.decode())
+            case _:
+                return claim_peers.HeldAnswer.UNKNOWN
 
     async def ask(
         self, node: str, attempt: str
@@ -148,3 +181,10 @@
         if self.claims is None:
             return claim_attempts.ClaimantAnswer.UNKNOWN.value.encode()
         return self.claims.answer_claimant(body.decode()).value.encode()
+
+    async def _answer_held(self, sender: str, body: bytes) -> bytes:
+        question = msgspec.json.decode(body, type=HeldQuestion)
+        if self.claims is None:
+            return claim_peers.HeldAnswer.UNKNOWN.value.encode()
+        reply = self.claims.answer_held(question.key, question.era)
+        return reply.value.encode()
--- a/tests/coordination/test_claims.py
+++ b/tests/coordination/test_claims.py
@@ -8,6 +8,7 @@
 
 from almondshift import errors
 from almondshift.coordination import claim_attempts
+from almondshift.coordination import claim_peers
 from almondshift.coordination import claim_rows
 from almondshift.coordination import claim_sweep
 from almondshift.coordination import claims
@@ -35,8 +36,33 @@
     asyncio.run(limited())
 
 
+class Peers(claim_peers.ClaimPeers):
+    """The peers of one of ``Nodes``."""
+
+    def __init__(self, nodes: Nodes, index: int) -> None:
+        self.nodes = nodes
+        self.index = index
+
+    def names(self) -> list[str]:
+        others = set(range(len(self.nodes.claims))) - {self.index}
+        return [str(i) for i in others if str(i) not in self.nodes.dropped]
+
+    async def ask_held(
+        self, node: str, key: str, era: int
+    ) -> claim_peers.HeldAnswer:
+        await asyncio.sleep(0)
+        if {node, str(self.index)} & self.nodes.silent:
+            return claim_peers.HeldAnswer.UNKNOWN
+        return self.nodes.claims[int(node)].answer_held(key, era)
+
+
 class Nodes:
-    """Nodes that share tables and ask each other about attempts."""
+    """Nodes that share tables and ask each other about attempts.
+
+    Attributes:
+        silent: Nodes that don't reply to their peers.
+        dropped: Nodes that their peers take for dead.
+    """
 
     def __init__(self, count: int = 2, grouped: bool = False) -> None:
         self.grouped = grouped
@@ -48,6 +74,7 @@
         self.stores = [first, *others]
         self.objects = fake_tables.FakeObjectStore()
         self.silent: set[str] = set()
+        self.dropped: set[str] = set()
         self.incarnations = 0
         self.claims = [self.create(index) for index in range(count)]
 
@@ -63,6 +90,7 @@
             random.Random(self.incarnations),
             str(index),
             self.ask,
+            peers=Peers(self, index),
         )
 
     async def ask(self, node: str, attempt: str) -> Answer:
