Bound the timers of a long time-out

Polls of the store last for 2.5 s and more. With a timer each 0.05 s an idle node woke up 20 times a second for each of its two open polls, which processor time is charged for. A time-out now has at most ten parts, none below 0.05 s, so that the time-outs of queries and connections (0.5 s at most) are as before.

test_a_timeout_uses_few_timers passes for 0.05, 0.3 and 1 s; on the code before it doesn't run, as the constant is new.

--- a/src/almondshift/adapters/scheduled_timeouts.py
+++ b/src/almondshift/adapters/scheduled_timeouts.py
@@ -14,7 +14,12 @@
     import types
 
 SLICE_S = 0.05
-"""Longest time between two timers, in seconds."""
+"""Longest time between two timers, in seconds, unless there would be more than
+``MAX_SLICES``."""
+
+MAX_SLICES = 10
+"""Maximum number of timers of a time-out that is not extended, as polls of the
+store last for seconds."""
 
 MAX_LATE_S = 0.04
 """Delay of a timer, in seconds, beyond which this process was not scheduled.
@@ -26,12 +31,14 @@
     """A context manager that raises ``TimeoutError``.
 
     Attributes:
+        slice_s: Longest time between two timers, in seconds.
         left_s: Seconds that have not been counted yet.
         may_extend: Whether the time-out may be extended if its last timer is
             late. It is extended once, so that it ends on a busy machine too.
     """
 
     def __init__(self, seconds: float) -> None:
+        self.slice_s = max(SLICE_S, seconds / MAX_SLICES)
         self.left_s = seconds
         self.may_extend = True
         self.timeout = asyncio.timeout(None)
@@ -54,7 +61,7 @@
     def start_slice(self, seconds: float) -> None:
         """Starts the timer of the next part of the time-out."""
         loop = asyncio.get_running_loop()
-        seconds = min(seconds, SLICE_S)
+        seconds = min(seconds, self.slice_s)
         due_at = loop.time() + seconds
         self.timer = loop.call_at(due_at, self.end_slice, seconds, due_at)
 
--- a/tests/adapters/test_scheduled_timeouts.py
+++ b/tests/adapters/test_scheduled_timeouts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from unittest import mock
 
 import pytest
 
@@ -111,3 +112,19 @@
     waiting.cancel()
     with pytest.raises(asyncio.CancelledError):
         await waiting
+
+
+@pytest.mark.parametrize("seconds", [0.05, 0.3, 1.0])
+@asynchronous.run
+async def test_a_timeout_uses_few_timers(seconds: float) -> None:
+    """Guards against long polls that wake up an idle process all the time."""
+    timeout = scheduled_timeouts.create_scheduled_timeout(seconds)
+    start_slice = timeout.start_slice
+    with (
+        mock.patch.object(timeout, "start_slice", wraps=start_slice) as started,
+        pytest.raises(TimeoutError),
+    ):
+        async with timeout:
+            await asyncio.sleep(60)
+    # Rounding and a late last part add one timer each.
+    assert started.call_count <= scheduled_timeouts.MAX_SLICES + 2
