Take a lost poll for no store outage

Cause: when the store drops its history its watches are silent for a second and then are cut, while reads still answer. A reader whose poll timed out or was cut at that moment declared an outage, so that the other 72 nodes of 75 polled the store directly. Their polls were cut as well, which was an outage to each of them (AS6001) for two seconds.

A reader now reads the whole table after a lost poll, and declares an outage only if the store doesn't answer that within 0.4 s.

--- a/src/almondshift/relay/table_watch.py
+++ b/src/almondshift/relay/table_watch.py
@@ -51,6 +51,10 @@
 """Maximum number of tombstones kept for peers; covers a few hours of engine
 replacements."""
 
+LOST_POLL_READ_S = 0.4
+"""Time-out of the full read after a poll that got no response, in seconds; a
+call usually takes a few ms."""
+
 MAX_DROPPED_READS = 3
 """Number of successive full reads that may be older than the copy. Then the
 store went back without a new era, or its eras began again."""
@@ -264,7 +268,7 @@
             return await self._read_whole(sent_at)
         result = await self._poll(self.revision)
         if result.is_error():
-            return False
+            return await self._read_after_lost_poll()
         if result.ok is None:
             if self.newest_era <= self.revision.era:
                 self.log.history_gone(self.revision)
@@ -292,6 +296,19 @@
             poll.cancel()
             risen.cancel()
 
+    async def _read_after_lost_poll(self) -> bool:
+        """Reads the whole table, as the store may have lost only the poll.
+
+        It cuts polls when it drops its history, and doesn't answer them shortly
+        before. If readers took that for an outage, they would send all nodes of
+        their group to the store.
+        """
+        try:
+            async with asyncio.timeout(LOST_POLL_READ_S):
+                return await self._read_whole(self.clock.monotonic())
+        except TimeoutError:
+            return False
+
     async def _read_whole(self, sent_at: float) -> bool:
         """Reads the whole table, as changes may be missing after a gap."""
         self.era_risen.clear()
--- a/tests/relay/test_table_watch.py
+++ b/tests/relay/test_table_watch.py
@@ -20,6 +20,9 @@
 
 Row = row_feeds.FeedRow
 
+CALL_TIMEOUT_S = 1.0
+"""Time-out of other calls of the store, in seconds."""
+
 
 class FakeFeed(row_feeds.RowFeed):
     """A store whose responses tests set.
@@ -29,6 +32,8 @@
         revision: Revision of a full read.
         changes: Responses to requests for changes, in order.
         is_away: Whether all calls fail.
+        loses_poll: Whether the open or next request for changes fails.
+        is_silent: Whether full reads get no response.
         whole_reads: Number of full reads.
     """
 
@@ -37,6 +42,8 @@
         self.revision = 1
         self.changes: list[row_feeds.TableChange | None] = []
         self.is_away = False
+        self.loses_poll = False
+        self.is_silent = False
         self.whole_reads = 0
         self.wake = asyncio.Event()
 
@@ -45,6 +52,8 @@
     ) -> expression.Result[row_feeds.TableChange, stores.StoreError]:
         if self.is_away:
             return expression.Error(errors.StoreUnavailable("away"))
+        if self.is_silent:
+            await asyncio.sleep(60)
         self.whole_reads += 1
         change = row_feeds.TableChange(
             tuple(self.whole), revisions.Revision(0, self.revision)
@@ -54,8 +63,11 @@
     async def wait_for_changes(
         self, table: str, after: int, wait_s: float
     ) -> expression.Result[row_feeds.TableChange | None, stores.StoreError]:
-        while not self.changes and not self.is_away:
+        while not (self.changes or self.is_away or self.loses_poll):
             await asyncio.sleep(0.005)
+        if self.loses_poll:
+            self.loses_poll = False
+            return expression.Error(errors.StoreUnavailable("poll cut"))
         if self.is_away:
             return expression.Error(errors.StoreUnavailable("away"))
         return expression.Ok(self.changes.pop(0))
@@ -100,6 +112,41 @@
     await seen.watch.close()
 
 
+@asynchronous.run
+async def test_a_lost_poll_is_no_store_outage() -> None:
+    """Guards against readers that send a whole group of nodes to the store.
+
+    The store cuts the poll, or doesn't answer it, and answers reads.
+    """
+    feed = FakeFeed()
+    seen = Recorder(feed)
+    await seen.watch.start()
+    await asynchronous.wait_until(lambda: feed.whole_reads == 1)
+    feed.whole = [Row("a", b"1", revisions.Revision(0, 2))]
+    feed.revision = 2
+    feed.loses_poll = True
+    await asynchronous.wait_until(lambda: seen.rows == {"a": b"1"})
+    assert feed.whole_reads == 2
+    assert seen.watch.outage_since is None
+    assert seen.watch.outage_ended_at < 0.0
+    await seen.watch.close()
+
+
+@asynchronous.run
+async def test_a_silent_store_after_a_lost_poll_is_an_outage() -> None:
+    """Guards against a late outage: peers are asked for rows only then."""
+    feed = FakeFeed()
+    seen = Recorder(feed)
+    await seen.watch.start()
+    await asynchronous.wait_until(lambda: feed.whole_reads == 1)
+    loop = asyncio.get_running_loop()
+    feed.is_silent = feed.loses_poll = True
+    lost_at = loop.time()
+    await asynchronous.wait_until(lambda: seen.watch.outage_since is not None)
+    assert loop.time() - lost_at < CALL_TIMEOUT_S
+    await seen.watch.close()
+
+
 @asynchronous.run
 async def test_rows_come_from_peers_during_a_store_outage() -> None:
     feed = FakeFeed()
