--- a/src/almondshift/relay/table_watch.py
+++ b/src/almondshift/relay/table_watch.py
@@ -52,8 +52,7 @@
 replacements."""
 
 LOST_POLL_READ_S = 0.4
-"""Time-out of the full read after a poll that got no response, in seconds; a
-call usually takes a few ms."""
+"""Time-out of the full read after a poll that got no response, in seconds."""
 
 MAX_DROPPED_READS = 3
 """Number of successive full reads that may be older than the copy. Then the
