Count only time in which requests waited as silence of endpoints

Callers of a service that a node had not used for a while got 502 when all of its engines paused for a second, or their requests ran on more engines than their routes allow.

A node that is isolated takes itself for cut off once it has had no data for 1.4 s, and attempts at engines that it is cut off from don't count. The time was measured from the latest data, also if nobody had asked for any since. So on a quiet node it was over as soon as two rounds of queries had failed, 0.5 s after the request: the stream left its engine uncounted, for a peer that either had just become isolated, and refused it, or was idle, and ran it on a second engine.

Now the silence also has to be as long as the longest wait of a request at the first round without a response. While requests are being served, that is older than the latest data, and nothing changes.

--- a/src/almondshift/policy/isolation.py
+++ b/src/almondshift/policy/isolation.py
@@ -57,6 +57,8 @@
     Attributes:
         endpoints: Number of endpoints of the service.
         last_response_at: Time of the latest data from any endpoint.
+        awaited_since: Since when requests had waited for data at the first of
+            the latest rounds without a response.
         failures: Time of the latest failed connection, by instance.
         failure_count: Number of failed connections so far.
         failed_rounds: Rounds in a row without a response.
@@ -73,6 +75,7 @@
     def __init__(self) -> None:
         self.endpoints = MIN_FAILED
         self.last_response_at = -math.inf
+        self.awaited_since = -math.inf
         self.failures: dict[str, float] = {}
         self.failure_count = 0
         self.failed_rounds = 0
@@ -108,8 +111,12 @@
         )
 
     def is_isolated_for(self, seconds: float, now: float) -> bool:
-        """Returns whether the node is isolated and got no data for a time."""
-        return self.is_isolated and now - self.last_response_at >= seconds
+        """Returns whether the node is isolated and got no data for a time.
+
+        Only the time in which requests waited for data counts.
+        """
+        silent_since = max(self.last_response_at, self.awaited_since)
+        return self.is_isolated and now - silent_since >= seconds
 
     def note_response(self, now: float) -> None:
         """Records data from an endpoint."""
@@ -167,6 +174,16 @@
         )
         return is_silent or self.is_link_suspect(now)
 
+    def begin_round(self, waiting_since: float | None, now: float) -> None:
+        """Records the start of a round.
+
+        Args:
+            waiting_since: As for ``needs_check``.
+            now: Seconds on the clock of all times here.
+        """
+        if not self.failed_rounds:
+            self.awaited_since = now if waiting_since is None else waiting_since
+
     def end_round(self, started_at: float, now: float) -> bool:
         """Records the end of a round; returns whether the state changed.
 
--- a/src/almondshift/relay/engine_reach.py
+++ b/src/almondshift/relay/engine_reach.py
@@ -61,10 +61,11 @@
         now = asyncio.get_running_loop().time()
         waiting = self.waiting_since()
         for service, links in self.shared.links.by_service.items():
+            waiting_since = waiting.get(service)
             if service not in self.checking and links.needs_check(
-                waiting.get(service), now
+                waiting_since, now
             ):
-                self.start_check(service, links)
+                self.start_check(service, links, waiting_since)
 
     def waiting_since(self) -> dict[str, float]:
         """Returns since when requests have had no data, by service.
@@ -79,7 +80,12 @@
                 waiting[service] = min(known, run.waiting_since)
         return waiting
 
-    def start_check(self, service: str, links: isolation.Isolation) -> None:
+    def start_check(
+        self,
+        service: str,
+        links: isolation.Isolation,
+        waiting_since: float | None,
+    ) -> None:
         """Starts a round if the service has endpoints that can be queried."""
         if not self.can_query(service):
             return
@@ -90,6 +96,7 @@
         ]
         links.endpoints = len(endpoints)
         if endpoints:
+            links.begin_round(waiting_since, asyncio.get_running_loop().time())
             self.checking.add(service)
             self.work.run(self.check(service, links, endpoints))
 
--- a/tests/platform/test_pauses_of_all_engines.py
+++ b/tests/platform/test_pauses_of_all_engines.py
@@ -52,3 +52,46 @@
             assert counts == [silent.EVENTS] * STREAMS
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("nodes", [2, 9])
+@pytest.mark.parametrize("max_attempts", [1])
+@pytest.mark.parametrize("node", [0, None], ids=["one node", "all nodes"])
+def test_streams_of_a_quiet_service_survive_a_pause_of_all_engines(
+    node: int | None, max_attempts: int, nodes: int
+) -> None:
+    """Guards against counting the time without requests as silence.
+
+    Nobody used the service for two seconds. The nodes would take the engines
+    for out of reach at once, and pass requests on that the engines run after
+    the pause.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=nodes, zones="abc") as running:
+            await silent.prepare(running, max_attempts)
+            await asyncio.sleep(2.0)
+            pauses = [
+                asyncio.create_task(silent.pause(engine, 1.0))
+                for engine in silent.model_engines(running)
+            ]
+            await asyncio.sleep(0.05)
+            responses = await asyncio.gather(
+                *(
+                    whole.chat(
+                        running,
+                        f"r{n}",
+                        n % nodes if node is None else node,
+                        X_Deadline_Ms="20000",
+                    )
+                    for n in range(STREAMS)
+                )
+            )
+            await asyncio.gather(*pauses)
+            ran = silent.engines_by_request(running)
+            over = [r for r, found in ran.items() if len(found) > max_attempts]
+            counts = [len(whole.tokens(body)) for _, _, body in responses]
+            assert len(over) <= silent.MAX_REQUESTS_OVER_LIMIT
+            assert counts == [silent.EVENTS] * STREAMS
+
+    asyncio.run(scenario())
--- a/tests/policy/test_isolation.py
+++ b/tests/policy/test_isolation.py
@@ -153,3 +153,19 @@
     state.end_round(NOW + 0.1, NOW + 0.2)
     assert not state.is_undecided(NOW + 0.05)
     assert state.is_undecided(NOW + 0.15)
+
+
+@pytest.mark.parametrize(
+    ("response_s", "waiting_s", "expected"),
+    [(9.0, 1.3, False), (1.3, 9.0, False), (9.0, 1.5, True), (1.5, 9.0, True)],
+)
+def test_only_the_time_in_which_requests_waited_is_silence(
+    response_s: float, waiting_s: float, expected: bool
+) -> None:
+    """Guards against a node that takes endpoints without work for silent."""
+    state = isolation.Isolation()
+    state.note_response(NOW - response_s)
+    for start in (NOW - 0.3, NOW - 0.15):
+        state.begin_round(NOW - waiting_s, start)
+        state.end_round(start, start + 0.1)
+    assert state.is_isolated_for(1.4, NOW) == expected
