Cancel all tasks of a state machine's loop at its end

Cause: the machines of claims (TestGroupedClaimMachine and TestGroupedRestoredClaimMachine) end with a paused store in which a commit waits. The teardown cancelled the tasks that the machine began, not those that the code under test had begun, and then dropped the loop. GroupedTableStore.close is not called there, so it is no fault of the program: it waits until each caller has its outcome, which test_close_waits_until_every_caller_has_its_outcome now guards.

The teardown cancels all tasks of the loop and asserts that none is left.

Evidence: tests/coordination and tests/node with a collection after each test and a note of each destroyed task: notes of these two machines only before, none after. All tests of these folders, of tests/fakes and of the other modules that use the machines passed. With a close that returns at once (trial) the new test fails.

--- a/tests/coordination/test_grouped_writes.py
+++ b/tests/coordination/test_grouped_writes.py
@@ -7,6 +7,7 @@
 from almondshift import errors
 from almondshift.coordination import grouped_writes
 from almondshift.ports import stores
+from tests.fakes import clocks
 from tests.fakes import tables as fake_tables
 
 Outcome = fake_tables.Outcome
@@ -105,3 +106,26 @@
         await asyncio.wait_for(asyncio.gather(*calls), 5.0)
 
     asyncio.run(case())
+
+
+def test_close_waits_until_every_caller_has_its_outcome() -> None:
+    """Guards against a stop that drops writes without an answer."""
+
+    async def case() -> None:
+        store = fake_tables.FakeTableStore()
+        store.paused = True
+        grouped = grouped_writes.create_grouped_store(store)
+        calls = [
+            asyncio.create_task(grouped.transact([write(key)]))
+            for key in ("a", "a", "b", "b")
+        ]
+        await clocks.settle()
+        closing = asyncio.create_task(grouped.close())
+        await clocks.settle()
+        assert not closing.done()
+        store.resume()
+        await asyncio.wait_for(closing, 5.0)
+        assert all(call.done() for call in calls)
+        assert [call.result().is_ok() for call in calls].count(True) == 2
+
+    asyncio.run(case())
--- a/tests/fakes/machines.py
+++ b/tests/fakes/machines.py
@@ -17,6 +17,8 @@
 
 T = TypeVar("T")
 
+MAX_CANCEL_ROUNDS = 3
+
 SETTINGS = hypothesis.settings(
     derandomize=True,
     deadline=None,
@@ -53,7 +55,14 @@
         self.run(self.clock.advance(seconds))
 
     def teardown(self) -> None:
-        for task in self.tasks:
-            task.cancel()
-        self.settle()
+        """Cancels all tasks, including those that the code under test began.
+
+        Some of those wait for ever, e.g. for a paused store, and a cancelled
+        one may begin another to undo its work.
+        """
+        for _ in range(MAX_CANCEL_ROUNDS):
+            for task in asyncio.all_tasks(self.loop):
+                task.cancel()
+            self.settle()
+        assert not asyncio.all_tasks(self.loop)
         self.loop.close()
