Send a stand-in engine's events at their due times

Cause: the stand-in slept for its gap after each event, so that each late timer and the work between events made the rest of the stream later. The test's stream then no longer took two seconds, and the node cut it at the end of its 2.2 s, as it must. Now event n is due n gaps after the first, which only a stalled path shifts. The check and the node's times are unchanged.

--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -357,9 +357,16 @@
             self.engine.running.pop(self.request_id, None)
 
     async def send_events(self, run: RunningStream, after: int) -> None:
+        """Sends events at their due times, which only a stalled path delays.
+
+        With a pause of the same length after each event, a stream would take
+        longer the busier the process is that runs the whole test.
+        """
         await asyncio.sleep(self.engine.first_event_delay_s)
+        loop = asyncio.get_running_loop()
+        due = loop.time()
         for number in range(after + 1, self.engine.events + 1):
-            await self.wait_for_path(run)
+            due += await self.wait_for_path(run)
             if number - after > self.engine.cut_after >= 0:
                 self.write(f"id: {number}\nda".encode())
                 await self.flush()
@@ -367,10 +374,15 @@
                 return
             self.write(f"id: {number}\ndata: token {number}\n\n".encode())
             await self.flush()
-            await asyncio.sleep(self.engine.gap_s)
+            due += self.engine.gap_s
+            await asyncio.sleep(due - loop.time())
 
-    async def wait_for_path(self, run: RunningStream) -> None:
+    async def wait_for_path(self, run: RunningStream) -> float:
+        """Waits until the path makes progress; returns the seconds waited."""
         engines = self.engine.cluster.engines
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        stalled_s = 0.0
         while True:
             # An engine that gives up layers lets the running streams finish,
             # so only dead and restarted engines stall a stream.
@@ -381,9 +393,10 @@
                 or engines[address].born != run.starts[address]
             ]
             if not dead and not self.engine.is_silent:
-                return
+                return stalled_s
             run.stalled_on = dead[0] if dead else ""
             await asyncio.sleep(0.01)
+            stalled_s = loop.time() - started
 
 
 def parse_path(text: str) -> list[tuple[str, int, int]]:
