Confirm a peer's version within the limit after an outage

What callers saw: nothing; operators saw a node report its version as unverified for longer than the 5 s within which a version is to be in force on all nodes (config_control.feature), after the store responded again.

Cause: while the store is away the interval between reads of the head doubles to 5 s, with a jitter of a fifth to 6 s, and a call that hangs adds its time-out of 1 s. A node that has polled in vain for some seconds can wait that long once the store responds.

The longest interval is now 3.2 s, which with jitter and a time-out is 4.84 s, unless the interval between reads is set longer.

Evidence: test_a_version_from_peers_is_confirmed_soon_after_an_outage (virtual time) fails on the code before for both intervals.

--- a/src/almondshift/coordination/versioned_config.py
+++ b/src/almondshift/coordination/versioned_config.py
@@ -42,15 +42,17 @@
         interval_s: Mean seconds between reads of the head.
         jitter: Random share of the interval, 0 to 1, so that nodes that
             started together don't read at the same time.
-        max_interval_s: Longest interval while the store is unavailable. It
-            adds to the time until a version is active on all nodes.
+        max_interval_s: Longest interval while the store is unavailable,
+            unless ``interval_s`` is longer. With the jitter and the time-out
+            of a call, it adds to the time until a version is active on all
+            nodes after an outage.
         max_write_attempts: Attempts for a write of unknown outcome.
         write_backoff_s: Seconds before the next attempt; doubles each time.
     """
 
     interval_s: float = 1.0
     jitter: float = 0.2
-    max_interval_s: float = 5.0
+    max_interval_s: float = 3.2
     max_write_attempts: int = 4
     write_backoff_s: float = 0.05
 
@@ -358,7 +360,8 @@
     def _next_interval(self, interval_s: float, was_read: bool) -> float:
         if was_read:
             return self.settings.interval_s
-        return min(2 * interval_s, self.settings.max_interval_s)
+        longest_s = max(self.settings.interval_s, self.settings.max_interval_s)
+        return min(2 * interval_s, longest_s)
 
 
 def _outcome_unknown(change_id: str) -> errors.StoreOutcomeUnknown:
--- a/tests/coordination/test_versioned_config.py
+++ b/tests/coordination/test_versioned_config.py
@@ -11,11 +11,15 @@
 from almondshift import errors
 from almondshift.coordination import versioned_config
 from almondshift.ports import operations
+from almondshift.ports import stores
 from almondshift.standins.platform import tables
 from tests.fakes import clocks
 from tests.fakes import machines
 from tests.fakes import tables as fake_tables
 
+STORE_TIMEOUT_S = 1.0
+APPLY_LIMIT_S = 5.0
+
 Outcome = fake_tables.Outcome
 Config = versioned_config.VersionedConfig[str]
 
@@ -211,6 +215,61 @@
     assert down <= 20
 
 
+class HangingStore(fake_tables.FakeTableStore):
+    """While down, it answers nothing, and calls end with their time-out."""
+
+    def __init__(
+        self, shared: tables.MemoryTables, clock: clocks.VirtualClock
+    ) -> None:
+        super().__init__(shared)
+        self.clock = clock
+
+    async def read(
+        self, table: str, key: str
+    ) -> expression.Result[stores.Row | None, stores.StoreError]:
+        found = await super().read(table, key)
+        if found.is_error():
+            await self.clock.sleep(STORE_TIMEOUT_S)
+        return found
+
+
+@pytest.mark.parametrize("poll_s", [0.3, 1.0])
+def test_a_version_from_peers_is_confirmed_soon_after_an_outage(
+    poll_s: float,
+) -> None:
+    """Guards against a node that waits out a long back-off.
+
+    A node starts during an outage and has its version from a peer. A version
+    is to be in force on all nodes within 5 s, so once the store responds, the
+    node must read it within that time, however long the outage was.
+    """
+
+    async def confirmed(seed: int) -> bool:
+        clock = clocks.VirtualClock()
+        accepted = fake_tables.FakeTableStore()
+        await node(accepted, clock).apply("first", 0, "c1", "ana")
+        store = HangingStore(accepted.shared, clock)
+        store.down = True
+        config = versioned_config.create_versioned_config(
+            store,
+            clock,
+            random.Random(seed),
+            validate,
+            versioned_config.ConfigSettings(interval_s=poll_s),
+        )
+        config.offer(version(1, "first"))
+        await config.start()
+        await clock.advance(20.0 + random.Random(seed).uniform(0.0, 10.0))
+        store.down = False
+        await clock.advance(APPLY_LIMIT_S)
+        await config.close()
+        assert config.current is not None
+        return config.current.verified
+
+    late = [seed for seed in range(100) if not asyncio.run(confirmed(seed))]
+    assert not late
+
+
 NODES = strategies.integers(0, 2)
 
 
