Let begun streams return to an engine that only paused

What callers saw: a begun stream ended after two seconds without a path, though its first engine, which had paused for a second, served again.

Cause: a stream never began a path again with an engine that it had left. That holds for engines that reset it, but also for one that it left only since it was silent. If the second engine then failed, too, and no other held these layers, the stream had no path until its caller left.

Now a silent engine is left out only while it is silent, as it is suspect that long anyway. An engine known to have ended is avoided as before, and so is one that broke the stream. Going back counts as another run, so the route's limit holds.

--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -53,7 +53,7 @@
         progress_at: Loop time of the last event, or of the arrival.
         failed_engines: First engines that failed the stream. They are avoided,
             since a crashing engine resets every connection and would use up
-            all attempts.
+            all attempts. Those that fell silent are not among them.
         last_id: ID of the last event that the caller has; None for none.
         response_tokens: Expected length of the response, in tokens.
         tokens: Expected length of prompt and response, in tokens.
@@ -572,7 +572,9 @@
         if attempt.forwarded is not None:
             attempt.forwarded.cancel()
         self.release_attempt()
-        self.failed_engines |= {attempt.first.instance}
+        # One that only pauses is left out while it is silent.
+        if not self.shared.tracker.may_be_paused(attempt.first.instance):
+            self.failed_engines |= {attempt.first.instance}
         self.shared.crash_watch.note_unanswered(
             self.routed,
             self.sends,
