Use an engine that refused with 421 once its new layers are known

What callers saw: a begun stream ended after two seconds without a path, beside engines that held all layers.

Cause: an engine that refuses with 421, as it doesn't hold the layers, gets no work for three seconds, longer than callers wait. When layers have just been moved, its new entry comes some milliseconds after the refusal or even before it, and shows which layers it holds; the engine stayed out all the same.

If the entry still shows the layers, the engine stays out for three seconds, as the registry may list an engine whose address another one took over.

--- a/src/almondshift/relay/catalogue.py
+++ b/src/almondshift/relay/catalogue.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from almondshift import log_events
+from almondshift.model import layers as model_layers
 from almondshift.policy import engine_starts
 from almondshift.policy import path_candidates
 from almondshift.relay import row_order
@@ -18,6 +19,7 @@
 
     from almondshift import errors
     from almondshift.model import registered_engines
+    from almondshift.model import relayed
     from almondshift.model import routing_config
     from almondshift.ports import row_feeds
 
@@ -220,6 +222,15 @@
                 found = engine
         return found
 
+    def holds(self, part: relayed.PathPart) -> bool:
+        """Returns whether an engine's entry shows the layers of a part."""
+        engine = self.engines.get(part.instance)
+        if engine is None or engine.layers is None:
+            return False
+        return engine.layers.covers(
+            model_layers.LayerRange(part.start, part.end)
+        )
+
     def view(self, service: str) -> path_candidates.FleetView | None:
         """Returns a service's engines and spec; None if it has no spec."""
         cached = self.views.get(service)
--- a/src/almondshift/relay/lost_engines.py
+++ b/src/almondshift/relay/lost_engines.py
@@ -127,6 +127,19 @@
             )
         )
 
+    def forgive_refusal(self, instance: str) -> None:
+        """Clears the suspicion of an engine whose entry was out of date.
+
+        It refused a path over layers that it no longer holds, for which its
+        new entry shows the right ones.
+        """
+        state = self.tracker.states.get(instance)
+        if (
+            state is not None
+            and state.reason is engine_tracker.Suspicion.REFUSED
+        ):
+            self.restore(instance)
+
     def handle_fact(self, key: str, fact: peers.Fact | None) -> None:
         """Handles a peer's fact about an engine."""
         if fact is None or self.group is None:
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -438,9 +438,10 @@
             if head.status == 421:
                 # The address belongs to another engine, or the engine does
                 # not hold the layers.
-                self.shared.lost_engines.suspect(
-                    part.instance, engine_tracker.Suspicion.REFUSED
-                )
+                if self.shared.catalogue.holds(part):
+                    self.shared.lost_engines.suspect(
+                        part.instance, engine_tracker.Suspicion.REFUSED
+                    )
             elif not self.shared.tracker.is_in_backoff(
                 part.instance, self.shared.clock.monotonic()
             ):
--- a/tests/platform/test_begun_streams.py
+++ b/tests/platform/test_begun_streams.py
@@ -11,6 +11,8 @@
 from tests.platform import test_whole_system as whole
 
 PAUSE_S = 1.0
+ENTRY_DELAY_S = 0.3
+"""Delay until the registry entry reflects other layers."""
 
 
 async def hold_layers(
@@ -83,3 +85,36 @@
             await pause
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("is_in_flight", [False, True])
+def test_a_stream_uses_an_engine_that_refused_once_its_layers_are_known(
+    is_in_flight: bool,
+) -> None:
+    """Guards against a stream that ends beside a complete chain of engines.
+
+    Its first engine crashes while others have just taken other layers. One
+    refuses the stream, as it doesn't hold the layers of its entry any more.
+    The entries are written before or after that refusal arrives.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=2, zones="a") as running:
+            await silent.prepare(running)
+            held = {"a0": (0, 40), "a1": (0, 40)}
+            others = {"a2": (40, 80), "a3": (40, 80)}
+            await hold_layers(running, held | others)
+            stream, first = await silent.start_stream(running, "r1")
+            [other] = [running.engines[i] for i in held if i != first.instance]
+            other.layers = (0, 30)
+            running.engines["a2"].layers = (30, 60)
+            other.is_paused = is_in_flight
+            await first.close()
+            running.store.remove("servers", first.instance)
+            if not is_in_flight:
+                await asyncio.sleep(ENTRY_DELAY_S)
+            await publish_layers(running, [other.instance, "a2"])
+            other.is_paused = False
+            assert_is_complete(await stream)
+
+    asyncio.run(scenario())
