Query a dead engine again at once after a stall of this node

Cause: a round of queries was given up if the response of the other engine was read after over 0.02 s, or if the round lasted over 0.16 s. The next one waits for the engine's backoff of 0.15 s, which doubles.

Now a round queries an engine up to three times while stalls leave open whether it responds, the third time at once in place of the next round. A round that lasts long counts if this process has been scheduled for 0.02 s since it last stalled; each query has then had its time-out in scheduled time. What is needed to take an engine for dead is as before otherwise.

--- a/src/almondshift/relay/path_probe.py
+++ b/src/almondshift/relay/path_probe.py
@@ -9,12 +9,14 @@
 
 A query may be lost, and this process may not have been scheduled. An engine
 counts as dead only if two overlapping queries fail, this node has just heard
-from another engine, and the round took no longer than its time-outs. With a
+from another engine, and this process had the time to read a response. With a
 packet loss of one in forty, both queries are lost in one round in 1,600.
 
 If this node received no data for a while during the queries, its own link or
-process may have stalled. The engine is then queried once more, along with
-another engine, and stays in service if that shows no better.
+process may have stalled. The engine is then queried again, along with another
+engine, and stays in service if that shows no better. Another round would start
+only after the engine's backoff, and callers would wait several times as long as
+the stall.
 """
 
 from __future__ import annotations
@@ -54,8 +56,13 @@
 they wait behind the data that has piled up, in seconds."""
 
 MAX_OVERRUN_S = 0.04
-"""Maximum overrun of a round's time-outs, in seconds. Beyond it the result is
-discarded, as this process was not scheduled."""
+"""Overrun of the time-outs, in seconds, beyond which this process was not
+scheduled. Responses count as missing only if it has been scheduled for
+``PROMPT_RESPONSE_S`` since."""
+
+MAX_TRIES = 3
+"""Number of times that a round queries an engine while stalls of this node's
+link or process leave open whether it responds."""
 
 
 class PathProbe:
@@ -193,22 +200,20 @@
             is_peer_report: Whether another node found it dead too. Then a
                 refused connection is enough; no other engine has to respond.
         """
-        started_at = self.loop.time()
-        if await self.responds(part):
-            return
-        if self.may_have_stalled(started_at):
+        for number in range(MAX_TRIES):
             started_at = self.loop.time()
-            self.query_reference(part)
+            if number:
+                self.query_reference(part)
             if await self.responds(part):
                 return
-            if self.may_have_stalled(started_at, self.responses):
+            responses = self.responses if number else ()
+            if self.may_have_stalled(started_at, responses):
+                continue
+            if not is_peer_report and not await self.is_own_link_up():
                 return
-        if not is_peer_report and not await self.is_own_link_up():
-            return
-        # The second query and the wait for another engine each take up to
-        # ``QUERY_TIMEOUT_S``.
-        limit_s = SECOND_QUERY_S + 2 * QUERY_TIMEOUT_S + MAX_OVERRUN_S
-        if self.loop.time() - started_at > limit_s:
+            if self.had_time_to_read(started_at):
+                break
+        else:
             return
         self.moves.on_engine_lost(
             part.instance,
@@ -220,6 +225,19 @@
         if self.shared.tracker.is_lost(part.instance):
             self.lost.append(part.instance)
 
+    def had_time_to_read(self, started_at: float) -> bool:
+        """Returns whether this process would have read a response by now.
+
+        Args:
+            started_at: Loop time of the first query.
+        """
+        # The second query and the wait for another engine each take up to
+        # ``QUERY_TIMEOUT_S``.
+        limit_s = SECOND_QUERY_S + 2 * QUERY_TIMEOUT_S + MAX_OVERRUN_S
+        if self.loop.time() - started_at <= limit_s:
+            return True
+        return self.moves.scheduled_s() >= PROMPT_RESPONSE_S
+
     def query_reference(self, part: relayed.PathPart) -> None:
         """Queries another engine, whose response shows that the link works."""
         catalogue = self.shared.catalogue
--- a/src/almondshift/relay/stream_moves.py
+++ b/src/almondshift/relay/stream_moves.py
@@ -23,6 +23,9 @@
 """Interval between checks of all streams, in seconds; well below the shortest
 silence that triggers a probe."""
 
+MAX_LATE_S = 0.04
+"""Delay of a check, in seconds, beyond which this process was not scheduled."""
+
 LEAVE_INTERVAL_S = 0.2
 """Interval between moves of streams off engines that shut down, in seconds."""
 
@@ -44,6 +47,8 @@
             by instance.
         checked_at: Loop time of the last check of all streams.
         late_s: Delay of that check past its due time, in seconds.
+        scheduled_since: Loop time of the last check that was late by more than
+            ``MAX_LATE_S``.
     """
 
     def __init__(
@@ -55,6 +60,7 @@
         self.last_leave_at = 0.0
         self.checked_at = math.inf
         self.late_s = 0.0
+        self.scheduled_since = -math.inf
 
     def streams(self) -> list[stream_run.StreamRun]:
         """Returns the streams that have not ended."""
@@ -136,6 +142,15 @@
         now = asyncio.get_running_loop().time()
         self.late_s = max(0.0, now - self.checked_at - CHECK_INTERVAL_S)
         self.checked_at = now
+        if self.late_s > MAX_LATE_S:
+            self.scheduled_since = now
+
+    def scheduled_s(self) -> float:
+        """Returns for how many seconds this process has been scheduled."""
+        now = asyncio.get_running_loop().time()
+        if now - self.checked_at - CHECK_INTERVAL_S > MAX_LATE_S:
+            return 0.0
+        return now - self.scheduled_since
 
     def unscheduled_s(self) -> float:
         """Returns for how many seconds this process was recently not scheduled.
