Search paths around the first engines that a stream avoids

A stream that had lost its first engine to a crash had no path and was ended, while another engine held the same layers.

Cause: paths are searched without regard to the engines that a stream avoids as first, and those that begin with one are dropped afterwards. A zone's paths share no engine, so that one first engine hides another one that needs the same later engines. It stays hidden while it isn't suspect: a reset alone doesn't make it so, and of a crash only the closed port is known.

Now, if all paths that have room begin with avoided engines, paths are searched that begin with others, and kept as the first search is. Engines that name a rate limit don't cause this search, as paths around them are known already.

The time that the search takes in large fleets wasn't measured; it runs only if no other path is left.

--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -66,6 +66,7 @@
     paths: list[path_search.FoundPath]
     searched_at: float
     version: tuple[int, int]
+    avoid: frozenset[str]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,6 +122,7 @@
         nearly_full: Addresses of engines that seem nearly full, by instance,
             until they are queried.
         cached: Result of the latest search, by service.
+        cached_around: The same for the latest one around avoided engines.
         limited: Engines that may not accept another request; paths that
             begin with others are searched too.
     """
@@ -133,6 +135,7 @@
         self.candidates = path_candidates.PathCandidates(tracker, rng)
         self.nearly_full: dict[str, str] = {}
         self.cached: dict[str, _CachedPaths] = {}
+        self.cached_around: dict[str, _CachedPaths] = {}
         self.limited: Collection[str] = ()
 
     @property
@@ -160,16 +163,15 @@
             avoid: Engines that may not be the first of the path.
         """
         load = self.candidates.load(view, now)
-        fitting = [
-            chosen
-            for found in self._current_paths(view, now)
-            if (
-                chosen := self._choose_if_it_fits(
-                    found, view.spec, tokens, load
-                )
-            )
-            and chosen.path[0].instance not in avoid
-        ]
+        paths = self._current_paths(view, now)
+        fitting = self._fitting(paths, view.spec, tokens, load)
+        allowed = [c for c in fitting if c.path[0].instance not in avoid]
+        if not allowed and any(
+            c.path[0].instance not in self.limited for c in fitting
+        ):
+            paths = self._current_paths(view, now, avoid)
+            allowed = self._fitting(paths, view.spec, tokens, load)
+        fitting = allowed
         if fitting and path_candidates.chooses_by_share(load.nodes, view.spec):
             return self._choose_by_share(fitting, view.spec, tokens, load)
         best: ChosenPath | None = None
@@ -185,6 +187,20 @@
                 best, best_rank = chosen, (is_crowded, score)
         return best
 
+    def _fitting(
+        self,
+        paths: list[path_search.FoundPath],
+        spec: engine_specs.EngineSpec,
+        tokens: float,
+        load: pooled_load.FleetLoad,
+    ) -> list[ChosenPath]:
+        """Returns the paths whose engines all have room."""
+        return [
+            chosen
+            for found in paths
+            if (chosen := self._choose_if_it_fits(found, spec, tokens, load))
+        ]
+
     def explain(
         self,
         view: path_candidates.FleetView,
@@ -314,25 +330,35 @@
         return None
 
     def _current_paths(
-        self, view: path_candidates.FleetView, now: float
+        self,
+        view: path_candidates.FleetView,
+        now: float,
+        avoid: frozenset[str] = frozenset(),
     ) -> list[path_search.FoundPath]:
+        """Returns the paths that begin with no engine of ``avoid``."""
         version = (view.version, self.tracker.changes)
-        cached = self.cached.get(view.service)
+        by_service = self.cached_around if avoid else self.cached
+        cached = by_service.get(view.service)
         if (
             cached is not None
             and cached.version == version
+            and cached.avoid == avoid
             and now - cached.searched_at < refresh_s(len(view.engines))
         ):
             return cached.paths
-        paths = self._search(view, now)
-        self.cached[view.service] = _CachedPaths(paths, now, version)
+        paths = self._search(view, now, avoid)
+        by_service[view.service] = _CachedPaths(paths, now, version, avoid)
         return paths
 
     def _search(
-        self, view: path_candidates.FleetView, now: float
+        self,
+        view: path_candidates.FleetView,
+        now: float,
+        avoid: frozenset[str] = frozenset(),
     ) -> list[path_search.FoundPath]:
         tokens = view.spec.mean_prompt_tokens + view.spec.mean_answer_tokens
-        for candidates in self.candidates.candidate_sets(view, now):
+        for found in self.candidates.candidate_sets(view, now):
+            candidates = _not_first(found, avoid)
             preferred = [
                 c
                 for c in candidates
@@ -365,15 +391,8 @@
             p.parts[0].candidate.instance in self.limited for p in paths
         ):
             return []
-        usable, fast = (
-            [
-                dataclasses.replace(c, may_be_first=False)
-                if c.instance in self.limited
-                else c
-                for c in engines
-            ]
-            for engines in (candidates, preferred)
-        )
+        usable = _not_first(candidates, self.limited)
+        fast = _not_first(preferred, self.limited)
         known = {_instances(path) for path in paths}
         return [
             path
@@ -421,6 +440,20 @@
     return need / max(1.0, candidate.room)
 
 
+def _not_first(
+    candidates: list[path_search.Candidate], instances: Collection[str]
+) -> list[path_search.Candidate]:
+    """Returns the candidates; those of ``instances`` begin no path."""
+    if not instances:
+        return candidates
+    return [
+        dataclasses.replace(c, may_be_first=False)
+        if c.instance in instances
+        else c
+        for c in candidates
+    ]
+
+
 def _instances(path: path_search.FoundPath) -> tuple[str, ...]:
     return tuple(part.candidate.instance for part in path.parts)
 
--- a/tests/policy/test_path_choice.py
+++ b/tests/policy/test_path_choice.py
@@ -162,6 +162,35 @@
     assert none is None
 
 
+def test_an_engine_serves_in_place_of_an_avoided_first_one() -> None:
+    """Guards against a stream that ends while engines hold all layers.
+
+    The avoided engine is first on the best path, and the only other engine
+    with its layers shares the rest of that path.
+    """
+    chooser = _chooser()
+    ranges = {"a0": (0, 20), "a1": (0, 20), "a2": (20, 50), "a3": (50, 80)}
+    engines = [
+        registered_engines.RegisteredEngine(
+            name,
+            "s",
+            f"{name}:1",
+            "a",
+            96,
+            False,
+            "k",
+            layers.LayerRange(*held),
+        )
+        for name, held in ranges.items()
+    ]
+    view = path_candidates.FleetView("s", SPEC, tuple(engines), 1)
+    for avoided, expected in (("a0", "a1"), ("a1", "a0")):
+        chosen = chooser.choose(view, TOKENS, 0.0, frozenset({avoided}))
+        assert chosen is not None
+        assert [p.instance for p in chosen.path] == [expected, "a2", "a3"]
+    assert chooser.choose(view, TOKENS, 0.0, frozenset({"a0", "a1"})) is None
+
+
 def test_report_corrects_the_estimate_from_own_requests() -> None:
     """A node refuses callers although engines have room.
 
