Drop the soak's connections of clients that are gone

Cause: a proxy forwards the end of a client's bytes and keeps both connections until the upstream closes.

Now the soak's proxies close both connections. Its clients never close one direction only; other tests keep the former behaviour.

--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -41,6 +41,8 @@
         held_response_to: Responses are held back on connections on which a
             request contained this, until it changes; None for none.
         trickle_bytes_s: Bytes per second in each direction; 0 for no limit.
+        closes_with_client: Whether the end of a client's bytes closes both
+            connections; else only that direction, until the upstream closes.
         connections: Number of connections accepted so far.
         delivered_bytes: Number of bytes delivered so far, by direction.
         requests: Number of HTTP requests received, by request line.
@@ -59,6 +61,7 @@
         self.held_response_to: bytes | None = None
         self.held_response_streams: set[asyncio.StreamReader] = set()
         self.trickle_bytes_s = 0
+        self.closes_with_client = False
         self.connections = 0
         self.delivered_bytes = dict.fromkeys(Direction, 0)
         self.requests: collections.Counter[str] = collections.Counter()
@@ -169,7 +172,9 @@
             writer.write(deliverable)
             await writer.drain()
         await self.delay_chunk(direction, 0)
-        if writer.can_write_eof() and not writer.is_closing():
+        if direction is Direction.UP and self.closes_with_client:
+            writer.close()
+        elif writer.can_write_eof() and not writer.is_closing():
             with contextlib.suppress(OSError):
                 writer.write_eof()
 
--- a/tests/faults/test_proxy.py
+++ b/tests/faults/test_proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 from typing import TYPE_CHECKING
 
@@ -149,3 +150,33 @@
             assert time.monotonic() - started >= 0.1
 
     asyncio.run(scenario())
+
+
+def test_connections_of_clients_that_close_are_not_kept() -> None:
+    """Guards against a harness without descriptors while a process pauses.
+
+    The upstream neither reads nor closes, as a paused process does.
+    """
+
+    async def scenario() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as upstream:
+            port = upstream.getsockname()[1]
+            proxy = await fault_proxy.create_fault_proxy(f"127.0.0.1:{port}")
+            proxy.closes_with_client = True
+            try:
+                for _ in range(5):
+                    _, writer = await connect(proxy)
+                    writer.write(REQUEST)
+                    writer.close()
+                async with asyncio.timeout(2.0):
+                    while proxy.connections < 5 or proxy.writers:
+                        await asyncio.sleep(0.01)
+                for _ in range(5):
+                    connection, _ = upstream.accept()
+                    with connection:
+                        assert connection.recv(100) == REQUEST
+                        assert connection.recv(100) == b""
+            finally:
+                await proxy.close()
+
+    asyncio.run(scenario())
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -131,6 +131,17 @@
     leaves_at: float = 0.0
 
 
+async def create_link(upstream: str) -> fault_proxy.FaultProxy:
+    """Creates a proxy that keeps no connections of clients that are gone.
+
+    A paused process doesn't close them, and clients whose queries time out open
+    new ones all the while.
+    """
+    link = await fault_proxy.create_fault_proxy(upstream)
+    link.closes_with_client = True
+    return link
+
+
 class SoakSystem:
     """Starts, supervises and finally kills the processes.
 
@@ -203,10 +214,8 @@
 
     async def add_node(self, index: int) -> NodeProcess:
         network = self.network
-        front = await fault_proxy.create_fault_proxy(
-            network.node(index, layout.NODE_PORT)
-        )
-        link = await fault_proxy.create_fault_proxy(network.store())
+        front = await create_link(network.node(index, layout.NODE_PORT))
+        link = await create_link(network.store())
         name = f"n{index}"
         path = self.folder / f"{name}.ini"
         cut_file = self.folder / f"{name}.cut"
@@ -249,7 +258,7 @@
         is_plain = index < self.options.plain_engines()
         service = layout.PLAIN_SERVICE if is_plain else layout.MODEL_SERVICE
         listen = self.network.engine(index, generation)
-        link = await fault_proxy.create_fault_proxy(listen)
+        link = await create_link(listen)
         name = f"e{index}-{generation}"
         path = self.folder / f"{name}.ledger"
         engine = EngineProcess(
