Wait for endpoints after a pause of all instead of answering 502

Callers of safe requests, and of streams without an event yet, got 502 when all endpoints of a service paused for about a second.

A node that reaches no endpoint of a service leaves the endpoint that it waits for and passes the request to a peer. In a pause of all endpoints the peers reach none either and refuse it, so that it had left an endpoint that would have answered, and was given up at once as one that may have run. A safe request did the same when it was late: it left its endpoint, and then the node was isolated.

Now such a request waits until the node or a peer reaches endpoints again, if its route allows another run, for as long as its caller waits. It may then go to any endpoint: that none responded says nothing about one of them. A node whose own links are lost still passes requests to peers at once.

--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -89,7 +89,11 @@
     def dispatch(self) -> None:
         """Sends the request to an endpoint."""
         if self.links.is_isolated:
-            if not self.pass_to_peer():
+            if self.pass_to_peer():
+                return
+            if self.may_await_endpoints():
+                self.await_endpoints()
+            else:
                 self.give_up("No endpoint can be reached.")
             return
         limits = self.shared.limits
@@ -106,6 +110,11 @@
             chosen.instance, functools.partial(self.send, chosen)
         )
 
+    def await_endpoints(self) -> None:
+        """Waits for endpoints; any may be tried again, as none responded."""
+        self.tried = frozenset()
+        super().await_endpoints()
+
     def handle_no_endpoint(self, is_limited: bool) -> None:
         """Ends the run.
 
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -55,6 +55,10 @@
 """Maximum number of endpoints that are asked for on behalf of one request and
 that take no more requests now."""
 
+LINKS_RETRY_S = 0.15
+"""Interval at which a request that waits for endpoints to respond again checks
+whether they do, in seconds."""
+
 KINDS_BEFORE_ENDPOINT = (errors.ServiceNotReady.kind, errors.NoRoomForPeer.kind)
 """Kinds of a peer's refusal of a request that it sent to no endpoint."""
 
@@ -235,6 +239,33 @@
         paths = self.shared.peer_paths
         return paths.choose(self.routed.service, self.tried_peers) is not None
 
+    def may_await_endpoints(self) -> bool:
+        """Returns whether to wait until this node reaches endpoints again.
+
+        If all endpoints pause, no node reaches any for about a second. A
+        request that left one of them can't be refused as not run, and could
+        still be served after the pause.
+        """
+        return (
+            self.may_have_run
+            and self.links.is_isolated
+            and self.routed.route.may_repeat
+            and self.possible_runs < self.routed.route.max_attempts
+        )
+
+    def await_endpoints(self) -> None:
+        """Sends the request once this node or a peer reaches endpoints."""
+        self.loop.call_later(LINKS_RETRY_S, self.begin_if_reachable)
+
+    def begin_if_reachable(self) -> None:
+        """Sends the request if endpoints or a peer can be reached, or waits."""
+        if self.is_ended:
+            return
+        if self.links.is_isolated and not self.can_pass_to_peer():
+            self.await_endpoints()
+        else:
+            self.begin()
+
     def log_no_peer(self) -> None:
         """Logs why no peer can serve the request."""
         states = self.shared.peer_paths.states(self.routed.service)
@@ -360,7 +391,9 @@
             retry_after_s: Retry-After of the last peer; None for none.
             may_repeat: Whether the request may be sent again.
         """
-        del may_repeat
+        if may_repeat and self.may_await_endpoints():
+            self.await_endpoints()
+            return
         if self.may_have_run:
             self.refuse(self.may_have_run_error(reason))
             return
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -137,6 +137,9 @@
         ):
             return
         if not self.responder.head_sent:
+            if self.may_await_endpoints():
+                self.await_endpoints()
+                return
             if is_limited and self.choose_path(self.failed_engines) is not None:
                 self.refuse_limited()
                 return
@@ -147,6 +150,11 @@
             return
         self.search_later(self.begin)
 
+    def await_endpoints(self) -> None:
+        """Waits for engines; any may be tried again, as none responded."""
+        self.failed_engines = frozenset()
+        super().await_endpoints()
+
     def log_paths_full(self) -> None:
         """Logs which engine lacks room, by which estimate."""
         view = self.shared.catalogue.view(self.routed.service)
--- a/tests/platform/test_pauses_of_all_engines.py
+++ b/tests/platform/test_pauses_of_all_engines.py
@@ -55,10 +55,14 @@
 
 
 @pytest.mark.parametrize("nodes", [2, 9])
-@pytest.mark.parametrize("max_attempts", [1])
-@pytest.mark.parametrize("node", [0, None], ids=["one node", "all nodes"])
+@pytest.mark.parametrize("max_attempts", [1, 2])
+@pytest.mark.parametrize(
+    ("zones", "node"),
+    [("abc", 0), ("abc", None), ("a", None)],
+    ids=["one node", "all nodes", "one zone"],
+)
 def test_streams_of_a_quiet_service_survive_a_pause_of_all_engines(
-    node: int | None, max_attempts: int, nodes: int
+    zones: str, node: int | None, max_attempts: int, nodes: int
 ) -> None:
     """Guards against counting the time without requests as silence.
 
@@ -68,7 +72,7 @@
     """
 
     async def scenario() -> None:
-        async with system.running_system(nodes=nodes, zones="abc") as running:
+        async with system.running_system(nodes=nodes, zones=zones) as running:
             await silent.prepare(running, max_attempts)
             await asyncio.sleep(2.0)
             pauses = [
@@ -95,3 +99,43 @@
             assert counts == [silent.EVENTS] * STREAMS
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("nodes", [1, 2, 9])
+@pytest.mark.parametrize("zones", ["a", "abc"])
+@pytest.mark.parametrize("pause_s", [0.8, 1.2])
+def test_requests_survive_a_pause_of_all_endpoints(
+    pause_s: float, zones: str, nodes: int
+) -> None:
+    """Guards against requests that leave an endpoint for peers, then fail.
+
+    No node reaches endpoints in the meantime, so that the peers refuse them.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=nodes, zones=zones) as running:
+            if nodes > 1:
+                await running.wait_for_peers()
+            pauses = [
+                asyncio.create_task(silent.pause(engine, pause_s))
+                for engine in running.engines.values()
+                if not engine.kind
+            ]
+            await asyncio.sleep(0.05)
+            responses = await asyncio.gather(
+                *(
+                    system.send(
+                        running.nodes[n % nodes].settings.entry.address,
+                        system.request("/look/x", f"l{n}"),
+                        f"body {n}".encode(),
+                    )
+                    for n in range(STREAMS)
+                )
+            )
+            await asyncio.gather(*pauses)
+            ran = silent.engines_by_request(running)
+            over = [r for r, found in ran.items() if len(found) > 2]
+            assert over == []
+            assert [status for status, _, _ in responses] == [200] * STREAMS
+
+    asyncio.run(scenario())
