Count an attempt of a plain request once, when it ends

Safe requests got 502 although their route allowed another attempt and an endpoint was free, if the retry budget was used up when the first attempt was late or its node isolated.

The attempt was counted before the retry was paid for. If the budget had no room, the request stayed at its endpoint, and when that broke the connection later, the attempt counted a second time and used up two attempts.

Now a running attempt is counted only if the request leaves it.

--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -227,7 +227,7 @@
             for e in self.untried()
             if not self.shared.limits.is_limited(e.instance)
         ]
-        if not unlimited or not self.record_attempt_and_spend_retry(False):
+        if not unlimited or not self.spend_retry_while_running():
             return
         self.log_failed_attempt(
             attempt.endpoint.instance, "too slow", False, runs.SENT_ELSEWHERE
@@ -235,6 +235,16 @@
         self.drop_attempt(failed=True)
         self.begin()
 
+    def spend_retry_while_running(self) -> bool:
+        """Counts the current attempt if another may follow, and spends a retry.
+
+        An attempt that goes on counts once it has ended.
+        """
+        return (
+            self.can_retry_while_running()
+            and self.record_attempt_and_spend_retry(False)
+        )
+
     def record_attempt_and_spend_retry(
         self, is_not_run: bool, is_sent: bool = True
     ) -> bool:
@@ -378,7 +388,7 @@
         if self.attempt is None or not self.routed.route.may_repeat:
             return
         instance = self.attempt.endpoint.instance
-        if not self.record_attempt_and_spend_retry(False):
+        if not self.spend_retry_while_running():
             return
         self.log_failed_attempt(
             instance, "no endpoint responds", False, runs.SENT_ELSEWHERE
--- a/tests/platform/test_lost_answers.py
+++ b/tests/platform/test_lost_answers.py
@@ -1,4 +1,4 @@
-"""Engines that run streams but send no events, while they report as healthy."""
+"""Endpoints that send no response or events, while they report as healthy."""
 
 from __future__ import annotations
 
@@ -77,3 +77,38 @@
             stream.cancel()
 
     asyncio.run(scenario())
+
+
+def test_a_request_that_could_not_leave_a_slow_endpoint_counts_once() -> None:
+    """Guards against an attempt that counts when it is late and when it ends.
+
+    The nodes' retry budget allows no second attempt when the endpoint is late,
+    but does when the endpoint breaks the connection.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(zones="ab") as running:
+            budget = running.nodes[0].node.shared.budget
+            limits = budget.limits
+            budget.limits = repeat_budget.RepeatLimits(0.0, 10.0, 0.0)
+            plain = [e for e in running.engines.values() if not e.kind]
+            for engine in plain:
+                engine.response_delay_s = 3 * OBJECTIVE_S
+                engine.resets = True
+            sent = asyncio.create_task(
+                system.send(
+                    running.nodes[0].settings.entry.address,
+                    system.request("/look/x", "l1"),
+                    b"x",
+                )
+            )
+            await running.until(lambda: whole.times_run(running, "l1") == 1)
+            for engine in plain:
+                engine.resets = "l1" in engine.ran
+            await asyncio.sleep(2.5 * OBJECTIVE_S)
+            budget.limits = limits
+            status, _, _ = await sent
+            assert status == 200
+            assert whole.times_run(running, "l1") == 2
+
+    asyncio.run(scenario())
