Don't wait for endpoints that are silent for longer than a pause

A pause lasts up to 1.4 s, and its end is noticed within the 0.4 s of the next round of queries. So requests wait only until the endpoints have been silent for 2 s, and are then answered as before.

--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -59,6 +59,10 @@
 """Interval at which a request that waits for endpoints to respond again checks
 whether they do, in seconds."""
 
+MAX_SILENCE_S = 2.0
+"""Silence of all endpoints after which requests no longer wait for them, in
+seconds; longer than a pause and the checks that notice its end."""
+
 KINDS_BEFORE_ENDPOINT = (errors.ServiceNotReady.kind, errors.NoRoomForPeer.kind)
 """Kinds of a peer's refusal of a request that it sent to no endpoint."""
 
@@ -244,11 +248,12 @@
 
         If all endpoints pause, no node reaches any for about a second. A
         request that left one of them can't be refused as not run, and could
-        still be served after the pause.
+        still be served after the pause. A longer silence is no pause.
         """
         return (
             self.may_have_run
             and self.links.is_isolated
+            and not self.links.is_isolated_for(MAX_SILENCE_S, self.loop.time())
             and self.routed.route.may_repeat
             and self.possible_runs < self.routed.route.max_attempts
         )
@@ -258,10 +263,10 @@
         self.loop.call_later(LINKS_RETRY_S, self.begin_if_reachable)
 
     def begin_if_reachable(self) -> None:
-        """Sends the request if endpoints or a peer can be reached, or waits."""
+        """Waits on, or sends the request if endpoints or a peer respond."""
         if self.is_ended:
             return
-        if self.links.is_isolated and not self.can_pass_to_peer():
+        if self.may_await_endpoints() and not self.can_pass_to_peer():
             self.await_endpoints()
         else:
             self.begin()
--- a/tests/platform/test_pauses_of_all_engines.py
+++ b/tests/platform/test_pauses_of_all_engines.py
@@ -11,6 +11,9 @@
 from tests.platform import test_whole_system as whole
 
 STREAMS = 12
+MAX_WAIT_S = 3.0
+"""Longest wait for endpoints that have lost power, in seconds; the route's
+time-out is 5 s."""
 
 
 @pytest.mark.parametrize("nodes", [2, 3])
@@ -139,3 +142,31 @@
             assert [status for status, _, _ in responses] == [200] * STREAMS
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("nodes", [1, 2])
+def test_requests_do_not_wait_for_endpoints_without_power(nodes: int) -> None:
+    """Guards against requests that wait until their deadline without need."""
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=nodes, zones="abc") as running:
+            if nodes > 1:
+                await running.wait_for_peers()
+            for engine in running.engines.values():
+                engine.is_dead = True
+            loop = asyncio.get_running_loop()
+            started_at = loop.time()
+            statuses = await asyncio.gather(
+                *(
+                    system.send(
+                        running.nodes[n % nodes].settings.entry.address,
+                        system.request("/look/x", f"l{n}"),
+                        b"body",
+                    )
+                    for n in range(STREAMS)
+                )
+            )
+            assert {status for status, _, _ in statuses} <= {502, 503}
+            assert loop.time() - started_at < MAX_WAIT_S
+
+    asyncio.run(scenario())
