Remember several losses of a node's links

Callers of a request that outlived two losses of its node's links had a run fewer than their route allows.

Attempts that end while the node has lost its links don't count. Only the latest loss was kept, and attempts were dropped from the count when it was read. If nobody read it during the first loss, its attempts counted again after the second.

The latest losses are kept now, so the count doesn't depend on when it was read before. tests/relay/test_runs_over_cuts.py, the row that doesn't read in between, gave 1 in place of 0 before and passes now.

--- a/src/almondshift/policy/isolation.py
+++ b/src/almondshift/policy/isolation.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 
@@ -37,6 +38,9 @@
 RECHECK_GAP_S = 0.2
 """Interval between checks of an isolated node, in seconds."""
 
+MAX_CUTS = 16
+"""Maximum number of cuts that are remembered."""
+
 
 @dataclasses.dataclass(slots=True)
 class Cut:
@@ -69,7 +73,7 @@
             is wanted.
         suspected_at: When connections last failed as in a cut.
         suspected_from: When the first of these failed.
-        latest_cut: The latest cut that rounds have confirmed; None for none.
+        cuts: The latest cuts that rounds have confirmed, the oldest first.
     """
 
     def __init__(self) -> None:
@@ -85,7 +89,12 @@
         self.check_wanted_at: float | None = None
         self.suspected_at = -math.inf
         self.suspected_from = -math.inf
-        self.latest_cut: Cut | None = None
+        self.cuts: collections.deque[Cut] = collections.deque(maxlen=MAX_CUTS)
+
+    @property
+    def latest_cut(self) -> Cut | None:
+        """The latest cut that rounds have confirmed; None for none."""
+        return self.cuts[-1] if self.cuts else None
 
     @property
     def is_isolated(self) -> bool:
@@ -132,7 +141,7 @@
             self.suspected_from = min(self.failures.values())
         self.suspected_at = now
         if self.is_isolated and not self.is_cut_off:
-            self.latest_cut = Cut(self.suspected_from)
+            self.cuts.append(Cut(self.suspected_from))
 
     def want_check(self, now: float) -> None:
         """Makes a check start at once."""
@@ -208,7 +217,7 @@
             return False
         self.isolated_since = now
         if now - self.suspected_at <= CHECK_GAP_S:
-            self.latest_cut = Cut(self.suspected_from)
+            self.cuts.append(Cut(self.suspected_from))
         return True
 
 
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -145,8 +145,7 @@
     @property
     def possible_runs(self) -> int:
         """Number of ended attempts that count as runs of the request."""
-        cut = self.links.latest_cut
-        if cut is not None:
+        for cut in self.links.cuts:
             self.ended_runs.remove_within(cut.began_at, cut.ended_at)
         return self.ended_runs.count(self.shared.tracker.has_ended)
 
--- /dev/null
+++ b/tests/relay/test_runs_over_cuts.py
@@ -0,0 +1,47 @@
+"""Runs of a request over several losses of a node's links."""
+
+from __future__ import annotations
+
+import types
+from typing import Any
+
+import pytest
+
+from almondshift.policy import engine_tracker
+from almondshift.policy import isolation
+from almondshift.policy import possible_runs
+from almondshift.relay import runs
+from tests.policy import test_isolation
+
+NOW = 100.0
+
+
+def lose_links(state: isolation.Isolation, at: float) -> None:
+    """Has connections and then two rounds of queries fail."""
+    test_isolation.fail(state, 3, at)
+    for start in (at + 0.1, at + 0.2):
+        state.end_round(start, start + 0.1)
+    assert state.is_cut_off
+
+
+@pytest.mark.parametrize("is_read_between", [True, False])
+def test_a_later_cut_does_not_make_an_attempt_count(
+    is_read_between: bool,
+) -> None:
+    """Guards against a count that depends on when it was read before."""
+    links = isolation.Isolation()
+    ended = possible_runs.PossibleRuns(0)
+    run: Any = types.SimpleNamespace(
+        links=links,
+        ended_runs=ended,
+        shared=types.SimpleNamespace(tracker=engine_tracker.EngineTracker()),
+    )
+    count = runs.Run.possible_runs.__get__
+    ended.add("e1", NOW + 0.01)
+    lose_links(links, NOW)
+    if is_read_between:
+        assert count(run) == 0
+    links.note_response(NOW + 1.0)
+    links.end_round(NOW + 0.9, NOW + 1.0)
+    lose_links(links, NOW + 9.0)
+    assert count(run) == 0
