--- a/tests/platform/test_failed_links.py
+++ b/tests/platform/test_failed_links.py
@@ -89,3 +89,32 @@
                 assert len(whole.tokens(body)) == silent.EVENTS
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("nodes", [1, 3])
+def test_lost_links_do_not_quarantine_a_sound_request(nodes: int) -> None:
+    """Guards against counting a node's own lost links as crashes of engines.
+
+    All of its connections are reset, and new ones refused for a moment. Its
+    streams have the same prompt.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=nodes, zones="abc") as running:
+            await silent.prepare(running)
+            pool = cut_links.create_cuttable_pool(running.nodes[0])
+            streams = [
+                asyncio.create_task(
+                    whole.chat(running, f"r{n}", 0, X_Deadline_Ms="20000")
+                )
+                for n in range(6)
+            ]
+            await asyncio.sleep(0.8)
+            pool.begin(cut_links.Cut.RESET)
+            await asyncio.sleep(0.02)
+            pool.end()
+            responses = await asyncio.gather(*streams)
+            counts = [len(whole.tokens(body)) for _, _, body in responses]
+            assert counts == [silent.EVENTS] * len(streams)
+
+    asyncio.run(scenario())
