--- a/src/almondshift/policy/path_choice.py
+++ b/src/almondshift/policy/path_choice.py
@@ -163,15 +163,7 @@
             avoid: Engines that may not be the first of the path.
         """
         load = self.candidates.load(view, now)
-        paths = self._current_paths(view, now)
-        fitting = self._fitting(paths, view.spec, tokens, load)
-        allowed = [c for c in fitting if c.path[0].instance not in avoid]
-        if not allowed and any(
-            c.path[0].instance not in self.limited for c in fitting
-        ):
-            paths = self._current_paths(view, now, avoid)
-            allowed = self._fitting(paths, view.spec, tokens, load)
-        fitting = allowed
+        fitting = self._fitting_around(view, tokens, now, load, avoid)
         if fitting and path_candidates.chooses_by_share(load.nodes, view.spec):
             return self._choose_by_share(fitting, view.spec, tokens, load)
         best: ChosenPath | None = None
@@ -187,6 +179,28 @@
                 best, best_rank = chosen, (is_crowded, score)
         return best
 
+    def _fitting_around(
+        self,
+        view: path_candidates.FleetView,
+        tokens: float,
+        now: float,
+        load: pooled_load.FleetLoad,
+        avoid: frozenset[str],
+    ) -> list[ChosenPath]:
+        """Returns paths with room that begin with no engine of ``avoid``.
+
+        The usual search may find only paths that begin with avoided engines,
+        though others could begin them. Paths around engines with a rate limit
+        are among its results already.
+        """
+        paths = self._current_paths(view, now)
+        fitting = self._fitting(paths, view.spec, tokens, load)
+        allowed = [c for c in fitting if c.path[0].instance not in avoid]
+        if allowed or all(c.path[0].instance in self.limited for c in fitting):
+            return allowed
+        paths = self._current_paths(view, now, avoid)
+        return self._fitting(paths, view.spec, tokens, load)
+
     def _fitting(
         self,
         paths: list[path_search.FoundPath],
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -556,11 +556,11 @@
     def engine_changed(
         self, engine: registered_engines.RegisteredEngine
     ) -> None:
-        """Uses an engine that refused again, as its entry has changed.
+        """Uses an engine again that refused because of its former layers.
 
         Also records crashes of engines whose address another one took over.
         """
-        self.shared.lost_engines.forgive_refusal(engine.instance)
+        self.shared.lost_engines.clear_refusal(engine.instance)
         watch = self.shared.crash_watch
         for instance in list(watch.strikes.broken_attempts):
             former = self.catalogue.engines.get(instance)
--- a/src/almondshift/relay/lost_engines.py
+++ b/src/almondshift/relay/lost_engines.py
@@ -127,7 +127,7 @@
             )
         )
 
-    def forgive_refusal(self, instance: str) -> None:
+    def clear_refusal(self, instance: str) -> None:
         """Clears the suspicion of an engine whose entry was out of date.
 
         It refused a path over layers that it no longer holds, for which its
