Pick any engine that doesn't pause in the pause rows again

It left out engines that had just continued, in all seven rows, and called that as strict. It isn't: an engine that pauses twice in a row was no longer tested, and no trace shows that the rule allows requests over the limit there.

--- a/tests/platform/test_silent_engines.py
+++ b/tests/platform/test_silent_engines.py
@@ -24,8 +24,6 @@
 STREAM_GAP_S = 0.1
 PAUSE_GAP_S = 0.7
 MIN_PAUSE_S, MAX_PAUSE_S = 0.9, 1.4
-RECENT_PAUSES = 2
-"""Number of pauses after which an engine may pause again."""
 TIMEOUT_S = 20.0
 HOLD_S, GRACE_S = 2.9, 8.0
 MAX_ATTEMPTS = 2
@@ -118,23 +116,12 @@
 async def pause_in_turn(
     running: system.StandinSystem, rng: random.Random
 ) -> None:
-    """Pauses one engine after the other until it is cancelled.
-
-    An engine that has just continued is not paused again: for the nodes, both
-    pauses could be one that is longer than ``MAX_PAUSE_S``.
-    """
-    recent: collections.deque[standin_engines.StandinEngine]
-    recent = collections.deque(maxlen=RECENT_PAUSES)
+    """Pauses one engine after the other until it is cancelled."""
     async with asyncio.TaskGroup() as pauses:
         while True:
             engine = rng.choice(
-                [
-                    e
-                    for e in model_engines(running)
-                    if not e.is_paused and e not in recent
-                ]
+                [e for e in model_engines(running) if not e.is_paused]
             )
-            recent.append(engine)
             seconds = rng.uniform(MIN_PAUSE_S, MAX_PAUSE_S)
             pauses.create_task(pause(engine, seconds))
             await asyncio.sleep(PAUSE_GAP_S)
