Log by which evidence a send did not run, and over which connection

AS5009 said that an attempt had not run, not why; no line named the connection; the lines at a request's end named none of its sends, and a peer logged nothing of a request that it serves for a node.

Change: NotRun names the fact, decided in one place from ending and head (path_engines.evidence_of). RequestSends keeps each send with its evidence in place of a counter that four places changed; may_have_run follows from it and is what it was. AS5009 has evidence and connection, AS5002, AS5003 and AS5005 list all sends, AS5020 is what a peer makes of a request, and almondshift_relay_not_run_total counts by evidence. No decision changes.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -328,7 +328,7 @@
             )
             run.begin()
             assert run.attempt is not None
-            head = relayed.ForwardedHead(200, (), True, False, "")
+            head = relayed.ForwardedHead(200, (), True, None, "")
             run.attempt.on_head(head)
             runs.append(run)
         return runs
--- a/src/almondshift/adapters/http_connections.py
+++ b/src/almondshift/adapters/http_connections.py
@@ -114,7 +114,8 @@
         sent: Whether any byte was handed to a connection.
         answered: Whether a byte of a response was received.
         request_id: The id that the response must echo; empty for no check.
-        reused: Whether the connection had carried a call before.
+        earlier_calls: Number of calls that its connection carried before; None
+            while it has no connection.
     """
 
     def __init__(
@@ -125,11 +126,16 @@
         self.request_id = request_id
         self.sent = False
         self.answered = False
-        self.reused = False
+        self.earlier_calls: int | None = None
         self.done = False
         self.connection: Connection | None = None
         self.connecting: asyncio.Task[None] | None = None
 
+    @property
+    def reused(self) -> bool:
+        """Whether its connection had carried a call before."""
+        return bool(self.earlier_calls)
+
     def cancel(self) -> None:
         """Cancels the call and closes its connection at once.
 
@@ -181,7 +187,7 @@
         assert self.transport is not None
         self.call = call
         call.connection = self
-        call.reused = self.calls > 0
+        call.earlier_calls = self.calls
         self.calls += 1
         self.head = None
         self.head_complete = False
--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -440,6 +440,7 @@
     tokens: int
     seconds: float
     recoveries: int
+    sends: str = ""
 
 
 class RequestRefused(Event, frozen=True):
@@ -455,6 +456,7 @@
     execution: str
     seconds: float
     reason: str = ""
+    sends: str = ""
 
 
 class RequestRecovered(Event, frozen=True):
@@ -481,6 +483,7 @@
     service: str
     kind: str
     tokens: int
+    sends: str = ""
 
 
 class EchoMismatch(Event, frozen=True):
@@ -541,6 +544,8 @@
     endpoint_state: str
     possible_runs: int
     max_attempts: int
+    evidence: str
+    connection: str
 
 
 class RequestMoved(Event, frozen=True):
@@ -698,6 +703,21 @@
     others: int
 
 
+class RequestFromPeer(Event, frozen=True):
+    """A peer passed a request on to this node."""
+
+    number = 5020
+    message = "request from peer"
+
+    request_id: str
+    service: str
+    is_known: bool
+    may_repeat: bool
+    possible_runs: int
+    max_attempts: int
+    config_version: int
+
+
 class StoreOutageBegan(Event, frozen=True):
     """The platform's store does not respond."""
 
--- a/src/almondshift/model/relayed.py
+++ b/src/almondshift/model/relayed.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from almondshift.model import not_run
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,7 +73,7 @@
     Attributes:
         headers: Header fields to forward unchanged.
         genuine: Whether the endpoint marked the response as its own.
-        not_run: Whether it says that the request did not run.
+        evidence: Why the request did not run; None if it may have.
         faulty_address: The endpoint at fault, if it names one.
         backoff_s: Time for which the endpoint asks this node for no requests; 0
             if it does not ask.
@@ -79,11 +83,16 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     genuine: bool
-    not_run: bool
+    evidence: not_run.NotRun | None
     faulty_address: str
     backoff_s: float = 0.0
     is_leaving: bool = False
 
+    @property
+    def not_run(self) -> bool:
+        """Whether the request did not run."""
+        return self.evidence is not None
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Forwarding:
--- a/src/almondshift/platform/engines.py
+++ b/src/almondshift/platform/engines.py
@@ -12,6 +12,7 @@
 from almondshift.adapters import http_connections
 from almondshift.model import endpoint_notices
 from almondshift.model import lifetimes
+from almondshift.model import not_run
 from almondshift.model import rate_limits
 from almondshift.model import relayed
 from almondshift.platform import names
@@ -163,6 +164,11 @@
     def __init__(self, call: http_connections.Call) -> None:
         self.call = call
 
+    @property
+    def earlier_calls(self) -> int | None:
+        """Number of calls that its connection carried before."""
+        return self.call.earlier_calls
+
     def cancel(self) -> None:
         """Closes the connection, which makes the endpoint stop its work."""
         self.call.cancel()
@@ -383,15 +389,24 @@
             if name not in HOP_BY_HOP_FIELDS
         ),
         genuine=head.get(names.SIGNATURE) is not None,
-        not_run=(
-            head.get(names.NOT_RUN) is not None or head.status == MISDIRECTED
-        ),
+        evidence=decode_evidence(head),
         faulty_address=head.get(names.FAULTY_ADDRESS) or "",
         backoff_s=decode_backoff(head),
         is_leaving=is_leaving(head),
     )
 
 
+def decode_evidence(
+    head: http_connections.ResponseHead,
+) -> not_run.NotRun | None:
+    """Returns why an endpoint did not run a request; None if it may have."""
+    if head.status == MISDIRECTED:
+        return not_run.NotRun.OTHER_ENDPOINT
+    if head.get(names.NOT_RUN) is not None:
+        return not_run.NotRun.STATED
+    return None
+
+
 def report_notice(
     observer: path_engines.CallObserver,
     head: http_connections.ResponseHead,
--- a/src/almondshift/platform/peer_entries.py
+++ b/src/almondshift/platform/peer_entries.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from almondshift.adapters import http_connections
+from almondshift.model import not_run
 from almondshift.platform import engines
 from almondshift.platform import names
 from almondshift.ports import path_engines
@@ -46,8 +47,10 @@
     def on_head(self, head: http_connections.ResponseHead) -> None:
         """Forwards the head without its hop-by-hop fields."""
         decoded = engines.decode_head(head)
-        is_not_run = not decoded.genuine and head.status in NOT_RUN_STATUSES
-        self.listener.on_head(dataclasses.replace(decoded, not_run=is_not_run))
+        evidence = None
+        if not decoded.genuine and head.status in NOT_RUN_STATUSES:
+            evidence = not_run.NotRun.PEER
+        self.listener.on_head(dataclasses.replace(decoded, evidence=evidence))
 
     def on_data(self, data: bytes) -> None:
         """Forwards a chunk of the body."""
--- a/src/almondshift/ports/path_engines.py
+++ b/src/almondshift/ports/path_engines.py
@@ -7,6 +7,8 @@
 import enum
 from typing import TYPE_CHECKING
 
+from almondshift.model import not_run
+
 if TYPE_CHECKING:
     from almondshift.model import endpoint_notices
     from almondshift.model import rate_limits
@@ -71,11 +73,33 @@
 class ForwardedRequest(abc.ABC):
     """A forwarded request that has not ended."""
 
+    @property
+    @abc.abstractmethod
+    def earlier_calls(self) -> int | None:
+        """Number of calls that its connection carried before.
+
+        None while it has no connection.
+        """
+
     @abc.abstractmethod
     def cancel(self) -> None:
         """Stops it at the endpoint; the listener is not called any more."""
 
 
+def evidence_of(
+    ending: Ending, head: relayed.ForwardedHead | None
+) -> not_run.NotRun | None:
+    """Returns why a forwarded request did not run; None if it may have.
+
+    A head whose body is incomplete or invalid is no evidence.
+    """
+    if ending is Ending.NOT_SENT:
+        return not_run.NotRun.NO_CONNECTION
+    if ending is Ending.WHOLE and head is not None:
+        return head.evidence
+    return None
+
+
 class CallObserver(abc.ABC):
     """Observes all calls to endpoints."""
 
--- a/src/almondshift/relay/events.py
+++ b/src/almondshift/relay/events.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from almondshift.ports import path_engines
+from almondshift.relay import attempts
 
 if TYPE_CHECKING:
     from almondshift.model import relayed
@@ -30,7 +30,7 @@
     event_id: int | None
 
 
-class EventSource(path_engines.AnswerListener):
+class EventSource(attempts.Attempt):
     """An attempt whose response may be a stream of events.
 
     Attributes:
--- a/src/almondshift/relay/gateway.py
+++ b/src/almondshift/relay/gateway.py
@@ -279,6 +279,7 @@
         if request.peer_mark:
             entries = self.shared.peer_paths.entries
             possible_runs = entries.possible_runs(request)
+            self.log_request_from_peer(request, route, possible_runs)
         return routed_requests.RoutedRequest(
             request=request,
             route=route,
@@ -290,6 +291,26 @@
             possible_runs=possible_runs or 0,
         )
 
+    def log_request_from_peer(
+        self,
+        request: relayed.RelayedRequest,
+        route: routes.Route,
+        possible_runs: int | None,
+    ) -> None:
+        """Logs what a peer asks for; None for a mark that is not known."""
+        config = self.shared.catalogue.config
+        self.shared.observer.emit(
+            log_events.RequestFromPeer(
+                request_id=request.request_id,
+                service=",".join(share.service for share in route.shares),
+                is_known=possible_runs is not None,
+                may_repeat=route.may_repeat,
+                possible_runs=possible_runs or 0,
+                max_attempts=route.max_attempts,
+                config_version=0 if config is None else config.version,
+            )
+        )
+
     def find_account(
         self,
         config: routing_config.RoutingConfig,
--- a/src/almondshift/relay/observer.py
+++ b/src/almondshift/relay/observer.py
@@ -32,6 +32,12 @@
             ["outcome"],
             registry=registry,
         )
+        self.not_run = prometheus_client.Counter(
+            "almondshift_relay_not_run",
+            "Sends that did not run the request, by evidence.",
+            ["evidence"],
+            registry=registry,
+        )
         self.moves = prometheus_client.Counter(
             "almondshift_relay_moves",
             "Running requests moved to other engines, by outcome.",
--- a/src/almondshift/relay/peer_attempt.py
+++ b/src/almondshift/relay/peer_attempt.py
@@ -35,6 +35,7 @@
     ) -> None:
         self.run = run
         self.peer = peer
+        self.send = run.all_sends.begin(peer.name)
         self.granted_runs = granted_runs
         self.sent_at = run.loop.time()
         self.head: relayed.ForwardedHead | None = None
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -5,9 +5,12 @@
 import functools
 from typing import TYPE_CHECKING
 
+from almondshift.model import not_run
 from almondshift.model import relayed
 from almondshift.policy import engine_tracker
+from almondshift.policy import request_sends
 from almondshift.ports import path_engines
+from almondshift.relay import attempts
 from almondshift.relay import runs
 
 if TYPE_CHECKING:
@@ -28,7 +31,7 @@
 is sent to another endpoint."""
 
 
-class PlainAttempt(path_engines.AnswerListener):
+class PlainAttempt(attempts.Attempt):
     """One attempt to run a request on an endpoint."""
 
     def __init__(
@@ -36,6 +39,7 @@
     ) -> None:
         self.run = run
         self.endpoint = endpoint
+        self.send = run.all_sends.begin(endpoint.instance)
         self.sent_at = run.loop.time()
         self.head: relayed.ForwardedHead | None = None
         self.body = bytearray()
@@ -139,7 +143,6 @@
             chosen.instance,
             self.shared.endpoints.record(chosen.instance).in_flight,
         )
-        self.sends_that_may_have_run += 1
         self.attempt.forwarded = self.shared.engines.forward(
             self.routed.request,
             relayed.Forwarding(
@@ -210,7 +213,7 @@
         attempt.cancel()
         self.release_peer_attempt()
         self.continue_after_peer(
-            attempt, "too slow", is_not_run=False, is_unreached=False
+            attempt, "too slow", evidence=None, is_unreached=False
         )
 
     def retry_if_slow(self) -> None:
@@ -229,10 +232,8 @@
         ]
         if not unlimited or not self.spend_retry_while_running():
             return
-        self.log_failed_attempt(
-            attempt.endpoint.instance, "too slow", False, runs.SENT_ELSEWHERE
-        )
         self.drop_attempt(failed=True)
+        self.log_failed_attempt(attempt.send, "too slow", runs.SENT_ELSEWHERE)
         self.begin()
 
     def spend_retry_while_running(self) -> bool:
@@ -272,8 +273,8 @@
         instance = attempt.endpoint.instance
         head = attempt.head
         if ending is path_engines.Ending.WHOLE and head is not None:
-            if head.not_run:
-                self.handle_refusal(attempt, head)
+            if head.evidence is not None:
+                self.handle_refusal(attempt, head, head.evidence)
                 return
             seconds = self.loop.time() - attempt.sent_at
             if head.status < SERVER_ERROR and head.genuine:
@@ -289,17 +290,20 @@
             self.links.note_failure(instance, self.loop.time())
         if ending is path_engines.Ending.NOT_SENT:
             self.shared.endpoints.missed(instance, now)
-            self.retry_or_end(attempt, reason, is_not_run=True, is_sent=False)
+            self.retry_or_end(attempt, reason, not_run.NotRun.NO_CONNECTION)
             return
         self.shared.endpoints.failed(instance, now)
         if ending is path_engines.Ending.BROKEN:
             self.shared.crash_watch.note_broken(
                 self.routed, self.sends, instance, attempt.endpoint.address
             )
-        self.retry_or_end(attempt, reason, is_not_run=False)
+        self.retry_or_end(attempt, reason, None)
 
     def handle_refusal(
-        self, attempt: PlainAttempt, head: relayed.ForwardedHead
+        self,
+        attempt: PlainAttempt,
+        head: relayed.ForwardedHead,
+        evidence: not_run.NotRun,
     ) -> None:
         """Continues after an endpoint that did not run the request."""
         instance = attempt.endpoint.instance
@@ -311,9 +315,7 @@
             )
             self.shared.crash_watch.endpoint_replaced(instance)
         self.shared.endpoints.failed(instance, now)
-        self.retry_or_end(
-            attempt, f"refused with {head.status}", is_not_run=True
-        )
+        self.retry_or_end(attempt, f"refused with {head.status}", evidence)
 
     def handle_failure(self, attempt: PlainAttempt, reason: str) -> None:
         """Retries elsewhere, or passes the endpoint's error response on."""
@@ -323,9 +325,8 @@
             False
         ):
             self.last_failure = attempt
-            self.log_failed_attempt(
-                attempt.endpoint.instance, reason, False, runs.SENT_ELSEWHERE
-            )
+            attempt.end_send(request_sends.FAILED)
+            self.log_failed_attempt(attempt.send, reason, runs.SENT_ELSEWHERE)
             self.begin()
             return
         if head.status < SERVER_ERROR or not head.genuine:
@@ -338,22 +339,27 @@
         self,
         attempt: PlainAttempt,
         reason: str,
-        is_not_run: bool,
-        is_sent: bool = True,
+        evidence: not_run.NotRun | None,
     ) -> None:
-        """Retries elsewhere if that is allowed, or gives up."""
+        """Retries elsewhere if that is allowed, or gives up.
+
+        Args:
+            attempt: The attempt, which has ended.
+            reason: Why it failed.
+            evidence: Why it did not run the request; None if it may have.
+        """
+        is_not_run = evidence is not None
+        is_sent = evidence is not not_run.NotRun.NO_CONNECTION
         self.has_reached_endpoint |= is_sent
-        if is_not_run:
-            self.sends_that_may_have_run -= 1
-        instance = attempt.endpoint.instance
+        attempt.end_send(request_sends.FAILED, evidence)
         if self.record_attempt_and_spend_retry(is_not_run, is_sent):
             self.log_failed_attempt(
-                instance, reason, is_not_run, runs.SENT_ELSEWHERE, attempt.head
+                attempt.send, reason, runs.SENT_ELSEWHERE, attempt.head
             )
             self.begin()
             return
         self.log_failed_attempt(
-            instance, reason, is_not_run, runs.GIVEN_UP, attempt.head
+            attempt.send, reason, runs.GIVEN_UP, attempt.head
         )
         if is_not_run and not self.may_have_run:
             if not self.pass_to_peer_if_cut_off():
@@ -376,6 +382,7 @@
         self, attempt: PlainAttempt, head: relayed.ForwardedHead
     ) -> None:
         """Passes an endpoint's response on unchanged."""
+        attempt.end_send(request_sends.ANSWERED)
         self.shared.observer.attempts.labels("answered").inc()
         self.shared.observer.first_seconds.observe(self.elapsed_s())
         self.responder.send_whole(
@@ -387,13 +394,13 @@
         """Sends the request to a peer, if it may run again."""
         if self.attempt is None or not self.routed.route.may_repeat:
             return
-        instance = self.attempt.endpoint.instance
+        send = self.attempt.send
         if not self.spend_retry_while_running():
             return
+        self.drop_attempt(failed=True)
         self.log_failed_attempt(
-            instance, "no endpoint responds", False, runs.SENT_ELSEWHERE
+            send, "no endpoint responds", runs.SENT_ELSEWHERE
         )
-        self.drop_attempt(failed=True)
         self.begin()
 
     def cancel_slow_timer(self) -> None:
@@ -413,6 +420,7 @@
         if attempt is None:
             return
         attempt.is_over = True
+        attempt.end_send(request_sends.CANCELLED)
         if attempt.forwarded is not None:
             attempt.forwarded.cancel()
         instance = attempt.endpoint.instance
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -8,8 +8,10 @@
 
 from almondshift import errors
 from almondshift import log_events
+from almondshift.model import not_run
 from almondshift.policy import answer_times
 from almondshift.policy import possible_runs
+from almondshift.policy import request_sends
 from almondshift.ports import path_engines
 from almondshift.ports import peer_entries
 from almondshift.ports import relays
@@ -83,9 +85,8 @@
 class Run(relays.ActiveRequest):
     """A request that is being served, by one or more attempts in turn.
 
-    Every attempt counts in ``sends``. It also counts in
-    ``sends_that_may_have_run`` until the request is known not to have run, and
-    in ``ended_runs`` once it has ended without that certainty.
+    Every attempt counts in ``sends``. It also counts in ``ended_runs`` once it
+    has ended without evidence that it did not run the request.
 
     Attributes:
         started_at: Loop time of its arrival.
@@ -95,8 +96,8 @@
         links: State of the links to the service's endpoints.
         sends: Number of times it was sent.
         ended_runs: Ended attempts that may have run it.
-        sends_that_may_have_run: Number of sends that may have run the request,
-            the current one included.
+        all_sends: Every send to an endpoint or a peer, the current one
+            included.
         has_reached_endpoint: Whether any of it was sent to an endpoint.
         peer_attempt: The current attempt to have a peer serve it.
         tried_peers: Names of the peers that it was passed to.
@@ -125,7 +126,7 @@
         self.links = shared.links.of(routed.service)
         self.sends = 0
         self.ended_runs = possible_runs.PossibleRuns(routed.possible_runs)
-        self.sends_that_may_have_run = 0
+        self.all_sends = request_sends.RequestSends()
         self.denied_permits = 0
         self.has_reached_endpoint = False
         self.peer_attempt: peer_attempt.PeerAttempt | None = None
@@ -152,7 +153,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether any endpoint may have begun to run it."""
-        return self.sends_that_may_have_run > 0
+        return self.all_sends.may_have_run
 
     def begin(self) -> None:
         """Sends the request, unless this node stops before it would complete.
@@ -206,7 +207,6 @@
             self.log_no_peer()
             return False
         self.tried_peers |= {peer.name}
-        self.sends_that_may_have_run += 1
         paths.started(peer.name)
         max_attempts = self.routed.route.max_attempts
         granted_runs = possible_runs.granted_runs(
@@ -307,6 +307,7 @@
         head = attempt.head
         is_complete = ending is path_engines.Ending.WHOLE and head is not None
         if is_complete and attempt.is_whole_stream():
+            attempt.end_send(request_sends.ANSWERED)
             self.shared.observer.via_peers.labels("answered").inc()
             self.finish_from_peer()
             return
@@ -317,6 +318,7 @@
             and not self.responder.head_sent
             and not attempt.is_stream
         ):
+            attempt.end_send(request_sends.ANSWERED)
             self.shared.observer.via_peers.labels("answered").inc()
             self.responder.send_whole(
                 head.status, head.headers, bytes(attempt.body)
@@ -325,22 +327,23 @@
             return
         if is_complete and head is not None:
             reason = f"peer responded with {head.status}"
-        is_refused = is_complete and head is not None and head.not_run
-        is_not_sent = ending is path_engines.Ending.NOT_SENT
+        evidence = path_engines.evidence_of(ending, head)
+        is_refused = evidence is not_run.NotRun.PEER
         kind = attempt.refusal_kind() if is_refused else ""
-        is_unreached = is_not_sent or kind in KINDS_BEFORE_ENDPOINT
+        is_unreached = (
+            evidence is not_run.NotRun.NO_CONNECTION
+            or kind in KINDS_BEFORE_ENDPOINT
+        )
         self.shared.observer.via_peers.labels("failed").inc()
         if not is_refused:
             self.shared.peer_paths.note_failed(attempt.peer.name)
-        self.continue_after_peer(
-            attempt, reason, is_refused or is_not_sent, is_unreached
-        )
+        self.continue_after_peer(attempt, reason, evidence, is_unreached)
 
     def continue_after_peer(
         self,
         attempt: peer_attempt.PeerAttempt,
         reason: str,
-        is_not_run: bool,
+        evidence: not_run.NotRun | None,
         is_unreached: bool,
     ) -> None:
         """Continues after a peer that did not serve the request.
@@ -348,18 +351,17 @@
         Args:
             attempt: The attempt.
             reason: Why the peer did not serve it.
-            is_not_run: Whether it did not run.
+            evidence: Why it did not run; None if it may have.
             is_unreached: Whether it reached no endpoint, and so needs no retry
                 budget.
         """
         # Peers share the endpoints. If a request asked several of them for
         # room, it would take that of their own callers, who ask once.
         is_full = attempt.refusal_kind() == errors.NoRoomForPeer.kind
-        if is_not_run:
-            self.sends_that_may_have_run -= 1
-        else:
+        attempt.end_send(request_sends.FAILED, evidence)
+        if evidence is None:
             self.ended_runs.add_settled(attempt.granted_runs)
-        may_repeat = is_not_run or (
+        may_repeat = evidence is not None or (
             self.routed.route.may_repeat
             and self.possible_runs < self.routed.route.max_attempts
         )
@@ -375,10 +377,7 @@
             )
         )
         self.log_failed_attempt(
-            attempt.peer.name,
-            reason,
-            is_not_run,
-            SENT_ELSEWHERE if is_allowed else GIVEN_UP,
+            attempt.send, reason, SENT_ELSEWHERE if is_allowed else GIVEN_UP
         )
         if is_allowed:
             self.begin()
@@ -541,6 +540,7 @@
                 tokens=self.sent_event_count(),
                 seconds=self.elapsed_s(),
                 recoveries=max(0, self.sends - 1),
+                sends=str(self.all_sends),
             )
         )
 
@@ -563,6 +563,7 @@
                 execution=error.execution.value,
                 seconds=self.elapsed_s(),
                 reason=error.detail,
+                sends=str(self.all_sends),
             )
         )
         self.responder.fail(error)
@@ -575,6 +576,7 @@
             service=self.routed.service,
             kind=kind,
             tokens=self.sent_event_count(),
+            sends=str(self.all_sends),
         )
 
     def refuse_no_capacity(self, reason: str) -> None:
@@ -710,36 +712,40 @@
 
     def log_failed_attempt(
         self,
-        instance: str,
+        send: request_sends.Send,
         reason: str,
-        is_not_run: bool,
         next_step: str,
         head: relayed.ForwardedHead | None = None,
     ) -> None:
         """Logs and counts a failed attempt.
 
         Args:
-            instance: The endpoint.
+            send: The send, which has ended.
             reason: Why it failed.
-            is_not_run: Whether the endpoint did not run the request.
             next_step: What becomes of the request.
             head: The head of the response, if there was one.
         """
-        self.shared.observer.attempts.labels("failed").inc()
-        self.shared.observer.emit(
+        evidence = send.evidence
+        observer = self.shared.observer
+        observer.attempts.labels("failed").inc()
+        if evidence is not None:
+            observer.not_run.labels(evidence.value).inc()
+        observer.emit(
             log_events.AttemptFailed(
                 request_id=self.routed.request.request_id,
-                endpoint=instance,
+                endpoint=send.target,
                 reason=reason,
-                not_run=is_not_run,
+                not_run=evidence is not None,
                 events_sent=self.sent_event_count(),
                 next_step=next_step,
                 prompt_parts=format_parts(self.routed.request.prompt_parts),
                 backoff_s=head.backoff_s if head is not None else 0.0,
                 leaving=head is not None and head.is_leaving,
-                endpoint_state=self.endpoint_state(instance),
+                endpoint_state=self.endpoint_state(send.target),
                 possible_runs=self.possible_runs,
                 max_attempts=self.routed.route.max_attempts,
+                evidence="" if evidence is None else evidence.value,
+                connection=send.connection,
             )
         )
 
--- a/src/almondshift/relay/stream_attempt.py
+++ b/src/almondshift/relay/stream_attempt.py
@@ -43,6 +43,7 @@
         self, run: stream_run.StreamRun, chosen: path_choice.ChosenPath
     ) -> None:
         self.run = run
+        self.send = run.all_sends.begin(chosen.path[0].instance)
         self.path = chosen.path
         self.counted_parts = chosen.used
         self.sent_at = run.loop.time()
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -7,8 +7,10 @@
 
 from almondshift import errors
 from almondshift import log_events
+from almondshift.model import not_run
 from almondshift.model import relayed
 from almondshift.policy import engine_tracker
+from almondshift.policy import request_sends
 from almondshift.ports import path_engines
 from almondshift.relay import runs
 from almondshift.relay import stream_attempt
@@ -237,7 +239,6 @@
             ",".join(part.instance for part in chosen.path),
             round(chosen.load, 3),
         )
-        self.sends_that_may_have_run += 1
         attempt.forwarded = self.shared.engines.forward(
             self.routed.request,
             relayed.Forwarding(
@@ -383,7 +384,7 @@
             return
         if is_complete:
             reason = "the stream ended in the middle of an event"
-        is_not_run = ending is path_engines.Ending.NOT_SENT
+        evidence = path_engines.evidence_of(ending, None)
         if ending is not path_engines.Ending.SPOILT:
             self.links.note_failure(attempt.first.instance, self.loop.time())
         self.failed_engines |= {attempt.first.instance}
@@ -399,13 +400,14 @@
             self.shared.lost_engines.suspect(
                 attempt.first.instance, engine_tracker.Suspicion.UNREACHABLE
             )
-        self.retry_or_end(attempt, reason, is_not_run, is_sent=not is_not_run)
+        self.retry_or_end(attempt, reason, evidence)
 
     def finish(self, attempt: stream_attempt.StreamAttempt) -> None:
         """Ends a complete stream."""
         if not self.responder.head_sent:
             assert attempt.head is not None
             self.responder.send_head(attempt.head.status, attempt.head.headers)
+        attempt.end_send(request_sends.ANSWERED)
         self.shared.observer.attempts.labels("answered").inc()
         self.shared.crash_watch.note_answered(self.routed)
         self.record_response_time()
@@ -421,14 +423,13 @@
             reason = f"refused with {head.status}"
             if head.faulty_address:
                 reason += f" for {head.faulty_address}"
-            self.retry_or_end(attempt, reason, is_not_run=True)
+            self.retry_or_end(attempt, reason, head.evidence)
             return
         if self.responder.head_sent or not head.genuine:
             # Passes on only errors that the engine marked as its own.
-            self.retry_or_end(
-                attempt, f"status {head.status}", is_not_run=False
-            )
+            self.retry_or_end(attempt, f"status {head.status}", None)
             return
+        attempt.end_send(request_sends.FAILED)
         self.shared.observer.attempts.labels("failed").inc()
         self.responder.send_whole(
             head.status, head.headers, bytes(attempt.failure)
@@ -470,19 +471,24 @@
         self,
         attempt: stream_attempt.StreamAttempt,
         reason: str,
-        is_not_run: bool,
-        is_sent: bool = True,
+        evidence: not_run.NotRun | None,
     ) -> None:
         """Retries over another path if that is allowed, else ends the run.
 
         A request that several engines refused must not count as one that may
         have run: its caller would get a 502, which does not say that nothing
         ran, and would not retry.
+
+        Args:
+            attempt: The attempt, which has ended.
+            reason: Why it failed.
+            evidence: Why it did not run the request; None if it may have.
         """
+        is_not_run = evidence is not None
+        is_sent = evidence is not not_run.NotRun.NO_CONNECTION
         self.has_reached_endpoint |= is_sent
-        if is_not_run:
-            self.sends_that_may_have_run -= 1
-        elif not self.is_cut_off():
+        attempt.end_send(request_sends.FAILED, evidence)
+        if evidence is None and not self.is_cut_off():
             self.ended_runs.add(attempt.first.instance, self.loop.time())
         allowed = self.try_spend_retry(is_not_run, is_sent)
         should_wait = not allowed and self.may_wait_for_capacity(is_not_run)
@@ -492,9 +498,7 @@
             next_step = runs.SENT_ELSEWHERE
         elif should_wait or may_prove_lost:
             next_step = runs.WAITS
-        self.log_failed_attempt(
-            attempt.first.instance, reason, is_not_run, next_step, attempt.head
-        )
+        self.log_failed_attempt(attempt.send, reason, next_step, attempt.head)
         if allowed:
             self.begin()
         elif should_wait:
@@ -590,7 +594,7 @@
             attempt.first.instance,
             attempt.has_progressed(),
         )
-        self.retry_or_end(attempt, reason, is_not_run=False)
+        self.retry_or_end(attempt, reason, None)
 
     def can_leave(self, attempt: stream_attempt.StreamAttempt) -> bool:
         """Returns whether the stream can run elsewhere instead.
@@ -784,6 +788,7 @@
         if attempt is None:
             return
         attempt.is_over = True
+        attempt.end_send(request_sends.CANCELLED)
         if attempt.forwarded is not None:
             attempt.forwarded.cancel()
         self.release_attempt()
--- a/tests/relay/test_response_limits.py
+++ b/tests/relay/test_response_limits.py
@@ -19,7 +19,7 @@
 
 
 def head(status: int = 200) -> relayed.ForwardedHead:
-    return relayed.ForwardedHead(status, (), True, False, "")
+    return relayed.ForwardedHead(status, (), True, None, "")
 
 
 def create_run() -> Any:
