--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -13,6 +13,7 @@
 import json
 from typing import Any
 
+from tornado import http1connection
 from tornado import httpserver
 from tornado import iostream
 from tornado import netutil
@@ -65,6 +66,8 @@
         backoffs: Values of Retry-After with which it refuses all requests, one
             field each; empty to refuse none.
         says_leaving: Each response says that it is shutting down.
+        repeats_refusals: It sends each refusal once more, just before its
+            response to the next request on the connection.
         crashing_body: A request with this body crashes the engine; empty for
             none.
         crashing_part: A request with this part in its prompt crashes the
@@ -102,6 +105,8 @@
         self.status = 200
         self.backoffs: list[str] = []
         self.says_leaving = False
+        self.repeats_refusals = False
+        self.late_copies: dict[iostream.IOStream, bytes] = {}
         self.response_delay_s = 0.0
         self.resets = False
         self.crashing_body = b""
@@ -222,13 +227,39 @@
             self.add_header(names.RATE_LIMIT, limit)
         if engine.says_leaving:
             self.set_header("Server-Leaving", "1")
+        late_copy = engine.late_copies.pop(self.stream(), b"")
+        if late_copy:
+            await self.stream().write(late_copy)
         while self.engine.is_silent:
             await asyncio.sleep(0.02)
         wanted = self.request.headers.get(names.EXPECTED_INSTANCE)
         if wanted is not None and wanted != self.engine.instance:
-            self.set_status(421)
+            self.refuse(421)
             self.finish()
 
+    def stream(self) -> iostream.IOStream:
+        """Returns the stream of the connection."""
+        connection = self.request.connection
+        assert isinstance(connection, http1connection.HTTP1Connection)
+        return connection.stream
+
+    def refuse(self, status: int, faulty_address: str = "") -> None:
+        """Sets the head of a refusal, of which a copy may follow later."""
+        fields = {
+            "X-Request-Id": self.request.headers.get(names.REQUEST_ID, ""),
+            "X-Not-Executed": "1",
+        }
+        if faulty_address:
+            fields["At-Server"] = faulty_address
+        self.set_status(status)
+        for name, value in fields.items():
+            self.set_header(name, value)
+        if self.engine.repeats_refusals:
+            lines = [f"HTTP/1.1 {status} Refused", "Content-Length: 0"]
+            lines += [f"{name}: {value}" for name, value in fields.items()]
+            late_copy = "\r\n".join([*lines, "", ""])
+            self.engine.late_copies[self.stream()] = late_copy.encode()
+
 
 class ReportHandler(EngineHandler):
     def get(self) -> None:
@@ -291,8 +322,7 @@
         self.engine.received_bodies.append(self.request.body)
         self.set_header("X-Request-Id", self.request_id)
         if self.engine.backoffs:
-            self.set_status(503)
-            self.set_header("X-Not-Executed", "1")
+            self.refuse(503)
             for value in self.engine.backoffs:
                 self.add_header("Retry-After", value)
             return
@@ -304,11 +334,9 @@
         path = parse_path(self.request.headers.get(names.PATH, ""))
         status, address = self.engine.refusal(path)
         if status:
-            self.set_status(status)
-            self.set_header("At-Server", address)
-            self.set_header("X-Not-Executed", "1")
+            self.refuse(status, address)
             return
-        await self.stream(path)
+        await self.run_stream(path)
 
     async def plain(self) -> None:
         self.engine.ran.append(self.request_id)
@@ -340,7 +368,7 @@
         while self.engine.is_dead:
             await asyncio.sleep(0.02)
 
-    async def stream(self, path: list[tuple[str, int, int]]) -> None:
+    async def run_stream(self, path: list[tuple[str, int, int]]) -> None:
         self.engine.ran.append(self.request_id)
         if self.crashes():
             return
--- a/tests/soak/engine_process.py
+++ b/tests/soak/engine_process.py
@@ -213,9 +213,9 @@
         self.record(ledger.RowKind.RAN)
         await super().plain()
 
-    async def stream(self, path: list[tuple[str, int, int]]) -> None:
+    async def run_stream(self, path: list[tuple[str, int, int]]) -> None:
         self.record(ledger.RowKind.RAN)
-        await super().stream(path)
+        await super().run_stream(path)
 
     def record(self, what: ledger.RowKind) -> None:
         fields = self.request.headers
