Name a rejected response to another call in the log

Change: the connection keeps the reason. Result: the rows of test_a_response_to_an_earlier_call check it.

--- a/src/almondshift/adapters/http_connections.py
+++ b/src/almondshift/adapters/http_connections.py
@@ -169,6 +169,8 @@
 
     Attributes:
         request_ids: Ids of the requests that it has carried.
+        rejection: Why the response was rejected, for the log; empty if the
+            parser says why.
     """
 
     def __init__(self, pool: ConnectionPool, address: str) -> None:
@@ -178,6 +180,7 @@
         self.call: Call | None = None
         self.calls = 0
         self.request_ids: set[str] = set()
+        self.rejection = ""
         self.idle_until = 0.0
         self.head: ResponseHead | None = None
         self.head_complete = False
@@ -236,7 +239,8 @@
                 # Bytes after the complete response belong to no call.
                 self.finish(keep_alive=False)
             else:
-                self.fail(Outcome.SPOILT, f"invalid response: {error}")
+                reason = self.rejection or f"invalid response: {error}"
+                self.fail(Outcome.SPOILT, reason)
             return
         if self.complete and self.call is call:
             self.finish()
@@ -318,7 +322,8 @@
         if not self.responds_to(call, head):
             # This is a late or duplicate response to an earlier call; the
             # caller would receive the bytes of another call.
-            raise httptools.HttpParserCallbackError("response to another call")
+            self.rejection = "response to another call"
+            raise httptools.HttpParserCallbackError(self.rejection)
         self.head_complete = True
         self.framed = (
             head.get("content-length") is not None
--- a/tests/adapters/test_http_connections.py
+++ b/tests/adapters/test_http_connections.py
@@ -72,6 +72,7 @@
             asyncio.get_running_loop().create_future()
         )
         self.ends = 0
+        self.reason = ""
 
     def on_head(self, head: http_connections.ResponseHead) -> None:
         self.status = head.status
@@ -81,6 +82,7 @@
 
     def on_end(self, outcome: http_connections.Outcome, reason: str) -> None:
         self.ends += 1
+        self.reason = reason
         if not self.ended.done():
             self.ended.set_result(outcome)
 
@@ -212,8 +214,10 @@
     await server.start()
     pool = http_connections.create_connection_pool()
     await call(pool, server.address)
-    found, _, made = await call(pool, server.address, request_id)
+    found, listener, made = await call(pool, server.address, request_id)
     assert (found.name, made.reused) == (outcome, reused)
+    is_rejected = listener.reason == "response to another call"
+    assert is_rejected is (outcome == "SPOILT")
     pool.close()
 
 
