Bind a peer to how often the node's route lets a request run

Callers saw: an order that ran on two endpoints, answered 502, while nodes had different versions of its route. The same for streams that can't be resumed, and requests that ran on more engines than their route allows.

Cause: a node without endpoints passed on how many of its route's attempts the peer may not use, and the peer subtracted that from its own route's, and asked its own route whether a request may be repeated. Class: a decision on evidence of another version than the one that the request was accepted under.

Change: the node sends the number of endpoints and whether the request may be repeated (X-Almondshift-Runs, honoured with a valid mark only, never taken from callers); the stricter of that and the peer's route applies. A peer of an earlier release ignores the field, and a node of one sends none: then the former rule applies.

That this was the record's cause is not shown: it needs two versions of a route at the time.

--- a/src/almondshift/model/relayed.py
+++ b/src/almondshift/model/relayed.py
@@ -26,6 +26,7 @@
         expected_tokens: The caller's estimate of the output; 0 for none.
         connection_s: Age of the connection that it arrived on.
         peer_mark: What shows that a peer passed it on; empty for a caller's.
+        run_limit: The limit that a peer set; empty for none.
         prompt_parts: IDs of the parts of its prompt, in order; the last part
             belongs to this request or its session.
     """
@@ -46,6 +47,7 @@
     connection_s: float = 0.0
     peer_mark: str = ""
     prompt_parts: tuple[str, ...] = ()
+    run_limit: str = ""
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
--- a/src/almondshift/model/routes.py
+++ b/src/almondshift/model/routes.py
@@ -26,6 +26,19 @@
     weight: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunLimit:
+    """How often a request may still run.
+
+    Attributes:
+        runs: Maximum number of endpoints that may run it.
+        may_repeat: Whether it may be sent again after it may have run.
+    """
+
+    runs: int
+    may_repeat: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
     """Requests to a host below a path prefix.
@@ -70,6 +83,19 @@
             return self.resumable
         return self.repeat is RepeatRule.IDEMPOTENT
 
+    def limited(self, limit: RunLimit) -> Route:
+        """Returns the route of a request with a limit of its own.
+
+        The stricter rule of both applies.
+        """
+        max_attempts = min(self.max_attempts, limit.runs)
+        if limit.may_repeat or not self.may_repeat:
+            return dataclasses.replace(self, max_attempts=max_attempts)
+        repeat = self.repeat if self.is_stream else RepeatRule.AT_MOST_ONCE
+        return dataclasses.replace(
+            self, max_attempts=max_attempts, repeat=repeat, resumable=False
+        )
+
 
 class RouteTable:
     """Finds routes by host and longest prefix."""
--- a/src/almondshift/platform/engines.py
+++ b/src/almondshift/platform/engines.py
@@ -50,6 +50,7 @@
         names.PATH,
         names.LAST_EVENT_ID,
         names.PEER_MARK,
+        names.RUN_LIMIT,
     }
 )
 """Request fields that this node sets itself or never forwards."""
--- a/src/almondshift/platform/front.py
+++ b/src/almondshift/platform/front.py
@@ -352,6 +352,7 @@
         ),
         connection_s=connection_s,
         peer_mark=headers.get(names.PEER_MARK, ""),
+        run_limit=headers.get(names.RUN_LIMIT, ""),
         prompt_parts=_prompt_parts(headers.get(names.PROMPT_PARTS, "")),
     )
 
--- a/src/almondshift/platform/peer_entries.py
+++ b/src/almondshift/platform/peer_entries.py
@@ -9,6 +9,7 @@
 
 from almondshift.adapters import http_connections
 from almondshift.model import not_run
+from almondshift.model import routes
 from almondshift.platform import engines
 from almondshift.platform import names
 from almondshift.ports import path_engines
@@ -20,6 +21,10 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses by which a node states that a request did not and will not run."""
 
+REPEAT = "repeat"
+ONCE = "once"
+"""Whether a peer may repeat a request that may have run."""
+
 CONNECT_TIMEOUT_S = 0.3
 
 
@@ -88,6 +93,9 @@
         runs = str(forwarding.possible_runs)
         mark = f"{runs} {self._signature(request.request_id, runs)}"
         headers.append((names.PEER_MARK, mark))
+        limit = forwarding.limit
+        rule = REPEAT if limit.may_repeat else ONCE
+        headers.append((names.RUN_LIMIT, f"{limit.runs} {rule}"))
         payload = http_connections.request_bytes(
             request.method, request.target, headers, request.body
         )
@@ -106,6 +114,15 @@
             return None
         return int(runs)
 
+    def run_limit(
+        self, request: relayed.RelayedRequest
+    ) -> routes.RunLimit | None:
+        """Returns the limit in the request; None if there is none."""
+        runs, _, rule = request.run_limit.partition(" ")
+        if not runs.isdecimal() or not runs.isascii():
+            return None
+        return routes.RunLimit(max(1, int(runs)), may_repeat=rule == REPEAT)
+
     def _signature(self, request_id: str, runs: str) -> str:
         signed = f"{request_id}\n{runs}".encode("utf-8", "surrogateescape")
         key = self.secret.encode()
--- a/src/almondshift/ports/peer_entries.py
+++ b/src/almondshift/ports/peer_entries.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from almondshift.model import relayed
+    from almondshift.model import routes
     from almondshift.ports import path_engines
 
 
@@ -21,12 +22,15 @@
         last_event_id: Event to resume after; empty to begin at the start.
         possible_runs: Number of the route's ``max_attempts`` that the peer may
             not use.
+        limit: How often the peer may run the request, whatever its own
+            configuration says of the route.
     """
 
     address: str
     remaining_s: float
     last_event_id: str
     possible_runs: int
+    limit: routes.RunLimit
 
 
 class PeerEntries(abc.ABC):
@@ -58,3 +62,12 @@
         None if the request comes from a caller, or claims wrongly to be a
         peer's.
         """
+
+    @abc.abstractmethod
+    def run_limit(
+        self, request: relayed.RelayedRequest
+    ) -> routes.RunLimit | None:
+        """Returns the limit of a request that a peer passed on.
+
+        None if the peer set none, as earlier releases do.
+        """
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -9,6 +9,7 @@
 from almondshift import errors
 from almondshift import log_events
 from almondshift.model import not_run
+from almondshift.model import routes
 from almondshift.policy import answer_times
 from almondshift.policy import possible_runs
 from almondshift.policy import request_sends
@@ -230,6 +231,9 @@
                 remaining_s=self.remaining_s(),
                 last_event_id=self.last_event_id(),
                 possible_runs=max(0, max_attempts - granted_runs),
+                limit=routes.RunLimit(
+                    granted_runs, self.routed.route.may_repeat
+                ),
             ),
             attempt,
         )
--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -12,6 +12,7 @@
 from almondshift.adapters import http_connections
 from almondshift.model import relayed
 from almondshift.model import revisions
+from almondshift.model import routes
 from almondshift.platform import engines
 from almondshift.platform import peer_entries
 from almondshift.platform import store
@@ -37,6 +38,7 @@
     "trailers": (CHUNKED + b"0\r\n", b"a: b\r\n"),
     "chunk extension": (CHUNKED + b"1;", b"a=b;"),
 }
+LIMIT = routes.RunLimit(1, may_repeat=False)
 TIMEOUT_S = 8.0
 
 REQUEST = relayed.RelayedRequest(
@@ -76,7 +78,7 @@
 
 async def pass_to_peer(address: str) -> Any:
     listener = Listener()
-    forwarding = peer_port.PeerForwarding(address, 9.0, "", 0)
+    forwarding = peer_port.PeerForwarding(address, 9.0, "", 0, LIMIT)
     entries = peer_entries.create_peer_entries()
     entries.secret = "s"
     entries.forward(REQUEST, forwarding, listener)
--- a/tests/platform/test_peer_entries.py
+++ b/tests/platform/test_peer_entries.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 
 import pytest
 
 from almondshift.model import relayed
+from almondshift.model import routes
 from almondshift.platform import names
 from almondshift.platform import peer_entries
 from tests.platform import cut_links
@@ -64,6 +66,40 @@
     assert entries.possible_runs(request("r1", mark)) == expected
 
 
+@pytest.mark.parametrize(
+    ("field", "expected"),
+    [
+        ("2 repeat", routes.RunLimit(2, may_repeat=True)),
+        ("1 once", routes.RunLimit(1, may_repeat=False)),
+        ("2 other", routes.RunLimit(2, may_repeat=False)),
+        ("0 repeat", routes.RunLimit(1, may_repeat=True)),
+        ("", None),
+        ("x repeat", None),
+        ("-1 repeat", None),
+        ("\u0662 repeat", None),
+    ],
+)
+def test_a_limit_that_is_not_understood_forbids_repeats(
+    field: str, expected: routes.RunLimit | None
+) -> None:
+    found = dataclasses.replace(request("r1", ""), run_limit=field)
+    assert create_entries("secret").run_limit(found) == expected
+
+
+def test_a_callers_own_limit_is_not_passed_on() -> None:
+    """Guards against callers who pose as a node."""
+
+    async def scenario() -> None:
+        async with system.running_system(zones="a") as running:
+            entry = running.nodes[0].settings.entry.address
+            head = system.request("/look/x", "l1", X_Almondshift_Runs="9 once")
+            assert (await system.send(entry, head, b"x"))[0] == 200
+            [received] = running.engines["pa"].received_headers
+            assert "X-Almondshift-Runs" not in received
+
+    asyncio.run(scenario())
+
+
 def test_no_mark_counts_before_the_secret_is_known() -> None:
     entries = create_entries("")
     mark = mark_of("", "r1", "0")
