Answer 502 for an order that ran and got a status that promises otherwise

Callers saw: 503 (or 429, 408) with an endpoint's signature for an order that the endpoint had run; by that promise they send the order again, under a new id.

Cause: a node passed any signed failure on, with its status, though the endpoint did not say that the request had not run (X-Not-Executed). Class: a status that is the endpoint's word to the node was taken for the node's word to its caller.

Change: one place (Run.may_pass_on) says whether a response may be passed on. 408, 421, 429 and 503 are not, if the request may not be repeated and there is no evidence that it did not run: the caller gets 502 outcome_unknown, without a signature, which is true both of the endpoint and for the caller. Requests that may be repeated get the endpoint's response as before. The attempt is logged (AS5009), which it was not.

--- a/src/almondshift/model/not_run.py
+++ b/src/almondshift/model/not_run.py
@@ -4,6 +4,10 @@
 
 import enum
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses by which a response promises that the request did not and will not
+run."""
+
 
 class NotRun(enum.StrEnum):
     """A fact by which a request that was sent did not and will not run.
--- a/src/almondshift/platform/peer_entries.py
+++ b/src/almondshift/platform/peer_entries.py
@@ -18,9 +18,6 @@
 if TYPE_CHECKING:
     from almondshift.model import relayed
 
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses by which a node states that a request did not and will not run."""
-
 REPEAT = "repeat"
 ONCE = "once"
 """Whether a peer may repeat a request that may have run."""
@@ -53,7 +50,7 @@
         """Forwards the head without its hop-by-hop fields."""
         decoded = engines.decode_head(head)
         evidence = None
-        if not decoded.genuine and head.status in NOT_RUN_STATUSES:
+        if not decoded.genuine and head.status in not_run.NOT_RUN_STATUSES:
             evidence = not_run.NotRun.PEER
         self.listener.on_head(dataclasses.replace(decoded, evidence=evidence))
 
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -277,7 +277,7 @@
                 self.handle_refusal(attempt, head, head.evidence)
                 return
             seconds = self.loop.time() - attempt.sent_at
-            if head.status < SERVER_ERROR and head.genuine:
+            if head.status < SERVER_ERROR and self.may_pass_on(head):
                 self.shared.endpoints.answered(instance, seconds, now)
                 self.shared.crash_watch.note_answered(self.routed)
                 self.record_response_time()
@@ -329,8 +329,9 @@
             self.log_failed_attempt(attempt.send, reason, runs.SENT_ELSEWHERE)
             self.begin()
             return
-        if head.status < SERVER_ERROR or not head.genuine:
-            # Passes on only errors that the endpoint marked as its own.
+        if head.status < SERVER_ERROR or not self.may_pass_on(head):
+            attempt.end_send(request_sends.FAILED)
+            self.log_failed_attempt(attempt.send, reason, runs.GIVEN_UP, head)
             self.refuse(self.may_have_run_error(reason))
             return
         self.pass_on(attempt, head)
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -318,7 +318,7 @@
         if (
             is_complete
             and head is not None
-            and head.genuine
+            and self.may_pass_on(head)
             and not self.responder.head_sent
             and not attempt.is_stream
         ):
@@ -687,6 +687,18 @@
             return errors.UpstreamFailed(reason)
         return errors.OutcomeUnknown(reason)
 
+    def may_pass_on(self, head: relayed.ForwardedHead) -> bool:
+        """Returns whether the caller may get an endpoint's response unchanged.
+
+        The endpoint must have marked it as its own. The caller of a
+        non-idempotent request that may have run must not get a status by which
+        it would send the request again.
+        """
+        return head.genuine and (
+            self.routed.route.may_repeat
+            or head.status not in not_run.NOT_RUN_STATUSES
+        )
+
     def log_cut(self) -> None:
         """Logs that this run was cut because the node stops."""
         self.shared.observer.emit(
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -425,8 +425,7 @@
                 reason += f" for {head.faulty_address}"
             self.retry_or_end(attempt, reason, head.evidence)
             return
-        if self.responder.head_sent or not head.genuine:
-            # Passes on only errors that the engine marked as its own.
+        if self.responder.head_sent or not self.may_pass_on(head):
             self.retry_or_end(attempt, f"status {head.status}", None)
             return
         attempt.end_send(request_sends.FAILED)
--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -63,6 +63,7 @@
         cut_after: Events after which a stream's connection is closed;
             negative for never.
         status: Response status of plain requests.
+        signs: Whether it signs responses to plain requests.
         backoffs: Values of Retry-After with which it refuses all requests, one
             field each; empty to refuse none.
         says_leaving: Each response says that it is shutting down.
@@ -103,6 +104,7 @@
         self.is_draining = False
         self.cut_after = -1
         self.status = 200
+        self.signs = True
         self.backoffs: list[str] = []
         self.says_leaving = False
         self.repeats_refusals = False
@@ -347,7 +349,8 @@
         if self.crashes():
             await self.hang()
             return
-        self.set_header(SIGNATURE, f"sig-{self.engine.instance}")
+        if self.engine.signs:
+            self.set_header(SIGNATURE, f"sig-{self.engine.instance}")
         self.set_status(self.engine.status)
         self.write(b"done " + self.request.body)
 
