Don't pass on an unsigned response when no other endpoint is left

Callers saw: a 200 without a signature, with whatever body came, or another status of something that answers in the endpoint's place, on routes that may be repeated.

Cause: a failed response is kept in case no other endpoint succeeds, and was passed on without the check that a single failure passes. A node that passed the request on then took an unsigned 503 of an endpoint for its peer's word that nothing ran, and counted one run too few.

Change: only a response that may be passed on is kept.

Evidence: the four rows of test_an_unsigned_response_is_never_passed_on failed before (each status went through) and pass now with 502.

--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -324,7 +324,8 @@
         if self.routed.route.may_repeat and self.record_attempt_and_spend_retry(
             False
         ):
-            self.last_failure = attempt
+            if self.may_pass_on(head):
+                self.last_failure = attempt
             attempt.end_send(request_sends.FAILED)
             self.log_failed_attempt(attempt.send, reason, runs.SENT_ELSEWHERE)
             self.begin()
--- a/tests/platform/test_promised_statuses.py
+++ b/tests/platform/test_promised_statuses.py
@@ -48,3 +48,22 @@
             assert (SIGNATURE in fields) is (expected == status)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("status", [200, 404, 500, 503])
+def test_an_unsigned_response_is_never_passed_on(status: int) -> None:
+    """Guards against bytes of a proxy that callers take for the endpoint's.
+
+    The route allows another attempt, but no other endpoint is left.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(zones="a") as running:
+            running.engines["pa"].status = status
+            running.engines["pa"].signs = False
+            entry = running.nodes[0].settings.entry.address
+            head = system.request("/look/x", "r1")
+            found, _, _ = await system.send(entry, head, b"x")
+            assert (found, whole.times_run(running, "r1")) == (502, 1)
+
+    asyncio.run(scenario())
