Check each send of a request that may not be repeated in one place

Callers could see: an order that runs twice, should any of the ways by which a request is sent again (permits, waits for endpoints, peers, links that fail) ever lead to a second send while the first may still run it.

Change: Run.may_send stands before each send to an endpoint, a path or a peer. A request that may not be repeated is sent again only if RequestSends has evidence for each earlier send; else AS5021 tells it as an error, the send in flight goes on, and without one the caller gets 502.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -718,6 +718,18 @@
     config_version: int
 
 
+class RepeatPrevented(Event, frozen=True):
+    """A request that may not be repeated was not sent a second time."""
+
+    number = 5021
+    level = logging.ERROR
+    message = "repeat prevented"
+
+    request_id: str
+    service: str
+    sends: str
+
+
 class StoreOutageBegan(Event, frozen=True):
     """The platform's store does not respond."""
 
--- a/src/almondshift/policy/request_sends.py
+++ b/src/almondshift/policy/request_sends.py
@@ -77,6 +77,11 @@
         """Whether some send may have run the request."""
         return any(send.evidence is None for send in self.sends)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether some send has not ended."""
+        return any(send.outcome == OPEN for send in self.sends)
+
     def __str__(self) -> str:
         """Lists the latest sends for the log."""
         return "; ".join(str(send) for send in self.sends[-MAX_LISTED:])
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -134,6 +134,8 @@
 
     def send(self, chosen: registered_engines.RegisteredEngine) -> None:
         """Sends the request to an endpoint."""
+        if not self.may_send():
+            return
         self.tried |= {chosen.instance}
         self.sends += 1
         self.shared.endpoints.started(chosen.instance)
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -198,8 +198,30 @@
         del attempt, received
         return False
 
+    def may_send(self) -> bool:
+        """Returns whether the request may be sent.
+
+        Each send passes this check, whatever led to it: a request that may not
+        be repeated is sent again only with evidence that no earlier send ran
+        it. The run ends if no send is left that could still be answered.
+        """
+        if self.routed.route.may_repeat or not self.may_have_run:
+            return True
+        self.shared.observer.emit(
+            log_events.RepeatPrevented(
+                request_id=self.routed.request.request_id,
+                service=self.routed.service,
+                sends=str(self.all_sends),
+            )
+        )
+        if not self.all_sends.is_open:
+            self.refuse(self.may_have_run_error("It may not be repeated."))
+        return False
+
     def pass_to_peer(self) -> bool:
         """Has a peer serve the request; returns False if none can."""
+        if not self.may_send():
+            return False
         if self.routed.from_peer or len(self.tried_peers) >= MAX_PEERS:
             return False
         paths = self.shared.peer_paths
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -230,6 +230,8 @@
 
     def send(self, chosen: path_choice.ChosenPath) -> None:
         """Sends the request over a path."""
+        if not self.may_send():
+            return
         self.sends += 1
         attempt = stream_attempt.StreamAttempt(self, chosen)
         self.attempt = attempt
