Soak engines that refuse, fail, reset, respond twice and take over addresses

Cause: the soak's engines never refused outside a backoff, never sent 421, a second response or their own failure, and no address was used again; a fifth of its requests may run once.

Engines record failures of their own, and a failure with a signature must be one that an engine recorded for this request, with its status; before, any was reported, as no engine ever sent one. A signed 500 is held to that in place of the check for internal errors.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -370,6 +370,16 @@
         )
 
 
+class OrderCaller(SoakCaller):
+    """Sends only requests that may not be repeated."""
+
+    def draw_request(self, node: str) -> SentRequest:
+        self.sent += 1
+        route = self.rng.choice(["once", "once", "talk"])
+        events = self.rng.randint(1, 20) if route == "talk" else 0
+        return self.make_request(node, route, events)
+
+
 async def open_node_connection(node: str, address: str) -> NodeConnection:
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
--- a/tests/soak/layout.py
+++ b/tests/soak/layout.py
@@ -89,6 +89,8 @@
         cuts: Number of times that nodes lose all engines for a while.
         backoffs: Number of times that an engine asks for a backoff.
         pauses: Number of series in which sound engines fall silent.
+        erratic: Number of times that an engine responds erratically for a
+            while, and that an engine takes over the address of another.
         restores: Number of times that the store returns from an older copy.
     """
 
@@ -103,6 +105,7 @@
     backoffs: int = 0
     pauses: int = 0
     restores: int = 0
+    erratic: int = 0
 
     def plain_engines(self) -> int:
         """Returns how many endpoints serve plain requests."""
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -17,6 +17,7 @@
 
     ARRIVED = "arrived"
     RAN = "ran"
+    FAILED = "failed"
     LEFT = "left"
     ORDERED = "ordered"
 
@@ -31,6 +32,7 @@
         has_key: Whether a client's key was passed on.
         parts: The path: addresses of engines with their start and end layer.
         layers: Number of layers that an order assigns.
+        status: Status of a failure that the engine itself responded with.
     """
 
     at: float
@@ -44,6 +46,7 @@
     body: str = ""
     parts: list[tuple[str, int, int]] = []
     layers: int = 0
+    status: int = 0
 
 
 ENCODER = msgspec.json.Encoder()
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -272,6 +272,7 @@
                 *("--public", link.address),
                 *("--store", self.network.store()),
                 *("--ledger", str(path)),
+                *("--seed", str(self.options.seed)),
             ],
             index=index,
             service=service,
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -162,6 +162,19 @@
     check(judge, request, ran(request))
 
 
+def signed_failure(engines_status: int) -> Callable[[Judge], None]:
+    """Returns a history of a signed 500 and of what the engine responded."""
+
+    def history(judge: Judge) -> None:
+        request = sent()
+        request.status, request.body = 500, b""
+        failed = row(request, ledger.RowKind.FAILED)
+        failed.status = engines_status
+        check(judge, request, arrived(request), ran(request), failed)
+
+    return history
+
+
 def ran_twice(judge: Judge) -> None:
     request = sent("talk", 3)
     check(judge, request, ran(request), ran(request, "e1-0"))
@@ -537,6 +550,8 @@
         (duplicate_event_before_disconnect, [Promise.STREAM]),
         (answer_of_another, [Promise.ANSWER]),
         (missing_signature, [Promise.ANSWER]),
+        (signed_failure(500), []),
+        (signed_failure(503), [Promise.ANSWER]),
         (ran_twice, [Promise.ONCE]),
         (refused_and_ran_before, [Promise.REFUSED]),
         (refused_and_ran_later, [Promise.REFUSED]),
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -21,6 +21,7 @@
 
 PAUSED_SEED = 5108
 RESTORED_SEED = 5203
+ERRATIC_SEED = 5401
 STALLED_SEED = 14
 STALLS_PER_S = 3.0
 
@@ -78,6 +79,22 @@
     check_no_violations(options, tmp_path)
 
 
+def test_orders_run_once_at_engines_that_refuse_and_fail(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Engines refuse, reset, respond twice, and take over addresses."""
+    options = layout.SoakOptions(
+        seed=ERRATIC_SEED,
+        seconds=15.0,
+        nodes=3,
+        engines=10,
+        clients=12,
+        cuts=2,
+        erratic=20,
+    )
+    check_no_violations(options, tmp_path)
+
+
 def check_no_violations(
     options: layout.SoakOptions, folder: pathlib.Path
 ) -> None:
