Pass a request that comes with a mark to no further peer

Cause: a node that doesn't know a peer's mark, as after a change of the secret, served the request as a caller's, and passed it on if it reached no endpoint either, with a mark that the first node didn't know. Each hop has a new run with a new count of peers.

Change: a request with any mark goes to no further peer. With a mark that isn't known it is served as a caller's in all else.

--- a/src/almondshift/model/routed_requests.py
+++ b/src/almondshift/model/routed_requests.py
@@ -31,3 +31,12 @@
     config_version: int
     from_peer: bool = False
     possible_runs: int = 0
+
+    @property
+    def may_go_to_peer(self) -> bool:
+        """Whether a peer may serve it.
+
+        A mark that this node does not know may be that of a node with another
+        secret, to which the request would come back.
+        """
+        return not self.from_peer and not self.request.peer_mark
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -222,7 +222,7 @@
         """Has a peer serve the request; returns False if none can."""
         if not self.may_send():
             return False
-        if self.routed.from_peer or len(self.tried_peers) >= MAX_PEERS:
+        if not self.routed.may_go_to_peer or len(self.tried_peers) >= MAX_PEERS:
             return False
         paths = self.shared.peer_paths
         peer = paths.choose(self.routed.service, self.tried_peers)
@@ -263,7 +263,7 @@
 
     def can_pass_to_peer(self) -> bool:
         """Returns whether a peer may serve the request."""
-        if self.routed.from_peer or len(self.tried_peers) >= MAX_PEERS:
+        if not self.routed.may_go_to_peer or len(self.tried_peers) >= MAX_PEERS:
             return False
         paths = self.shared.peer_paths
         return paths.choose(self.routed.service, self.tried_peers) is not None
--- a/tests/platform/test_limits_at_peers.py
+++ b/tests/platform/test_limits_at_peers.py
@@ -4,15 +4,21 @@
 
 import asyncio
 import json
+from typing import TYPE_CHECKING
 from typing import Any
 
 import pytest
 
+from almondshift import log_events
 from almondshift.platform import decode
+from tests.platform import cut_links
 from tests.platform import standin_system as system
 from tests.platform import test_requests_for_peers as for_peers
 from tests.platform import test_whole_system as whole
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 PATHS = {"chat": "/chat/x", "once": "/once/x", "look": "/look/x"}
 STREAM = {"kind": "streaming", "service": system.MODEL_SERVICE}
 PLAIN = {"service": system.PLAIN_SERVICE}
@@ -67,3 +73,50 @@
             assert whole.times_run(running, "r1") == allowed
 
     asyncio.run(scenario())
+
+
+def peer_requests(running: system.StandinSystem) -> list[str]:
+    """Returns a list to which ids are appended that nodes get from nodes."""
+    found: list[str] = []
+
+    def record(emit: Callable[[log_events.Event], None]) -> Any:
+        def emit_and_record(event: log_events.Event) -> None:
+            if isinstance(event, log_events.RequestFromPeer):
+                found.append(event.request_id)
+            emit(event)
+
+        return emit_and_record
+
+    for process in running.nodes:
+        observer = process.node.shared.observer
+        observer.emit = record(observer.emit)  # type: ignore[method-assign]
+    return found
+
+
+@pytest.mark.parametrize("nodes", [2, 3])
+def test_nodes_with_different_secrets_pass_a_request_on_once(
+    nodes: int,
+) -> None:
+    """Guards against a request that goes to and fro between nodes.
+
+    No node reaches an endpoint, and none knows the others' marks.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes, zones="ab") as running:
+            await running.wait_for_peers()
+            found = peer_requests(running)
+            for number, process in enumerate(running.nodes):
+                process.node.ports.peer_entries.secret = f"secret-{number}"
+                pool = cut_links.create_cuttable_pool(process)
+                pool.begin(cut_links.Cut.RESET)
+            entry = running.nodes[0].settings.entry.address
+            for number in range(6):
+                head = system.request("/once/x", f"r{number}")
+                status, _, _ = await system.send(entry, head, b"x")
+                assert status == 503
+                assert found.count(f"r{number}") < nodes
+                await asyncio.sleep(0.3)
+            assert found
+
+    asyncio.run(scenario())
