Bound a peer's limit, and log sends that a run's end cancels

A peer's send that ended with its run stayed open in the log's list.

Change: nine digits at most, read only with a valid mark; the send ends as cancelled.

--- a/src/almondshift/adapters/http_connections.py
+++ b/src/almondshift/adapters/http_connections.py
@@ -116,7 +116,7 @@
     Attributes:
         sent: Whether any byte was handed to a connection.
         answered: Whether a byte of a response was received.
-        request_id: The id that the response must echo; empty for no check.
+        request_id: The id that the response must echo; empty for none.
         earlier_calls: Number of calls that its connection carried before; None
             while it has no connection.
     """
@@ -385,7 +385,7 @@
             address: ``host:port``.
             payload: The whole request, head and body.
             listener: Never called before this returns.
-            request_id: Id that the response must echo; empty for no check.
+            request_id: Id that the response must echo; empty for none.
         """
         call = Call(listener, payload, request_id)
         connection = self.acquire(address, request_id)
--- a/src/almondshift/platform/peer_entries.py
+++ b/src/almondshift/platform/peer_entries.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import hmac
+import re
 from typing import TYPE_CHECKING
 
 from almondshift.adapters import http_connections
@@ -22,6 +23,9 @@
 ONCE = "once"
 """Whether a peer may repeat a request that may have run."""
 
+RUN_LIMIT = re.compile(r"([0-9]{1,9}) (\S+)")
+"""Number of endpoints that may run a request, and ``REPEAT`` or ``ONCE``."""
+
 CONNECT_TIMEOUT_S = 0.3
 
 
@@ -115,9 +119,10 @@
         self, request: relayed.RelayedRequest
     ) -> routes.RunLimit | None:
         """Returns the limit in the request; None if there is none."""
-        runs, _, rule = request.run_limit.partition(" ")
-        if not runs.isdecimal() or not runs.isascii():
+        found = RUN_LIMIT.fullmatch(request.run_limit)
+        if found is None:
             return None
+        runs, rule = found.groups()
         return routes.RunLimit(max(1, int(runs)), may_repeat=rule == REPEAT)
 
     def _signature(self, request_id: str, runs: str) -> str:
--- a/src/almondshift/relay/gateway.py
+++ b/src/almondshift/relay/gateway.py
@@ -279,9 +279,10 @@
         if request.peer_mark:
             entries = self.shared.peer_paths.entries
             possible_runs = entries.possible_runs(request)
-            limit = entries.run_limit(request)
-            if possible_runs is not None and limit is not None:
-                route, possible_runs = route.limited(limit), 0
+            if possible_runs is not None:
+                limit = entries.run_limit(request)
+                if limit is not None:
+                    route, possible_runs = route.limited(limit), 0
             self.log_request_from_peer(request, route, possible_runs)
         return routed_requests.RoutedRequest(
             request=request,
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -547,6 +547,7 @@
         self.is_ended = True
         self.timer.cancel()
         if self.peer_attempt is not None:
+            self.peer_attempt.end_send(request_sends.CANCELLED)
             self.peer_attempt.cancel()
             self.release_peer_attempt()
         self.cancel_work()
--- a/tests/platform/test_peer_entries.py
+++ b/tests/platform/test_peer_entries.py
@@ -76,6 +76,7 @@
         ("", None),
         ("x repeat", None),
         ("-1 repeat", None),
+        ("9" * 5_000 + " repeat", None),
         ("\u0662 repeat", None),
     ],
 )
