--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -42,7 +42,25 @@
 ACCEPTED_LATE = "A stopping node accepted streams that it could not finish."
 ABANDONED_ENGINE = "Streams that may not be retried abandoned a live engine."
 
+TAKEN_REFUSAL = "A second refusal was taken for the next send's response."
+
+
+def erratic(seed: int) -> Regression:
+    options = layout.SoakOptions(
+        seed=seed,
+        seconds=15.0,
+        nodes=3,
+        engines=10,
+        clients=12,
+        cuts=2,
+        erratic=20,
+    )
+    return Regression(options, TAKEN_REFUSAL)
+
+
 REGRESSIONS = (
+    erratic(5401),
+    erratic(5403),
     small(4, EARLY_SIGNAL),
     small(14, LATE_SIGNAL),
     small(108, ACCEPTED_LATE),
