--- a/review/lib/system.py
+++ b/review/lib/system.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -42,10 +43,25 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_port(host: str = "127.0.0.1") -> int:
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return int(sock.getsockname()[1])
+def free_addresses(count: int) -> list[str]:
+    """Returns addresses for a node's ports on a loopback host of its own.
+
+    Ports of 127.0.0.1 that are free now may be taken by an outgoing connection
+    before the node listens.
+    """
+    host = ".".join(["127", *(str(random.randint(1, 250)) for _ in range(3))])
+    first = random.randint(20_000, 29_000)
+    found: list[str] = []
+    for port in range(first, 30_000):
+        with socket.socket() as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                continue
+        found.append(f"{host}:{port}")
+        if len(found) == count:
+            return found
+    raise RuntimeError("no free ports")
 
 
 class Record:
@@ -72,9 +88,8 @@
         self.system = system
         self.name = name
         self.zone = zone
-        ports = [free_port() for _ in range(5)]
         self.entry, self.ready, self.directory, self.peers, self.metrics = (
-            f"127.0.0.1:{port}" for port in ports
+            free_addresses(5)
         )
         self.path = system.folder / f"{name}.ini"
         self.process: subprocess.Popen[bytes] | None = None
@@ -377,6 +392,8 @@
 
 def run(main: Any) -> None:
     """Runs a case; exits with 0, 1 if a rule was broken, 2 if it can't run."""
+    # Whoever ends the script early leaves no process behind.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
         broken = asyncio.run(main())
     except Exception as error:  # The case could not run.
