Review case 5: rows of another part of the registry's table remove the engines

Tried: another writer writes notes under the engines' ids in another part of the table servers; the engines' entries, with the empty part, stay as they are. The same was tried once with a config in another part of the table op.

Why: rows-feed returns the rows of all parts, and the decoder of rows has no field for the part.

--- a/review/lib/engines.py
+++ b/review/lib/engines.py
@@ -47,6 +47,7 @@
         self.orders = 0
         self.state = "ready"
         self.seq = 0
+        self.told: dict[str, Any] = {}
         self.work_s = 0.05
         self.events = EVENTS
         self.gap_s = EVENT_GAP_S
@@ -88,8 +89,13 @@
         return entry
 
     def write_entry(self) -> None:
-        content = json.dumps(self.entry()).encode()
-        self.store.put("servers", self.name, content)
+        """Writes the entry; it changes when more than ``seq`` changes."""
+        entry = self.entry()
+        told = {**entry, "seq": 0}
+        if told != self.told:
+            self.told = told
+            content = json.dumps(entry).encode()
+            self.store.put("servers", self.name, content)
 
     async def close(self) -> None:
         if self.beats is not None:
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -13,10 +13,10 @@
 
 
 class Store:
-    """Rows by table and key, with one counter of versions."""
+    """Rows by table, part and key, with one counter of versions."""
 
     def __init__(self, host: str = "127.0.0.1") -> None:
-        self.rows: dict[tuple[str, str], tuple[bytes | None, int]] = {}
+        self.rows: dict[tuple[str, str, str], tuple[bytes | None, int]] = {}
         self.ver = 0
         self.changed = asyncio.Event()
         self.server = http.Server(host, 0, self.handle)
@@ -31,10 +31,12 @@
     async def close(self) -> None:
         await self.server.close()
 
-    def put(self, table: str, key: str, value: bytes | None) -> None:
+    def put(
+        self, table: str, key: str, value: bytes | None, part: str = ""
+    ) -> None:
         """Writes a row, as the operator, an engine or another writer does."""
         self.ver += 1
-        self.rows[(table, key)] = (value, self.ver)
+        self.rows[(table, part, key)] = (value, self.ver)
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
@@ -52,23 +54,21 @@
 
     def transact(self, call: dict[str, Any], channel: http.Channel) -> None:
         for row in call.get("expectedRev", []):
-            value, ver = self.rows.get((row["table"], row["key"]), (None, 0))
+            value, ver = self.rows.get(row_id(row), (None, 0))
             if (0 if value is None else ver) != row["ver"]:
                 self.reply(channel, 412, [])
                 return
         written = [
-            (row["table"], row["key"], base64.b64decode(row["value"]))
+            (row_id(row), base64.b64decode(row["value"]))
             for row in call.get("setKeys", [])
         ]
-        written += [
-            (row["table"], row["key"], None) for row in call.get("remove", [])
-        ]
-        if any(table in ("op", "servers") for table, _, _ in written):
+        written += [(row_id(row), None) for row in call.get("remove", [])]
+        if any(table in ("op", "servers") for (table, _, _), _ in written):
             channel.answer(403, {})
             return
         self.ver += 1
-        for table, key, value in written:
-            self.rows[(table, key)] = (value, self.ver)
+        for identity, value in written:
+            self.rows[identity] = (value, self.ver)
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
         self.reply(channel, 200, [])
@@ -76,15 +76,16 @@
     def read(self, query: dict[str, str], channel: http.Channel) -> None:
         first, last = query.get("from", ""), query.get("to")
         limit = min(int(query.get("limit", 500)), 500)
+        table, part = query["table"], query.get("part", "")
         keys = sorted(
             key
-            for (table, key), (value, _) in self.rows.items()
-            if table == query["table"]
+            for (name, found, key), (value, _) in self.rows.items()
+            if (name, found) == (table, part)
             and value is not None
             and key.encode() >= first.encode()
             and (last is None or key.encode() < last.encode())
         )
-        rows = [self.row(query["table"], key) for key in keys[:limit]]
+        rows = [self.row((table, part, key)) for key in keys[:limit]]
         self.reply(channel, 200, rows, truncated=len(keys) > limit)
 
     async def feed(self, query: dict[str, str], channel: http.Channel) -> None:
@@ -92,9 +93,9 @@
         until = time.monotonic() + int(query.get("waitMs", 0)) / 1000
         while True:
             found = sorted(
-                (ver, key)
-                for (name, key), (_, ver) in self.rows.items()
-                if name == table and ver > after
+                (ver, identity)
+                for identity, (_, ver) in self.rows.items()
+                if identity[0] == table and ver > after
             )
             left_s = until - time.monotonic()
             if found or left_s <= 0:
@@ -103,12 +104,13 @@
                 await asyncio.wait_for(self.changed.wait(), left_s)
             except TimeoutError:
                 pass
-        rows = [self.row(table, key) for _, key in found]
+        rows = [self.row(identity) for _, identity in found]
         self.reply(channel, 200, rows)
 
-    def row(self, table: str, key: str) -> dict[str, Any]:
-        value, ver = self.rows[(table, key)]
-        row = {"table": table, "part": "", "key": key, "ver": ver}
+    def row(self, identity: tuple[str, str, str]) -> dict[str, Any]:
+        value, ver = self.rows[identity]
+        table, part, key = identity
+        row = {"table": table, "part": part, "key": key, "ver": ver}
         if value is None:
             return {**row, "tombstone": True}
         return {**row, "value": base64.b64encode(value).decode()}
@@ -131,3 +133,8 @@
             {"Content-Type": "application/json", "Store-Era": "1"},
             json.dumps(body).encode(),
         )
+
+
+def row_id(row: dict[str, Any]) -> tuple[str, str, str]:
+    """Returns the table, the part and the key of a row in a call."""
+    return row["table"], row.get("part", ""), row["key"]
