--- a/review/lib/engines.py
+++ b/review/lib/engines.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from lib import http
+from lib import proxy
 from lib import store as store_module
 
 HEARTBEAT_S = 1.2
@@ -54,13 +55,19 @@
         self.ran: list[tuple[str, float]] = []
         self.running: dict[str, http.Channel] = {}
         self.beats: asyncio.Task[None] | None = None
+        self.link: proxy.Proxy | None = None
+        self.is_behind_link = False
 
     @property
     def address(self) -> str:
-        return self.server.address
+        """The address in its entry: that of its link, if it has one."""
+        return self.server.address if self.link is None else self.link.address
 
     async def start(self) -> None:
         await self.server.start()
+        if self.is_behind_link:
+            self.link = proxy.Proxy(self.server.address)
+            await self.link.start()
         self.beats = asyncio.create_task(self.beat())
 
     async def beat(self) -> None:
@@ -100,6 +107,8 @@
     async def close(self) -> None:
         if self.beats is not None:
             self.beats.cancel()
+        if self.link is not None:
+            self.link.cut()
         await self.server.close()
 
     async def handle(self, message: http.Message, channel: http.Channel) -> None:
--- a/review/lib/system.py
+++ b/review/lib/system.py
@@ -185,6 +185,8 @@
         self.store = store_module.Store()
         self.engines: list[engines.Engine] = []
         self.nodes: list[Node] = []
+        self.node_zones = ZONES
+        self.has_links = False
         self.config: dict[str, Any] = {
             "version": 3,
             "routes": [
@@ -225,7 +227,8 @@
         for index in range(plain):
             await self.add_engine(PLAIN, ZONES[index % 3], is_model=False)
         for index in range(nodes):
-            node = Node(self, f"edge-{index + 1}", ZONES[index % 3])
+            zone = self.node_zones[index % len(self.node_zones)]
+            node = Node(self, f"edge-{index + 1}", zone)
             self.nodes.append(node)
             node.start()
         for node in self.nodes:
@@ -248,6 +251,7 @@
         self, service: str, zone: str, is_model: bool
     ) -> engines.Engine:
         engine = engines.Engine(self.store, service, zone, is_model)
+        engine.is_behind_link = self.has_links
         self.engines.append(engine)
         await engine.start()
         self.record.note(f"engine {engine.name} of {service} {engine.address}")
