--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,80 +1,106 @@
-"""Rows of another part of the registry's table remove the engines."""
+"""Links that are lost for a second are taken for crashes of the engines."""
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
+from lib import http  # noqa: E402
 from lib import system as deployment  # noqa: E402
 
-RECOVER_S = 12.0
-REQUESTS = 45
-WRITE_AFTER_S = 6.0
-PART = "notes"
-NOTE = b"card replaced in march"
+STREAMS = 8
+EVENTS = 150
+EVENT_GAP_S = 0.02
+CUT_AFTER_S = 0.8
+CUT_S = 1.0
+CLIENT_GAP_S = 2.0
+LATER = 6
+MAX_CLOSED = 3
+QUESTION = b"which of my supplements may I take together?"
 
 
-async def send(system: deployment.System, phase: str) -> float:
-    """Sends requests to all nodes in turn; returns the share served."""
-    served = 0
-    for number in range(REQUESTS):
-        node = system.nodes[number % len(system.nodes)]
+async def ask(
+    system: deployment.System, node: deployment.Node, phase: str
+) -> str:
+    """Sends an order, then the question on the same channel; returns its end."""
+    host, _, port = node.entry.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        head = deployment.headers(deployment.new_id())
+        writer.write(http.request_bytes("POST", "/order/1", head, b"x"))
+        order = await http.read_head(reader)
+        assert order is not None and order.status == 200
+        await http.read_body(reader, order, to_end=False)
         request_id = deployment.new_id()
-        if number % 5:
-            path, head = "/order/1", deployment.headers(request_id)
-        else:
-            path, head = "/chat/1", deployment.stream_headers(request_id)
-        answer = await deployment.call(node.entry, "POST", path, head, b"x")
-        status = answer.status if answer is not None else 0
-        served += answer is not None and status == 200 and answer.ended
-        system.record.note(
-            f"{phase}: {request_id} {path} at {node.name}: {status}, "
-            f"runs {system.runs(request_id)}"
-        )
-        await asyncio.sleep(0.05)
-    return served / REQUESTS
+        head = deployment.stream_headers(request_id)
+        writer.write(http.request_bytes("POST", "/chat/1", head, QUESTION))
+        ids: list[int] = []
+        end = "channel closed"
+        try:
+            async with asyncio.timeout(CLIENT_GAP_S) as gap:
+                answer = await http.read_head(reader)
+                if answer is not None and "content-length" in answer.headers:
+                    await http.read_body(reader, answer, to_end=False)
+                    end = f"refused with {answer.status}"
+                elif answer is not None:
+                    async for part in http.events(reader, answer):
+                        ids += [1] * part.count(b"id:")
+                        now = asyncio.get_running_loop().time()
+                        gap.reschedule(now + CLIENT_GAP_S)
+                    end = "whole" if answer.ended else "channel closed"
+        except TimeoutError:
+            end = "left by the client"
+    finally:
+        writer.close()
+    system.record.note(
+        f"{phase}: {request_id} /chat/1 at {node.name}: {end} after {len(ids)} "
+        f"events, runs {system.runs(request_id)}"
+    )
+    return end
 
 
 async def main() -> bool:
     system = deployment.System("5")
+    system.has_links = True
+    system.node_zones = ("zone-a",)
     try:
-        await system.start()
-        await asyncio.sleep(3.0)
-        before = await send(system, "before")
-        # The final fault strikes right after a config was acknowledged.
-        system.config["version"] += 4
-        system.write_config()
-        system.record.note("a config is acknowledged; all processes are killed")
-        for node in system.nodes:
-            node.kill()
-        await asyncio.sleep(1.0)
-        for node in system.nodes:
-            node.start()
-        for node in system.nodes:
-            await node.await_ready()
-        back_at = time.monotonic()
-        await asyncio.sleep(WRITE_AFTER_S)
+        await system.start(nodes=2, models=4, plain=2)
+        await asyncio.sleep(4.0)
+        models = [engine for engine in system.engines if engine.is_model]
+        for engine in models:
+            engine.events, engine.gap_s = EVENTS, EVENT_GAP_S
+        asking = [
+            asyncio.create_task(ask(system, system.nodes[n % 2], "at the cut"))
+            for n in range(STREAMS)
+        ]
+        await asyncio.sleep(CUT_AFTER_S)
+        links = [engine.link for engine in models if engine.link is not None]
         if deployment.has_trouble():
-            for engine in system.engines:
-                system.record.note(
-                    f"another writer writes {engine.name} in part {PART} of "
-                    "the table servers"
-                )
-                system.store.put("servers", engine.name, NOTE, PART)
-        left_s = back_at + RECOVER_S + 1.0 - time.monotonic()
-        await asyncio.sleep(max(0.0, left_s))
-        system.record.note(f"{time.monotonic() - back_at:.1f} s after the start")
-        after = await send(system, "after")
+            system.record.note("all channels to model engines are reset")
+            for link in links:
+                link.cut()
+            await asyncio.sleep(CUT_S)
+            for link in links:
+                await link.start()
+            system.record.note("new channels to them are accepted again")
+        ends = await asyncio.gather(*asking)
+        await asyncio.sleep(4.0)
+        later = [
+            await ask(system, system.nodes[n % 2], "later")
+            for n in range(LATER)
+        ]
     finally:
         await system.close()
-    system.record.say(f"served: {before:.2f} before, {after:.2f} after")
-    if before < 0.25:
-        raise RuntimeError("too few requests were served before the fault")
-    return after < 0.25
+    closed = ends.count("channel closed")
+    system.record.say(
+        f"{STREAMS} streams in flight: {closed} channels closed, "
+        f"{ends.count('whole')} whole; {LATER} later: "
+        f"{later.count('whole')} whole, {', '.join(sorted(set(later)))}"
+    )
+    return closed > MAX_CLOSED
 
 
 deployment.run(main)
