--- a/review/1/case.py
+++ b/review/1/case.py
@@ -67,7 +67,9 @@
 class Clients:
     """Clients of one node."""
 
-    def __init__(self, system: deployment.System, node: deployment.Node) -> None:
+    def __init__(
+        self, system: deployment.System, node: deployment.Node
+    ) -> None:
         self.system = system
         self.node = node
         self.plain: list[tuple[float, int]] = []
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -25,7 +25,7 @@
 async def ask(
     system: deployment.System, node: deployment.Node, phase: str
 ) -> str:
-    """Sends an order, then the question on the same channel; returns its end."""
+    """Sends an order and the question on one channel; returns the end."""
     host, _, port = node.entry.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     try:
--- a/review/lib/engines.py
+++ b/review/lib/engines.py
@@ -111,7 +111,9 @@
             self.link.cut()
         await self.server.close()
 
-    async def handle(self, message: http.Message, channel: http.Channel) -> None:
+    async def handle(
+        self, message: http.Message, channel: http.Channel
+    ) -> None:
         method, path = message.first[0], message.first[1]
         wanted = message.headers.get("x-expect-instance")
         request_id = message.headers.get("x-request-id", "")
--- a/review/lib/http.py
+++ b/review/lib/http.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 
 MAX_HEAD = 65_536
 REASONS = {200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found"}
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -40,7 +40,9 @@
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
-    async def handle(self, message: http.Message, channel: http.Channel) -> None:
+    async def handle(
+        self, message: http.Message, channel: http.Channel
+    ) -> None:
         path, _, text = message.first[1].partition("?")
         query = {k: v[0] for k, v in parse.parse_qs(text).items()}
         if path == "/rows-tx":
--- a/review/lib/system.py
+++ b/review/lib/system.py
@@ -14,8 +14,8 @@
 import sys
 import tempfile
 import time
-import uuid
 from typing import Any
+import uuid
 
 from lib import engines
 from lib import http
@@ -260,7 +260,9 @@
     def runs(self, request_id: str) -> int:
         """Returns how often engines began to work on a request."""
         return sum(
-            ran == request_id for engine in self.engines for ran, _ in engine.ran
+            ran == request_id
+            for engine in self.engines
+            for ran, _ in engine.ran
         )
 
     async def close(self) -> None:
@@ -310,7 +312,9 @@
     return uuid.uuid4().hex[:16]
 
 
-def headers(request_id: str, wait_ms: int = 3_000, **more: str) -> dict[str, str]:
+def headers(
+    request_id: str, wait_ms: int = 3_000, **more: str
+) -> dict[str, str]:
     """Returns the header fields of a client's request."""
     return {
         "Host": HOST_NAME,
