--- a/review/5/case.py
+++ b/review/5/case.py
@@ -19,12 +19,12 @@
 EVENTS = 12
 GAP_S = 0.02
 STREAMS_PER_S = 40.0
-LENGTH_S = 25.0
-BROKEN_SHARE = 0.03
-"""Share of the answers that are broken off; the site file's dose of garble."""
+LENGTH_S = 30.0
+BROKEN_SHARE = 0.05
+"""Share of the answers that are broken off: x of garble in the site file."""
 
-FAULTY_SERVERS = 2
-"""Servers that break answers off, of three; its share is 0.6."""
+FAULTY_SERVERS = 1
+"""Servers that break answers off, of three; the site file's share is 0.6."""
 
 
 class StreamingPortal(engines.Engine):
