Soak: judge the share of repeats, and erratic engines of a whole service

Engines' ledgers have each arrival: arrivals beyond the first of each request, rejected ones too, are held against the ratio and the allowance in any window, per service.

The judge's tests have three rows for it. No change of the program.

--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import enum
 import json
 from typing import Any
 
@@ -25,6 +26,14 @@
 HEALTH_PATH = "/health"
 
 
+class RequestFault(enum.Enum):
+    """What an engine does to a request instead of running it."""
+
+    NONE = enum.auto()
+    REFUSE = enum.auto()
+    RESET = enum.auto()
+
+
 @dataclasses.dataclass(slots=True)
 class EngineCluster:
     """Engines by address, so that each can tell whether another is alive."""
@@ -78,7 +87,9 @@
         born: Its start in Unix milliseconds; 0 to omit it.
         entries: Number of its registry entries so far.
         limits: Rate limits that its responses name, one field each.
+        draw_fault: Called for each request to run.
         arrivals: Loop times at which requests to run arrived.
+        arrived_ids: Ids of these requests.
         other_calls: Loop times at which other calls arrived.
     """
 
@@ -117,7 +128,9 @@
         self.crashes_silently = False
         self.cancelled: list[str] = []
         self.limits: list[str] = []
+        self.draw_fault = lambda: RequestFault.NONE
         self.arrivals: list[float] = []
+        self.arrived_ids: list[str] = []
         self.other_calls: list[float] = []
         self.born = 0
         self.entries = 0
@@ -224,7 +237,12 @@
     async def prepare(self) -> None:
         now = asyncio.get_running_loop().time()
         engine = self.engine
-        (engine.arrivals if self.is_request else engine.other_calls).append(now)
+        if self.is_request:
+            engine.arrivals.append(now)
+            request_id = self.request.headers.get(names.REQUEST_ID, "")
+            engine.arrived_ids.append(request_id)
+        else:
+            engine.other_calls.append(now)
         for limit in engine.limits:
             self.add_header(names.RATE_LIMIT, limit)
         if engine.says_leaving:
@@ -328,6 +346,13 @@
             for value in self.engine.backoffs:
                 self.add_header("Retry-After", value)
             return
+        fault = self.engine.draw_fault()
+        if fault is RequestFault.REFUSE:
+            self.refuse(503)
+            return
+        if fault is RequestFault.RESET:
+            self.detach().close()
+            return
         if self.engine.layers is None and not self.request.headers.get(
             names.PATH
         ):
--- a/tests/platform/standin_system.py
+++ b/tests/platform/standin_system.py
@@ -107,15 +107,22 @@
     return f"{host}:{next(PORTS)}"
 
 
+REPEATS = relay_settings.RepeatsSection(0.2, 10.0, 100.0)
+
+
 class StandinSystem:
     """A running system.
 
     Attributes:
+        repeats: The retry budget of nodes that are added.
         engines: By instance.
         nodes: In the order of their start.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, repeats: relay_settings.RepeatsSection = REPEATS
+    ) -> None:
+        self.repeats = repeats
         self.store = standin_store.StandinStore()
         self.cluster = standin_engines.EngineCluster()
         self.engines: dict[str, standin_engines.StandinEngine] = {}
@@ -152,7 +159,7 @@
             ),
             metrics=relay_settings.MetricsSection(free_address()),
             drain=relay_settings.DrainSection(hold_s=0.2, grace_s=3.0),
-            repeats=relay_settings.RepeatsSection(0.2, 10.0, 100.0),
+            repeats=self.repeats,
         )
         process = relay.RelayProcess(settings)
         await process.start()
@@ -211,10 +218,12 @@
 
 @contextlib.asynccontextmanager
 async def running_system(
-    nodes: int = 1, zones: str = "ab"
+    nodes: int = 1,
+    zones: str = "ab",
+    repeats: relay_settings.RepeatsSection = REPEATS,
 ) -> AsyncIterator[StandinSystem]:
     """Runs a system whose zones each hold a chain of four engines."""
-    system = StandinSystem()
+    system = StandinSystem(repeats)
     await system.store.start()
     system.store.put("op", "config", config())
     try:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -90,6 +90,12 @@
     def is_stream(self) -> bool:
         return self.events > 0
 
+    def service(self) -> str:
+        """Returns the service that the configuration sends it to."""
+        return (
+            layout.MODEL_SERVICE if self.is_stream() else layout.PLAIN_SERVICE
+        )
+
     def is_idempotent(self) -> bool:
         return self.route not in ("once", "talk")
 
--- a/tests/soak/erratic_engines.py
+++ b/tests/soak/erratic_engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,37 @@
             await faults.set_attributes(system, engine, {"is_erratic": False})
 
 
+class ErraticService(faults.Fault):
+    """All engines of a service are erratic at the same time."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        service = faults.pick_by_share(layout.SERVICES, self.shape)
+        engines = [e for e in system.engines if e.service == service]
+        with contextlib.ExitStack() as disturbed:
+            for engine in engines:
+                disturbed.enter_context(
+                    system.disturbances.during(engine.name, ERRATIC)
+                )
+            await self.set_erratic(system, engines, True)
+            await asyncio.sleep(self.lasts_s)
+            await self.set_erratic(system, engines, False)
+
+    async def set_erratic(
+        self,
+        system: soak_system.SoakSystem,
+        engines: list[soak_system.EngineProcess],
+        is_erratic: bool,
+    ) -> None:
+        await asyncio.gather(
+            *(
+                faults.set_attributes(
+                    system, engine, {"is_erratic": is_erratic}
+                )
+                for engine in engines
+            )
+        )
+
+
 class ReusedAddress(faults.Fault):
     """Another engine takes an address over; open connections stay open.
 
@@ -45,4 +77,7 @@
     """Draws faults that leave the other faults of a seed alone."""
     erratic = faults.draw_extra(options, ErraticEngine, options.erratic)
     reused = faults.draw_extra(options, ReusedAddress, options.erratic)
-    return [*erratic, *reused]
+    services = faults.draw_extra(
+        options, ErraticService, options.erratic_services
+    )
+    return [*erratic, *reused, *services]
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -8,6 +8,7 @@
 import signal
 import time
 
+from tests.platform import repeat_counts
 from tests.soak import callers
 from tests.soak import disturbances
 from tests.soak import engine_process
@@ -66,6 +67,7 @@
     LIMIT = "an engine gets no more requests than the limit it names"
     BACKOFF = "an engine gets hardly any requests in its backoff"
     CUT_OFF = "callers of nodes without engines are served by peers"
+    REPEATS = "repeats stay within the retry budget of all nodes"
     RUNS = "requests run on no more engines than their routes allow"
     RECOVERS = "requests are served again after the last fault"
     INTERNAL = "no internal error reaches a caller"
@@ -102,6 +104,7 @@
         signed_failures: Requests that failed with an engine's signature.
         refused_after_run: Idempotent requests that ran and were refused.
         undisturbed: Number of requests to which all time bounds applied.
+        repeat_windows: The worst window of repeats, by service.
     """
 
     def __init__(self, system: soak_system.SoakSystem) -> None:
@@ -116,6 +119,7 @@
         self.signed_failures: list[callers.SentRequest] = []
         self.refused_after_run = 0
         self.undisturbed = 0
+        self.repeat_windows: dict[str, repeat_counts.WindowCount] = {}
         system.on_exit = self.check_exit
 
     def report_violation(
@@ -319,6 +323,7 @@
             self.check_backoff(backoff)
         self.check_cut_off()
         self.check_runs()
+        self.check_repeats()
         for request in self.signed_failures:
             self.check_signed_failure(request)
 
@@ -332,6 +337,28 @@
                 request.ended_at,
             )
 
+    def check_repeats(self) -> None:
+        """Checks each service's share of repeats in any window."""
+        for service in layout.SERVICES:
+            requests = [
+                request
+                for request in self.requests.values()
+                if request.sent_at and request.service() == service
+            ]
+            repeats = repeat_counts.find_repeats(
+                (row.at, row.request_id)
+                for request in requests
+                for row in self.work[request.request_id].arrived
+            )
+            window = repeat_counts.worst_window(
+                repeats,
+                [request.sent_at for request in requests],
+                self.system.options.repeats(),
+            )
+            self.repeat_windows[service] = window
+            if not window.is_within_limit:
+                self.report_violation(Promise.REPEATS, f"{service}: {window}")
+
     def check_runs(self) -> None:
         """Checks on how many engines each request ran."""
         over = {
--- a/tests/soak/layout.py
+++ b/tests/soak/layout.py
@@ -6,10 +6,12 @@
 import os
 from typing import Any
 
+from almondshift.adapters import relay_settings
 from tests.platform import standin_engines
 
 MODEL_SERVICE = "model"
 PLAIN_SERVICE = "plain"
+SERVICES = (PLAIN_SERVICE, MODEL_SERVICE)
 HOST = "chat.example"
 STEADY_ACCOUNT = "steady"
 STEADY_KEY = "key-steady"
@@ -92,6 +94,9 @@
         erratic: Number of times that an engine responds erratically for a
             while, and that an engine takes over the address of another.
         restores: Number of times that the store returns from an older copy.
+        erratic_services: Number of times that all engines of a service respond
+            erratically for a while.
+        allowance: Repeats of all nodes in a window beyond the ratio.
     """
 
     seed: int
@@ -106,6 +111,14 @@
     pauses: int = 0
     restores: int = 0
     erratic: int = 0
+    erratic_services: int = 0
+    allowance: int = 200
+
+    def repeats(self) -> relay_settings.RepeatsSection:
+        """Returns the retry budget of all nodes."""
+        return relay_settings.RepeatsSection(
+            ratio=0.2, window_s=10.0, allowance=float(self.allowance)
+        )
 
     def plain_engines(self) -> int:
         """Returns how many endpoints serve plain requests."""
@@ -159,7 +172,7 @@
 [repeats]
 ratio = 0.2
 window_s = 10
-allowance = 200
+allowance = {allowance}
 """
 
 
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -28,6 +28,7 @@
         peak_node_mb: Largest resident memory of a node.
         pauses: When the harness, and with it all links, was paused.
         engine_pauses: When sound engines were silent.
+        repeats: Repeats of each service in its worst window.
     """
 
     options: dict[str, Any]
@@ -41,6 +42,7 @@
     peak_node_mb: float
     pauses: list[str]
     engine_pauses: list[str]
+    repeats: dict[str, str]
     violations: list[soak_judge.Violation]
     disturbances: list[str]
 
@@ -76,6 +78,10 @@
             f"{p.engine}"
             for p in system.disturbances.pauses
         ],
+        repeats={
+            service: f"{window.repeats} of {window.allowed:.1f}"
+            for service, window in judge.repeat_windows.items()
+        },
         violations=judge.violations,
         disturbances=[
             f"{d.start - judge.started:.2f} to {d.end - judge.started:.2f} "
@@ -106,6 +112,7 @@
         f"largest node: {report.peak_node_mb} MB",
         f"pauses of the harness: {len(report.pauses)}",
         f"pauses of sound engines: {len(report.engine_pauses)}",
+        f"repeats in the worst window, of those allowed: {report.repeats}",
         f"violations: {len(report.violations)}",
     ]
     for violation in report.violations:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -236,6 +236,18 @@
         default=0,
         help="engines that refuse, fail and respond twice for a while",
     )
+    parser.add_argument(
+        "--erratic-services",
+        type=int,
+        default=0,
+        help="times that all engines of a service refuse and fail",
+    )
+    parser.add_argument(
+        "--allowance",
+        type=int,
+        default=200,
+        help="repeats of all nodes in a window beyond the ratio",
+    )
     parser.add_argument("--folder", type=pathlib.Path)
     parser.add_argument("--regressions", action="store_true")
     args = parser.parse_args()
@@ -266,6 +278,8 @@
         pauses=args.pauses,
         restores=args.restores,
         erratic=args.erratic,
+        erratic_services=args.erratic_services,
+        allowance=args.allowance,
     )
 
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -242,6 +242,7 @@
                 "metrics": network.node(index, layout.METRICS_PORT),
                 "store": link.address,
                 "grace_s": layout.GRACE_S,
+                "allowance": self.options.allowance,
             },
         )
         self.write_settings(node)
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -113,6 +113,32 @@
     send_in_backoff(judge, layout.MAX_REQUESTS_IN_BACKOFF + 1)
 
 
+def repeat_requests(judge: Judge, requests: int, extra_s: float) -> None:
+    """Lets requests arrive twice, all but the first ones after a time."""
+    for number in range(requests):
+        request = sent("look")
+        request.request_id = f"r{number}"
+        request.body = soak_judge.expected_body(request)
+        judge.record_sent(request)
+        again = arrived(request)
+        if number >= judge.system.options.allowance:
+            again.at += extra_s
+        judge.process_rows([arrived(request), again])
+    judge.finish()
+
+
+def as_many_repeats_as_allowed(judge: Judge) -> None:
+    repeat_requests(judge, judge.system.options.allowance, 0.0)
+
+
+def too_many_repeats_in_a_window(judge: Judge) -> None:
+    repeat_requests(judge, 2 * judge.system.options.allowance, 9.0)
+
+
+def too_many_repeats_for_one_window_in_two(judge: Judge) -> None:
+    repeat_requests(judge, 2 * judge.system.options.allowance, 11.0)
+
+
 def correct_answer(judge: Judge) -> None:
     request = sent()
     check(judge, request, arrived(request), ran(request))
@@ -574,6 +600,9 @@
         (requests_after_a_backoff_that_ended_early, []),
         (few_requests_in_a_backoff, []),
         (too_many_requests_in_a_backoff, [Promise.BACKOFF]),
+        (as_many_repeats_as_allowed, []),
+        (too_many_repeats_in_a_window, [Promise.REPEATS]),
+        (too_many_repeats_for_one_window_in_two, []),
         (too_many_requests_over_their_attempts, [Promise.RUNS]),
         (few_requests_over_their_attempts, []),
         (runs_on_a_killed_engine, []),
