Log and count repeats that no retry budget covers

- almondshift_relay_repeats_total counts sends beyond the first arrival by what covers them; AS5022 is written for each that nothing covers.
A send counts as an arrival unless no connection was made, or the peer says that it sent the request to no endpoint.
- AS5023, once a window: requests, repeats, limit, nodes and age of the node when its budget denied a repeat.

No decision changes.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -730,6 +730,40 @@
     sends: str
 
 
+class RepeatUncovered(Event, frozen=True):
+    """A request was sent again although no retry budget was spent for it."""
+
+    number = 5022
+    level = logging.ERROR
+    message = "repeat uncovered"
+
+    request_id: str
+    service: str
+    target: str
+    arrivals: int
+    spent: int
+    sends: str
+
+
+class RetryBudgetSpent(Event, frozen=True):
+    """The node's share of a service's retry budget is spent.
+
+    Written once in each window; ``denials`` counts since the last line, and
+    ``limit`` is the node's share of the repeats in a window.
+    """
+
+    number = 5023
+    message = "retry budget spent"
+
+    service: str
+    denials: int
+    requests: int
+    repeats: int
+    limit: float
+    nodes: int
+    age_s: float
+
+
 class StoreOutageBegan(Event, frozen=True):
     """The platform's store does not respond."""
 
--- a/src/almondshift/policy/repeat_budget.py
+++ b/src/almondshift/policy/repeat_budget.py
@@ -47,6 +47,27 @@
     allowance: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BudgetState:
+    """State of a service's budget when it denied a repeat.
+
+    Attributes:
+        denials: Denied repeats since the last state that was returned.
+        requests: Requests in the window.
+        repeats: Repeats in the window.
+        limit: Number of repeats that the node may send in the window.
+        nodes: Nodes that share the allowance; 0 if not known.
+        age_s: Seconds since the node's start.
+    """
+
+    denials: int
+    requests: int
+    repeats: int
+    limit: float
+    nodes: int
+    age_s: float
+
+
 class RepeatBudget:
     """Counts a service's requests and repeats at this node.
 
@@ -62,6 +83,8 @@
         self.nodes_at = now
         self.requests: dict[str, collections.deque[float]] = {}
         self.repeats: dict[str, collections.deque[float]] = {}
+        self.denials: collections.Counter[str] = collections.Counter()
+        self.next_state_at: dict[str, float] = {}
 
     def note_nodes(self, nodes: int, now: float) -> None:
         """Records how many nodes share the allowance."""
@@ -84,16 +107,35 @@
 
     def has_room(self, service: str, now: float) -> bool:
         """Returns whether a repeat could be sent now; spends nothing."""
-        requests = self.requests.setdefault(service, collections.deque())
         repeats = self.repeats.setdefault(service, collections.deque())
-        self._expire(requests, now)
         self._expire(repeats, now)
-        bound = len(requests) * self.limits.ratio * USED_SHARE
+        return len(repeats) + 1 <= self.limit(service, now)
+
+    def limit(self, service: str, now: float) -> float:
+        """Returns how many repeats this node may send in the window."""
+        requests = self.requests.setdefault(service, collections.deque())
+        self._expire(requests, now)
+        limit = len(requests) * self.limits.ratio * USED_SHARE
         if self.nodes:
             is_fresh = now - self.started_at < self.limits.window_s
             share = FIRST_WINDOW_SHARE if is_fresh else USED_SHARE
-            bound += self.limits.allowance / self.nodes * share
-        return len(repeats) + 1 <= bound
+            limit += self.limits.allowance / self.nodes * share
+        return limit
+
+    def denied(self, service: str, now: float) -> BudgetState | None:
+        """Counts a denied repeat; returns the state once in each window."""
+        self.denials[service] += 1
+        if now < self.next_state_at.get(service, now):
+            return None
+        self.next_state_at[service] = now + self.limits.window_s
+        return BudgetState(
+            denials=self.denials.pop(service),
+            requests=len(self.requests[service]),
+            repeats=len(self.repeats[service]),
+            limit=self.limit(service, now),
+            nodes=self.nodes,
+            age_s=now - self.started_at,
+        )
 
     def _expire(self, times: collections.deque[float], now: float) -> None:
         while times and times[0] <= now - self.limits.window_s:
--- a/src/almondshift/policy/request_sends.py
+++ b/src/almondshift/policy/request_sends.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from almondshift.model import not_run
+from almondshift.model import not_run
 
 OPEN = "open"
 """Outcome of a send that has not ended."""
@@ -29,12 +27,14 @@
         evidence: Why it did not run the request; None if it may have.
         earlier_calls: Number of calls that its connection carried before; None
             for no connection.
+        may_have_arrived: Whether an endpoint may have received it.
     """
 
     target: str
     outcome: str = OPEN
     evidence: not_run.NotRun | None = None
     earlier_calls: int | None = None
+    may_have_arrived: bool = True
 
     def end(
         self,
@@ -46,6 +46,8 @@
         self.outcome = outcome
         self.earlier_calls = earlier_calls
         self.evidence = evidence
+        if evidence is not_run.NotRun.NO_CONNECTION:
+            self.may_have_arrived = False
 
     @property
     def connection(self) -> str:
@@ -61,10 +63,15 @@
 
 
 class RequestSends:
-    """The sends of one request, in order."""
+    """The sends of one request, in order.
+
+    Attributes:
+        repeats_spent: Repeats that the retry budget granted for it.
+    """
 
     def __init__(self) -> None:
         self.sends: list[Send] = []
+        self.repeats_spent = 0
 
     def begin(self, target: str) -> Send:
         """Records a send that may run the request until it is known not to."""
@@ -77,6 +84,19 @@
         """Whether some send may have run the request."""
         return any(send.evidence is None for send in self.sends)
 
+    @property
+    def arrivals(self) -> int:
+        """Number of sends that may have reached an endpoint."""
+        return sum(send.may_have_arrived for send in self.sends)
+
+    @property
+    def is_next_covered(self) -> bool:
+        """Whether another send needs no more of the retry budget.
+
+        The first arrival of a request needs none.
+        """
+        return self.repeats_spent >= self.arrivals
+
     @property
     def is_open(self) -> bool:
         """Whether some send has not ended."""
--- a/src/almondshift/relay/observer.py
+++ b/src/almondshift/relay/observer.py
@@ -76,6 +76,13 @@
             registry=registry,
         )
 
+        self.repeats = prometheus_client.Counter(
+            "almondshift_relay_repeats",
+            "Sends beyond a request's first arrival, by what covers them.",
+            ["covered_by"],
+            registry=registry,
+        )
+
         self.via_peers = prometheus_client.Counter(
             "almondshift_relay_via_peers",
             "Requests passed to peers, by outcome.",
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -136,6 +136,7 @@
         """Sends the request to an endpoint."""
         if not self.may_send():
             return
+        self.record_send(chosen.instance)
         self.tried |= {chosen.instance}
         self.sends += 1
         self.shared.endpoints.started(chosen.instance)
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -229,6 +229,7 @@
         if peer is None:
             self.log_no_peer()
             return False
+        self.record_send(peer.name)
         self.tried_peers |= {peer.name}
         paths.started(peer.name)
         max_attempts = self.routed.route.max_attempts
@@ -385,6 +386,8 @@
         # room, it would take that of their own callers, who ask once.
         is_full = attempt.refusal_kind() == errors.NoRoomForPeer.kind
         attempt.end_send(request_sends.FAILED, evidence)
+        if is_unreached:
+            attempt.send.may_have_arrived = False
         if evidence is None:
             self.ended_runs.add_settled(attempt.granted_runs)
         may_repeat = evidence is not None or (
@@ -395,12 +398,7 @@
             may_repeat
             and not is_full
             and len(self.tried_peers) < MAX_PEERS
-            and (
-                is_unreached
-                or self.shared.budget.spend(
-                    self.routed.service, self.shared.clock.monotonic()
-                )
-            )
+            and (is_unreached or self.spend_repeat())
         )
         self.log_failed_attempt(
             attempt.send, reason, SENT_ELSEWHERE if is_allowed else GIVEN_UP
@@ -849,9 +847,53 @@
             return False
         if not is_not_run and self.possible_runs >= route.max_attempts:
             return False
-        return not is_sent or self.shared.budget.spend(
-            self.routed.service, self.shared.clock.monotonic()
-        )
+        return not is_sent or self.spend_repeat()
+
+    def spend_repeat(self) -> bool:
+        """Spends retry budget for another send; returns whether it may."""
+        service = self.routed.service
+        now = self.shared.clock.monotonic()
+        if self.shared.budget.spend(service, now):
+            self.all_sends.repeats_spent += 1
+            return True
+        state = self.shared.budget.denied(service, now)
+        if state is not None:
+            self.shared.observer.emit(
+                log_events.RetryBudgetSpent(
+                    service=service,
+                    denials=state.denials,
+                    requests=state.requests,
+                    repeats=state.repeats,
+                    limit=round(state.limit, 2),
+                    nodes=state.nodes,
+                    age_s=round(state.age_s, 2),
+                )
+            )
+        return False
+
+    def record_send(self, target: str) -> None:
+        """Counts a send beyond the first arrival; logs an uncovered one.
+
+        Called before each send.
+        """
+        arrivals = self.all_sends.arrivals
+        if not arrivals:
+            return
+        is_covered = self.all_sends.is_next_covered
+        self.shared.observer.repeats.labels(
+            "budget" if is_covered else "none"
+        ).inc()
+        if not is_covered:
+            self.shared.observer.emit(
+                log_events.RepeatUncovered(
+                    request_id=self.routed.request.request_id,
+                    service=self.routed.service,
+                    target=target,
+                    arrivals=arrivals,
+                    spent=self.all_sends.repeats_spent,
+                    sends=str(self.all_sends),
+                )
+            )
 
 
 def format_parts(prompt_parts: tuple[str, ...]) -> str:
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -191,9 +191,7 @@
         """Resumes the stream once the retry budget allows it."""
         if self.is_ended:
             return
-        if self.shared.budget.spend(
-            self.routed.service, self.shared.clock.monotonic()
-        ):
+        if self.spend_repeat():
             self.begin()
         else:
             self.search_later(self.resume_within_budget)
@@ -232,6 +230,7 @@
         """Sends the request over a path."""
         if not self.may_send():
             return
+        self.record_send(chosen.path[0].instance)
         self.sends += 1
         attempt = stream_attempt.StreamAttempt(self, chosen)
         self.attempt = attempt
