--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -27,6 +27,7 @@
         refused: Addresses, of those in ``StandinStore.addresses``, at which
             each call is refused.
         delay_s: Time for which a response is held back after it was made.
+        unread_tables: Tables of which each read is refused.
     """
 
     refuses: int = 0
@@ -35,6 +36,7 @@
     forgets: bool = False
     refused: set[str] = dataclasses.field(default_factory=set)
     delay_s: float = 0.0
+    unread_tables: set[str] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -184,6 +186,9 @@
 class ReadHandler(StoreHandler):
     async def get(self) -> None:
         table = self.get_argument("table")
+        if table in self.store.faults.unread_tables:
+            self.refuse()
+            return
         start = self.get_argument("from", "")
         limit = int(self.get_argument("limit", "500"))
         found = [
--- a/tests/policy/test_repeat_budget.py
+++ b/tests/policy/test_repeat_budget.py
@@ -77,6 +77,37 @@
         assert within <= LIMITS.ratio * 1000 + LIMITS.allowance
 
 
+@pytest.mark.parametrize("nodes", [9, 75])
+@pytest.mark.parametrize("every_s", [0.5, 1.0, 2.0])
+def test_repeats_stay_within_the_limit_while_nodes_restart_again_and_again(
+    nodes: int, every_s: float
+) -> None:
+    """Guards against a part of the allowance that each start grants anew.
+
+    All nodes end and start again, several times in a window, while each
+    request is to be sent again.
+    """
+    budgets = [repeat_budget.RepeatBudget(LIMITS, -20.0) for _ in range(nodes)]
+    repeats: list[float] = []
+    for number in range(4000):
+        now = number * 0.01
+        is_start = now >= 15.0 and number % round(every_s * 100) == 0
+        if is_start and now < 25.0:
+            budgets = [
+                repeat_budget.RepeatBudget(LIMITS, now) for _ in range(nodes)
+            ]
+        for budget in budgets:
+            budget.note_nodes(nodes, now)
+        budget = budgets[number % nodes]
+        budget.note_request("s", now)
+        for _ in range(3):
+            if budget.spend("s", now):
+                repeats.append(now)
+    for start in range(0, 30):
+        within = sum(start <= at < start + 10 for at in repeats)
+        assert within <= LIMITS.ratio * 1000 + LIMITS.allowance
+
+
 def test_partial_group_does_not_use_the_whole_allowance() -> None:
     """Nodes lose contact with others, which still spend their share."""
     budget = repeat_budget.RepeatBudget(LIMITS, -20.0)
