Cover each send beyond a request's first arrival by retry budget

Operators saw repeats beyond what [repeats] allows.

Cause: the budget was asked after a failed attempt, in six places, and each way to the next send had to remember it. Two ways did not. A run that was denied budget passed the request to a peer if links to several endpoints had failed, and the peer takes what it sends for the first arrival. A run that waits for its node's links was sent again afterwards, also if its peer had failed and the budget was spent. The class: an accounting rule that is kept by the callers of a function instead of by the function.

Now the sends of a request know how many may have arrived and for how many budget was spent (RequestSends), and the functions that send to an endpoint or to a peer obtain cover for the next one themselves (RetryCover). A send that made no connection, or whose peer reached no endpoint, does not count, so what was spent for it serves the next one. The node that the caller asked covers the hop to a peer.

--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -132,11 +132,15 @@
             return
         self.give_up("No endpoint of the service can accept the request.")
 
+    def handle_spent_budget(self) -> None:
+        """Ends the run."""
+        self.give_up(runs.SPENT_BUDGET)
+
     def send(self, chosen: registered_engines.RegisteredEngine) -> None:
         """Sends the request to an endpoint."""
-        if not self.may_send():
+        if not self.may_send_to_endpoint():
             return
-        self.record_send(chosen.instance)
+        self.cover.record_send(chosen.instance)
         self.tried |= {chosen.instance}
         self.sends += 1
         self.shared.endpoints.started(chosen.instance)
@@ -249,9 +253,7 @@
             and self.record_attempt_and_spend_retry(False)
         )
 
-    def record_attempt_and_spend_retry(
-        self, is_not_run: bool, is_sent: bool = True
-    ) -> bool:
+    def record_attempt_and_spend_retry(self, is_not_run: bool) -> bool:
         """Counts an attempt that may have run, then tries to spend a retry.
 
         Returns:
@@ -259,7 +261,7 @@
         """
         if not is_not_run:
             self.ended_runs.add_settled()
-        return self.try_spend_retry(is_not_run, is_sent)
+        return self.try_spend_retry(is_not_run)
 
     def attempt_ended(
         self,
@@ -354,10 +356,8 @@
             evidence: Why it did not run the request; None if it may have.
         """
         is_not_run = evidence is not None
-        is_sent = evidence is not not_run.NotRun.NO_CONNECTION
-        self.has_reached_endpoint |= is_sent
         attempt.end_send(request_sends.FAILED, evidence)
-        if self.record_attempt_and_spend_retry(is_not_run, is_sent):
+        if self.record_attempt_and_spend_retry(is_not_run):
             self.log_failed_attempt(
                 attempt.send, reason, runs.SENT_ELSEWHERE, attempt.head
             )
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -17,6 +17,7 @@
 from almondshift.ports import peer_entries
 from almondshift.ports import relays
 from almondshift.relay import peer_attempt
+from almondshift.relay import retry_cover
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -69,6 +70,9 @@
 KINDS_BEFORE_ENDPOINT = (errors.ServiceNotReady.kind, errors.NoRoomForPeer.kind)
 """Kinds of a peer's refusal of a request that it sent to no endpoint."""
 
+SPENT_BUDGET = "The retry budget of this node is spent."
+"""Reason of a refusal."""
+
 SENT_ELSEWHERE = "sent elsewhere"
 """Logged next step of a failed attempt: the request is sent again at once."""
 
@@ -99,7 +103,7 @@
         ended_runs: Ended attempts that may have run it.
         all_sends: Every send to an endpoint or a peer, the current one
             included.
-        has_reached_endpoint: Whether any of it was sent to an endpoint.
+        cover: Retry budget for its sends.
         peer_attempt: The current attempt to have a peer serve it.
         tried_peers: Names of the peers that it was passed to.
         denied_permits: Endpoints that take no more requests now, at the latest
@@ -129,7 +133,7 @@
         self.ended_runs = possible_runs.PossibleRuns(routed.possible_runs)
         self.all_sends = request_sends.RequestSends()
         self.denied_permits = 0
-        self.has_reached_endpoint = False
+        self.cover = retry_cover.RetryCover(routed, self.all_sends, shared)
         self.peer_attempt: peer_attempt.PeerAttempt | None = None
         self.tried_peers: frozenset[str] = frozenset()
         self.is_ended = False
@@ -218,8 +222,27 @@
             self.refuse(self.may_have_run_error("It may not be repeated."))
         return False
 
+    def may_send_to_endpoint(self) -> bool:
+        """Returns whether the request may be sent to an endpoint now.
+
+        Otherwise the run ends, or waits for retry budget.
+        """
+        if not self.may_send():
+            return False
+        if not self.cover.obtain():
+            self.handle_spent_budget()
+            return False
+        return True
+
+    @abc.abstractmethod
+    def handle_spent_budget(self) -> None:
+        """Ends a run that may not be sent again now, or makes it wait."""
+
     def pass_to_peer(self) -> bool:
-        """Has a peer serve the request; returns False if none can."""
+        """Has a peer serve the request; returns False if none can.
+
+        Nor if it has arrived somewhere, and the retry budget is spent.
+        """
         if not self.may_send():
             return False
         if not self.routed.may_go_to_peer or len(self.tried_peers) >= MAX_PEERS:
@@ -229,7 +252,9 @@
         if peer is None:
             self.log_no_peer()
             return False
-        self.record_send(peer.name)
+        if not self.cover.obtain():
+            return False
+        self.cover.record_send(peer.name)
         self.tried_peers |= {peer.name}
         paths.started(peer.name)
         max_attempts = self.routed.route.max_attempts
@@ -379,8 +404,7 @@
             attempt: The attempt.
             reason: Why the peer did not serve it.
             evidence: Why it did not run; None if it may have.
-            is_unreached: Whether it reached no endpoint, and so needs no retry
-                budget.
+            is_unreached: Whether it sent the request to no endpoint.
         """
         # Peers share the endpoints. If a request asked several of them for
         # room, it would take that of their own callers, who ask once.
@@ -398,7 +422,7 @@
             may_repeat
             and not is_full
             and len(self.tried_peers) < MAX_PEERS
-            and (is_unreached or self.spend_repeat())
+            and self.cover.obtain()
         )
         self.log_failed_attempt(
             attempt.send, reason, SENT_ELSEWHERE if is_allowed else GIVEN_UP
@@ -613,7 +637,7 @@
             self.refuse(errors.UpstreamFailed(reason))
             return
         retry_s = self.retry_s()
-        if self.routed.from_peer and not self.has_reached_endpoint:
+        if self.routed.from_peer and not self.all_sends.arrivals:
             # The peer needs no retry budget to pass the request to another.
             if self.seems_cut_off():
                 self.refuse(
@@ -822,21 +846,17 @@
             route.may_repeat
             and self.sends < MAX_SENDS
             and self.possible_runs + current_runs < route.max_attempts
-            and self.shared.budget.has_room(
-                self.routed.service, self.shared.clock.monotonic()
-            )
+            and self.cover.is_available()
         )
 
-    def try_spend_retry(self, is_not_run: bool, is_sent: bool = True) -> bool:
+    def try_spend_retry(self, is_not_run: bool) -> bool:
         """Spends retry budget; returns whether the request may be sent again.
 
         A request that may have run is retried only if its route allows it, and
-        only while ``possible_runs`` is below the route's ``max_attempts``. One
-        that reached no endpoint did not load any, and needs no retry budget.
+        only while ``possible_runs`` is below the route's ``max_attempts``.
 
         Args:
             is_not_run: Whether the last endpoint did not run the request.
-            is_sent: Whether any of it was sent to the last endpoint.
         """
         route = self.routed.route
         if self.sends >= MAX_SENDS:
@@ -847,53 +867,7 @@
             return False
         if not is_not_run and self.possible_runs >= route.max_attempts:
             return False
-        return not is_sent or self.spend_repeat()
-
-    def spend_repeat(self) -> bool:
-        """Spends retry budget for another send; returns whether it may."""
-        service = self.routed.service
-        now = self.shared.clock.monotonic()
-        if self.shared.budget.spend(service, now):
-            self.all_sends.repeats_spent += 1
-            return True
-        state = self.shared.budget.denied(service, now)
-        if state is not None:
-            self.shared.observer.emit(
-                log_events.RetryBudgetSpent(
-                    service=service,
-                    denials=state.denials,
-                    requests=state.requests,
-                    repeats=state.repeats,
-                    limit=round(state.limit, 2),
-                    nodes=state.nodes,
-                    age_s=round(state.age_s, 2),
-                )
-            )
-        return False
-
-    def record_send(self, target: str) -> None:
-        """Counts a send beyond the first arrival; logs an uncovered one.
-
-        Called before each send.
-        """
-        arrivals = self.all_sends.arrivals
-        if not arrivals:
-            return
-        is_covered = self.all_sends.is_next_covered
-        self.shared.observer.repeats.labels(
-            "budget" if is_covered else "none"
-        ).inc()
-        if not is_covered:
-            self.shared.observer.emit(
-                log_events.RepeatUncovered(
-                    request_id=self.routed.request.request_id,
-                    service=self.routed.service,
-                    target=target,
-                    arrivals=arrivals,
-                    spent=self.all_sends.repeats_spent,
-                    sends=str(self.all_sends),
-                )
-            )
+        return self.cover.obtain()
 
 
 def format_parts(prompt_parts: tuple[str, ...]) -> str:
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -191,11 +191,18 @@
         """Resumes the stream once the retry budget allows it."""
         if self.is_ended:
             return
-        if self.spend_repeat():
+        if self.cover.obtain():
             self.begin()
         else:
             self.search_later(self.resume_within_budget)
 
+    def handle_spent_budget(self) -> None:
+        """Makes a stream that has begun wait; ends the run otherwise."""
+        if self.responder.head_sent:
+            self.search_later(self.resume_within_budget)
+        else:
+            self.refuse_no_capacity(runs.SPENT_BUDGET)
+
     def may_wait_for_capacity(self, is_not_run: bool) -> bool:
         """Returns whether a stream that has begun may wait for capacity.
 
@@ -228,9 +235,9 @@
 
     def send(self, chosen: path_choice.ChosenPath) -> None:
         """Sends the request over a path."""
-        if not self.may_send():
+        if not self.may_send_to_endpoint():
             return
-        self.record_send(chosen.path[0].instance)
+        self.cover.record_send(chosen.path[0].instance)
         self.sends += 1
         attempt = stream_attempt.StreamAttempt(self, chosen)
         self.attempt = attempt
@@ -485,12 +492,10 @@
             evidence: Why it did not run the request; None if it may have.
         """
         is_not_run = evidence is not None
-        is_sent = evidence is not not_run.NotRun.NO_CONNECTION
-        self.has_reached_endpoint |= is_sent
         attempt.end_send(request_sends.FAILED, evidence)
         if evidence is None and not self.is_cut_off():
             self.ended_runs.add(attempt.first.instance, self.loop.time())
-        allowed = self.try_spend_retry(is_not_run, is_sent)
+        allowed = self.try_spend_retry(is_not_run)
         should_wait = not allowed and self.may_wait_for_capacity(is_not_run)
         may_prove_lost = not is_not_run and self.may_wait_for_proof()
         next_step = runs.GIVEN_UP
@@ -502,9 +507,7 @@
         if allowed:
             self.begin()
         elif should_wait:
-            self.search_later(
-                self.resume_within_budget if is_sent else self.begin
-            )
+            self.search_later(self.resume_within_budget)
         elif may_prove_lost:
             self.links.want_check(self.loop.time())
             self.search_later(
