Use no retry allowance before the rows of nodes were read

A node that starts while the store can't list the nodes knew no peer, took itself for the only node and used the whole allowance for itself, for as long as it could not read the rows.

Cause: an empty list stood for both 'not read yet' and 'nobody else'. The allowance is now used once the rows have been read, as it already was before the node joined; the ratio of its own requests applies from the start.

--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -476,9 +476,11 @@
         self.tracker.query_factor = pooled_load.query_interval_factor(
             1 + serving_peers
         )
-        self.shared.budget.note_nodes(
-            max(1 + serving_peers, registered_nodes), now
-        )
+        # Before the rows were read, this node may know none of many peers.
+        if self.rows.names:
+            self.shared.budget.note_nodes(
+                max(1 + serving_peers, registered_nodes), now
+            )
         return 1 + serving_peers
 
     def note_era(self, previous: int, era: int) -> None:
