Skip what is nested more deeply than a decoder follows

One entry of another writer among those of the engines that was nested 100,000 levels deep kept each node that started from all engines behind it: 20 of 20 requests were refused there ('failed to apply rows of servers', again and again), and engines that registered later were not seen. The same text in an engine's report, an order's refusal or a peer's response ended the task that read it; a request whose peer responded so was never answered.

Cause: the decoders raise RecursionError for it, which is no ValueError, and nothing between them and the loop over all rows caught it. The class: what one writer wrote decides for all others.

All decoders of other programs' JSON now take it for malformed, and the catalogue skips an entry with AS4006 whatever its decoder raises.

--- a/src/almondshift/platform/decode.py
+++ b/src/almondshift/platform/decode.py
@@ -9,6 +9,7 @@
 
 from almondshift import errors
 from almondshift.model import engine_specs
+from almondshift.model import json_errors
 from almondshift.model import layers as model_layers
 from almondshift.model import lifetimes
 from almondshift.model import registered_engines
@@ -197,7 +198,7 @@
     try:
         wire = CONFIG_DECODER.decode(content)
         return expression.Ok(_config(wire))
-    except (msgspec.DecodeError, ValueError) as error:
+    except json_errors.MALFORMED as error:
         return expression.Error(_invalid(f"can't be decoded: {error}."))
 
 
@@ -210,7 +211,7 @@
     try:
         wire = ENGINE_ENTRY_DECODER.decode(content)
         _check_entry(wire)
-    except (msgspec.DecodeError, ValueError) as error:
+    except json_errors.MALFORMED as error:
         return expression.Error(
             _invalid(f"has an invalid registry entry {instance[:64]}: {error}.")
         )
@@ -233,7 +234,7 @@
     """Returns the rank of a configuration; None if it has none."""
     try:
         return revisions.Rank(0, CONFIG_RANK_DECODER.decode(content).version)
-    except msgspec.DecodeError:
+    except json_errors.MALFORMED:
         return None
 
 
@@ -241,7 +242,7 @@
     """Returns the rank of an engine's entry; None if it has none."""
     try:
         wire = ENTRY_RANK_DECODER.decode(content)
-    except msgspec.DecodeError:
+    except json_errors.MALFORMED:
         return None
     return revisions.Rank(wire.born, wire.seq)
 
--- a/src/almondshift/platform/engines.py
+++ b/src/almondshift/platform/engines.py
@@ -11,6 +11,7 @@
 
 from almondshift.adapters import http_connections
 from almondshift.model import endpoint_notices
+from almondshift.model import json_errors
 from almondshift.model import lifetimes
 from almondshift.model import not_run
 from almondshift.model import rate_limits
@@ -481,7 +482,7 @@
     """Decodes a report; returns None if it is invalid."""
     try:
         wire = REPORT_DECODER.decode(content)
-    except msgspec.DecodeError:
+    except json_errors.MALFORMED:
         return None
     return relayed.EngineReport(
         pace=wire.pace,
@@ -501,7 +502,7 @@
 def _faulty_address(body: bytes) -> str:
     try:
         content = json.loads(body)
-    except ValueError:
+    except json_errors.MALFORMED:
         return ""
     named = content.get("address") if isinstance(content, dict) else None
     return named if isinstance(named, str) else ""
--- a/src/almondshift/platform/store.py
+++ b/src/almondshift/platform/store.py
@@ -17,6 +17,7 @@
 from almondshift import errors
 from almondshift import log_events
 from almondshift.adapters import http_connections
+from almondshift.model import json_errors
 from almondshift.model import revisions
 from almondshift.platform import names
 from almondshift.ports import row_feeds
@@ -157,7 +158,7 @@
             return expression.Error(_status_error(status))
         try:
             decoded = ROWS_DECODER.decode(fetched.body)
-        except msgspec.DecodeError as error:
+        except json_errors.MALFORMED as error:
             return expression.Error(
                 errors.StoreOutcomeUnknown(f"Invalid response: {error}.")
             )
@@ -237,7 +238,7 @@
             return expression.Error(_status_error(fetched.head.status))
         try:
             decoded = ROWS_DECODER.decode(fetched.body)
-        except msgspec.DecodeError as error:
+        except json_errors.MALFORMED as error:
             return expression.Error(
                 _decode_error(f"response to {path}: {error}")
             )
--- a/src/almondshift/relay/catalogue.py
+++ b/src/almondshift/relay/catalogue.py
@@ -6,6 +6,9 @@
 import logging
 from typing import TYPE_CHECKING
 
+import expression
+
+from almondshift import errors
 from almondshift import log_events
 from almondshift.model import layers as model_layers
 from almondshift.policy import engine_starts
@@ -15,9 +18,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    import expression
-
-    from almondshift import errors
     from almondshift.model import registered_engines
     from almondshift.model import relayed
     from almondshift.model import routing_config
@@ -167,7 +167,11 @@
             self._apply_removal(row.key, now, outage_ended_at)
             return
         self.pending_removals.pop(row.key, None)
-        decoded = self.decoders.engine(row.key, row.value)
+        try:
+            decoded = self.decoders.engine(row.key, row.value)
+        except Exception as error:
+            # Entries of other writers must not keep this node from the rest.
+            decoded = expression.Error(_undecodable_error(error))
         if decoded.is_error():
             detail = str(decoded.error)
             log_events.emit(
@@ -377,3 +381,12 @@
     def _record_change(self) -> None:
         self.version += 1
         self.views.clear()
+
+
+def _undecodable_error(error: Exception) -> errors.ConfigInvalid:
+    return errors.ConfigInvalid(
+        f"The registry entry can't be decoded: {error!r}.",
+        section="registry",
+        key=None,
+        remedy="Remove the entry, or write a valid one.",
+    )
--- a/src/almondshift/relay/peer_attempt.py
+++ b/src/almondshift/relay/peer_attempt.py
@@ -5,6 +5,7 @@
 import json
 from typing import TYPE_CHECKING
 
+from almondshift.model import json_errors
 from almondshift.ports import path_engines
 from almondshift.relay import events
 
@@ -94,7 +95,7 @@
         """Returns the kind of the error that the peer responded with."""
         try:
             content = json.loads(self.body)
-        except ValueError:
+        except json_errors.MALFORMED:
             return ""
         kind = content.get("kind") if isinstance(content, dict) else None
         return kind if isinstance(kind, str) else ""
--- a/tests/relay/test_catalogue.py
+++ b/tests/relay/test_catalogue.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import dataclasses
 import json
 from typing import Any
 
@@ -122,3 +123,19 @@
     known.apply_engine_row(_row("i", later, 2), 0.0, NO_OUTAGE)
     reported = [r.reason for r in caplog.records if hasattr(r, "reason")]
     assert reported == [reason]
+
+
+def test_an_entry_that_no_decoder_foresaw_hides_no_other() -> None:
+    """Guards against one entry that ends each read of the registry."""
+    known = _catalogue()
+    decode_engine = known.decoders.engine
+
+    def fail_for_odd(key: str, content: bytes) -> Any:
+        if key == "odd":
+            raise OverflowError("out of range")
+        return decode_engine(key, content)
+
+    known.decoders = dataclasses.replace(known.decoders, engine=fail_for_odd)
+    rows = (_row("odd", _engine()), _row("i", _engine()))
+    known.apply_whole_registry(rows, 0.0, NO_OUTAGE)
+    assert set(known.engines) == {"i"}
