Reject ports out of range whatever their number of digits

Cause: the check of an address read the first six digits of the port only, so that a long number passes with leading zeros. The connection then raised OverflowError, which ended the task that made it and not the call. The class: a check that reads other bytes than the use.

Addresses of entries and settings have at most five digits now; a call to a port out of range ends as not sent, and an address of a peer with such a port is refused like other malformed ones.

Failed before: two rows of tests/platform/test_odd_entries.py (the requests timed out), one of test_settings.py, two of test_peer_link.py (OverflowError, ValueError), and test_a_port_out_of_range_means_not_sent (never ended).

--- a/src/almondshift/adapters/http_connections.py
+++ b/src/almondshift/adapters/http_connections.py
@@ -461,7 +461,7 @@
                 )
         except ConnectionRefusedError:
             return False
-        except (OSError, TimeoutError, ValueError):
+        except (OSError, OverflowError, TimeoutError, ValueError):
             return None
         transport.close()
         return True
@@ -478,7 +478,7 @@
                 await loop.create_connection(
                     lambda: connection, host, int(port)
                 )
-        except (OSError, TimeoutError, ValueError) as error:
+        except (OSError, OverflowError, TimeoutError, ValueError) as error:
             call.connecting = None
             reason = f"no connection to {address}: {error or 'timeout'}"
             call.end(Outcome.NOT_SENT, reason)
--- a/src/almondshift/adapters/peer_link.py
+++ b/src/almondshift/adapters/peer_link.py
@@ -30,6 +30,9 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+
 HEADER = struct.Struct(">I")
 
 REFUSED_REMEDY = (
@@ -366,8 +369,10 @@
 def split_address(address: str) -> tuple[str, int]:
     """Splits ``host:port``; the host may be in brackets."""
     host, _, port = address.rpartition(":")
-    if not port.isdecimal():
+    if not port.isdecimal() or len(port) > MAX_PORT_DIGITS:
         raise OSError(f"{address!r} is not host:port")
+    if int(port) > MAX_PORT:
+        raise OSError(f"the port of {address!r} is out of range")
     return host.strip("[]"), int(port)
 
 
--- a/src/almondshift/adapters/settings_sections.py
+++ b/src/almondshift/adapters/settings_sections.py
@@ -14,7 +14,8 @@
     host, colon, port = value.rpartition(":")
     if not colon or not host or not port.isascii() or not port.isdigit():
         raise ValueError("is not host:port")
-    if not 1 <= int(port[:6]) <= 65535 or any(c.isspace() for c in host):
+    is_port = len(port) <= 5 and 1 <= int(port) <= 65535
+    if not is_port or any(c.isspace() for c in host):
         raise ValueError("is not host:port")
     return value
 
--- a/src/almondshift/platform/decode.py
+++ b/src/almondshift/platform/decode.py
@@ -21,6 +21,7 @@
 READY_STATE = "ready"
 DRAINING_STATE = "draining"
 MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 MAX_SLOTS = 1_000_000
 MAX_LAYERS = 10_000
 """Sanity bounds, far above any real accelerator and model."""
@@ -260,7 +261,7 @@
     if wire.state not in (READY_STATE, DRAINING_STATE):
         raise ValueError("its state is unknown")
     host, _, port = wire.address.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port[:6]) <= MAX_PORT:
+    if not host or not _is_port(port):
         raise ValueError("its address is not host:port")
     if not 0 < wire.slots <= MAX_SLOTS:
         raise ValueError("its number of slots is out of range")
@@ -271,6 +272,16 @@
         raise ValueError("its layers are out of range")
 
 
+def _is_port(text: str) -> bool:
+    """Returns whether a text is the number of a port."""
+    return (
+        text.isascii()
+        and text.isdecimal()
+        and len(text) <= MAX_PORT_DIGITS
+        and 0 < int(text) <= MAX_PORT
+    )
+
+
 def decode_layers(wire: WireLayers | None) -> model_layers.LayerRange | None:
     """Returns the range, or None if it is empty."""
     if wire is None or wire.end <= wire.start:
--- a/tests/adapters/test_http_connections.py
+++ b/tests/adapters/test_http_connections.py
@@ -155,6 +155,16 @@
     assert not made.sent
 
 
+@asynchronous.run
+async def test_a_port_out_of_range_means_not_sent() -> None:
+    """Guards against a call that never ends."""
+    pool = http_connections.create_connection_pool()
+    found, _, made = await call(pool, "127.0.0.1:80000")
+    assert found is http_connections.Outcome.NOT_SENT
+    assert not made.sent
+    assert await pool.is_listening("127.0.0.1:80000", 0.1) is None
+
+
 @asynchronous.run
 async def test_call_on_dead_reused_connection_is_not_retried() -> None:
     """A non-idempotent request would run twice if it were retried.
--- a/tests/adapters/test_peer_link.py
+++ b/tests/adapters/test_peer_link.py
@@ -127,7 +127,16 @@
 
 
 @pytest.mark.parametrize(
-    "address", ["127.0.0.1:1", "no-number:80", "nothing", "127.0.0.1:x"]
+    "address",
+    [
+        "127.0.0.1:1",
+        "no-number:80",
+        "nothing",
+        "127.0.0.1:x",
+        "127.0.0.1:70000",
+        "127.0.0.1:" + "9" * 5_000,
+    ],
+    ids=lambda address: address[:20],
 )
 def test_failure_before_sending_is_not_run(address: str) -> None:
     async def scenario() -> None:
--- a/tests/adapters/test_settings.py
+++ b/tests/adapters/test_settings.py
@@ -29,6 +29,8 @@
         ("zone =", "zones =", "node", "zones", "'zone'"),
         ("address = 127.0.0.1:9000", "address = here", "platform", "address",
          "host:port"),
+        ("[peers]", "[peers]\nseeds = a:0000080000000", "peers", "seeds",
+         "host:port"),
         ("[peers]", "[peers]\nseeds = a:1, b", "peers", "seeds", "host:port"),
         ("[peers]", "[peers]\nport = 70000", "peers", "port", "65535"),
         ("[peers]", "[drain]\nhold_s = -1\n[peers]", "drain", "hold_s", "'-1'"),
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -44,6 +44,9 @@
     "start is no whole number": entry(born=1e400),
     "layers too large": entry(layers={"from": 0, "to": 2**70}),
     "port out of range": entry(address="127.0.0.1:70000"),
+    "port with leading zeros out of range": entry(
+        address="127.0.0.1:0000080000000"
+    ),
     "port of 5,000 digits": entry(address="127.0.0.1:" + "9" * 5_000),
     "port 0": entry(address="127.0.0.1:0"),
     "address with a line feed": entry(address="127.0.0.1\n:80"),
