Skip entries that no request to the endpoint can name

An entry whose key or address has characters that a header field can't hold was used as an endpoint.

Cause: the key is sent as X-Expect-Instance and the address as Host and in the path, but the entry was checked without regard to that. Such entries are now skipped with AS4006. Latin-1 keys are used as before.

The five rows of test_an_entry_that_no_request_can_name_is_invalid and test_an_entry_under_an_odd_key_disturbs_no_request failed before.

--- a/src/almondshift/platform/decode.py
+++ b/src/almondshift/platform/decode.py
@@ -22,6 +22,9 @@
 DRAINING_STATE = "draining"
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
+LATIN_1_END = 256
+"""Header fields consist of Latin-1 characters."""
+
 MAX_SLOTS = 1_000_000
 MAX_LAYERS = 10_000
 """Sanity bounds, far above any real accelerator and model."""
@@ -211,6 +214,8 @@
     """Decodes an engine's registry entry."""
     try:
         wire = ENGINE_ENTRY_DECODER.decode(content)
+        if not _is_field_text(instance):
+            raise ValueError("its key can't stand in a header field")
         _check_entry(wire)
     except json_errors.MALFORMED as error:
         return expression.Error(
@@ -261,7 +266,7 @@
     if wire.state not in (READY_STATE, DRAINING_STATE):
         raise ValueError("its state is unknown")
     host, _, port = wire.address.rpartition(":")
-    if not host or not _is_port(port):
+    if not host or not _is_port(port) or not _is_field_text(host):
         raise ValueError("its address is not host:port")
     if not 0 < wire.slots <= MAX_SLOTS:
         raise ValueError("its number of slots is out of range")
@@ -272,6 +277,11 @@
         raise ValueError("its layers are out of range")
 
 
+def _is_field_text(text: str) -> bool:
+    """Returns whether a text can stand in a header field of a request."""
+    return text.isprintable() and all(ord(char) < LATIN_1_END for char in text)
+
+
 def _is_port(text: str) -> bool:
     """Returns whether a text is the number of a port."""
     return (
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -115,6 +115,41 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("key", "address"),
+    [
+        ("\u4e2d", "10.0.0.1:80"),
+        ("a\nb", "10.0.0.1:80"),
+        ("a", "\u4e2d:80"),
+        ("a", "10.0.0.1\n:80"),
+        ("a", "10.0.0.1\x00:80"),
+    ],
+)
+def test_an_entry_that_no_request_can_name_is_invalid(
+    key: str, address: str
+) -> None:
+    """Guards against requests that can't be written once they are assigned."""
+    assert decode.decode_engine(key, entry(address=address)).is_error()
+    assert decode.decode_engine("\xe9", entry(address="10.0.0.1:80")).is_ok()
+
+
+def test_an_entry_under_an_odd_key_disturbs_no_request() -> None:
+    """Guards against names that can't stand in a request to the endpoint."""
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=1) as running:
+            address = running.engines["pa"].address
+            for key in ("\u4e2d", "a\nb"):
+                put_raw(running, "servers", key, entry(address=address))
+            await running.add_node()
+            await running.until(running.serves)
+            for node in range(2):
+                statuses = await send_requests(running, node, f"n{node}")
+                assert statuses == [200] * REQUESTS
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("content", [NESTED_LISTS, NESTED_OBJECTS], ids=len)
 def test_nested_responses_of_engines_are_invalid(content: bytes) -> None:
     """Guards against a response that ends the task that reads it."""
