Leave out rows of the nodes' tables that can't be decoded

One row of another writer among those of the nodes, which was no JSON object or nested too deeply, kept all nodes from finding each other.

Cause: a scan of the store returned an error for the whole list if one row could not be decoded. Such rows are left out now, with the new AS6007; the read of a single row says so as before.

The three rows of test_nodes_meet_despite_an_odd_row_among_theirs failed before.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -845,6 +845,18 @@
     missing: int
 
 
+class StoreRowUnreadable(Event, frozen=True):
+    """A row of a table can't be decoded, and is left out."""
+
+    number = 6007
+    level = logging.WARNING
+    message = "store row unreadable"
+
+    table: str
+    key: str
+    detail: str
+
+
 class PeerJoined(Event, frozen=True):
     """A node became known for the first time."""
 
--- a/src/almondshift/platform/store.py
+++ b/src/almondshift/platform/store.py
@@ -39,6 +39,7 @@
 READ_PAGE_ROWS = 500
 """Most rows that the store returns at once."""
 
+MAX_LOGGED_KEY = 64
 STATUS_PRECONDITION_FAILED = 412
 STATUS_HISTORY_GONE = 410
 NOT_APPLIED_STATUSES = frozenset({400, 403, 429, 503})
@@ -114,25 +115,53 @@
         self, table: str, key: str
     ) -> expression.Result[stores.Row | None, stores.StoreError]:
         """Reads one row."""
-        found = await self.scan(table, key, 1)
-        return found.map(
-            lambda rows: rows[0] if rows and rows[0].key == key else None
-        )
+        found = await self._scan_encoded(table, key, 1)
+        if found.is_error():
+            return expression.Error(found.error)
+        for row in found.ok.rows:
+            if row.key == key:
+                return self._decode(table, row, found.ok.era)
+        return expression.Ok(None)
 
     async def scan(
         self, table: str, prefix: str, limit: int
     ) -> expression.Result[list[stores.Row], stores.StoreError]:
-        """Reads rows with a key prefix, in key order."""
+        """Reads rows with a key prefix, in key order.
+
+        Rows that can't be decoded are left out, and logged: other programs may
+        have written them.
+        """
+        found = await self._scan_encoded(table, prefix, limit)
+        if found.is_error():
+            return expression.Error(found.error)
+        rows = []
+        for encoded in found.ok.rows:
+            if not encoded.key.startswith(prefix):
+                continue
+            row = self._decode(table, encoded, found.ok.era)
+            if row.is_ok():
+                rows.append(row.ok)
+            else:
+                log_events.emit(
+                    logger,
+                    log_events.StoreRowUnreadable(
+                        table, encoded.key[:MAX_LOGGED_KEY], str(row.error)
+                    ),
+                )
+        return expression.Ok(rows)
+
+    async def _scan_encoded(
+        self, table: str, prefix: str, limit: int
+    ) -> expression.Result[Rows, stores.StoreError]:
         query = {"table": table, "part": "", "from": prefix, "limit": limit}
-        result = await self._get_rows(names.ROWS_READ, query, CALL_TIMEOUT_S)
-        if result.is_error():
-            return expression.Error(result.error)
-        rows = [r for r in result.ok.rows if r.key.startswith(prefix)]
+        return await self._get_rows(names.ROWS_READ, query, CALL_TIMEOUT_S)
+
+    def _decode(
+        self, table: str, row: WireRow, era: int
+    ) -> expression.Result[stores.Row, stores.StoreError]:
         try:
-            return expression.Ok(
-                [_decode_row(table, row, result.ok.era) for row in rows]
-            )
-        except (ValueError, TypeError) as error:
+            return expression.Ok(_decode_row(table, row, era))
+        except json_errors.MALFORMED as error:
             return expression.Error(
                 _decode_error(f"row of table {table}: {error}")
             )
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -12,6 +12,7 @@
 from almondshift.model import relayed
 from almondshift.platform import decode
 from almondshift.platform import engines
+from almondshift.relay import group
 from almondshift.relay import peer_attempt
 from tests.platform import standin_system as system
 
@@ -150,6 +151,24 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    "content",
+    [NESTED_LISTS, b"no JSON", b"[1]"],
+    ids=["nested", "text", "list"],
+)
+def test_nodes_meet_despite_an_odd_row_among_theirs(content: bytes) -> None:
+    """Guards against nodes that find no peer since one row can't be read."""
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=0) as running:
+            put_raw(running, group.TABLE, "0", content)
+            for _ in range(2):
+                await running.add_node()
+            await running.wait_for_peers()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("content", [NESTED_LISTS, NESTED_OBJECTS], ids=len)
 def test_nested_responses_of_engines_are_invalid(content: bytes) -> None:
     """Guards against a response that ends the task that reads it."""
