--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -32,6 +32,7 @@
     NONE = enum.auto()
     REFUSE = enum.auto()
     RESET = enum.auto()
+    CUT_HEAD = enum.auto()
 
 
 @dataclasses.dataclass(slots=True)
@@ -88,6 +89,7 @@
         entries: Number of its registry entries so far.
         limits: Rate limits that its responses name, one field each.
         draw_fault: Called for each request to run.
+        cut_head: What it sends before it closes, for ``CUT_HEAD``.
         arrivals: Loop times at which requests to run arrived.
         arrived_ids: Ids of these requests.
         other_calls: Loop times at which other calls arrived.
@@ -129,6 +131,7 @@
         self.cancelled: list[str] = []
         self.limits: list[str] = []
         self.draw_fault = lambda: RequestFault.NONE
+        self.cut_head = b""
         self.arrivals: list[float] = []
         self.arrived_ids: list[str] = []
         self.other_calls: list[float] = []
@@ -353,6 +356,11 @@
         if fault is RequestFault.RESET:
             self.detach().close()
             return
+        if fault is RequestFault.CUT_HEAD:
+            stream = self.detach()
+            await stream.write(self.engine.cut_head)
+            stream.close()
+            return
         if self.engine.layers is None and not self.request.headers.get(
             names.PATH
         ):
