--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -22,6 +22,7 @@
 PAUSED_SEED = 5108
 RESTORED_SEED = 5203
 ERRATIC_SEED = 5401
+FAILING_SEED = 6024
 STALLED_SEED = 14
 STALLS_PER_S = 3.0
 
@@ -95,6 +96,22 @@
     check_no_violations(options, tmp_path)
 
 
+def test_repeats_stay_within_the_budget_at_engines_that_fail_together(
+    tmp_path: pathlib.Path,
+) -> None:
+    """All engines of a service refuse, fail and reset at once."""
+    options = layout.SoakOptions(
+        seed=FAILING_SEED,
+        seconds=12.0,
+        nodes=4,
+        engines=10,
+        clients=32,
+        erratic_services=6,
+        allowance=2,
+    )
+    check_no_violations(options, tmp_path)
+
+
 def check_no_violations(
     options: layout.SoakOptions, folder: pathlib.Path
 ) -> None:
