Parse ports in one place

The check of ports stood in three modules after, with its limits written out in each. No change of what is accepted, but that a peer's port 0 and digits that are not ASCII are refused like other malformed addresses. RepeatBudget.limit is allowed_repeats, since limits is an attribute.

--- a/src/almondshift/adapters/peer_link.py
+++ b/src/almondshift/adapters/peer_link.py
@@ -24,15 +24,13 @@
 
 from almondshift import errors
 from almondshift.adapters import peer_codec
+from almondshift.model import addresses
 from almondshift.ports import peers
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-MAX_PORT = 65_535
-MAX_PORT_DIGITS = 5
-
 HEADER = struct.Struct(">I")
 
 REFUSED_REMEDY = (
@@ -368,12 +366,11 @@
 
 def split_address(address: str) -> tuple[str, int]:
     """Splits ``host:port``; the host may be in brackets."""
-    host, _, port = address.rpartition(":")
-    if not port.isdecimal() or len(port) > MAX_PORT_DIGITS:
+    host, _, text = address.rpartition(":")
+    port = addresses.parse_port(text)
+    if port is None:
         raise OSError(f"{address!r} is not host:port")
-    if int(port) > MAX_PORT:
-        raise OSError(f"the port of {address!r} is out of range")
-    return host.strip("[]"), int(port)
+    return host.strip("[]"), port
 
 
 def family_of(host: str) -> socket.AddressFamily:
--- a/src/almondshift/adapters/settings_sections.py
+++ b/src/almondshift/adapters/settings_sections.py
@@ -8,14 +8,14 @@
 import pydantic
 
 from almondshift.adapters import ini_sections
+from almondshift.model import addresses
 
 
 def _check_address(value: str) -> str:
     host, colon, port = value.rpartition(":")
-    if not colon or not host or not port.isascii() or not port.isdigit():
+    if not colon or not host or any(c.isspace() for c in host):
         raise ValueError("is not host:port")
-    is_port = len(port) <= 5 and 1 <= int(port) <= 65535
-    if not is_port or any(c.isspace() for c in host):
+    if addresses.parse_port(port) is None:
         raise ValueError("is not host:port")
     return value
 
--- a/src/almondshift/platform/decode.py
+++ b/src/almondshift/platform/decode.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from almondshift import errors
+from almondshift.model import addresses
 from almondshift.model import engine_specs
 from almondshift.model import json_errors
 from almondshift.model import layers as model_layers
@@ -20,8 +21,6 @@
 SECTION = "configuration"
 READY_STATE = "ready"
 DRAINING_STATE = "draining"
-MAX_PORT = 65_535
-MAX_PORT_DIGITS = 5
 LATIN_1_END = 256
 """Header fields consist of Latin-1 characters."""
 
@@ -266,7 +265,8 @@
     if wire.state not in (READY_STATE, DRAINING_STATE):
         raise ValueError("its state is unknown")
     host, _, port = wire.address.rpartition(":")
-    if not host or not _is_port(port) or not _is_field_text(host):
+    is_port = addresses.parse_port(port) is not None
+    if not host or not is_port or not _is_field_text(host):
         raise ValueError("its address is not host:port")
     if not 0 < wire.slots <= MAX_SLOTS:
         raise ValueError("its number of slots is out of range")
@@ -282,16 +282,6 @@
     return text.isprintable() and all(ord(char) < LATIN_1_END for char in text)
 
 
-def _is_port(text: str) -> bool:
-    """Returns whether a text is the number of a port."""
-    return (
-        text.isascii()
-        and text.isdecimal()
-        and len(text) <= MAX_PORT_DIGITS
-        and 0 < int(text) <= MAX_PORT
-    )
-
-
 def decode_layers(wire: WireLayers | None) -> model_layers.LayerRange | None:
     """Returns the range, or None if it is empty."""
     if wire is None or wire.end <= wire.start:
--- a/src/almondshift/policy/repeat_budget.py
+++ b/src/almondshift/policy/repeat_budget.py
@@ -113,9 +113,9 @@
         """Returns whether a repeat could be sent now; spends nothing."""
         repeats = self.repeats.setdefault(service, collections.deque())
         self._expire(repeats, now)
-        return len(repeats) + 1 <= self.limit(service, now)
+        return len(repeats) + 1 <= self.allowed_repeats(service, now)
 
-    def limit(self, service: str, now: float) -> float:
+    def allowed_repeats(self, service: str, now: float) -> float:
         """Returns how many repeats this node may send in the window."""
         requests = self.requests.setdefault(service, collections.deque())
         self._expire(requests, now)
@@ -141,7 +141,7 @@
             denials=self.denials.pop(service),
             requests=len(self.requests[service]),
             repeats=len(self.repeats[service]),
-            limit=self.limit(service, now),
+            limit=self.allowed_repeats(service, now),
             nodes=self.nodes,
             age_s=now - self.started_at,
         )
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -239,9 +239,11 @@
         """Ends a run that may not be sent again now, or makes it wait."""
 
     def pass_to_peer(self) -> bool:
-        """Has a peer serve the request; returns False if none can.
+        """Has a peer serve the request.
 
-        Nor if it has arrived somewhere, and the retry budget is spent.
+        Returns:
+            False if none can, or if the request has arrived somewhere and the
+            retry budget is spent.
         """
         if not self.may_send():
             return False
