Read streams without end in linear time, and leave their engines

What callers saw: while one of three model engines sent chunks of one byte without end, all nodes stopped.

Cause: EventSplitter.feed joined and searched the partial event again for each part of the body (quadratic, up to 1 MB); the parser passed on each chunk by itself, 43,000 in a read of 256 kB; and since bytes arrived, nothing ended the attempt or kept new streams away.

Change: the splitter searches only new bytes; a connection reads 64 kB at a time and passes on the body of one read as one part; over 1,000 events in a row without an ID count as corrupt; a stream leaves an engine that sends data but completes no numbered event for half of the silence after which callers disconnect, and new streams avoid that engine for a while.

--- a/src/almondshift/adapters/http_connections.py
+++ b/src/almondshift/adapters/http_connections.py
@@ -43,6 +43,10 @@
 MAX_REQUEST_IDS = 256
 """Maximum number of requests with an id that one connection carries."""
 
+READ_BYTES = 65_536
+"""Maximum number of bytes that are received and parsed at a time. Other
+connections are served between two reads."""
+
 MAX_HEAD_BYTES = 65_536
 """A larger response head is rejected: endless header lines would grow in
 memory until the call's timeout. Typical heads have a few hundred bytes."""
@@ -160,7 +164,7 @@
         self.listener.on_end(outcome, reason)
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A connection that carries one call at a time.
 
     Endpoints may send the response to an earlier call once more. Its id tells
@@ -168,6 +172,7 @@
     twice.
 
     Attributes:
+        body_parts: Parts of the body that the parser found in the latest read.
         request_ids: Ids of the requests that it has carried.
         rejection: Why the response was rejected, for the log; empty if the
             parser says why.
@@ -190,6 +195,7 @@
         self.complete = False
         self.framed = False
         self.keep_alive = False
+        self.body_parts: list[bytes] = []
         self.parser: httptools.HttpResponseParser | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -224,6 +230,15 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read, which all connections share."""
+        del sizehint
+        return self.pool.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handles bytes that were read into the buffer."""
+        self.data_received(bytes(self.pool.read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; unsolicited bytes close the connection."""
         call = self.call
@@ -233,7 +248,10 @@
         call.answered = True
         assert self.parser is not None
         try:
-            self.parser.feed_data(data)
+            try:
+                self.parser.feed_data(data)
+            finally:
+                self.deliver_body()
         except httptools.HttpParserError as error:
             if self.complete and self.call is call:
                 # Bytes after the complete response belong to no call.
@@ -253,6 +271,24 @@
             if self.framing_bytes() > MAX_FRAMING_BYTES:
                 self.fail(Outcome.SPOILT, "chunk framing over the limit")
 
+    def deliver_body(self) -> None:
+        """Passes the parts of the body in one read on, as a single part.
+
+        An endpoint may send chunks of one byte. What a listener does for each
+        part would then take far longer than receiving it.
+
+        Raises:
+            httptools.HttpParserCallbackError: The listener rejects it.
+        """
+        body = b"".join(self.body_parts)
+        self.body_parts.clear()
+        if not body or self.call is None:
+            return
+        try:
+            self.call.listener.on_data(body)
+        except Exception as error:
+            raise httptools.HttpParserCallbackError(str(error)) from error
+
     def framing_bytes(self) -> int:
         """Returns the received bytes beyond those that the body allows."""
         allowed = self.body_bytes * (1 + MAX_FRAMING_PER_BODY_BYTE)
@@ -344,10 +380,9 @@
         return echoed not in self.request_ids
 
     def on_body(self, body: bytes) -> None:
-        """Passes a part of the body on (called by the parser)."""
+        """Keeps a part of the body (called by the parser)."""
         self.body_bytes += len(body)
-        if self.call is not None:
-            self.call.listener.on_data(body)
+        self.body_parts.append(body)
 
     def on_message_complete(self) -> None:
         """Notes that the response is complete (called by the parser)."""
@@ -365,10 +400,13 @@
 
     Attributes:
         opened: Connections opened since the start.
+        read_buffer: Buffer for reads of all connections; used only until the
+            bytes have been parsed.
     """
 
     def __init__(self, connect_timeout_s: float) -> None:
         self.connect_timeout_s = connect_timeout_s
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.idle: dict[str, list[Connection]] = {}
         self.opened = 0
 
--- a/src/almondshift/relay/events.py
+++ b/src/almondshift/relay/events.py
@@ -13,6 +13,10 @@
 MAX_EVENT_BYTES = 1_000_000
 """Maximum length of an event; a stream with a longer one counts as corrupt."""
 
+MAX_EVENTS_WITHOUT_ID = 1_000
+"""Maximum number of events in a row that have no ID. Engines number all events
+but comments; a stream with more counts as corrupt."""
+
 ID_FIELD = b"id:"
 EVENT_END = b"\n\n"
 
@@ -51,22 +55,46 @@
 
     Attributes:
         partial: The partial event.
+        without_id: Number of events without an ID since the last one with an
+            ID.
     """
 
     def __init__(self) -> None:
-        self.partial = b""
+        self.partial = bytearray()
+        self.without_id = 0
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Adds received bytes and returns the events that are now complete.
 
+        The cost grows with the received bytes only, not with the partial event.
+
         Raises:
-            ValueError: An event exceeds ``MAX_EVENT_BYTES``.
+            ValueError: The stream exceeds ``MAX_EVENT_BYTES`` or
+                ``MAX_EVENTS_WITHOUT_ID``.
         """
-        parts = (self.partial + data).split(EVENT_END)
-        self.partial = parts.pop()
+        if EVENT_END not in self.partial[-1:] + data:
+            self.partial += data
+            parts = []
+        else:
+            parts = bytes(self.partial + data).split(EVENT_END)
+            self.partial = bytearray(parts.pop())
         if len(self.partial) > MAX_EVENT_BYTES:
             raise ValueError(f"event exceeds {MAX_EVENT_BYTES} bytes")
-        return [StreamEvent(p + EVENT_END, read_id(p)) for p in parts]
+        return [self.create_event(part) for part in parts]
+
+    def create_event(self, part: bytes) -> StreamEvent:
+        """Creates an event from its bytes without the final blank line.
+
+        Raises:
+            ValueError: The stream exceeds ``MAX_EVENTS_WITHOUT_ID``.
+        """
+        event_id = read_id(part)
+        self.without_id = 0 if event_id is not None else self.without_id + 1
+        if self.without_id > MAX_EVENTS_WITHOUT_ID:
+            raise ValueError(
+                f"more than {MAX_EVENTS_WITHOUT_ID} events without an ID"
+            )
+        return StreamEvent(part + EVENT_END, event_id)
 
 
 def read_id(event: bytes) -> int | None:
--- a/src/almondshift/relay/stream_attempt.py
+++ b/src/almondshift/relay/stream_attempt.py
@@ -21,6 +21,11 @@
 """Time after its first event from which a stream can't be what crashes its
 engine, in seconds; such requests crash it as it begins to answer."""
 
+LEAVE_SHARE = 0.5
+"""Share of the route's ``abandon_after_s`` after which a stream leaves an
+engine that sends data but completes no event. Another engine then has time to
+send the next event before the caller disconnects."""
+
 MAX_FAILURE_BYTES = 100_000
 """Maximum body of a response that is not a stream; refusals are short."""
 
@@ -36,6 +41,8 @@
         is_stream: Whether the response is the requested stream.
         is_moving: Whether a move is in progress.
         first_event_at: Loop time of the first event; None before it.
+        partial_since: Loop time of the first data after the last complete
+            event; None if none was received.
         is_proven: Whether the parts of the prompt were noted as harmless.
     """
 
@@ -56,6 +63,7 @@
         self.is_moving = False
         self.is_over = False
         self.first_event_at: float | None = None
+        self.partial_since: float | None = None
         self.is_proven = False
 
     @property
@@ -82,12 +90,34 @@
         try:
             complete = self.splitter.feed(data)
         except ValueError as error:
+            self.run.avoid_for_new_streams(self)
             self.abort(str(error))
             return
-        if complete:
+        if any(event.event_id is not None for event in complete):
+            self.partial_since = None
             self.note_events()
         if complete and not self.run.forward_events(self, complete):
             self.abort("events out of order")
+            return
+        self.check_progress()
+
+    def check_progress(self) -> None:
+        """Leaves an engine that sends data but completes no event.
+
+        Neither the silence of a stream nor that of its engine shows this, as
+        data arrives and the engine responds to queries.
+        """
+        if self.partial_since is None:
+            self.partial_since = self.active_at
+        eventless_s = self.active_at - self.partial_since
+        abandon_after_s = self.run.routed.route.abandon_after_s
+        if eventless_s < LEAVE_SHARE * abandon_after_s:
+            return
+        self.run.avoid_for_new_streams(self)
+        if eventless_s >= abandon_after_s:
+            self.abort("no complete event until callers disconnect")
+        else:
+            self.run.resume_elsewhere("no complete event")
 
     def note_events(self) -> None:
         """Records events; those of a while prove the prompt harmless."""
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -774,6 +774,13 @@
             now = self.shared.clock.monotonic()
             self.shared.tracker.note_no_first_event(attempt.first.instance, now)
 
+    def avoid_for_new_streams(
+        self, attempt: stream_attempt.StreamAttempt
+    ) -> None:
+        """Makes new streams avoid an engine that completes no event."""
+        now = self.shared.clock.monotonic()
+        self.shared.tracker.note_no_first_event(attempt.first.instance, now)
+
     def release_attempt(self) -> None:
         """Drops the current attempt and its load in the engine tracker."""
         attempt = self.attempt
--- a/tests/adapters/test_http_connections.py
+++ b/tests/adapters/test_http_connections.py
@@ -364,3 +364,25 @@
     assert fetched.body == b"abc"
     assert fetched.head is not None
     assert fetched.head.get("server-leaving") is None
+
+
+@asynchronous.run
+async def test_chunks_of_one_read_are_delivered_together() -> None:
+    """Guards against work for each byte that an endpoint sends in a chunk."""
+    head = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+    chunks = b"1\r\nx\r\n" * 10_000
+    server = Server([head + chunks + b"0\r\n\r\n"])
+    await server.start()
+    pool = http_connections.create_connection_pool()
+    sizes: list[int] = []
+
+    class Listener(http_connections.Collector):
+        def on_data(self, data: bytes) -> None:
+            sizes.append(len(data))
+
+    listener = Listener(1_000_000)
+    pool.call(server.address, b"GET / HTTP/1.1\r\n\r\n", listener, "r1")
+    outcome, _ = await listener.ended
+    assert outcome is http_connections.Outcome.WHOLE
+    assert sum(sizes) == 10_000
+    assert len(sizes) <= 10
--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -25,6 +25,11 @@
 SIGNATURE = "X-Engine-Signature"
 HEALTH_PATH = "/health"
 
+ENDLESS_BLOCK_BYTES = 60_000
+ENDLESS_PAUSE_S = 0.05
+"""Bytes that an endpoint without end sends at a time, and the pause between
+them, in seconds."""
+
 
 class RequestFault(enum.Enum):
     """What an engine does to a request instead of running it."""
@@ -72,6 +77,8 @@
         is_draining: It refuses all new work, and its health check fails.
         cut_after: Events after which a stream's connection is closed;
             negative for never.
+        endless: What it sends over and over again after the first event, as
+            bytes of the connection; empty for nothing.
         status: Response status of plain requests.
         signs: Whether it signs responses to plain requests.
         backoffs: Values of Retry-After with which it refuses all requests, one
@@ -116,6 +123,7 @@
         self.is_full = False
         self.is_draining = False
         self.cut_after = -1
+        self.endless = b""
         self.status = 200
         self.signs = True
         self.backoffs: list[str] = []
@@ -438,9 +446,19 @@
                 return
             self.write(f"id: {number}\ndata: token {number}\n\n".encode())
             await self.flush()
+            if self.engine.endless:
+                await self.send_without_end(self.engine.endless)
             due += self.engine.gap_s
             await asyncio.sleep(due - loop.time())
 
+    async def send_without_end(self, repeated: bytes) -> None:
+        """Sends the same bytes until the caller closes the connection."""
+        stream = self.detach()
+        block = repeated * (ENDLESS_BLOCK_BYTES // len(repeated) + 1)
+        while True:
+            await stream.write(block)
+            await asyncio.sleep(ENDLESS_PAUSE_S)
+
     async def wait_for_path(self, run: RunningStream) -> float:
         """Waits until the path makes progress; returns the seconds waited."""
         engines = self.engine.cluster.engines
--- a/tests/relay/test_events.py
+++ b/tests/relay/test_events.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import time
+
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -46,3 +48,26 @@
     splitter = events.EventSplitter()
     with pytest.raises(ValueError, match="event exceeds 1000000 bytes"):
         splitter.feed(b"a" * (events.MAX_EVENT_BYTES + 1))
+
+
+@pytest.mark.parametrize("part", [b"x", b"xy", b"data: x\n"])
+def test_the_cost_of_a_partial_event_grows_with_its_length_only(
+    part: bytes,
+) -> None:
+    """Guards against an event loop blocked by one long event in small parts."""
+    splitter = events.EventSplitter()
+    started_s = time.process_time()
+    for _ in range(events.MAX_EVENT_BYTES // len(part)):
+        assert splitter.feed(part) == []
+    assert time.process_time() - started_s < 5.0
+
+
+@pytest.mark.parametrize("event", [b"\n\n", b": comment\n\n", b"data: x\n\n"])
+def test_events_without_an_id_are_rejected_after_a_limit(event: bytes) -> None:
+    """Guards against engines that send events without progress without end."""
+    splitter = events.EventSplitter()
+    splitter.feed(event * events.MAX_EVENTS_WITHOUT_ID)
+    splitter.feed(b"id: 1\ndata: x\n\n")
+    splitter.feed(event * events.MAX_EVENTS_WITHOUT_ID)
+    with pytest.raises(ValueError, match="events without an ID"):
+        splitter.feed(event)
--- a/tests/relay/test_response_limits.py
+++ b/tests/relay/test_response_limits.py
@@ -26,6 +26,7 @@
     run = mock.MagicMock()
     run.loop.time.return_value = 0.0
     run.expects_stream = True
+    run.routed.route.abandon_after_s = 2.0
     return run
 
 
