Run streaming routes of plain services as streams

The first event came after the last one was made, and streams were not resumed.

Cause: the service alone decided how a request is run, so these streams were kept whole like single responses, for which the end of a connection without a length is a proper end.

Change: the route's kind decides what the caller gets and the service where it runs. Events may end with CR LF CR LF, as plain services may send them. A begun stream whose events have no IDs isn't resumed, as the caller would get events twice.

--- a/src/almondshift/relay/events.py
+++ b/src/almondshift/relay/events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 from typing import TYPE_CHECKING
 
 from almondshift.relay import attempts
@@ -18,7 +19,8 @@
 but comments; a stream with more counts as corrupt."""
 
 ID_FIELD = b"id:"
-EVENT_END = b"\n\n"
+EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+MAX_EVENT_END_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,29 +74,42 @@
             ValueError: The stream exceeds ``MAX_EVENT_BYTES`` or
                 ``MAX_EVENTS_WITHOUT_ID``.
         """
-        if EVENT_END not in self.partial[-1:] + data:
-            self.partial += data
-            parts = []
-        else:
-            parts = bytes(self.partial + data).split(EVENT_END)
-            self.partial = bytearray(parts.pop())
+        tail = self.partial[1 - MAX_EVENT_END_BYTES :]
+        has_end = EVENT_END.search(tail + data) is not None
+        self.partial += data
+        complete = self.take_events() if has_end else []
         if len(self.partial) > MAX_EVENT_BYTES:
             raise ValueError(f"event exceeds {MAX_EVENT_BYTES} bytes")
-        return [self.create_event(part) for part in parts]
+        return complete
 
-    def create_event(self, part: bytes) -> StreamEvent:
-        """Creates an event from its bytes without the final blank line.
+    def take_events(self) -> list[StreamEvent]:
+        """Removes the complete events from the buffer.
 
         Raises:
             ValueError: The stream exceeds ``MAX_EVENTS_WITHOUT_ID``.
         """
-        event_id = read_id(part)
+        received = bytes(self.partial)
+        start = 0
+        complete: list[StreamEvent] = []
+        for found in EVENT_END.finditer(received):
+            complete.append(self.create_event(received[start : found.end()]))
+            start = found.end()
+        self.partial = bytearray(received[start:])
+        return complete
+
+    def create_event(self, data: bytes) -> StreamEvent:
+        """Creates an event from its bytes, including the final blank line.
+
+        Raises:
+            ValueError: The stream exceeds ``MAX_EVENTS_WITHOUT_ID``.
+        """
+        event_id = read_id(data)
         self.without_id = 0 if event_id is not None else self.without_id + 1
         if self.without_id > MAX_EVENTS_WITHOUT_ID:
             raise ValueError(
                 f"more than {MAX_EVENTS_WITHOUT_ID} events without an ID"
             )
-        return StreamEvent(part + EVENT_END, event_id)
+        return StreamEvent(data, event_id)
 
 
 def read_id(event: bytes) -> int | None:
--- a/src/almondshift/relay/gateway.py
+++ b/src/almondshift/relay/gateway.py
@@ -11,6 +11,7 @@
 from almondshift.model import routing_config
 from almondshift.ports import relays
 from almondshift.relay import background
+from almondshift.relay import endpoint_stream_run
 from almondshift.relay import plain_run
 from almondshift.relay import runs
 from almondshift.relay import stream_run
@@ -51,6 +52,16 @@
 node has, in seconds."""
 
 
+RUN_CLASSES: dict[tuple[bool, bool], type[runs.Run]] = {
+    (True, True): stream_run.StreamRun,
+    (True, False): endpoint_stream_run.EndpointStreamRun,
+    (False, True): stream_run.StreamRun,
+    (False, False): plain_run.PlainRun,
+}
+"""How requests run: by whether the route is a stream, and whether the service
+has model engines, which form paths."""
+
+
 class PendingDenial(relays.ActiveRequest):
     """A request whose denial waits until the configuration is confirmed.
 
@@ -224,10 +235,9 @@
             self.shared.budget.note_request(
                 routed.service, self.shared.clock.monotonic()
             )
-        create_run: Callable[..., runs.Run] = plain_run.PlainRun
-        if self.shared.catalogue.view(routed.service) is not None:
-            create_run = stream_run.StreamRun
-        run = create_run(routed, responder, self.shared)
+        has_path = self.shared.catalogue.view(routed.service) is not None
+        run_class = RUN_CLASSES[routed.route.is_stream, has_path]
+        run = run_class(routed, responder, self.shared)
         run.begin()
         return run
 
--- a/src/almondshift/relay/stream_attempt.py
+++ b/src/almondshift/relay/stream_attempt.py
@@ -1,4 +1,4 @@
-"""One attempt to run a stream over a path of engines."""
+"""One attempt to run a request over a path of engines."""
 
 from __future__ import annotations
 
@@ -27,11 +27,15 @@
 send the next event before the caller disconnects."""
 
 MAX_FAILURE_BYTES = 100_000
-"""Maximum body of a response that is not a stream; refusals are short."""
+"""Maximum body of a response that is not the requested stream; refusals are
+short."""
+
+MAX_BODY_BYTES = 16_000_000
+"""Maximum body of a response on routes that are no streams; it is buffered."""
 
 
 class StreamAttempt(events.EventSource):
-    """One attempt to run a stream over a path.
+    """One attempt to run a request over a path.
 
     Attributes:
         path: The engines that run it.
@@ -39,6 +43,8 @@
         active_at: Loop time of the last received data, successful move or, at
             first, of the send.
         is_stream: Whether the response is the requested stream.
+        body: Body of a response that is not the requested stream.
+        ending: How it ended; None while it runs or if it was cancelled.
         is_moving: Whether a move is in progress.
         first_event_at: Loop time of the first event; None before it.
         partial_since: Loop time of the first data after the last complete
@@ -57,7 +63,8 @@
         self.active_at = self.sent_at
         self.head: relayed.ForwardedHead | None = None
         self.is_stream = False
-        self.failure = bytearray()
+        self.body = bytearray()
+        self.ending: path_engines.Ending | None = None
         self.splitter = events.EventSplitter()
         self.forwarded: path_engines.ForwardedRequest | None = None
         self.is_moving = False
@@ -74,19 +81,19 @@
     def on_head(self, head: relayed.ForwardedHead) -> None:
         """Stores the head, which is sent with the first event."""
         self.head = head
-        self.is_stream = head.status == OK and head.genuine
+        self.is_stream = (
+            self.run.expects_stream and head.status == OK and head.genuine
+        )
         self.note_data()
 
     def on_data(self, data: bytes) -> None:
         """Passes complete events on."""
         if self.is_over:
             return
+        self.note_data()
         if not self.is_stream:
-            self.failure += data
-            if len(self.failure) > MAX_FAILURE_BYTES:
-                self.abort("error response too large")
+            self.keep_body(data)
             return
-        self.note_data()
         try:
             complete = self.splitter.feed(data)
         except ValueError as error:
@@ -101,6 +108,15 @@
             return
         self.check_progress()
 
+    def keep_body(self, data: bytes) -> None:
+        """Buffers the body of a response that is not the requested stream."""
+        self.body += data
+        limit = MAX_BODY_BYTES
+        if self.run.expects_stream:
+            limit = MAX_FAILURE_BYTES
+        if len(self.body) > limit:
+            self.abort("response body too large")
+
     def check_progress(self) -> None:
         """Leaves an engine that sends data but completes no event.
 
@@ -159,4 +175,5 @@
         """Passes the end to the run."""
         if not self.is_over:
             self.is_over = True
+            self.ending = ending
             self.run.attempt_ended(self, ending, reason)
--- a/src/almondshift/relay/stream_moves.py
+++ b/src/almondshift/relay/stream_moves.py
@@ -63,11 +63,11 @@
         self.scheduled_since = -math.inf
 
     def streams(self) -> list[stream_run.StreamRun]:
-        """Returns the streams that have not ended."""
+        """Returns the requests over paths that have not ended."""
         return [
             run
             for run in self.shared.running
-            if isinstance(run, stream_run.StreamRun)
+            if isinstance(run, stream_run.StreamRun) and run.uses_path
         ]
 
     def on_engine_lost(
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -56,6 +56,8 @@
         failed_engines: First engines that failed the stream. They are avoided,
             since a crashing engine resets every connection and would use up
             all attempts. Those that fell silent are not among them.
+        uses_path: Whether engines of a path run it together.
+        no_path_reason: Reason of a refusal for lack of capacity.
         last_id: ID of the last event that the caller has; None for none.
         response_tokens: Expected length of the response, in tokens.
         tokens: Expected length of prompt and response, in tokens.
@@ -69,6 +71,8 @@
     ) -> None:
         super().__init__(routed, responder, shared)
         request = self.routed.request
+        self.uses_path = True
+        self.no_path_reason = "No path with free capacity covers all layers."
         self.attempt: stream_attempt.StreamAttempt | None = None
         self.retry_timer: asyncio.TimerHandle | None = None
         self.first_event_timer: asyncio.TimerHandle | None = None
@@ -146,9 +150,7 @@
                 self.refuse_limited()
                 return
             self.log_paths_full()
-            self.refuse_no_capacity(
-                "No path with free capacity covers all layers."
-            )
+            self.refuse_no_capacity(self.no_path_reason)
             return
         self.search_later(self.begin)
 
@@ -248,20 +250,39 @@
             round(chosen.load, 3),
         )
         attempt.forwarded = self.shared.engines.forward(
-            self.routed.request,
-            relayed.Forwarding(
-                address=attempt.first.address,
-                instance=attempt.first.instance,
-                path=attempt.path,
-                remaining_s=self.remaining_s(),
-                account=self.routed.account,
-                priority=min(HIGHEST_PRIORITY, self.routed.priority),
-                last_event_id="" if self.last_id is None else str(self.last_id),
-            ),
-            attempt,
+            self.routed.request, self.create_forwarding(attempt), attempt
         )
         self.start_first_event_timer()
 
+    def create_forwarding(
+        self, attempt: stream_attempt.StreamAttempt
+    ) -> relayed.Forwarding:
+        """Returns how an attempt forwards the request."""
+        return relayed.Forwarding(
+            address=attempt.first.address,
+            instance=attempt.first.instance,
+            path=attempt.path,
+            remaining_s=self.remaining_s(),
+            account=self.routed.account,
+            priority=min(HIGHEST_PRIORITY, self.routed.priority),
+            last_event_id=self.last_event_id(),
+        )
+
+    def may_send(self) -> bool:
+        """Returns whether the request may be sent.
+
+        A stream whose events have no IDs can't be resumed after the last one
+        that the caller has.
+        """
+        if self.lacks_resume_point():
+            self.refuse(errors.UpstreamFailed("The events have no IDs."))
+            return False
+        return super().may_send()
+
+    def lacks_resume_point(self) -> bool:
+        """Returns whether no ID shows which events the caller has."""
+        return self.events_sent > 0 and self.last_id is None
+
     def start_first_event_timer(self) -> None:
         """Starts a timer to send the request elsewhere if no event arrives."""
         route = self.routed.route
@@ -405,11 +426,15 @@
                 attempt.has_progressed(),
             )
         elif ending is path_engines.Ending.NOT_SENT:
-            self.shared.lost_engines.suspect(
-                attempt.first.instance, engine_tracker.Suspicion.UNREACHABLE
-            )
+            self.note_unreachable(attempt.first.instance)
         self.retry_or_end(attempt, reason, evidence)
 
+    def note_unreachable(self, instance: str) -> None:
+        """Records that no connection to an engine could be made."""
+        self.shared.lost_engines.suspect(
+            instance, engine_tracker.Suspicion.UNREACHABLE
+        )
+
     def finish(self, attempt: stream_attempt.StreamAttempt) -> None:
         """Ends a complete stream."""
         if not self.responder.head_sent:
@@ -439,10 +464,24 @@
         attempt.end_send(request_sends.FAILED)
         self.shared.observer.attempts.labels("failed").inc()
         self.responder.send_whole(
-            head.status, head.headers, bytes(attempt.failure)
+            head.status, head.headers, bytes(attempt.body)
         )
         self.complete()
 
+    def repeat_after_failure(
+        self, attempt: stream_attempt.StreamAttempt, head: relayed.ForwardedHead
+    ) -> bool:
+        """Sends the request elsewhere after an error response.
+
+        Returns:
+            False if it may not be sent again.
+        """
+        if not self.can_retry_while_running():
+            return False
+        self.failed_engines |= {attempt.first.instance}
+        self.retry_or_end(attempt, f"status {head.status}", None)
+        return True
+
     def avoid_refusing_engine(
         self, attempt: stream_attempt.StreamAttempt, head: relayed.ForwardedHead
     ) -> None:
@@ -605,6 +644,8 @@
         The current attempt counts as one that may have run the request, unless
         its engine has ended or this node is cut off from it.
         """
+        if self.lacks_resume_point():
+            return False
         first = attempt.first.instance
         is_uncounted = self.is_cut_off() or self.shared.tracker.has_ended(first)
         if not self.can_retry(0 if is_uncounted else 1):
--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -40,6 +40,14 @@
     CUT_HEAD = enum.auto()
 
 
+class Framing(enum.Enum):
+    """How the end of a response is marked."""
+
+    CHUNKED = enum.auto()
+    LENGTH = enum.auto()
+    CLOSE = enum.auto()
+
+
 @dataclasses.dataclass(slots=True)
 class EngineCluster:
     """Engines by address, so that each can tell whether another is alive."""
@@ -79,6 +87,13 @@
             negative for never.
         endless: What it sends over and over again after the first event, as
             bytes of the connection; empty for nothing.
+        framing: How a plain endpoint sends a stream of events; None for a
+            short response.
+        cut_event: Where a plain endpoint closes a stream: the number of an
+            event, and the number of its bytes that are sent; None for nowhere.
+        numbers_events: Whether the events of a plain endpoint have IDs.
+        whole_body: What an engine responds with in place of a stream; None for
+            a stream.
         status: Response status of plain requests.
         signs: Whether it signs responses to plain requests.
         backoffs: Values of Retry-After with which it refuses all requests, one
@@ -124,6 +139,10 @@
         self.is_draining = False
         self.cut_after = -1
         self.endless = b""
+        self.framing: Framing | None = None
+        self.cut_event: tuple[int, int] | None = None
+        self.numbers_events = True
+        self.whole_body: bytes | None = None
         self.status = 200
         self.signs = True
         self.backoffs: list[str] = []
@@ -390,11 +409,52 @@
         if self.crashes():
             await self.hang()
             return
+        if self.engine.framing is not None and self.engine.status == 200:
+            with contextlib.suppress(iostream.StreamClosedError):
+                await self.stream_alone(self.engine.framing)
+            return
         if self.engine.signs:
             self.set_header(SIGNATURE, f"sig-{self.engine.instance}")
         self.set_status(self.engine.status)
         self.write(b"done " + self.request.body)
 
+    async def stream_alone(self, framing: Framing) -> None:
+        """Sends the events after the last one that the caller has."""
+        after = int(self.request.headers.get(names.LAST_EVENT_ID, "0"))
+        numbers = range(after + 1, self.engine.events + 1)
+        stream = self.detach()
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"X-Request-Id: {self.request_id}",
+            f"{SIGNATURE}: sig-{self.engine.instance}",
+            "Content-Type: text/event-stream",
+        ]
+        if framing is Framing.CHUNKED:
+            lines.append("Transfer-Encoding: chunked")
+        elif framing is Framing.LENGTH:
+            length = sum(len(event(number)) for number in numbers)
+            lines.append(f"Content-Length: {length}")
+        await stream.write("\r\n".join([*lines, "", ""]).encode())
+        for number in numbers:
+            sent = event(number)
+            if not self.engine.numbers_events:
+                sent = sent.partition(b"\n")[2]
+            is_cut = self.engine.cut_event is not None and (
+                number == self.engine.cut_event[0]
+            )
+            if is_cut and self.engine.cut_event is not None:
+                sent = sent[: self.engine.cut_event[1]]
+            if framing is Framing.CHUNKED and sent:
+                sent = f"{len(sent):x}\r\n".encode() + sent + b"\r\n"
+            await stream.write(sent)
+            if is_cut:
+                stream.close()
+                return
+            await asyncio.sleep(self.engine.gap_s)
+        if framing is Framing.CHUNKED:
+            await stream.write(b"0\r\n\r\n")
+        stream.close()
+
     def crashes(self) -> bool:
         """Crashes the engine if the request has the crashing body or part."""
         body, part = self.engine.crashing_body, self.engine.crashing_part
@@ -416,6 +476,12 @@
         self.engine.ran.append(self.request_id)
         if self.crashes():
             return
+        if self.engine.whole_body is not None:
+            await asyncio.sleep(self.engine.response_delay_s)
+            self.set_header(SIGNATURE, f"sig-{self.engine.instance}")
+            self.set_status(self.engine.status)
+            self.write(self.engine.whole_body)
+            return
         run = RunningStream(path)
         self.engine.set_path(run, path)
         self.engine.running[self.request_id] = run
@@ -444,7 +510,7 @@
                 await self.flush()
                 self.request.connection.stream.close()  # type: ignore[union-attr]
                 return
-            self.write(f"id: {number}\ndata: token {number}\n\n".encode())
+            self.write(event(number))
             await self.flush()
             if self.engine.endless:
                 await self.send_without_end(self.engine.endless)
@@ -488,3 +554,8 @@
         start, _, end = layers.partition("-")
         path.append((address, int(start), int(end)))
     return path
+
+
+def event(number: int) -> bytes:
+    """Returns an event of a stream."""
+    return f"id: {number}\ndata: token {number}\n\n".encode()
--- a/tests/relay/test_events.py
+++ b/tests/relay/test_events.py
@@ -71,3 +71,19 @@
     splitter.feed(event * events.MAX_EVENTS_WITHOUT_ID)
     with pytest.raises(ValueError, match="events without an ID"):
         splitter.feed(event)
+
+
+@pytest.mark.parametrize("end", [b"\n", b"\r\n"])
+def test_events_end_with_a_blank_line_of_either_kind(end: bytes) -> None:
+    """Guards against events that are never passed on."""
+    stream = b"".join(
+        b"id: %d" % n + end + b"data: x" + 2 * end for n in (1, 2)
+    )
+    for size in range(1, len(stream) + 1):
+        splitter = events.EventSplitter()
+        found = []
+        for start in range(0, len(stream), size):
+            found += splitter.feed(stream[start : start + size])
+        assert [event.event_id for event in found] == [1, 2]
+        assert b"".join(event.data for event in found) == stream
+        assert splitter.partial == b""
