Pass single responses of model engines on unchanged

What callers saw: on a route that is no stream, to a service of model engines, a response of one line, JSON or 2 MB got 502 after it had run, once on unsafe and twice on safe routes. Only responses of paragraphs with a blank line at the end were served.

Evidence: test_kinds_and_services.py on: the rows "one line", "JSON" and "long" fail on both kinds of route, as do the repeat after a failure and the request by way of a peer; all pass now.

--- a/src/almondshift/relay/gateway.py
+++ b/src/almondshift/relay/gateway.py
@@ -12,6 +12,7 @@
 from almondshift.ports import relays
 from almondshift.relay import background
 from almondshift.relay import endpoint_stream_run
+from almondshift.relay import path_run
 from almondshift.relay import plain_run
 from almondshift.relay import runs
 from almondshift.relay import stream_run
@@ -55,7 +56,7 @@
 RUN_CLASSES: dict[tuple[bool, bool], type[runs.Run]] = {
     (True, True): stream_run.StreamRun,
     (True, False): endpoint_stream_run.EndpointStreamRun,
-    (False, True): stream_run.StreamRun,
+    (False, True): path_run.PathRun,
     (False, False): plain_run.PlainRun,
 }
 """How requests run: by whether the route is a stream, and whether the service
--- a/tests/platform/test_kinds_and_services.py
+++ b/tests/platform/test_kinds_and_services.py
@@ -46,6 +46,14 @@
     "after one line feed": len(EVENT) - 1,
 }
 
+BODIES = {
+    "one line": b"done",
+    "JSON": b'{"done": true}',
+    "paragraphs": b"one\n\ntwo\n\n",
+    "empty": b"",
+    "long": b"x" * 2_000_000,
+}
+
 
 @contextlib.asynccontextmanager
 async def running_routes(nodes: int = 1) -> AsyncIterator[system.StandinSystem]:
@@ -181,11 +189,50 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("path", ["/find/x", "/act/x"])
+@pytest.mark.parametrize("body", BODIES)
+def test_a_response_of_model_engines_is_passed_on_unchanged(
+    path: str, body: str
+) -> None:
+    """Guards against responses that are cut since they are no stream."""
+
+    async def scenario() -> None:
+        async with running_routes() as running:
+            for engine in running.engines.values():
+                engine.whole_body = BODIES[body]
+            status, fields, found = await ask(running, path, "r1")
+            assert status == 200
+            assert fields["x-engine-signature"].startswith("sig-")
+            assert found == BODIES[body]
+            assert whole.times_run(running, "r1") == 1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("path", "times"), [("/find/x", 2), ("/act/x", 1)])
+def test_a_failure_of_model_engines_repeats_only_idempotent_requests(
+    path: str, times: int
+) -> None:
+    """Guards against requests that run twice over paths."""
+
+    async def scenario() -> None:
+        async with running_routes() as running:
+            for engine in running.engines.values():
+                engine.whole_body = b"failed"
+                engine.status = 500
+            status, _, body = await ask(running, path, "r1")
+            assert (status, body) == (500, b"failed")
+            assert whole.times_run(running, "r1") == times
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     ("path", "expected"),
     [
         ("/chat/x", whole.WHOLE),
         ("/talk/x", whole.WHOLE),
+        ("/find/x", b"answer"),
         ("/look/x", b"done question"),
     ],
 )
@@ -199,6 +246,9 @@
             await running.wait_for_peers()
             for endpoint in plain_endpoints(running):
                 endpoint.framing = CLOSE if path == "/talk/x" else None
+            if path == "/find/x":
+                for engine in running.engines.values():
+                    engine.whole_body = b"answer"
             shared = running.nodes[0].node.shared
             isolated = [
                 shared.links.of(service)
