Send names of client accounts in UTF-8, and read keys so

Keys beyond ASCII got 401. Names with NUL or ESC got 502 from endpoints.

Cause: the name, text from JSON, was written into X-Tenant as Latin-1, which raises for other characters, and nothing but the project's own errors is caught while a request is accepted. Fields are read as Latin-1, so a key in UTF-8 never equalled the configured one.

Change: names and keys are UTF-8 in fields, as in the configuration, also towards peers; requests of an account whose name no field can hold are refused at once (503, unusable_account), others are served; a request that can't be written for an endpoint or peer ends as not sent.

--- a/src/almondshift/adapters/http_connections.py
+++ b/src/almondshift/adapters/http_connections.py
@@ -634,9 +634,16 @@
 ) -> bytes:
     """Serializes a request.
 
+    Args:
+        method: Name of the method.
+        target: Path and query.
+        headers: Fields; each character stands for the byte of that number.
+        body: The whole body.
+
     Raises:
         ValueError: A field contains a line break, which would allow header
-            injection or request smuggling.
+            injection or request smuggling, or a character that stands for no
+            byte.
     """
     lines = [f"{method} {target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers]
@@ -648,6 +655,15 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
+def unsent_call(listener: CallListener, error: ValueError) -> Call:
+    """Returns a call whose request can't be serialized and is not sent."""
+    call = Call(listener, b"", "")
+    reason = f"the request can't be sent: {error}"
+    loop = asyncio.get_running_loop()
+    loop.call_soon(call.end, Outcome.NOT_SENT, reason)
+    return call
+
+
 def create_connection_pool(
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
 ) -> ConnectionPool:
--- a/src/almondshift/errors.py
+++ b/src/almondshift/errors.py
@@ -161,6 +161,16 @@
     default_remedy = "Retry after the delay in the Retry-After header."
 
 
+class UnusableAccount(Refusal):
+    """Endpoints can't be told the name of the client account."""
+
+    kind = "unusable_account"
+    status = 503
+    default_remedy = (
+        "Ask the operators for an account name without control characters."
+    )
+
+
 class NoRoomForPeer(Refusal):
     """A node lacks room for a request that a peer passed to it."""
 
--- a/src/almondshift/model/routing_config.py
+++ b/src/almondshift/model/routing_config.py
@@ -35,11 +35,13 @@
     Attributes:
         keys: Bearer keys; any of them identifies the account.
         priority: Overrides the route's; None to keep the route's.
+        is_usable: Whether endpoints can be told its name.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None
+    is_usable: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/almondshift/platform/decode.py
+++ b/src/almondshift/platform/decode.py
@@ -17,6 +17,7 @@
 from almondshift.model import revisions
 from almondshift.model import routes as model_routes
 from almondshift.model import routing_config
+from almondshift.platform import field_text
 
 SECTION = "configuration"
 READY_STATE = "ready"
@@ -296,7 +297,12 @@
         routes=tuple(_route(route) for route in wire.routes),
         services={s.name: _service(s) for s in wire.services},
         accounts=tuple(
-            routing_config.KeyedAccount(t.name, tuple(t.api_keys), t.priority)
+            routing_config.KeyedAccount(
+                name=t.name,
+                keys=tuple(t.api_keys),
+                priority=t.priority,
+                is_usable=field_text.is_field_text(t.name),
+            )
             for t in wire.tenants
         ),
         limits=routing_config.CallerLimits(
--- a/src/almondshift/platform/engines.py
+++ b/src/almondshift/platform/engines.py
@@ -16,6 +16,7 @@
 from almondshift.model import not_run
 from almondshift.model import rate_limits
 from almondshift.model import relayed
+from almondshift.platform import field_text
 from almondshift.platform import names
 from almondshift.ports import path_engines
 
@@ -189,20 +190,19 @@
         listener: path_engines.AnswerListener,
     ) -> path_engines.ForwardedRequest:
         """Forwards a request to an endpoint."""
-        payload = http_connections.request_bytes(
-            request.method,
-            request.target,
-            forward_headers(request, forwarding),
-            request.body,
-        )
+        adapter = ListenerAdapter(listener, self.observer, forwarding)
+        try:
+            payload = http_connections.request_bytes(
+                request.method,
+                request.target,
+                forward_headers(request, forwarding),
+                request.body,
+            )
+        except ValueError as error:
+            return ForwardedCall(http_connections.unsent_call(adapter, error))
         address = forwarding.address
         self.observer.on_call(rate_limits.CallPurpose.REQUEST, address)
-        call = self.pool.call(
-            address,
-            payload,
-            ListenerAdapter(listener, self.observer, forwarding),
-            request.request_id,
-        )
+        call = self.pool.call(address, payload, adapter, request.request_id)
         return ForwardedCall(call)
 
     async def report(
@@ -286,9 +286,12 @@
         timeout_s: float,
     ) -> http_connections.FetchResult | None:
         """Returns the complete response to a GET; None if there is none."""
-        payload = http_connections.request_bytes(
-            "GET", path, [("Host", address)], b""
-        )
+        try:
+            payload = http_connections.request_bytes(
+                "GET", field_text.encode(path), [("Host", address)], b""
+            )
+        except ValueError:
+            return None
         fetched = await self._fetch(purpose, address, "", payload, timeout_s)
         if fetched.outcome is not http_connections.Outcome.WHOLE:
             return None
@@ -371,7 +374,8 @@
     engine = lifetimes.engine_name(forwarding.instance)
     headers.append(("X-Expect-Instance", engine))
     if forwarding.account:
-        headers.append(("X-Tenant", forwarding.account))
+        account = field_text.encode(forwarding.account)
+        headers.append(("X-Tenant", account))
     if forwarding.priority is not None:
         headers.append(("X-Request-Priority", str(forwarding.priority)))
     if forwarding.path:
--- a/src/almondshift/platform/front.py
+++ b/src/almondshift/platform/front.py
@@ -17,6 +17,7 @@
 from almondshift.adapters import problems
 from almondshift.model import relayed
 from almondshift.platform import engines
+from almondshift.platform import field_text
 from almondshift.platform import names
 from almondshift.ports import relays
 
@@ -378,7 +379,9 @@
 
 def _bearer_key(authorization: str) -> str:
     scheme, _, key = authorization.partition(" ")
-    return key.strip() if scheme.lower() == "bearer" else ""
+    if scheme.lower() != "bearer":
+        return ""
+    return field_text.decode(key.strip())
 
 
 def _prompt_parts(field: str) -> tuple[str, ...]:
--- a/src/almondshift/platform/peer_entries.py
+++ b/src/almondshift/platform/peer_entries.py
@@ -12,6 +12,7 @@
 from almondshift.model import not_run
 from almondshift.model import routes
 from almondshift.platform import engines
+from almondshift.platform import field_text
 from almondshift.platform import names
 from almondshift.ports import path_engines
 from almondshift.ports import peer_entries
@@ -88,7 +89,8 @@
         remaining_ms = max(1, int(forwarding.remaining_s * 1000))
         headers.append(("X-Deadline-Ms", str(remaining_ms)))
         if request.key:
-            headers.append(("Authorization", f"Bearer {request.key}"))
+            key = field_text.encode(request.key)
+            headers.append(("Authorization", f"Bearer {key}"))
         if forwarding.last_event_id:
             headers.append(("Last-Event-Id", forwarding.last_event_id))
         runs = str(forwarding.possible_runs)
@@ -97,12 +99,15 @@
         limit = forwarding.limit
         rule = REPEAT if limit.may_repeat else ONCE
         headers.append((names.RUN_LIMIT, f"{limit.runs} {rule}"))
-        payload = http_connections.request_bytes(
-            request.method, request.target, headers, request.body
-        )
-        call = self.pool.call(
-            forwarding.address, payload, PeerListenerAdapter(listener)
-        )
+        adapter = PeerListenerAdapter(listener)
+        try:
+            payload = http_connections.request_bytes(
+                request.method, request.target, headers, request.body
+            )
+        except ValueError as error:
+            call = http_connections.unsent_call(adapter, error)
+        else:
+            call = self.pool.call(forwarding.address, payload, adapter)
         return engines.ForwardedCall(call)
 
     def possible_runs(self, request: relayed.RelayedRequest) -> int | None:
--- a/src/almondshift/relay/gateway.py
+++ b/src/almondshift/relay/gateway.py
@@ -44,6 +44,10 @@
 ISOLATED_RETRY_S = 0.5
 """Retry-After of requests that a node can't serve for a peer, in seconds."""
 
+UNUSABLE_RETRY_S = 5.0
+"""Retry-After of requests that can be served only after the operators have
+changed the configuration, in seconds."""
+
 MAX_PEER_REQUESTS = 100
 """Maximum number of concurrent requests that a node serves for peers; several
 times the usual number of its own in a small group."""
@@ -283,6 +287,11 @@
         if route is None:
             raise errors.UnknownService("No route matches the host and path.")
         account = self.find_account(config, route, request.key)
+        if account is not None and not account.is_usable:
+            raise errors.UnusableAccount(
+                "Endpoints can't be told the name of the client account.",
+                retry_after_s=UNUSABLE_RETRY_S,
+            )
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
