End a run with an answer after an unforeseen exception

What callers saw: after an exception that isn't the project's own, such as the one that an account's name raised, a closed connection without an answer; the run stayed registered until its deadline.

Cause: accepting a request, the timers of a run and the ends of its attempts caught the project's own errors only.

Change: one decorator (relay/guarded.py) for the callbacks of a run: they log the cause (AS5024) and end the run, with 503 if nothing was sent and otherwise with 502; a request that has no run yet is refused with 503.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -730,6 +730,18 @@
     sends: str
 
 
+class RequestFailedHere(Event, frozen=True):
+    """A request was ended since this node raised an unforeseen exception."""
+
+    number = 5024
+    level = logging.ERROR
+    message = "request failed here"
+
+    request_id: str
+    error: str
+    raised_at: str
+
+
 class RepeatUncovered(Event, frozen=True):
     """A request was sent again although no retry budget was spent for it."""
 
--- a/src/almondshift/relay/endpoint_stream_run.py
+++ b/src/almondshift/relay/endpoint_stream_run.py
@@ -9,6 +9,7 @@
 from almondshift.policy import engine_tracker
 from almondshift.policy import path_choice
 from almondshift.ports import path_engines
+from almondshift.relay import guarded
 from almondshift.relay import plain_run
 from almondshift.relay import runs
 from almondshift.relay import stream_attempt
@@ -99,6 +100,7 @@
         self.shared.endpoints.started(self.attempt.first.instance)
         self.watch_silence()
 
+    @guarded.ends_run_on_exception
     def watch_silence(self) -> None:
         """Leaves the endpoint once no data has arrived for some time."""
         attempt = self.attempt
--- a/src/almondshift/relay/gateway.py
+++ b/src/almondshift/relay/gateway.py
@@ -173,6 +173,22 @@
         except errors.AlmondshiftError as error:
             self.refuse(responder, error)
             return RefusedRequest()
+        except Exception as error:
+            self.refuse_after_exception(request, responder, error)
+            return RefusedRequest()
+
+    def refuse_after_exception(
+        self,
+        request: relayed.RelayedRequest,
+        responder: relays.Responder,
+        error: Exception,
+    ) -> None:
+        """Refuses a request that has no run; nothing was sent."""
+        runs.emit_unforeseen(self.shared, request, error)
+        refusal = errors.ServiceNotReady(
+            runs.FAILED_HERE, retry_after_s=STARTING_RETRY_S
+        )
+        self.refuse(responder, refusal)
 
     def log_late_request(self, request: relayed.RelayedRequest) -> None:
         """Logs a request that arrived while this node is shutting down."""
@@ -215,6 +231,8 @@
             self.refuse(
                 responder, error if is_current else outdated_config_error()
             )
+        except Exception as error:
+            self.refuse_after_exception(request, responder, error)
 
     def refuse(
         self, responder: relays.Responder, error: errors.AlmondshiftError
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -11,6 +11,7 @@
 from almondshift.policy import request_sends
 from almondshift.ports import path_engines
 from almondshift.relay import attempts
+from almondshift.relay import guarded
 from almondshift.relay import runs
 
 if TYPE_CHECKING:
@@ -203,6 +204,7 @@
                 route.objective_s * SLOW_FACTOR, retry
             )
 
+    @guarded.ends_run_on_exception
     def retry_if_peer_slow(self) -> None:
         """Passes the request to another peer, as the first one is slow.
 
@@ -223,6 +225,7 @@
             attempt, "too slow", evidence=None, is_unreached=False
         )
 
+    @guarded.ends_run_on_exception
     def retry_if_slow(self) -> None:
         """Sends the request to another endpoint, as the first one is slow."""
         attempt = self.attempt
@@ -263,6 +266,7 @@
             self.ended_runs.add_settled()
         return self.try_spend_retry(is_not_run)
 
+    @guarded.ends_run_on_exception
     def attempt_ended(
         self,
         attempt: PlainAttempt,
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -4,6 +4,7 @@
 
 import abc
 import asyncio
+import traceback
 from typing import TYPE_CHECKING
 
 from almondshift import errors
@@ -16,6 +17,7 @@
 from almondshift.ports import path_engines
 from almondshift.ports import peer_entries
 from almondshift.ports import relays
+from almondshift.relay import guarded
 from almondshift.relay import peer_attempt
 from almondshift.relay import retry_cover
 
@@ -73,6 +75,9 @@
 SPENT_BUDGET = "The retry budget of this node is spent."
 """Reason of a refusal."""
 
+FAILED_HERE = "This node failed while it handled the request."
+"""Reason of an answer after an unforeseen exception."""
+
 SENT_ELSEWHERE = "sent elsewhere"
 """Logged next step of a failed attempt: the request is sent again at once."""
 
@@ -80,6 +85,9 @@
 """Logged next step of a failed attempt: a stream that has begun waits for
 capacity or retry budget."""
 
+MAX_LOGGED_ERROR = 300
+"""Maximum number of characters of an exception in a log line."""
+
 MAX_LOGGED_PARTS = 8
 """Maximum number of parts of a prompt in a log line."""
 
@@ -87,7 +95,7 @@
 """Logged next step of a failed attempt: the request is not sent again."""
 
 
-class Run(relays.ActiveRequest):
+class Run(relays.ActiveRequest, guarded.GuardedRun):
     """A request that is being served, by one or more attempts in turn.
 
     Every attempt counts in ``sends``. It also counts in ``ended_runs`` once it
@@ -160,6 +168,7 @@
         """Whether any endpoint may have begun to run it."""
         return self.all_sends.may_have_run
 
+    @guarded.ends_run_on_exception
     def begin(self) -> None:
         """Sends the request, unless this node stops before it would complete.
 
@@ -315,6 +324,7 @@
         """Sends the request once this node or a peer reaches endpoints."""
         self.loop.call_later(LINKS_RETRY_S, self.begin_if_reachable)
 
+    @guarded.ends_run_on_exception
     def begin_if_reachable(self) -> None:
         """Waits on, or sends the request if endpoints or a peer respond."""
         if self.is_ended:
@@ -348,6 +358,7 @@
         """Has a peer serve the request if this node seems cut off."""
         return self.seems_cut_off() and self.pass_to_peer()
 
+    @guarded.ends_run_on_exception
     def peer_attempt_ended(
         self,
         attempt: peer_attempt.PeerAttempt,
@@ -502,6 +513,7 @@
         if not self.is_ended:
             self.send_or_choose_again(is_granted, send)
 
+    @guarded.ends_run_on_exception
     def send_or_choose_again(
         self, is_granted: bool, send: Callable[[], None]
     ) -> None:
@@ -630,6 +642,21 @@
             sends=str(self.all_sends),
         )
 
+    def end_after_exception(self, error: Exception) -> None:
+        """Ends the run after an exception that nothing else handles."""
+        emit_unforeseen(self.shared, self.routed.request, error)
+        if self.may_have_run:
+            self.refuse(self.may_have_run_error(FAILED_HERE))
+        else:
+            self.refuse(
+                errors.ServiceNotReady(
+                    FAILED_HERE,
+                    retry_after_s=self.shared.rng.uniform(
+                        RETRY_FLOOR_S, RETRY_CEILING_S
+                    ),
+                )
+            )
+
     def refuse_no_capacity(self, reason: str) -> None:
         """Ends a run that found no capacity.
 
@@ -872,6 +899,24 @@
         return self.cover.obtain()
 
 
+def emit_unforeseen(
+    shared: context.RelayContext,
+    request: relayed.RelayedRequest,
+    error: Exception,
+) -> None:
+    """Logs an unforeseen exception, and where it was raised."""
+    raised_at = traceback.extract_tb(error.__traceback__)[-1:]
+    shared.observer.emit(
+        log_events.RequestFailedHere(
+            request_id=request.request_id,
+            error=repr(error)[:MAX_LOGGED_ERROR],
+            raised_at="".join(
+                f"{frame.name} in line {frame.lineno}" for frame in raised_at
+            ),
+        )
+    )
+
+
 def format_parts(prompt_parts: tuple[str, ...]) -> str:
     """Formats the parts of a prompt for the log; the first and the last."""
     if len(prompt_parts) > MAX_LOGGED_PARTS:
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -12,6 +12,7 @@
 from almondshift.policy import engine_tracker
 from almondshift.policy import request_sends
 from almondshift.ports import path_engines
+from almondshift.relay import guarded
 from almondshift.relay import runs
 from almondshift.relay import stream_attempt
 
@@ -189,6 +190,7 @@
             return
         self.retry_timer = self.loop.call_later(RESUME_RETRY_S, search)
 
+    @guarded.ends_run_on_exception
     def resume_within_budget(self) -> None:
         """Resumes the stream once the retry budget allows it."""
         if self.is_ended:
@@ -294,6 +296,7 @@
                 wait_s, self.retry_if_no_first_event
             )
 
+    @guarded.ends_run_on_exception
     def retry_if_no_first_event(self) -> None:
         """Resumes elsewhere if the first engine is alive but sends nothing.
 
@@ -393,6 +396,7 @@
         self.progress_at = now
         return True
 
+    @guarded.ends_run_on_exception
     def attempt_ended(
         self,
         attempt: stream_attempt.StreamAttempt,
@@ -604,6 +608,7 @@
             for run in self.ended_runs.attempts
         )
 
+    @guarded.ends_run_on_exception
     def resume_elsewhere(self, reason: str, is_gone: bool = False) -> None:
         """Resumes the stream on another path, or keeps it on the current one.
 
