Limit the bytes that a node buffers for all messages together

Cause: each response, event and upload has a limit, their sum had none. Also, an ended message stayed in memory until the garbage collector found the cycle of attempt, call and listener.

Change: a budget counts all buffered bytes: responses, partial events, reports, bodies of requests, and what callers have not read. Its limit is a share of the process's memory ([memory] limit_mb, buffer_share). Above it the largest message is given up: a response is repeated elsewhere or ends with 502, an upload gets 503, a caller that doesn't read is disconnected. Ended calls and requests drop their bytes. AS5025 and three metrics show it.

--- a/src/almondshift/adapters/http_connections.py
+++ b/src/almondshift/adapters/http_connections.py
@@ -18,6 +18,7 @@
 import httptools
 
 from almondshift.adapters import scheduled_timeouts
+from almondshift.policy import buffer_budget
 
 CONNECT_TIMEOUT_S = 0.5
 """Connecting within a region takes a few ms; a lost SYN is retransmitted only
@@ -114,9 +115,29 @@
         """Handles the end; called once, unless the call was cancelled."""
 
 
+class IgnoringListener(CallListener):
+    """Ignores all events."""
+
+    def on_head(self, head: ResponseHead) -> None:
+        """Does nothing."""
+
+    def on_data(self, data: bytes) -> None:
+        """Does nothing."""
+
+    def on_end(self, outcome: Outcome, reason: str) -> None:
+        """Does nothing."""
+
+
+IGNORING_LISTENER = IgnoringListener()
+
+
 class Call:
     """One request in flight.
 
+    A call that is over keeps no reference to its listener, which refers to the
+    call in turn: a message would stay in memory until the garbage collector
+    finds the cycle.
+
     Attributes:
         sent: Whether any byte was handed to a connection.
         answered: Whether a byte of a response was received.
@@ -130,6 +151,7 @@
     ) -> None:
         self.listener = listener
         self.payload = payload
+        self.is_head = payload.startswith(b"HEAD ")
         self.request_id = request_id
         self.sent = False
         self.answered = False
@@ -151,6 +173,7 @@
         if self.done:
             return
         self.done = True
+        self.listener = IGNORING_LISTENER
         if self.connecting is not None:
             self.connecting.cancel()
         if self.connection is not None:
@@ -161,7 +184,8 @@
         if self.done:
             return
         self.done = True
-        self.listener.on_end(outcome, reason)
+        listener, self.listener = self.listener, IGNORING_LISTENER
+        listener.on_end(outcome, reason)
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -223,6 +247,7 @@
         self.parser = httptools.HttpResponseParser(self)
         call.sent = True
         self.transport.write(call.payload)
+        call.payload = b""
 
     def drop(self) -> None:
         """Closes at once, without notifying the call."""
@@ -367,7 +392,7 @@
             or head.status in (204, 304)
         )
         call.listener.on_head(head)
-        if call.payload.startswith(b"HEAD "):
+        if call.is_head:
             # The response to HEAD announces a length but has no body; the
             # parser would wait for it until the call's timeout.
             self.complete = True
@@ -400,12 +425,15 @@
 
     Attributes:
         opened: Connections opened since the start.
+        buffers: Bytes of all messages in transfer; None if they are not
+            counted.
         read_buffer: Buffer for reads of all connections; used only until the
             bytes have been parsed.
     """
 
     def __init__(self, connect_timeout_s: float) -> None:
         self.connect_timeout_s = connect_timeout_s
+        self.buffers: buffer_budget.BufferBudget | None = None
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.idle: dict[str, list[Connection]] = {}
         self.opened = 0
@@ -525,15 +553,22 @@
         connection.send(call)
 
 
-class Collector(CallListener):
+class Collector(CallListener, buffer_budget.BufferHolder):
     """Collects a complete response, to be awaited.
 
     Attributes:
         limit: Largest accepted body in bytes.
+        buffers: Bytes of all messages in transfer; None if they are not
+            counted.
     """
 
-    def __init__(self, limit: int) -> None:
+    buffer_kind = "report"
+
+    def __init__(
+        self, limit: int, buffers: buffer_budget.BufferBudget | None = None
+    ) -> None:
         self.limit = limit
+        self.buffers = buffers
         self.head: ResponseHead | None = None
         self.body = bytearray()
         self.ended: asyncio.Future[tuple[Outcome, str]] = (
@@ -547,9 +582,19 @@
     def on_data(self, data: bytes) -> None:
         """Appends to the body, up to the limit."""
         self.body += data
+        if self.buffers is not None:
+            self.buffers.note(self)
         if len(self.body) > self.limit:
             raise httptools.HttpParserCallbackError("response over the limit")
 
+    def buffered_bytes(self) -> int:
+        """Returns the size of the received body."""
+        return len(self.body)
+
+    def give_up_buffer(self) -> None:
+        """Ends the wait without a complete response."""
+        self.on_end(Outcome.SPOILT, "buffers are full")
+
     def on_end(self, outcome: Outcome, reason: str) -> None:
         """Wakes the waiting task."""
         if not self.ended.done():
@@ -588,7 +633,7 @@
         timeout_s: After this the connection is closed.
         limit: Largest accepted body in bytes.
     """
-    collector = Collector(limit)
+    collector = Collector(limit, pool.buffers)
     call = pool.call(address, payload, collector)
     try:
         async with scheduled_timeouts.create_scheduled_timeout(timeout_s):
@@ -597,6 +642,8 @@
         return FetchResult(Outcome.BROKEN, "timeout", call.sent, None, b"")
     finally:
         call.cancel()
+        if pool.buffers is not None:
+            pool.buffers.release(collector)
     body = bytes(collector.body)
     return FetchResult(outcome, reason, call.sent, collector.head, body)
 
--- a/src/almondshift/adapters/relay_settings.py
+++ b/src/almondshift/adapters/relay_settings.py
@@ -113,6 +113,23 @@
     notice_ms: NonNegative = 2_000.0
 
 
+class MemorySection(msgspec.Struct, forbid_unknown_fields=True):
+    """``[memory]``: the memory of this process.
+
+    Attributes:
+        limit_mb: Memory that the process may use, in megabytes.
+        buffer_share: Share of it for the bytes of messages in transfer.
+    """
+
+    limit_mb: Annotated[float, msgspec.Meta(ge=1, le=1e9)] = 256.0
+    buffer_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.25
+
+    @property
+    def buffer_bytes(self) -> int:
+        """Limit of all buffers together, in bytes."""
+        return int(self.limit_mb * self.buffer_share * 1_000_000)
+
+
 class RelaySettings(msgspec.Struct, forbid_unknown_fields=True):
     """All sections."""
 
@@ -124,6 +141,7 @@
     drain: DrainSection = msgspec.field(default_factory=DrainSection)
     repeats: RepeatsSection = msgspec.field(default_factory=RepeatsSection)
     engines: EnginesSection = msgspec.field(default_factory=EnginesSection)
+    memory: MemorySection = msgspec.field(default_factory=MemorySection)
 
 
 def parse(
--- a/src/almondshift/daemons/relay.py
+++ b/src/almondshift/daemons/relay.py
@@ -89,8 +89,13 @@
         entry = settings.entry
         relay = self.node.gateway
         self.front = front.create_front(
-            relay, entry.address, limits.idle_timeout_s, limits.header_bytes
+            relay,
+            entry.address,
+            limits.idle_timeout_s,
+            limits.header_bytes,
+            self.node.shared.buffers,
         )
+        self.engine_pool.buffers = self.node.shared.buffers
         self.node.is_front_idle = self.front.is_idle
         self.node.catalogue.on_config.append(self.apply_caller_limits)
         self.listeners = [
--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -742,6 +742,19 @@
     raised_at: str
 
 
+class BufferGivenUp(Event, frozen=True):
+    """A message was ended since this node buffered too many bytes."""
+
+    number = 5025
+    level = logging.WARNING
+    message = "buffer given up"
+
+    kind: str
+    size: int
+    held_bytes: int
+    limit_bytes: int
+
+
 class RepeatUncovered(Event, frozen=True):
     """A request was sent again although no retry budget was spent for it."""
 
--- a/src/almondshift/platform/front.py
+++ b/src/almondshift/platform/front.py
@@ -19,6 +19,7 @@
 from almondshift.platform import engines
 from almondshift.platform import field_text
 from almondshift.platform import names
+from almondshift.policy import buffer_budget
 from almondshift.ports import relays
 
 DROPPED_REQUEST_FIELDS = (
@@ -37,6 +38,9 @@
 
 SHORT_PART_ID = re.compile(f"[0-9a-f]{{1,{MAX_PART_ID}}}")
 
+BUFFERS_FULL_RETRY_S = 1.0
+"""Retry-After of a request that is refused before its last byte, in seconds."""
+
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
 HTTP_NOT_FOUND = 404
@@ -47,6 +51,8 @@
 
     Attributes:
         has_body: Whether the response may have a body; False for HEAD.
+        closes: Whether the connection closes after the response.
+        unsent_bytes: Bytes written since the connection last had none to send.
     """
 
     def __init__(
@@ -60,6 +66,15 @@
         self.has_body = has_body
         self.head_sent = False
         self.ended = False
+        self.closes = False
+        self.unsent_bytes = 0
+
+    def buffered_bytes(self) -> int:
+        """Returns at most how many bytes wait for the caller to read them."""
+        stream = self.connection.stream
+        if stream is None or stream.closed() or not stream.writing():
+            self.unsent_bytes = 0
+        return self.unsent_bytes
 
     def send_head(
         self, status: int, headers: tuple[tuple[str, str], ...]
@@ -74,6 +89,7 @@
     def send_data(self, data: bytes) -> None:
         """Sends a chunk of the body."""
         if not self.ended and data and self.has_body:
+            self.unsent_bytes = self.buffered_bytes() + len(data)
             self.connection.write(data)
 
     def send_whole(
@@ -119,7 +135,7 @@
         self.head_sent = True
         reason = http_listener.reason_phrase(status)
         line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
-        if self.connection.params.no_keep_alive:
+        if self.closes or self.connection.params.no_keep_alive:
             # tornado decides whether to keep the connection alive when it
             # reads the request, which may precede the stop of this node.
             # Without this field, callers that reuse the connection would send
@@ -129,13 +145,58 @@
             # tornado enables Nagle's algorithm again after each response;
             # with it, an event would wait for the ACK of the previous one.
             self.connection.stream.set_nodelay(True)
+        self.unsent_bytes = self.buffered_bytes() + len(body)
         self.connection.write_headers(
             line, fields, body if self.has_body else b""
         )
 
 
-class RequestReader(httputil.HTTPMessageDelegate):
-    """Reads one request and passes it to the relay."""
+class BufferedResponder(ConnectionResponder):
+    """Counts what the caller has not read yet.
+
+    Attributes:
+        buffers: Bytes of all messages in transfer.
+        holder: Holds the bytes of the request and of this response.
+    """
+
+    def __init__(
+        self,
+        connection: http1connection.HTTP1Connection,
+        request_id: str,
+        has_body: bool,
+        buffers: buffer_budget.BufferBudget,
+        holder: RequestReader,
+    ) -> None:
+        super().__init__(connection, request_id, has_body)
+        self.buffers = buffers
+        self.holder = holder
+
+    def send_data(self, data: bytes) -> None:
+        """Sends a chunk of the body."""
+        super().send_data(data)
+        self.buffers.note(self.holder)
+
+    def finish(self) -> None:
+        """Completes the response."""
+        super().finish()
+        self.holder.response_ended()
+
+    def abort(self) -> None:
+        """Closes the connection before the response is complete."""
+        super().abort()
+        self.holder.response_ended()
+
+
+class RequestReader(httputil.HTTPMessageDelegate, buffer_budget.BufferHolder):
+    """Reads one request and passes it to the relay.
+
+    Attributes:
+        body: The part of the body that has been received.
+        request_bytes: Size of the complete body.
+        responder: Writes the response; None before the request is complete.
+    """
+
+    buffer_kind = "caller"
 
     def __init__(
         self,
@@ -143,14 +204,18 @@
         connection: http1connection.HTTP1Connection,
         opened_at: float,
         incomplete_requests: weakref.WeakSet[RequestReader],
+        buffers: buffer_budget.BufferBudget,
     ) -> None:
+        self.buffers = buffers
+        self.responder: BufferedResponder | None = None
         self.relay = relay
         self.connection = connection
         self.opened_at = opened_at
         self.incomplete_requests = incomplete_requests
         self.start_line: httputil.RequestStartLine | None = None
         self.headers: httputil.HTTPHeaders | None = None
-        self.parts: list[bytes] = []
+        self.body = bytearray()
+        self.request_bytes = 0
         self.active_request: relays.ActiveRequest | None = None
 
     def headers_received(
@@ -168,33 +233,83 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Collects the body."""
-        self.parts.append(chunk)
+        self.body += chunk
+        self.buffers.note(self)
+
+    def buffered_bytes(self) -> int:
+        """Returns the bytes of the request and of the unsent response.
+
+        A request that is served is held twice: here, and as it is sent on.
+        """
+        if self.responder is None:
+            return len(self.body)
+        held = 0 if self.responder.ended else 2 * self.request_bytes
+        return held + self.responder.buffered_bytes()
+
+    def give_up_buffer(self) -> None:
+        """Refuses an incomplete or waiting request; closes other ones."""
+        if self.responder is None:
+            self.refuse_incomplete()
+        elif self.responder.ended:
+            self.connection.close()
+        elif self.active_request is not None:
+            self.active_request.shed()
+
+    def response_ended(self) -> None:
+        """Drops the request; the caller may not have read the response yet."""
+        self.active_request = None
+        self.buffers.note(self)
+
+    def refuse_incomplete(self) -> None:
+        """Refuses a request before its last byte, and closes the connection."""
+        self.body.clear()
+        self.responder = self.create_responder()
+        self.responder.closes = True
+        self.responder.fail(
+            errors.Overloaded(
+                "This node buffers as many bytes as it can.",
+                retry_after_s=BUFFERS_FULL_RETRY_S,
+            )
+        )
+
+    def create_responder(self) -> BufferedResponder:
+        """Creates what writes the response."""
+        assert self.start_line is not None and self.headers is not None
+        return BufferedResponder(
+            self.connection,
+            self.headers.get(names.REQUEST_ID, ""),
+            self.start_line.method != "HEAD",
+            self.buffers,
+            self,
+        )
 
     def finish(self) -> None:
         """Decodes the complete request and passes it to the relay."""
         assert self.start_line is not None and self.headers is not None
         self.incomplete_requests.discard(self)
-        request_id = self.headers.get(names.REQUEST_ID, "")
-        responder = ConnectionResponder(
-            self.connection, request_id, self.start_line.method != "HEAD"
-        )
+        body = bytes(self.body)
+        self.body.clear()
+        self.request_bytes = len(body)
+        responder = self.responder = self.create_responder()
         try:
             request = decode_request(
                 self.start_line,
                 self.headers,
-                b"".join(self.parts),
+                body,
                 time.monotonic() - self.opened_at,
             )
         except errors.MalformedRequest as error:
             responder.fail(error)
             return
-        self.parts.clear()
         self.connection.set_close_callback(self.on_connection_close)
-        self.active_request = self.relay.accept(request, responder)
+        active_request = self.relay.accept(request, responder)
+        if not responder.ended:
+            self.active_request = active_request
 
     def on_connection_close(self) -> None:
         """Stops the work for a caller that disconnected."""
         self.incomplete_requests.discard(self)
+        self.buffers.release(self)
         if self.active_request is not None:
             self.active_request.caller_gone()
 
@@ -207,8 +322,11 @@
         incomplete_requests: Readers that have a head but not the whole body.
     """
 
-    def __init__(self, relay: relays.Relay) -> None:
+    def __init__(
+        self, relay: relays.Relay, buffers: buffer_budget.BufferBudget
+    ) -> None:
         self.relay = relay
+        self.buffers = buffers
         self.opened_at: weakref.WeakKeyDictionary[
             http1connection.HTTP1ServerConnection, float
         ] = weakref.WeakKeyDictionary()
@@ -236,7 +354,11 @@
         assert isinstance(server_conn, http1connection.HTTP1ServerConnection)
         opened_at = self.opened_at.setdefault(server_conn, time.monotonic())
         return RequestReader(
-            self.relay, request_conn, opened_at, self.incomplete_requests
+            self.relay,
+            request_conn,
+            opened_at,
+            self.incomplete_requests,
+            self.buffers,
         )
 
 
@@ -286,10 +408,15 @@
 
 
 def create_front(
-    relay: relays.Relay, address: str, idle_s: float, header_bytes: int
+    relay: relays.Relay,
+    address: str,
+    idle_s: float,
+    header_bytes: int,
+    buffers: buffer_budget.BufferBudget,
 ) -> Front:
     """Creates the listener for callers' requests."""
-    return Front(address, FrontDelegate(relay), idle_s, header_bytes)
+    delegate = FrontDelegate(relay, buffers)
+    return Front(address, delegate, idle_s, header_bytes)
 
 
 def create_directory(
--- a/src/almondshift/ports/relays.py
+++ b/src/almondshift/ports/relays.py
@@ -62,6 +62,10 @@
     def cut(self) -> None:
         """Aborts the request, since the node is stopping."""
 
+    @abc.abstractmethod
+    def shed(self) -> None:
+        """Ends the request, since the node buffers too many bytes."""
+
 
 class Relay(abc.ABC):
     """Serves requests."""
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -13,6 +13,7 @@
 from almondshift.coordination import membership
 from almondshift.coordination import peer_types
 from almondshift.policy import answer_times
+from almondshift.policy import buffer_budget
 from almondshift.policy import endpoint_choice
 from almondshift.policy import engine_tracker
 from almondshift.policy import feed_readers
@@ -207,9 +208,13 @@
             response_times=answer_times.create_answer_times(),
             first_event_waits=first_event_wait.create_first_event_wait(),
             drain=drain.NodeDrain(ports.clock),
+            buffers=buffer_budget.create_buffer_budget(
+                settings.memory.buffer_bytes, call_soon
+            ),
             registry_age_s=self.engine_watch.age_s,
             engine_notice_s=settings.engines.notice_ms / MS_PER_S,
         )
+        self.shared.buffers.on_given_up.append(relay_observer.buffer_given_up)
         limits = self.shared.limits
         limits.known_nodes = lambda: self.shared.budget.nodes
         limits.is_leaving = lambda: self.shared.drain.is_begun
@@ -436,6 +441,8 @@
             log_events.emit(
                 logger, log_events.NodeResumed(round(suspended_s, 2))
             )
+        self.shared.buffers.recount()
+        self.shared.observer.buffered_bytes.set(self.shared.buffers.held_bytes)
         self.note_store_era()
         if self.catalogue.has_due_removals(now):
             self.work.run(self.expire_removals())
@@ -657,6 +664,11 @@
         )
 
 
+def call_soon(callback: Callable[[], None]) -> None:
+    """Calls a function after the current callback of the event loop."""
+    asyncio.get_running_loop().call_soon(callback)
+
+
 def peer_request_handler(
     watch: table_watch.TableWatch,
 ) -> membership.Handler:
--- a/src/almondshift/relay/attempts.py
+++ b/src/almondshift/relay/attempts.py
@@ -4,21 +4,29 @@
 
 from typing import TYPE_CHECKING
 
+from almondshift.policy import buffer_budget
 from almondshift.ports import path_engines
 
 if TYPE_CHECKING:
     from almondshift.model import not_run
     from almondshift.policy import request_sends
 
+BUFFERS_FULL = "buffers are full"
+"""Reason of an attempt that ends at the limit of buffered bytes."""
 
-class Attempt(path_engines.AnswerListener):
+
+class Attempt(path_engines.AnswerListener, buffer_budget.BufferHolder):
     """One attempt to have an endpoint or a peer run a request.
 
     Attributes:
         send: What is known of it.
         forwarded: The request in transfer; None before it is sent.
+        buffers: Bytes of all messages in transfer.
     """
 
+    buffer_kind = "response"
+    buffers: buffer_budget.BufferBudget
+
     send: request_sends.Send
     forwarded: path_engines.ForwardedRequest | None
 
@@ -31,6 +39,7 @@
             outcome: An outcome of ``request_sends``.
             evidence: Why it did not run the request; None if it may have.
         """
+        self.buffers.release(self)
         earlier_calls = None
         if self.forwarded is not None:
             earlier_calls = self.forwarded.earlier_calls
--- a/src/almondshift/relay/context.py
+++ b/src/almondshift/relay/context.py
@@ -13,6 +13,7 @@
     import random
 
     from almondshift.policy import answer_times
+    from almondshift.policy import buffer_budget
     from almondshift.policy import endpoint_choice
     from almondshift.policy import engine_tracker
     from almondshift.policy import first_event_wait
@@ -44,6 +45,7 @@
         running: Requests that have not ended.
         link: Data that this node receives from engines.
         links: States of this node's links to endpoints.
+        buffers: Bytes of all messages in transfer.
         peer_paths: Peers that serve requests which this node can't.
     """
 
@@ -65,6 +67,7 @@
     response_times: answer_times.AnswerTimes
     first_event_waits: first_event_wait.FirstEventWait
     drain: drain.NodeDrain
+    buffers: buffer_budget.BufferBudget
     registry_age_s: Callable[[], float]
     engine_notice_s: float
     running: set[relays.ActiveRequest] = dataclasses.field(default_factory=set)
--- a/src/almondshift/relay/gateway.py
+++ b/src/almondshift/relay/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from typing import TYPE_CHECKING
 
 from almondshift import errors
@@ -75,7 +76,9 @@
         run: The run, if the confirmed configuration allows the request.
     """
 
-    def __init__(self, refuse: Callable[[], None]) -> None:
+    def __init__(
+        self, refuse: Callable[[errors.AlmondshiftError], None]
+    ) -> None:
         self.refuse = refuse
         self.is_over = False
         self.run: relays.ActiveRequest | None = None
@@ -87,13 +90,22 @@
             self.run.caller_gone()
 
     def cut(self) -> None:
-        """Refuses the request if it has no run and has not ended.
+        """Refuses the request if it has no run and has not ended."""
+        self.refuse_without_run(node_leaving_error())
 
-        Without a run, it was not sent to any endpoint.
-        """
+    def shed(self) -> None:
+        """Refuses the request, or sheds its run."""
+        if self.run is not None:
+            self.run.shed()
+        self.refuse_without_run(
+            errors.Overloaded(runs.BUFFERS_FULL, retry_after_s=STARTING_RETRY_S)
+        )
+
+    def refuse_without_run(self, error: errors.AlmondshiftError) -> None:
+        """Refuses a request that was not sent to any endpoint."""
         if self.run is None and not self.is_over:
             self.is_over = True
-            self.refuse()
+            self.refuse(error)
 
 
 class RefusedRequest(relays.ActiveRequest):
@@ -105,6 +117,9 @@
     def cut(self) -> None:
         """Does nothing, as the request has ended."""
 
+    def shed(self) -> None:
+        """Does nothing, as the request has ended."""
+
 
 class Gateway(relays.Relay):
     """Serves requests according to the current configuration.
@@ -164,9 +179,7 @@
         try:
             return self.serve(request, responder)
         except (errors.MissingKey, errors.WrongKey, errors.UnknownService):
-            denial = PendingDenial(
-                lambda: self.refuse(responder, node_leaving_error())
-            )
+            denial = PendingDenial(functools.partial(self.refuse, responder))
             self.shared.running.add(denial)
             self.work.run(self.confirm_denial(request, responder, denial))
             return denial
--- a/src/almondshift/relay/observer.py
+++ b/src/almondshift/relay/observer.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import logging
+from typing import TYPE_CHECKING
 
 import prometheus_client
 
 from almondshift import log_events
 
+if TYPE_CHECKING:
+    from almondshift.policy import buffer_budget
+
 SECONDS_BUCKETS = (0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0)
 """Histogram bounds; they include common objectives (0.1 to 0.5 s) and time
 limits."""
@@ -95,6 +99,36 @@
             registry=registry,
         )
 
+        self.buffered_bytes = prometheus_client.Gauge(
+            "almondshift_relay_buffered_bytes",
+            "Bytes of messages in transfer that this node holds.",
+            registry=registry,
+        )
+        self.buffers_given_up = prometheus_client.Counter(
+            "almondshift_relay_buffers_given_up",
+            "Messages ended at the limit of buffered bytes, by kind.",
+            ["kind"],
+            registry=registry,
+        )
+        self.loop_delay_seconds = prometheus_client.Histogram(
+            "almondshift_relay_loop_delay_seconds",
+            "Delays of the event loop by more than 0.04 s.",
+            buckets=SECONDS_BUCKETS,
+            registry=registry,
+        )
+
+    def buffer_given_up(self, given_up: buffer_budget.GivenUpBuffer) -> None:
+        """Records a message that was ended at the limit of buffered bytes."""
+        self.buffers_given_up.labels(given_up.kind).inc()
+        self.emit(
+            log_events.BufferGivenUp(
+                kind=given_up.kind,
+                size=given_up.size,
+                held_bytes=given_up.held_bytes,
+                limit_bytes=given_up.limit_bytes,
+            )
+        )
+
     def emit(self, event: log_events.Event) -> None:
         """Logs an event."""
         log_events.emit(logger, event)
--- a/src/almondshift/relay/peer_attempt.py
+++ b/src/almondshift/relay/peer_attempt.py
@@ -7,6 +7,7 @@
 
 from almondshift.model import json_errors
 from almondshift.ports import path_engines
+from almondshift.relay import attempts
 from almondshift.relay import events
 
 if TYPE_CHECKING:
@@ -45,6 +46,16 @@
         self.splitter = events.EventSplitter()
         self.forwarded: path_engines.ForwardedRequest | None = None
         self.is_over = False
+        self.buffers = run.shared.buffers
+
+    def buffered_bytes(self) -> int:
+        """Returns the size of the buffered body and of the partial event."""
+        return len(self.body) + len(self.splitter.partial)
+
+    def give_up_buffer(self) -> None:
+        """Aborts the attempt, as the node buffers too many bytes."""
+        if not self.is_over:
+            self.abort(attempts.BUFFERS_FULL)
 
     def on_head(self, head: relayed.ForwardedHead) -> None:
         """Stores the head."""
@@ -59,6 +70,7 @@
             return
         if not self.is_stream:
             self.body += data
+            self.buffers.note(self)
             if len(self.body) > MAX_BODY_BYTES:
                 self.abort("response body too large")
             return
@@ -67,6 +79,7 @@
         except ValueError as error:
             self.abort(str(error))
             return
+        self.buffers.note(self)
         if complete and not self.run.forward_events(self, complete):
             self.abort("events out of order")
 
@@ -74,6 +87,8 @@
         """Aborts an attempt whose response is invalid."""
         self.cancel()
         self.run.peer_attempt_ended(self, path_engines.Ending.SPOILT, reason)
+        self.body.clear()
+        self.splitter.partial.clear()
 
     def cancel(self) -> None:
         """Stops the peer's work."""
--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -46,6 +46,18 @@
         self.body = bytearray()
         self.forwarded: path_engines.ForwardedRequest | None = None
         self.is_over = False
+        self.buffers = run.shared.buffers
+
+    def buffered_bytes(self) -> int:
+        """Returns the size of the buffered body."""
+        return len(self.body)
+
+    def give_up_buffer(self) -> None:
+        """Ends the attempt, or drops its response if it has ended."""
+        if self.is_over:
+            self.run.drop_failure(self)
+        else:
+            self.abort(attempts.BUFFERS_FULL)
 
     def on_head(self, head: relayed.ForwardedHead) -> None:
         """Stores the head."""
@@ -54,9 +66,16 @@
     def on_data(self, data: bytes) -> None:
         """Appends a part of the body."""
         self.body += data
-        if len(self.body) > MAX_BODY_BYTES and self.forwarded is not None:
+        self.buffers.note(self)
+        if len(self.body) > MAX_BODY_BYTES:
+            self.abort("response body too large")
+
+    def abort(self, reason: str) -> None:
+        """Aborts an attempt whose response can't be kept."""
+        if self.forwarded is not None:
             self.forwarded.cancel()
-            self.on_end(path_engines.Ending.SPOILT, "response body too large")
+        self.on_end(path_engines.Ending.SPOILT, reason)
+        self.body.clear()
 
     def on_end(self, ending: path_engines.Ending, reason: str) -> None:
         """Passes the response to the run."""
@@ -333,9 +352,9 @@
         if self.routed.route.may_repeat and self.record_attempt_and_spend_retry(
             False
         ):
-            if self.may_pass_on(head):
-                self.last_failure = attempt
             attempt.end_send(request_sends.FAILED)
+            if self.may_pass_on(head):
+                self.keep_failure(attempt)
             self.log_failed_attempt(attempt.send, reason, runs.SENT_ELSEWHERE)
             self.begin()
             return
@@ -346,6 +365,19 @@
             return
         self.pass_on(attempt, head)
 
+    def keep_failure(self, attempt: PlainAttempt) -> None:
+        """Keeps an error response in place of the last one."""
+        if self.last_failure is not None:
+            self.drop_failure(self.last_failure)
+        self.last_failure = attempt
+        attempt.buffers.note(attempt)
+
+    def drop_failure(self, attempt: PlainAttempt) -> None:
+        """Drops an error response that was kept."""
+        attempt.buffers.release(attempt)
+        if self.last_failure is attempt:
+            self.last_failure = None
+
     def retry_or_end(
         self,
         attempt: PlainAttempt,
@@ -445,6 +477,8 @@
     def cancel_work(self) -> None:
         """Cancels the work of the endpoint."""
         self.cancel_slow_timer()
+        if self.last_failure is not None:
+            self.drop_failure(self.last_failure)
         self.drop_attempt(failed=False)
 
     def time_out(self) -> None:
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -78,6 +78,9 @@
 FAILED_HERE = "This node failed while it handled the request."
 """Reason of an answer after an unforeseen exception."""
 
+BUFFERS_FULL = "This node buffers as many bytes as it can."
+"""Reason of a refusal."""
+
 SENT_ELSEWHERE = "sent elsewhere"
 """Logged next step of a failed attempt: the request is sent again at once."""
 
@@ -755,6 +758,15 @@
             self.may_have_run_error("This node stopped before the response.")
         )
 
+    def shed(self) -> None:
+        """Ends the run, as the node buffers too many bytes."""
+        if self.may_have_run:
+            self.refuse(self.may_have_run_error(BUFFERS_FULL))
+        else:
+            self.refuse(
+                errors.Overloaded(BUFFERS_FULL, retry_after_s=self.retry_s())
+            )
+
     def may_have_run_error(self, reason: str) -> errors.AlmondshiftError:
         """Returns the error of a request that may have run."""
         if self.routed.route.may_repeat:
--- a/src/almondshift/relay/stream_attempt.py
+++ b/src/almondshift/relay/stream_attempt.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from almondshift.ports import path_engines
+from almondshift.relay import attempts
 from almondshift.relay import events
 
 if TYPE_CHECKING:
@@ -71,6 +72,7 @@
         self.is_over = False
         self.first_event_at: float | None = None
         self.partial_since: float | None = None
+        self.buffers = run.shared.buffers
         self.is_proven = False
 
     @property
@@ -78,6 +80,14 @@
         """The engine that holds the connection."""
         return self.path[0]
 
+    def buffered_bytes(self) -> int:
+        """Returns the size of the buffered body and of the partial event."""
+        return len(self.body) + len(self.splitter.partial)
+
+    def give_up_buffer(self) -> None:
+        """Aborts the attempt, as the node buffers too many bytes."""
+        self.abort(attempts.BUFFERS_FULL)
+
     def on_head(self, head: relayed.ForwardedHead) -> None:
         """Stores the head, which is sent with the first event."""
         self.head = head
@@ -106,11 +116,13 @@
         if complete and not self.run.forward_events(self, complete):
             self.abort("events out of order")
             return
+        self.buffers.note(self)
         self.check_progress()
 
     def keep_body(self, data: bytes) -> None:
         """Buffers the body of a response that is not the requested stream."""
         self.body += data
+        self.buffers.note(self)
         limit = MAX_BODY_BYTES
         if self.run.expects_stream:
             limit = MAX_FAILURE_BYTES
@@ -170,6 +182,8 @@
         if self.forwarded is not None:
             self.forwarded.cancel()
         self.on_end(path_engines.Ending.SPOILT, reason)
+        self.body.clear()
+        self.splitter.partial.clear()
 
     def on_end(self, ending: path_engines.Ending, reason: str) -> None:
         """Passes the end to the run."""
--- a/src/almondshift/relay/stream_moves.py
+++ b/src/almondshift/relay/stream_moves.py
@@ -143,6 +143,7 @@
         self.late_s = max(0.0, now - self.checked_at - CHECK_INTERVAL_S)
         self.checked_at = now
         if self.late_s > MAX_LATE_S:
+            self.shared.observer.loop_delay_seconds.observe(self.late_s)
             self.scheduled_since = now
 
     def scheduled_s(self) -> float:
--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -85,8 +85,9 @@
         is_draining: It refuses all new work, and its health check fails.
         cut_after: Events after which a stream's connection is closed;
             negative for never.
-        endless: What it sends over and over again after the first event, as
-            bytes of the connection; empty for nothing.
+        endless: What it sends over and over again, as bytes of the connection:
+            after the first event of a stream, or as body of a plain response;
+            empty for nothing.
         framing: How a plain endpoint sends a stream of events; None for a
             short response.
         cut_event: Where a plain endpoint closes a stream: the number of an
@@ -409,6 +410,10 @@
         if self.crashes():
             await self.hang()
             return
+        if self.engine.endless:
+            with contextlib.suppress(iostream.StreamClosedError):
+                await self.respond_without_end(self.engine.endless)
+            return
         if self.engine.framing is not None and self.engine.status == 200:
             with contextlib.suppress(iostream.StreamClosedError):
                 await self.stream_alone(self.engine.framing)
@@ -418,6 +423,19 @@
         self.set_status(self.engine.status)
         self.write(b"done " + self.request.body)
 
+    async def respond_without_end(self, repeated: bytes) -> None:
+        """Sends a body without a length or chunks, for as long as possible."""
+        stream = self.detach()
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"X-Request-Id: {self.request_id}",
+            f"{SIGNATURE}: sig-{self.engine.instance}",
+        ]
+        await stream.write("\r\n".join([*lines, "", ""]).encode())
+        block = repeated * (ENDLESS_BLOCK_BYTES // len(repeated) + 1)
+        while True:
+            await stream.write(block)
+
     async def stream_alone(self, framing: Framing) -> None:
         """Sends the events after the last one that the caller has."""
         after = int(self.request.headers.get(names.LAST_EVENT_ID, "0"))
--- a/tests/platform/test_fuzzed_inputs.py
+++ b/tests/platform/test_fuzzed_inputs.py
@@ -21,6 +21,7 @@
 from almondshift.platform import engines
 from almondshift.platform import front
 from almondshift.platform import store
+from almondshift.policy import buffer_budget
 from almondshift.ports import relays
 from almondshift.ports import row_feeds
 from tests import asynchronous
@@ -64,12 +65,19 @@
     def cut(self) -> None:
         return
 
+    def shed(self) -> None:
+        return
+
 
 async def exchange(raw: bytes) -> tuple[RecordingRelay, bytes]:
     """Sends bytes to a listener, then a valid request on a new connection."""
     relay = RecordingRelay()
     listener = front.create_front(
-        relay, system.free_address(), LIMITS.idle_timeout_s, LIMITS.header_bytes
+        relay,
+        system.free_address(),
+        LIMITS.idle_timeout_s,
+        LIMITS.header_bytes,
+        buffer_budget.create_buffer_budget(1_000_000, lambda call: call()),
     )
     await listener.start()
     address = f"{listener.host}:{listener.port}"
