Don't send requests that a stop would cut, and say what was not sent

What callers saw: as a node stops, a request that waits for a permit of a rate-limited endpoint got 502, so that an order could not be sent again, although it had been sent nowhere; with a permit 0.15 s before the end it was sent, ran, and was cut.

Cause: whether a response can be complete in time was asked before an endpoint was chosen, not before the send. The cut at the end told all callers that their request may have run.

Change: each first send asks again; a request that was not sent when the node stops gets 503 (node_leaving).

--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -187,6 +187,10 @@
         if self.may_have_run or self.can_end_in_time():
             self.dispatch()
             return
+        self.refuse_leaving()
+
+    def refuse_leaving(self) -> None:
+        """Refuses a request that was not sent, as this node stops."""
         self.refuse(
             errors.NodeLeaving(
                 "This node stops before the response would be complete.",
@@ -220,7 +224,13 @@
         Each send passes this check, whatever led to it: a request that may not
         be repeated is sent again only with evidence that no earlier send ran
         it. The run ends if no send is left that could still be answered.
+
+        Time passes between the choice of an endpoint and the send, for example
+        until a permit is granted, and this node may stop meanwhile.
         """
+        if not self.may_have_run and not self.can_end_in_time():
+            self.refuse_leaving()
+            return False
         if self.routed.route.may_repeat or not self.may_have_run:
             return True
         self.shared.observer.emit(
@@ -750,10 +760,13 @@
         """Ends the run early, as the node stops.
 
         If the response has not begun, the caller receives an error that says
-        that the request may have run. A closed connection alone would leave
-        open whether a non-idempotent request was executed.
+        whether the request may have run. A closed connection alone would leave
+        that open.
         """
         self.log_cut()
+        if not self.may_have_run:
+            self.refuse_leaving()
+            return
         self.refuse(
             self.may_have_run_error("This node stopped before the response.")
         )
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -24,6 +24,8 @@
 STREAMS_BEFORE_STOP = 12
 LONG_USAGE = "100,120"
 SHORT_USAGE = "100,3"
+GRANT_BEFORE_CUT_S = 0.15
+"""Time before the end of a stop at which a late permit is granted."""
 
 
 @contextlib.asynccontextmanager
@@ -154,3 +156,81 @@
             assert len(whole.tokens((await stream)[2])) == EVENTS
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/look/x", "/chat/x"])
+@pytest.mark.parametrize("is_granted_late", [False, True])
+def test_a_request_that_waits_for_a_permit_at_the_end_was_not_run(
+    path: str, is_granted_late: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests that are sent only to be cut by a stop.
+
+    They have not been sent to any endpoint, so the node can say so.
+    """
+
+    async def scenario() -> None:
+        async with system_with_slow_streams() as running:
+            entry = running.nodes[0].settings.entry.address
+            shared = running.nodes[0].node.shared
+
+            async def grant(*args: object) -> bool:
+                del args
+                wait_s = shared.drain.left_s() - GRANT_BEFORE_CUT_S
+                await asyncio.sleep(wait_s if is_granted_late else GRACE_S)
+                return True
+
+            monkeypatch.setattr(shared.limits, "is_limited", lambda _: True)
+            monkeypatch.setattr(shared.limits, "decides_here", lambda _: False)
+            monkeypatch.setattr(shared.limits, "request", grant)
+            for engine in running.engines.values():
+                engine.response_delay_s = 2 * GRACE_S
+                engine.first_event_delay_s = 2 * GRACE_S
+            stopping = asyncio.create_task(stop(running))
+            await asyncio.sleep(0.1)
+            head = system.request(path, "late", X_Token_Usage=SHORT_USAGE)
+            status, _, body = await system.send(entry, head, b"order")
+            await stopping
+            assert (status, json.loads(body)["kind"]) == (503, "node_leaving")
+            assert whole.times_run(running, "late") == 0
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/look/x", "/chat/x"])
+def test_a_request_at_a_peer_that_stops_is_answered(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a connection that closes as a peer cuts the request.
+
+    Endpoints become slow after the peer was asked to stop, so that it still
+    expects to serve the request in time.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=2) as running:
+            await running.wait_for_peers()
+            entry = running.nodes[0].settings.entry.address
+            stopped = running.nodes[1].node
+            stopped.settings.drain = relay_settings.DrainSection(HOLD_S, 1.5)
+            links = running.nodes[0].node.shared.links
+            isolated = [
+                links.of(service)
+                for service in (system.MODEL_SERVICE, system.PLAIN_SERVICE)
+            ]
+            monkeypatch.setattr(
+                type(isolated[0]),
+                "is_isolated",
+                property(lambda found: any(found is one for one in isolated)),
+            )
+            for engine in running.engines.values():
+                engine.response_delay_s = 3.0
+                engine.first_event_delay_s = 3.0
+            head = system.request(path, "passed")
+            passed = asyncio.create_task(system.send(entry, head, b"order"))
+            await running.until(lambda: whole.times_run(running, "passed") == 1)
+            await stop(running)
+            status, _, _ = await passed
+            assert status in (502, 503, 504)
+            assert status == 502 or whole.times_run(running, "passed") == 0
+
+    asyncio.run(scenario())
