--- a/tests/soak/engine_process.py
+++ b/tests/soak/engine_process.py
@@ -18,6 +18,7 @@
 from tornado import netutil
 from tornado import web
 
+from almondshift.platform import field_text
 from almondshift.platform import names
 from tests.platform import standin_engines
 from tests.soak import erratic_responses
@@ -58,6 +59,7 @@
         public: Address that others connect to, that of a proxy.
         state: Its state in the registry.
         is_erratic: Whether it draws how to treat each request.
+        is_endless: Whether its responses have no end.
         serves_on_s: How long it serves after the store recorded its leaving.
     """
 
@@ -71,6 +73,7 @@
         self.state = "ready"
         self.serves_on_s = 0.0
         self.is_erratic = False
+        self.is_endless = False
         self.rng = random.Random(f"{options.seed}/{options.name}")
         self.ledger = ledger.LedgerFile(pathlib.Path(options.ledger))
         self.http = httpclient.AsyncHTTPClient(max_clients=200)
@@ -211,6 +214,9 @@
         self.record(ledger.RowKind.ARRIVED)
         if self.engine.is_erratic and await erratic_responses.respond(self):
             return
+        if self.engine.is_endless:
+            await erratic_responses.respond_without_end(self)
+            return
         path = self.request.headers.get(names.PATH, "")
         parts = standin_engines.parse_path(path)
         await self.engine.query_all({part[0] for part in parts})
@@ -231,7 +237,7 @@
             request_id=fields.get(names.REQUEST_ID, ""),
             method=self.request.method or "",
             target=self.request.uri or "",
-            account=fields.get(names.ACCOUNT, ""),
+            account=field_text.decode(fields.get(names.ACCOUNT, "")),
             has_key="Authorization" in fields,
             body=hashlib.sha256(self.request.body).hexdigest(),
             parts=standin_engines.parse_path(fields.get(names.PATH, "")),
--- a/tests/soak/erratic_engines.py
+++ b/tests/soak/erratic_engines.py
@@ -14,6 +14,7 @@
     from tests.soak import system as soak_system
 
 ERRATIC = "erratic"
+ENDLESS = "endless"
 
 
 class ErraticEngine(faults.Fault):
@@ -27,6 +28,17 @@
             await faults.set_attributes(system, engine, {"is_erratic": False})
 
 
+class EndlessEngine(faults.Fault):
+    """An engine sends bytes without end in its responses for a while."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        engine = self.engine(system)
+        with system.disturbances.during(engine.name, ENDLESS):
+            await faults.set_attributes(system, engine, {"is_endless": True})
+            await asyncio.sleep(self.lasts_s)
+            await faults.set_attributes(system, engine, {"is_endless": False})
+
+
 class ErraticService(faults.Fault):
     """All engines of a service are erratic at the same time."""
 
@@ -80,4 +92,5 @@
     services = faults.draw_extra(
         options, ErraticService, options.erratic_services
     )
-    return [*erratic, *reused, *services]
+    endless = faults.draw_extra(options, EndlessEngine, options.endless)
+    return [*erratic, *reused, *services, *endless]
--- a/tests/soak/erratic_responses.py
+++ b/tests/soak/erratic_responses.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import enum
 from typing import TYPE_CHECKING
 
+from tornado import iostream
+
 from almondshift.platform import names
 from tests.platform import standin_engines
 from tests.soak import ledger
@@ -14,6 +17,16 @@
     from tests.soak import engine_process
 
 MAX_DELAY_S = 1.2
+ENDLESS_BLOCK_BYTES = 60_000
+ENDLESS_PAUSE_S = 0.02
+ENDLESS_BODIES = (
+    b"1\r\nx\r\n",
+    b"4\r\n\n\n\n\n\r\n",
+    b"8\r\n: abcd\n\n\r\n",
+    b"64\r\n" + 100 * b"x" + b"\r\n",
+)
+"""Chunks that are repeated without end."""
+
 REPEATED_REFUSALS_PROBABILITY = 0.5
 
 
@@ -69,6 +82,28 @@
     return True
 
 
+async def respond_without_end(handler: engine_process.WorkHandler) -> None:
+    """Runs a request, and responds until the caller closes the connection."""
+    handler.record(ledger.RowKind.RAN)
+    request_id = handler.request.headers.get(names.REQUEST_ID, "")
+    name = handler.engine.options.name
+    stream = handler.detach()
+    lines = [
+        "HTTP/1.1 200 OK",
+        f"X-Request-Id: {request_id}",
+        f"{standin_engines.SIGNATURE}: sig-{name}",
+        "Transfer-Encoding: chunked",
+    ]
+    repeated = handler.engine.rng.choice(ENDLESS_BODIES)
+    block = repeated * (ENDLESS_BLOCK_BYTES // len(repeated) + 1)
+    with contextlib.suppress(iostream.StreamClosedError):
+        await stream.write("\r\n".join([*lines, "", ""]).encode())
+        while handler.engine.is_endless:
+            await stream.write(block)
+            await asyncio.sleep(ENDLESS_PAUSE_S)
+    stream.close()
+
+
 async def run_and_fail(
     handler: engine_process.WorkHandler, behaviour: Behaviour
 ) -> None:
--- a/tests/soak/layout.py
+++ b/tests/soak/layout.py
@@ -13,7 +13,7 @@
 PLAIN_SERVICE = "plain"
 SERVICES = (PLAIN_SERVICE, MODEL_SERVICE)
 HOST = "chat.example"
-STEADY_ACCOUNT = "steady"
+STEADY_ACCOUNT = "dru\u0161tvo \u010dasa"
 STEADY_KEY = "key-steady"
 ROTATING_ACCOUNT = "rotating"
 ZONES = ("za", "zb")
@@ -97,6 +97,8 @@
         erratic_services: Number of times that all engines of a service respond
             erratically for a while.
         allowance: Repeats of all nodes in a window beyond the ratio.
+        endless: Number of times that an engine responds without end for a
+            while.
     """
 
     seed: int
@@ -113,6 +115,7 @@
     erratic: int = 0
     erratic_services: int = 0
     allowance: int = 200
+    endless: int = 0
 
     def repeats(self) -> relay_settings.RepeatsSection:
         """Returns the retry budget of all nodes."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -248,6 +248,12 @@
         default=200,
         help="repeats of all nodes in a window beyond the ratio",
     )
+    parser.add_argument(
+        "--endless",
+        type=int,
+        default=0,
+        help="engines that respond without end for a while",
+    )
     parser.add_argument("--folder", type=pathlib.Path)
     parser.add_argument("--regressions", action="store_true")
     args = parser.parse_args()
@@ -280,6 +286,7 @@
         erratic=args.erratic,
         erratic_services=args.erratic_services,
         allowance=args.allowance,
+        endless=args.endless,
     )
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -23,6 +23,7 @@
 RESTORED_SEED = 5203
 ERRATIC_SEED = 5401
 FAILING_SEED = 6024
+ENDLESS_SEED = 6301
 STALLED_SEED = 14
 STALLS_PER_S = 3.0
 
@@ -112,6 +113,21 @@
     check_no_violations(options, tmp_path)
 
 
+def test_guarantees_hold_at_engines_that_respond_without_end(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Engines send chunks of one byte, empty events and bodies without end."""
+    options = layout.SoakOptions(
+        seed=ENDLESS_SEED,
+        seconds=12.0,
+        nodes=3,
+        engines=10,
+        clients=12,
+        endless=10,
+    )
+    check_no_violations(options, tmp_path)
+
+
 def check_no_violations(
     options: layout.SoakOptions, folder: pathlib.Path
 ) -> None:
