--- a/src/almondshift/relay/stream_attempt.py
+++ b/src/almondshift/relay/stream_attempt.py
@@ -110,14 +110,16 @@
             self.run.avoid_for_new_streams(self)
             self.abort(str(error))
             return
-        if any(event.event_id is not None for event in complete):
+        has_progressed = any(event.event_id is not None for event in complete)
+        if has_progressed:
             self.partial_since = None
             self.note_events()
         if complete and not self.run.forward_events(self, complete):
             self.abort("events out of order")
             return
         self.buffers.note(self)
-        self.check_progress()
+        if not has_progressed:
+            self.check_progress()
 
     def keep_body(self, data: bytes) -> None:
         """Buffers the body of a response that is not the requested stream."""
--- a/tests/relay/test_response_limits.py
+++ b/tests/relay/test_response_limits.py
@@ -78,3 +78,41 @@
     calls = run.attempt_ended.call_args_list
     calls += run.peer_attempt_ended.call_args_list
     assert [call.args[1] for call in calls] == [path_engines.Ending.SPOILT]
+
+
+EVENT = b"id: 1\ndata: x\n\n"
+ABANDON_AFTER_S = 2.0
+
+
+def begin_stream(run: Any) -> Any:
+    run.routed.route.abandon_after_s = ABANDON_AFTER_S
+    attempt, _ = stream(run)
+    attempt.on_data(EVENT)
+    return attempt
+
+
+def test_a_stream_that_sends_no_event_for_long_is_left() -> None:
+    """Guards against streams that wait for as long as bytes arrive."""
+    run = create_run()
+    attempt = begin_stream(run)
+    attempt.on_data(b"x")
+    run.loop.time.return_value = 0.4 * ABANDON_AFTER_S
+    attempt.on_data(b"x")
+    run.resume_elsewhere.assert_not_called()
+    run.loop.time.return_value = 0.6 * ABANDON_AFTER_S
+    attempt.on_data(b"x")
+    run.resume_elsewhere.assert_called_once()
+    run.loop.time.return_value = 1.1 * ABANDON_AFTER_S
+    attempt.on_data(b"x")
+    run.attempt_ended.assert_called_once()
+
+
+def test_a_stream_that_goes_on_after_a_silence_stays() -> None:
+    """Guards against leaving an engine whose event arrives in parts."""
+    run = create_run()
+    attempt = begin_stream(run)
+    run.loop.time.return_value = 5 * ABANDON_AFTER_S
+    for start in range(len(EVENT)):
+        attempt.on_data(EVENT.replace(b"1", b"2")[start : start + 1])
+    run.resume_elsewhere.assert_not_called()
+    run.attempt_ended.assert_not_called()
