Keep buffer interfaces in the model, and a smaller share for buffers

Copies that are made while a message is sent, and fragmentation, come on top of the counted bytes.

Change: the interfaces of holder and account are in model/buffers.py; the default of buffer_share is 0.15, which leaves the rest to them.

--- a/src/almondshift/adapters/http_connections.py
+++ b/src/almondshift/adapters/http_connections.py
@@ -18,7 +18,7 @@
 import httptools
 
 from almondshift.adapters import scheduled_timeouts
-from almondshift.policy import buffer_budget
+from almondshift.model import buffers as message_buffers
 
 CONNECT_TIMEOUT_S = 0.5
 """Connecting within a region takes a few ms; a lost SYN is retransmitted only
@@ -433,7 +433,7 @@
 
     def __init__(self, connect_timeout_s: float) -> None:
         self.connect_timeout_s = connect_timeout_s
-        self.buffers: buffer_budget.BufferBudget | None = None
+        self.buffers: message_buffers.BufferAccount | None = None
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.idle: dict[str, list[Connection]] = {}
         self.opened = 0
@@ -553,7 +553,7 @@
         connection.send(call)
 
 
-class Collector(CallListener, buffer_budget.BufferHolder):
+class Collector(CallListener, message_buffers.BufferHolder):
     """Collects a complete response, to be awaited.
 
     Attributes:
@@ -565,7 +565,7 @@
     buffer_kind = "report"
 
     def __init__(
-        self, limit: int, buffers: buffer_budget.BufferBudget | None = None
+        self, limit: int, buffers: message_buffers.BufferAccount | None = None
     ) -> None:
         self.limit = limit
         self.buffers = buffers
--- a/src/almondshift/adapters/relay_settings.py
+++ b/src/almondshift/adapters/relay_settings.py
@@ -118,11 +118,13 @@
 
     Attributes:
         limit_mb: Memory that the process may use, in megabytes.
-        buffer_share: Share of it for the bytes of messages in transfer.
+        buffer_share: Share of it for the bytes of messages in transfer; the
+            rest covers all else, copies that are made while a message is sent,
+            and fragmentation.
     """
 
     limit_mb: Annotated[float, msgspec.Meta(ge=1, le=1e9)] = 256.0
-    buffer_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.25
+    buffer_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.15
 
     @property
     def buffer_bytes(self) -> int:
--- a/src/almondshift/platform/front.py
+++ b/src/almondshift/platform/front.py
@@ -15,11 +15,11 @@
 from almondshift import errors
 from almondshift.adapters import http_listener
 from almondshift.adapters import problems
+from almondshift.model import buffers as message_buffers
 from almondshift.model import relayed
 from almondshift.platform import engines
 from almondshift.platform import field_text
 from almondshift.platform import names
-from almondshift.policy import buffer_budget
 from almondshift.ports import relays
 
 DROPPED_REQUEST_FIELDS = (
@@ -164,7 +164,7 @@
         connection: http1connection.HTTP1Connection,
         request_id: str,
         has_body: bool,
-        buffers: buffer_budget.BufferBudget,
+        buffers: message_buffers.BufferAccount,
         holder: RequestReader,
     ) -> None:
         super().__init__(connection, request_id, has_body)
@@ -187,7 +187,7 @@
         self.holder.response_ended()
 
 
-class RequestReader(httputil.HTTPMessageDelegate, buffer_budget.BufferHolder):
+class RequestReader(httputil.HTTPMessageDelegate, message_buffers.BufferHolder):
     """Reads one request and passes it to the relay.
 
     Attributes:
@@ -204,7 +204,7 @@
         connection: http1connection.HTTP1Connection,
         opened_at: float,
         incomplete_requests: weakref.WeakSet[RequestReader],
-        buffers: buffer_budget.BufferBudget,
+        buffers: message_buffers.BufferAccount,
     ) -> None:
         self.buffers = buffers
         self.responder: BufferedResponder | None = None
@@ -323,7 +323,7 @@
     """
 
     def __init__(
-        self, relay: relays.Relay, buffers: buffer_budget.BufferBudget
+        self, relay: relays.Relay, buffers: message_buffers.BufferAccount
     ) -> None:
         self.relay = relay
         self.buffers = buffers
@@ -412,7 +412,7 @@
     address: str,
     idle_s: float,
     header_bytes: int,
-    buffers: buffer_budget.BufferBudget,
+    buffers: message_buffers.BufferAccount,
 ) -> Front:
     """Creates the listener for callers' requests."""
     delegate = FrontDelegate(relay, buffers)
--- a/src/almondshift/policy/buffer_budget.py
+++ b/src/almondshift/policy/buffer_budget.py
@@ -11,10 +11,11 @@
 
 from __future__ import annotations
 
-import abc
 import dataclasses
 from typing import TYPE_CHECKING
 
+from almondshift.model import buffers
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -22,24 +23,6 @@
 """Smaller buffers are not counted; the number of connections limits them."""
 
 
-class BufferHolder(abc.ABC):
-    """Holds bytes of a message that is in transfer.
-
-    Attributes:
-        buffer_kind: What it buffers, for metrics and logs.
-    """
-
-    buffer_kind: str
-
-    @abc.abstractmethod
-    def buffered_bytes(self) -> int:
-        """Returns how many bytes it holds now."""
-
-    @abc.abstractmethod
-    def give_up_buffer(self) -> None:
-        """Ends the message and drops its bytes."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class GivenUpBuffer:
     """A buffer that was given up.
@@ -57,7 +40,7 @@
     limit_bytes: int
 
 
-class BufferBudget:
+class BufferBudget(buffers.BufferAccount):
     """Counts buffers, and gives up the largest ones above a limit.
 
     Attributes:
@@ -73,10 +56,10 @@
         self.limit_bytes = limit_bytes
         self.defer = defer
         self.held_bytes = 0
-        self.sizes: dict[BufferHolder, int] = {}
+        self.sizes: dict[buffers.BufferHolder, int] = {}
         self.on_given_up: list[Callable[[GivenUpBuffer], None]] = []
 
-    def note(self, holder: BufferHolder) -> None:
+    def note(self, holder: buffers.BufferHolder) -> None:
         """Counts a buffer whose size has changed."""
         self._count(holder)
         if self.held_bytes > self.limit_bytes:
@@ -84,7 +67,7 @@
         while self.held_bytes > self.limit_bytes:
             self._give_up_largest()
 
-    def release(self, holder: BufferHolder) -> None:
+    def release(self, holder: buffers.BufferHolder) -> None:
         """Stops counting a buffer that was dropped."""
         self.held_bytes -= self.sizes.pop(holder, 0)
 
@@ -93,7 +76,7 @@
         for holder in list(self.sizes):
             self._count(holder)
 
-    def _count(self, holder: BufferHolder) -> None:
+    def _count(self, holder: buffers.BufferHolder) -> None:
         size = holder.buffered_bytes()
         self.release(holder)
         if size >= MIN_COUNTED_BYTES:
--- a/src/almondshift/relay/attempts.py
+++ b/src/almondshift/relay/attempts.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from almondshift.policy import buffer_budget
+from almondshift.model import buffers as message_buffers
 from almondshift.ports import path_engines
 
 if TYPE_CHECKING:
@@ -15,7 +15,7 @@
 """Reason of an attempt that ends at the limit of buffered bytes."""
 
 
-class Attempt(path_engines.AnswerListener, buffer_budget.BufferHolder):
+class Attempt(path_engines.AnswerListener, message_buffers.BufferHolder):
     """One attempt to have an endpoint or a peer run a request.
 
     Attributes:
@@ -25,7 +25,7 @@
     """
 
     buffer_kind = "response"
-    buffers: buffer_budget.BufferBudget
+    buffers: message_buffers.BufferAccount
 
     send: request_sends.Send
     forwarded: path_engines.ForwardedRequest | None
--- a/tests/policy/test_buffer_budget.py
+++ b/tests/policy/test_buffer_budget.py
@@ -3,12 +3,13 @@
 import hypothesis
 from hypothesis import strategies
 
+from almondshift.model import buffers
 from almondshift.policy import buffer_budget
 
 LIMIT = 100_000
 
 
-class Holder(buffer_budget.BufferHolder):
+class Holder(buffers.BufferHolder):
     buffer_kind = "test"
 
     def __init__(self, size: int = 0) -> None:
