Name the engines that a request's runs are not counted at

A request whose engines are silent was sent to one more engine than its route allows, and no line told that, nor on what evidence: AS5009 gave the runs that count, AS4005 didn't tell that an engine which responds again had been taken for ended.

AS5026 and almondshift_relay_unproven_runs_total tell each such send. AS5009 names the engines that don't count and why, AS4005 whether the engine had been taken for ended. No decision changes.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -282,7 +282,10 @@
 
 
 class EndpointRestored(Event, frozen=True):
-    """An ejected endpoint responded to probes and gets work again."""
+    """An ejected endpoint responded to probes and gets work again.
+
+    ``seemed_ended`` tells whether its silence had outlasted a pause.
+    """
 
     number = 4005
     message = "endpoint restored"
@@ -290,6 +293,7 @@
     endpoint: str
     ejected_s: float
     suspicion: str
+    seemed_ended: bool
 
 
 class EndpointUnreadable(Event, frozen=True):
@@ -544,6 +548,7 @@
     endpoint_state: str
     possible_runs: int
     max_attempts: int
+    uncounted: str
     evidence: str
     connection: str
 
@@ -789,6 +794,24 @@
     age_s: float
 
 
+class RunUnproven(Event, frozen=True):
+    """A request was sent to one more engine than its route allows for sure.
+
+    ``silent`` names engines that may have run it, do not respond, and are not
+    known to have ended.
+    """
+
+    number = 5026
+    level = logging.WARNING
+    message = "run unproven"
+
+    request_id: str
+    service: str
+    target: str
+    max_attempts: int
+    silent: str
+
+
 class StoreOutageBegan(Event, frozen=True):
     """The platform's store does not respond."""
 
--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -229,9 +229,13 @@
         """Records that a query to a suspect engine timed out."""
         self.state(instance).silent_until = now
 
+    def is_known_ended(self, instance: str) -> bool:
+        """Returns whether there is proof that an engine has ended."""
+        return instance in self.ended
+
     def has_ended(self, instance: str) -> bool:
         """Returns whether an engine has ended, or was silent for too long."""
-        if instance in self.ended:
+        if self.is_known_ended(instance):
             return True
         state = self.states.get(instance)
         return (
--- a/src/almondshift/policy/possible_runs.py
+++ b/src/almondshift/policy/possible_runs.py
@@ -77,6 +77,10 @@
         """
         return max((a.ended_at for a in self.attempts), default=-math.inf)
 
+    def instances(self) -> frozenset[str]:
+        """Returns the known endpoints that may have run the request."""
+        return frozenset(attempt.instance for attempt in self.attempts)
+
     def count(self, has_ended: Callable[[str], bool]) -> int:
         """Returns the number of attempts that count.
 
--- a/src/almondshift/relay/lost_engines.py
+++ b/src/almondshift/relay/lost_engines.py
@@ -118,12 +118,14 @@
         if state is None or state.reason is None:
             return
         suspicion = state.reason
+        seemed_ended = self.tracker.has_ended(instance)
         self.tracker.clear_suspicion(instance)
         self.observer.emit(
             log_events.EndpointRestored(
                 instance,
                 round(self.clock.monotonic() - state.suspect_since, 3),
                 suspicion.value,
+                seemed_ended,
             )
         )
 
--- a/src/almondshift/relay/observer.py
+++ b/src/almondshift/relay/observer.py
@@ -87,6 +87,12 @@
             registry=registry,
         )
 
+        self.unproven_runs = prometheus_client.Counter(
+            "almondshift_relay_unproven_runs",
+            "Sends to one more engine because silent ones seem to have ended.",
+            registry=registry,
+        )
+
         self.via_peers = prometheus_client.Counter(
             "almondshift_relay_via_peers",
             "Requests passed to peers, by outcome.",
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -279,6 +279,7 @@
         if not self.cover.obtain():
             return False
         self.cover.record_send(peer.name)
+        self.record_run(peer.name)
         self.tried_peers |= {peer.name}
         paths.started(peer.name)
         max_attempts = self.routed.route.max_attempts
@@ -311,6 +312,37 @@
         )
         return True
 
+    def record_run(self, target: str) -> None:
+        """Records that one more engine may run the request.
+
+        Args:
+            target: Instance of the engine, or name of the peer.
+        """
+        runs = self.ended_runs
+        tracker = self.shared.tracker
+        max_attempts = self.routed.route.max_attempts
+        if target in runs.instances():
+            return
+        if runs.count(tracker.is_known_ended) < max_attempts:
+            return
+        self.shared.observer.unproven_runs.inc()
+        self.shared.observer.emit(
+            log_events.RunUnproven(
+                request_id=self.routed.request.request_id,
+                service=self.routed.service,
+                target=target,
+                max_attempts=max_attempts,
+                silent=",".join(
+                    sorted(
+                        instance
+                        for instance in runs.instances()
+                        if not tracker.is_known_ended(instance)
+                        and tracker.has_ended(instance)
+                    )
+                ),
+            )
+        )
+
     def can_pass_to_peer(self) -> bool:
         """Returns whether a peer may serve the request."""
         if not self.routed.may_go_to_peer or len(self.tried_peers) >= MAX_PEERS:
@@ -859,11 +891,22 @@
                 endpoint_state=self.endpoint_state(send.target),
                 possible_runs=self.possible_runs,
                 max_attempts=self.routed.route.max_attempts,
+                uncounted=self.uncounted_runs(),
                 evidence="" if evidence is None else evidence.value,
                 connection=send.connection,
             )
         )
 
+    def uncounted_runs(self) -> str:
+        """Lists the engines that don't count as runs, and why, for the log."""
+        tracker = self.shared.tracker
+        return ",".join(
+            f"{instance}: "
+            + ("ended" if tracker.is_known_ended(instance) else "silent")
+            for instance in sorted(self.ended_runs.instances())
+            if tracker.has_ended(instance)
+        )
+
     def endpoint_state(self, instance: str) -> str:
         """Returns what this node knows of an endpoint, for the log."""
         if self.links.is_isolated or self.links.is_link_suspect(
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -242,6 +242,7 @@
         if not self.may_send_to_endpoint():
             return
         self.cover.record_send(chosen.path[0].instance)
+        self.record_run(chosen.path[0].instance)
         self.sends += 1
         attempt = stream_attempt.StreamAttempt(self, chosen)
         self.attempt = attempt
