Test that a stream waits for engines that are silent for seconds

Callers' streams run on one engine more than their routes allow if their engines pause for two or three seconds each.

--- a/tests/platform/test_silent_engines.py
+++ b/tests/platform/test_silent_engines.py
@@ -352,6 +352,37 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("pause_s", [2.0, 3.0])
+@pytest.mark.parametrize("max_attempts", [1, 2])
+def test_a_stream_on_its_last_engine_outlasts_a_long_pause(
+    max_attempts: int, pause_s: float
+) -> None:
+    """Guards against taking an engine that is silent for seconds for ended.
+
+    The engines that run the stream pause one after the other, and run it all
+    the same. More nodes share the system than requests may exceed the limit.
+    """
+
+    async def scenario() -> None:
+        nodes = MAX_REQUESTS_OVER_LIMIT + 1
+        async with system.running_system(nodes=nodes, zones="abc") as running:
+            await prepare(running, max_attempts)
+            other = asyncio.create_task(whole.chat(running, "r0"))
+            stream, engine = await start_stream(running, "r1")
+            pauses = [asyncio.create_task(pause(engine, pause_s))]
+            if max_attempts == 2:
+                engine = await next_engine(running, "r1", 1.0)
+                await asyncio.sleep(5 * EVENT_GAP_S)
+                pauses.append(asyncio.create_task(pause(engine, pause_s)))
+            status, _, body = await stream
+            await asyncio.gather(other, *pauses)
+            assert len(engines_by_request(running)["r1"]) == max_attempts
+            assert status == 200
+            assert len(whole.tokens(body)) == EVENTS
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("max_attempts", [1, 2])
 def test_a_stream_leaves_engines_that_stay_silent(max_attempts: int) -> None:
     """Guards against a stream that waits for a dead engine until it is late.
