Count runs at silent engines until they are known to have ended

Callers' streams ran on three engines where their routes allow two: an engine that had been silent for 1.4 s since it was suspected counted as ended, and so did the run there. A process that is stopped, traced or swapped is silent for longer, and then runs what it was sent.

Cause: a length of silence was taken for an end. Only a closed port, another start, or an entry that goes while the engine is silent proves one. A node that no endpoint answers took itself for cut off in the same way.

- possible_runs counts engines, not attempts, until they are known to have ended.
- A stream that has used all engines of its route goes back to one of them, if the current one is silent for longer than a usual pause and the other responds.
It waited before.
- A search for a path looks at the count again, and a request that may run nowhere else isn't passed to a peer.
- A node without an answer from any endpoint is cut off only if connections failed, or some peer isn't isolated as well.

--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -25,10 +25,9 @@
 """Interval between further queries of a suspect, in seconds."""
 
 MAX_PAUSE_S = 1.4
-"""Longest silence of a sound engine since it was suspected, in seconds: engines
-may pause for about a second and continue. One that stays silent for longer
-counts as ended. Callers abandon a stream after two seconds, so a longer wait
-would lose them."""
+"""Usual maximum silence of a sound engine since it was suspected, in seconds:
+engines may pause for about a second and continue. One that stays silent for
+longer seems to have ended, but is not known to."""
 
 SILENT_QUERY_GAP_S = 0.2
 """Interval between queries of an engine that has been silent for less than
@@ -244,15 +243,19 @@
             and state.silent_until - state.silent_since >= MAX_PAUSE_S
         )
 
-    def may_be_paused(self, instance: str) -> bool:
+    def may_continue(self, instance: str) -> bool:
         """Returns whether an engine is silent, but not known to have ended."""
         state = self.states.get(instance)
         return (
             state is not None
             and state.reason is Suspicion.UNREACHABLE
-            and not self.has_ended(instance)
+            and not self.is_known_ended(instance)
         )
 
+    def may_be_paused(self, instance: str) -> bool:
+        """Returns whether an engine may be silent for a usual pause only."""
+        return self.may_continue(instance) and not self.has_ended(instance)
+
     def query_gap_s(self, instance: str, now: float) -> float:
         """Returns the time until a suspect engine is queried again."""
         state = self.state(instance)
--- a/src/almondshift/policy/possible_runs.py
+++ b/src/almondshift/policy/possible_runs.py
@@ -1,11 +1,11 @@
 """Counts the endpoints that may have run a request, against its route's limit.
 
-An attempt that ended without a complete response counts, since its endpoint may
-have run the request, unless that endpoint has ended too. An endpoint that does
-not respond may have lost power or may only pause, as a process that is not
-scheduled does, and continue what it runs a second later. Therefore an attempt
-counts until its endpoint is known to have ended, and again if the endpoint
-responds after all.
+An endpoint that was sent the request and returned no complete response counts,
+since it may have run the request, unless it has ended too. An endpoint that
+does not respond may have lost power or may only pause, as a process that is not
+scheduled does, and continue what it runs seconds later. Therefore it counts
+until it is known to have ended, and again if it responds after all. Further
+attempts at the same endpoint add nothing.
 
 Connections that fail together may mean that this node has lost its links, or
 that endpoints reset them and continue. Such attempts count until this node is
@@ -36,7 +36,7 @@
 
 
 class PossibleRuns:
-    """Counts the ended attempts of one request that may have run it.
+    """Counts the endpoints that may have run one request.
 
     Attributes:
         settled: Attempts that count whatever becomes of their endpoints.
@@ -82,13 +82,13 @@
         return frozenset(attempt.instance for attempt in self.attempts)
 
     def count(self, has_ended: Callable[[str], bool]) -> int:
-        """Returns the number of attempts that count.
+        """Returns the number of endpoints that count.
 
         Args:
             has_ended: Returns whether an endpoint is known to have ended.
         """
         return self.settled + sum(
-            not has_ended(attempt.instance) for attempt in self.attempts
+            not has_ended(instance) for instance in self.instances()
         )
 
 
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -23,6 +23,7 @@
 from almondshift.policy import path_choice
 from almondshift.policy import pooled_load
 from almondshift.policy import repeat_budget
+from almondshift.policy import unproven_runs
 from almondshift.relay import background
 from almondshift.relay import catalogue
 from almondshift.relay import context
@@ -184,6 +185,11 @@
                 ),
                 ports.clock.monotonic(),
             ),
+            unproven_runs=unproven_runs.UnprovenRuns(
+                lambda: self.shared.budget.nodes,
+                lambda: self.rows.position(),
+                self.tracker.is_known_ended,
+            ),
             limits=endpoint_limits.create_endpoint_limits(
                 ports.clock, ports.rng, self.catalogue, relay_observer
             ),
--- a/src/almondshift/relay/context.py
+++ b/src/almondshift/relay/context.py
@@ -19,6 +19,7 @@
     from almondshift.policy import first_event_wait
     from almondshift.policy import path_choice
     from almondshift.policy import repeat_budget
+    from almondshift.policy import unproven_runs
     from almondshift.ports import clocks
     from almondshift.ports import path_engines
     from almondshift.ports import relays
@@ -58,6 +59,7 @@
     paths: path_choice.PathChooser
     endpoints: endpoint_choice.EndpointChooser
     budget: repeat_budget.RepeatBudget
+    unproven_runs: unproven_runs.UnprovenRuns
     limits: endpoint_limits.EndpointLimits
     peer_paths: peer_paths.PeerPaths
     crash_watch: crash_watch.CrashWatch
--- a/src/almondshift/relay/group.py
+++ b/src/almondshift/relay/group.py
@@ -104,6 +104,10 @@
         self.name, self.peer_address = name, peer_address
         return await self.announce_again()
 
+    def position(self) -> int:
+        """Returns how many registered nodes have a name before this node's."""
+        return sum(name < self.name for name in self.names)
+
     async def announce_again(self) -> bool:
         """Writes the row of ``announce`` again."""
         value = {"peer": self.peer_address}
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -161,10 +161,15 @@
 
     @property
     def possible_runs(self) -> int:
-        """Number of ended attempts that count as runs of the request."""
+        """Number of endpoints that count as having run the request."""
         for cut in self.links.cuts:
             self.ended_runs.remove_within(cut.began_at, cut.ended_at)
-        return self.ended_runs.count(self.shared.tracker.has_ended)
+        tracker = self.shared.tracker
+        known = self.ended_runs.count(tracker.is_known_ended)
+        without_silent = self.ended_runs.count(tracker.has_ended)
+        if without_silent < known and self.shared.unproven_runs.has_room():
+            return without_silent
+        return known
 
     @property
     def may_have_run(self) -> bool:
@@ -264,11 +269,13 @@
         """Has a peer serve the request.
 
         Returns:
-            False if none can, or if the request has arrived somewhere and the
-            retry budget is spent.
+            False if none can, if no more endpoints may run the request, or if
+            it has arrived somewhere and the retry budget is spent.
         """
         if not self.may_send():
             return False
+        if self.possible_runs >= self.routed.route.max_attempts:
+            return False
         if not self.routed.may_go_to_peer or len(self.tried_peers) >= MAX_PEERS:
             return False
         paths = self.shared.peer_paths
@@ -325,6 +332,13 @@
             return
         if runs.count(tracker.is_known_ended) < max_attempts:
             return
+        silent = frozenset(
+            instance
+            for instance in runs.instances()
+            if not tracker.is_known_ended(instance)
+            and tracker.has_ended(instance)
+        )
+        self.shared.unproven_runs.take(silent)
         self.shared.observer.unproven_runs.inc()
         self.shared.observer.emit(
             log_events.RunUnproven(
@@ -332,14 +346,7 @@
                 service=self.routed.service,
                 target=target,
                 max_attempts=max_attempts,
-                silent=",".join(
-                    sorted(
-                        instance
-                        for instance in runs.instances()
-                        if not tracker.is_known_ended(instance)
-                        and tracker.has_ended(instance)
-                    )
-                ),
+                silent=",".join(sorted(silent)),
             )
         )
 
@@ -922,6 +929,10 @@
         """Returns the seconds since arrival, rounded for the log."""
         return round(self.loop.time() - self.started_at, 4)
 
+    def may_run_again(self) -> bool:
+        """Returns whether some endpoint may run the request once more."""
+        return self.possible_runs < self.routed.route.max_attempts
+
     def can_retry_while_running(self) -> bool:
         """Returns whether a running request may be run on another endpoint.
 
@@ -938,11 +949,17 @@
         Args:
             current_runs: 1 if the current attempt counts as a run, else 0.
         """
-        route = self.routed.route
         return (
-            route.may_repeat
+            self.can_send_again()
+            and self.possible_runs + current_runs
+            < self.routed.route.max_attempts
+        )
+
+    def can_send_again(self) -> bool:
+        """Returns whether a request that may have run can be sent again."""
+        return (
+            self.routed.route.may_repeat
             and self.sends < MAX_SENDS
-            and self.possible_runs + current_runs < route.max_attempts
             and self.cover.is_available()
         )
 
@@ -950,7 +967,7 @@
         """Spends retry budget; returns whether the request may be sent again.
 
         A request that may have run is retried only if its route allows it, and
-        only while ``possible_runs`` is below the route's ``max_attempts``.
+        only while some endpoint may run it again.
 
         Args:
             is_not_run: Whether the last endpoint did not run the request.
@@ -962,7 +979,7 @@
             return False
         if not is_not_run and not route.may_repeat:
             return False
-        if not is_not_run and self.possible_runs >= route.max_attempts:
+        if not is_not_run and not self.may_run_again():
             return False
         return self.cover.obtain()
 
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -103,13 +103,29 @@
             return
         limits = self.shared.limits
         withheld = limits.withheld(self.routed.priority)
-        chosen = self.choose_path(self.failed_engines | withheld)
+        chosen = self.choose_path(self.avoided_engines() | withheld)
         if chosen is None or self.denied_permits >= runs.MAX_DENIED_PERMITS:
             self.handle_no_path(bool(withheld))
             return
         first = chosen.path[0].instance
         self.send_with_permit(first, functools.partial(self.send, chosen))
 
+    def avoided_engines(self, current: str = "") -> frozenset[str]:
+        """Returns the engines that the request must not be sent to next.
+
+        Once it may have run on as many engines as its route allows, only those
+        are left: they may run it again.
+
+        Args:
+            current: The engine that runs it, if that one counts; "" for none.
+        """
+        runs = self.ended_runs.instances()
+        counted = self.possible_runs + (current != "" and current not in runs)
+        if counted < self.routed.route.max_attempts:
+            return self.failed_engines
+        others = {engine.instance for engine in self.entrances()} - runs
+        return self.failed_engines.union(others)
+
     def choose_path(
         self, avoid: frozenset[str]
     ) -> path_choice.ChosenPath | None:
@@ -147,7 +163,8 @@
             if self.may_await_endpoints():
                 self.await_endpoints()
                 return
-            if is_limited and self.choose_path(self.failed_engines) is not None:
+            avoid = self.avoided_engines()
+            if is_limited and self.choose_path(avoid) is not None:
                 self.refuse_limited()
                 return
             self.log_paths_full()
@@ -220,7 +237,7 @@
         return (
             self.responder.head_sent
             and route.may_repeat
-            and (is_not_run or self.possible_runs < route.max_attempts)
+            and (is_not_run or self.may_run_again())
             and not self.shared.crash_watch.is_refused(self.routed)
         )
 
@@ -239,6 +256,9 @@
 
     def send(self, chosen: path_choice.ChosenPath) -> None:
         """Sends the request over a path."""
+        if chosen.path[0].instance in self.avoided_engines():
+            self.handle_no_path(is_limited=False)
+            return
         if not self.may_send_to_endpoint():
             return
         self.cover.record_send(chosen.path[0].instance)
@@ -573,7 +593,7 @@
             return
         if self.is_cut_off():
             self.ended_runs.remove(attempt.first.instance)
-        if self.possible_runs < self.routed.route.max_attempts:
+        if self.may_run_again():
             self.resume_within_budget()
         elif self.may_lose_runs():
             self.search_later(
@@ -586,10 +606,14 @@
         """Returns whether attempts fail since this node's links do.
 
         Such attempts don't count against the route's ``max_attempts``. A node
-        that no engine responds to may be cut off, or all engines pause.
+        that no engine responds to may be cut off, or all engines pause. Then
+        peers reach none either.
         """
-        return self.links.is_cut_off or self.links.is_isolated_for(
-            engine_tracker.MAX_PAUSE_S, self.loop.time()
+        return self.links.is_cut_off or (
+            self.links.is_isolated_for(
+                engine_tracker.MAX_PAUSE_S, self.loop.time()
+            )
+            and self.shared.peer_paths.is_cut_off(self.routed.service)
         )
 
     def may_lose_runs(self) -> bool:
@@ -601,7 +625,7 @@
             return True
         tracker = self.shared.tracker
         return any(
-            not tracker.has_ended(run.instance)
+            not tracker.is_known_ended(run.instance)
             and (
                 tracker.is_lost(run.instance)
                 or self.shared.crash_watch.ports.is_checking(run.instance)
@@ -634,7 +658,7 @@
             attempt.forwarded.cancel()
         self.release_attempt()
         # One that only pauses is left out while it is silent.
-        if not self.shared.tracker.may_be_paused(attempt.first.instance):
+        if not self.shared.tracker.may_continue(attempt.first.instance):
             self.failed_engines |= {attempt.first.instance}
         self.shared.crash_watch.note_unanswered(
             self.routed,
@@ -647,20 +671,41 @@
     def can_leave(self, attempt: stream_attempt.StreamAttempt) -> bool:
         """Returns whether the stream can run elsewhere instead.
 
-        The current attempt counts as one that may have run the request, unless
-        its engine has ended or this node is cut off from it.
+        The current engine counts as one that may have run the request, unless
+        it has ended or this node is cut off from it. If no other engine may run
+        the request, an earlier one may run it again, once the current one has
+        been silent for longer than a usual pause.
         """
-        if self.lacks_resume_point():
+        if self.lacks_resume_point() or not self.can_send_again():
             return False
         first = attempt.first.instance
-        is_uncounted = self.is_cut_off() or self.shared.tracker.has_ended(first)
-        if not self.can_retry(0 if is_uncounted else 1):
-            return False
+        is_uncounted = self.is_cut_off() or self.seems_ended(first)
+        may_use_another = self.can_retry(int(not is_uncounted))
         if self.links.is_isolated:
-            return self.can_pass_to_peer()
-        avoid = self.failed_engines | {first}
+            return may_use_another and self.can_pass_to_peer()
+        if not may_use_another and not self.shared.tracker.has_ended(first):
+            return False
+        current = "" if is_uncounted else first
+        avoid = self.avoided_engines(current) | {first}
         return self.choose_unlimited_path(avoid) is not None
 
+    def seems_ended(self, instance: str) -> bool:
+        """Returns whether a run at an engine would not count.
+
+        Its silence alone is taken for an end only within a limit.
+        """
+        tracker = self.shared.tracker
+        return tracker.is_known_ended(instance) or (
+            tracker.has_ended(instance) and self.shared.unproven_runs.has_room()
+        )
+
+    def may_run_again(self) -> bool:
+        """Returns whether a new engine, or an earlier one, may run it."""
+        return (
+            super().may_run_again()
+            or self.choose_unlimited_path(self.avoided_engines()) is not None
+        )
+
     async def move(self, away_from: str, is_forced: bool) -> None:
         """Moves the running request off an engine.
 
--- a/tests/policy/test_possible_runs.py
+++ b/tests/policy/test_possible_runs.py
@@ -70,6 +70,32 @@
     assert runs.count(tracker.has_ended) == case.count
 
 
+@pytest.mark.parametrize("case", CASES.values(), ids=CASES)
+def test_silence_of_any_length_proves_no_end(case: Case) -> None:
+    """Guards against engines that go on after a silence of seconds."""
+    tracker = engine_tracker.EngineTracker()
+    runs = possible_runs.PossibleRuns(0)
+    runs.add("e1", 0.0)
+    for at, reason in case.suspected:
+        tracker.suspect("e1", reason, at)
+    for at in case.unanswered:
+        tracker.note_silent("e1", at)
+    if case.is_forgotten:
+        tracker.forget("e1")
+    is_gone = any(
+        reason is engine_tracker.Suspicion.GONE for _, reason in case.suspected
+    )
+    is_proven = is_gone or (case.is_forgotten and bool(case.suspected))
+    assert runs.count(tracker.is_known_ended) == int(not is_proven)
+
+
+def test_attempts_at_one_engine_count_once() -> None:
+    runs = possible_runs.PossibleRuns(0)
+    for ended_at in (0.0, 1.0):
+        runs.add("e1", ended_at)
+    assert runs.count(lambda instance: False) == 1
+
+
 def test_attempts_at_unknown_endpoints_always_count() -> None:
     runs = possible_runs.PossibleRuns(1)
     runs.add_settled()
