--- a/tests/soak/engine_pauses.py
+++ b/tests/soak/engine_pauses.py
@@ -11,11 +11,19 @@
 from tests.soak import engine_process
 from tests.soak import faults
 from tests.soak import layout
+from tests.soak import store_process
 
 if TYPE_CHECKING:
     from tests.soak import system as soak_system
 
 PAUSE_S = (0.3, 1.5)
+MAX_LONG_PAUSE_S = (
+    store_process.ENTRY_TTL_S - engine_process.HEARTBEAT_INTERVAL_S
+)
+"""The entry of an engine that pauses for less does not expire."""
+
+LONG_PAUSE_S = (1.4, 0.96 * MAX_LONG_PAUSE_S)
+LONG_PAUSE_SHARE = (0.2, 0.9)
 MIN_GAP_S = 0.25
 ENGINE_GAP_S = (MIN_GAP_S, 0.5)
 ZONE_GAP_S = (0.6, 1.2)
@@ -32,30 +40,38 @@
 
     async def inject(self, system: soak_system.SoakSystem) -> None:
         async with system.pausing:
-            start = time.monotonic()
-            until = start + self.lasts_s
-            engines = [
-                engine
-                for engine in self.choose(system)
-                if engine.is_running()
-                and not engine.leaves_at
-                and system.disturbances.is_sound(engine.name)
-            ]
-            for engine in engines:
-                system.disturbances.pauses.append(
-                    disturbances.EnginePause(engine.name, start, until)
-                )
-            await asyncio.gather(
-                asyncio.sleep(self.lasts_s + MIN_GAP_S),
-                *(
-                    system.post(
-                        engine.listen,
-                        engine_process.PAUSE_PATH,
-                        {"until": until},
-                    )
-                    for engine in engines
-                ),
+            await self.pause(system, self.choose(system))
+
+    async def pause(
+        self,
+        system: soak_system.SoakSystem,
+        chosen: list[soak_system.EngineProcess],
+    ) -> None:
+        """Pauses the sound ones of some engines, and waits until they go on."""
+        start = time.monotonic()
+        until = start + self.lasts_s
+        engines = [
+            engine
+            for engine in chosen
+            if engine.is_running()
+            and not engine.leaves_at
+            and system.disturbances.is_sound(engine.name)
+        ]
+        for engine in engines:
+            system.disturbances.pauses.append(
+                disturbances.EnginePause(engine.name, start, until)
             )
+        await asyncio.gather(
+            asyncio.sleep(self.lasts_s + MIN_GAP_S),
+            *(
+                system.post(
+                    engine.listen,
+                    engine_process.PAUSE_PATH,
+                    {"until": until},
+                )
+                for engine in engines
+            ),
+        )
 
     def choose(
         self, system: soak_system.SoakSystem
@@ -71,10 +87,26 @@
         ]
 
 
+class PauseManyEngines(PauseSoundEngines):
+    """A share of the engines is silent for seconds; others may be as well.
+
+    ``shape`` is the share.
+    """
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        await self.pause(system, self.choose(system))
+
+    def choose(
+        self, system: soak_system.SoakSystem
+    ) -> list[soak_system.EngineProcess]:
+        count = max(1, round(self.shape * len(system.engines)))
+        return random.Random(self.pick).sample(system.engines, count)
+
+
 def draw(options: layout.SoakOptions) -> list[faults.Fault]:
-    """Draws series of pauses that leave the other faults of a seed alone."""
+    """Draws pauses that leave the other faults of a seed alone."""
+    found = draw_long_pauses(options)
     rng = random.Random(f"{options.seed}/{PauseSoundEngines.__name__}")
-    found: list[faults.Fault] = []
     for number in range(options.pauses):
         share_s = options.seconds / options.pauses
         start_s = (number + rng.uniform(0.0, 0.3)) * share_s
@@ -83,6 +115,20 @@
     return found
 
 
+def draw_long_pauses(options: layout.SoakOptions) -> list[faults.Fault]:
+    """Draws pauses of seconds, which may overlap."""
+    rng = random.Random(f"{options.seed}/{PauseManyEngines.__name__}")
+    return [
+        PauseManyEngines(
+            rng.uniform(0.0, options.seconds),
+            rng.random(),
+            rng.uniform(*LONG_PAUSE_S),
+            rng.uniform(*LONG_PAUSE_SHARE),
+        )
+        for _ in range(options.long_pauses)
+    ]
+
+
 def draw_series(
     rng: random.Random, engines: int, at_s: float, end_s: float
 ) -> list[faults.Fault]:
--- a/tests/soak/layout.py
+++ b/tests/soak/layout.py
@@ -91,6 +91,8 @@
         cuts: Number of times that nodes lose all engines for a while.
         backoffs: Number of times that an engine asks for a backoff.
         pauses: Number of series in which sound engines fall silent.
+        long_pauses: Number of times that many sound engines fall silent for
+            seconds.
         erratic: Number of times that an engine responds erratically for a
             while, and that an engine takes over the address of another.
         restores: Number of times that the store returns from an older copy.
@@ -111,6 +113,7 @@
     cuts: int = 0
     backoffs: int = 0
     pauses: int = 0
+    long_pauses: int = 0
     restores: int = 0
     erratic: int = 0
     erratic_services: int = 0
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -84,7 +84,7 @@
             callers.SoakCaller(number, self.system, self.judge)
             for number in numbers
         ]
-        if self.options.pauses:
+        if self.options.pauses or self.options.long_pauses:
             sending += [
                 callers.LongStreamCaller(
                     len(numbers) + number, self.system, self.judge
@@ -224,6 +224,12 @@
         default=0,
         help="series in which sound engines fall silent",
     )
+    parser.add_argument(
+        "--long-pauses",
+        type=int,
+        default=0,
+        help="times that many sound engines fall silent for seconds",
+    )
     parser.add_argument(
         "--restores",
         type=int,
@@ -282,6 +288,7 @@
         cuts=args.cuts,
         backoffs=args.backoffs,
         pauses=args.pauses,
+        long_pauses=args.long_pauses,
         restores=args.restores,
         erratic=args.erratic,
         erratic_services=args.erratic_services,
