Test when the silence of all endpoints is a cut of the node

The row without peers that reach endpoints fails on: a node that no endpoint answered for 1.4 s took itself for cut off, and no run of its streams counted, also while all engines paused.

--- a/tests/relay/test_runs_over_cuts.py
+++ b/tests/relay/test_runs_over_cuts.py
@@ -11,6 +11,7 @@
 from almondshift.policy import isolation
 from almondshift.policy import possible_runs
 from almondshift.relay import runs
+from almondshift.relay import stream_run
 from tests.policy import test_isolation
 
 NOW = 100.0
@@ -45,3 +46,26 @@
     links.end_round(NOW + 0.9, NOW + 1.0)
     lose_links(links, NOW + 9.0)
     assert count(run) == 0
+
+
+@pytest.mark.parametrize("do_peers_reach", [True, False])
+def test_silence_is_a_cut_only_if_peers_reach_endpoints(
+    do_peers_reach: bool,
+) -> None:
+    """Guards against runs that don't count while all engines pause."""
+    loop: Any = types.SimpleNamespace(time=lambda: NOW + 9.0)
+    links = isolation.Isolation()
+    links.begin_round(NOW, NOW)
+    for start in (NOW + 0.1, NOW + 0.2):
+        links.end_round(start, start + 0.1)
+    peer_paths = types.SimpleNamespace(
+        is_cut_off=lambda service: do_peers_reach
+    )
+    run: Any = types.SimpleNamespace(
+        links=links,
+        loop=loop,
+        routed=types.SimpleNamespace(service="model"),
+        shared=types.SimpleNamespace(peer_paths=peer_paths),
+    )
+    assert not links.is_cut_off
+    assert stream_run.StreamRun.is_cut_off(run) is do_peers_reach
