Rename EngineTracker.has_ended to seems_ended

Silence is part of what it tells, beside is_known_ended, which is proof. No change of behaviour; tests call the same method by its new name.

--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -232,7 +232,7 @@
         """Returns whether there is proof that an engine has ended."""
         return instance in self.ended
 
-    def has_ended(self, instance: str) -> bool:
+    def seems_ended(self, instance: str) -> bool:
         """Returns whether an engine has ended, or was silent for too long."""
         if self.is_known_ended(instance):
             return True
@@ -254,7 +254,7 @@
 
     def may_be_paused(self, instance: str) -> bool:
         """Returns whether an engine may be silent for a usual pause only."""
-        return self.may_continue(instance) and not self.has_ended(instance)
+        return self.may_continue(instance) and not self.seems_ended(instance)
 
     def query_gap_s(self, instance: str, now: float) -> float:
         """Returns the time until a suspect engine is queried again."""
--- a/src/almondshift/relay/lost_engines.py
+++ b/src/almondshift/relay/lost_engines.py
@@ -118,7 +118,7 @@
         if state is None or state.reason is None:
             return
         suspicion = state.reason
-        seemed_ended = self.tracker.has_ended(instance)
+        seemed_ended = self.tracker.seems_ended(instance)
         self.tracker.clear_suspicion(instance)
         self.observer.emit(
             log_events.EndpointRestored(
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -166,7 +166,7 @@
             self.ended_runs.remove_within(cut.began_at, cut.ended_at)
         tracker = self.shared.tracker
         known = self.ended_runs.count(tracker.is_known_ended)
-        without_silent = self.ended_runs.count(tracker.has_ended)
+        without_silent = self.ended_runs.count(tracker.seems_ended)
         if without_silent < known and self.shared.unproven_runs.has_room():
             return without_silent
         return known
@@ -336,7 +336,7 @@
             instance
             for instance in runs.instances()
             if not tracker.is_known_ended(instance)
-            and tracker.has_ended(instance)
+            and tracker.seems_ended(instance)
         )
         self.shared.unproven_runs.take(silent)
         self.shared.observer.unproven_runs.inc()
@@ -911,7 +911,7 @@
             f"{instance}: "
             + ("ended" if tracker.is_known_ended(instance) else "silent")
             for instance in sorted(self.ended_runs.instances())
-            if tracker.has_ended(instance)
+            if tracker.seems_ended(instance)
         )
 
     def endpoint_state(self, instance: str) -> str:
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -679,24 +679,25 @@
         if self.lacks_resume_point() or not self.can_send_again():
             return False
         first = attempt.first.instance
-        is_uncounted = self.is_cut_off() or self.seems_ended(first)
+        is_uncounted = self.is_cut_off() or self.is_uncounted_at(first)
         may_use_another = self.can_retry(int(not is_uncounted))
         if self.links.is_isolated:
             return may_use_another and self.can_pass_to_peer()
-        if not may_use_another and not self.shared.tracker.has_ended(first):
+        if not may_use_another and not self.shared.tracker.seems_ended(first):
             return False
         current = "" if is_uncounted else first
         avoid = self.avoided_engines(current) | {first}
         return self.choose_unlimited_path(avoid) is not None
 
-    def seems_ended(self, instance: str) -> bool:
+    def is_uncounted_at(self, instance: str) -> bool:
         """Returns whether a run at an engine would not count.
 
         Its silence alone is taken for an end only within a limit.
         """
         tracker = self.shared.tracker
         return tracker.is_known_ended(instance) or (
-            tracker.has_ended(instance) and self.shared.unproven_runs.has_room()
+            tracker.seems_ended(instance)
+            and self.shared.unproven_runs.has_room()
         )
 
     def may_run_again(self) -> bool:
--- a/tests/policy/test_possible_runs.py
+++ b/tests/policy/test_possible_runs.py
@@ -67,7 +67,7 @@
         tracker.clear_suspicion("e1")
     if case.is_forgotten:
         tracker.forget("e1")
-    assert runs.count(tracker.has_ended) == case.count
+    assert runs.count(tracker.seems_ended) == case.count
 
 
 @pytest.mark.parametrize("case", CASES.values(), ids=CASES)
@@ -130,7 +130,7 @@
     for number in range(engine_tracker.MAX_ENDED + 1):
         tracker.note_ended(f"e{number}")
     assert len(tracker.ended) == engine_tracker.MAX_ENDED
-    assert not tracker.has_ended("e0")
+    assert not tracker.seems_ended("e0")
 
 
 @pytest.mark.parametrize(
@@ -150,13 +150,13 @@
     queries = 0
     for tick in range(1, 20):
         now = 0.1 * tick
-        if tracker.has_ended("e1") or "e1" not in tracker.due_for_query(now):
+        if tracker.seems_ended("e1") or "e1" not in tracker.due_for_query(now):
             continue
         queries += 1
         gap_s = tracker.query_gap_s("e1", now)
         tracker.state("e1").suspect_until = now + gap_s
         tracker.note_silent("e1", now + 0.3)
-    assert tracker.has_ended("e1")
+    assert tracker.seems_ended("e1")
     assert tracker.state("e1").silent_until < 1.65
     assert queries <= most_queries
 
--- a/tests/relay/test_pauses_elsewhere.py
+++ b/tests/relay/test_pauses_elsewhere.py
@@ -38,7 +38,7 @@
     tracker = engine_tracker.EngineTracker()
     tracker.suspect("e1", reason, 0.0)
     fall_silent(tracker, 5.0, pause_s)
-    assert not tracker.has_ended("e1")
+    assert not tracker.seems_ended("e1")
     assert tracker.may_be_paused("e1")
     gap_s = tracker.query_gap_s("e1", 5.0 + pause_s)
     assert gap_s == engine_tracker.SILENT_QUERY_GAP_S
@@ -70,6 +70,6 @@
             await running.until(lambda: name in process.node.catalogue.engines)
             queries = process.node.silence.queries
             assert await queries.report(name, engine.address) is not None
-            assert not process.node.tracker.has_ended(name)
+            assert not process.node.tracker.seems_ended(name)
 
     asyncio.run(scenario())
--- a/tests/relay/test_pauses_of_nodes.py
+++ b/tests/relay/test_pauses_of_nodes.py
@@ -72,7 +72,7 @@
         time.sleep(blocked_s)
         has_responded = await querying
         node.pool.close()
-        assert not node.tracker.has_ended("e1")
+        assert not node.tracker.seems_ended("e1")
         assert has_responded
 
 
@@ -90,4 +90,4 @@
         for _ in range(3):
             assert not await node.queries.answers(node.engine)
         node.pool.close()
-        assert node.tracker.has_ended("e1")
+        assert node.tracker.seems_ended("e1")
