--- a/tests/policy/test_possible_runs.py
+++ b/tests/policy/test_possible_runs.py
@@ -53,12 +53,9 @@
 }
 
 
-@pytest.mark.parametrize("case", CASES.values(), ids=CASES)
-def test_an_attempt_counts_unless_its_engine_has_ended(case: Case) -> None:
-    """Guards against pauses that cost attempts which no limit counts."""
+def track(case: Case) -> engine_tracker.EngineTracker:
+    """Returns what a node has recorded of the engine."""
     tracker = engine_tracker.EngineTracker()
-    runs = possible_runs.PossibleRuns(0)
-    runs.add("e1", 0.0)
     for at, reason in case.suspected:
         tracker.suspect("e1", reason, at)
     for at in case.unanswered:
@@ -67,25 +64,27 @@
         tracker.clear_suspicion("e1")
     if case.is_forgotten:
         tracker.forget("e1")
+    return tracker
+
+
+@pytest.mark.parametrize("case", CASES.values(), ids=CASES)
+def test_an_attempt_counts_unless_its_engine_has_ended(case: Case) -> None:
+    """Guards against pauses that cost attempts which no limit counts."""
+    tracker = track(case)
+    runs = possible_runs.PossibleRuns(0)
+    runs.add("e1", 0.0)
     assert runs.count(tracker.seems_ended) == case.count
 
 
 @pytest.mark.parametrize("case", CASES.values(), ids=CASES)
 def test_silence_of_any_length_proves_no_end(case: Case) -> None:
     """Guards against engines that go on after a silence of seconds."""
-    tracker = engine_tracker.EngineTracker()
+    tracker = track(case)
     runs = possible_runs.PossibleRuns(0)
     runs.add("e1", 0.0)
-    for at, reason in case.suspected:
-        tracker.suspect("e1", reason, at)
-    for at in case.unanswered:
-        tracker.note_silent("e1", at)
-    if case.is_forgotten:
-        tracker.forget("e1")
-    is_gone = any(
-        reason is engine_tracker.Suspicion.GONE for _, reason in case.suspected
-    )
-    is_proven = is_gone or (case.is_forgotten and bool(case.suspected))
+    is_replaced = tracker.state("e1").reason is engine_tracker.Suspicion.GONE
+    is_lease_over = case.is_forgotten and bool(case.suspected)
+    is_proven = is_replaced or is_lease_over
     assert runs.count(tracker.is_known_ended) == int(not is_proven)
 
 
