Soak: engines that stand still until their entries expire, and go on

The judge took a process whose entry expires for ended, and excused each run there. It goes on and runs what it was sent, so the run counts now; the row of the judge's test that held the excuse expects a violation in its place.

--- a/tests/soak/engine_pauses.py
+++ b/tests/soak/engine_pauses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import time
 from typing import TYPE_CHECKING
@@ -24,6 +25,8 @@
 
 LONG_PAUSE_S = (1.4, 0.96 * MAX_LONG_PAUSE_S)
 LONG_PAUSE_SHARE = (0.2, 0.9)
+LAPSE_S = (store_process.ENTRY_TTL_S + 0.2, 9.0)
+LAPSE_SHARE = (0.1, 0.5)
 MIN_GAP_S = 0.25
 ENGINE_GAP_S = (MIN_GAP_S, 0.5)
 ZONE_GAP_S = (0.6, 1.2)
@@ -103,9 +106,36 @@
         return random.Random(self.pick).sample(system.engines, count)
 
 
+class StopManyEngines(PauseManyEngines):
+    """A share of the engines is silent until their entries have expired."""
+
+    async def pause(
+        self,
+        system: soak_system.SoakSystem,
+        chosen: list[soak_system.EngineProcess],
+    ) -> None:
+        with contextlib.ExitStack() as stack:
+            for engine in chosen:
+                stack.enter_context(
+                    system.disturbances.during(engine.name, "pause")
+                )
+            until = time.monotonic() + self.lasts_s
+            await asyncio.gather(
+                asyncio.sleep(self.lasts_s),
+                *(
+                    system.post(
+                        engine.listen,
+                        engine_process.PAUSE_PATH,
+                        {"until": until},
+                    )
+                    for engine in chosen
+                ),
+            )
+
+
 def draw(options: layout.SoakOptions) -> list[faults.Fault]:
     """Draws pauses that leave the other faults of a seed alone."""
-    found = draw_long_pauses(options)
+    found = draw_long_pauses(options) + draw_lapses(options)
     rng = random.Random(f"{options.seed}/{PauseSoundEngines.__name__}")
     for number in range(options.pauses):
         share_s = options.seconds / options.pauses
@@ -129,6 +159,20 @@
     ]
 
 
+def draw_lapses(options: layout.SoakOptions) -> list[faults.Fault]:
+    """Draws pauses that outlast registry entries, and may overlap."""
+    rng = random.Random(f"{options.seed}/{StopManyEngines.__name__}")
+    return [
+        StopManyEngines(
+            rng.uniform(0.0, options.seconds),
+            rng.random(),
+            rng.uniform(*LAPSE_S),
+            rng.uniform(*LAPSE_SHARE),
+        )
+        for _ in range(options.lapses)
+    ]
+
+
 def draw_series(
     rng: random.Random, engines: int, at_s: float, end_s: float
 ) -> list[faults.Fault]:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -411,6 +411,9 @@
     FailingEngine,
 )
 
+PROXY_FAULTS = (LinkFault, SlowStore)
+"""Faults that only the proxies of links can inject."""
+
 PLANNED_ONLY_PROBABILITY = 0.3
 """Share of seeds with planned faults only, which check the guarantees for
 planned work without other disturbances."""
@@ -425,6 +428,8 @@
     """Draws all faults of a soak, in series that overlap."""
     is_planned_only = rng.random() < PLANNED_ONLY_PROBABILITY
     kinds = PLANNED if is_planned_only else PLANNED + UNPLANNED
+    if options.direct:
+        kinds = tuple(k for k in kinds if not issubclass(k, PROXY_FAULTS))
     size = (options.nodes + options.engines) / PROCESSES_PER_SERIES
     count = round(options.seconds / SECONDS_PER_SERIES * size)
     count = max(MIN_SERIES, count)
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -14,7 +14,6 @@
 from tests.soak import engine_process
 from tests.soak import layout
 from tests.soak import ledger
-from tests.soak import store_process
 from tests.soak import system as soak_system
 
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -397,20 +396,14 @@
     def lost_engine(self, run: ledger.Row, until: float) -> bool:
         """Returns whether an engine on the path of a run ended or was cut off.
 
-        An engine that is suspended until its entry expires counts as ended.
+        One that stands still goes on, whether its entry has expired or not.
         """
         engines = self.engines_of(Work(arrived=[run]))
         if any(self.left_at.get(engine, until) < until for engine in engines):
             return True
         return any(
             d.target in engines
-            and (
-                d.what in disturbances.ENDS_RUNS
-                or (
-                    d.what == "pause"
-                    and d.end - d.start >= store_process.ENTRY_TTL_S
-                )
-            )
+            and d.what in disturbances.ENDS_RUNS
             and d.start <= until
             and d.end >= run.at
             for d in self.history().all
--- a/tests/soak/layout.py
+++ b/tests/soak/layout.py
@@ -93,6 +93,8 @@
         pauses: Number of series in which sound engines fall silent.
         long_pauses: Number of times that many sound engines fall silent for
             seconds.
+        lapses: Number of times that many engines stand still until their
+            registry entries have expired, and go on.
         erratic: Number of times that an engine responds erratically for a
             while, and that an engine takes over the address of another.
         restores: Number of times that the store returns from an older copy.
@@ -101,6 +103,8 @@
         allowance: Repeats of all nodes in a window beyond the ratio.
         endless: Number of times that an engine responds without end for a
             while.
+        direct: Whether links have no proxies, and no faults. The harness, which
+            runs all proxies, then allows for more processes.
     """
 
     seed: int
@@ -114,11 +118,13 @@
     backoffs: int = 0
     pauses: int = 0
     long_pauses: int = 0
+    lapses: int = 0
     restores: int = 0
     erratic: int = 0
     erratic_services: int = 0
     allowance: int = 200
     endless: int = 0
+    direct: bool = False
 
     def repeats(self) -> relay_settings.RepeatsSection:
         """Returns the retry budget of all nodes."""
@@ -126,6 +132,10 @@
             ratio=0.2, window_s=10.0, allowance=float(self.allowance)
         )
 
+    def has_pauses(self) -> bool:
+        """Returns whether engines fall silent that go on."""
+        return any((self.pauses, self.long_pauses, self.lapses))
+
     def plain_engines(self) -> int:
         """Returns how many endpoints serve plain requests."""
         return max(2, self.engines // 5)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -84,7 +84,7 @@
             callers.SoakCaller(number, self.system, self.judge)
             for number in numbers
         ]
-        if self.options.pauses or self.options.long_pauses:
+        if self.options.has_pauses():
             sending += [
                 callers.LongStreamCaller(
                     len(numbers) + number, self.system, self.judge
@@ -230,6 +230,12 @@
         default=0,
         help="times that many sound engines fall silent for seconds",
     )
+    parser.add_argument(
+        "--lapses",
+        type=int,
+        default=0,
+        help="times that many engines stand still until their entries expire",
+    )
     parser.add_argument(
         "--restores",
         type=int,
@@ -260,6 +266,11 @@
         default=0,
         help="engines that respond without end for a while",
     )
+    parser.add_argument(
+        "--direct",
+        action="store_true",
+        help="links without proxies and without faults",
+    )
     parser.add_argument("--folder", type=pathlib.Path)
     parser.add_argument("--regressions", action="store_true")
     args = parser.parse_args()
@@ -289,11 +300,13 @@
         backoffs=args.backoffs,
         pauses=args.pauses,
         long_pauses=args.long_pauses,
+        lapses=args.lapses,
         restores=args.restores,
         erratic=args.erratic,
         erratic_services=args.erratic_services,
         allowance=args.allowance,
         endless=args.endless,
+        direct=args.direct,
     )
 
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -131,12 +131,30 @@
     leaves_at: float = 0.0
 
 
-async def create_link(upstream: str) -> fault_proxy.FaultProxy:
+class DirectLink(fault_proxy.FaultProxy):
+    """A link without a proxy, on which no fault can be injected."""
+
+    def __init__(self, upstream: str) -> None:
+        super().__init__(upstream)
+        self.address = upstream
+
+    async def close(self) -> None:
+        """Does nothing; there is no proxy."""
+
+
+async def create_link(upstream: str, is_direct: bool) -> fault_proxy.FaultProxy:
     """Creates a proxy that keeps no connections of clients that are gone.
 
     A paused process doesn't close them, and clients whose queries time out open
     new ones all the while.
+
+    Args:
+        upstream: Address that is connected to.
+        is_direct: Whether no proxy is used. Then the kernel alone decides what
+            becomes of connections to processes that stand still.
     """
+    if is_direct:
+        return DirectLink(upstream)
     link = await fault_proxy.create_fault_proxy(upstream)
     link.closes_with_client = True
     return link
@@ -214,8 +232,11 @@
 
     async def add_node(self, index: int) -> NodeProcess:
         network = self.network
-        front = await create_link(network.node(index, layout.NODE_PORT))
-        link = await create_link(network.store())
+        is_direct = self.options.direct
+        front = await create_link(
+            network.node(index, layout.NODE_PORT), is_direct
+        )
+        link = await create_link(network.store(), is_direct)
         name = f"n{index}"
         path = self.folder / f"{name}.ini"
         cut_file = self.folder / f"{name}.cut"
@@ -259,7 +280,7 @@
         is_plain = index < self.options.plain_engines()
         service = layout.PLAIN_SERVICE if is_plain else layout.MODEL_SERVICE
         listen = self.network.engine(index, generation)
-        link = await create_link(listen)
+        link = await create_link(listen, self.options.direct)
         name = f"e{index}-{generation}"
         path = self.folder / f"{name}.ledger"
         engine = EngineProcess(
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -609,7 +609,7 @@
         (runs_on_an_engine_that_is_cut_off, []),
         (runs_on_an_engine_with_a_slow_link, [Promise.RUNS]),
         (runs_on_an_engine_that_stands_still, [Promise.RUNS]),
-        (runs_on_an_engine_whose_entry_expires, []),
+        (runs_on_an_engine_whose_entry_expires, [Promise.RUNS]),
         (runs_from_a_node_that_is_cut_off, []),
         (runs_after_an_engine_was_killed, [Promise.RUNS]),
         (runs_on_an_engine_that_leaves, []),
