Log why runs of a request are not counted, and what ended an engine

A request was sent to one more engine than its route allows, and the log named no reason: AS5009 said of an earlier engine that it had ended, not what showed it, and nothing of engines that the node left out as cut off. AS5026 tells only of silent ones.

AS5027 and almondshift_relay_uncounted_runs_total tell each such send; it and AS5009 name the engines and the reason: port closed, replaced, entry lapsed, silent or cut off. AS4014 tells whether connections failed. No decision changes.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -387,7 +387,10 @@
 
 
 class EndpointsUnreachable(Event, frozen=True):
-    """This node reaches no endpoint of a service, though peers may."""
+    """This node reaches no endpoint of a service, though peers may.
+
+    ``connections_failed`` tells a lost link from endpoints that are silent.
+    """
 
     number = 4014
     level = logging.WARNING
@@ -395,6 +398,7 @@
 
     service: str
     endpoints: int
+    connections_failed: bool
 
 
 class EndpointsReachable(Event, frozen=True):
@@ -812,6 +816,23 @@
     silent: str
 
 
+class RunUncounted(Event, frozen=True):
+    """A request is sent to one more engine, as earlier ones don't count.
+
+    ``uncounted`` names these, and whether each is cut off, silent, or known to
+    have ended: its port is closed, it was replaced or its entry lapsed.
+    """
+
+    number = 5027
+    message = "run uncounted"
+
+    request_id: str
+    service: str
+    target: str
+    max_attempts: int
+    uncounted: str
+
+
 class StoreOutageBegan(Event, frozen=True):
     """The platform's store does not respond."""
 
--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -91,6 +91,14 @@
     HEALTH_CHECK = "health check"
 
 
+class End(enum.StrEnum):
+    """What shows that an engine has ended."""
+
+    PORT_CLOSED = "port closed"
+    REPLACED = "replaced"
+    ENTRY_LAPSED = "entry lapsed"
+
+
 @dataclasses.dataclass(slots=True)
 class EngineState:
     """What this node knows of one start of an engine.
@@ -153,14 +161,15 @@
 
     Attributes:
         states: By instance.
-        ended: Engines that are known to have ended, the oldest first.
+        ended: Engines that are known to have ended, and what shows it; the
+            oldest first.
         changes: Increases with each change of health, not of load.
         query_factor: Factor by which a large group extends its intervals.
     """
 
     def __init__(self) -> None:
         self.states: dict[str, EngineState] = {}
-        self.ended: collections.OrderedDict[str, None] = (
+        self.ended: collections.OrderedDict[str, End] = (
             collections.OrderedDict()
         )
         self.changes = 0
@@ -209,14 +218,14 @@
         if reason is Suspicion.UNREACHABLE:
             state.suspect_until = now + self.silent_query_gap_s(state, now)
         elif reason is Suspicion.GONE:
-            self.note_ended(instance)
+            self.note_ended(instance, End.REPLACED)
         if is_change:
             self.changes += 1
         return is_change
 
-    def note_ended(self, instance: str) -> None:
-        """Records that an engine has ended: its port is closed, or replaced."""
-        self.ended[instance] = None
+    def note_ended(self, instance: str, end: End) -> None:
+        """Records that an engine has ended, and what shows it."""
+        self.ended[instance] = end
         if len(self.ended) > MAX_ENDED:
             self.ended.popitem(last=False)
 
@@ -423,6 +432,6 @@
         One that was silent before has ended: its lease is over.
         """
         if self.is_lost(instance):
-            self.note_ended(instance)
+            self.note_ended(instance, End.ENTRY_LAPSED)
         if self.states.pop(instance, None) is not None:
             self.changes += 1
--- a/src/almondshift/policy/possible_runs.py
+++ b/src/almondshift/policy/possible_runs.py
@@ -41,11 +41,14 @@
     Attributes:
         settled: Attempts that count whatever becomes of their endpoints.
         attempts: The other attempts, in order.
+        cut_off: Endpoints of attempts that don't count, since this node had
+            lost its links to them.
     """
 
     def __init__(self, earlier: int) -> None:
         self.settled = earlier
         self.attempts: list[EndedAttempt] = []
+        self.cut_off: set[str] = set()
 
     def add_settled(self, count: int = 1) -> None:
         """Counts attempts at endpoints that are not known here."""
@@ -55,20 +58,24 @@
         """Counts an attempt until its endpoint is known to have ended."""
         self.attempts.append(EndedAttempt(instance, ended_at))
 
+    def add_cut_off(self, instance: str) -> None:
+        """Records an attempt that ended while this node was cut off."""
+        self.cut_off.add(instance)
+
     def remove(self, instance: str) -> None:
-        """Removes the first attempt at an endpoint, if there is one."""
+        """Removes the first attempt at an endpoint, as the node was cut off."""
         for attempt in self.attempts:
             if attempt.instance == instance:
                 self.attempts.remove(attempt)
+                self.cut_off.add(instance)
                 return
 
     def remove_within(self, began_at: float, ended_at: float) -> None:
         """Removes the attempts that ended while this node was cut off."""
-        self.attempts = [
-            attempt
-            for attempt in self.attempts
-            if not began_at <= attempt.ended_at <= ended_at
-        ]
+        for attempt in list(self.attempts):
+            if began_at <= attempt.ended_at <= ended_at:
+                self.attempts.remove(attempt)
+                self.cut_off.add(attempt.instance)
 
     def latest_end(self) -> float:
         """Returns when the latest attempt at a known endpoint ended.
@@ -81,6 +88,10 @@
         """Returns the known endpoints that may have run the request."""
         return frozenset(attempt.instance for attempt in self.attempts)
 
+    def all_engines(self) -> int:
+        """Returns the number of endpoints, whether they count or not."""
+        return self.settled + len(self.instances() | self.cut_off)
+
     def count(self, has_ended: Callable[[str], bool]) -> int:
         """Returns the number of endpoints that count.
 
--- a/src/almondshift/relay/crash_watch.py
+++ b/src/almondshift/relay/crash_watch.py
@@ -20,6 +20,7 @@
 from almondshift import errors
 from almondshift import log_events
 from almondshift.policy import crash_strikes
+from almondshift.policy import engine_tracker
 from almondshift.ports import peers
 from almondshift.relay import part_watch
 from almondshift.relay import port_checks
@@ -109,8 +110,7 @@
         group: The other nodes; None before this node has joined them.
         reported: Requests that peers were told of, by crashed instance.
         is_leaving: Returns whether an endpoint was expected to end.
-        on_ended: Called with an endpoint whose port is closed, or whose address
-            another one has.
+        on_ended: Called with an endpoint that has ended, and what shows it.
     """
 
     def __init__(
@@ -131,7 +131,9 @@
             collections.OrderedDict()
         )
         self.is_leaving: Callable[[str], bool] = lambda instance: False
-        self.on_ended: Callable[[str], None] = lambda instance: None
+        self.on_ended: Callable[[str, engine_tracker.End], None] = (
+            lambda instance, end: None
+        )
 
     def tick(self) -> None:
         """Does periodic work."""
@@ -266,13 +268,13 @@
     def port_closed(self, instance: str) -> None:
         """Adds strikes if an endpoint closed its port without notice."""
         if not self.is_leaving(instance):
-            self.on_ended(instance)
+            self.on_ended(instance, engine_tracker.End.PORT_CLOSED)
             self.record_crash(instance, Evidence.PORT_CLOSED)
 
     def endpoint_replaced(self, instance: str) -> None:
         """Adds strikes, as another endpoint has the address of this one."""
         if not self.is_leaving(instance):
-            self.on_ended(instance)
+            self.on_ended(instance, engine_tracker.End.REPLACED)
             self.record_crash(instance, Evidence.REPLACED)
 
     def endpoint_gone(self, instance: str, was_leaving: bool) -> None:
--- a/src/almondshift/relay/engine_reach.py
+++ b/src/almondshift/relay/engine_reach.py
@@ -167,7 +167,9 @@
         self.shared.observer.isolated.set(isolated)
         if links.is_isolated:
             self.shared.observer.emit(
-                log_events.EndpointsUnreachable(service, links.endpoints)
+                log_events.EndpointsUnreachable(
+                    service, links.endpoints, links.is_cut_off
+                )
             )
             self.on_isolated(service)
             return
--- a/src/almondshift/relay/observer.py
+++ b/src/almondshift/relay/observer.py
@@ -93,6 +93,12 @@
             registry=registry,
         )
 
+        self.uncounted_runs = prometheus_client.Counter(
+            "almondshift_relay_uncounted_runs",
+            "Sends to one more engine because earlier ones don't count.",
+            registry=registry,
+        )
+
         self.via_peers = prometheus_client.Counter(
             "almondshift_relay_via_peers",
             "Requests passed to peers, by outcome.",
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -330,6 +330,8 @@
         max_attempts = self.routed.route.max_attempts
         if target in runs.instances():
             return
+        if runs.all_engines() >= max_attempts:
+            self.log_uncounted(target)
         if runs.count(tracker.is_known_ended) < max_attempts:
             return
         silent = frozenset(
@@ -350,6 +352,19 @@
             )
         )
 
+    def log_uncounted(self, target: str) -> None:
+        """Logs that earlier engines don't count against the limit, and why."""
+        self.shared.observer.uncounted_runs.inc()
+        self.shared.observer.emit(
+            log_events.RunUncounted(
+                request_id=self.routed.request.request_id,
+                service=self.routed.service,
+                target=target,
+                max_attempts=self.routed.route.max_attempts,
+                uncounted=self.uncounted_runs(),
+            )
+        )
+
     def can_pass_to_peer(self) -> bool:
         """Returns whether a peer may serve the request."""
         if not self.routed.may_go_to_peer or len(self.tried_peers) >= MAX_PEERS:
@@ -907,12 +922,12 @@
     def uncounted_runs(self) -> str:
         """Lists the engines that don't count as runs, and why, for the log."""
         tracker = self.shared.tracker
-        return ",".join(
-            f"{instance}: "
-            + ("ended" if tracker.is_known_ended(instance) else "silent")
-            for instance in sorted(self.ended_runs.instances())
-            if tracker.seems_ended(instance)
-        )
+        runs = self.ended_runs
+        reasons = dict.fromkeys(runs.cut_off, "cut off")
+        for instance in runs.instances():
+            if tracker.seems_ended(instance):
+                reasons[instance] = tracker.ended.get(instance, "silent")
+        return ",".join(f"{i}: {reasons[i]}" for i in sorted(reasons))
 
     def endpoint_state(self, instance: str) -> str:
         """Returns what this node knows of an endpoint, for the log."""
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -557,7 +557,9 @@
         """
         is_not_run = evidence is not None
         attempt.end_send(request_sends.FAILED, evidence)
-        if evidence is None and not self.is_cut_off():
+        if evidence is None and self.is_cut_off():
+            self.ended_runs.add_cut_off(attempt.first.instance)
+        elif evidence is None:
             self.ended_runs.add(attempt.first.instance, self.loop.time())
         allowed = self.try_spend_retry(is_not_run)
         should_wait = not allowed and self.may_wait_for_capacity(is_not_run)
--- a/tests/policy/test_possible_runs.py
+++ b/tests/policy/test_possible_runs.py
@@ -127,7 +127,7 @@
 def test_only_so_many_ended_engines_are_remembered() -> None:
     tracker = engine_tracker.EngineTracker()
     for number in range(engine_tracker.MAX_ENDED + 1):
-        tracker.note_ended(f"e{number}")
+        tracker.note_ended(f"e{number}", engine_tracker.End.PORT_CLOSED)
     assert len(tracker.ended) == engine_tracker.MAX_ENDED
     assert not tracker.seems_ended("e0")
 
