Count runs at engines whose registry entries lapse

Callers' streams ran on three and four engines where two are allowed: an engine whose entry goes while it is suspect counted as ended. The entry of a process that stands still for three heartbeats lapses, and the process then goes on and runs what it was sent; its kernel kept the bytes.

Cause: the registry's clock in place of the node's: silence taken for an end, of 3.6 s in place of 1.4 s. A lapsed entry now makes an engine seem ended, as silence does, and proves nothing. Known ends are a closed port and another start (also one that registers after the entry had lapsed). A stream at such an engine still looks for an earlier one that is back.

A row of test_silence_of_any_length_proves_no_end held that the end of the lease is a proof.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -820,7 +820,7 @@
     """A request is sent to one more engine, as earlier ones don't count.
 
     ``uncounted`` names these, and whether each is cut off, silent, or known to
-    have ended: its port is closed, it was replaced or its entry lapsed.
+    have ended: its port is closed, or it was replaced.
     """
 
     number = 5027
--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -13,6 +13,8 @@
 import enum
 from typing import TYPE_CHECKING
 
+from almondshift.model import lifetimes
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -38,7 +40,7 @@
 seconds. The query times out just after ``MAX_PAUSE_S``."""
 
 MAX_ENDED = 512
-"""Maximum number of ended engines that are remembered."""
+"""Maximum number of ended engines that are remembered, and of lapsed ones."""
 
 PACE_VALID_S = 4.0
 """Validity of a report of slowness, in seconds."""
@@ -96,7 +98,6 @@
 
     PORT_CLOSED = "port closed"
     REPLACED = "replaced"
-    ENTRY_LAPSED = "entry lapsed"
 
 
 @dataclasses.dataclass(slots=True)
@@ -163,6 +164,8 @@
         states: By instance.
         ended: Engines that are known to have ended, and what shows it; the
             oldest first.
+        lapsed: Engines whose registry entries went while they were silent, the
+            oldest first. One that stands still may go on.
         changes: Increases with each change of health, not of load.
         query_factor: Factor by which a large group extends its intervals.
     """
@@ -172,6 +175,9 @@
         self.ended: collections.OrderedDict[str, End] = (
             collections.OrderedDict()
         )
+        self.lapsed: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         self.changes = 0
         self.query_factor = 1.0
 
@@ -225,6 +231,7 @@
 
     def note_ended(self, instance: str, end: End) -> None:
         """Records that an engine has ended, and what shows it."""
+        self.lapsed.pop(instance, None)
         self.ended[instance] = end
         if len(self.ended) > MAX_ENDED:
             self.ended.popitem(last=False)
@@ -232,6 +239,20 @@
     def note_alive(self, instance: str) -> None:
         """Records that an engine sent something; it has not ended after all."""
         self.ended.pop(instance, None)
+        self.lapsed.pop(instance, None)
+
+    def note_entry(self, instance: str) -> None:
+        """Records an engine's registry entry, which may have lapsed before.
+
+        An entry of another start of the engine shows that the former one has
+        ended.
+        """
+        name = lifetimes.engine_name(instance)
+        for lapsed in list(self.lapsed):
+            if lapsed == instance:
+                self.lapsed.pop(lapsed)
+            elif lifetimes.engine_name(lapsed) == name:
+                self.note_ended(lapsed, End.REPLACED)
 
     def note_silent(self, instance: str, now: float) -> None:
         """Records that a query to a suspect engine timed out."""
@@ -243,7 +264,7 @@
 
     def seems_ended(self, instance: str) -> bool:
         """Returns whether an engine has ended, or was silent for too long."""
-        if self.is_known_ended(instance):
+        if self.is_known_ended(instance) or instance in self.lapsed:
             return True
         state = self.states.get(instance)
         return (
@@ -254,11 +275,11 @@
 
     def may_continue(self, instance: str) -> bool:
         """Returns whether an engine is silent, but not known to have ended."""
+        if self.is_known_ended(instance):
+            return False
         state = self.states.get(instance)
-        return (
-            state is not None
-            and state.reason is Suspicion.UNREACHABLE
-            and not self.is_known_ended(instance)
+        return instance in self.lapsed or (
+            state is not None and state.reason is Suspicion.UNREACHABLE
         )
 
     def may_be_paused(self, instance: str) -> bool:
@@ -284,7 +305,7 @@
 
     def clear_suspicion(self, instance: str) -> None:
         """Clears the suspicion of an engine that answers again."""
-        self.ended.pop(instance, None)
+        self.note_alive(instance)
         state = self.state(instance)
         if state.reason is not None:
             state.reason = None
@@ -303,6 +324,10 @@
             Suspicion.DRAINING,
         )
 
+    def seems_dead(self, instance: str) -> bool:
+        """Returns whether an engine is lost, or lapsed while it was."""
+        return self.is_lost(instance) or instance in self.lapsed
+
     def query_all_suspects(self, now: float) -> None:
         """Makes all suspect engines due for a query now."""
         for state in self.states.values():
@@ -427,11 +452,14 @@
         return [i for i in self.states if self.is_slow(i, now)]
 
     def forget(self, instance: str) -> None:
-        """Drops an engine that is gone.
+        """Drops an engine whose registry entry is gone.
 
-        One that was silent before has ended: its lease is over.
+        The entry of a process that stands still lapses too, so that its loss
+        does not prove an end.
         """
-        if self.is_lost(instance):
-            self.note_ended(instance, End.ENTRY_LAPSED)
+        if self.is_lost(instance) and not self.is_known_ended(instance):
+            self.lapsed[instance] = None
+            if len(self.lapsed) > MAX_ENDED:
+                self.lapsed.popitem(last=False)
         if self.states.pop(instance, None) is not None:
             self.changes += 1
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -573,8 +573,10 @@
     ) -> None:
         """Uses an engine again that refused because of its former layers.
 
-        Also records crashes of engines whose address another one took over.
+        Also records crashes of engines whose address another one took over, and
+        the return of engines whose entries had lapsed.
         """
+        self.tracker.note_entry(engine.instance)
         self.shared.lost_engines.clear_refusal(engine.instance)
         watch = self.shared.crash_watch
         for instance in list(watch.strikes.broken_attempts):
--- a/src/almondshift/relay/stream_moves.py
+++ b/src/almondshift/relay/stream_moves.py
@@ -111,7 +111,7 @@
                 continue
             if run.links.is_isolated:
                 run.resume_elsewhere("no endpoint responds")
-            elif self.shared.tracker.is_lost(attempt.first.instance):
+            elif self.shared.tracker.seems_dead(attempt.first.instance):
                 run.resume_elsewhere("first engine lost")
 
     def is_streaming(self, instance: str) -> bool:
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -629,7 +629,7 @@
         return any(
             not tracker.is_known_ended(run.instance)
             and (
-                tracker.is_lost(run.instance)
+                tracker.seems_dead(run.instance)
                 or self.shared.crash_watch.ports.is_checking(run.instance)
             )
             for run in self.ended_runs.attempts
--- a/tests/policy/test_possible_runs.py
+++ b/tests/policy/test_possible_runs.py
@@ -50,6 +50,9 @@
     "silent, entry gone": Case(
         ((0.0, UNREACHABLE),), (0.5,), is_forgotten=True, count=0
     ),
+    "replaced, entry gone": Case(
+        ((0.0, engine_tracker.Suspicion.GONE),), is_forgotten=True, count=0
+    ),
 }
 
 
@@ -82,10 +85,10 @@
     tracker = track(case)
     runs = possible_runs.PossibleRuns(0)
     runs.add("e1", 0.0)
-    is_replaced = tracker.state("e1").reason is engine_tracker.Suspicion.GONE
-    is_lease_over = case.is_forgotten and bool(case.suspected)
-    is_proven = is_replaced or is_lease_over
-    assert runs.count(tracker.is_known_ended) == int(not is_proven)
+    is_replaced = any(
+        reason is engine_tracker.Suspicion.GONE for _, reason in case.suspected
+    )
+    assert runs.count(tracker.is_known_ended) == int(not is_replaced)
 
 
 def test_attempts_at_one_engine_count_once() -> None:
