Take a node for cut off only if its connections fail

Callers' streams ran on three engines where two are allowed. A node whose four random queries got no answer twice, and that had had no data for 1.4 s, took itself for cut off if some peer wasn't isolated, and left out the runs of its streams. A peer without a waiting request doesn't look, so it never is; and a node with one request in seconds has had no data for as long anyway.

Now only connections that fail show one. With the first round of queries that nobody answers the node also opens connections to four endpoints, first to those that it doesn't suspect: the host of a process that stands still accepts them, a link that is cut doesn't. If none is made within 0.5 s, runs that end from then on don't count.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -387,10 +387,7 @@
 
 
 class EndpointsUnreachable(Event, frozen=True):
-    """This node reaches no endpoint of a service, though peers may.
-
-    ``connections_failed`` tells a lost link from endpoints that are silent.
-    """
+    """This node reaches no endpoint of a service, though peers may."""
 
     number = 4014
     level = logging.WARNING
@@ -398,17 +395,21 @@
 
     service: str
     endpoints: int
-    connections_failed: bool
 
 
 class EndpointsReachable(Event, frozen=True):
-    """An endpoint of a service responded again to this node."""
+    """An endpoint of a service responded again to this node.
+
+    ``was_cut_off`` tells that connections had failed. Otherwise all endpoints
+    were silent.
+    """
 
     number = 4015
     message = "endpoints reachable"
 
     service: str
     seconds: float
+    was_cut_off: bool
 
 
 class EndpointBackoff(Event, frozen=True):
--- a/src/almondshift/policy/isolation.py
+++ b/src/almondshift/policy/isolation.py
@@ -72,7 +72,8 @@
         check_wanted_at: Since when a check should start at once; None if none
             is wanted.
         suspected_at: When connections last failed as in a cut.
-        suspected_from: When the first of these failed.
+        suspected_from: When the first of these failed, or was opened in a
+            check.
         cuts: The latest cuts that rounds have confirmed, the oldest first.
     """
 
@@ -143,6 +144,22 @@
         if self.is_isolated and not self.is_cut_off:
             self.cuts.append(Cut(self.suspected_from))
 
+    def note_no_connection(self, began_at: float, now: float) -> None:
+        """Records that no connection to any of several endpoints was made.
+
+        The host of an endpoint that only stands still accepts connections.
+
+        Args:
+            began_at: When the connections were opened.
+            now: When all of them had failed.
+        """
+        if self.last_response_at >= began_at:
+            return
+        self.suspected_at = now
+        self.suspected_from = began_at
+        if self.is_isolated and not self.is_cut_off:
+            self.cuts.append(Cut(began_at))
+
     def want_check(self, now: float) -> None:
         """Makes a check start at once."""
         self.check_wanted_at = now
--- a/src/almondshift/relay/engine_reach.py
+++ b/src/almondshift/relay/engine_reach.py
@@ -24,6 +24,10 @@
 """Time-out of a query, in seconds; live endpoints in the region respond within
 milliseconds."""
 
+CONNECT_TIMEOUT_S = 0.5
+"""Time-out of a connection that is opened to check the link, in seconds; that
+of connections for requests."""
+
 MAX_OVERRUN_S = 0.1
 """Maximum overrun of a round's time-out, in seconds. Beyond it the result is
 discarded, as this process was not scheduled."""
@@ -34,6 +38,7 @@
 
     Attributes:
         checking: Services that are being checked.
+        connecting: Services to whose endpoints connections are being opened.
         on_isolated: Called with a service of which this node has lost all
             endpoints.
         on_restored: Called with a service when an endpoint responds again.
@@ -43,6 +48,7 @@
         self.shared = shared
         self.work = background.Background()
         self.checking: set[str] = set()
+        self.connecting: set[str] = set()
         self.on_isolated: Callable[[str], None] = lambda service: None
         self.on_restored: Callable[[str], None] = lambda service: None
 
@@ -120,11 +126,48 @@
         if is_late and links.last_response_at < started_at:
             return
         isolated_since = links.isolated_since
-        if links.end_round(started_at, now):
+        changed = links.end_round(started_at, now)
+        if links.failed_rounds == 1 and service not in self.connecting:
+            self.connecting.add(service)
+            self.work.run(self.check_connections(service, links, endpoints))
+        if changed:
             self.report_change(service, links, isolated_since)
         elif not links.is_isolated:
             self.check_if_due()
 
+    async def check_connections(
+        self,
+        service: str,
+        links: isolation.Isolation,
+        endpoints: list[registered_engines.RegisteredEngine],
+    ) -> None:
+        """Opens connections to endpoints; records if none is accepted.
+
+        Endpoints that are not suspected are preferred: one that has stood still
+        for a while accepts no more connections once its queue is full.
+        """
+        loop = asyncio.get_running_loop()
+        tracker = self.shared.tracker
+        started_at = loop.time()
+        count = min(CHECKED_ENDPOINTS, len(endpoints))
+        sample = sorted(
+            self.shared.rng.sample(endpoints, len(endpoints)),
+            key=lambda endpoint: tracker.is_suspect(endpoint.instance),
+        )
+        try:
+            accepted = await asyncio.gather(
+                *(
+                    self.shared.engines.is_listening(
+                        endpoint.address, CONNECT_TIMEOUT_S
+                    )
+                    for endpoint in sample[:count]
+                )
+            )
+        finally:
+            self.connecting.discard(service)
+        if not any(accepted):
+            links.note_no_connection(started_at, loop.time())
+
     def can_query(self, service: str) -> bool:
         """Returns whether endpoints answer reports or health checks."""
         return (
@@ -167,14 +210,16 @@
         self.shared.observer.isolated.set(isolated)
         if links.is_isolated:
             self.shared.observer.emit(
-                log_events.EndpointsUnreachable(
-                    service, links.endpoints, links.is_cut_off
-                )
+                log_events.EndpointsUnreachable(service, links.endpoints)
             )
             self.on_isolated(service)
             return
         seconds = links.checked_at - (isolated_since or links.checked_at)
+        cut = links.latest_cut
+        was_cut_off = cut is not None and cut.ended_at == links.checked_at
         self.shared.observer.emit(
-            log_events.EndpointsReachable(service, round(seconds, 3))
+            log_events.EndpointsReachable(
+                service, round(seconds, 3), was_cut_off
+            )
         )
         self.on_restored(service)
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -607,16 +607,10 @@
     def is_cut_off(self) -> bool:
         """Returns whether attempts fail since this node's links do.
 
-        Such attempts don't count against the route's ``max_attempts``. A node
-        that no engine responds to may be cut off, or all engines pause. Then
-        peers reach none either.
+        Such attempts don't count against the route's ``max_attempts``. Silence
+        of all engines does not show it, as they may all pause.
         """
-        return self.links.is_cut_off or (
-            self.links.is_isolated_for(
-                engine_tracker.MAX_PAUSE_S, self.loop.time()
-            )
-            and self.shared.peer_paths.is_cut_off(self.routed.service)
-        )
+        return self.links.is_cut_off
 
     def may_lose_runs(self) -> bool:
         """Returns whether an attempt that counts may turn out not to.
--- a/tests/platform/test_cut_links.py
+++ b/tests/platform/test_cut_links.py
@@ -249,10 +249,15 @@
     asyncio.run(scenario())
 
 
-def test_a_stream_without_attempts_left_survives_the_loss_of_links() -> None:
+@pytest.mark.parametrize(
+    "cut", [cut_links.Cut.RESET, cut_links.Cut.SILENT], ids=str
+)
+def test_a_stream_without_attempts_left_survives_the_loss_of_links(
+    cut: cut_links.Cut,
+) -> None:
     """Guards against begun streams that end while the node learns of a cut.
 
-    The stream is resumed on a pooled connection, which is reset too. Both
+    The stream is resumed on a pooled connection, which is cut too. Both
     attempts of its route are used before the node knows that its link is lost.
     """
 
@@ -272,7 +277,7 @@
             assert isinstance(run, stream_run.StreamRun)
             assert run.attempt is not None
             run.ended_runs.add_settled(run.routed.route.max_attempts - 1)
-            pool.begin(cut_links.Cut.RESET)
+            pool.begin(cut)
             status, _, body = await stream
             assert status == 200
             assert len(whole.tokens(body)) == 100
--- a/tests/policy/test_isolation.py
+++ b/tests/policy/test_isolation.py
@@ -169,3 +169,23 @@
         state.begin_round(NOW - waiting_s, start)
         state.end_round(start, start + 0.1)
     assert state.is_isolated_for(1.4, NOW) == expected
+
+
+@pytest.mark.parametrize(
+    ("rounds", "response_at", "expected"),
+    [(2, None, True), (1, None, False), (2, NOW + 0.3, False)],
+    ids=["isolated", "not isolated", "an endpoint responded since"],
+)
+def test_links_are_cut_if_no_connection_is_made(
+    rounds: int, response_at: float | None, expected: bool
+) -> None:
+    """Guards against endpoints that are silent and accept connections."""
+    state = isolation.Isolation()
+    for start in (NOW, NOW + 0.1)[:rounds]:
+        state.end_round(start, start + 0.1)
+    if response_at is not None:
+        state.note_response(response_at)
+    state.note_no_connection(NOW + 0.1, NOW + 0.6)
+    assert state.is_cut_off is expected
+    if expected:
+        assert state.cuts[-1].began_at == NOW + 0.1
--- a/tests/relay/test_runs_over_cuts.py
+++ b/tests/relay/test_runs_over_cuts.py
@@ -49,8 +49,9 @@
 
 
 @pytest.mark.parametrize("do_peers_reach", [True, False])
-def test_silence_is_a_cut_only_if_peers_reach_endpoints(
-    do_peers_reach: bool,
+@pytest.mark.parametrize("is_connected", [True, False])
+def test_silence_is_a_cut_only_if_connections_fail(
+    is_connected: bool, do_peers_reach: bool
 ) -> None:
     """Guards against runs that don't count while all engines pause."""
     loop: Any = types.SimpleNamespace(time=lambda: NOW + 9.0)
@@ -58,6 +59,9 @@
     links.begin_round(NOW, NOW)
     for start in (NOW + 0.1, NOW + 0.2):
         links.end_round(start, start + 0.1)
+    assert not links.is_cut_off
+    if not is_connected:
+        links.note_no_connection(NOW + 0.2, NOW + 0.7)
     peer_paths = types.SimpleNamespace(
         is_cut_off=lambda service: do_peers_reach
     )
@@ -67,5 +71,4 @@
         routed=types.SimpleNamespace(service="model"),
         shared=types.SimpleNamespace(peer_paths=peer_paths),
     )
-    assert not links.is_cut_off
-    assert stream_run.StreamRun.is_cut_off(run) is do_peers_reach
+    assert stream_run.StreamRun.is_cut_off(run) is not is_connected
