Withdraw strikes by engines whose lapsed entries are back

Callers got 503 with a Retry-After of a minute, for ten minutes and from all nodes, for sound requests: their engines had stood still until their entries lapsed.

The entry that goes is taken for a crash of the engine, so that each request that was there gets a strike, a try of its caller at another such engine the next. Silent crashes must still count at once, or a request takes down engine after engine; but an entry of the same start that comes back shows that there was no crash. Its strikes are then withdrawn, against requests and parts of prompts, and what peers were told (AS8008). One that restarts is another start, and its strikes stay. A part that is refused already stays refused.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -1106,6 +1106,19 @@
     expires_s: float
 
 
+class CrashWithdrawn(Event, frozen=True):
+    """An endpoint that seemed to have crashed is back and had not ended.
+
+    ``requests`` counts those whose crash there no longer counts.
+    """
+
+    number = 8008
+    message = "crash withdrawn"
+
+    endpoint: str
+    requests: int
+
+
 class ClaimTaken(Event, frozen=True):
     """This node may dispatch a non-idempotent request, once."""
 
--- a/src/almondshift/policy/crash_strikes.py
+++ b/src/almondshift/policy/crash_strikes.py
@@ -231,6 +231,16 @@
             self.clear(next(iter(self.strikes)))
         return not was_refused and self.is_refused(fingerprint, now)
 
+    def withdraw(self, instance: str) -> int:
+        """Drops the strikes by an endpoint; returns how many there were."""
+        fingerprints = self.struck.pop(instance, set())
+        for fingerprint in fingerprints:
+            known = self.strikes[fingerprint]
+            del known[instance]
+            if not known:
+                del self.strikes[fingerprint]
+        return len(fingerprints)
+
     def clear(self, fingerprint: str) -> int:
         """Drops the strikes of a request; returns how many it had."""
         known = self.strikes.pop(fingerprint, {})
--- a/src/almondshift/policy/part_strikes.py
+++ b/src/almondshift/policy/part_strikes.py
@@ -224,6 +224,10 @@
         self.explained[instance] = None
         while len(self.explained) > MAX_EXPLAINED:
             del self.explained[next(iter(self.explained))]
+        self.withdraw(instance)
+
+    def withdraw(self, instance: str) -> None:
+        """Drops the strikes by an endpoint that has not crashed after all."""
         for part, known in list(self.strikes.items()):
             known.pop(instance, None)
             if not known:
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -579,6 +579,8 @@
         self.tracker.note_entry(engine.instance)
         self.shared.lost_engines.clear_refusal(engine.instance)
         watch = self.shared.crash_watch
+        if not self.tracker.is_known_ended(engine.instance):
+            watch.endpoint_back(engine.instance)
         for instance in list(watch.strikes.broken_attempts):
             former = self.catalogue.engines.get(instance)
             if (
--- a/src/almondshift/relay/crash_watch.py
+++ b/src/almondshift/relay/crash_watch.py
@@ -13,6 +13,7 @@
 import hashlib
 import itertools
 import logging
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -72,6 +73,9 @@
 """Maximum number of crashed endpoints whose requests are kept, to report them
 together with those whose connections break later."""
 
+MAX_GONE = 512
+"""Maximum number of endpoints without an entry that are remembered."""
+
 MIN_STRIKES_TO_REPORT = 2
 """Strikes from which peers are told that a request was answered; most requests
 that met one crash never meet another."""
@@ -109,6 +113,7 @@
         parts: Counts strikes against parts of prompts.
         group: The other nodes; None before this node has joined them.
         reported: Requests that peers were told of, by crashed instance.
+        gone: Endpoints whose entries went without notice, the oldest first.
         is_leaving: Returns whether an endpoint was expected to end.
         on_ended: Called with an endpoint that has ended, and what shows it.
     """
@@ -130,6 +135,9 @@
         self.reported: collections.OrderedDict[str, tuple[str, ...]] = (
             collections.OrderedDict()
         )
+        self.gone: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         self.is_leaving: Callable[[str], bool] = lambda instance: False
         self.on_ended: Callable[[str, engine_tracker.End], None] = (
             lambda instance, end: None
@@ -286,8 +294,38 @@
         if was_leaving:
             self.strikes.broken_attempts.pop(instance, None)
             return
+        self.gone[instance] = None
+        if len(self.gone) > MAX_GONE:
+            self.gone.popitem(last=False)
         self.record_crash(instance, Evidence.REGISTRY)
 
+    def endpoint_back(self, instance: str) -> None:
+        """Withdraws strikes, as the entry of an endpoint that was gone is back.
+
+        The same start stood still or was cut off until its entry lapsed.
+        """
+        if instance not in self.gone:
+            return
+        del self.gone[instance]
+        self.withdraw_reports(instance)
+        self.parts.strikes.withdraw(instance)
+        requests = self.strikes.withdraw(instance)
+        if requests:
+            log_events.emit(
+                logger, log_events.CrashWithdrawn(instance, requests)
+            )
+
+    def withdraw_reports(self, instance: str) -> None:
+        """Withdraws what peers were told of an endpoint's crash."""
+        reported = self.reported.pop(instance, ())
+        if self.group is None:
+            return
+        for index in range(math.ceil(len(reported) / FINGERPRINTS_PER_FACT)):
+            self.group.withdraw_fact(
+                peers.FactKind.QUARANTINE,
+                f"{CRASH}/{instance}/{self.group.name}/{index}",
+            )
+
     def record_crash(self, instance: str, evidence: Evidence) -> None:
         """Adds strikes to the requests that an endpoint ran; tells peers."""
         crash = self.strikes.crashed(instance, self.clock.monotonic())
--- a/tests/platform/test_paused_runs.py
+++ b/tests/platform/test_paused_runs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 import pytest
 
@@ -10,6 +11,9 @@
 from tests.platform import test_silent_engines as silent
 from tests.platform import test_whole_system as whole
 
+if TYPE_CHECKING:
+    from tests.platform import standin_engines
+
 NODES = silent.MAX_REQUESTS_OVER_LIMIT + 1
 """More nodes than requests may exceed the limit."""
 
@@ -88,3 +92,72 @@
             assert len(whole.tokens(body)) == silent.EVENTS
 
     asyncio.run(scenario())
+
+
+def test_requests_at_engines_that_stand_still_are_not_refused_later() -> None:
+    """Guards against taking engines whose entries lapse for crashed ones.
+
+    The engines of a stream, and of its caller's next try, stand still until
+    their entries lapse, and go on. The caller then tries again at any node.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=NODES, zones="abc") as running:
+            await silent.prepare(running)
+            stream, _ = await silent.start_stream(running, "r1")
+            stopped = stop_streams(running)
+            await silent.next_engine(running, "r1", 1.0)
+            stopped += stop_streams(running)
+            await asyncio.sleep(0.6)
+            stream.cancel()
+            stream, _ = await silent.start_stream(running, "r2")
+            stopped += stop_streams(running)
+            await asyncio.sleep(0.6)
+            stream.cancel()
+            for engine in stopped:
+                remove_entry(running, engine.instance)
+            await asyncio.sleep(0.5)
+            for engine in stopped:
+                engine.is_paused = False
+                engine.on_change()
+            await running.until(lambda: all_list(running, stopped))
+            responses = await asyncio.gather(
+                *(
+                    whole.chat(running, f"again-{n}", n, X_Deadline_Ms="20000")
+                    for n in range(NODES)
+                )
+            )
+            assert [status for status, _, _ in responses] == [200] * NODES
+
+    asyncio.run(scenario())
+
+
+def all_list(
+    running: system.StandinSystem,
+    engines: list[standin_engines.StandinEngine],
+) -> bool:
+    """Returns whether all nodes list some engines."""
+    return all(
+        process.node.catalogue.engines.keys() >= {e.instance for e in engines}
+        for process in running.nodes
+    )
+
+
+def stop_streams(
+    running: system.StandinSystem,
+) -> list[standin_engines.StandinEngine]:
+    """Pauses the engines on the paths of all streams, and returns them."""
+    addresses = {
+        address
+        for engine in running.engines.values()
+        for run in engine.running.values()
+        for address, _, _ in run.path
+    }
+    engines = [
+        engine
+        for engine in running.engines.values()
+        if engine.address in addresses and not engine.is_paused
+    ]
+    for engine in engines:
+        engine.is_paused = True
+    return engines
--- a/tests/policy/test_crash_strikes.py
+++ b/tests/policy/test_crash_strikes.py
@@ -142,3 +142,17 @@
     found = [strikes.crashed(i, 9.0) for i in ("e1", "e2", "e3")]
     assert [c.fingerprints for c in found] == [("stream",), (), ()]
     assert not strikes.is_refused("stream", 9.0)
+
+
+def test_strikes_of_an_endpoint_that_is_back_are_withdrawn() -> None:
+    """Guards against requests refused for engines that only stood still."""
+    strikes = crash_strikes.CrashStrikes()
+    for endpoint in ("e1", "e2", "e3"):
+        strikes.strike("f1", endpoint, 1.0)
+    strikes.strike("f2", "e1", 1.0)
+    assert strikes.is_refused("f1", 2.0 + crash_strikes.AMBIGUOUS_S)
+    assert strikes.withdraw("e1") == 2
+    assert not strikes.is_refused("f1", 2.0 + crash_strikes.AMBIGUOUS_S)
+    assert set(strikes.strikes) == {"f1"}
+    assert set(strikes.struck) == {"e2", "e3"}
+    assert strikes.withdraw("e1") == 0
