Test proxies listen on an address of their own process

It listened on 127.0.0.1, where any other process may be given a port that the system chose. Stand-in systems had an address of their own already; proxies now use the same. The traceback shows the port, not who had it.

--- a/tests/faults/proxy.py
+++ b/tests/faults/proxy.py
@@ -6,6 +6,7 @@
 import collections
 import contextlib
 import enum
+import os
 import socket
 import struct
 
@@ -21,6 +22,17 @@
     DOWN = "down"
 
 
+def own_host() -> str:
+    """Returns a loopback address that only this process listens on.
+
+    On a shared address, another process could get the port of a proxy that
+    refuses connections for a while.
+    """
+    process = os.getpid()
+    host = f"127.{1 + process // 65_536 % 200}"
+    return host + f".{process // 256 % 256}.{process % 254 + 1}"
+
+
 class FaultProxy:
     """Forwards connections to one upstream; attributes set its faults.
 
@@ -86,11 +98,10 @@
         """Accepts connections; after ``refuse``, on the same port."""
         if self.server is not None:
             return
-        self.server = await asyncio.start_server(
-            self.serve, "127.0.0.1", self.port
-        )
+        host = own_host()
+        self.server = await asyncio.start_server(self.serve, host, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{self.port}"
+        self.address = f"{host}:{self.port}"
 
     async def refuse(self) -> None:
         """Refuses new connections; existing ones stay open."""
--- a/tests/platform/standin_system.py
+++ b/tests/platform/standin_system.py
@@ -5,13 +5,13 @@
 import asyncio
 import contextlib
 import itertools
-import os
 from typing import TYPE_CHECKING
 from typing import Any
 
 from almondshift import log_events
 from almondshift.adapters import relay_settings
 from almondshift.daemons import relay
+from tests.faults import proxy
 from tests.platform import standin_engines
 from tests.platform import standin_store
 
@@ -101,10 +101,7 @@
     another test process before a node listens on it. So each process uses its
     own loopback address, and ports below the ephemeral range.
     """
-    process = os.getpid()
-    host = f"127.{1 + process // 65_536 % 200}"
-    host += f".{process // 256 % 256}.{process % 254 + 1}"
-    return f"{host}:{next(PORTS)}"
+    return f"{proxy.own_host()}:{next(PORTS)}"
 
 
 REPEATS = relay_settings.RepeatsSection(0.2, 10.0, 100.0)
