Read all pages of a table of the store

A node that starts counts the nodes by their rows, and divides the allowance for repeats by their number. It read only the first response, of at most 500 rows or 1 MB: with more, or with a store that responds with less, the shares of all nodes add up to more than the allowance. With two rows a response a node counts 2 of 5 nodes.

--- a/src/almondshift/platform/store.py
+++ b/src/almondshift/platform/store.py
@@ -153,8 +153,26 @@
     async def _scan_encoded(
         self, table: str, prefix: str, limit: int
     ) -> expression.Result[Rows, stores.StoreError]:
+        """Reads up to ``limit`` rows, which may come in several pages."""
         query = {"table": table, "part": "", "from": prefix, "limit": limit}
-        return await self._get_rows(names.ROWS_READ, query, CALL_TIMEOUT_S)
+        found = await self._get_rows(names.ROWS_READ, query, CALL_TIMEOUT_S)
+        if found.is_error():
+            return found
+        first = page = found.ok
+        rows = list(first.rows)
+        while page.truncated and page.rows and len(rows) < limit:
+            query["from"] = page.rows[-1].key + "\0"
+            query["limit"] = limit - len(rows)
+            found = await self._get_rows(names.ROWS_READ, query, CALL_TIMEOUT_S)
+            if found.is_error():
+                return found
+            page = found.ok
+            if page.era != first.era:
+                return expression.Error(
+                    errors.StoreUnavailable("The era changed while reading.")
+                )
+            rows += page.rows
+        return expression.Ok(dataclasses.replace(first, rows=rows))
 
     def _decode(
         self, table: str, row: WireRow, era: int
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -28,6 +28,7 @@
             each call is refused.
         delay_s: Time for which a response is held back after it was made.
         unread_tables: Tables of which each read is refused.
+        page_rows: Maximum number of rows in a response.
     """
 
     refuses: int = 0
@@ -37,6 +38,7 @@
     refused: set[str] = dataclasses.field(default_factory=set)
     delay_s: float = 0.0
     unread_tables: set[str] = dataclasses.field(default_factory=set)
+    page_rows: int = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -189,14 +191,18 @@
         if table in self.store.faults.unread_tables:
             self.refuse()
             return
-        start = self.get_argument("from", "")
+        # get_argument would strip the control characters of a key.
+        [start] = self.request.query_arguments.get("from", [b""])
         limit = int(self.get_argument("limit", "500"))
+        limit = min(limit, self.store.faults.page_rows)
         found = [
             wire_row(table, key, value, ver)
             for (row_table, key), (value, ver) in sorted(
                 self.store.rows.items()
             )
-            if row_table == table and value is not None and key >= start
+            if row_table == table
+            and value is not None
+            and key >= start.decode()
         ]
         self.answer(found[:limit], truncated=len(found) > limit)
         await asyncio.sleep(self.store.faults.delay_s)
--- a/tests/platform/test_uncovered_repeats.py
+++ b/tests/platform/test_uncovered_repeats.py
@@ -129,3 +129,21 @@
             await running.until(lambda: budget.nodes == 3)
 
     asyncio.run(scenario())
+
+
+def test_a_node_that_starts_counts_nodes_on_all_pages_of_their_list() -> None:
+    """Guards against nodes that divide the allowance by too few nodes.
+
+    The store responds with two rows at a time.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=4) as running:
+            await running.wait_for_peers()
+            running.store.faults.page_rows = 2
+            process = await running.add_node()
+            budget = process.node.shared.budget
+            await running.until(lambda: budget.nodes > 0)
+            assert budget.nodes == 5
+
+    asyncio.run(scenario())
