Use the usual terms for suspended engines and expired entries

The code spoke of engines that stand still and of entries that lapse, the words of the users' pages. Names and texts only; no behaviour changes.

--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -40,7 +40,7 @@
 seconds. The query times out just after ``MAX_PAUSE_S``."""
 
 MAX_ENDED = 512
-"""Maximum number of ended engines that are remembered, and of lapsed ones."""
+"""Maximum number of ended engines that are remembered, and of expired ones."""
 
 PACE_VALID_S = 4.0
 """Validity of a report of slowness, in seconds."""
@@ -164,8 +164,8 @@
         states: By instance.
         ended: Engines that are known to have ended, and what shows it; the
             oldest first.
-        lapsed: Engines whose registry entries went while they were silent, the
-            oldest first. One that stands still may go on.
+        expired: Engines whose registry entries went while they were silent, the
+            oldest first. One that is suspended may continue.
         changes: Increases with each change of health, not of load.
         query_factor: Factor by which a large group extends its intervals.
     """
@@ -175,7 +175,7 @@
         self.ended: collections.OrderedDict[str, End] = (
             collections.OrderedDict()
         )
-        self.lapsed: collections.OrderedDict[str, None] = (
+        self.expired: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
         self.changes = 0
@@ -231,7 +231,7 @@
 
     def note_ended(self, instance: str, end: End) -> None:
         """Records that an engine has ended, and what shows it."""
-        self.lapsed.pop(instance, None)
+        self.expired.pop(instance, None)
         self.ended[instance] = end
         if len(self.ended) > MAX_ENDED:
             self.ended.popitem(last=False)
@@ -239,20 +239,20 @@
     def note_alive(self, instance: str) -> None:
         """Records that an engine sent something; it has not ended after all."""
         self.ended.pop(instance, None)
-        self.lapsed.pop(instance, None)
+        self.expired.pop(instance, None)
 
     def note_entry(self, instance: str) -> None:
-        """Records an engine's registry entry, which may have lapsed before.
+        """Records an engine's registry entry, which may have expired before.
 
         An entry of another start of the engine shows that the former one has
         ended.
         """
         name = lifetimes.engine_name(instance)
-        for lapsed in list(self.lapsed):
-            if lapsed == instance:
-                self.lapsed.pop(lapsed)
-            elif lifetimes.engine_name(lapsed) == name:
-                self.note_ended(lapsed, End.REPLACED)
+        for former in list(self.expired):
+            if former == instance:
+                self.expired.pop(former)
+            elif lifetimes.engine_name(former) == name:
+                self.note_ended(former, End.REPLACED)
 
     def note_silent(self, instance: str, now: float) -> None:
         """Records that a query to a suspect engine timed out."""
@@ -264,7 +264,7 @@
 
     def seems_ended(self, instance: str) -> bool:
         """Returns whether an engine has ended, or was silent for too long."""
-        if self.is_known_ended(instance) or instance in self.lapsed:
+        if self.is_known_ended(instance) or instance in self.expired:
             return True
         state = self.states.get(instance)
         return (
@@ -278,7 +278,7 @@
         if self.is_known_ended(instance):
             return False
         state = self.states.get(instance)
-        return instance in self.lapsed or (
+        return instance in self.expired or (
             state is not None and state.reason is Suspicion.UNREACHABLE
         )
 
@@ -325,8 +325,8 @@
         )
 
     def seems_dead(self, instance: str) -> bool:
-        """Returns whether an engine is lost, or lapsed while it was."""
-        return self.is_lost(instance) or instance in self.lapsed
+        """Returns whether an engine is lost, or expired while it was."""
+        return self.is_lost(instance) or instance in self.expired
 
     def query_all_suspects(self, now: float) -> None:
         """Makes all suspect engines due for a query now."""
@@ -454,12 +454,12 @@
     def forget(self, instance: str) -> None:
         """Drops an engine whose registry entry is gone.
 
-        The entry of a process that stands still lapses too, so that its loss
+        The entry of a suspended process expires too, so that its loss
         does not prove an end.
         """
         if self.is_lost(instance) and not self.is_known_ended(instance):
-            self.lapsed[instance] = None
-            if len(self.lapsed) > MAX_ENDED:
-                self.lapsed.popitem(last=False)
+            self.expired[instance] = None
+            if len(self.expired) > MAX_ENDED:
+                self.expired.popitem(last=False)
         if self.states.pop(instance, None) is not None:
             self.changes += 1
--- a/src/almondshift/policy/isolation.py
+++ b/src/almondshift/policy/isolation.py
@@ -147,7 +147,7 @@
     def note_no_connection(self, began_at: float, now: float) -> None:
         """Records that no connection to any of several endpoints was made.
 
-        The host of an endpoint that only stands still accepts connections.
+        The host of a suspended endpoint accepts connections.
 
         Args:
             began_at: When the connections were opened.
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -574,7 +574,7 @@
         """Uses an engine again that refused because of its former layers.
 
         Also records crashes of engines whose address another one took over, and
-        the return of engines whose entries had lapsed.
+        the return of engines whose entries had expired.
         """
         self.tracker.note_entry(engine.instance)
         self.shared.lost_engines.clear_refusal(engine.instance)
--- a/src/almondshift/relay/crash_watch.py
+++ b/src/almondshift/relay/crash_watch.py
@@ -302,7 +302,7 @@
     def endpoint_back(self, instance: str) -> None:
         """Withdraws strikes, as the entry of an endpoint that was gone is back.
 
-        The same start stood still or was cut off until its entry lapsed.
+        The same start was suspended or cut off until its entry expired.
         """
         if instance not in self.gone:
             return
--- a/src/almondshift/relay/engine_reach.py
+++ b/src/almondshift/relay/engine_reach.py
@@ -143,7 +143,7 @@
     ) -> None:
         """Opens connections to endpoints; records if none is accepted.
 
-        Endpoints that are not suspected are preferred: one that has stood still
+        Endpoints that are not suspected are preferred: one that was suspended
         for a while accepts no more connections once its queue is full.
         """
         loop = asyncio.get_running_loop()
--- a/tests/platform/test_paused_runs.py
+++ b/tests/platform/test_paused_runs.py
@@ -1,4 +1,4 @@
-"""Streams whose engines fall silent for seconds, lapse and go on."""
+"""Streams whose engines are suspended for seconds and continue."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 def test_a_run_counts_while_the_entry_of_its_engine_is_missing(
     max_attempts: int,
 ) -> None:
-    """Guards against taking the lapsed entry of a stopped engine for its end.
+    """Guards against taking an expired entry for the end of an engine.
 
     The engines that run the stream stop one after the other for longer than
     their entries last. Then they continue, and publish them again.
@@ -94,11 +94,11 @@
     asyncio.run(scenario())
 
 
-def test_requests_at_engines_that_stand_still_are_not_refused_later() -> None:
-    """Guards against taking engines whose entries lapse for crashed ones.
+def test_requests_at_suspended_engines_are_not_refused_later() -> None:
+    """Guards against taking engines whose entries expire for crashed ones.
 
-    The engines of a stream, and of its caller's next try, stand still until
-    their entries lapse, and go on. The caller then tries again at any node.
+    The engines of a stream, and of its caller's next try, are suspended until
+    their entries expire, and continue. The caller then tries again at any node.
     """
 
     async def scenario() -> None:
--- a/tests/policy/test_crash_strikes.py
+++ b/tests/policy/test_crash_strikes.py
@@ -145,7 +145,7 @@
 
 
 def test_strikes_of_an_endpoint_that_is_back_are_withdrawn() -> None:
-    """Guards against requests refused for engines that only stood still."""
+    """Guards against requests refused for engines that were only suspended."""
     strikes = crash_strikes.CrashStrikes()
     for endpoint in ("e1", "e2", "e3"):
         strikes.strike("f1", endpoint, 1.0)
--- a/tests/policy/test_engine_ends.py
+++ b/tests/policy/test_engine_ends.py
@@ -18,31 +18,31 @@
 Tracker = engine_tracker.EngineTracker
 
 
-def lapse(tracker: Tracker) -> None:
+def expire(tracker: Tracker) -> None:
     tracker.forget(ENGINE)
 
 
-def close_port_and_lapse(tracker: Tracker) -> None:
+def close_port_and_expire(tracker: Tracker) -> None:
     tracker.note_ended(ENGINE, engine_tracker.End.PORT_CLOSED)
     tracker.forget(ENGINE)
 
 
-def lapse_and_return(tracker: Tracker) -> None:
+def expire_and_return(tracker: Tracker) -> None:
     tracker.forget(ENGINE)
     tracker.note_entry(ENGINE)
 
 
-def lapse_and_restart(tracker: Tracker) -> None:
+def expire_and_restart(tracker: Tracker) -> None:
     tracker.forget(ENGINE)
     tracker.note_entry(NEXT_START)
 
 
-def lapse_before_another_registers(tracker: Tracker) -> None:
+def expire_before_another_registers(tracker: Tracker) -> None:
     tracker.forget(ENGINE)
     tracker.note_entry(OTHER)
 
 
-def lapse_and_send_data(tracker: Tracker) -> None:
+def expire_and_send_data(tracker: Tracker) -> None:
     tracker.forget(ENGINE)
     tracker.note_alive(ENGINE)
 
@@ -50,21 +50,21 @@
 @pytest.mark.parametrize(
     ("happens", "is_known_ended", "seems_ended", "may_continue"),
     [
-        (lapse, False, True, True),
-        (close_port_and_lapse, True, True, False),
-        (lapse_and_return, False, False, False),
-        (lapse_and_restart, True, True, False),
-        (lapse_before_another_registers, False, True, True),
-        (lapse_and_send_data, False, False, False),
+        (expire, False, True, True),
+        (close_port_and_expire, True, True, False),
+        (expire_and_return, False, False, False),
+        (expire_and_restart, True, True, False),
+        (expire_before_another_registers, False, True, True),
+        (expire_and_send_data, False, False, False),
     ],
 )
-def test_a_lapsed_entry_does_not_prove_the_end_of_a_silent_engine(
+def test_an_expired_entry_does_not_prove_the_end_of_a_silent_engine(
     happens: Callable[[Tracker], None],
     is_known_ended: bool,
     seems_ended: bool,
     may_continue: bool,
 ) -> None:
-    """Guards against runs that don't count at an engine that stands still."""
+    """Guards against runs that don't count at a suspended engine."""
     tracker = Tracker()
     tracker.suspect(ENGINE, engine_tracker.Suspicion.UNREACHABLE, 1.0)
     happens(tracker)
@@ -73,7 +73,7 @@
     assert tracker.may_continue(ENGINE) is may_continue
 
 
-def test_the_lapsed_entry_of_a_responding_engine_ends_nothing() -> None:
+def test_the_expired_entry_of_a_responding_engine_ends_nothing() -> None:
     """Guards against taking an engine that leaves unannounced for a dead one.
 
     Such engines serve on after their entries were removed.
