Soak: suspend engines by SIGSTOP until their entries expire

--lapses blocked the engines in their own process, since the SIGCONT of another fault would have ended a SIGSTOP.

--- a/tests/soak/engine_pauses.py
+++ b/tests/soak/engine_pauses.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
 import time
 from typing import TYPE_CHECKING
@@ -107,30 +106,16 @@
 
 
 class StopManyEngines(PauseManyEngines):
-    """A share of the engines is silent until their entries have expired."""
+    """A share of the engines is suspended until their entries have expired."""
 
     async def pause(
         self,
         system: soak_system.SoakSystem,
         chosen: list[soak_system.EngineProcess],
     ) -> None:
-        with contextlib.ExitStack() as stack:
-            for engine in chosen:
-                stack.enter_context(
-                    system.disturbances.during(engine.name, "pause")
-                )
-            until = time.monotonic() + self.lasts_s
-            await asyncio.gather(
-                asyncio.sleep(self.lasts_s),
-                *(
-                    system.post(
-                        engine.listen,
-                        engine_process.PAUSE_PATH,
-                        {"until": until},
-                    )
-                    for engine in chosen
-                ),
-            )
+        await asyncio.gather(
+            *(faults.pause(system, engine, self.lasts_s) for engine in chosen)
+        )
 
 
 def draw(options: layout.SoakOptions) -> list[faults.Fault]:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -125,10 +125,11 @@
     part: soak_system.SupervisedProcess,
     seconds: float,
 ) -> None:
+    """Suspends a process; several such pauses of one may overlap."""
     with system.disturbances.during(part.name, "pause"):
-        part.signal(signal.SIGSTOP)
+        part.suspend()
         await asyncio.sleep(seconds)
-        part.signal(signal.SIGCONT)
+        part.resume()
 
 
 class ReloadNode(Fault):
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -52,6 +52,7 @@
         was_killed: Whether it was killed.
         is_exit_handled: Whether its exit was handled; reset on restart.
         peak_mb: Largest resident memory seen.
+        suspensions: Number of pauses by SIGSTOP that have not ended.
     """
 
     name: str
@@ -64,6 +65,7 @@
     restart_delay_s: float = RESTART_DELAY_S
     starts: int = 0
     peak_mb: float = 0.0
+    suspensions: int = 0
 
     def is_running(self) -> bool:
         return self.process is not None and self.process.is_running()
@@ -72,6 +74,17 @@
         assert self.process is not None
         self.process.signal(number)
 
+    def suspend(self) -> None:
+        """Sends SIGSTOP."""
+        self.suspensions += 1
+        self.signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Sends SIGCONT at the end of the last suspension."""
+        self.suspensions -= 1
+        if not self.suspensions:
+            self.signal(signal.SIGCONT)
+
     def terminate(self) -> None:
         if not self.stopped_at:
             self.stopped_at = time.monotonic()
