--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -412,6 +412,23 @@
     was_cut_off: bool
 
 
+class ConnectionsChecked(Event, frozen=True):
+    """This node opened connections to endpoints, as none of a service responds.
+
+    If none is accepted, the node is cut off: its requests' attempts that end
+    until an endpoint responds don't count. An endpoint that only pauses accepts
+    connections.
+    """
+
+    number = 4017
+    message = "connections checked"
+
+    service: str
+    accepted: int
+    refused: int
+    unanswered: int
+
+
 class EndpointBackoff(Event, frozen=True):
     """An endpoint refused a request, and asked this node for none for a while.
 
--- a/src/almondshift/relay/engine_reach.py
+++ b/src/almondshift/relay/engine_reach.py
@@ -165,6 +165,14 @@
             )
         finally:
             self.connecting.discard(service)
+        self.shared.observer.emit(
+            log_events.ConnectionsChecked(
+                service,
+                accepted.count(True),
+                accepted.count(False),
+                accepted.count(None),
+            )
+        )
         if not any(accepted):
             links.note_no_connection(started_at, loop.time())
 
