Try connections twice before a link counts as lost

A node that is cut off leaves the runs of its requests out, and may send them to a third engine.

Cause: the check that introduced opens connections to four endpoints once. Engines that stopped responding have full queues of connections, and the few endpoints that are asked may all be among them for a moment.

Change: if none of four endpoints accepts a connection, four more are asked, those first that were not asked and are not suspected.

test_endpoints_that_are_not_suspected_are_asked_first fails without the change.

--- a/src/almondshift/relay/engine_reach.py
+++ b/src/almondshift/relay/engine_reach.py
@@ -28,6 +28,10 @@
 """Time-out of a connection that is opened to check the link, in seconds; that
 of connections for requests."""
 
+CONNECT_TRIES = 2
+"""Number of times that connections are opened before a link counts as lost. The
+queues of several busy endpoints may be full at once, but not for long."""
+
 MAX_OVERRUN_S = 0.1
 """Maximum overrun of a round's time-out, in seconds. Beyond it the result is
 discarded, as this process was not scheduled."""
@@ -143,26 +147,23 @@
     ) -> None:
         """Opens connections to endpoints; records if none is accepted.
 
-        Endpoints that are not suspected are preferred: one that was suspended
-        for a while accepts no more connections once its queue is full.
+        Each try prefers endpoints that were not asked yet and are not
+        suspected: one that was suspended for a while accepts no more
+        connections once its queue is full.
         """
         loop = asyncio.get_running_loop()
-        tracker = self.shared.tracker
         started_at = loop.time()
-        count = min(CHECKED_ENDPOINTS, len(endpoints))
-        sample = sorted(
-            self.shared.rng.sample(endpoints, len(endpoints)),
-            key=lambda endpoint: tracker.is_suspect(endpoint.instance),
-        )
+        asked: set[str] = set()
+        accepted: list[bool | None] = []
         try:
-            accepted = await asyncio.gather(
-                *(
-                    self.shared.engines.is_listening(
-                        endpoint.address, CONNECT_TIMEOUT_S
-                    )
-                    for endpoint in sample[:count]
+            for _ in range(CONNECT_TRIES):
+                sample = self.choose_to_connect(endpoints, asked)
+                asked.update(endpoint.instance for endpoint in sample)
+                accepted += await asyncio.gather(
+                    *(self.accepts_connection(e) for e in sample)
                 )
-            )
+                if any(accepted):
+                    break
         finally:
             self.connecting.discard(service)
         self.shared.observer.emit(
@@ -176,6 +177,30 @@
         if not any(accepted):
             links.note_no_connection(started_at, loop.time())
 
+    def choose_to_connect(
+        self,
+        endpoints: list[registered_engines.RegisteredEngine],
+        asked: set[str],
+    ) -> list[registered_engines.RegisteredEngine]:
+        """Returns the endpoints to which connections are opened next."""
+        tracker = self.shared.tracker
+        shuffled = self.shared.rng.sample(endpoints, len(endpoints))
+        shuffled.sort(
+            key=lambda endpoint: (
+                endpoint.instance in asked,
+                tracker.is_suspect(endpoint.instance),
+            )
+        )
+        return shuffled[:CHECKED_ENDPOINTS]
+
+    async def accepts_connection(
+        self, endpoint: registered_engines.RegisteredEngine
+    ) -> bool | None:
+        """Returns whether an endpoint accepts connections; None if unknown."""
+        return await self.shared.engines.is_listening(
+            endpoint.address, CONNECT_TIMEOUT_S
+        )
+
     def can_query(self, service: str) -> bool:
         """Returns whether endpoints answer reports or health checks."""
         return (
