Log and check the time that endpoints are handed

AS5008 and AS5015 tell for how long an endpoint or a peer may work on a request (remaining_s), without which a request that is read late can't be told from one that was handed too much time.

The soak's judge counts plain requests whose engines were handed more time than was left: ledgers have the deadline of each arrival.

Rows of test_repeats in test_judge now hand the second send what is left, which they had not stated.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -537,7 +537,10 @@
 
 
 class RequestForwarded(Event, frozen=True):
-    """A request was sent to an endpoint or to the first engine of a path."""
+    """A request was sent to an endpoint or to the first engine of a path.
+
+    ``remaining_s`` is the time for which the endpoint may work on it.
+    """
 
     number = 5008
     message = "request forwarded"
@@ -547,6 +550,7 @@
     path: str
     instances: str
     attempt: int
+    remaining_s: float
     load: float
     config_version: int
     registry_age_s: float
@@ -661,6 +665,7 @@
     service: str
     peer: str
     isolated: bool
+    remaining_s: float
     events_sent: int
 
 
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -301,6 +301,7 @@
                 service=self.routed.service,
                 peer=peer.name,
                 isolated=self.links.is_isolated,
+                remaining_s=round(self.remaining_s(), 3),
                 events_sent=self.sent_event_count(),
             )
         )
@@ -873,6 +874,7 @@
                 path=path,
                 instances=instances,
                 attempt=self.sends,
+                remaining_s=round(self.remaining_s(), 3),
                 load=load,
                 config_version=self.routed.config_version,
                 registry_age_s=round(self.shared.registry_age_s(), 2),
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -311,7 +311,7 @@
             account=layout.STEADY_ACCOUNT,
             payload=request_id.encode() + self.rng.randbytes(size),
             events=events,
-            deadline_s=16.0 if events else 4.0,
+            deadline_s=16.0 if events else layout.PLAIN_DEADLINE_S,
         )
 
     async def get_connection(self) -> NodeConnection | None:
@@ -376,6 +376,15 @@
         )
 
 
+class PlainCaller(SoakCaller):
+    """Sends only plain requests."""
+
+    def draw_request(self, node: str) -> SentRequest:
+        self.sent += 1
+        route = self.rng.choice(["look", "look", "once"])
+        return self.make_request(node, route, 0)
+
+
 class OrderCaller(SoakCaller):
     """Sends only requests that may not be repeated."""
 
--- a/tests/soak/engine_process.py
+++ b/tests/soak/engine_process.py
@@ -242,6 +242,7 @@
             body=hashlib.sha256(self.request.body).hexdigest(),
             parts=standin_engines.parse_path(fields.get(names.PATH, "")),
             status=status,
+            time_s=handed_time_s(fields.get(names.DEADLINE_MS)),
         )
 
     async def send_events(
@@ -270,6 +271,11 @@
         self.request.connection.stream.close()  # type: ignore[union-attr]
 
 
+def handed_time_s(milliseconds: str | None) -> float | None:
+    """Returns the time that a request leaves an engine, in seconds."""
+    return None if milliseconds is None else float(milliseconds) / 1000
+
+
 def event(request_id: str, number: int) -> bytes:
     """Returns an event of a stream, which includes the request id."""
     return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -12,6 +12,7 @@
 from tests.soak import callers
 from tests.soak import disturbances
 from tests.soak import engine_process
+from tests.soak import handed_time
 from tests.soak import layout
 from tests.soak import ledger
 from tests.soak import system as soak_system
@@ -67,6 +68,7 @@
     BACKOFF = "an engine gets hardly any requests in its backoff"
     CUT_OFF = "callers of nodes without engines are served by peers"
     REPEATS = "repeats stay within the retry budget of all nodes"
+    TIME = "engines are handed no more time than is left"
     RUNS = "requests run on no more engines than their routes allow"
     RECOVERS = "requests are served again after the last fault"
     INTERNAL = "no internal error reaches a caller"
@@ -104,6 +106,7 @@
         refused_after_run: Idempotent requests that ran and were refused.
         undisturbed: Number of requests to which all time bounds applied.
         repeat_windows: The worst window of repeats, by service.
+        times: Requests at undisturbed nodes, by the time that engines got.
     """
 
     def __init__(self, system: soak_system.SoakSystem) -> None:
@@ -119,6 +122,7 @@
         self.refused_after_run = 0
         self.undisturbed = 0
         self.repeat_windows: dict[str, repeat_counts.WindowCount] = {}
+        self.times = handed_time.TimeCount()
         system.on_exit = self.check_exit
 
     def report_violation(
@@ -323,6 +327,7 @@
         self.check_cut_off()
         self.check_runs()
         self.check_repeats()
+        self.check_times()
         for request in self.signed_failures:
             self.check_signed_failure(request)
 
@@ -358,6 +363,21 @@
             if not window.is_within_limit:
                 self.report_violation(Promise.REPEATS, f"{service}: {window}")
 
+    def check_times(self) -> None:
+        """Checks the time that undisturbed nodes handed to engines."""
+        self.times = handed_time.count_times(
+            (request, self.work[request.request_id].arrived)
+            for request in self.requests.values()
+            if not request.is_stream()
+            and self.history().bounds_apply(
+                request.node, request.sent_at, request.ended_at
+            )
+        )
+        if not self.times.is_within_limit:
+            found = len(self.times.excessive)
+            detail = f"{found} of {self.times.counted}: {self.times.excessive}"
+            self.report_violation(Promise.TIME, detail)
+
     def check_runs(self) -> None:
         """Checks on how many engines each request ran."""
         over = {
--- a/tests/soak/layout.py
+++ b/tests/soak/layout.py
@@ -56,6 +56,13 @@
 """An engine that asks a node for a backoff gets at most so many requests from
 it between the slack and the end of the backoff."""
 
+TIME_SLACK_S = 0.5
+MAX_EXCESSIVE_TIMES = 20
+MAX_EXCESSIVE_SHARE = 0.2
+"""Engines may be handed more time than is left, by more than the slack, in so
+many requests, and in that share of these and of all that were sent again later
+than the slack."""
+
 MAX_ATTEMPTS = 2
 MAX_REQUESTS_OVER_ATTEMPTS = 3
 """At most so many requests run on more engines than their route allows."""
@@ -93,6 +100,8 @@
         pauses: Number of series in which sound engines fall silent.
         long_pauses: Number of times that many sound engines fall silent for
             seconds.
+        plain_clients: Callers that send plain requests only. Their routes then
+            end sooner than callers do, as in all deployments.
         lapses: Number of times that many engines stand still until their
             registry entries have expired, and go on.
         erratic: Number of times that an engine responds erratically for a
@@ -119,6 +128,7 @@
     pauses: int = 0
     long_pauses: int = 0
     lapses: int = 0
+    plain_clients: int = 0
     restores: int = 0
     erratic: int = 0
     erratic_services: int = 0
@@ -132,6 +142,17 @@
             ratio=0.2, window_s=10.0, allowance=float(self.allowance)
         )
 
+    def create_configuration(self) -> Configuration:
+        """Returns the configuration at the start."""
+        if not self.plain_clients:
+            return Configuration()
+        return Configuration(
+            plain_limits={
+                "timeoutMs": SHORT_TIMEOUT_MS,
+                "targetLatencyMs": SHORT_OBJECTIVE_MS,
+            }
+        )
+
     def has_pauses(self) -> bool:
         """Returns whether engines fall silent that go on."""
         return any((self.pauses, self.long_pauses, self.lapses))
@@ -167,6 +188,13 @@
         return f"{self.prefix}.254:{STORE_PORT}"
 
 
+PLAIN_DEADLINE_S = 4.0
+"""Time for which callers wait for plain responses."""
+
+SHORT_TIMEOUT_MS = 2_000
+SHORT_OBJECTIVE_MS = 200
+"""Limit and objective of plain routes that end sooner than their callers."""
+
 SETTINGS = """
 [node]
 name = {name}
@@ -199,12 +227,15 @@
     Attributes:
         extra_routes: Numbers of the added routes that were not removed yet.
         key_number: Number of the rotating account's current key.
+        plain_limits: Limit and objective of plain routes, if they have their
+            own.
     """
 
     version: int = 1
     extra_routes: list[int] = dataclasses.field(default_factory=list)
     key_number: int = 0
     routes_made: int = 0
+    plain_limits: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def rotating_key(self) -> str:
         return f"key-rotating-{self.key_number}"
@@ -212,7 +243,7 @@
     def to_wire(self) -> dict[str, Any]:
         """Returns the row value that the operator writes to the store."""
         streams = {"kind": "streaming", "service": MODEL_SERVICE}
-        plain = {"service": PLAIN_SERVICE}
+        plain = {"service": PLAIN_SERVICE, **self.plain_limits}
         made = [
             route("chat", **streams, canResume=True),
             route("talk", **streams),
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -33,6 +33,8 @@
         parts: The path: addresses of engines with their start and end layer.
         layers: Number of layers that an order assigns.
         status: Status of a failure that the engine itself responded with.
+        time_s: Seconds that a request leaves the engine; None if it is silent
+            on that.
     """
 
     at: float
@@ -47,6 +49,7 @@
     parts: list[tuple[str, int, int]] = []
     layers: int = 0
     status: int = 0
+    time_s: float | None = None
 
 
 ENCODER = msgspec.json.Encoder()
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -29,6 +29,7 @@
         pauses: When the harness, and with it all links, was paused.
         engine_pauses: When sound engines were silent.
         repeats: Repeats of each service in its worst window.
+        times: Requests that were handed more time than was left.
     """
 
     options: dict[str, Any]
@@ -43,6 +44,7 @@
     pauses: list[str]
     engine_pauses: list[str]
     repeats: dict[str, str]
+    times: str
     violations: list[soak_judge.Violation]
     disturbances: list[str]
 
@@ -82,6 +84,7 @@
             service: f"{window.repeats} of {window.allowed:.1f}"
             for service, window in judge.repeat_windows.items()
         },
+        times=f"{len(judge.times.excessive)} of {judge.times.counted}",
         violations=judge.violations,
         disturbances=[
             f"{d.start - judge.started:.2f} to {d.end - judge.started:.2f} "
@@ -113,6 +116,8 @@
         f"pauses of the harness: {len(report.pauses)}",
         f"pauses of sound engines: {len(report.engine_pauses)}",
         f"repeats in the worst window, of those allowed: {report.repeats}",
+        f"requests handed more time than was left, of those that were sent "
+        f"late: {report.times}",
         f"violations: {len(report.violations)}",
     ]
     for violation in report.violations:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -98,6 +98,10 @@
                 )
                 for number in numbers
             ]
+        sending += [
+            callers.PlainCaller(3 * len(numbers) + n, self.system, self.judge)
+            for n in range(self.options.plain_clients)
+        ]
         self.tasks = [
             asyncio.create_task(self.monitor()),
             asyncio.create_task(self.stalls.run()),
@@ -236,6 +240,12 @@
         default=0,
         help="times that many engines stand still until their entries expire",
     )
+    parser.add_argument(
+        "--plain-clients",
+        type=int,
+        default=0,
+        help="callers of plain routes, which end sooner than callers do",
+    )
     parser.add_argument(
         "--restores",
         type=int,
@@ -301,6 +311,7 @@
         pauses=args.pauses,
         long_pauses=args.long_pauses,
         lapses=args.lapses,
+        plain_clients=args.plain_clients,
         restores=args.restores,
         erratic=args.erratic,
         erratic_services=args.erratic_services,
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -194,7 +194,7 @@
         self.nodes: list[NodeProcess] = []
         self.engines: list[EngineProcess] = []
         self.departed: list[EngineProcess] = []
-        self.configuration = layout.Configuration()
+        self.configuration = options.create_configuration()
         self.store = SupervisedProcess(
             "store",
             [
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -59,6 +59,7 @@
         account=request.account,
         body=request.digest(),
         parts=WHOLE_PATH if request.is_stream() else [],
+        time_s=request.deadline_s,
     )
 
 
@@ -105,6 +106,50 @@
         check(judge, request, arrived(request), ran(request))
 
 
+def send_again_late(judge: Judge, count: int, late_by_s: float) -> None:
+    """Sends plain requests that a second engine gets a second later.
+
+    It may work on until ``late_by_s`` after the caller's deadline.
+    """
+    for number in range(count):
+        request = sent("look")
+        request.request_id = f"r{number}"
+        request.body = soak_judge.expected_body(request)
+        first, second = arrived(request), arrived(request)
+        second.engine = "e1-0"
+        second.at = first.at + 1.0
+        ends_at = request.sent_at + request.deadline_s + late_by_s
+        second.time_s = ends_at - second.at
+        check(judge, request, first, second)
+
+
+def handed_what_was_left(judge: Judge) -> None:
+    send_again_late(judge, 3 * layout.MAX_EXCESSIVE_TIMES, 0.3)
+
+
+def handed_more_than_was_left_a_few_times(judge: Judge) -> None:
+    send_again_late(judge, layout.MAX_EXCESSIVE_TIMES, 1.0)
+
+
+def handed_more_than_was_left(judge: Judge) -> None:
+    send_again_late(judge, layout.MAX_EXCESSIVE_TIMES + 1, 1.0)
+
+
+def handed_no_time(judge: Judge) -> None:
+    for number in range(layout.MAX_EXCESSIVE_TIMES + 1):
+        request = sent("once")
+        request.request_id = f"r{number}"
+        request.body = soak_judge.expected_body(request)
+        first = arrived(request)
+        first.time_s = None
+        check(judge, request, first)
+
+
+def handed_more_at_a_paused_node(judge: Judge) -> None:
+    judge.history().begin("n0", "pause").start -= SENT_S
+    handed_more_than_was_left(judge)
+
+
 def few_requests_in_a_backoff(judge: Judge) -> None:
     send_in_backoff(judge, layout.MAX_REQUESTS_IN_BACKOFF)
 
@@ -123,6 +168,7 @@
         again = arrived(request)
         if number >= judge.system.options.allowance:
             again.at += extra_s
+            again.time_s = request.deadline_s - extra_s
         judge.process_rows([arrived(request), again])
     judge.finish()
 
@@ -603,6 +649,11 @@
         (as_many_repeats_as_allowed, []),
         (too_many_repeats_in_a_window, [Promise.REPEATS]),
         (too_many_repeats_for_one_window_in_two, []),
+        (handed_what_was_left, []),
+        (handed_more_than_was_left_a_few_times, []),
+        (handed_more_than_was_left, [Promise.TIME]),
+        (handed_no_time, [Promise.TIME]),
+        (handed_more_at_a_paused_node, []),
         (too_many_requests_over_their_attempts, [Promise.RUNS]),
         (few_requests_over_their_attempts, []),
         (runs_on_a_killed_engine, []),
