--- /dev/null
+++ b/tests/platform/test_handed_time.py
@@ -0,0 +1,89 @@
+"""Time for which endpoints may work on requests."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+
+from tests.platform import cut_links
+from tests.platform import standin_system as system
+
+if TYPE_CHECKING:
+    from tests.platform import standin_engines
+
+TIMEOUT_S = 1.0
+"""Time after which nodes end requests; callers wait for longer."""
+
+CALLERS_WAIT_S = 4.0
+TRANSIT_S = 0.1
+"""Time from the choice of an endpoint to the arrival of the request there."""
+
+
+def configuration() -> dict[str, Any]:
+    """Returns a configuration whose routes end sooner than callers do."""
+    content = copy.deepcopy(system.config(version=2))
+    for route in content["routes"]:
+        route["timeoutMs"] = int(TIMEOUT_S * 1000)
+    return content
+
+
+async def prepare(running: system.StandinSystem) -> None:
+    """Waits until all nodes have applied the configuration."""
+    running.store.put("op", "config", configuration())
+    catalogues = [process.node.catalogue for process in running.nodes]
+    await running.until(
+        lambda: all(c.config and c.config.version == 2 for c in catalogues)
+    )
+
+
+async def send(running: system.StandinSystem, path: str) -> float:
+    """Sends a request to the first node; returns when it was sent."""
+    sent_at = asyncio.get_running_loop().time()
+    head = system.request(
+        path, "r1", X_Deadline_Ms=str(int(CALLERS_WAIT_S * 1000))
+    )
+    await system.send(running.nodes[0].settings.entry.address, head, b"x")
+    return sent_at
+
+
+def handed_ends(engine: standin_engines.StandinEngine) -> list[float]:
+    """Returns until when an engine may work on the requests that it got."""
+    return [
+        at + int(fields["X-Deadline-Ms"]) / 1000
+        for at, fields in zip(
+            engine.arrivals, engine.received_headers, strict=True
+        )
+    ]
+
+
+@pytest.mark.parametrize("path", ["/chat/x", "/once/x", "/look/x"])
+@pytest.mark.parametrize("cut", [None, *cut_links.Cut], ids=str)
+def test_endpoints_stop_when_their_node_ends_the_request(
+    path: str, cut: cut_links.Cut | None
+) -> None:
+    """Guards against endpoints that are handed more time than is left.
+
+    The node sends the request itself, or a peer does after its links were cut.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=2) as running:
+            await prepare(running)
+            await running.wait_for_peers()
+            if cut is not None:
+                cut_links.create_cuttable_pool(running.nodes[0]).begin(cut)
+            sent_at = await send(running, path)
+            ends = [
+                end
+                for engine in running.engines.values()
+                for end in handed_ends(engine)
+            ]
+            assert ends or cut is not None
+            for end in ends:
+                assert end <= sent_at + TIMEOUT_S + TRANSIT_S
+
+    asyncio.run(scenario())
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,6 +24,7 @@
 ERRATIC_SEED = 5401
 FAILING_SEED = 6024
 ENDLESS_SEED = 6301
+SILENT_SEED = 7712
 STALLED_SEED = 14
 STALLS_PER_S = 3.0
 
@@ -81,6 +82,23 @@
     check_no_violations(options, tmp_path)
 
 
+def test_engines_that_read_late_are_handed_no_more_time_than_is_left(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Engines fall silent for seconds, and read requests afterwards."""
+    options = layout.SoakOptions(
+        seed=SILENT_SEED,
+        seconds=18.0,
+        nodes=3,
+        engines=8,
+        clients=4,
+        plain_clients=60,
+        long_pauses=14,
+        direct=True,
+    )
+    check_no_violations(options, tmp_path)
+
+
 def test_orders_run_once_at_engines_that_refuse_and_fail(
     tmp_path: pathlib.Path,
 ) -> None:
