Hand endpoints no more time than their node has

An endpoint that is silent for a second reads the request afterwards, and worked on it until the caller's deadline, though its node ends it at the route's time-out, half as long in all deployments.

Cause: Run.remaining_s counted until the caller's deadline. Peers were told the same, and began a time-out of their own.

Change: endpoints and peers get the time until the node ends the request.

--- a/src/almondshift/model/relayed.py
+++ b/src/almondshift/model/relayed.py
@@ -104,7 +104,7 @@
         address: ``host:port`` of the endpoint to send it to.
         instance: The start of the endpoint that it is meant for.
         path: Empty for an endpoint that serves alone.
-        remaining_s: Time left until the caller's deadline.
+        remaining_s: Time left until the node ends the request.
         account: Name of the client account; empty for none.
         priority: 0 to 9, 0 is the most urgent; None for the endpoint's default.
         last_event_id: Event to resume after; empty to begin at the start.
--- a/src/almondshift/ports/peer_entries.py
+++ b/src/almondshift/ports/peer_entries.py
@@ -18,7 +18,7 @@
 
     Attributes:
         address: ``host:port`` at which the peer serves callers.
-        remaining_s: Time left until the caller's deadline.
+        remaining_s: Time left until the node ends the request.
         last_event_id: Event to resume after; empty to begin at the start.
         possible_runs: Number of the route's ``max_attempts`` that the peer may
             not use.
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -106,9 +106,8 @@
 
     Attributes:
         started_at: Loop time of its arrival.
-        deadline_at: Loop time at which this node ends the request.
-        caller_deadline_at: Loop time until which the caller waits; later than
-            ``deadline_at`` if the caller waits longer than the route allows.
+        deadline_at: Loop time at which this node ends the request: the caller's
+            deadline, or the time-out of its route if that comes first.
         links: State of the links to the service's endpoints.
         sends: Number of times it was sent.
         ended_runs: Ended attempts that may have run it.
@@ -136,9 +135,6 @@
         if routed.request.wait_s is not None:
             wait_s = min(wait_s, routed.request.wait_s)
         self.deadline_at = self.started_at + wait_s
-        self.caller_deadline_at = self.started_at + (
-            routed.request.wait_s or routed.route.timeout_s
-        )
         self.links = shared.links.of(routed.service)
         self.sends = 0
         self.ended_runs = possible_runs.PossibleRuns(routed.possible_runs)
@@ -641,8 +637,12 @@
         """
 
     def remaining_s(self) -> float:
-        """Returns the seconds that the caller still waits."""
-        return max(0.0, self.caller_deadline_at - self.loop.time())
+        """Returns the seconds for which endpoints and peers may work on it.
+
+        They have no more time than this node: an endpoint that reads a request
+        late, and whose work was given to another one meanwhile, stops sooner.
+        """
+        return max(0.0, self.deadline_at - self.loop.time())
 
     def close(self) -> bool:
         """Ends the run; returns whether it had not ended before."""
