Hand a first endpoint the time until its request goes elsewhere

What callers saw: nothing; operators saw two endpoints work on one request for long (rule BUDGET: more time than is left). An endpoint that is silent for over a second is sent a request, which goes to another one after twice the objective. It reads the request afterwards, and worked on it for the time that the node had when it sent it: a request can't be taken back from a silent endpoint.

Cause: the first send was handed all of the node's time, though the node leaves the endpoint sooner.

Change: if the request could be sent to another endpoint when it is slow, the first one gets the time until then and 0.1 s. That is known when it is sent: the route allows another run, the retry budget has room, another endpoint is there and the node does not stop before. Otherwise it gets all of the time, since the node then waits for it.

test_an_endpoint_stops_when_the_request_would_be_sent_elsewhere failed in its first row (1.0 s for 0.5 s).

--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -31,6 +31,10 @@
 """Multiple of the route's latency objective after which an idempotent request
 is sent to another endpoint."""
 
+LEAVE_MARGIN_S = 0.1
+"""Time for which an endpoint may still work on a request after the request
+should have been sent to another one, in seconds."""
+
 
 class PlainAttempt(attempts.Attempt):
     """One attempt to run a request on an endpoint."""
@@ -165,10 +169,12 @@
         self.sends += 1
         self.shared.endpoints.started(chosen.instance)
         self.attempt = PlainAttempt(self, chosen)
+        handed_s = self.handed_s()
         self.log_forwarded(
             chosen.address,
             chosen.instance,
             self.shared.endpoints.record(chosen.instance).in_flight,
+            handed_s,
         )
         self.attempt.forwarded = self.shared.engines.forward(
             self.routed.request,
@@ -176,7 +182,7 @@
                 address=chosen.address,
                 instance=chosen.instance,
                 path=(),
-                remaining_s=self.remaining_s(),
+                remaining_s=handed_s,
                 account=self.routed.account,
                 priority=None,
                 last_event_id=self.routed.request.last_event_id,
@@ -186,6 +192,34 @@
         if self.sends == 1:
             self.start_slow_timer(self.retry_if_slow)
 
+    def handed_s(self) -> float:
+        """Returns the seconds for which the current endpoint may work on it.
+
+        One that is silent may read the request late, after another endpoint was
+        sent it, and can't be told so. It should not work on it for long then.
+        """
+        left_s = self.remaining_s()
+        if self.sends > 1 or not self.may_leave_if_slow():
+            return left_s
+        return min(left_s, self.slow_s() + LEAVE_MARGIN_S)
+
+    def may_leave_if_slow(self) -> bool:
+        """Returns whether the request could be sent to another endpoint now."""
+        return (
+            self.can_retry_while_running()
+            and self.can_end_in_time()
+            and bool(self.unlimited())
+        )
+
+    def unlimited(self) -> list[registered_engines.RegisteredEngine]:
+        """Returns the untried endpoints that name no rate limit."""
+        limits = self.shared.limits
+        return [e for e in self.untried() if not limits.is_limited(e.instance)]
+
+    def slow_s(self) -> float:
+        """Returns the time after which the first attempt is too slow."""
+        return self.routed.route.objective_s * SLOW_FACTOR
+
     def untried(self) -> list[registered_engines.RegisteredEngine]:
         """Returns the available endpoints that have not been tried yet."""
         now = self.shared.clock.monotonic()
@@ -219,9 +253,7 @@
         """
         route = self.routed.route
         if route.may_repeat and route.max_attempts > 1:
-            self.slow_timer = self.loop.call_later(
-                route.objective_s * SLOW_FACTOR, retry
-            )
+            self.slow_timer = self.loop.call_later(self.slow_s(), retry)
 
     @guarded.ends_run_on_exception
     def retry_if_peer_slow(self) -> None:
@@ -254,12 +286,7 @@
             # This node stops before a retry would complete; the first
             # endpoint, which already had time to work, may still respond.
             return
-        unlimited = [
-            e
-            for e in self.untried()
-            if not self.shared.limits.is_limited(e.instance)
-        ]
-        if not unlimited or not self.spend_retry_while_running():
+        if not self.unlimited() or not self.spend_retry_while_running():
             return
         self.drop_attempt(failed=True)
         self.log_failed_attempt(attempt.send, "too slow", runs.SENT_ELSEWHERE)
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -865,7 +865,9 @@
             )
         )
 
-    def log_forwarded(self, path: str, instances: str, load: float) -> None:
+    def log_forwarded(
+        self, path: str, instances: str, load: float, remaining_s: float
+    ) -> None:
         """Logs that the request is sent to an endpoint or over a path."""
         self.shared.observer.emit(
             log_events.RequestForwarded(
@@ -874,7 +876,7 @@
                 path=path,
                 instances=instances,
                 attempt=self.sends,
-                remaining_s=round(self.remaining_s(), 3),
+                remaining_s=round(remaining_s, 3),
                 load=load,
                 config_version=self.routed.config_version,
                 registry_age_s=round(self.shared.registry_age_s(), 2),
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -271,6 +271,7 @@
             format_path(chosen.path),
             ",".join(part.instance for part in chosen.path),
             round(chosen.load, 3),
+            self.remaining_s(),
         )
         attempt.forwarded = self.shared.engines.forward(
             self.routed.request, self.create_forwarding(attempt), attempt
--- a/tests/platform/test_handed_time.py
+++ b/tests/platform/test_handed_time.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from almondshift.adapters import relay_settings
+from almondshift.relay import plain_run
 from tests.platform import cut_links
 from tests.platform import standin_system as system
 
@@ -19,6 +21,8 @@
 """Time after which nodes end requests; callers wait for longer."""
 
 CALLERS_WAIT_S = 4.0
+OBJECTIVE_S = 0.2
+SLOW_S = plain_run.SLOW_FACTOR * OBJECTIVE_S + plain_run.LEAVE_MARGIN_S
 TRANSIT_S = 0.1
 """Time from the choice of an endpoint to the arrival of the request there."""
 
@@ -28,6 +32,7 @@
     content = copy.deepcopy(system.config(version=2))
     for route in content["routes"]:
         route["timeoutMs"] = int(TIMEOUT_S * 1000)
+        route["targetLatencyMs"] = int(OBJECTIVE_S * 1000)
     return content
 
 
@@ -87,3 +92,37 @@
                 assert end <= sent_at + TIMEOUT_S + TRANSIT_S
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("path", "endpoints", "allowance", "time_s"),
+    [
+        pytest.param("/look/x", 2, 100.0, SLOW_S, id="sent elsewhere"),
+        pytest.param("/look/x", 1, 100.0, TIMEOUT_S, id="no other endpoint"),
+        pytest.param("/look/x", 2, 0.0, TIMEOUT_S, id="no retry budget"),
+        pytest.param("/once/x", 2, 100.0, TIMEOUT_S, id="not repeatable"),
+    ],
+)
+def test_an_endpoint_stops_when_the_request_would_be_sent_elsewhere(
+    path: str, endpoints: int, allowance: float, time_s: float
+) -> None:
+    """Guards against two endpoints that work on a request for long.
+
+    A silent endpoint reads it after another one was sent it.
+    """
+    repeats = relay_settings.RepeatsSection(0.0, 10.0, allowance)
+
+    async def scenario() -> None:
+        async with system.running_system(
+            zones="ab"[:endpoints], repeats=repeats
+        ) as running:
+            await prepare(running)
+            sent_at = await send(running, path)
+            [end] = [
+                end
+                for engine in running.engines.values()
+                for end in handed_ends(engine)
+            ]
+            assert abs(end - sent_at - time_s) <= TRANSIT_S
+
+    asyncio.run(scenario())
