Keep an engine's backoff when its registry entry expires

What callers saw: nothing by themselves; operators saw requests reach an engine in the time for which it had asked for none (rule BUDGET, two are allowed): five or six from one node while its entry expired several times within 3 s.

Cause: a backoff was part of the state that EngineTracker.forget drops with the entry. Entries expire when the store is away, or when an engine is suspended, and the same start publishes its entry again.

A response that comes while the entry is missing counts too.

test_a_backoff_outlives_the_entry_of_its_engine failed in all three rows before (5, 5 and 6 requests), and passes.

--- a/src/almondshift/policy/engine_tracker.py
+++ b/src/almondshift/policy/engine_tracker.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from almondshift.model import lifetimes
+from almondshift.policy import engine_backoffs
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -66,11 +67,6 @@
 no memory, in seconds; twice the delay of reports."""
 
 
-MAX_BACKOFF_S = 300.0
-"""Maximum time for which an engine's wish for no requests is kept, in seconds.
-A longer one may be a mistake that would cost the engine for good."""
-
-
 class Suspicion(enum.StrEnum):
     """Why an engine gets no work."""
 
@@ -119,7 +115,6 @@
         suspect_until: Until when it is not tried again if suspect.
         reason: Why it is suspect; None if it is not.
         full_until: Until when it is avoided, since it had no room.
-        backoff_until: Until when it has asked this node for no requests.
         no_first_event_until: Until when it is avoided as first engine, since
             callers left without a first event.
         reported: Expected memory by its own report, in tokens times layers.
@@ -138,7 +133,6 @@
     suspect_until: float = 0.0
     reason: Suspicion | None = None
     full_until: float = 0.0
-    backoff_until: float = 0.0
     no_first_event_until: float = 0.0
     reported: float = 0.0
     reported_at: float = -USED_VALID_S
@@ -166,6 +160,8 @@
             oldest first.
         expired: Engines whose registry entries went while they were silent, the
             oldest first. One that is suspended may continue.
+        backoffs: Times for which engines want no requests; they outlive
+            registry entries.
         changes: Increases with each change of health, not of load.
         query_factor: Factor by which a large group extends its intervals.
     """
@@ -178,6 +174,7 @@
         self.expired: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self.backoffs = engine_backoffs.EngineBackoffs()
         self.changes = 0
         self.query_factor = 1.0
 
@@ -386,32 +383,20 @@
         return state is not None and state.full_until > now
 
     def note_backoff(self, instance: str, backoff_s: float, now: float) -> None:
-        """Records that an engine asked this node for no requests.
-
-        A later and shorter wish does not end an earlier one.
-        """
-        state = self.state(instance)
-        until = now + min(backoff_s, MAX_BACKOFF_S)
-        if until > state.backoff_until:
-            state.backoff_until = until
+        """Records that an engine asked this node for no requests."""
+        if self.backoffs.note(instance, backoff_s, now):
             self.changes += 1
 
     def is_in_backoff(self, instance: str, now: float) -> bool:
         """Returns whether an engine has asked for no requests until later."""
-        state = self.states.get(instance)
-        return state is not None and state.backoff_until > now
+        return self.backoffs.is_active(instance, now)
 
     def shortest_backoff_s(self, instances: Iterable[str], now: float) -> float:
         """Returns when the first of several backoffs ends, in seconds from now.
 
         0 if none of these engines has one.
         """
-        backoffs = [
-            self.states[instance].backoff_until - now
-            for instance in instances
-            if self.is_in_backoff(instance, now)
-        ]
-        return min(backoffs, default=0.0)
+        return self.backoffs.shortest_s(instances, now)
 
     def note_no_first_event(self, instance: str, now: float) -> None:
         """Records that a caller abandoned its wait for a first event.
--- a/src/almondshift/relay/endpoint_calls.py
+++ b/src/almondshift/relay/endpoint_calls.py
@@ -60,7 +60,7 @@
     def on_notice(self, notice: endpoint_notices.EndpointNotice) -> None:
         """Records what an endpoint says of itself."""
         instance = notice.instance or self.limits.instance_at(notice.address)
-        if instance not in self.catalogue.engines:
+        if not instance:
             return
         self.note_backoff(instance, notice.backoff_s)
         if notice.is_leaving:
--- a/tests/platform/test_engine_backoff.py
+++ b/tests/platform/test_engine_backoff.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 import pytest
 
@@ -11,10 +12,16 @@
 from tests.platform import standin_engines
 from tests.platform import standin_system as system
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 BACKOFF_S = 3.0
 SECONDS = 6.0
 INTERVAL_S = 0.04
 
+EXPIRIES = 8
+EXPIRY_GAP_S = 0.25
+
 SLACK_S = 0.5
 MAX_REQUESTS = 2
 """The stated target: at most this many requests reach an engine between
@@ -136,3 +143,39 @@
     for status, expected in ((503, backoff_s), (429, backoff_s), (200, 0.0)):
         head = http_connections.ResponseHead(status, fields)
         assert engines.decode_head(head).backoff_s == expected
+
+
+@pytest.mark.parametrize("path", ["/chat/x", "/once/x", "/look/x"])
+def test_a_backoff_outlives_the_entry_of_its_engine(path: str) -> None:
+    """Guards against a backoff that is dropped with the registry entry.
+
+    The entry expires again and again, and the same start of the engine
+    publishes it again.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system() as running:
+            engine = await find_used_engine(running, path)
+            engine.backoffs = [f"{BACKOFF_S:.0f}"]
+            address = running.nodes[0].settings.entry.address
+            sending = asyncio.create_task(send_steadily(address, path))
+            await running.until(lambda: bool(engine.arrivals))
+            listed = running.nodes[0].node.catalogue.engines
+            for _ in range(EXPIRIES):
+                running.store.remove("servers", engine.instance)
+                await running.until(lambda: not is_listed(listed, engine))
+                engine.on_change()
+                await running.until(lambda: is_listed(listed, engine))
+                await asyncio.sleep(EXPIRY_GAP_S)
+            answers = await sending
+            assert most_in_a_backoff(engine.arrivals) <= MAX_REQUESTS
+            assert {status for status, _ in answers} == {200}
+
+    asyncio.run(scenario())
+
+
+def is_listed(
+    listed: Collection[str], engine: standin_engines.StandinEngine
+) -> bool:
+    """Returns whether a node lists a start of an engine."""
+    return any(instance.startswith(engine.instance) for instance in listed)
