Soak: cut nodes off from engines outside the nodes

Until now cuts were made inside the node (cut_pools), so that its kernel never saw one, and connections that are accepted and stay silent were not among their kinds.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -27,6 +27,12 @@
 DISCONNECT_PROBABILITY = 0.03
 LONG_STREAM_EVENTS = (150, 400)
 
+FIRST_TRY_INTERVAL_S = 0.25
+FIRST_TRY_PATIENCE_S = 2.4
+FIRST_TRY_PLAIN_S = 1.5
+"""Time between two first tries of a caller, time without data after which it
+leaves, and its deadline of plain requests."""
+
 
 class Ending(enum.StrEnum):
     """How an exchange ended."""
@@ -385,6 +391,56 @@
         return self.make_request(node, route, 0)
 
 
+class FirstTryCaller(SoakCaller):
+    """Sends single tries at a steady rate, each on a connection of its own.
+
+    Unlike other callers, it doesn't wait for an answer before it sends again,
+    so requests that hang lower no rate.
+    """
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        due_at = loop.time() + self.rng.uniform(0.0, FIRST_TRY_INTERVAL_S)
+        sending: set[asyncio.Task[None]] = set()
+        while not self.stopping:
+            await asyncio.sleep(due_at - loop.time())
+            due_at += FIRST_TRY_INTERVAL_S
+            task = asyncio.create_task(self.try_once())
+            sending.add(task)
+            task.add_done_callback(sending.discard)
+        await asyncio.gather(*sending)
+
+    async def try_once(self) -> None:
+        node = self.rng.choice(self.system.nodes)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                connection = await open_node_connection(node.name, node.entry)
+        except (OSError, TimeoutError):
+            return
+        request = self.draw_request(node.name)
+        self.judge.record_sent(request)
+        sending = asyncio.create_task(connection.exchange(request))
+        await asyncio.wait([sending], timeout=FIRST_TRY_PATIENCE_S)
+        if not request.body:
+            sending.cancel()
+        await asyncio.wait([sending])
+        self.judge.check_answer(request)
+        connection.close()
+
+    def draw_request(self, node: str) -> SentRequest:
+        route = self.rng.choices(
+            ["chat", "talk", "once", "look"], [40, 7, 18, 24]
+        )[0]
+        is_stream = route in ("chat", "talk")
+        self.sent += 1
+        request = self.make_request(
+            node, route, self.rng.randint(5, 25) if is_stream else 0
+        )
+        if not is_stream:
+            request.deadline_s = FIRST_TRY_PLAIN_S
+        return request
+
+
 class OrderCaller(SoakCaller):
     """Sends only requests that may not be repeated."""
 
--- a/tests/soak/engine_process.py
+++ b/tests/soak/engine_process.py
@@ -197,7 +197,9 @@
     engine: SoakEngine
 
     async def post(self) -> None:
-        order = json.loads(self.request.body)
+        body = layout.engine_addresses(self.request.body.decode())
+        self.request.body = body.encode()
+        order = json.loads(body)
         if order["op"] == "repath":
             parts = standin_engines.parse_path(order["path"])
             await self.engine.query_all({part[0] for part in parts})
@@ -211,6 +213,9 @@
     engine: SoakEngine
 
     async def work(self) -> None:
+        if names.PATH in self.request.headers:
+            path = layout.engine_addresses(self.request.headers[names.PATH])
+            self.request.headers[names.PATH] = path
         self.record(ledger.RowKind.ARRIVED)
         if self.engine.is_erratic and await erratic_responses.respond(self):
             return
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,6 +20,7 @@
 from tests.soak import disturbances
 from tests.soak import engine_process
 from tests.soak import layout
+from tests.soak import partition_links
 from tests.soak import store_process
 
 if TYPE_CHECKING:
@@ -333,6 +334,27 @@
                 node.cut_file.write_text("")
 
 
+class PartitionNodes(Fault):
+    """Nodes lose all engines, by links that are cut outside of them."""
+
+    async def inject(self, system: soak_system.SoakSystem) -> None:
+        options = system.options
+        kinds = list(partition_links.Partition)
+        kind = options.partition or pick_by_share(kinds, self.shape)
+        share = pick_by_share([0.0, 0.3, 0.7, 0.9], self.pick)
+        count = options.partitioned or round(share * len(system.nodes))
+        cut = system.nodes[: max(1, count)]
+        with contextlib.ExitStack() as stack:
+            for node in cut:
+                stack.enter_context(
+                    system.disturbances.during(node.name, disturbances.CUT_OFF)
+                )
+                node.partition_file.write_text(kind)
+            await asyncio.sleep(layout.SETTLE_S + self.lasts_s)
+            for node in cut:
+                node.partition_file.write_text("")
+
+
 class ChangeConfiguration(Fault):
     """The operator adds or removes a route, or rotates an account's key."""
 
@@ -424,6 +446,9 @@
 MIN_SERIES = 6
 MAX_FAULTS_IN_SERIES = 4
 
+MAX_PARTITION_S = 9.0
+MIN_PARTITION_GAP_S = 4.0
+
 
 def draw(rng: random.Random, options: layout.SoakOptions) -> list[Fault]:
     """Draws all faults of a soak, in series that overlap."""
@@ -433,13 +458,14 @@
         kinds = tuple(k for k in kinds if not issubclass(k, PROXY_FAULTS))
     size = (options.nodes + options.engines) / PROCESSES_PER_SERIES
     count = round(options.seconds / SECONDS_PER_SERIES * size)
-    count = max(MIN_SERIES, count)
+    count = 0 if options.is_calm else max(MIN_SERIES, count)
     found: list[Fault] = []
     for _ in range(count):
         found += draw_series(rng, kinds, options.seconds)
     found += draw_extra(options, LimitedEngine, options.limits)
     found += draw_extra(options, CutNodes, options.cuts)
     found += draw_extra(options, BackoffEngine, options.backoffs)
+    found += draw_partitions(options)
     return sorted(found, key=lambda fault: fault.at_s)
 
 
@@ -459,6 +485,22 @@
     ]
 
 
+def draw_partitions(options: layout.SoakOptions) -> list[Fault]:
+    """Draws partitions that follow each other."""
+    rng = random.Random(f"{options.seed}/{PartitionNodes.__name__}")
+    slot_s = options.seconds / max(1, options.partitions)
+    lasts_s = min(MAX_PARTITION_S, slot_s - MIN_PARTITION_GAP_S)
+    return [
+        PartitionNodes(
+            number * slot_s + rng.uniform(0.5, 1.0),
+            rng.random(),
+            max(1.0, lasts_s - layout.SETTLE_S),
+            rng.random(),
+        )
+        for number in range(options.partitions)
+    ]
+
+
 def draw_series(
     rng: random.Random, kinds: tuple[type[Fault], ...], seconds: float
 ) -> list[Fault]:
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -107,6 +107,8 @@
         undisturbed: Number of requests to which all time bounds applied.
         repeat_windows: The worst window of repeats, by service.
         times: Requests at undisturbed nodes, by the time that engines got.
+        cut_off_routes: Requests that were served at nodes without engines, of
+            those sent, by route.
     """
 
     def __init__(self, system: soak_system.SoakSystem) -> None:
@@ -123,6 +125,7 @@
         self.undisturbed = 0
         self.repeat_windows: dict[str, repeat_counts.WindowCount] = {}
         self.times = handed_time.TimeCount()
+        self.cut_off_routes: dict[str, str] = {}
         system.on_exit = self.check_exit
 
     def report_violation(
@@ -494,6 +497,7 @@
         others = [d for d in history.all if d.what != disturbances.CUT_OFF]
         served: collections.Counter[bool] = collections.Counter()
         tried: collections.Counter[bool] = collections.Counter()
+        by_route: collections.Counter[tuple[str, bool]] = collections.Counter()
         for request in self.requests.values():
             at = request.sent_at
             during = [
@@ -516,6 +520,13 @@
                 continue
             tried[is_cut] += 1
             served[is_cut] += request.status == 200
+            if is_cut:
+                by_route[request.route, request.status == 200] += 1
+        self.cut_off_routes = {
+            route: f"{by_route[route, True]} of "
+            f"{by_route[route, True] + by_route[route, False]}"
+            for route in sorted({route for route, _ in by_route})
+        }
         failed = tried[True] - served[True]
         total = tried[True] + tried[False]
         if failed <= MAX_FAILED + total * MAX_FAILED_SHARE or not tried[False]:
--- a/tests/soak/layout.py
+++ b/tests/soak/layout.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import os
+import re
 from typing import Any
 
 from almondshift.adapters import relay_settings
@@ -84,6 +85,16 @@
 STORE_PORT = 8223
 ENGINE_PORT = 9000
 
+MAX_GENERATIONS = 6
+"""Number of engines that may follow each other at one place, if each node has
+links of its own."""
+
+NODE_VIEW_PORT = 20_000
+"""Ports from here on belong to the links of single nodes, a hundred each."""
+
+NODE_VIEW_PORTS = 100
+NODE_VIEW = re.compile(r":2\d\d(\d\d)\b")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SoakOptions:
@@ -114,6 +125,13 @@
             while.
         direct: Whether links have no proxies, and no faults. The harness, which
             runs all proxies, then allows for more processes.
+        partitions: Number of times that nodes lose all engines for a while, cut
+            outside the node. Each node then has a process for its links.
+        partition: Kind of all partitions; empty to draw it.
+        partitioned: Number of nodes that each partition cuts; 0 to draw it.
+        open_callers: Callers that send first tries at a steady rate.
+        is_calm: Whether no other faults are drawn.
+        plain_health: Whether the plain service has a health check.
     """
 
     seed: int
@@ -135,6 +153,12 @@
     allowance: int = 200
     endless: int = 0
     direct: bool = False
+    partitions: int = 0
+    partition: str = ""
+    partitioned: int = 0
+    open_callers: int = 0
+    is_calm: bool = False
+    plain_health: bool = False
 
     def repeats(self) -> relay_settings.RepeatsSection:
         """Returns the retry budget of all nodes."""
@@ -145,12 +169,13 @@
     def create_configuration(self) -> Configuration:
         """Returns the configuration at the start."""
         if not self.plain_clients:
-            return Configuration()
+            return Configuration(has_plain_health=self.plain_health)
         return Configuration(
             plain_limits={
                 "timeoutMs": SHORT_TIMEOUT_MS,
                 "targetLatencyMs": SHORT_OBJECTIVE_MS,
-            }
+            },
+            has_plain_health=self.plain_health,
         )
 
     def has_pauses(self) -> bool:
@@ -173,9 +198,9 @@
     different ones; other tests use addresses below 127.201.
     """
 
-    def __init__(self, pid: int | None = None) -> None:
+    def __init__(self, pid: int | None = None, prefix: str = "") -> None:
         pid = os.getpid() if pid is None else pid
-        self.prefix = f"127.{201 + pid % 54}.{pid // 54 % 256}"
+        self.prefix = prefix or f"127.{201 + pid % 54}.{pid // 54 % 256}"
 
     def node(self, index: int, port: int) -> str:
         return f"{self.prefix}.{1 + index}:{port}"
@@ -184,8 +209,26 @@
         host = f"{self.prefix}.{1 + MAX_NODES + index}"
         return f"{host}:{ENGINE_PORT + generation}"
 
-    def store(self) -> str:
-        return f"{self.prefix}.254:{STORE_PORT}"
+    def store(self, view: int = 0) -> str:
+        """Returns the address of the store.
+
+        Args:
+            view: One more than the index of the node that reads there, if it
+                has links of its own.
+        """
+        return f"{self.prefix}.254:{STORE_PORT + view}"
+
+
+def address_for_node(address: str, node: int) -> str:
+    """Returns the address of a node's own link to an engine."""
+    host, _, port = address.rpartition(":")
+    first = NODE_VIEW_PORT + NODE_VIEW_PORTS * node
+    return f"{host}:{first + int(port) - ENGINE_PORT}"
+
+
+def engine_addresses(text: str) -> str:
+    """Replaces addresses of nodes' own links by those of their engines."""
+    return NODE_VIEW.sub(lambda found: f":{ENGINE_PORT + int(found[1])}", text)
 
 
 PLAIN_DEADLINE_S = 4.0
@@ -229,6 +272,7 @@
         key_number: Number of the rotating account's current key.
         plain_limits: Limit and objective of plain routes, if they have their
             own.
+        has_plain_health: Whether the plain service has a health check.
     """
 
     version: int = 1
@@ -236,6 +280,7 @@
     key_number: int = 0
     routes_made: int = 0
     plain_limits: dict[str, int] = dataclasses.field(default_factory=dict)
+    has_plain_health: bool = False
 
     def rotating_key(self) -> str:
         return f"key-rotating-{self.key_number}"
@@ -255,7 +300,10 @@
         return {
             "version": self.version,
             "routes": made,
-            "services": [model_service(), plain_service()],
+            "services": [
+                model_service(),
+                plain_service(self.has_plain_health),
+            ],
             "limits": {"maxBodyBytes": 100_000, "idleTimeoutMs": 15_000},
             "tenants": [
                 {"name": STEADY_ACCOUNT, "apiKeys": [STEADY_KEY]},
@@ -279,8 +327,11 @@
     }
 
 
-def plain_service() -> dict[str, Any]:
-    return {"name": PLAIN_SERVICE, "maxConnections": 200}
+def plain_service(has_health: bool) -> dict[str, Any]:
+    service: dict[str, Any] = {"name": PLAIN_SERVICE, "maxConnections": 200}
+    if has_health:
+        service["healthPath"] = standin_engines.HEALTH_PATH
+    return service
 
 
 def model_service() -> dict[str, Any]:
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -30,6 +30,7 @@
         engine_pauses: When sound engines were silent.
         repeats: Repeats of each service in its worst window.
         times: Requests that were handed more time than was left.
+        cut_off_routes: Requests served at nodes without engines, by route.
     """
 
     options: dict[str, Any]
@@ -45,6 +46,7 @@
     engine_pauses: list[str]
     repeats: dict[str, str]
     times: str
+    cut_off_routes: dict[str, str]
     violations: list[soak_judge.Violation]
     disturbances: list[str]
 
@@ -85,6 +87,7 @@
             for service, window in judge.repeat_windows.items()
         },
         times=f"{len(judge.times.excessive)} of {judge.times.counted}",
+        cut_off_routes=judge.cut_off_routes,
         violations=judge.violations,
         disturbances=[
             f"{d.start - judge.started:.2f} to {d.end - judge.started:.2f} "
@@ -118,6 +121,7 @@
         f"repeats in the worst window, of those allowed: {report.repeats}",
         f"requests handed more time than was left, of those that were sent "
         f"late: {report.times}",
+        f"served at nodes without engines: {report.cut_off_routes}",
         f"violations: {len(report.violations)}",
     ]
     for violation in report.violations:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,6 +17,7 @@
 from tests.soak import faults
 from tests.soak import judge as soak_judge
 from tests.soak import layout
+from tests.soak import partition_links
 from tests.soak import regressions
 from tests.soak import report as soak_report
 from tests.soak import stalls
@@ -102,6 +103,15 @@
             callers.PlainCaller(3 * len(numbers) + n, self.system, self.judge)
             for n in range(self.options.plain_clients)
         ]
+        sending += [
+            callers.FirstTryCaller(
+                4 * len(numbers) + n, self.system, self.judge
+            )
+            for n in range(
+                self.options.plain_clients,
+                self.options.plain_clients + self.options.open_callers,
+            )
+        ]
         self.tasks = [
             asyncio.create_task(self.monitor()),
             asyncio.create_task(self.stalls.run()),
@@ -281,6 +291,38 @@
         action="store_true",
         help="links without proxies and without faults",
     )
+    parser.add_argument(
+        "--partitions",
+        type=int,
+        default=0,
+        help="times that nodes lose all engines, cut outside the node",
+    )
+    parser.add_argument(
+        "--partition",
+        default="",
+        choices=["", *partition_links.Partition],
+        help="kind of all partitions; default: drawn",
+    )
+    parser.add_argument(
+        "--partitioned",
+        type=int,
+        default=0,
+        help="nodes that each partition cuts; default: drawn",
+    )
+    parser.add_argument(
+        "--open-callers",
+        type=int,
+        default=0,
+        help="callers that send first tries at a steady rate",
+    )
+    parser.add_argument(
+        "--calm", action="store_true", help="no other faults are drawn"
+    )
+    parser.add_argument(
+        "--plain-health",
+        action="store_true",
+        help="the plain service has a health check",
+    )
     parser.add_argument("--folder", type=pathlib.Path)
     parser.add_argument("--regressions", action="store_true")
     args = parser.parse_args()
@@ -303,7 +345,7 @@
         seconds=args.seconds,
         nodes=min(args.nodes, layout.MAX_NODES),
         engines=min(args.engines, layout.MAX_ENGINES),
-        clients=args.clients or 4 * args.nodes,
+        clients=4 * args.nodes if args.clients is None else args.clients,
         stalls_per_s=args.stalls,
         limits=args.limits,
         cuts=args.cuts,
@@ -318,6 +360,12 @@
         allowance=args.allowance,
         endless=args.endless,
         direct=args.direct,
+        partitions=args.partitions,
+        partition=args.partition,
+        partitioned=args.partitioned,
+        open_callers=args.open_callers,
+        is_calm=args.calm,
+        plain_health=args.plain_health,
     )
 
 
--- a/tests/soak/store_process.py
+++ b/tests/soak/store_process.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import base64
 import contextlib
 import enum
 import json
@@ -19,6 +20,7 @@
 
 from almondshift.platform import names
 from tests.platform import standin_store
+from tests.soak import layout
 from tests.soak import store_copies
 
 HEARTBEAT_INTERVAL_S = 1.0
@@ -55,11 +57,14 @@
         absence: How it is away; empty while it is present.
         written: The last values that the operator and the engines wrote.
         open_calls: Calls of nodes that wait for an answer.
+        views: Number of nodes that have an address of the store, and links to
+            engines, of their own.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, views: int = 0) -> None:
         super().__init__()
         self.address = address
+        self.views = views
         self.heartbeats: dict[str, float] = {}
         self.entries: dict[str, Any] = {}
         self.era = 1
@@ -84,7 +89,14 @@
         )
         host, _, port = self.address.rpartition(":")
         self.server = httpserver.HTTPServer(application)
-        self.server.add_sockets(netutil.bind_sockets(int(port), host))
+        for view in range(1 + self.views):
+            sockets = netutil.bind_sockets(int(port) + view, host)
+            self.server.add_sockets(sockets)
+
+    def view_of(self, address: str) -> int:
+        """Returns which view is read at an address; 0 for that of engines."""
+        own = int(self.address.rpartition(":")[2])
+        return int(address.rpartition(":")[2]) - own
 
     def put(self, table: str, key: str, value: Any) -> int:
         version = super().put(table, key, value)
@@ -237,8 +249,12 @@
         self.is_ended = True
 
     def answer(self, rows: list[dict[str, Any]], **more: Any) -> None:
-        if not self.is_ended:
-            super().answer(rows, **more)
+        if self.is_ended:
+            return
+        view = self.store.view_of(self.request.host)
+        if view:
+            rows = [row_for_node(row, view - 1) for row in rows]
+        super().answer(rows, **more)
 
     def finish(self, chunk: Any = None) -> asyncio.Future[None]:
         if self.is_ended:
@@ -273,8 +289,20 @@
     pass
 
 
-async def run(address: str) -> None:
-    store = SoakStore(address)
+def row_for_node(row: dict[str, Any], node: int) -> dict[str, Any]:
+    """Returns a row with the address of a node's own link to an engine."""
+    if row["table"] != names.ENGINE_TABLE or "value" not in row:
+        return row
+    entry = json.loads(base64.b64decode(row["value"]))
+    if not isinstance(entry, dict) or "address" not in entry:
+        return row
+    entry["address"] = layout.address_for_node(entry["address"], node)
+    value = base64.b64encode(json.dumps(entry).encode()).decode()
+    return {**row, "value": value}
+
+
+async def run(address: str, views: int) -> None:
+    store = SoakStore(address, views)
     await store.start()
     with contextlib.suppress(asyncio.CancelledError):
         while True:
@@ -286,4 +314,6 @@
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
     parser.add_argument("--address", required=True)
-    asyncio.run(run(parser.parse_args().address))
+    parser.add_argument("--views", type=int, default=0)
+    args = parser.parse_args()
+    asyncio.run(run(args.address, args.views))
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -114,6 +114,7 @@
         front: The proxy that callers connect to.
         store_link: The proxy between the node and the store.
         cut_file: Says whether the node is cut off from engines.
+        partition_file: Says whether its links outside the node are cut.
     """
 
     entry: str = ""
@@ -122,6 +123,7 @@
     store_link: fault_proxy.FaultProxy | None = None
     settings: dict[str, Any] = dataclasses.field(default_factory=dict)
     cut_file: pathlib.Path = pathlib.Path()
+    partition_file: pathlib.Path = pathlib.Path()
 
     def links(self) -> list[fault_proxy.FaultProxy]:
         assert self.front is not None and self.store_link is not None
@@ -195,11 +197,14 @@
         self.engines: list[EngineProcess] = []
         self.departed: list[EngineProcess] = []
         self.configuration = options.create_configuration()
+        self.partition_links: list[SupervisedProcess] = []
+        views = options.nodes if options.partitions else 0
         self.store = SupervisedProcess(
             "store",
             [
                 "tests.soak.store_process",
                 *("--address", self.network.store()),
+                *("--views", str(views)),
             ],
         )
         self.tails: list[ledger.LedgerTail] = []
@@ -241,7 +246,28 @@
                 await engine.link.close()
 
     def parts(self) -> list[SupervisedProcess]:
-        return [self.store, *self.nodes, *self.engines, *self.departed]
+        return [
+            *(self.store, *self.nodes, *self.engines, *self.departed),
+            *self.partition_links,
+        ]
+
+    def add_partition_links(self, index: int) -> pathlib.Path:
+        """Starts the process of a node's links; returns its control file."""
+        name = f"links{index}"
+        file = self.folder / f"{name}.partition"
+        links = SupervisedProcess(
+            name,
+            [
+                "tests.soak.partition_links",
+                *("--node", str(index)),
+                *("--network", self.network.prefix),
+                *("--engines", str(self.options.engines)),
+                *("--file", str(file)),
+            ],
+        )
+        self.partition_links.append(links)
+        self.launch(links)
+        return file
 
     async def add_node(self, index: int) -> NodeProcess:
         network = self.network
@@ -249,7 +275,12 @@
         front = await create_link(
             network.node(index, layout.NODE_PORT), is_direct
         )
-        link = await create_link(network.store(), is_direct)
+        has_links = bool(self.options.partitions)
+        store = network.store(1 + index if has_links else 0)
+        link = await create_link(store, is_direct)
+        partition_file = pathlib.Path()
+        if has_links:
+            partition_file = self.add_partition_links(index)
         name = f"n{index}"
         path = self.folder / f"{name}.ini"
         cut_file = self.folder / f"{name}.cut"
@@ -261,6 +292,7 @@
             name,
             command,
             cut_file=cut_file,
+            partition_file=partition_file,
             entry=network.node(index, layout.NODE_PORT),
             directory=network.node(index, layout.DIRECTORY_PORT),
             front=front,
