Log and count rounds that check the links to endpoints

A node that was cut off and one that didn't know it wrote the same lines: no line and no counter told whether a round of queries was sent, had no response or was discarded. AS4018 and almondshift_relay_link_checks_total do.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -429,6 +429,26 @@
     unanswered: int
 
 
+class EndpointsSilent(Event, frozen=True):
+    """No endpoint of a service responded to a round of queries by this node.
+
+    ``took_s`` is the time from the queries to the end of the round; ``late_s``
+    is the part of it beyond the time-out, in which this node may not have been
+    scheduled. ``rounds`` is the number of rounds in a row that count; one that
+    is discarded doesn't.
+    """
+
+    number = 4018
+    message = "endpoints silent"
+
+    service: str
+    queried: int
+    took_s: float
+    late_s: float
+    rounds: int
+    discarded: bool
+
+
 class EndpointBackoff(Event, frozen=True):
     """An endpoint refused a request, and asked this node for none for a while.
 
--- a/src/almondshift/relay/engine_reach.py
+++ b/src/almondshift/relay/engine_reach.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from almondshift import log_events
+from almondshift.policy import isolation
 from almondshift.relay import background
 from almondshift.relay import runs
 
@@ -13,7 +14,6 @@
     from collections.abc import Callable
 
     from almondshift.model import registered_engines
-    from almondshift.policy import isolation
     from almondshift.relay import context
 
 CHECK_INTERVAL_S = 0.05
@@ -128,9 +128,11 @@
         now = loop.time()
         is_late = now - started_at > QUERY_TIMEOUT_S + MAX_OVERRUN_S
         if is_late and links.last_response_at < started_at:
+            self.record_round(service, links, count, started_at, True)
             return
         isolated_since = links.isolated_since
         changed = links.end_round(started_at, now)
+        self.record_round(service, links, count, started_at, False)
         if links.failed_rounds == 1 and service not in self.connecting:
             self.connecting.add(service)
             self.work.run(self.check_connections(service, links, endpoints))
@@ -139,6 +141,37 @@
         elif not links.is_isolated:
             self.check_if_due()
 
+    def record_round(
+        self,
+        service: str,
+        links: isolation.Isolation,
+        queried: int,
+        started_at: float,
+        is_discarded: bool,
+    ) -> None:
+        """Counts a round, and logs it if a node that isn't isolated is silent.
+
+        An isolated node logs its isolation and its end.
+        """
+        if links.last_response_at >= started_at:
+            self.shared.observer.link_checks.labels("responded").inc()
+            return
+        outcome = "discarded" if is_discarded else "silent"
+        self.shared.observer.link_checks.labels(outcome).inc()
+        if links.failed_rounds > isolation.ROUNDS:
+            return
+        took_s = asyncio.get_running_loop().time() - started_at
+        self.shared.observer.emit(
+            log_events.EndpointsSilent(
+                service,
+                queried,
+                round(took_s, 3),
+                round(max(0.0, took_s - QUERY_TIMEOUT_S), 3),
+                links.failed_rounds,
+                is_discarded,
+            )
+        )
+
     async def check_connections(
         self,
         service: str,
--- a/src/almondshift/relay/observer.py
+++ b/src/almondshift/relay/observer.py
@@ -111,6 +111,13 @@
             registry=registry,
         )
 
+        self.link_checks = prometheus_client.Counter(
+            "almondshift_relay_link_checks",
+            "Rounds of queries that check the links to endpoints, by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
+
         self.buffered_bytes = prometheus_client.Gauge(
             "almondshift_relay_buffered_bytes",
             "Bytes of messages in transfer that this node holds.",
