Test that a node on a busy machine learns that it is cut off

Callers of a node that is cut off wait for their deadlines as long as each round of queries ends more than 0.1 s late. The stand-ins' cuts have one more kind: new connections are accepted and stay silent.

--- a/tests/platform/cut_links.py
+++ b/tests/platform/cut_links.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import enum
+import socket
 from typing import TYPE_CHECKING
 from typing import Any
 
 from almondshift.adapters import http_connections
+from tests.faults import proxy
 
 if TYPE_CHECKING:
     from almondshift.daemons import relay
@@ -20,11 +22,17 @@
         RESET: Open ones are reset, new ones are refused.
         SILENT: Nothing arrives on open ones, new ones get no response.
         REFUSE_NEW: Open ones work on, new ones are refused.
+        ACCEPT: Nothing arrives on open ones, new ones are accepted and silent.
     """
 
     RESET = "reset"
     SILENT = "silent"
     REFUSE_NEW = "refuse_new"
+    ACCEPT = "accept"
+
+
+SILENCES_OPEN = (Cut.SILENT, Cut.ACCEPT)
+QUEUE_LENGTH = 1024
 
 
 class SilencedTransport:
@@ -57,10 +65,15 @@
         self.cut: Cut | None = None
         self.addresses: frozenset[str] | None = None
         self.live: set[http_connections.Connection] = set()
+        self.silent: socket.socket | None = None
 
     def begin(self, cut: Cut, addresses: frozenset[str] | None = None) -> None:
         self.cut = cut
         self.addresses = addresses
+        if cut is Cut.ACCEPT:
+            self.silent = socket.create_server(
+                (proxy.own_host(), 0), backlog=QUEUE_LENGTH
+            )
         for connection in list(self.live):
             if not self.is_cut(connection.address):
                 continue
@@ -68,7 +81,7 @@
                 connection.fail(
                     http_connections.Outcome.BROKEN, "connection reset"
                 )
-            elif cut is Cut.SILENT and connection.transport is not None:
+            elif cut in SILENCES_OPEN and connection.transport is not None:
                 silenced: Any = SilencedTransport(connection.transport)
                 connection.transport = silenced
 
@@ -80,8 +93,11 @@
 
     def end(self) -> None:
         """Ends the cut; connections that were silenced are reset."""
-        was_silent = self.cut is Cut.SILENT
+        was_silent = self.cut in SILENCES_OPEN
         self.cut = None
+        if self.silent is not None:
+            self.silent.close()
+            self.silent = None
         if was_silent:
             for connection in list(self.live):
                 if not isinstance(connection.transport, SilencedTransport):
@@ -100,7 +116,7 @@
         if self.cut is Cut.SILENT:
             await asyncio.sleep(timeout_s)
             return None
-        return False
+        return self.cut is Cut.ACCEPT
 
     async def _connect(self, address: str, call: http_connections.Call) -> None:
         if not self.is_cut(address):
@@ -108,6 +124,10 @@
             if call.connection is not None:
                 self.live.add(call.connection)
             return
+        if self.silent is not None:
+            host, port = self.silent.getsockname()
+            await super()._connect(f"{host}:{port}", call)
+            return
         if self.cut is Cut.SILENT:
             await asyncio.sleep(self.connect_timeout_s)
         call.connecting = None
--- a/tests/platform/test_cut_links.py
+++ b/tests/platform/test_cut_links.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import time
+from typing import TYPE_CHECKING
 
 import pytest
 
@@ -11,6 +14,9 @@
 from tests.platform import standin_system as system
 from tests.platform import test_whole_system as whole
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
 DETECTED_S = 3.0
 """Time after which callers of a node that has lost its links have to be
 served."""
@@ -134,6 +140,50 @@
     asyncio.run(scenario())
 
 
+@contextlib.asynccontextmanager
+async def delays_of_the_process(
+    seconds: float, gap_s: float
+) -> AsyncIterator[None]:
+    """Delays the loop again and again, as on a busy machine."""
+
+    async def delay() -> None:
+        while True:
+            time.sleep(seconds)
+            await asyncio.sleep(gap_s)
+
+    delaying = asyncio.create_task(delay())
+    try:
+        yield
+    finally:
+        delaying.cancel()
+
+
+@pytest.mark.parametrize(
+    "cut", [cut_links.Cut.SILENT, cut_links.Cut.ACCEPT], ids=str
+)
+def test_a_node_on_a_busy_machine_notices_that_it_is_cut_off(
+    cut: cut_links.Cut,
+) -> None:
+    """Guards against callers who wait as each check of the links is late."""
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=2) as running:
+            await running.wait_for_peers()
+            pool = cut_links.create_cuttable_pool(running.nodes[0])
+            await send_tries(running, 0, 3, "before")
+            async with delays_of_the_process(seconds=0.2, gap_s=0.02):
+                pool.begin(cut)
+                caller = asyncio.create_task(send_tries(running, 0, 8, "cut"))
+                links = running.nodes[0].node.shared.links
+                await running.until(
+                    lambda: links.is_isolated(system.MODEL_SERVICE),
+                    DETECTED_S,
+                )
+                caller.cancel()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("prefixes", [("a", "b"), ("p",)], ids=str)
 @pytest.mark.parametrize(
     "cut", [cut_links.Cut.RESET, cut_links.Cut.SILENT], ids=str
