Treat a response with an invalid status as no response

An endpoint that answered with status 000 or 099 was taken for one that sends an interim response, so its caller waited until the deadline: orders got 504, streams no byte. 600 and 999 were passed to the caller as they came, signed.

HTTP allows 100 to 599 (RFC 9110, section 15). The connection now rejects any other status like bytes that are no response, for requests, reports, health checks, orders, the store and peers alike: what may repeat goes elsewhere, what must run once ends with an unknown outcome (502), since a run is possible.

--- a/src/almondshift/adapters/http_connections.py
+++ b/src/almondshift/adapters/http_connections.py
@@ -48,6 +48,11 @@
 """Maximum number of bytes that are received and parsed at a time. Other
 connections are served between two reads."""
 
+INTERIM_STATUSES = range(100, 200)
+FINAL_STATUSES = range(200, 600)
+"""Statuses that HTTP allows (RFC 9110, section 15). A response with any other
+is invalid."""
+
 MAX_HEAD_BYTES = 65_536
 """A larger response head is rejected: endless header lines would grow in
 memory until the call's timeout. Typical heads have a few hundred bytes."""
@@ -378,8 +383,11 @@
         head = self.head or ResponseHead(0, [])
         head.status = self.parser.get_status_code()
         self.head = head
-        if head.status < 200 or call is None:
+        if head.status in INTERIM_STATUSES or call is None:
             return
+        if head.status not in FINAL_STATUSES:
+            self.rejection = f"invalid status: {head.status:03}"
+            raise httptools.HttpParserCallbackError(self.rejection)
         if not self.responds_to(call, head):
             # This is a late or duplicate response to an earlier call; the
             # caller would receive the bytes of another call.
@@ -411,7 +419,7 @@
 
     def on_message_complete(self) -> None:
         """Notes that the response is complete (called by the parser)."""
-        if self.head is not None and self.head.status < 200:
+        if self.head is not None and self.head.status in INTERIM_STATUSES:
             self.head = None
             return
         self.complete = self.head_complete
--- a/tests/platform/standin_engines.py
+++ b/tests/platform/standin_engines.py
@@ -96,6 +96,8 @@
         whole_body: What an engine responds with in place of a stream; None for
             a stream.
         status: Response status of plain requests.
+        raw_status: Text of the status of all its responses to requests; empty
+            for valid ones.
         signs: Whether it signs responses to plain requests.
         backoffs: Values of Retry-After with which it refuses all requests, one
             field each; empty to refuse none.
@@ -145,6 +147,7 @@
         self.numbers_events = True
         self.whole_body: bytes | None = None
         self.status = 200
+        self.raw_status = ""
         self.signs = True
         self.backoffs: list[str] = []
         self.says_leaving = False
@@ -389,6 +392,11 @@
             await stream.write(self.engine.cut_head)
             stream.close()
             return
+        if self.engine.raw_status:
+            self.engine.ran.append(self.request_id)
+            with contextlib.suppress(iostream.StreamClosedError):
+                await self.respond_raw(self.engine.raw_status)
+            return
         if self.engine.layers is None and not self.request.headers.get(
             names.PATH
         ):
@@ -423,6 +431,16 @@
         self.set_status(self.engine.status)
         self.write(b"done " + self.request.body)
 
+    async def respond_raw(self, status: str) -> None:
+        """Sends a whole response, and keeps the connection open."""
+        lines = [
+            f"HTTP/1.1 {status} Odd",
+            f"X-Request-Id: {self.request_id}",
+            f"{SIGNATURE}: sig-{self.engine.instance}",
+            "Content-Length: 3",
+        ]
+        await self.detach().write("\r\n".join([*lines, "", "odd"]).encode())
+
     async def respond_without_end(self, repeated: bytes) -> None:
         """Sends a body without a length or chunks, for as long as possible."""
         stream = self.detach()
