Find a dead engine on a node that is always late

Streams over an engine that died waited until their callers left, at a node whose process runs late again and again: each of the three tries of a probe was taken for a stall of this node, since no data had come without a gap of 0.04 s, and the probe ended without a result. The next one did the same.

An engine now counts as dead as well if it responded to none of the three tries while another engine, queried with it in the last two, responded to both. What has arrived is read before time-outs expire, so a late process can tell the two apart; after a stall of the link, live engines respond in the second or third.

Two of the rows of the test failed before.

--- a/src/almondshift/relay/path_probe.py
+++ b/src/almondshift/relay/path_probe.py
@@ -14,9 +14,10 @@
 
 If this node received no data for a while during the queries, its own link or
 process may have stalled. The engine is then queried again, along with another
-engine, and stays in service if that shows no better. Another round would start
-only after the engine's backoff, and callers would wait several times as long as
-the stall.
+engine. Another round would start only after the engine's backoff, and callers
+would wait several times as long as the stall. If that shows no better, the
+engine stays in service, unless the other one responded in each try: a process
+that is always late would never find a dead engine.
 """
 
 from __future__ import annotations
@@ -200,10 +201,11 @@
             is_peer_report: Whether another node found it dead too. Then a
                 refused connection is enough; no other engine has to respond.
         """
+        references: list[str] = []
         for number in range(MAX_TRIES):
             started_at = self.loop.time()
             if number:
-                self.query_reference(part)
+                self.query_reference(part, references)
             if await self.responds(part):
                 return
             responses = self.responses if number else ()
@@ -214,7 +216,8 @@
             if self.had_time_to_read(started_at):
                 break
         else:
-            return
+            if len(references) < MAX_TRIES - 1:
+                return
         self.moves.on_engine_lost(
             part.instance,
             engine_tracker.Suspicion.UNREACHABLE,
@@ -238,8 +241,15 @@
             return True
         return self.moves.scheduled_s() >= PROMPT_RESPONSE_S
 
-    def query_reference(self, part: relayed.PathPart) -> None:
-        """Queries another engine, whose response shows that the link works."""
+    def query_reference(
+        self, part: relayed.PathPart, responded: list[str]
+    ) -> None:
+        """Queries another engine, whose response shows that the link works.
+
+        Args:
+            part: The engine that is checked.
+            responded: Gets the other one's instance once it responds.
+        """
         catalogue = self.shared.catalogue
         queried = catalogue.engines.get(part.instance)
         if queried is None:
@@ -251,15 +261,18 @@
             and not self.shared.tracker.is_suspect(engine.instance)
         ]
         if others:
-            self.work.run(self.note_response(self.shared.rng.choice(others)))
+            other = self.shared.rng.choice(others)
+            self.work.run(self.note_response(other, responded))
 
     async def note_response(
-        self, engine: registered_engines.RegisteredEngine
+        self,
+        engine: registered_engines.RegisteredEngine,
+        responded: list[str],
     ) -> None:
         """Queries an engine; a response counts as evidence of the link."""
-        await self.responds(
-            relayed.PathPart(engine.instance, engine.address, 0, 0)
-        )
+        part = relayed.PathPart(engine.instance, engine.address, 0, 0)
+        if await self.responds(part):
+            responded.append(engine.instance)
 
     def may_have_stalled(
         self, started_at: float, responses: Iterable[float] = ()
--- a/tests/platform/test_cut_links.py
+++ b/tests/platform/test_cut_links.py
@@ -3,20 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import time
-from typing import TYPE_CHECKING
 
 import pytest
 
 from almondshift.relay import stream_run
 from tests.platform import cut_links
+from tests.platform import loop_delays
 from tests.platform import standin_system as system
 from tests.platform import test_whole_system as whole
 
-if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
 DETECTED_S = 3.0
 """Time after which callers of a node that has lost its links have to be
 served."""
@@ -140,24 +135,6 @@
     asyncio.run(scenario())
 
 
-@contextlib.asynccontextmanager
-async def delays_of_the_process(
-    seconds: float, gap_s: float
-) -> AsyncIterator[None]:
-    """Delays the loop again and again, as on a busy machine."""
-
-    async def delay() -> None:
-        while True:
-            time.sleep(seconds)
-            await asyncio.sleep(gap_s)
-
-    delaying = asyncio.create_task(delay())
-    try:
-        yield
-    finally:
-        delaying.cancel()
-
-
 @pytest.mark.parametrize(
     "cut", [cut_links.Cut.SILENT, cut_links.Cut.ACCEPT], ids=str
 )
@@ -171,7 +148,9 @@
             await running.wait_for_peers()
             pool = cut_links.create_cuttable_pool(running.nodes[0])
             await send_tries(running, 0, 3, "before")
-            async with delays_of_the_process(seconds=0.2, gap_s=0.02):
+            async with loop_delays.delays_of_the_process(
+                seconds=0.2, gap_s=0.02
+            ):
                 pool.begin(cut)
                 caller = asyncio.create_task(send_tries(running, 0, 8, "cut"))
                 links = running.nodes[0].node.shared.links
@@ -194,7 +173,9 @@
             links = running.nodes[0].node.shared.links
             state = links.of(system.MODEL_SERVICE)
             loop = asyncio.get_running_loop()
-            async with delays_of_the_process(seconds=0.2, gap_s=0.02):
+            async with loop_delays.delays_of_the_process(
+                seconds=0.2, gap_s=0.02
+            ):
                 until = loop.time() + DETECTED_S
                 while loop.time() < until:
                     checked_at = state.checked_at
--- a/tests/relay/test_path_probe.py
+++ b/tests/relay/test_path_probe.py
@@ -20,6 +20,7 @@
 from almondshift.relay import path_probe
 from tests import asynchronous
 from tests import unscheduled_time
+from tests.platform import loop_delays
 from tests.platform import standin_system as system
 from tests.platform import test_whole_system as whole
 
@@ -143,6 +144,48 @@
     assert silence_s < SILENT_ENGINE_S
 
 
+CALLERS_LEAVE_S = 2.0
+"""Silence of a stream after which its caller leaves, in seconds."""
+
+
+@pytest.mark.parametrize(
+    ("delay_s", "gap_s"), [(0.0, 1.0), (0.1, 0.03), (0.2, 0.05), (0.3, 0.1)]
+)
+def test_a_process_that_is_always_late_finds_a_dead_engine(
+    delay_s: float, gap_s: float
+) -> None:
+    """Guards against streams that wait for a dead engine on a busy machine."""
+
+    async def scenario() -> None:
+        async with system.running_system() as running:
+            for engine in running.engines.values():
+                engine.events = 60
+                engine.gap_s = 0.02
+            shared = running.nodes[0].node.shared
+            async with loop_delays.delays_of_the_process(delay_s, gap_s):
+                streams = [
+                    asyncio.create_task(whole.chat(running, f"r{number}"))
+                    for number in range(4)
+                ]
+                await running.until(
+                    lambda: (
+                        sum(len(e.ran) for e in running.engines.values()) == 4
+                    )
+                )
+                await asyncio.sleep(0.3)
+                run = next(iter(shared.running))
+                dead = run.attempt.first.instance  # type: ignore[attr-defined]
+                running.engines[dead].is_dead = True
+                await running.until(
+                    lambda: shared.tracker.is_lost(dead), CALLERS_LEAVE_S
+                )
+                for status, _, body in await asyncio.gather(*streams):
+                    assert status == 200
+                    assert len(whole.tokens(body)) == 60
+
+    asyncio.run(scenario())
+
+
 REFERENCE = "reference"
 
 
