Judge links to endpoints that can't be queried by the other services

Plain requests at a node that was cut off waited for their deadlines (504) if their service has no health check: its endpoints can't be queried, so the node never took itself for isolated from it. Where links accept connections and stay silent, no connection fails either.

The links are the node's: if it is isolated from all services that it can query, it is isolated from this one as well, unless data of it arrives. While requests wait there, the other services are checked, at most once a second. Plain endpoints that are cut off alone are still not noticed.

--- a/src/almondshift/policy/isolation.py
+++ b/src/almondshift/policy/isolation.py
@@ -8,9 +8,10 @@
 
 So failures at several endpoints within a moment, or silence of all of them
 while requests wait, start a check of random endpoints. The node is isolated
-from the service once no endpoint has responded to two rounds. Single endpoints
-that crash or fall silent don't start a check, as data from the others keeps
-arriving. A short stall of all links ends before the second round does.
+from the service once no endpoint has responded to two rounds. A service whose
+endpoints can't be queried is judged by the others. Single endpoints that crash
+or fall silent don't start a check, as data from the others keeps arriving. A
+short stall of all links ends before the second round does.
 """
 
 from __future__ import annotations
@@ -165,6 +166,41 @@
         """Makes a check start at once."""
         self.check_wanted_at = now
 
+    def want_check_if_silent(self, now: float) -> None:
+        """Makes a check start if there was neither data nor a check lately."""
+        if (
+            now - self.last_response_at >= SILENT_S
+            and now - self.checked_at >= CHECK_GAP_S
+        ):
+            self.want_check(now)
+
+    def infer(
+        self, is_lost: bool, waiting_since: float | None, now: float
+    ) -> bool:
+        """Records the state of links that can't be checked by queries.
+
+        Args:
+            is_lost: Whether the node has lost its links to other services.
+            waiting_since: As for ``needs_check``.
+            now: Seconds on the clock of all times here.
+
+        Returns:
+            Whether the state changed.
+        """
+        if self.isolated_since is None:
+            if not is_lost or now - self.last_response_at < SILENT_S:
+                return False
+            self.awaited_since = now if waiting_since is None else waiting_since
+            self.isolated_since = self.checked_at = now
+            return True
+        self.checked_at = now
+        if is_lost and self.last_response_at < self.isolated_since:
+            return False
+        self.isolated_since = None
+        if self.latest_cut is not None and self.is_cut_off:
+            self.latest_cut.ended_at = now
+        return True
+
     def is_link_suspect(self, now: float) -> bool:
         """Returns whether connections to several endpoints just failed.
 
--- a/src/almondshift/relay/engine_reach.py
+++ b/src/almondshift/relay/engine_reach.py
@@ -63,15 +63,19 @@
         await self.work.close()
 
     def check_if_due(self) -> None:
-        """Starts a round for each service whose links seem to fail."""
+        """Checks each service whose links seem to fail."""
         now = asyncio.get_running_loop().time()
         waiting = self.waiting_since()
         for service, links in self.shared.links.by_service.items():
             waiting_since = waiting.get(service)
-            if service not in self.checking and links.needs_check(
+            if service in self.checking or not links.needs_check(
                 waiting_since, now
             ):
+                continue
+            if self.can_query(service):
                 self.start_check(service, links, waiting_since)
+            else:
+                self.infer_state(service, links, waiting_since)
 
     def waiting_since(self) -> dict[str, float]:
         """Returns since when requests have had no data, by service.
@@ -92,9 +96,7 @@
         links: isolation.Isolation,
         waiting_since: float | None,
     ) -> None:
-        """Starts a round if the service has endpoints that can be queried."""
-        if not self.can_query(service):
-            return
+        """Starts a round if the service has endpoints."""
         endpoints = [
             endpoint
             for endpoint in self.shared.catalogue.of_service(service)
@@ -106,6 +108,31 @@
             self.checking.add(service)
             self.work.run(self.check(service, links, endpoints))
 
+    def infer_state(
+        self,
+        service: str,
+        links: isolation.Isolation,
+        waiting_since: float | None,
+    ) -> None:
+        """Updates the state of a service whose endpoints can't be queried.
+
+        A node that is isolated from all other services has lost its links, so
+        it is isolated from this one too, unless data arrives.
+        """
+        now = asyncio.get_running_loop().time()
+        others = [
+            state
+            for name, state in self.shared.links.by_service.items()
+            if self.can_query(name) and self.shared.catalogue.of_service(name)
+        ]
+        for state in others:
+            state.want_check_if_silent(now)
+        isolated_since = links.isolated_since
+        is_lost = bool(others) and all(state.is_isolated for state in others)
+        if links.infer(is_lost, waiting_since, now):
+            links.endpoints = len(self.shared.catalogue.of_service(service))
+            self.report_change(service, links, isolated_since)
+
     async def check(
         self,
         service: str,
--- a/tests/platform/test_cut_links.py
+++ b/tests/platform/test_cut_links.py
@@ -303,6 +303,48 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("cut", CUTS, ids=str)
+def test_callers_of_a_service_without_a_health_check_are_served(
+    cut: cut_links.Cut,
+) -> None:
+    """Guards against plain requests that wait for endpoints out of reach.
+
+    The endpoints can't be queried; the node knows from another service that it
+    has lost its links.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=2) as running:
+            await running.wait_for_peers()
+            changed = system.config(2)
+            changed["services"][1].pop("healthPath")
+            running.store.put("op", "config", changed)
+            catalogue = running.nodes[0].node.catalogue
+            await running.until(
+                lambda: catalogue.config and catalogue.config.version == 2
+            )
+            await send_tries(running, 0, 3, "before")
+            pool = cut_links.create_cuttable_pool(running.nodes[0])
+            pool.begin(cut)
+            loop = asyncio.get_running_loop()
+            until = loop.time() + DETECTED_S
+            while loop.time() < until:
+                early = asyncio.create_task(
+                    send_tries(running, 0, 1, f"early-{loop.time()}")
+                )
+                await asyncio.sleep(0.2)
+            results = await send_tries(running, 0, 8, "cut")
+            assert {status for _, status, _ in results} == {200}
+            await early
+            pool.end()
+            links = running.nodes[0].node.shared.links
+            await running.until(
+                lambda: not links.is_isolated(system.PLAIN_SERVICE), DETECTED_S
+            )
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     "cut", [cut_links.Cut.RESET, cut_links.Cut.SILENT], ids=str
 )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.soak import layout
+from tests.soak import partition_links
 from tests.soak import report as soak_report
 from tests.soak import run
 
@@ -25,6 +26,7 @@
 FAILING_SEED = 6024
 ENDLESS_SEED = 6301
 SILENT_SEED = 7725
+PARTITIONED_SEED = 7401
 STALLED_SEED = 14
 STALLS_PER_S = 3.0
 
@@ -146,6 +148,26 @@
     check_no_violations(options, tmp_path)
 
 
+def test_callers_of_nodes_that_are_cut_off_outside_are_served(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Connections to engines are accepted, and nothing passes on them."""
+    options = layout.SoakOptions(
+        seed=PARTITIONED_SEED,
+        seconds=13.0,
+        nodes=4,
+        engines=8,
+        clients=0,
+        direct=True,
+        partitions=1,
+        partition=partition_links.Partition.ACCEPT,
+        partitioned=3,
+        open_callers=12,
+        is_calm=True,
+    )
+    check_no_violations(options, tmp_path)
+
+
 def check_no_violations(
     options: layout.SoakOptions, folder: pathlib.Path
 ) -> None:
