Check the links of a node that refuses for want of a path

Callers of a node that was cut off by resets were refused (503, "No path with free capacity") for as long as the cut lasted, and so were those whose requests peers passed to it. Peers had reported five of its 17 engines as lost, which it confirmed by its own dead links. Without these no path covered all layers, so it refused each request and sent none: no failure and no request that waits, so nothing started a check of its links, and with less than half of the engines lost it passed nothing to peers. It also gained the lease and ordered layers to be moved.

--- a/src/almondshift/policy/isolation.py
+++ b/src/almondshift/policy/isolation.py
@@ -166,12 +166,16 @@
         """Makes a check start at once."""
         self.check_wanted_at = now
 
+    def is_check_due(self, now: float) -> bool:
+        """Returns whether no check has ended lately, nor is one wanted."""
+        return (
+            self.check_wanted_at is None
+            and now - self.checked_at >= CHECK_GAP_S
+        )
+
     def want_check_if_silent(self, now: float) -> None:
         """Makes a check start if there was neither data nor a check lately."""
-        if (
-            now - self.last_response_at >= SILENT_S
-            and now - self.checked_at >= CHECK_GAP_S
-        ):
+        if now - self.last_response_at >= SILENT_S and self.is_check_due(now):
             self.want_check(now)
 
     def infer(
@@ -187,6 +191,7 @@
         Returns:
             Whether the state changed.
         """
+        self.check_wanted_at = None
         if self.isolated_since is None:
             if not is_lost or now - self.last_response_at < SILENT_S:
                 return False
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -730,6 +730,7 @@
 
         The error differs if an endpoint may have begun to run the request.
         """
+        self.check_links()
         if self.may_have_run:
             self.refuse(errors.UpstreamFailed(reason))
             return
@@ -745,6 +746,19 @@
             return
         self.refuse(errors.Overloaded(reason, retry_after_s=retry_s))
 
+    def check_links(self) -> None:
+        """Has this node's links checked if endpoints seem unreachable.
+
+        What is refused isn't sent, so it shows no failure that starts a check.
+        """
+        now = self.loop.time()
+        if not self.links.is_check_due(now):
+            return
+        monotonic = self.shared.clock.monotonic()
+        service = self.routed.service
+        if self.shared.peer_paths.lost_share(service, monotonic) > 0:
+            self.links.want_check(now)
+
     def refuse_crashing(self) -> None:
         """Ends a run of a request that crashes endpoints."""
         refusal = self.shared.crash_watch.refusal(self.routed)
--- a/tests/platform/test_cut_links.py
+++ b/tests/platform/test_cut_links.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from almondshift.policy import engine_tracker
 from almondshift.relay import stream_run
 from tests.platform import cut_links
 from tests.platform import loop_delays
@@ -303,6 +304,40 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("cut", CUTS, ids=str)
+def test_callers_of_a_node_that_sends_nothing_are_served(
+    cut: cut_links.Cut,
+) -> None:
+    """Guards against a node that refuses all and so never sees its links fail.
+
+    It took too few engines for lost to pass requests to peers, but too many to
+    have a path.
+    """
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=2) as running:
+            await running.wait_for_peers()
+            pool = cut_links.create_cuttable_pool(running.nodes[0])
+            shared = running.nodes[0].node.shared
+            pool.begin(cut)
+            for instance in ("a0", "b0"):
+                shared.lost_engines.suspect(
+                    instance,
+                    engine_tracker.Suspicion.UNREACHABLE,
+                    engine_tracker.Evidence.PEER,
+                )
+            loop = asyncio.get_running_loop()
+            until = loop.time() + DETECTED_S
+            while loop.time() < until:
+                await whole.chat(running, f"early-{loop.time()}")
+                await asyncio.sleep(0.1)
+            for number in range(10):
+                status, _, _ = await whole.chat(running, f"r{number}")
+                assert status == 200
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("cut", CUTS, ids=str)
 def test_callers_of_a_service_without_a_health_check_are_served(
     cut: cut_links.Cut,
