Cache the share of lost endpoints for checks of links

Each request that is refused for want of capacity counted the endpoints that seem lost, as long as none does: nothing then ends the wait for a check. In a large fleet under overload that is a pass over all engines for each refusal. The share that decides whether requests go to peers was cached for 0.1 s already; both use that now. By reading; the cost was not measured.

--- a/src/almondshift/relay/peer_paths.py
+++ b/src/almondshift/relay/peer_paths.py
@@ -48,14 +48,14 @@
 """Share of a service's endpoints that this node can't reach from which its
 requests may be passed to peers."""
 
-LACKS_TTL_S = 0.1
-"""Time for which that is cached, in seconds; counting takes long in a large
-fleet."""
+LOST_SHARE_TTL_S = 0.1
+"""Time for which that share is cached, in seconds; counting takes long in a
+large fleet."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _CachedLack:
-    lacks: bool
+class _CachedShare:
+    lost: float
     until: float
     failure_count: int
 
@@ -110,7 +110,7 @@
         self.failed_until: dict[str, float] = {}
         self.isolated_until: dict[str, float] = {}
         self.announced: dict[str, float] = {}
-        self.cached_lacks: dict[str, _CachedLack] = {}
+        self.cached_shares: dict[str, _CachedShare] = {}
 
     def join(self, node_group: relay_group.Group) -> None:
         """Starts to exchange with peers which nodes are isolated."""
@@ -163,23 +163,24 @@
 
     def lacks_endpoints(self, service: str) -> bool:
         """Returns whether peers may reach more endpoints of a service."""
-        links = self.links.of(service)
-        if links.is_isolated:
+        if self.links.is_isolated(service):
             return True
+        return self.recent_lost_share(service) >= LOST_SHARE
+
+    def recent_lost_share(self, service: str) -> float:
+        """Returns ``lost_share`` as of a moment ago."""
         now = self.clock.monotonic()
-        cached = self.cached_lacks.get(service)
-        failure_count = links.failure_count
+        cached = self.cached_shares.get(service)
+        failure_count = self.links.of(service).failure_count
         if (
             cached is None
             or cached.until <= now
             or cached.failure_count != failure_count
         ):
             lost = self.lost_share(service, now)
-            cached = _CachedLack(
-                lost >= LOST_SHARE, now + LACKS_TTL_S, failure_count
-            )
-            self.cached_lacks[service] = cached
-        return cached.lacks
+            cached = _CachedShare(lost, now + LOST_SHARE_TTL_S, failure_count)
+            self.cached_shares[service] = cached
+        return cached.lost
 
     def is_cut_off(self, service: str) -> bool:
         """Returns whether a peer probably reaches a service that this can't.
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -754,9 +754,7 @@
         now = self.loop.time()
         if not self.links.is_check_due(now):
             return
-        monotonic = self.shared.clock.monotonic()
-        service = self.routed.service
-        if self.shared.peer_paths.lost_share(service, monotonic) > 0:
+        if self.shared.peer_paths.recent_lost_share(self.routed.service) > 0:
             self.links.want_check(now)
 
     def refuse_crashing(self) -> None:
