Hear peers before begun streams leave engines that fell silent

On a busy machine, streams broke off while all engines paused for 1.4 s, which operators call sound. Nodes isolate themselves late in the pause, all at the same moment, and each handed its streams to another before it heard that that one was isolated too. These refused, and streams are given up 2 s after their last event, just when the engines go on.

Unless connections failed, a begun stream now stays at its engine for 0.3 s after its node is isolated. By then peers that are isolated have announced it, and the stream waits for its engine as it does at nodes that are isolated early.

--- a/src/almondshift/policy/isolation.py
+++ b/src/almondshift/policy/isolation.py
@@ -39,6 +39,9 @@
 RECHECK_GAP_S = 0.2
 """Interval between checks of an isolated node, in seconds."""
 
+PEERS_HEARD_S = 0.3
+"""Time in which peers that are isolated too announce it, in seconds."""
+
 MAX_CUTS = 16
 """Maximum number of cuts that are remembered."""
 
@@ -129,6 +132,17 @@
         silent_since = max(self.last_response_at, self.awaited_since)
         return self.is_isolated and now - silent_since >= seconds
 
+    def has_heard_peers(self, now: float) -> bool:
+        """Returns whether peers may be taken to reach what this node doesn't.
+
+        Endpoints that pause isolate all nodes at once, before these hear of
+        each other. If connections fail, the fault is that of the node's links.
+        """
+        return self.is_cut_off or (
+            self.isolated_since is not None
+            and now - self.isolated_since >= PEERS_HEARD_S
+        )
+
     def note_response(self, now: float) -> None:
         """Records data from an endpoint."""
         self.last_response_at = now
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -679,7 +679,11 @@
         is_uncounted = self.is_cut_off() or self.is_uncounted_at(first)
         may_use_another = self.can_retry(int(not is_uncounted))
         if self.links.is_isolated:
-            return may_use_another and self.can_pass_to_peer()
+            return (
+                may_use_another
+                and self.links.has_heard_peers(self.loop.time())
+                and self.can_pass_to_peer()
+            )
         if not may_use_another and not self.shared.tracker.seems_ended(first):
             return False
         current = "" if is_uncounted else first
--- a/tests/platform/test_pauses_of_all_engines.py
+++ b/tests/platform/test_pauses_of_all_engines.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.platform import loop_delays
 from tests.platform import standin_system as system
 from tests.platform import test_silent_engines as silent
 from tests.platform import test_whole_system as whole
@@ -57,6 +58,40 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("delay_s", "gap_s"), [(0.1, 0.03), (0.15, 0.03), (0.2, 0.05)]
+)
+def test_streams_survive_a_pause_of_all_engines_at_nodes_that_run_late(
+    delay_s: float, gap_s: float
+) -> None:
+    """Guards against isolated nodes that hand streams to each other."""
+
+    async def scenario() -> None:
+        async with (
+            loop_delays.delays_of_the_process(delay_s, gap_s),
+            system.running_system(nodes=2, zones="abc") as running,
+        ):
+            await silent.prepare(running, 2)
+            streams = [
+                asyncio.create_task(
+                    whole.chat(running, f"r{n}", n % 2, X_Deadline_Ms="20000")
+                )
+                for n in range(STREAMS)
+            ]
+            for _ in range(2):
+                await asyncio.sleep(0.5)
+                await asyncio.gather(
+                    *(
+                        silent.pause(engine, 1.4)
+                        for engine in silent.model_engines(running)
+                    )
+                )
+            for _, _, body in await asyncio.gather(*streams):
+                assert len(whole.tokens(body)) == silent.EVENTS
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("nodes", [2, 9])
 @pytest.mark.parametrize("max_attempts", [1, 2])
 @pytest.mark.parametrize(
