--- a/tests/soak/store_process.py
+++ b/tests/soak/store_process.py
@@ -94,9 +94,13 @@
             self.server.add_sockets(sockets)
 
     def view_of(self, address: str) -> int:
-        """Returns which view is read at an address; 0 for that of engines."""
+        """Returns which view is read at an address; 0 for that of engines.
+
+        Links by way of proxies have other ports, and no views.
+        """
         own = int(self.address.rpartition(":")[2])
-        return int(address.rpartition(":")[2]) - own
+        view = int(address.rpartition(":")[2]) - own
+        return view if view in range(1 + self.views) else 0
 
     def put(self, table: str, key: str, value: Any) -> int:
         version = super().put(table, key, value)
--- a/tests/soak/test_store_process.py
+++ b/tests/soak/test_store_process.py
@@ -148,3 +148,15 @@
         await client.store.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("port", "views", "view"),
+    [(8223, 3, 0), (8224, 3, 1), (8226, 3, 3), (8227, 3, 0), (40_001, 0, 0)],
+)
+def test_only_nodes_with_links_of_their_own_get_a_view(
+    port: int, views: int, view: int
+) -> None:
+    """Guards against rows that name links which don't exist."""
+    store = store_process.SoakStore("127.0.0.1:8223", views)
+    assert store.view_of(f"127.0.0.2:{port}") == view
