review: case 8, nodes that follow a reader without the store keep an old config for over 2 s

In groups of more than 16 nodes a few read the store for the others. Tried a partition of one of them from the store just before a change of the config.

--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -126,6 +126,7 @@
         self.era = 1
         self.silent = False
         self.silent_for: set[int] = set()
+        self.followed: dict[int, float] = {}
         self.refuses = False
         self.changed = asyncio.Event()
         self.servers: list[asyncio.Server] = []
@@ -201,6 +202,8 @@
                 "truncated": len(found) > limit,
             }
         if path == "/rows-feed":
+            if args["table"] == "op":
+                self.followed[node] = time.monotonic()
             after = int(args["after"])
             if after > self.version:
                 return 410, {}
