Metrics of waiting facts, and a line for what a started node learned

Nothing told a full message from an exchange that did not take place, nor what a node that started learned of crashes. Metrics now count facts sent, repeated and pending by kind, messages that left out facts for want of room, and the time until a fact is first sent. AS8009 says what a node that started learned from its peers, or that it gave up (replies 0).

--- a/src/almondshift/coordination/drafts.py
+++ b/src/almondshift/coordination/drafts.py
@@ -55,6 +55,7 @@
         used: Bytes added so far.
         included: Facts not to add: already in the message, or just received
             from the peer.
+        is_limited: Whether pending facts were left out for want of room.
     """
 
     remaining: int
@@ -65,6 +66,7 @@
     facts: list[peer_port.Fact] = dataclasses.field(default_factory=list)
     wants: list[peer_port.FactDigest] = dataclasses.field(default_factory=list)
     included: set[fact_store.FactId] = dataclasses.field(default_factory=set)
+    is_limited: bool = False
 
     def consume(self, size: int) -> None:
         """Counts bytes as used."""
--- a/src/almondshift/coordination/fact_exchange.py
+++ b/src/almondshift/coordination/fact_exchange.py
@@ -22,6 +22,7 @@
     from almondshift.coordination import peer_table
     from almondshift.coordination import peer_types
     from almondshift.coordination import shared_facts
+    from almondshift.ports import exchange_observers
 
 
 REPUBLISH_GROWTH_FACTOR = 1.5
@@ -34,6 +35,7 @@
     """Builds and merges one node's messages.
 
     Attributes:
+        observer: Is told what this node sends and leaves out.
         budget: Limits what this node sends per second.
         next_heartbeat_at: Monotonic time of this node's next heartbeat.
     """
@@ -44,6 +46,7 @@
         table: peer_table.PeerTable,
         settings: peer_types.MembershipSettings,
         rejoin: Callable[[], None],
+        observer: exchange_observers.ExchangeObserver,
     ) -> None:
         self.facts = facts
         self.store = facts.store
@@ -51,6 +54,7 @@
         self.clock = table.clock
         self.settings = settings
         self.rejoin = rejoin
+        self.observer = observer
         rate = settings.bytes_per_s
         self.budget = drafts.ByteBudget(rate, 2 * rate, self.clock.monotonic())
         self.next_heartbeat_at = 0.0
@@ -116,9 +120,11 @@
             self.merge_expiry_notice(fact, now)
             return
         entry = self.store.get(fact.kind, fact.key)
-        if entry is not None and drafts.supersedes(
-            entry, drafts.digest_of(fact), now
-        ):
+        if entry is None:
+            return
+        if entry.order == (fact.version, fact.origin):
+            self.observer.fact_repeated(fact.kind)
+        if drafts.supersedes(entry, drafts.digest_of(fact), now):
             self.add_newer(entry, drafts.digest_of(fact), draft, now)
 
     def merge_digest(
@@ -281,6 +287,7 @@
             if identity[0] in kinds and not self.add_held_fact(
                 identity, draft, now
             ):
+                draft.is_limited = True
                 return
 
     def fill_heartbeats(self, draft: drafts.Draft) -> None:
@@ -309,6 +316,7 @@
         sent = [(f.kind, f.key) for f in draft.facts]
         sent += [(d.kind, d.key) for d in draft.digests]
         self.store.record_sends(sent)
+        self.observe_sends(draft)
         return peer_port.Exchange(
             sender=self.table.name,
             secret="",
@@ -316,3 +324,16 @@
             facts=tuple(draft.facts),
             wants=tuple(draft.wants),
         )
+
+    def observe_sends(self, draft: drafts.Draft) -> None:
+        """Reports the facts of a message, and whether any were left out."""
+        now = self.clock.monotonic()
+        for fact in draft.facts:
+            entry = self.store.get(fact.kind, fact.key)
+            if entry is None:
+                continue
+            waited_s = None if entry.is_sent else now - entry.accepted_at
+            entry.is_sent = True
+            self.observer.fact_sent(fact.kind, waited_s)
+        if draft.is_limited:
+            self.observer.message_limited()
--- a/src/almondshift/coordination/facts.py
+++ b/src/almondshift/coordination/facts.py
@@ -66,6 +66,8 @@
         expires_at: Monotonic time until which the fact is valid.
         purge_at: Monotonic time until which its version is kept.
         updated_at: Monotonic time at which its version last increased.
+        accepted_at: Monotonic time at which its value was accepted.
+        is_sent: Whether this node has sent it.
     """
 
     kind: peers.FactKind
@@ -76,6 +78,8 @@
     expires_at: float
     purge_at: float
     updated_at: float
+    accepted_at: float
+    is_sent: bool = False
 
     @property
     def order(self) -> tuple[int, str]:
@@ -164,6 +168,7 @@
             expires_at=expires_at,
             purge_at=expires_at + TOMBSTONE_S,
             updated_at=now,
+            accepted_at=now,
         )
         self.entries[identity] = entry
         self.by_kind[fact.kind][fact.key] = entry
--- a/src/almondshift/coordination/membership.py
+++ b/src/almondshift/coordination/membership.py
@@ -25,6 +25,7 @@
 from almondshift.coordination import peer_types
 from almondshift.coordination import shared_facts
 from almondshift.coordination import silent_peers
+from almondshift.ports import exchange_observers
 from almondshift.ports import peers as peer_port
 
 if TYPE_CHECKING:
@@ -59,6 +60,7 @@
         node: peer_types.NodeIdentity,
         seeds: Callable[[], Awaitable[list[str]]],
         settings: peer_types.MembershipSettings,
+        observer: exchange_observers.ExchangeObserver,
     ) -> None:
         self.link = link
         self.clock = clock
@@ -74,7 +76,7 @@
             self.store, self.table, clock, settings.max_value_bytes
         )
         self.messages = fact_exchange.FactExchange(
-            self.shared, self.table, settings, self.join
+            self.shared, self.table, settings, self.join, observer
         )
         self.wake = self.shared.wake
         self.is_leaving = False
@@ -397,6 +399,7 @@
     node: peer_types.NodeIdentity,
     seeds: Callable[[], Awaitable[list[str]]],
     settings: peer_types.MembershipSettings | None = None,
+    observer: exchange_observers.ExchangeObserver | None = None,
 ) -> Membership:
     """Creates the membership of a node.
 
@@ -408,6 +411,7 @@
         seeds: Returns addresses through which to join, ``[]`` if it can't;
             must not raise.
         settings: None for the defaults.
+        observer: Is told what the node sends; None to record nothing.
     """
     return Membership(
         link,
@@ -416,4 +420,5 @@
         node,
         seeds,
         settings or peer_types.MembershipSettings(),
+        observer or exchange_observers.NullExchangeObserver(),
     )
--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -1159,6 +1159,22 @@
     requests: int
 
 
+class CrashesLearned(Event, frozen=True):
+    """This node asked peers which requests crashed endpoints.
+
+    ``replies`` is 0 if it gave up after ``tries`` without a reply.
+    """
+
+    number = 8009
+    message = "crashes learned"
+
+    replies: int
+    tries: int
+    requests: int
+    prompt_parts: int
+    age_s: float
+
+
 class ClaimTaken(Event, frozen=True):
     """This node may dispatch a non-idempotent request, once."""
 
--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -32,6 +32,7 @@
 from almondshift.relay import endpoint_calls
 from almondshift.relay import endpoint_limits
 from almondshift.relay import engine_reach
+from almondshift.relay import exchange_metrics
 from almondshift.relay import first_read
 from almondshift.relay import gateway
 from almondshift.relay import group
@@ -165,6 +166,9 @@
             watch.ask_at_start = self.first_read.ask
         repeats = settings.repeats
         relay_observer = observer.create_relay_observer()
+        self.exchange_metrics = exchange_metrics.ExchangeMetrics(
+            relay_observer.registry
+        )
         endpoints = endpoint_choice.EndpointChooser(ports.rng)
         links = isolation.ServiceLinks()
         lost = lost_engines.create_lost_engines(
@@ -345,6 +349,7 @@
             ),
             self.rows.peer_addresses,
             MEMBERSHIP_SETTINGS,
+            self.exchange_metrics,
         )
         node_group = group.Group(members)
         self.secret.on_changed = lambda text: self.replace_secret(
@@ -449,6 +454,8 @@
             )
         self.shared.buffers.recount()
         self.shared.observer.buffered_bytes.set(self.shared.buffers.held_bytes)
+        if self.group is not None:
+            self.exchange_metrics.update_pending(self.group.members)
         self.note_store_era()
         if self.catalogue.has_due_removals(now):
             self.work.run(self.expire_removals())
--- a/src/almondshift/relay/crash_watch.py
+++ b/src/almondshift/relay/crash_watch.py
@@ -166,17 +166,32 @@
         """
         if self.group is None:
             return
-        for _ in range(MAX_LEARN_TRIES):
+        started_at = self.clock.monotonic()
+        tries = 0
+        replies: list[bytes] = []
+        while not replies and tries < MAX_LEARN_TRIES:
+            if tries:
+                await self.clock.sleep(LEARN_RETRY_S)
             replies = await self.group.ask(STRIKES_TOPIC, b"{}")
-            if replies:
-                break
-            await self.clock.sleep(LEARN_RETRY_S)
-        await self.parts.learn()
+            tries += 1
+        learned_parts = await self.parts.learn()
         now = self.clock.monotonic()
+        learned = set()
         for reply in replies:
             for fingerprint, instances in STRIKES_DECODER.decode(reply).items():
+                learned.add(fingerprint)
                 for instance in instances:
                     self.strikes.strike(fingerprint, instance, now)
+        log_events.emit(
+            logger,
+            log_events.CrashesLearned(
+                replies=len(replies),
+                tries=tries,
+                requests=len(learned),
+                prompt_parts=learned_parts,
+                age_s=round(now - started_at, 3),
+            ),
+        )
 
     async def reply_to_peer(self, sender: str, body: bytes) -> bytes:
         """Replies to a new node with the requests that have most strikes."""
--- a/src/almondshift/relay/part_watch.py
+++ b/src/almondshift/relay/part_watch.py
@@ -99,14 +99,17 @@
         node_group.subscribe_facts(peers.FactKind.QUARANTINE, self.handle_fact)
         node_group.register_handler(LEARN_TOPIC, self.reply_to_peer)
 
-    async def learn(self) -> None:
-        """Learns from peers which parts are refused."""
+    async def learn(self) -> int:
+        """Learns from peers which parts are refused; returns their number."""
         if self.group is None:
-            return
+            return 0
+        learned = set()
         now = self.clock.monotonic()
         for reply in await self.group.ask(LEARN_TOPIC, b"{}"):
             for part, age_s in AGES_DECODER.decode(reply).items():
+                learned.add(part)
                 self.refuse_for_peer("", part, now - age_s)
+        return len(learned)
 
     async def reply_to_peer(self, sender: str, body: bytes) -> bytes:
         """Replies to a new node with the parts that this node refuses."""
--- a/tests/relay/test_crashes_at_scale.py
+++ b/tests/relay/test_crashes_at_scale.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 from typing import TYPE_CHECKING
 from typing import Any
 
 import pytest
 
+from almondshift import log_events
 from almondshift.coordination import membership
 from almondshift.coordination import peer_types
 from almondshift.policy import crash_strikes
@@ -33,6 +35,10 @@
 """Time in which a node that starts learns what its peers know."""
 
 
+GIVEN_UP_S = 8.0
+"""Time after which a node that knows no peer has stopped to ask."""
+
+
 class ClosedPorts:
     """Endpoints whose ports are closed."""
 
@@ -120,6 +126,40 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("peers_known", "replies", "requests"), [(0, 0, 0), (2, 2, 1)]
+)
+def test_a_node_logs_what_it_learned_when_it_started(
+    peers_known: int,
+    replies: int,
+    requests: int,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against started nodes that know of no crash without a trace."""
+    caplog.set_level(logging.INFO)
+
+    async def scenario() -> None:
+        if peers_known:
+            cluster, _ = await create_group(peers_known)
+        else:
+            cluster = network.Cluster(1, application.MEMBERSHIP_SETTINGS)
+        await add_node(cluster, "late")
+        late = create_watch(cluster, "late")
+        learning = asyncio.create_task(late.learn())
+        await advance(cluster, GIVEN_UP_S)
+        await learning
+        await close(cluster)
+
+    asyncio.run(scenario())
+    learned = log_events.CrashesLearned.message
+    (record,) = [r for r in caplog.records if r.getMessage() == learned]
+    assert record.__dict__["replies"] == replies
+    assert record.__dict__["requests"] == requests
+    assert (record.__dict__["tries"] == crash_watch.MAX_LEARN_TRIES) is (
+        not peers_known
+    )
+
+
 FIRST_PART = "f1257f12"
 BAD_PART = "bad0bad0"
 ANSWERS = 30
