Send new facts before repeats, and leave reports a share only

What callers saw: at 75 nodes requests that crash endpoints were sent on long after their third crash. Cause, first part: each node sends an urgent fact nine times, in the order in which it learned them, and what was sent went to the end of one queue, so that a new fact waited behind all repeats of older ones; the byte budget was spent from the first second on. What a peer had just sent was sent back to it, and a fact that was published again with the same value was spread like a new one.

Facts that were sent least often now come first, the newest of them before the others. Numerous reports (strikes against parts of prompts) and heartbeats have a share of each message; a fact that only extends another is sent three times and wakes nobody, or keeps the place of the one it extends. Digests, which repair what forwarding missed, are taken in turn from nodes, notices of the last ten seconds, and all others, so that heartbeats and new notices don't come up more rarely the more facts a node holds.

--- a/src/almondshift/coordination/drafts.py
+++ b/src/almondshift/coordination/drafts.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from almondshift.coordination import facts as fact_store
+    from almondshift.coordination import send_queue
 
 DIGEST_OVERHEAD_BYTES = 16
 FACT_OVERHEAD_BYTES = 30
@@ -65,7 +66,7 @@
     )
     facts: list[peer_port.Fact] = dataclasses.field(default_factory=list)
     wants: list[peer_port.FactDigest] = dataclasses.field(default_factory=list)
-    included: set[fact_store.FactId] = dataclasses.field(default_factory=set)
+    included: set[send_queue.FactId] = dataclasses.field(default_factory=set)
     is_limited: bool = False
 
     def consume(self, size: int) -> None:
--- a/src/almondshift/coordination/fact_exchange.py
+++ b/src/almondshift/coordination/fact_exchange.py
@@ -1,9 +1,10 @@
 """Builds and merges the messages of a push-pull exchange.
 
-Within its byte budget, a message carries urgent facts first, then facts about
-nodes, heartbeats, some of the other digests in rotation, and bulk facts in
-the remaining space. A heartbeat is a digest: the node's fact keeps its value
-and only the low bits of its version increase.
+Within its byte budget, a message carries some notices, reports and heartbeats,
+then the other notices, facts about nodes, heartbeats, some of the other digests
+in rotation, and in the remaining space refreshed facts, reports and bulk facts.
+A heartbeat is a digest: the node's fact keeps its value and only the low bits
+of its version increase.
 """
 
 from __future__ import annotations
@@ -13,11 +14,11 @@
 
 from almondshift.coordination import drafts
 from almondshift.coordination import facts as fact_store
+from almondshift.coordination import send_queue
 from almondshift.ports import peers as peer_port
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
 
     from almondshift.coordination import peer_table
     from almondshift.coordination import peer_types
@@ -31,6 +32,11 @@
 expire between two of them."""
 
 
+SHARE_DIVISOR = 4
+"""Heartbeats and reports each get at least one part in this many of a
+message."""
+
+
 class FactExchange:
     """Builds and merges one node's messages.
 
@@ -124,6 +130,8 @@
             return
         if entry.order == (fact.version, fact.origin):
             self.observer.fact_repeated(fact.kind)
+            # The sender has it, so that it needs not be sent back.
+            draft.included.add((fact.kind, fact.key))
         if drafts.supersedes(entry, drafts.digest_of(fact), now):
             self.add_newer(entry, drafts.digest_of(fact), draft, now)
 
@@ -180,7 +188,7 @@
         self.add_held_fact((entry.kind, entry.key), draft, now)
 
     def add_held_fact(
-        self, identity: fact_store.FactId, draft: drafts.Draft, now: float
+        self, identity: send_queue.FactId, draft: drafts.Draft, now: float
     ) -> bool:
         """Adds a held fact to the draft; returns False if there is no room."""
         entry = self.store.entries.get(identity)
@@ -267,33 +275,54 @@
         return drafts.Draft(self.budget.allowance(max_bytes, now))
 
     def fill(self, draft: drafts.Draft, now: float, max_digests: int) -> None:
-        """Fills a draft: urgent facts, nodes, heartbeats, digests, bulk."""
-        pending_facts = list(self.store.pending_facts)
-        self.fill_facts(pending_facts, fact_store.URGENT_KINDS, draft, now)
-        self.fill_facts(pending_facts, {peer_port.FactKind.NODE}, draft, now)
-        self.fill_heartbeats(draft)
+        """Fills a draft by priority.
+
+        Heartbeats and reports have a share in any case. Otherwise nodes that
+        are busy with notices would be suspected, and reports would wait for as
+        long as nodes start or fail.
+        """
+        share = draft.remaining // SHARE_DIVISOR
+        self.fill_facts(send_queue.Priority.NOTICE, draft, now, 2 * share)
+        self.fill_facts(send_queue.Priority.REPORT, draft, now, share)
+        self.fill_heartbeats(draft, share)
+        self.fill_facts(send_queue.Priority.NOTICE, draft, now)
+        self.fill_facts(send_queue.Priority.NODE, draft, now)
+        self.fill_heartbeats(draft, draft.remaining)
         self.fill_digests(draft, now, max_digests)
-        self.fill_facts(pending_facts, fact_store.BULK_KINDS, draft, now)
+        self.fill_facts(send_queue.Priority.REFRESH, draft, now)
+        self.fill_facts(send_queue.Priority.REPORT, draft, now)
+        self.fill_facts(send_queue.Priority.BULK, draft, now)
 
     def fill_facts(
         self,
-        pending_facts: Iterable[fact_store.FactId],
-        kinds: Iterable[peer_port.FactKind],
+        priority: send_queue.Priority,
         draft: drafts.Draft,
         now: float,
+        max_bytes: int | None = None,
     ) -> None:
-        """Adds the pending facts of some kinds to the draft."""
-        for identity in pending_facts:
-            if identity[0] in kinds and not self.add_held_fact(
-                identity, draft, now
-            ):
+        """Adds the pending facts of a priority to the draft.
+
+        Args:
+            priority: Which facts.
+            draft: The message.
+            now: Monotonic time in seconds.
+            max_bytes: Size from which no further fact is added; None for the
+                room that is left.
+        """
+        end = 0 if max_bytes is None else draft.remaining - max_bytes
+        for identity in self.store.pending_facts.queues[priority]:
+            if draft.remaining <= end:
+                return
+            if not self.add_held_fact(identity, draft, now):
                 draft.is_limited = True
                 return
 
-    def fill_heartbeats(self, draft: drafts.Draft) -> None:
-        """Adds the pending heartbeats to the draft."""
+    def fill_heartbeats(self, draft: drafts.Draft, max_bytes: int) -> None:
+        """Adds pending heartbeats to the draft, up to a size in all."""
+        end = draft.remaining - max_bytes
         for identity in self.store.pending_heartbeats:
-            if not draft.add_digest(self.store.entries[identity].digest()):
+            digest = self.store.entries[identity].digest()
+            if draft.remaining <= end or not draft.add_digest(digest):
                 return
 
     def fill_digests(
--- a/src/almondshift/coordination/facts.py
+++ b/src/almondshift/coordination/facts.py
@@ -13,30 +13,21 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import math
 from typing import TYPE_CHECKING
 
+from almondshift.coordination import digest_rotation
+from almondshift.coordination import send_queue
 from almondshift.ports import peers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Iterator
 
-URGENT_KINDS = frozenset(
-    {
-        peers.FactKind.LEAVING,
-        peers.FactKind.CONFIG,
-        peers.FactKind.QUARANTINE,
-        peers.FactKind.ENGINE_LOST,
-        peers.FactKind.NODE_SILENT,
-    }
-)
-BULK_KINDS = frozenset({peers.FactKind.ENGINE_LOAD, peers.FactKind.ACCOUNT_USE})
-
 MAX_TTL_S = 86_400.0
 TOMBSTONE_S = 600.0
+
 MAX_VERSION = 2**63
 
 HEARTBEAT_BITS = 20
@@ -44,8 +35,6 @@
 
 MAX_GENERATION = (MAX_VERSION >> HEARTBEAT_BITS) - 1
 
-FactId = tuple[peers.FactKind, str]
-
 
 def generation(version: int) -> int:
     """Returns the part of a version that changes with the value."""
@@ -108,22 +97,19 @@
     Attributes:
         entries: All entries, including tombstones.
         by_kind: The same entries, by kind and key.
-        pending_facts: Entries to send, with the sends left, oldest first.
-        pending_heartbeats: Nodes whose heartbeat is to be sent, likewise.
+        pending_facts: Entries to send.
+        pending_heartbeats: Nodes whose heartbeat is to be sent.
+        rotation: Entries whose digests are offered.
     """
 
     def __init__(self) -> None:
-        self.entries: dict[FactId, Entry] = {}
+        self.entries: dict[send_queue.FactId, Entry] = {}
         self.by_kind: dict[peers.FactKind, dict[str, Entry]] = {
             kind: {} for kind in peers.FactKind
         }
-        self.pending_facts: collections.OrderedDict[FactId, int] = (
-            collections.OrderedDict()
-        )
-        self.pending_heartbeats: collections.OrderedDict[FactId, int] = (
-            collections.OrderedDict()
-        )
-        self.rotation: collections.deque[FactId] = collections.deque()
+        self.pending_facts = send_queue.PendingFacts()
+        self.pending_heartbeats = send_queue.SendQueue()
+        self.rotation = digest_rotation.DigestRotation()
 
     def get(self, kind: peers.FactKind, key: str) -> Entry | None:
         """Returns the entry, which may be a tombstone."""
@@ -158,7 +144,8 @@
             return False
         expires_at = now + min(fact.ttl_s, MAX_TTL_S)
         if held is None:
-            self.rotation.append(identity)
+            self.rotation.add(identity)
+        is_refresh = self.is_refresh(fact, now)
         entry = Entry(
             kind=fact.kind,
             key=fact.key,
@@ -172,10 +159,27 @@
         )
         self.entries[identity] = entry
         self.by_kind[fact.kind][fact.key] = entry
-        self.pending_heartbeats.pop(identity, None)
-        self.pending_facts[identity] = sends
+        self.pending_heartbeats.discard(identity)
+        if is_refresh:
+            self.pending_facts.add_refresh(identity, sends)
+            return True
+        self.pending_facts.add(identity, sends)
+        priority = self.pending_facts.priority_of(identity)
+        if priority is send_queue.Priority.NOTICE:
+            self.rotation.note_accepted(identity, now)
         return True
 
+    def is_refresh(self, fact: peers.Fact, now: float) -> bool:
+        """Returns whether a fact only extends the one held."""
+        held = self.entries.get((fact.kind, fact.key))
+        return (
+            held is not None
+            and fact.kind in send_queue.URGENT_KINDS
+            and bool(fact.value)
+            and held.value == fact.value
+            and now < held.expires_at
+        )
+
     def apply_heartbeat(
         self, digest: peers.FactDigest, now: float, ttl_s: float, sends: int
     ) -> bool:
@@ -200,7 +204,7 @@
         entry.updated_at = now
         identity = (digest.kind, digest.key)
         if identity not in self.pending_facts:
-            self.pending_heartbeats[identity] = sends
+            self.pending_heartbeats.add(identity, sends)
         return True
 
     def is_missing(self, digest: peers.FactDigest) -> bool:
@@ -223,8 +227,8 @@
         for identity in purged:
             self.purge(identity)
         for entry in expired:
-            self.pending_facts.pop((entry.kind, entry.key), None)
-            self.pending_heartbeats.pop((entry.kind, entry.key), None)
+            self.pending_facts.discard((entry.kind, entry.key))
+            self.pending_heartbeats.discard((entry.kind, entry.key))
         return expired
 
     def expire_entry(
@@ -236,53 +240,36 @@
         entry.value = b""
         entry.expires_at = now
         entry.purge_at = now + TOMBSTONE_S
-        self.pending_facts.pop((entry.kind, entry.key), None)
-        self.pending_heartbeats.pop((entry.kind, entry.key), None)
+        self.pending_facts.discard((entry.kind, entry.key))
+        self.pending_heartbeats.discard((entry.kind, entry.key))
 
-    def purge(self, identity: FactId) -> None:
+    def purge(self, identity: send_queue.FactId) -> None:
         """Removes an entry or a tombstone."""
         del self.entries[identity]
         del self.by_kind[identity[0]][identity[1]]
-        self.pending_facts.pop(identity, None)
-        self.pending_heartbeats.pop(identity, None)
+        self.pending_facts.discard(identity)
+        self.pending_heartbeats.discard(identity)
 
-    def record_sends(self, identities: Iterable[FactId]) -> None:
-        """Counts one send of each and moves them to the end of the queue."""
+    def record_sends(self, identities: Iterable[send_queue.FactId]) -> None:
+        """Counts one send of each."""
         for identity in identities:
-            decrement_sends(self.pending_facts, identity)
-            decrement_sends(self.pending_heartbeats, identity)
+            self.pending_facts.record_send(identity)
+            self.pending_heartbeats.record_send(identity)
 
     def next_in_rotation(self, count: int, now: float) -> list[Entry]:
-        """Returns up to ``count`` live entries, each in turn.
+        """Returns up to ``count`` live entries, each in turn."""
+        found = self.rotation.take(
+            count,
+            now,
+            self.entries.__contains__,
+            lambda identity: self.is_live(identity, now),
+        )
+        return [self.entries[identity] for identity in found]
 
-        The next call continues after the last entry returned.
-        """
-        found: list[Entry] = []
-        for _ in range(len(self.rotation)):
-            if len(found) >= count:
-                break
-            identity = self.rotation.popleft()
-            entry = self.entries.get(identity)
-            if entry is None:
-                continue
-            self.rotation.append(identity)
-            if now < entry.expires_at:
-                found.append(entry)
-        return found
-
-
-def decrement_sends(
-    sends: collections.OrderedDict[FactId, int], identity: FactId
-) -> None:
-    """Decrements the remaining sends; drops the entry at zero."""
-    left = sends.get(identity)
-    if left is None:
-        return
-    if left <= 1:
-        del sends[identity]
-        return
-    sends[identity] = left - 1
-    sends.move_to_end(identity)
+    def is_live(self, identity: send_queue.FactId, now: float) -> bool:
+        """Returns whether a fact is held and valid now."""
+        entry = self.entries.get(identity)
+        return entry is not None and now < entry.expires_at
 
 
 def is_valid(fact: peers.Fact) -> bool:
--- a/src/almondshift/coordination/shared_facts.py
+++ b/src/almondshift/coordination/shared_facts.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from almondshift.coordination import facts as fact_store
+from almondshift.coordination import send_queue
 from almondshift.ports import peers as peer_port
 
 if TYPE_CHECKING:
@@ -22,6 +23,9 @@
 WITHDRAWAL_TTL_S = 60.0
 """Time to live of a withdrawal; longer than it takes to reach all nodes."""
 
+REPAIRED_SENDS = 3
+"""How many times each node forwards a fact that some may miss for a while."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -132,9 +136,11 @@
 
     def merge(self, fact: peer_port.Fact, now: float) -> bool:
         """Merges a fact if it is newer; returns whether it was."""
-        if not self.store.accept(fact, now, self.send_limit(fact.kind)):
+        is_refresh = self.store.is_refresh(fact, now)
+        sends = REPAIRED_SENDS if is_refresh else self.send_limit(fact.kind)
+        if not self.store.accept(fact, now, sends):
             return False
-        if self.is_urgent(fact):
+        if not is_refresh and self.is_urgent(fact):
             self.wake.set()
         self.notify_subscribers(
             fact.kind, fact.key, fact if fact.value else None
@@ -147,7 +153,7 @@
         A leaving node does: callers and peers still use its address.
         """
         if fact.kind is not peer_port.FactKind.NODE:
-            return fact.kind in fact_store.URGENT_KINDS
+            return fact.kind in send_queue.URGENT_KINDS
         if not fact.value:
             self.table.parsed_values.pop(fact.key, None)
             return True
@@ -164,8 +170,8 @@
         it from that node's next heartbeat, and loads are republished
         regularly.
         """
-        if kind not in fact_store.URGENT_KINDS:
-            return 3
+        if kind not in send_queue.URGENT_KINDS:
+            return REPAIRED_SENDS
         return math.ceil(math.log2(self.table.size() + 1)) + 2
 
     def has_urgent_facts(self) -> bool:
@@ -174,9 +180,7 @@
         With only one extra round by each node that learns of a fact, a fifth
         of the nodes miss it until their next regular round.
         """
-        return any(
-            k in fact_store.URGENT_KINDS for k, _ in self.store.pending_facts
-        )
+        return self.store.pending_facts.has_urgent()
 
     def expire(self, now: float) -> None:
         """Expires facts and notifies the subscribers."""
--- a/src/almondshift/relay/group.py
+++ b/src/almondshift/relay/group.py
@@ -307,6 +307,10 @@
         """Withdraws a fact on all nodes."""
         self.members.withdraw(kind, key)
 
+    def treat_as_reports(self, kind: peer_port.FactKind, topic: str) -> None:
+        """Sends facts whose keys start with a topic after more urgent ones."""
+        self.members.store.pending_facts.report_topics.add((kind, topic))
+
     def is_published(self, kind: peer_port.FactKind, key: str) -> bool:
         """Returns whether some node currently publishes this fact."""
         return key in self.members.facts(kind)
--- a/src/almondshift/relay/part_watch.py
+++ b/src/almondshift/relay/part_watch.py
@@ -98,6 +98,7 @@
         self.group = node_group
         node_group.subscribe_facts(peers.FactKind.QUARANTINE, self.handle_fact)
         node_group.register_handler(LEARN_TOPIC, self.reply_to_peer)
+        node_group.treat_as_reports(peers.FactKind.QUARANTINE, STRUCK)
 
     async def learn(self) -> int:
         """Learns from peers which parts are refused; returns their number."""
--- a/tests/relay/test_part_watch.py
+++ b/tests/relay/test_part_watch.py
@@ -36,6 +36,9 @@
     def register_handler(self, topic: str, handler: Any) -> None:
         """Nobody asks."""
 
+    def treat_as_reports(self, kind: peers.FactKind, topic: str) -> None:
+        """Nothing is sent."""
+
     def publish_fact(
         self, kind: peers.FactKind, key: str, value: bytes, ttl_s: float
     ) -> None:
