Keep heartbeats while urgent facts follow each other

What callers saw: nodes that are cut off from all endpoints served fewer first tries than the others. While facts follow each other (each isolated node announces it again every two seconds, which takes several rounds to spread), all rounds were woken ones. Nobody sent a heartbeat, and after 3 s (9 nodes) to 4.8 s (75) all live peers were taken for suspect, so that an isolated node found nobody to serve for it.

Regular rounds now are due by time, whatever wakes the exchange in between. A heartbeat may still miss a node, so a peer whose heartbeats are overdue is asked before it becomes suspect; these probes count in the byte budget.

--- a/src/almondshift/coordination/membership.py
+++ b/src/almondshift/coordination/membership.py
@@ -147,14 +147,25 @@
         task.add_done_callback(self.tasks.discard)
 
     async def run_exchange_loop(self) -> None:
-        """Runs a round each interval, and extra rounds for urgent facts."""
+        """Runs a round each interval, and extra rounds for urgent facts.
+
+        Extra rounds don't replace regular ones: urgent facts may follow each
+        other for a long time, and only regular rounds have heartbeats.
+        """
+        gap_s = self.settings.urgent_gap_s
+        regular_at = self.clock.monotonic()
         while True:
-            urgent = self.wake.is_set()
+            now = self.clock.monotonic()
+            is_regular = now >= regular_at or not self.wake.is_set()
+            if is_regular:
+                remaining_s = self.interval_s() - gap_s
+                regular_at = (
+                    now + gap_s + remaining_s * self.rng.uniform(0.9, 1.1)
+                )
             self.wake.clear()
-            self.spawn(self.run_round(urgent=urgent))
-            await self.clock.sleep(self.settings.urgent_gap_s)
-            remaining_s = self.interval_s() - self.settings.urgent_gap_s
-            await self.wait_for_wake(remaining_s * self.rng.uniform(0.9, 1.1))
+            self.spawn(self.run_round(urgent=not is_regular))
+            await self.clock.sleep(gap_s)
+            await self.wait_for_wake(regular_at - self.clock.monotonic())
 
     def interval_s(self) -> float:
         """Returns the time between rounds; shorter just after the start.
@@ -321,6 +332,8 @@
         self.shared.expire(now)
         if not urgent:
             self.messages.update_heartbeat(now)
+            probes = self.silent.probe_overdue()
+            self.messages.budget.spend(probes * silent_peers.PROBE_BYTES)
         addresses = self.targets(now, urgent)
         await asyncio.gather(*(self.exchange(a) for a in addresses))
         if addresses and self.shared.has_urgent_facts():
--- a/src/almondshift/coordination/peer_table.py
+++ b/src/almondshift/coordination/peer_table.py
@@ -108,6 +108,24 @@
         found.sort(key=operator.attrgetter("name"))
         return found
 
+    def overdue(self) -> list[str]:
+        """Returns live peers that will be suspect soon, the latest first.
+
+        Each is found in a round before it is suspect.
+        """
+        limit_s = (
+            self.suspect_after_s()
+            - self.settings.propagation_s
+            - self.settings.interval_s / 2
+        )
+        found = [
+            (peer.silence_s, peer.name)
+            for peer in self.peers()
+            if peer.state is peer_types.PeerState.ALIVE
+            and peer.silence_s > limit_s
+        ]
+        return [name for _, name in sorted(found, reverse=True)]
+
     def peer_info(
         self,
         entry: fact_store.Entry,
--- a/src/almondshift/coordination/silent_peers.py
+++ b/src/almondshift/coordination/silent_peers.py
@@ -46,6 +46,13 @@
 
 PROBE_TIMEOUT_S = 0.3
 
+MAX_OVERDUE_PROBES = 16
+"""Maximum number of peers that are probed in one round since their heartbeats
+are overdue."""
+
+PROBE_BYTES = 200
+"""Size of a probe and of its reply with their headers, rounded up."""
+
 
 class SilentPeers:
     """Reports and probes peers that stop responding, on one node.
@@ -102,6 +109,17 @@
         ):
             self.spawn(self.probe(name))
 
+    def probe_overdue(self) -> int:
+        """Probes peers whose heartbeats are overdue; returns their number.
+
+        A heartbeat may reach all nodes but this one, so that a peer is suspect
+        only if it doesn't respond either.
+        """
+        overdue = self.table.overdue()[:MAX_OVERDUE_PROBES]
+        for name in overdue:
+            self.spawn(self.probe(name))
+        return len(overdue)
+
     async def probe(self, name: str) -> None:
         """Probes a peer; if that fails, also counts the call that was reported.
 
