Tell peers of a request with several crashes by itself

Cause, second part: what all nodes have to know is that one request met several crashes, but that only followed from the reports of each crash by each node that saw it, with all requests in flight: up to 55 facts for a crash with sixty streams, of which one request matters.

A node that counts the second crash of a request tells its endpoints in one short fact, before all reports, with another request that met the same crashes if there is one, so that neither is taken for the only suspect. Reports of crashes now only have the reports' share. Withdrawn crashes and answered requests are withdrawn there too; nodes of earlier releases ignore the topic. AS8010 names each such fact that arrives.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -1175,6 +1175,21 @@
     age_s: float
 
 
+class StruckRequestReported(Event, frozen=True):
+    """A peer reported a request that several crashed endpoints had run.
+
+    ``crashes`` counts all that this node knows of.
+    """
+
+    number = 8010
+    message = "struck request reported"
+
+    fingerprint: str
+    peer: str
+    crashes: int
+    quarantined: int
+
+
 class ClaimTaken(Event, frozen=True):
     """This node may dispatch a non-idempotent request, once."""
 
--- a/src/almondshift/policy/crash_strikes.py
+++ b/src/almondshift/policy/crash_strikes.py
@@ -29,6 +29,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Container
+    from collections.abc import Iterable
 
 MAX_STRIKES = 3
 """Strikes from which a request is refused. Harmless requests meet two crashes
@@ -305,11 +306,17 @@
         )
 
     def is_only_suspect(
-        self, fingerprint: str, instances: dict[str, float]
+        self, fingerprint: str, instances: Iterable[str]
     ) -> bool:
         """Returns whether no other request has a strike by all of these."""
+        return not self.find_other_suspect(fingerprint, instances)
+
+    def find_other_suspect(
+        self, fingerprint: str, instances: Iterable[str]
+    ) -> str:
+        """Returns another request with a strike by all of these, or ""."""
         sets = [self.struck.get(instance, set()) for instance in instances]
-        return set.intersection(*sets) <= {fingerprint}
+        return min(set.intersection(*sets) - {fingerprint}, default="")
 
     def forget_old(self, now: float) -> None:
         """Drops failed attempts and strikes that no longer count."""
--- a/src/almondshift/relay/crash_watch.py
+++ b/src/almondshift/relay/crash_watch.py
@@ -25,6 +25,7 @@
 from almondshift.ports import peers
 from almondshift.relay import part_watch
 from almondshift.relay import port_checks
+from almondshift.relay import struck_requests
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -111,6 +112,7 @@
 
     Attributes:
         parts: Counts strikes against parts of prompts.
+        struck_requests: Tells peers of requests with several strikes.
         group: The other nodes; None before this node has joined them.
         reported: Requests that peers were told of, by crashed instance.
         gone: Endpoints whose entries went without notice, the oldest first.
@@ -129,6 +131,7 @@
         self.strikes = strikes
         self.parts = parts
         self.strikes.explained = parts.strikes.explained
+        self.struck_requests = struck_requests.StruckRequests(strikes)
         self.ports = ports
         self.ports.on_closed = self.port_closed
         self.group: relay_group.Group | None = None
@@ -146,6 +149,7 @@
     def tick(self) -> None:
         """Does periodic work."""
         self.strikes.forget_old(self.clock.monotonic())
+        self.struck_requests.forget_old()
         self.parts.tick()
 
     async def close(self) -> None:
@@ -157,6 +161,8 @@
         self.group = node_group
         node_group.subscribe_facts(peers.FactKind.QUARANTINE, self.handle_fact)
         node_group.register_handler(STRIKES_TOPIC, self.reply_to_peer)
+        node_group.treat_as_reports(peers.FactKind.QUARANTINE, CRASH)
+        self.struck_requests.join(node_group)
         self.parts.join(node_group)
 
     async def learn(self) -> None:
@@ -325,6 +331,7 @@
         self.withdraw_reports(instance)
         self.parts.strikes.withdraw(instance)
         requests = self.strikes.withdraw(instance)
+        self.struck_requests.withdraw_endpoint(instance)
         if requests:
             log_events.emit(
                 logger, log_events.CrashWithdrawn(instance, requests)
@@ -364,6 +371,7 @@
         self.reported[instance] = known[: FINGERPRINTS_PER_FACT * MAX_FACTS]
         if len(self.reported) > MAX_REPORTED:
             self.reported.popitem(last=False)
+        self.struck_requests.tell(crash.fingerprints)
         self.publish_fingerprints(CRASH, instance, self.reported[instance])
         self.parts.crashed(instance, crash.unanswered)
 
@@ -394,6 +402,8 @@
             return
         # Keys have the form topic/instance/node/index.
         topic, _, rest = key.partition("/")
+        if topic == struck_requests.TOPIC:
+            self.add_struck_request(rest.partition("/")[0], fact)
         if topic not in (CRASH, CLEARED):
             return
         instance = rest.partition("/")[0]
@@ -421,6 +431,26 @@
         if completed:
             self.publish_fingerprints(CLEARED, instance, completed)
 
+    def add_struck_request(self, fingerprint: str, fact: peers.Fact) -> None:
+        """Adds the strikes of a request of which a peer tells by itself."""
+        now = self.clock.monotonic()
+        convicted = self.struck_requests.add_from_peer(
+            fingerprint, fact.value, now
+        )
+        log_events.emit(
+            logger,
+            log_events.StruckRequestReported(
+                fingerprint=fingerprint,
+                peer=fact.origin,
+                crashes=len(self.strikes.strikes.get(fingerprint, {})),
+                quarantined=len(convicted),
+            ),
+        )
+        self.log_convicted(tuple(convicted))
+        completed = self.strikes.known_good((fingerprint,), now)
+        if completed:
+            self.publish_fingerprints(CLEARED, fingerprint, completed)
+
     def log_convicted(self, fingerprints: tuple[str, ...]) -> None:
         """Logs requests that are refused from now on."""
         for fingerprint in fingerprints:
