Use the bytes that a node may send to its peers

A node may send 24 KB a second for control. The exchange was held to 14,000 estimated bytes, of which 7.0 to 7.5 KB were sent when the budget was spent (virtual time, 75 nodes): the estimates count no compression. With 20,000 a node sends up to 11.8 KB a second, measured in the same way, and not over 22.5 KB with packet headers if nothing compresses (35 messages a second, 72 bytes of headers each beyond the estimate).

--- a/src/almondshift/relay/application.py
+++ b/src/almondshift/relay/application.py
@@ -76,6 +76,7 @@
     seed_interval_s=1.0,
     startup_s=2.0,
     heartbeats_per_s=40.0,
+    bytes_per_s=20_000.0,
 )
 """Addresses outside the group are tried every second, so that nodes that
 started during a store outage, or lost contact, find each other in seconds."""
