Log why links were checked and what was known of a chosen peer

A node that is cut off notices that late, and passes requests to peers that are cut too. The log told neither what started the check of its links nor what the node knew of the peer.

AS4014 has the reason of the check and the time since the latest data; AS5015 the time since the peer last served a request and the number of peers that announced that they are isolated. No decision changes.

--- a/src/almondshift/log_events.py
+++ b/src/almondshift/log_events.py
@@ -387,7 +387,11 @@
 
 
 class EndpointsUnreachable(Event, frozen=True):
-    """This node reaches no endpoint of a service, though peers may."""
+    """This node reaches no endpoint of a service, though peers may.
+
+    ``reason`` tells why the links were checked. ``silent_s`` is the time since
+    any endpoint of the service sent data; None if none ever did.
+    """
 
     number = 4014
     level = logging.WARNING
@@ -395,6 +399,8 @@
 
     service: str
     endpoints: int
+    reason: str
+    silent_s: float | None
 
 
 class EndpointsReachable(Event, frozen=True):
@@ -674,7 +680,12 @@
 
 
 class RequestPassedToPeer(Event, frozen=True):
-    """A peer serves a request, since this node reaches too few endpoints."""
+    """A peer serves a request, since this node reaches too few endpoints.
+
+    ``served_s`` is the time since the peer last served a request of this node
+    to the same service; None if that is not known. ``isolated_peers`` is the
+    number of peers that announced that they reach no endpoint of it.
+    """
 
     number = 5015
     message = "request passed to peer"
@@ -685,6 +696,8 @@
     isolated: bool
     remaining_s: float
     events_sent: int
+    served_s: float | None
+    isolated_peers: int
 
 
 class StageReplaced(Event, frozen=True):
--- a/src/almondshift/policy/isolation.py
+++ b/src/almondshift/policy/isolation.py
@@ -18,6 +18,7 @@
 
 import collections
 import dataclasses
+import enum
 import math
 
 MIN_FAILED = 3
@@ -46,6 +47,26 @@
 """Maximum number of cuts that are remembered."""
 
 
+class CheckReason(enum.StrEnum):
+    """Why links are checked, or taken for lost without a check.
+
+    Attributes:
+        ISOLATED: The node is isolated and looks for the end of that.
+        UNDECIDED: The round before this one had no response.
+        REQUESTED: A stream that may have lost its engine depends on it.
+        REQUEST_WAITS: A request waits, and no endpoint sends data.
+        CONNECTIONS_FAILED: Connections to several endpoints failed.
+        OTHER_SERVICE: Another service is out of reach or being checked.
+    """
+
+    ISOLATED = "isolated"
+    UNDECIDED = "undecided"
+    REQUESTED = "requested"
+    REQUEST_WAITS = "request waits"
+    CONNECTIONS_FAILED = "connections failed"
+    OTHER_SERVICE = "other service"
+
+
 @dataclasses.dataclass(slots=True)
 class Cut:
     """A time in which this node had no links to a service's endpoints.
@@ -75,6 +96,9 @@
         round_started_at: Start of the latest round that has ended.
         check_wanted_at: Since when a check should start at once; None if none
             is wanted.
+        wanted_for: Why that check is wanted.
+        suspected_for: Why the first of the latest rounds without a response was
+            started.
         suspected_at: When connections last failed as in a cut.
         suspected_from: When the first of these failed, or was opened in a
             check.
@@ -92,6 +116,8 @@
         self.checked_at = -math.inf
         self.round_started_at = -math.inf
         self.check_wanted_at: float | None = None
+        self.wanted_for = CheckReason.REQUESTED
+        self.suspected_for = CheckReason.REQUESTED
         self.suspected_at = -math.inf
         self.suspected_from = -math.inf
         self.cuts: collections.deque[Cut] = collections.deque(maxlen=MAX_CUTS)
@@ -176,9 +202,18 @@
         if self.is_isolated and not self.is_cut_off:
             self.cuts.append(Cut(self.suspected_from))
 
-    def want_check(self, now: float) -> None:
+    def want_check(
+        self, now: float, reason: CheckReason = CheckReason.REQUESTED
+    ) -> None:
         """Makes a check start at once."""
         self.check_wanted_at = now
+        self.wanted_for = reason
+
+    def silent_s(self, now: float) -> float | None:
+        """Returns the seconds since the latest data; None for none ever."""
+        if self.last_response_at == -math.inf:
+            return None
+        return now - self.last_response_at
 
     def is_check_due(self, now: float) -> bool:
         """Returns whether no check has ended lately, nor is one wanted."""
@@ -187,10 +222,10 @@
             and now - self.checked_at >= CHECK_GAP_S
         )
 
-    def want_check_if_silent(self, now: float) -> None:
+    def want_check_if_silent(self, now: float, reason: CheckReason) -> None:
         """Makes a check start if there was neither data nor a check lately."""
         if now - self.last_response_at >= SILENT_S and self.is_check_due(now):
-            self.want_check(now)
+            self.want_check(now, reason)
 
     def infer(
         self, is_lost: bool, waiting_since: float | None, now: float
@@ -199,7 +234,7 @@
 
         Args:
             is_lost: Whether the node has lost its links to other services.
-            waiting_since: As for ``needs_check``.
+            waiting_since: As for ``check_reason``.
             now: Seconds on the clock of all times here.
 
         Returns:
@@ -211,6 +246,7 @@
                 return False
             self.awaited_since = now if waiting_since is None else waiting_since
             self.isolated_since = self.checked_at = now
+            self.suspected_for = CheckReason.OTHER_SERVICE
             return True
         self.checked_at = now
         if is_lost and self.last_response_at < self.isolated_since:
@@ -236,7 +272,13 @@
         return len(self.failures) >= needed
 
     def needs_check(self, waiting_since: float | None, now: float) -> bool:
-        """Returns whether endpoints should be checked now.
+        """Returns whether endpoints should be checked now."""
+        return self.check_reason(waiting_since, now) is not None
+
+    def check_reason(
+        self, waiting_since: float | None, now: float
+    ) -> CheckReason | None:
+        """Returns why endpoints should be checked now; None if they need not.
 
         Args:
             waiting_since: Since when the longest waiting request has not
@@ -244,27 +286,40 @@
             now: Seconds on the clock of all times here.
         """
         if self.is_isolated:
-            return now - self.checked_at >= RECHECK_GAP_S
-        if self.failed_rounds or self.check_wanted_at is not None:
-            return True
+            is_due = now - self.checked_at >= RECHECK_GAP_S
+            return CheckReason.ISOLATED if is_due else None
+        if self.failed_rounds:
+            return CheckReason.UNDECIDED
+        if self.check_wanted_at is not None:
+            return self.wanted_for
         if now - self.checked_at < CHECK_GAP_S:
-            return False
-        is_silent = (
+            return None
+        if (
             waiting_since is not None
             and now - waiting_since >= SILENT_S
             and now - self.last_response_at >= SILENT_S
-        )
-        return is_silent or self.is_link_suspect(now)
-
-    def begin_round(self, waiting_since: float | None, now: float) -> None:
+        ):
+            return CheckReason.REQUEST_WAITS
+        if self.is_link_suspect(now):
+            return CheckReason.CONNECTIONS_FAILED
+        return None
+
+    def begin_round(
+        self,
+        waiting_since: float | None,
+        now: float,
+        reason: CheckReason = CheckReason.REQUESTED,
+    ) -> None:
         """Records the start of a round.
 
         Args:
-            waiting_since: As for ``needs_check``.
+            waiting_since: As for ``check_reason``.
             now: Seconds on the clock of all times here.
+            reason: Why the round is started.
         """
         if not self.failed_rounds:
             self.awaited_since = now if waiting_since is None else waiting_since
+            self.suspected_for = reason
 
     def end_round(self, started_at: float, now: float) -> bool:
         """Records the end of a round; returns whether the state changed.
--- a/src/almondshift/relay/engine_reach.py
+++ b/src/almondshift/relay/engine_reach.py
@@ -68,12 +68,11 @@
         waiting = self.waiting_since()
         for service, links in self.shared.links.by_service.items():
             waiting_since = waiting.get(service)
-            if service in self.checking or not links.needs_check(
-                waiting_since, now
-            ):
+            reason = links.check_reason(waiting_since, now)
+            if service in self.checking or reason is None:
                 continue
             if self.can_query(service):
-                self.start_check(service, links, waiting_since)
+                self.start_check(service, links, waiting_since, reason)
             else:
                 self.infer_state(service, links, waiting_since)
 
@@ -95,6 +94,7 @@
         service: str,
         links: isolation.Isolation,
         waiting_since: float | None,
+        reason: isolation.CheckReason,
     ) -> None:
         """Starts a round if the service has endpoints."""
         endpoints = [
@@ -104,7 +104,8 @@
         ]
         links.endpoints = len(endpoints)
         if endpoints:
-            links.begin_round(waiting_since, asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            links.begin_round(waiting_since, now, reason)
             self.checking.add(service)
             self.work.run(self.check(service, links, endpoints))
 
@@ -126,7 +127,7 @@
             if self.can_query(name) and self.shared.catalogue.of_service(name)
         ]
         for state in others:
-            state.want_check_if_silent(now)
+            state.want_check_if_silent(now, isolation.CheckReason.OTHER_SERVICE)
         isolated_since = links.isolated_since
         is_lost = bool(others) and all(state.is_isolated for state in others)
         if links.infer(is_lost, waiting_since, now):
@@ -297,7 +298,12 @@
         self.shared.observer.isolated.set(isolated)
         if links.is_isolated:
             self.shared.observer.emit(
-                log_events.EndpointsUnreachable(service, links.endpoints)
+                log_events.EndpointsUnreachable(
+                    service,
+                    links.endpoints,
+                    links.suspected_for.value,
+                    rounded(links.silent_s(links.checked_at)),
+                )
             )
             self.on_isolated(service)
             return
@@ -310,3 +316,8 @@
             )
         )
         self.on_restored(service)
+
+
+def rounded(seconds: float | None) -> float | None:
+    """Returns seconds as they are logged."""
+    return None if seconds is None else round(seconds, 3)
--- a/src/almondshift/relay/peer_paths.py
+++ b/src/almondshift/relay/peer_paths.py
@@ -84,6 +84,8 @@
         failed_until: Monotonic time until which a peer is left out.
         isolated_until: Monotonic time until which a peer counts as isolated,
             by service and the peer's name.
+        served_at: Monotonic time at which a peer last served a request of this
+            node, by service and the peer's name.
         announced: Services that this node announced to be isolated from, with
             the monotonic time of the next announcement.
     """
@@ -109,6 +111,7 @@
         self.in_flight: collections.Counter[str] = collections.Counter()
         self.failed_until: dict[str, float] = {}
         self.isolated_until: dict[str, float] = {}
+        self.served_at: dict[str, float] = {}
         self.announced: dict[str, float] = {}
         self.cached_shares: dict[str, _CachedShare] = {}
 
@@ -243,6 +246,17 @@
         """Leaves out a peer that did not respond, or not as it should."""
         self.failed_until[peer] = self.clock.monotonic() + FAILED_S
 
+    def note_served(self, service: str, peer: str) -> None:
+        """Records that a peer served a request to a service."""
+        self.served_at[peer_key(service, peer)] = self.clock.monotonic()
+
+    def served_s(self, service: str, peer: str) -> float | None:
+        """Returns the seconds since a peer served a request; None for never."""
+        served_at = self.served_at.get(peer_key(service, peer))
+        if served_at is None:
+            return None
+        return round(self.clock.monotonic() - served_at, 3)
+
     def started(self, peer: str) -> None:
         """Records that a request was passed to a peer."""
         self.in_flight[peer] += 1
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -299,6 +299,8 @@
                 isolated=self.links.is_isolated,
                 remaining_s=round(self.remaining_s(), 3),
                 events_sent=self.sent_event_count(),
+                served_s=paths.served_s(self.routed.service, peer.name),
+                isolated_peers=paths.states(self.routed.service).isolated,
             )
         )
         attempt.forwarded = paths.entries.forward(
@@ -437,7 +439,7 @@
         is_complete = ending is path_engines.Ending.WHOLE and head is not None
         if is_complete and attempt.is_whole_stream():
             attempt.end_send(request_sends.ANSWERED)
-            self.shared.observer.via_peers.labels("answered").inc()
+            self.note_served_by(attempt)
             self.finish_from_peer()
             return
         if (
@@ -448,7 +450,7 @@
             and not attempt.is_stream
         ):
             attempt.end_send(request_sends.ANSWERED)
-            self.shared.observer.via_peers.labels("answered").inc()
+            self.note_served_by(attempt)
             self.responder.send_whole(
                 head.status, head.headers, bytes(attempt.body)
             )
@@ -468,6 +470,12 @@
             self.shared.peer_paths.note_failed(attempt.peer.name)
         self.continue_after_peer(attempt, reason, evidence, is_unreached)
 
+    def note_served_by(self, attempt: peer_attempt.PeerAttempt) -> None:
+        """Records that a peer served the request."""
+        self.shared.observer.via_peers.labels("answered").inc()
+        paths = self.shared.peer_paths
+        paths.note_served(self.routed.service, attempt.peer.name)
+
     def continue_after_peer(
         self,
         attempt: peer_attempt.PeerAttempt,
