Failing tests of cut nodes that have few requests

75 nodes in virtual time: 65 lose their links to all endpoints, 20 requests a second reach all nodes together. From 3 s on 48 of 111 first tries at cut nodes are served (9 of 9 at the others), and 78 of 130 requests that are passed to peers go to one that is cut too. A node without requests never notices.

All real code on real sockets in one process; time only passes while nothing is left to do, so the load of the machine changes nothing.

--- /dev/null
+++ b/tests/platform/test_unnoticed_cuts.py
@@ -0,0 +1,76 @@
+"""Nodes that lose their links to all endpoints while they have few requests."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests import virtual_loop
+from tests.platform import cut_group
+from tests.platform import cut_links
+from tests.platform import standin_system as system
+
+MIN_SERVED_RATIO = 2 / 3
+"""The stated target: share of the first tries at cut nodes that are served,
+relative to that at the others."""
+
+LARGE = cut_group.CutOptions(nodes=75, cut_nodes=65, seed=611)
+SMALL = cut_group.CutOptions(nodes=12, cut_nodes=10, requests_per_s=4.0)
+
+
+def run(options: cut_group.CutOptions) -> cut_group.CutGroup:
+    """Returns a group of nodes after the cut."""
+    return virtual_loop.run(cut_group.run_cut(options))
+
+
+@pytest.mark.parametrize(
+    "options",
+    [
+        LARGE,
+        SMALL,
+        cut_group.CutOptions(
+            12, 10, cut=cut_links.Cut.SILENT, requests_per_s=4.0, seed=2
+        ),
+        cut_group.CutOptions(
+            12, 10, requests_per_s=4.0, plain_health=True, seed=3
+        ),
+    ],
+    ids=["75 nodes", "accept", "silent", "health check"],
+)
+def test_callers_of_cut_nodes_with_few_requests_are_served(
+    options: cut_group.CutOptions,
+) -> None:
+    """Guards against cut nodes whose callers are the first to notice."""
+    group = run(options)
+    for paths in (tuple(cut_group.ROUTES), ("/look/x", "/once/x")):
+        served, tried = group.served_when_due(True, paths)
+        others, others_tried = group.served_when_due(False, paths)
+        assert served / tried >= MIN_SERVED_RATIO * others / others_tried
+
+
+@pytest.mark.parametrize("options", [LARGE, SMALL], ids=["75 nodes", "12"])
+def test_no_request_is_passed_to_a_peer_that_is_cut_too(
+    options: cut_group.CutOptions,
+) -> None:
+    """Guards against peers that are chosen since they have denied nothing."""
+    group = run(options)
+    assert group.passed
+    assert group.passed_to_cut_peers(cut_group.CONTACT_S)[0] == 0
+
+
+@pytest.mark.parametrize("plain_health", [False, True])
+@pytest.mark.parametrize("cut", list(cut_links.Cut), ids=str)
+def test_a_node_without_requests_notices_that_it_is_cut_off(
+    cut: cut_links.Cut, plain_health: bool
+) -> None:
+    """Guards against a node that only its own callers tell of a cut."""
+    options = cut_group.CutOptions(
+        nodes=3,
+        cut_nodes=1,
+        cut=cut,
+        plain_health=plain_health,
+        requests_per_s=0.0,
+        seconds=cut_group.CONTACT_S,
+    )
+    group = run(options)
+    for service in (system.MODEL_SERVICE, system.PLAIN_SERVICE):
+        assert group.undetected(service, cut_group.CONTACT_S) == 0
