Start tests once nodes know the layers of all engines

Tests began as soon as each node had one path. The entries of the other engines may follow 0.2 s later, so that a test that cuts links at once met a node with one path in place of several, depending on which orders went out on kept connections. A stricter start; no check changes.

--- a/tests/platform/standin_system.py
+++ b/tests/platform/standin_system.py
@@ -187,6 +187,21 @@
                 return False
         return True
 
+    def knows_layers(self) -> bool:
+        """Returns whether each node knows which layers the engines hold."""
+        held = {
+            name: engine.layers
+            for name, engine in self.engines.items()
+            if engine.layers is not None
+        }
+        for process in self.nodes:
+            known = process.node.catalogue.engines
+            for name, (start, end) in held.items():
+                layers = known[name].layers if name in known else None
+                if layers is None or (layers.start, layers.end) != (start, end):
+                    return False
+        return True
+
     async def close(self) -> None:
         for process in self.nodes:
             await process.close()
@@ -232,7 +247,7 @@
             await system.add_engine(f"p{zone}", PLAIN_SERVICE, zone)
         for index in range(nodes):
             await system.add_node(zones[index % len(zones)])
-        await system.until(system.serves)
+        await system.until(lambda: system.serves() and system.knows_layers())
         yield system
     finally:
         await system.close()
