Check the links of a node that has heard of no endpoint for a second

Cause: links were checked only while a request of the same service waited. A node without requests never noticed, its next callers did, and until then peers passed their requests to it. A service without a health check was judged by the others only while a request of its own waited. The class: knowledge that only a node's own requests bring, and that others rely on.

Now a node that has heard of no endpoint of any service for 1 s queries two, on the service whose endpoints bear it best; not those that are limited, suspect or in a backoff. If one service can't be reached, the others are checked, and one that can't be queried counts as lost if peers reach what this node doesn't. If no peer does, the endpoints are at fault, and it is still tried. Such a check that finds an endpoint delays none for another reason.

--- a/src/almondshift/policy/isolation.py
+++ b/src/almondshift/policy/isolation.py
@@ -6,10 +6,11 @@
 refuses its callers as if the service were overloaded, or waits for responses
 until its callers' deadlines.
 
-So failures at several endpoints within a moment, or silence of all of them
-while requests wait, start a check of random endpoints. The node is isolated
-from the service once no endpoint has responded to two rounds. A service whose
-endpoints can't be queried is judged by the others. Single endpoints that crash
+So failures at several endpoints within a moment, silence of all of them while
+requests wait, or a node that has heard of no endpoint for a while start a check
+of random endpoints. The node is isolated from the service once no endpoint has
+responded to two rounds. A service whose endpoints can't be queried is judged by
+the others. Single endpoints that crash
 or fall silent don't start a check, as data from the others keeps arriving. A
 short stall of all links ends before the second round does.
 """
@@ -34,6 +35,10 @@
 ROUNDS = 2
 """Number of rounds in a row that no endpoint responds to."""
 
+IDLE_S = 1.0
+"""Time without data from any endpoint of any service after which an idle node
+checks its links, in seconds."""
+
 CHECK_GAP_S = 1.0
 """Minimum interval between checks that found an endpoint, in seconds."""
 
@@ -57,6 +62,7 @@
         REQUEST_WAITS: A request waits, and no endpoint sends data.
         CONNECTIONS_FAILED: Connections to several endpoints failed.
         OTHER_SERVICE: Another service is out of reach or being checked.
+        IDLE: The node has heard of no endpoint for a while.
     """
 
     ISOLATED = "isolated"
@@ -65,6 +71,7 @@
     REQUEST_WAITS = "request waits"
     CONNECTIONS_FAILED = "connections failed"
     OTHER_SERVICE = "other service"
+    IDLE = "idle"
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,7 +99,9 @@
         failure_count: Number of failed connections so far.
         failed_rounds: Rounds in a row without a response.
         isolated_since: Since when the node is isolated; None if it is not.
-        checked_at: End of the latest round.
+        checked_at: End of the latest round; not of one of an idle node that had
+            a response, so that it delays no check for another reason.
+        round_reason: Why the latest round was started.
         round_started_at: Start of the latest round that has ended.
         check_wanted_at: Since when a check should start at once; None if none
             is wanted.
@@ -117,6 +126,7 @@
         self.round_started_at = -math.inf
         self.check_wanted_at: float | None = None
         self.wanted_for = CheckReason.REQUESTED
+        self.round_reason = CheckReason.REQUESTED
         self.suspected_for = CheckReason.REQUESTED
         self.suspected_at = -math.inf
         self.suspected_from = -math.inf
@@ -227,8 +237,19 @@
         if now - self.last_response_at >= SILENT_S and self.is_check_due(now):
             self.want_check(now, reason)
 
+    @property
+    def is_assumed(self) -> bool:
+        """Whether it is isolated only since other services are out of reach."""
+        return (
+            self.is_isolated and self.suspected_for is CheckReason.OTHER_SERVICE
+        )
+
     def infer(
-        self, is_lost: bool, waiting_since: float | None, now: float
+        self,
+        is_lost: bool,
+        waiting_since: float | None,
+        now: float,
+        reason: CheckReason,
     ) -> bool:
         """Records the state of links that can't be checked by queries.
 
@@ -236,6 +257,7 @@
             is_lost: Whether the node has lost its links to other services.
             waiting_since: As for ``check_reason``.
             now: Seconds on the clock of all times here.
+            reason: Why the links may be lost.
 
         Returns:
             Whether the state changed.
@@ -246,7 +268,7 @@
                 return False
             self.awaited_since = now if waiting_since is None else waiting_since
             self.isolated_since = self.checked_at = now
-            self.suspected_for = CheckReason.OTHER_SERVICE
+            self.suspected_for = reason
             return True
         self.checked_at = now
         if is_lost and self.last_response_at < self.isolated_since:
@@ -317,6 +339,7 @@
             now: Seconds on the clock of all times here.
             reason: Why the round is started.
         """
+        self.round_reason = reason
         if not self.failed_rounds:
             self.awaited_since = now if waiting_since is None else waiting_since
             self.suspected_for = reason
@@ -328,12 +351,14 @@
             started_at: When the queries were sent.
             now: When all of them were answered, refused or timed out.
         """
-        self.checked_at = now
+        has_response = self.last_response_at >= started_at
+        if not has_response or self.round_reason is not CheckReason.IDLE:
+            self.checked_at = now
         self.round_started_at = started_at
         wanted_at = self.check_wanted_at
         if wanted_at is not None and wanted_at <= started_at:
             self.check_wanted_at = None
-        if self.last_response_at >= started_at:
+        if has_response:
             self.failed_rounds = 0
             was_isolated = self.is_isolated
             self.isolated_since = None
--- a/src/almondshift/relay/engine_reach.py
+++ b/src/almondshift/relay/engine_reach.py
@@ -20,6 +20,10 @@
 CHECKED_ENDPOINTS = 4
 """Number of random endpoints that are queried in a round."""
 
+IDLE_CHECKED_ENDPOINTS = 2
+"""Number of endpoints that an idle node queries; if none responds, more follow
+at once."""
+
 QUERY_TIMEOUT_S = 0.12
 """Time-out of a query, in seconds; live endpoints in the region respond within
 milliseconds."""
@@ -66,15 +70,89 @@
         """Checks each service whose links seem to fail."""
         now = asyncio.get_running_loop().time()
         waiting = self.waiting_since()
-        for service, links in self.shared.links.by_service.items():
+        services = self.services()
+        self.want_check_if_idle(services, now)
+        self.want_checks_of_others(services, now)
+        for service, links in services.items():
             waiting_since = waiting.get(service)
             reason = links.check_reason(waiting_since, now)
-            if service in self.checking or reason is None:
-                continue
-            if self.can_query(service):
+            if not self.can_query(service):
+                self.infer_state(service, links, waiting_since, reason)
+            elif service not in self.checking and reason is not None:
                 self.start_check(service, links, waiting_since, reason)
-            else:
-                self.infer_state(service, links, waiting_since)
+
+    def services(self) -> dict[str, isolation.Isolation]:
+        """Returns the links of all services, with or without requests."""
+        links = self.shared.links
+        config = self.shared.catalogue.config
+        for name in config.services if config is not None else ():
+            links.of(name)
+        return links.by_service
+
+    def want_check_if_idle(
+        self, services: dict[str, isolation.Isolation], now: float
+    ) -> None:
+        """Checks one service if no endpoint of any has sent data lately.
+
+        A node without requests would learn of lost links only from its next
+        callers, and its peers would pass theirs to it. One service will do, as
+        links are lost together, and the others are checked if it is silent.
+        """
+        if any(
+            now - max(links.last_response_at, links.checked_at)
+            < isolation.IDLE_S
+            for links in services.values()
+        ):
+            return
+        candidates = [
+            name
+            for name in services
+            if self.can_query(name) and self.idle_sample(name)
+        ]
+        if not candidates:
+            return
+        links = services[max(candidates, key=self.idle_rank)]
+        if not links.is_isolated and links.is_check_due(now):
+            links.want_check(now, isolation.CheckReason.IDLE)
+
+    def idle_rank(self, service: str) -> tuple[bool, int]:
+        """Returns by how much a service's endpoints bear queries best.
+
+        An engine's report needs no slot, unlike a plain endpoint's health
+        check; more endpoints share the queries.
+        """
+        catalogue = self.shared.catalogue
+        has_reports = catalogue.view(service) is not None
+        return has_reports, len(catalogue.of_service(service))
+
+    def idle_sample(
+        self, service: str
+    ) -> list[registered_engines.RegisteredEngine]:
+        """Returns random endpoints that may be queried without a need."""
+        shared = self.shared
+        now = shared.clock.monotonic()
+        usable = [
+            endpoint
+            for endpoint in shared.catalogue.of_service(service)
+            if not endpoint.leaving
+            and not shared.tracker.is_suspect(endpoint.instance)
+            and not shared.tracker.is_in_backoff(endpoint.instance, now)
+            and not shared.limits.is_limited(endpoint.instance)
+        ]
+        count = min(IDLE_CHECKED_ENDPOINTS, len(usable))
+        return shared.rng.sample(usable, count)
+
+    def want_checks_of_others(
+        self, services: dict[str, isolation.Isolation], now: float
+    ) -> None:
+        """Checks the other services if one can't be reached."""
+        if not any(links.is_isolated for links in services.values()):
+            return
+        for name, links in services.items():
+            if not links.is_isolated and self.can_query(name):
+                links.want_check_if_silent(
+                    now, isolation.CheckReason.OTHER_SERVICE
+                )
 
     def waiting_since(self) -> dict[str, float]:
         """Returns since when requests have had no data, by service.
@@ -107,40 +185,80 @@
             now = asyncio.get_running_loop().time()
             links.begin_round(waiting_since, now, reason)
             self.checking.add(service)
-            self.work.run(self.check(service, links, endpoints))
+            queried = self.sample(service, endpoints, reason)
+            self.work.run(self.check(service, links, endpoints, queried))
+
+    def sample(
+        self,
+        service: str,
+        endpoints: list[registered_engines.RegisteredEngine],
+        reason: isolation.CheckReason,
+    ) -> list[registered_engines.RegisteredEngine]:
+        """Returns the endpoints that are queried in a round."""
+        if reason is isolation.CheckReason.IDLE:
+            queried = self.idle_sample(service)
+            if queried:
+                return queried
+        count = min(CHECKED_ENDPOINTS, len(endpoints))
+        return self.shared.rng.sample(endpoints, count)
 
     def infer_state(
         self,
         service: str,
         links: isolation.Isolation,
         waiting_since: float | None,
+        reason: isolation.CheckReason | None,
     ) -> None:
         """Updates the state of a service whose endpoints can't be queried.
 
         A node that is isolated from all other services has lost its links, so
-        it is isolated from this one too, unless data arrives.
+        it is isolated from this one too, unless data arrives. If no request
+        waits for this service, the endpoints of the others may be at fault
+        instead. Then no peer reaches them either.
+
+        Args:
+            service: The service.
+            links: Its links.
+            waiting_since: As for ``check_reason``.
+            reason: Why the links should be checked; None if they need not.
         """
+        if reason is None and links.is_isolated:
+            return
         now = asyncio.get_running_loop().time()
-        others = [
-            state
+        others = {
+            name: state
             for name, state in self.shared.links.by_service.items()
             if self.can_query(name) and self.shared.catalogue.of_service(name)
-        ]
-        for state in others:
-            state.want_check_if_silent(now, isolation.CheckReason.OTHER_SERVICE)
+        }
+        if reason is not None:
+            for state in others.values():
+                state.want_check_if_silent(
+                    now, isolation.CheckReason.OTHER_SERVICE
+                )
         isolated_since = links.isolated_since
-        is_lost = bool(others) and all(state.is_isolated for state in others)
-        if links.infer(is_lost, waiting_since, now):
+        is_lost = bool(others) and all(o.is_isolated for o in others.values())
+        if is_lost and (reason is None or links.is_assumed):
+            is_lost = all(
+                state.has_heard_peers(now) and self.is_reached_by_peers(name)
+                for name, state in others.items()
+            )
+        cause = reason or isolation.CheckReason.OTHER_SERVICE
+        if links.infer(is_lost, waiting_since, now, cause):
             links.endpoints = len(self.shared.catalogue.of_service(service))
             self.report_change(service, links, isolated_since)
 
+    def is_reached_by_peers(self, service: str) -> bool:
+        """Returns whether a peer probably reaches a service."""
+        return self.shared.peer_paths.choose(service, frozenset()) is not None
+
     async def check(
         self,
         service: str,
         links: isolation.Isolation,
         endpoints: list[registered_engines.RegisteredEngine],
+        queried: list[registered_engines.RegisteredEngine],
     ) -> None:
-        """Queries random endpoints; updates the state.
+        """Queries some endpoints of a service; updates the state.
 
         A round that ends late counts too: time-outs expire only after what has
         arrived in the meantime was read. Otherwise a node that is always late
@@ -148,16 +266,14 @@
         """
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        count = min(CHECKED_ENDPOINTS, len(endpoints))
-        sample = self.shared.rng.sample(endpoints, count)
         try:
-            await asyncio.gather(*(self.query(e) for e in sample))
+            await asyncio.gather(*(self.query(e) for e in queried))
         finally:
             self.checking.discard(service)
         now = loop.time()
         isolated_since = links.isolated_since
         changed = links.end_round(started_at, now)
-        self.record_round(service, links, count, started_at)
+        self.record_round(service, links, len(queried), started_at)
         if links.failed_rounds == 1 and service not in self.connecting:
             self.connecting.add(service)
             self.work.run(self.check_connections(service, links, endpoints))
