Check the links before a peer's request is sent

Callers of a node that is cut off waited until their deadline and got 502 or 504, also for requests that may run once: the peer that was to serve them was cut off at the same moment, sent the request to a silent endpoint and held it.

Cause: a peer counts as reaching endpoints until it denies that, and a peer that doesn't know better takes the request. The class: a state that others take for good until they are told otherwise.

A node that is handed a request by a peer, and has not heard of the service in the last 0.25 s, checks its links first. It refuses the request as not run if no endpoint responds to two rounds; then the sender leaves it out for this service and tries another one. Such peers don't count among the three that a request may be passed to, as they refuse at once.

--- a/src/almondshift/policy/isolation.py
+++ b/src/almondshift/policy/isolation.py
@@ -21,6 +21,10 @@
 import dataclasses
 import enum
 import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 MIN_FAILED = 3
 """Number of different endpoints whose connections fail within ``FAILURE_S``
@@ -63,6 +67,7 @@
         CONNECTIONS_FAILED: Connections to several endpoints failed.
         OTHER_SERVICE: Another service is out of reach or being checked.
         IDLE: The node has heard of no endpoint for a while.
+        PEER_REQUEST: A peer that lost its links passed a request on.
     """
 
     ISOLATED = "isolated"
@@ -72,6 +77,7 @@
     CONNECTIONS_FAILED = "connections failed"
     OTHER_SERVICE = "other service"
     IDLE = "idle"
+    PEER_REQUEST = "peer request"
 
 
 @dataclasses.dataclass(slots=True)
@@ -225,6 +231,10 @@
             return None
         return now - self.last_response_at
 
+    def has_heard_lately(self, now: float) -> bool:
+        """Returns whether an endpoint has just sent data."""
+        return now - self.last_response_at < SILENT_S
+
     def is_check_due(self, now: float) -> bool:
         """Returns whether no check has ended lately, nor is one wanted."""
         return (
@@ -379,10 +389,15 @@
 
     Attributes:
         by_service: States by the name of the service.
+        judged_by: Returns the states that are checked to judge a service: its
+            own, or those of the others if its endpoints can't be queried.
     """
 
     def __init__(self) -> None:
         self.by_service: dict[str, Isolation] = {}
+        self.judged_by: Callable[[str], list[Isolation]] = lambda service: [
+            self.of(service)
+        ]
 
     def of(self, service: str) -> Isolation:
         """Returns the state of a service; creates it if needed."""
--- a/src/almondshift/relay/engine_reach.py
+++ b/src/almondshift/relay/engine_reach.py
@@ -55,6 +55,7 @@
         self.connecting: set[str] = set()
         self.on_isolated: Callable[[str], None] = lambda service: None
         self.on_restored: Callable[[str], None] = lambda service: None
+        shared.links.judged_by = self.judged_by
 
     async def start(self) -> None:
         """Starts to watch the links."""
@@ -225,11 +226,7 @@
         if reason is None and links.is_isolated:
             return
         now = asyncio.get_running_loop().time()
-        others = {
-            name: state
-            for name, state in self.shared.links.by_service.items()
-            if self.can_query(name) and self.shared.catalogue.of_service(name)
-        }
+        others = self.queried_services()
         if reason is not None:
             for state in others.values():
                 state.want_check_if_silent(
@@ -247,6 +244,20 @@
             links.endpoints = len(self.shared.catalogue.of_service(service))
             self.report_change(service, links, isolated_since)
 
+    def queried_services(self) -> dict[str, isolation.Isolation]:
+        """Returns the links of the services whose endpoints can be queried."""
+        return {
+            name: state
+            for name, state in self.shared.links.by_service.items()
+            if self.can_query(name) and self.shared.catalogue.of_service(name)
+        }
+
+    def judged_by(self, service: str) -> list[isolation.Isolation]:
+        """Returns the states that are checked to judge a service's links."""
+        if self.can_query(service):
+            return [self.shared.links.of(service)]
+        return list(self.queried_services().values())
+
     def is_reached_by_peers(self, service: str) -> bool:
         """Returns whether a peer probably reaches a service."""
         return self.shared.peer_paths.choose(service, frozenset()) is not None
--- a/src/almondshift/relay/peer_attempt.py
+++ b/src/almondshift/relay/peer_attempt.py
@@ -63,6 +63,9 @@
         self.is_stream = (
             self.run.expects_stream and head.status == OK and head.genuine
         )
+        if head.status == OK and head.genuine:
+            paths = self.run.shared.peer_paths
+            paths.note_served(self.run.routed.service, self.peer.name)
 
     def on_data(self, data: bytes) -> None:
         """Passes complete events on, or buffers the body."""
--- a/src/almondshift/relay/peer_paths.py
+++ b/src/almondshift/relay/peer_paths.py
@@ -44,6 +44,9 @@
 FAILED_S = 1.0
 """Time for which a peer that did not respond is left out, in seconds."""
 
+PROVEN_S = 2.0
+"""Time for which it is remembered that a peer served a request, in seconds."""
+
 LOST_SHARE = 0.5
 """Share of a service's endpoints that this node can't reach from which its
 requests may be passed to peers."""
@@ -246,9 +249,21 @@
         """Leaves out a peer that did not respond, or not as it should."""
         self.failed_until[peer] = self.clock.monotonic() + FAILED_S
 
+    def note_unreached(self, service: str, peer: str) -> None:
+        """Leaves out a peer that said that it can't serve a service now."""
+        key = peer_key(service, peer)
+        until = self.clock.monotonic() + FAILED_S
+        self.isolated_until[key] = max(
+            until, self.isolated_until.get(key, until)
+        )
+
     def note_served(self, service: str, peer: str) -> None:
         """Records that a peer served a request to a service."""
-        self.served_at[peer_key(service, peer)] = self.clock.monotonic()
+        now = self.clock.monotonic()
+        self.served_at = {
+            key: at for key, at in self.served_at.items() if now - at < PROVEN_S
+        }
+        self.served_at[peer_key(service, peer)] = now
 
     def served_s(self, service: str, peer: str) -> float | None:
         """Returns the seconds since a peer served a request; None for never."""
--- a/src/almondshift/relay/runs.py
+++ b/src/almondshift/relay/runs.py
@@ -12,6 +12,7 @@
 from almondshift.model import not_run
 from almondshift.model import routes
 from almondshift.policy import answer_times
+from almondshift.policy import isolation
 from almondshift.policy import possible_runs
 from almondshift.policy import request_sends
 from almondshift.ports import path_engines
@@ -61,6 +62,14 @@
 """Maximum number of endpoints that are asked for on behalf of one request and
 that take no more requests now."""
 
+LINKS_POLL_S = 0.02
+"""Interval at which a request of a peer reads whether endpoints have responded,
+in seconds."""
+
+LINKS_VERDICT_S = 0.6
+"""Time for which such a request waits for that, in seconds; longer than two
+rounds of queries."""
+
 LINKS_RETRY_S = 0.15
 """Interval at which a request that waits for endpoints to respond again checks
 whether they do, in seconds."""
@@ -116,6 +125,9 @@
         cover: Retry budget for its sends.
         peer_attempt: The current attempt to have a peer serve it.
         tried_peers: Names of the peers that it was passed to.
+        unreached_peers: Number of these that reach no endpoint either.
+        links_asked_at: Loop time at which the links were to be checked before
+            a peer's request is sent; None before that.
         denied_permits: Endpoints that take no more requests now, at the latest
             search.
     """
@@ -143,6 +155,8 @@
         self.cover = retry_cover.RetryCover(routed, self.all_sends, shared)
         self.peer_attempt: peer_attempt.PeerAttempt | None = None
         self.tried_peers: frozenset[str] = frozenset()
+        self.unreached_peers = 0
+        self.links_asked_at: float | None = None
         self.is_ended = False
         self.timer = self.loop.call_at(self.deadline_at, self.time_out)
         shared.running.add(self)
@@ -185,10 +199,52 @@
         if self.shared.crash_watch.is_refused(self.routed):
             self.refuse_crashing()
             return
-        if self.may_have_run or self.can_end_in_time():
+        if not self.may_have_run and not self.can_end_in_time():
+            self.refuse_leaving()
+        elif self.must_verify_links():
+            self.await_verdict()
+        else:
             self.dispatch()
+
+    def must_verify_links(self) -> bool:
+        """Returns whether endpoints must respond before the request is sent.
+
+        The peer that passed it on has lost its links, and this node may have
+        lost its own at the same moment. What it sends could not be refused as
+        not run any more, and would wait until its deadline.
+        """
+        if not self.routed.from_peer or self.sends:
+            return False
+        now = self.loop.time()
+        if self.links.has_heard_lately(now):
+            return False
+        asked_at = self.links_asked_at
+        if asked_at is None:
+            return True
+        if now - asked_at >= LINKS_VERDICT_S:
+            return False
+        judging = self.shared.links.judged_by(self.routed.service)
+        return bool(judging) and not any(
+            links.last_response_at >= asked_at for links in judging
+        )
+
+    def await_verdict(self) -> None:
+        """Sends the request once endpoints respond; refuses it if none do."""
+        judging = self.shared.links.judged_by(self.routed.service)
+        if judging and all(links.is_isolated for links in judging):
+            self.refuse(
+                errors.ServiceNotReady(
+                    "This node reaches no endpoint of the service.",
+                    retry_after_s=self.retry_s(),
+                )
+            )
             return
-        self.refuse_leaving()
+        now = self.loop.time()
+        if self.links_asked_at is None:
+            self.links_asked_at = now
+            for links in judging:
+                links.want_check(now, isolation.CheckReason.PEER_REQUEST)
+        self.loop.call_later(LINKS_POLL_S, self.begin)
 
     def refuse_leaving(self) -> None:
         """Refuses a request that was not sent, as this node stops."""
@@ -272,7 +328,7 @@
             return False
         if self.possible_runs >= self.routed.route.max_attempts:
             return False
-        if not self.routed.may_go_to_peer or len(self.tried_peers) >= MAX_PEERS:
+        if not self.routed.may_go_to_peer or self.has_tried_all_peers():
             return False
         paths = self.shared.peer_paths
         peer = paths.choose(self.routed.service, self.tried_peers)
@@ -366,11 +422,18 @@
 
     def can_pass_to_peer(self) -> bool:
         """Returns whether a peer may serve the request."""
-        if not self.routed.may_go_to_peer or len(self.tried_peers) >= MAX_PEERS:
+        if not self.routed.may_go_to_peer or self.has_tried_all_peers():
             return False
         paths = self.shared.peer_paths
         return paths.choose(self.routed.service, self.tried_peers) is not None
 
+    def has_tried_all_peers(self) -> bool:
+        """Returns whether the request may be passed to no more peers.
+
+        Peers that reach no endpoint don't count, as they refuse it at once.
+        """
+        return len(self.tried_peers) - self.unreached_peers >= MAX_PEERS
+
     def may_await_endpoints(self) -> bool:
         """Returns whether to wait until this node reaches endpoints again.
 
@@ -439,7 +502,7 @@
         is_complete = ending is path_engines.Ending.WHOLE and head is not None
         if is_complete and attempt.is_whole_stream():
             attempt.end_send(request_sends.ANSWERED)
-            self.note_served_by(attempt)
+            self.shared.observer.via_peers.labels("answered").inc()
             self.finish_from_peer()
             return
         if (
@@ -450,7 +513,7 @@
             and not attempt.is_stream
         ):
             attempt.end_send(request_sends.ANSWERED)
-            self.note_served_by(attempt)
+            self.shared.observer.via_peers.labels("answered").inc()
             self.responder.send_whole(
                 head.status, head.headers, bytes(attempt.body)
             )
@@ -468,14 +531,13 @@
         self.shared.observer.via_peers.labels("failed").inc()
         if not is_refused:
             self.shared.peer_paths.note_failed(attempt.peer.name)
+        elif kind == errors.ServiceNotReady.kind:
+            self.unreached_peers += 1
+            self.shared.peer_paths.note_unreached(
+                self.routed.service, attempt.peer.name
+            )
         self.continue_after_peer(attempt, reason, evidence, is_unreached)
 
-    def note_served_by(self, attempt: peer_attempt.PeerAttempt) -> None:
-        """Records that a peer served the request."""
-        self.shared.observer.via_peers.labels("answered").inc()
-        paths = self.shared.peer_paths
-        paths.note_served(self.routed.service, attempt.peer.name)
-
     def continue_after_peer(
         self,
         attempt: peer_attempt.PeerAttempt,
@@ -506,7 +568,7 @@
         is_allowed = (
             may_repeat
             and not is_full
-            and len(self.tried_peers) < MAX_PEERS
+            and not self.has_tried_all_peers()
             and self.cover.obtain()
         )
         self.log_failed_attempt(
--- a/tests/platform/test_unnoticed_cuts.py
+++ b/tests/platform/test_unnoticed_cuts.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
+from almondshift.policy import isolation
 from tests import virtual_loop
 from tests.platform import cut_group
 from tests.platform import cut_links
@@ -13,6 +16,14 @@
 """Share of the first tries at cut nodes that are served. The stated target is
 relative to the share at the others, which is at most one."""
 
+CHOSEN_FIRST_S = 0.05
+"""Time for which the only peer that reaches endpoints is left out, in
+seconds."""
+
+MAX_ANSWER_S = 1.0
+"""Time in which a request is answered if one peer refuses it, in seconds; well
+below its deadline."""
+
 LOSES_ALL = [
     cut for cut in cut_links.Cut if cut is not cut_links.Cut.REFUSE_NEW
 ]
@@ -79,3 +90,38 @@
     group = run(options)
     for service in (system.MODEL_SERVICE, system.PLAIN_SERVICE):
         assert group.undetected(service, cut_group.CONTACT_S) == 0
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/look/x", "/chat/x"])
+@pytest.mark.parametrize("plain_health", [False, True])
+def test_a_peer_that_is_cut_too_refuses_at_once(
+    path: str, plain_health: bool
+) -> None:
+    """Guards against peers that hold a request which they can't serve."""
+
+    async def scenario() -> None:
+        async with system.running_system(nodes=3) as running:
+            if not plain_health:
+                await cut_group.remove_plain_health(running)
+            await running.wait_for_peers()
+            loop = asyncio.get_running_loop()
+            await asyncio.sleep(isolation.SILENT_S)
+            for process in running.nodes[:2]:
+                pool = cut_links.create_cuttable_pool(process)
+                pool.begin(cut_links.Cut.ACCEPT)
+            shared = running.nodes[0].node.shared
+            for service in (system.MODEL_SERVICE, system.PLAIN_SERVICE):
+                shared.links.of(service).isolated_since = loop.time()
+            shared.peer_paths.failed_until["node-2"] = (
+                shared.clock.monotonic() + CHOSEN_FIRST_S
+            )
+            sent_at = loop.time()
+            status, _, _ = await system.send(
+                running.nodes[0].settings.entry.address,
+                system.request(path, "r1"),
+                b"x",
+            )
+            assert status == 200
+            assert loop.time() - sent_at < MAX_ANSWER_S
+
+    virtual_loop.run(scenario())
