Let announcements of isolated nodes outlast lost renewals

Nodes passed requests to peers that had been cut off for seconds and had said so.

Cause: an isolated node renews its announcement every 2 s, and peers forget it after 6. A renewal wakes nobody and is sent three times by each node that has it, so that at 75 nodes some don't reach everybody, and three in a row are sometimes missed. An end is told by a withdrawal, not by silence.

If a node ends without a withdrawal and starts again with sound links, peers pass it nothing for up to 12 s.

--- a/src/almondshift/relay/peer_paths.py
+++ b/src/almondshift/relay/peer_paths.py
@@ -37,7 +37,7 @@
 facts about lost engines: nodes of earlier releases ignore unknown keys of that
 kind, while they reject messages with an unknown kind."""
 
-FACT_TTL_S = 6.0
+FACT_TTL_S = 12.0
 REPUBLISH_S = 2.0
 """Interval between publications of an isolated node, in seconds."""
 
