Cut only the partitioned nodes in soaks of over 16 nodes

A soak of 24 nodes, 20 of them cut, served 0 of 60 first tries at the cut nodes and reported nothing, on this code and on: the four others were cut too.

Cause, in the harness: each node read the registry with the addresses of its own links, and in a group of over 16 nodes most read it through others, whose links are cut. Nodes now read the engines' own addresses, and connect to their links.

--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -198,13 +198,11 @@
         self.departed: list[EngineProcess] = []
         self.configuration = options.create_configuration()
         self.partition_links: list[SupervisedProcess] = []
-        views = options.nodes if options.partitions else 0
         self.store = SupervisedProcess(
             "store",
             [
                 "tests.soak.store_process",
                 *("--address", self.network.store()),
-                *("--views", str(views)),
             ],
         )
         self.tails: list[ledger.LedgerTail] = []
@@ -275,12 +273,7 @@
         front = await create_link(
             network.node(index, layout.NODE_PORT), is_direct
         )
-        has_links = bool(self.options.partitions)
-        store = network.store(1 + index if has_links else 0)
-        link = await create_link(store, is_direct)
-        partition_file = pathlib.Path()
-        if has_links:
-            partition_file = self.add_partition_links(index)
+        link = await create_link(network.store(), is_direct)
         name = f"n{index}"
         path = self.folder / f"{name}.ini"
         cut_file = self.folder / f"{name}.cut"
@@ -288,6 +281,11 @@
         if self.options.cuts:
             command[0] = "tests.soak.node_process"
             command += ["--cut-file", str(cut_file)]
+        partition_file = pathlib.Path()
+        if self.options.partitions:
+            partition_file = self.add_partition_links(index)
+            command[0] = "tests.soak.node_process"
+            command += ["--node", str(index)]
         node = NodeProcess(
             name,
             command,
