--- a/src/almondshift/relay/peer_paths.py
+++ b/src/almondshift/relay/peer_paths.py
@@ -44,7 +44,7 @@
 FAILED_S = 1.0
 """Time for which a peer that did not respond is left out, in seconds."""
 
-PROVEN_S = 2.0
+SERVED_TTL_S = 2.0
 """Time for which it is remembered that a peer served a request, in seconds."""
 
 LOST_SHARE = 0.5
@@ -261,7 +261,9 @@
         """Records that a peer served a request to a service."""
         now = self.clock.monotonic()
         self.served_at = {
-            key: at for key, at in self.served_at.items() if now - at < PROVEN_S
+            key: at
+            for key, at in self.served_at.items()
+            if now - at < SERVED_TTL_S
         }
         self.served_at[peer_key(service, peer)] = now
 
