Connect directly in soaks with partitions

Behind proxies a node's links were never cut: the registry names addresses of proxies, which lead to no link. `--partitions` without `--direct` cut nothing, and since nodes connect to their links by themselves it left them without endpoints.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -359,7 +359,7 @@
         erratic_services=args.erratic_services,
         allowance=args.allowance,
         endless=args.endless,
-        direct=args.direct,
+        direct=args.direct or args.partitions > 0,
         partitions=args.partitions,
         partition=args.partition,
         partitioned=args.partitioned,
