Leave a request with an open send alone on a node without endpoints

A request that a peer was serving ended with 502 if it was dispatched again meanwhile, and the peer's work was cancelled. Guards against a second send refused that send, as they should, and the node then gave the request up.

--- a/src/almondshift/relay/plain_run.py
+++ b/src/almondshift/relay/plain_run.py
@@ -117,7 +117,7 @@
     def dispatch(self) -> None:
         """Sends the request to an endpoint."""
         if self.links.is_isolated:
-            if self.pass_to_peer():
+            if self.pass_to_peer() or self.all_sends.is_open:
                 return
             if self.may_await_endpoints():
                 self.await_endpoints()
--- a/src/almondshift/relay/stream_run.py
+++ b/src/almondshift/relay/stream_run.py
@@ -98,7 +98,7 @@
     def dispatch(self) -> None:
         """Sends the request over a path with capacity, or refuses it."""
         if self.links.is_isolated:
-            if not self.pass_to_peer():
+            if not self.pass_to_peer() and not self.all_sends.is_open:
                 self.handle_no_path(is_limited=False)
             return
         limits = self.shared.limits
--- a/tests/relay/test_engine_reach.py
+++ b/tests/relay/test_engine_reach.py
@@ -168,6 +168,7 @@
     shared: Any = types.SimpleNamespace(
         tracker=tracker,
         engines=engines,
+        links=isolation.ServiceLinks(),
         rng=random.Random(1),
         observer=types.SimpleNamespace(emit=logged.append),
     )
